--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+GO ?= go
+BIN := bin
+
+.PHONY: all build generate test lint demo stats bench
+
+all: build
+
+# build compiles the three programs into bin/.
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# generate compiles the schema; the result is committed.
+generate:
+	$(GO) run ./internal/cmd/protogen .
+
+# test runs all tests with fixed seeds.
+test:
+	$(GO) test ./...
+
+# lint checks formatting and runs the static checks.
+lint:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "gofmt: $$out"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# demo starts the stand-ins and six routers on loopback and prints a report.
+demo: build
+	./demo/run.sh
+
+bench:
+	$(GO) test ./... -run '^$$' -bench . -benchmem
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,157 @@
+// Package config holds the dynamic configuration of a deployment as routers
+// use it: accepted as a whole, immutable, and indexed for look-ups.
+//
+// Acceptance is a pure function of the published bytes, so that all routers
+// judge a revision alike.
+package config
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// MaxPayloadBytes is the largest payload that is accepted; the platform's
+// service holds values up to this size.
+const MaxPayloadBytes = 1 << 20
+
+// ErrPayloadTooLarge is returned for payloads over MaxPayloadBytes.
+var ErrPayloadTooLarge = errors.New("configuration is larger than 1048576 bytes")
+
+// ID is the low 32 bits of the xxHash64 of a name. It stands for the name of
+// a workspace, a pool or a target in messages between routers.
+type ID uint32
+
+// IDOf returns the ID of name.
+func IDOf(name string) ID {
+	return ID(xxhash.Sum64String(name))
+}
+
+// Digest is the SHA-256 of a published payload.
+type Digest [sha256.Size]byte
+
+// Accepted is a configuration in force. It is immutable and safe for
+// concurrent use.
+type Accepted struct {
+	Revision uint64
+	Digest   Digest
+	// Payload is the published bytes, for peers that ask for them.
+	Payload []byte
+	Proto   *v1.Configuration
+
+	workspacesByToken map[Digest]*v1.Workspace
+	workspaces        map[ID]*v1.Workspace
+	pools             map[string]*v1.Pool
+	poolsByID         map[ID]*v1.Pool
+	targets           map[ID]*v1.Target
+	targetsByPool     map[string][]*v1.Target
+	zones             map[string]*v1.Zone
+	classes           map[string]*v1.DeadlineClass
+}
+
+// Accept decodes, validates and indexes a published payload. The error of a
+// payload that decodes but is invalid is a FieldErrors.
+func Accept(revision uint64, payload []byte) (*Accepted, error) {
+	if len(payload) > MaxPayloadBytes {
+		return nil, ErrPayloadTooLarge
+	}
+	message := &v1.Configuration{}
+	if err := proto.Unmarshal(payload, message); err != nil {
+		return nil, fmt.Errorf("decode configuration: %w", err)
+	}
+	if errs := Validate(message); len(errs) > 0 {
+		return nil, errs
+	}
+	accepted := &Accepted{
+		Revision: revision,
+		Digest:   sha256.Sum256(payload),
+		Payload:  payload,
+		Proto:    message,
+	}
+	accepted.index()
+	return accepted, nil
+}
+
+func (a *Accepted) index() {
+	a.workspacesByToken = map[Digest]*v1.Workspace{}
+	a.workspaces = map[ID]*v1.Workspace{}
+	for _, w := range a.Proto.Workspaces {
+		a.workspaces[IDOf(w.Name)] = w
+		for _, digest := range w.TokenSha256 {
+			a.workspacesByToken[Digest(digest)] = w
+		}
+	}
+	a.pools = map[string]*v1.Pool{}
+	a.poolsByID = map[ID]*v1.Pool{}
+	for _, p := range a.Proto.Pools {
+		a.pools[p.Name] = p
+		a.poolsByID[IDOf(p.Name)] = p
+	}
+	a.targets = map[ID]*v1.Target{}
+	a.targetsByPool = map[string][]*v1.Target{}
+	for _, t := range a.Proto.Targets {
+		a.targets[IDOf(t.Name)] = t
+		a.targetsByPool[t.Pool] = append(a.targetsByPool[t.Pool], t)
+	}
+	a.zones = map[string]*v1.Zone{}
+	for _, z := range a.Proto.Zones {
+		a.zones[z.Name] = z
+	}
+	a.classes = map[string]*v1.DeadlineClass{}
+	for _, c := range a.Proto.Classes {
+		a.classes[c.Name] = c
+	}
+}
+
+// WorkspaceByToken returns the workspace that accepts the bearer token.
+func (a *Accepted) WorkspaceByToken(token string) (*v1.Workspace, bool) {
+	w, ok := a.workspacesByToken[sha256.Sum256([]byte(token))]
+	return w, ok
+}
+
+// Workspace returns the workspace with the ID.
+func (a *Accepted) Workspace(id ID) (*v1.Workspace, bool) {
+	w, ok := a.workspaces[id]
+	return w, ok
+}
+
+// Pool returns the pool with the name.
+func (a *Accepted) Pool(name string) (*v1.Pool, bool) {
+	p, ok := a.pools[name]
+	return p, ok
+}
+
+// PoolByID returns the pool with the ID.
+func (a *Accepted) PoolByID(id ID) (*v1.Pool, bool) {
+	p, ok := a.poolsByID[id]
+	return p, ok
+}
+
+// Target returns the target with the ID.
+func (a *Accepted) Target(id ID) (*v1.Target, bool) {
+	t, ok := a.targets[id]
+	return t, ok
+}
+
+// TargetsOf returns the targets of the named pool in configuration order. The
+// slice must not be changed.
+func (a *Accepted) TargetsOf(pool string) []*v1.Target {
+	return a.targetsByPool[pool]
+}
+
+// Zone returns the availability zone with the name.
+func (a *Accepted) Zone(name string) (*v1.Zone, bool) {
+	z, ok := a.zones[name]
+	return z, ok
+}
+
+// Class returns the deadline class with the name.
+func (a *Accepted) Class(name string) (*v1.DeadlineClass, bool) {
+	c, ok := a.classes[name]
+	return c, ok
+}
