--- /dev/null
+++ b/router/internal/dispatch/attempt.go
@@ -0,0 +1,160 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/result"
+	"github.com/chiveseam/chiveseam/router/internal/broker"
+)
+
+// attempt is one execution of a request at one target.
+type attempt struct {
+	d          *Dispatcher
+	req        *Request
+	target     *v1.Target
+	grant      *broker.Grant
+	sink       *countingSink
+	usage      usage
+	nextReport uint32
+	started    time.Time
+}
+
+// attemptEnd is what an attempt showed.
+type attemptEnd struct {
+	result  *result.Result
+	outcome v1.Outcome
+	// crashed is set when the connection broke while the target had the request.
+	crashed bool
+}
+
+// run executes the attempt and gives the slot back.
+func (a *attempt) run(ctx context.Context) attemptEnd {
+	ctx, span := a.d.tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("chiveseam.target", a.target.Name)))
+	defer span.End()
+	a.started = time.Now()
+	a.usage = newUsage(len(a.req.Body))
+	a.nextReport = max(a.req.Estimate, a.usage.cost(a.req.Pool)+1)
+	end := a.execute(ctx)
+	service := time.Since(a.started)
+	a.grant.Done(a.cost(end, service), end.outcome, service)
+	span.SetAttributes(attribute.String("chiveseam.code", end.result.Code.String()))
+	return end
+}
+
+// cost returns the final cost. A request that did not run costs nothing.
+func (a *attempt) cost(end attemptEnd, service time.Duration) uint32 {
+	if end.outcome == v1.Outcome_NOT_RUN {
+		return 0
+	}
+	if a.req.Pool.Kind == v1.PoolKind_ENGINE {
+		return a.usage.cost(a.req.Pool)
+	}
+	return serviceCost(service, a.target)
+}
+
+// serviceCost is the time at a target in milliseconds at the reference speed.
+func serviceCost(service time.Duration, target *v1.Target) uint32 {
+	const referencePercent = 100
+	percent := max(target.SpeedPercent, 1)
+	if target.SpeedPercent == 0 {
+		percent = referencePercent
+	}
+	return max(uint32(service.Milliseconds())*percent/referencePercent, 1)
+}
+
+func (a *attempt) execute(ctx context.Context) attemptEnd {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limits := a.d.limits(a.req.Config)
+	dog := newWatchdog(cancel, min(limits.firstByte, time.Until(a.req.EndBy)))
+	defer dog.stop()
+	resp, err := a.d.transports.roundTrip(ctx, a.target, a.req)
+	if err != nil {
+		return a.failed(ctx, err)
+	}
+	dog.setLimit(limits.betweenTokens)
+	if err := a.relay(ctx, resp, dog); err != nil {
+		return a.failed(ctx, err)
+	}
+	return a.served(resp)
+}
+
+func (a *attempt) relay(ctx context.Context, resp *http.Response, dog *watchdog) error {
+	if isEventStream(resp.Header) && resp.StatusCode == http.StatusOK {
+		ctx, span := a.d.tracer.Start(ctx, "stream")
+		defer span.End()
+		s := &stream{attempt: a, sink: a.sink}
+		return s.relay(ctx, resp, dog)
+	}
+	defer resp.Body.Close()
+	document, err := relayWhole(resp, a.sink, dog)
+	if err == nil {
+		a.usage.observe(document)
+	}
+	return err
+}
+
+func (a *attempt) served(resp *http.Response) attemptEnd {
+	code := v1.Code_OK
+	if resp.StatusCode >= http.StatusInternalServerError {
+		code = v1.Code_TARGET_ERROR
+	}
+	return attemptEnd{
+		result:  result.New(code, v1.Ran_YES, "target %s answered %d", a.target.Name, resp.StatusCode),
+		outcome: v1.Outcome_SERVED,
+	}
+}
+
+// failed turns an error into the truth about the attempt.
+func (a *attempt) failed(ctx context.Context, err error) attemptEnd {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(err, errNotSent):
+		return attemptEnd{
+			result:  result.New(v1.Code_NO_TARGET, v1.Ran_NO, "target %s: %v", a.target.Name, err),
+			outcome: v1.Outcome_NOT_RUN,
+		}
+	case errors.Is(cause, errSilent):
+		a.d.transports.reset(a.target)
+		return a.lost(v1.Code_TARGET_TIMEOUT, "target %s fell silent", false)
+	case errors.Is(cause, context.DeadlineExceeded):
+		return a.lost(v1.Code_TARGET_TIMEOUT, "target %s did not finish by the deadline", false)
+	case errors.Is(err, errCallerGone), errors.Is(cause, context.Canceled):
+		return attemptEnd{
+			result:  result.New(v1.Code_CANCELLED, v1.Ran_UNKNOWN, "the caller went away"),
+			outcome: v1.Outcome_ABANDONED,
+		}
+	case errors.Is(err, errTruncated):
+		return a.lost(v1.Code_ANSWER_TRUNCATED, "the answer of target %s ended short", true)
+	}
+	a.d.transports.reset(a.target)
+	return a.lost(v1.Code_TARGET_LOST, "the connection to target %s was lost", true)
+}
+
+func (a *attempt) lost(code v1.Code, format string, crashed bool) attemptEnd {
+	return attemptEnd{
+		result:  result.New(code, v1.Ran_UNKNOWN, format, a.target.Name),
+		outcome: v1.Outcome_LOST,
+		crashed: crashed,
+	}
+}
+
+// cancelOnClose releases a request's context when its body is closed.
+type cancelOnClose struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+func (c *cancelOnClose) Close() error {
+	defer c.cancel(nil)
+	return c.ReadCloser.Close()
+}
--- /dev/null
+++ b/router/internal/dispatch/dispatcher.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/chiveseam/chiveseam/config"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/result"
+	"github.com/chiveseam/chiveseam/router/internal/broker"
+	"github.com/chiveseam/chiveseam/router/internal/state"
+)
+
+// Defaults of limits that the configuration leaves at zero.
+const (
+	defaultFirstByte     = 30 * time.Second
+	defaultBetweenTokens = 10 * time.Second
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 4
+)
+
+// Acquirer obtains slots.
+type Acquirer interface {
+	Acquire(ctx context.Context, demand broker.Demand) (*broker.Grant, *result.Result)
+}
+
+// Guard decides about requests that may crash targets and about repeating
+// attempts. Its methods are safe for concurrent use.
+type Guard interface {
+	// Begin is called before each attempt. It returns a refusal for a request
+	// that must not run, and waits while a suspect runs elsewhere.
+	Begin(ctx context.Context, digest uint64) *result.Result
+	// End is called after each attempt that was begun.
+	End(digest uint64, target config.ID, crashed, answered bool)
+	// Retry reports whether attempt, counted from 1, may be followed by another
+	// one, and after which delay.
+	Retry(attempt int) (time.Duration, bool)
+	// Observe is called once for each request.
+	Observe()
+}
+
+// Usage is told what each workspace received.
+type Usage interface {
+	Delivered(workspace, pool string, cost uint32)
+}
+
+// Dispatcher executes requests. It is safe for concurrent use.
+type Dispatcher struct {
+	store      *state.Store
+	acquirer   Acquirer
+	guard      Guard
+	usage      Usage
+	tracer     trace.Tracer
+	transports *transports
+}
+
+// New returns a dispatcher that connects to targets within dialTimeout.
+func New(store *state.Store, acquirer Acquirer, guard Guard, usage Usage, tracer trace.Tracer, dialTimeout time.Duration) *Dispatcher {
+	return &Dispatcher{
+		store:      store,
+		acquirer:   acquirer,
+		guard:      guard,
+		usage:      usage,
+		tracer:     tracer,
+		transports: newTransports(dialTimeout),
+	}
+}
+
+type timeLimits struct {
+	firstByte     time.Duration
+	betweenTokens time.Duration
+}
+
+func (d *Dispatcher) limits(accepted *config.Accepted) timeLimits {
+	limits := timeLimits{firstByte: defaultFirstByte, betweenTokens: defaultBetweenTokens}
+	if ms := accepted.Proto.GetLimits().GetFirstByteTimeoutMs(); ms > 0 {
+		limits.firstByte = time.Duration(ms) * time.Millisecond
+	}
+	if ms := accepted.Proto.GetLimits().GetBetweenTokensTimeoutMs(); ms > 0 {
+		limits.betweenTokens = time.Duration(ms) * time.Millisecond
+	}
+	return limits
+}
+
+// Do executes a request and relays its answer to the sink. The result is the
+// final one; when it is not OK and the sink's head was not written, the caller
+// of Do answers by itself.
+func (d *Dispatcher) Do(ctx context.Context, req *Request, sink Sink) *result.Result {
+	ctx, cancel := context.WithDeadline(ctx, req.EndBy)
+	defer cancel()
+	d.guard.Observe()
+	counting := &countingSink{Sink: sink}
+	ran := v1.Ran_NO
+	var exclude []config.ID
+	for n := 1; ; n++ {
+		end, target := d.once(ctx, req, counting, exclude)
+		ran = combine(ran, end.result.Ran)
+		end.result.Ran = ran
+		if target == nil || end.result.OK() || !d.mayRetry(ctx, req, counting, end, n) {
+			return end.result
+		}
+		exclude = append(exclude, config.IDOf(target.Name))
+	}
+}
+
+// combine returns what is true of all attempts together.
+func combine(earlier, last v1.Ran) v1.Ran {
+	if last == v1.Ran_NO {
+		return earlier
+	}
+	return last
+}
+
+// once makes one attempt. The target is nil if none was granted.
+func (d *Dispatcher) once(ctx context.Context, req *Request, sink *countingSink, exclude []config.ID) (attemptEnd, *v1.Target) {
+	if refusal := d.guard.Begin(ctx, req.Digest); refusal != nil {
+		return attemptEnd{result: refusal}, nil
+	}
+	grant, refusal := d.acquire(ctx, req, exclude)
+	if refusal != nil {
+		d.guard.End(req.Digest, 0, false, false)
+		return attemptEnd{result: refusal}, nil
+	}
+	target, ok := req.Config.Target(grant.Target)
+	if !ok {
+		target, ok = d.store.Config().Target(grant.Target)
+	}
+	if !ok {
+		grant.Done(0, v1.Outcome_NOT_RUN, 0)
+		d.guard.End(req.Digest, 0, false, false)
+		return attemptEnd{result: result.New(v1.Code_NO_TARGET, v1.Ran_NO, "granted target is not configured")}, nil
+	}
+	a := &attempt{d: d, req: req, target: target, grant: grant, sink: sink}
+	end := a.run(ctx)
+	d.guard.End(req.Digest, grant.Target, end.crashed, end.result.OK())
+	if end.outcome != v1.Outcome_NOT_RUN {
+		d.usage.Delivered(req.Workspace.Name, req.Pool.Name, a.cost(end, time.Since(a.started)))
+	}
+	return end, target
+}
+
+func (d *Dispatcher) acquire(ctx context.Context, req *Request, exclude []config.ID) (*broker.Grant, *result.Result) {
+	ctx, span := d.tracer.Start(ctx, "wait")
+	defer span.End()
+	return d.acquirer.Acquire(ctx, broker.Demand{
+		Pool:       req.Pool.Name,
+		Region:     d.regionFor(req),
+		Workspace:  config.IDOf(req.Workspace.Name),
+		Estimate:   req.Estimate,
+		Deadline:   req.StartBy,
+		Prefix:     req.Prefix,
+		BodyBytes:  uint32(len(req.Body)),
+		Exclude:    exclude,
+		DataCentre: req.Workspace.DataCentre,
+	})
+}
+
+// regionFor returns the region whose scheduler gets the demand: the router's
+// own if it has targets that the workspace may use, else the first that has.
+func (d *Dispatcher) regionFor(req *Request) string {
+	own := d.store.Fleet().Self.Region
+	found := ""
+	for _, t := range req.Config.TargetsOf(req.Pool.Name) {
+		zone, ok := req.Config.Zone(t.Zone)
+		if !ok || req.Workspace.DataCentre != "" && zone.DataCentre != req.Workspace.DataCentre {
+			continue
+		}
+		if zone.Region == own {
+			return own
+		}
+		if found == "" {
+			found = zone.Region
+		}
+	}
+	if found == "" {
+		return own
+	}
+	return found
+}
+
+// mayRetry decides whether another attempt is allowed and waits before it. A
+// non-idempotent request is repeated only when it is proved that no attempt
+// ran; no request is repeated once the caller has a part of an answer.
+func (d *Dispatcher) mayRetry(ctx context.Context, req *Request, sink *countingSink, end attemptEnd, n int) bool {
+	if sink.started || end.outcome == v1.Outcome_ABANDONED || n >= maxAttempts {
+		return false
+	}
+	if !req.Idempotent && end.result.Ran != v1.Ran_NO {
+		return false
+	}
+	delay, ok := d.guard.Retry(n)
+	if !ok || time.Now().Add(delay).After(req.StartBy) {
+		return false
+	}
+	return sleep(ctx, delay) == nil
+}
--- /dev/null
+++ b/router/internal/dispatch/usage.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"bytes"
+	"encoding/json"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// bytesPerToken estimates the tokens of a prompt that was not counted yet.
+const bytesPerToken = 4
+
+// usage counts the tokens of one answer of an engine. It prefers what the
+// engine reports and counts the events of a stream otherwise.
+type usage struct {
+	promptTokens     uint64
+	completionTokens uint64
+	reported         bool
+}
+
+// chunk is the part of an OpenAI answer or stream event that usage reads.
+type chunk struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens     uint64 `json:"prompt_tokens"`
+		CompletionTokens uint64 `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+func newUsage(bodyBytes int) usage {
+	return usage{promptTokens: uint64(bodyBytes / bytesPerToken)}
+}
+
+// observe counts one JSON document: a whole answer or an event of a stream.
+func (u *usage) observe(document []byte) {
+	if !bytes.Contains(document, []byte(`"usage"`)) {
+		u.completionTokens++
+		return
+	}
+	var c chunk
+	if json.Unmarshal(document, &c) != nil {
+		return
+	}
+	if c.Usage != nil {
+		u.promptTokens = c.Usage.PromptTokens
+		u.completionTokens = c.Usage.CompletionTokens
+		u.reported = true
+		return
+	}
+	u.completionTokens++
+}
+
+// cost returns the cost in cost units of the pool.
+func (u *usage) cost(p *v1.Pool) uint32 {
+	return uint32(u.promptTokens*uint64(p.InputWeight) + u.completionTokens*uint64(p.OutputWeight))
+}
--- /dev/null
+++ b/router/internal/entry/answer.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/chiveseam/chiveseam/result"
+)
+
+// errorBody is the body of an answer made by the router, in the form of the
+// OpenAI API with the result added.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message      string `json:"message"`
+	Type         string `json:"type"`
+	Code         int32  `json:"code"`
+	Name         string `json:"name"`
+	Ran          string `json:"ran"`
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+}
+
+func newErrorBody(r *result.Result) errorBody {
+	return errorBody{Error: errorDetail{
+		Message:      result.Describe(r.Code).Sentence + " " + r.Detail,
+		Type:         "chiveseam_error",
+		Code:         int32(r.Code),
+		Name:         r.Code.String(),
+		Ran:          r.Ran.String(),
+		RetryAfterMs: r.RetryAfter.Milliseconds(),
+	}}
+}
+
+func setResultHeaders(h http.Header, r *result.Result) {
+	h.Set(result.HeaderCode, r.HeaderValue())
+	h.Set(result.HeaderRan, r.Ran.String())
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+}
+
+// writeResult answers a request that no target answered.
+func writeResult(w http.ResponseWriter, r *result.Result) {
+	setResultHeaders(w.Header(), r)
+	writeJSON(w, r.Status(), newErrorBody(r))
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// trackedWriter remembers whether a head was written.
+type trackedWriter struct {
+	http.ResponseWriter
+	wrote       bool
+	eventStream bool
+}
+
+func (t *trackedWriter) WriteHeader(status int) {
+	t.wrote = true
+	t.ResponseWriter.WriteHeader(status)
+}
+
+func (t *trackedWriter) Write(p []byte) (int, error) {
+	t.wrote = true
+	return t.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (t *trackedWriter) Unwrap() http.ResponseWriter { return t.ResponseWriter }
+
+// finish ends the answer: as a final answer of the router if nothing was
+// written, as an error event in a stream that broke, and otherwise by closing
+// the connection, so that a short answer never looks whole.
+func (s *Server) finish(w *trackedWriter, end *result.Result) {
+	switch {
+	case !w.wrote:
+		writeResult(w, end)
+	case end.OK():
+		setTrailers(w.Header(), end)
+	case w.eventStream:
+		writeErrorEvent(w, end)
+		setTrailers(w.Header(), end)
+		panic(http.ErrAbortHandler)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func setTrailers(h http.Header, end *result.Result) {
+	h.Set(http.TrailerPrefix+result.HeaderCode, end.HeaderValue())
+	h.Set(http.TrailerPrefix+result.HeaderRan, end.Ran.String())
+}
+
+func writeErrorEvent(w http.ResponseWriter, end *result.Result) {
+	data, err := json.Marshal(newErrorBody(end))
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(w, "event: error\ndata: %s\n\n", data)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// callerSink writes a target's answer to the caller. It implements
+// dispatch.Sink.
+type callerSink struct {
+	w            *trackedWriter
+	controller   *http.ResponseController
+	writeTimeout time.Duration
+}
+
+func newCallerSink(w http.ResponseWriter, writeTimeout time.Duration) *callerSink {
+	tracked, ok := w.(*trackedWriter)
+	if !ok {
+		tracked = &trackedWriter{ResponseWriter: w}
+	}
+	return &callerSink{w: tracked, controller: http.NewResponseController(w), writeTimeout: writeTimeout}
+}
+
+// hopHeaders are not passed on from a target's answer.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	result.HeaderCode, result.HeaderRan,
+}
+
+func removeHopHeaders(h http.Header) {
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// Head implements dispatch.Sink.
+func (c *callerSink) Head(status int, header http.Header) error {
+	target := header.Clone()
+	removeHopHeaders(target)
+	dst := c.w.Header()
+	for name, values := range target {
+		dst[name] = values
+	}
+	c.w.eventStream = isEventStream(target)
+	if c.w.eventStream {
+		dst.Del("Content-Length")
+	}
+	c.w.WriteHeader(status)
+	return nil
+}
+
+// Data implements dispatch.Sink.
+func (c *callerSink) Data(p []byte) error {
+	if err := c.controller.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := c.w.Write(p); err != nil {
+		return err
+	}
+	return c.controller.Flush()
+}
--- /dev/null
+++ b/router/internal/entry/body.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/result"
+)
+
+// bodyChunk is the step in which the budget is taken for a body of unknown
+// length.
+const bodyChunk = 64 << 10
+
+// byteBudget bounds the bytes of all bodies in memory. It is safe for
+// concurrent use.
+type byteBudget struct {
+	limit int64
+	taken atomic.Int64
+}
+
+func newByteBudget(limit int64) *byteBudget { return &byteBudget{limit: limit} }
+
+func (b *byteBudget) take(n int64) bool {
+	if b.taken.Add(n) > b.limit {
+		b.taken.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (b *byteBudget) give(n int64) { b.taken.Add(-n) }
+
+func (b *byteBudget) used() int64 { return b.taken.Load() }
+
+// body is a request's body and the budget that it holds.
+type body struct {
+	data   []byte
+	held   int64
+	budget *byteBudget
+}
+
+func (b *body) release() {
+	b.budget.give(b.held)
+	b.held = 0
+}
+
+// readBody reads a body in full within the limits. The caller must release it.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *caller) (*body, *result.Result) {
+	limit := s.opts.MaxBodyBytes
+	if configured := int64(c.config.Proto.GetLimits().GetMaxBodyBytes()); configured > 0 {
+		limit = min(limit, configured)
+	}
+	if r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	// A server without deadlines on its connection reads without one.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.opts.BodyTimeout))
+	b := &body{budget: s.bodies}
+	if refusal := b.fill(r.Body, limit); refusal != nil {
+		b.release()
+		return nil, refusal
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return b, nil
+}
+
+func tooLarge(limit int64) *result.Result {
+	return result.New(v1.Code_BODY_TOO_LARGE, v1.Ran_NO, "the limit is %d bytes", limit)
+}
+
+func (b *body) fill(r io.Reader, limit int64) *result.Result {
+	buf := make([]byte, bodyChunk)
+	for {
+		n, err := r.Read(buf)
+		if n > 0 {
+			if int64(len(b.data)+n) > limit {
+				return tooLarge(limit)
+			}
+			if !b.budget.take(int64(n)) {
+				return busy("the bodies in memory reach the limit of %d bytes", b.budget.limit)
+			}
+			b.held += int64(n)
+			b.data = append(b.data, buf[:n]...)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return result.New(v1.Code_BAD_REQUEST, v1.Ran_NO, "the body could not be read: %v", err)
+		}
+	}
+}
--- /dev/null
+++ b/router/internal/scheduling/events.go
@@ -0,0 +1,165 @@
+package scheduling
+
+import (
+	"time"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// receive turns a batch into events of the pools that it concerns.
+func (h *Host) receive(s *Session, batch *v1.EntryBatch, now time.Time) {
+	if batch.Hello != nil {
+		h.hello(s, batch.Hello, now)
+	}
+	for _, use := range batch.SpareUses {
+		if use.Demand == nil {
+			continue
+		}
+		id := s.remember(use.Demand)
+		h.join(s, id, now)
+		h.step(id, now, pool.SpareUsed{Spare: use.Spare, Demand: demandEvent(s, use.Demand, now)})
+	}
+	for _, d := range batch.Demands {
+		id := s.remember(d)
+		if !h.join(s, id, now) {
+			h.unknownPool(s, d.Seq)
+			continue
+		}
+		h.step(id, now, demandEvent(s, d, now))
+	}
+	for _, seq := range batch.Cancels {
+		h.cancel(s, seq, now)
+	}
+	for _, p := range batch.Progress {
+		if id, ok := s.poolOf[p.Seq]; ok {
+			h.step(id, now, pool.Progress{ID: s.demandID(p.Seq), Cost: int64(p.Cost)})
+		}
+	}
+	for _, d := range batch.Done {
+		if id, ok := s.forget(d.Seq); ok {
+			h.step(id, now, pool.Done{
+				ID:          s.demandID(d.Seq),
+				Cost:        int64(d.Cost),
+				Outcome:     d.Outcome,
+				ServiceTime: time.Duration(d.ServiceMs) * time.Millisecond,
+			})
+		}
+	}
+	for _, spare := range batch.SpareReturns {
+		h.stepAll(now, pool.SpareReturned{Router: s.router, Spare: spare})
+	}
+	for _, report := range batch.Reports {
+		h.report(s, report, now)
+	}
+}
+
+// cancel withdraws a demand. A router rejects a grant that crosses its cancel,
+// so that the slot of a demand that was granted meanwhile is free at once.
+func (h *Host) cancel(s *Session, seq uint64, now time.Time) {
+	id, ok := s.forget(seq)
+	if !ok {
+		return
+	}
+	h.step(id, now, pool.Cancel{ID: s.demandID(seq)})
+	h.step(id, now, pool.Done{ID: s.demandID(seq), Outcome: v1.Outcome_NOT_RUN})
+}
+
+// hello joins the router to each pool named with the state that it holds.
+func (h *Host) hello(s *Session, hello *v1.Hello, now time.Time) {
+	for _, c := range hello.Counters {
+		id := config.ID(c.Pool)
+		joined := pool.RouterJoined{Router: s.router, Zone: s.zone, Counters: counterEvents(c.Counters)}
+		for _, f := range hello.InFlight {
+			if f.Pool != c.Pool {
+				continue
+			}
+			s.poolOf[f.Seq] = id
+			joined.InFlight = append(joined.InFlight, pool.InFlight{
+				ID:        s.demandID(f.Seq),
+				Workspace: config.ID(f.Workspace),
+				Target:    config.ID(f.Target),
+				Charged:   int64(f.Charged),
+			})
+		}
+		s.joined[id] = true
+		h.step(id, now, joined)
+	}
+}
+
+// join makes sure that the pool knows the router. It reports whether the pool
+// is configured.
+func (h *Host) join(s *Session, id config.ID, now time.Time) bool {
+	if _, ok := h.scheduler(id, now); !ok {
+		return false
+	}
+	if !s.joined[id] {
+		s.joined[id] = true
+		h.step(id, now, pool.RouterJoined{Router: s.router, Zone: s.zone})
+	}
+	return true
+}
+
+func (h *Host) unknownPool(s *Session, seq uint64) {
+	delete(s.poolOf, seq)
+	s.out.Refusals = append(s.out.Refusals, &v1.Refusal{
+		Seq:          seq,
+		Code:         v1.Code_UNKNOWN_POOL,
+		RetryAfterMs: uint32(counterInterval.Milliseconds()),
+	})
+}
+
+func (h *Host) report(s *Session, report *v1.TargetReport, now time.Time) {
+	accepted := h.store.Config()
+	if accepted == nil {
+		return
+	}
+	target, ok := accepted.Target(config.ID(report.Target))
+	if !ok {
+		return
+	}
+	id := config.IDOf(target.Pool)
+	if _, hosted := h.pools[id]; hosted {
+		h.step(id, now, pool.TargetReport{Router: s.router, Target: config.ID(report.Target), Down: report.Down})
+	}
+}
+
+func (s *Session) demandID(seq uint64) pool.DemandID {
+	return pool.DemandID{Router: s.router, Seq: seq}
+}
+
+func (s *Session) remember(d *v1.Demand) config.ID {
+	id := config.ID(d.Pool)
+	s.poolOf[d.Seq] = id
+	return id
+}
+
+func (s *Session) forget(seq uint64) (config.ID, bool) {
+	id, ok := s.poolOf[seq]
+	delete(s.poolOf, seq)
+	return id, ok
+}
+
+func demandEvent(s *Session, d *v1.Demand, now time.Time) pool.Demand {
+	event := pool.Demand{
+		ID:        s.demandID(d.Seq),
+		Workspace: config.ID(d.Workspace),
+		Estimate:  int64(d.Estimate),
+		Deadline:  now.Add(time.Duration(d.WaitMs) * time.Millisecond),
+		Prefix:    d.Prefix,
+		BodyBytes: int64(d.BodyBytes),
+	}
+	for _, target := range d.Exclude {
+		event.Exclude = append(event.Exclude, config.ID(target))
+	}
+	return event
+}
+
+func counterEvents(counters []*v1.Counter) []pool.Counter {
+	events := make([]pool.Counter, len(counters))
+	for i, c := range counters {
+		events[i] = pool.Counter{Workspace: config.ID(c.Workspace), Value: c.Value, Backlogged: c.Backlogged}
+	}
+	return events
+}
--- /dev/null
+++ b/router/internal/scheduling/host.go
@@ -0,0 +1,267 @@
+// Package scheduling runs the scheduler role of a router: one pool.Scheduler
+// for each pool whose demands arrive here, whoever sends them.
+//
+// One goroutine owns the schedulers. Sessions, one for each entry router, post
+// batches to it through a bounded channel, and it answers with batches.
+package scheduling
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gopkg.in/tomb.v2"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/router/internal/state"
+)
+
+const (
+	inputLimit = 4096
+	// maxTick bounds the time between two steps of the loop.
+	maxTick = 100 * time.Millisecond
+	// counterInterval is how often the counters go to the next in rank.
+	counterInterval = time.Second
+	// successors is the number of routers that receive the counters.
+	successors = 2
+)
+
+// Host owns the schedulers of a router. Its methods are safe for concurrent
+// use.
+type Host struct {
+	store *state.Store
+	t     *tomb.Tomb
+	in    chan any
+
+	// The fields below belong to the loop's goroutine.
+	pools    map[config.ID]*pool.Scheduler
+	sessions map[pool.Router]*Session
+	peers    map[config.ID][]*v1.PoolCounters
+}
+
+// Session is the stream of one entry router.
+type Session struct {
+	host   *Host
+	router pool.Router
+	zone   string
+	send   func(*v1.SchedulerBatch)
+
+	// The fields below belong to the host's loop.
+	joined map[config.ID]bool
+	poolOf map[uint64]config.ID
+	out    *v1.SchedulerBatch
+}
+
+type (
+	openInput  struct{ session *Session }
+	closeInput struct{ session *Session }
+	batchInput struct {
+		session *Session
+		batch   *v1.EntryBatch
+	}
+	countersInput struct{ counters []*v1.PoolCounters }
+	inspectInput  struct{ fn func() }
+)
+
+// New returns a host that runs under t until it dies.
+func New(t *tomb.Tomb, store *state.Store) *Host {
+	return &Host{
+		store:    store,
+		t:        t,
+		in:       make(chan any, inputLimit),
+		pools:    map[config.ID]*pool.Scheduler{},
+		sessions: map[pool.Router]*Session{},
+	}
+}
+
+func (h *Host) post(input any) bool {
+	select {
+	case h.in <- input:
+		return true
+	case <-h.t.Dying():
+		return false
+	}
+}
+
+// Open starts the session of an entry router. send is called by the host's
+// goroutine; it must not block and takes the batch over.
+func (h *Host) Open(router pool.Router, zone string, send func(*v1.SchedulerBatch)) *Session {
+	s := &Session{
+		host:   h,
+		router: router,
+		zone:   zone,
+		send:   send,
+		joined: map[config.ID]bool{},
+		poolOf: map[uint64]config.ID{},
+		out:    &v1.SchedulerBatch{},
+	}
+	h.post(openInput{s})
+	return s
+}
+
+// Receive handles a batch of the entry router. It blocks while the host's
+// input is full.
+func (s *Session) Receive(batch *v1.EntryBatch) {
+	s.host.post(batchInput{s, batch})
+}
+
+// Close ends the session.
+func (s *Session) Close() {
+	s.host.post(closeInput{s})
+}
+
+// PeerCounters handles counters of schedulers in other regions.
+func (h *Host) PeerCounters(counters []*v1.PoolCounters) {
+	h.post(countersInput{counters})
+}
+
+// Run is the host's duty. It returns when the tomb dies.
+func (h *Host) Run() error {
+	changes := h.store.Subscribe()
+	timer := time.NewTimer(maxTick)
+	defer timer.Stop()
+	counters := time.NewTicker(counterInterval)
+	defer counters.Stop()
+	for {
+		select {
+		case input := <-h.in:
+			h.handle(input, time.Now())
+			h.drain()
+		case <-changes:
+			h.reconfigure(time.Now())
+		case now := <-counters.C:
+			h.replicateCounters()
+			h.stepAll(now, pool.Tick{})
+		case now := <-timer.C:
+			h.tick(now)
+		case <-h.t.Dying():
+			return nil
+		}
+		h.flush()
+		timer.Reset(h.untilNextTick(time.Now()))
+	}
+}
+
+func (h *Host) drain() {
+	for range inputLimit {
+		select {
+		case input := <-h.in:
+			h.handle(input, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+func (h *Host) handle(input any, now time.Time) {
+	switch in := input.(type) {
+	case openInput:
+		h.open(in.session, now)
+	case closeInput:
+		h.close(in.session, now)
+	case batchInput:
+		if h.sessions[in.session.router] == in.session {
+			h.receive(in.session, in.batch, now)
+		}
+	case countersInput:
+		h.peerCounters(in.counters, now)
+	case inspectInput:
+		in.fn()
+	}
+}
+
+// open replaces an earlier session of the same router.
+func (h *Host) open(s *Session, now time.Time) {
+	if old, ok := h.sessions[s.router]; ok {
+		h.close(old, now)
+	}
+	h.sessions[s.router] = s
+}
+
+func (h *Host) close(s *Session, now time.Time) {
+	if h.sessions[s.router] != s {
+		return
+	}
+	delete(h.sessions, s.router)
+	for id := range s.joined {
+		h.step(id, now, pool.RouterLost{Router: s.router})
+	}
+}
+
+func (h *Host) stepAll(now time.Time, event pool.Event) {
+	for id := range h.pools {
+		h.step(id, now, event)
+	}
+}
+
+// step runs one event and routes the actions to the sessions.
+func (h *Host) step(id config.ID, now time.Time, event pool.Event) {
+	sched, ok := h.scheduler(id, now)
+	if !ok {
+		return
+	}
+	for _, action := range sched.Step(now, event) {
+		h.route(id, now, action)
+	}
+}
+
+func (h *Host) route(id config.ID, now time.Time, action pool.Action) {
+	switch a := action.(type) {
+	case pool.Grant:
+		if s, ok := h.sessions[a.ID.Router]; ok {
+			s.out.Grants = append(s.out.Grants, &v1.Grant{Seq: a.ID.Seq, Target: uint32(a.Target)})
+		}
+	case pool.Refuse:
+		if s, ok := h.sessions[a.ID.Router]; ok {
+			delete(s.poolOf, a.ID.Seq)
+			s.out.Refusals = append(s.out.Refusals, &v1.Refusal{
+				Seq:          a.ID.Seq,
+				Code:         a.Code,
+				RetryAfterMs: uint32(a.RetryAfter.Milliseconds()),
+			})
+		}
+	case pool.HandSpare:
+		if s, ok := h.sessions[a.Router]; ok {
+			s.out.Spares = append(s.out.Spares, &v1.Spare{
+				Id:        a.Spare,
+				Pool:      uint32(id),
+				Target:    uint32(a.Target),
+				ExpiresMs: uint32(max(a.Expires.Sub(now), 0).Milliseconds()),
+			})
+		}
+	case pool.RevokeSpare:
+		if s, ok := h.sessions[a.Router]; ok {
+			s.out.RevokedSpares = append(s.out.RevokedSpares, a.Spare)
+		}
+	}
+}
+
+func (h *Host) tick(now time.Time) {
+	for id, sched := range h.pools {
+		if due, ok := sched.NextTick(); ok && !due.After(now) {
+			h.step(id, now, pool.Tick{})
+		}
+	}
+}
+
+func (h *Host) untilNextTick(now time.Time) time.Duration {
+	wait := maxTick
+	for _, sched := range h.pools {
+		if due, ok := sched.NextTick(); ok {
+			wait = min(wait, due.Sub(now))
+		}
+	}
+	return max(wait, time.Millisecond)
+}
+
+// flush sends what the step produced.
+func (h *Host) flush() {
+	for _, s := range h.sessions {
+		if proto.Size(s.out) == 0 {
+			continue
+		}
+		s.send(s.out)
+		s.out = &v1.SchedulerBatch{}
+	}
+}
--- /dev/null
+++ b/router/internal/scheduling/pools.go
@@ -0,0 +1,208 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/router/internal/state"
+)
+
+// scheduler returns the scheduler of a configured pool, starting it empty on
+// first use.
+func (h *Host) scheduler(id config.ID, now time.Time) (*pool.Scheduler, bool) {
+	if sched, ok := h.pools[id]; ok {
+		return sched, true
+	}
+	accepted := h.store.Config()
+	if accepted == nil {
+		return nil, false
+	}
+	p, ok := accepted.PoolByID(id)
+	if !ok {
+		return nil, false
+	}
+	sched := pool.New(pool.Options{InitialCost: int64(p.InitialCost)})
+	h.pools[id] = sched
+	h.configure(id, p, accepted, now)
+	return sched, true
+}
+
+// reconfigure applies the configuration and the leaving targets to all pools.
+func (h *Host) reconfigure(now time.Time) {
+	accepted := h.store.Config()
+	if accepted == nil {
+		return
+	}
+	for id := range h.pools {
+		p, ok := accepted.PoolByID(id)
+		if !ok {
+			h.step(id, now, pool.TargetsChanged{})
+			continue
+		}
+		h.configure(id, p, accepted, now)
+	}
+}
+
+func (h *Host) configure(id config.ID, p *v1.Pool, accepted *config.Accepted, now time.Time) {
+	h.step(id, now, pool.WorkspacesChanged{Workspaces: workspacesOf(p, accepted)})
+	h.step(id, now, pool.TargetsChanged{Targets: targetsOf(p, accepted, h.store.Fleet())})
+}
+
+// workspacesOf returns the workspaces that may use the pool.
+func workspacesOf(p *v1.Pool, accepted *config.Accepted) []pool.Workspace {
+	var list []pool.Workspace
+	for _, w := range accepted.Proto.Workspaces {
+		if len(w.Pools) > 0 && !slices.Contains(w.Pools, p.Name) {
+			continue
+		}
+		list = append(list, pool.Workspace{
+			ID:             config.IDOf(w.Name),
+			Share:          w.Share,
+			MaxQueued:      int(w.MaxQueuedRequests),
+			MaxQueuedBytes: int64(w.MaxQueuedBytes),
+			DataCentre:     w.DataCentre,
+		})
+	}
+	return list
+}
+
+// targetsOf returns the pool's targets in the router's own region.
+func targetsOf(p *v1.Pool, accepted *config.Accepted, fleet *state.Fleet) []pool.Target {
+	const referencePercent = 100
+	var list []pool.Target
+	for _, t := range accepted.TargetsOf(p.Name) {
+		zone, ok := accepted.Zone(t.Zone)
+		if !ok || zone.Region != fleet.Self.Region {
+			continue
+		}
+		speed := float64(t.SpeedPercent) / referencePercent
+		if speed == 0 {
+			speed = 1
+		}
+		list = append(list, pool.Target{
+			ID:         config.IDOf(t.Name),
+			Zone:       t.Zone,
+			DataCentre: zone.DataCentre,
+			Slots:      int(t.Slots),
+			Speed:      speed,
+			Leaving:    fleet.LeavingTargets[config.IDOf(t.Name)],
+		})
+	}
+	return list
+}
+
+// replicateCounters sends the counters of each pool to the routers that are
+// next in rank for its scheduler role.
+func (h *Host) replicateCounters() {
+	accepted := h.store.Config()
+	if accepted == nil {
+		return
+	}
+	fleet := h.store.Fleet()
+	for id, sched := range h.pools {
+		p, ok := accepted.PoolByID(id)
+		if !ok {
+			continue
+		}
+		message := countersMessage(id, fleet.Self.Region, sched)
+		for _, m := range fleet.SchedulersOf(p.Name, fleet.Self.Region, successors+1) {
+			s, ok := h.sessions[pool.Router{Name: m.Name, Incarnation: m.Incarnation}]
+			if !ok || m.Name == fleet.Self.Name {
+				continue
+			}
+			s.out.Counters = append(s.out.Counters, message)
+		}
+	}
+}
+
+func countersMessage(id config.ID, region string, sched *pool.Scheduler) *v1.PoolCounters {
+	status := sched.Status()
+	message := &v1.PoolCounters{Pool: uint32(id), Region: region, SpareSlots: uint32(status.FreeSlots)}
+	for _, c := range status.Counters {
+		message.Counters = append(message.Counters, &v1.Counter{
+			Workspace:  uint32(c.Workspace),
+			Value:      c.Value,
+			Backlogged: c.Backlogged,
+		})
+	}
+	return message
+}
+
+// peerCounters merges the counters of schedulers in other regions.
+func (h *Host) peerCounters(list []*v1.PoolCounters, now time.Time) {
+	for _, c := range list {
+		id := config.ID(c.Pool)
+		if _, ok := h.pools[id]; !ok {
+			continue
+		}
+		h.step(id, now, pool.PeerCounters{
+			Region:     c.Region,
+			Counters:   counterEvents(c.Counters),
+			SpareSlots: int(c.SpareSlots),
+		})
+	}
+}
+
+// Status describes the pools that are scheduled here, by name.
+func (h *Host) Status() []*v1.PoolStatus {
+	result := make(chan []*v1.PoolStatus, 1)
+	if !h.post(inspectInput{func() { result <- h.status() }}) {
+		return nil
+	}
+	select {
+	case list := <-result:
+		return list
+	case <-h.t.Dying():
+		return nil
+	}
+}
+
+func (h *Host) status() []*v1.PoolStatus {
+	accepted := h.store.Config()
+	if accepted == nil {
+		return nil
+	}
+	var list []*v1.PoolStatus
+	for id, sched := range h.pools {
+		p, ok := accepted.PoolByID(id)
+		if !ok {
+			continue
+		}
+		list = append(list, poolStatus(p.Name, h.store.Fleet().Self.Region, sched.Status(), accepted))
+	}
+	slices.SortFunc(list, func(a, b *v1.PoolStatus) int {
+		if a.Pool < b.Pool {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+func poolStatus(name, region string, status pool.Status, accepted *config.Accepted) *v1.PoolStatus {
+	message := &v1.PoolStatus{
+		Pool:       name,
+		Region:     region,
+		Queued:     uint32(status.Queued),
+		Granted:    status.Granted,
+		Refused:    status.Refused,
+		SpareSlots: uint32(status.SparesOut),
+	}
+	for _, t := range status.Targets {
+		target, ok := accepted.Target(t.ID)
+		if !ok {
+			continue
+		}
+		message.Targets = append(message.Targets, &v1.TargetStatus{
+			Target:  target.Name,
+			Slots:   uint32(t.Slots),
+			Busy:    uint32(t.Busy),
+			Down:    t.Down,
+			Leaving: t.Leaving,
+		})
+	}
+	return message
+}
