Add the settings schema, its generator and the settings package

Cause: the daemon's settings are to come from the schema, as flags and environment variables, with every mistake reported at once. Ruled out: go-flags' own conversion to typed fields, since it stops at the first mistake; the generated flags are strings and are converted after. Conclusion: go test ./settings ./internal/cmd/settingsgen passes.

--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,10 @@
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
-# generate compiles the schema; the result is committed.
+# generate compiles the schema and the settings; the result is committed.
 generate:
 	$(GO) run ./internal/cmd/protogen .
+	$(GO) run ./internal/cmd/settingsgen .
 
 # test runs all tests with fixed seeds.
 test:
--- /dev/null
+++ b/internal/cmd/settingsgen/generate.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"go/format"
+	"math"
+	"strconv"
+	"strings"
+	"text/template"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const durationMessage = "google.protobuf.Duration"
+
+//go:embed settings.go.tmpl
+var settingsTemplate string
+
+// field is one setting as the template needs it.
+type field struct {
+	*v1.Setting
+	// GoName is the name of the struct's field.
+	GoName string
+	// GoType is the type of the struct's field.
+	GoType string
+	// Parser is the call that converts the flag's string.
+	Parser string
+}
+
+// Tag returns the go-flags tag of the field.
+func (f field) Tag() string {
+	tag := fmt.Sprintf("long:%q env:%q", f.GetFlag(), f.GetEnv())
+	if f.GetDefault() != "" {
+		tag += fmt.Sprintf(" default:%q", f.GetDefault())
+	}
+	return tag + fmt.Sprintf(" description:%q", f.GetDescription())
+}
+
+// generate returns the formatted source of the settings.
+func generate() ([]byte, error) {
+	message := (&v1.RouterSettings{}).ProtoReflect().Descriptor()
+	fields, err := fieldsOf(message)
+	if err != nil {
+		return nil, err
+	}
+	tmpl, err := template.New("settings").Parse(settingsTemplate)
+	if err != nil {
+		return nil, err
+	}
+	var source bytes.Buffer
+	if err := tmpl.Execute(&source, fields); err != nil {
+		return nil, err
+	}
+	return format.Source(source.Bytes())
+}
+
+func fieldsOf(message protoreflect.MessageDescriptor) ([]field, error) {
+	descriptors := message.Fields()
+	fields := make([]field, 0, descriptors.Len())
+	for i := range descriptors.Len() {
+		f, err := fieldOf(descriptors.Get(i))
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", descriptors.Get(i).FullName(), err)
+		}
+		fields = append(fields, f)
+	}
+	return fields, nil
+}
+
+func fieldOf(descriptor protoreflect.FieldDescriptor) (field, error) {
+	setting, ok := proto.GetExtension(descriptor.Options(), v1.E_Setting).(*v1.Setting)
+	if !ok || setting.GetFlag() == "" || setting.GetEnv() == "" || setting.GetDescription() == "" {
+		return field{}, fmt.Errorf("needs a flag, a variable and a description")
+	}
+	f := field{Setting: setting, GoName: goName(descriptor.Name())}
+	return f, f.setType(descriptor)
+}
+
+// setType chooses the Go type and the parser for the schema's type.
+func (f *field) setType(descriptor protoreflect.FieldDescriptor) error {
+	switch descriptor.Kind() {
+	case protoreflect.StringKind:
+		return f.setStringType()
+	case protoreflect.Int32Kind:
+		return f.setIntegerType("int", math.MaxInt32)
+	case protoreflect.Int64Kind:
+		return f.setIntegerType("int64", math.MaxInt64)
+	case protoreflect.Uint64Kind:
+		f.GoType, f.Parser = "uint64", "unsigned"
+		return nil
+	case protoreflect.MessageKind:
+		if descriptor.Message().FullName() == durationMessage {
+			return f.setDurationType()
+		}
+	}
+	return fmt.Errorf("the type %s is not supported", descriptor.Kind())
+}
+
+func (f *field) setStringType() error {
+	f.GoType = "string"
+	switch f.GetKind() {
+	case v1.SettingKind_TEXT:
+		f.Parser = fmt.Sprintf("choice(%s)", quoted(f.GetChoices()))
+	case v1.SettingKind_NAME:
+		f.Parser = "nameSyntax"
+	case v1.SettingKind_URL:
+		f.Parser = "baseURL"
+	case v1.SettingKind_IP_PORT:
+		f.GoType, f.Parser = "netip.AddrPort", "ipPort"
+	default:
+		return fmt.Errorf("the kind %s is not supported", f.GetKind())
+	}
+	return nil
+}
+
+func (f *field) setIntegerType(goType string, limit int64) error {
+	low, high := int64(0), limit
+	var err error
+	if f.GetMin() != "" {
+		if low, err = strconv.ParseInt(f.GetMin(), 10, 64); err != nil {
+			return err
+		}
+	}
+	if f.GetMax() != "" {
+		if high, err = strconv.ParseInt(f.GetMax(), 10, 64); err != nil {
+			return err
+		}
+	}
+	f.GoType = goType
+	f.Parser = fmt.Sprintf("integer[%s](%d, %d)", goType, low, high)
+	return nil
+}
+
+func (f *field) setDurationType() error {
+	low, err := time.ParseDuration(f.GetMin())
+	if err != nil {
+		return err
+	}
+	high, err := time.ParseDuration(f.GetMax())
+	if err != nil {
+		return err
+	}
+	f.GoType = "time.Duration"
+	f.Parser = fmt.Sprintf("duration(%d, %d)", low, high)
+	return nil
+}
+
+func quoted(choices []string) string {
+	parts := make([]string, len(choices))
+	for i, choice := range choices {
+		parts[i] = strconv.Quote(choice)
+	}
+	return strings.Join(parts, ", ")
+}
+
+// initialisms are spelled in capitals in Go names.
+var initialisms = map[string]string{"url": "URL", "otlp": "OTLP"}
+
+func goName(name protoreflect.Name) string {
+	var out strings.Builder
+	for _, word := range strings.Split(string(name), "_") {
+		if upper, ok := initialisms[word]; ok {
+			out.WriteString(upper)
+			continue
+		}
+		out.WriteString(strings.ToUpper(word[:1]) + word[1:])
+	}
+	return out.String()
+}
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,142 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+var errNotAllowed = errors.New("not allowed")
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+// value parses the string of a setting and describes what it accepts.
+type value[T any] struct {
+	allowed string
+	parse   func(string) (T, error)
+}
+
+// convert parses one setting and records a mistake in c.
+func convert[T any](c *checker, name, raw string, required bool, v value[T]) T {
+	var zero T
+	if raw == "" && required {
+		c.fail(name, raw, v.allowed)
+		return zero
+	}
+	if raw == "" && optionalWhenEmpty(zero) {
+		return zero
+	}
+	parsed, err := v.parse(raw)
+	if err != nil {
+		c.fail(name, raw, v.allowed)
+		return zero
+	}
+	return parsed
+}
+
+// optionalWhenEmpty reports whether an empty string stands for the zero value.
+func optionalWhenEmpty(zero any) bool {
+	switch zero.(type) {
+	case string, netip.AddrPort:
+		return true
+	}
+	return false
+}
+
+// choice accepts the given strings, or each string if there are none.
+func choice(choices ...string) value[string] {
+	return value[string]{
+		allowed: "one of " + strings.Join(choices, ", "),
+		parse: func(raw string) (string, error) {
+			if len(choices) > 0 && !slices.Contains(choices, raw) {
+				return "", errNotAllowed
+			}
+			return raw, nil
+		},
+	}
+}
+
+var nameSyntax = value[string]{
+	allowed: "1 to 63 of a-z, 0-9, '-' and '.', with a letter or digit at both ends",
+	parse: func(raw string) (string, error) {
+		if !namePattern.MatchString(raw) {
+			return "", errNotAllowed
+		}
+		return raw, nil
+	},
+}
+
+var ipPort = value[netip.AddrPort]{
+	allowed: "IP:port with a port from 1 to 65535",
+	parse: func(raw string) (netip.AddrPort, error) {
+		addr, err := netip.ParseAddrPort(raw)
+		if err == nil && addr.Port() == 0 {
+			err = errNotAllowed
+		}
+		return addr, err
+	},
+}
+
+var baseURL = value[string]{
+	allowed: "an http or https URL with a host and no query",
+	parse: func(raw string) (string, error) {
+		u, err := url.Parse(raw)
+		if err != nil {
+			return "", err
+		}
+		if u.Scheme != "http" && u.Scheme != "https" {
+			return "", errNotAllowed
+		}
+		if u.Host == "" || u.RawQuery != "" || u.Fragment != "" {
+			return "", errNotAllowed
+		}
+		return strings.TrimSuffix(raw, "/"), nil
+	},
+}
+
+// integer accepts decimal integers from low to high.
+func integer[T int | int64](low, high T) value[T] {
+	return value[T]{
+		allowed: fmt.Sprintf("an integer from %d to %d", low, high),
+		parse: func(raw string) (T, error) {
+			parsed, err := strconv.ParseInt(raw, 10, 64)
+			if err != nil {
+				return 0, err
+			}
+			if parsed < int64(low) || parsed > int64(high) {
+				return 0, errNotAllowed
+			}
+			return T(parsed), nil
+		},
+	}
+}
+
+var unsigned = value[uint64]{
+	allowed: "an integer from 0 to 18446744073709551615",
+	parse: func(raw string) (uint64, error) {
+		return strconv.ParseUint(raw, 10, 64)
+	},
+}
+
+// duration accepts durations from low to high.
+func duration(low, high time.Duration) value[time.Duration] {
+	return value[time.Duration]{
+		allowed: fmt.Sprintf("a duration from %s to %s", low, high),
+		parse: func(raw string) (time.Duration, error) {
+			parsed, err := time.ParseDuration(raw)
+			if err != nil {
+				return 0, err
+			}
+			if parsed < low || parsed > high {
+				return 0, errNotAllowed
+			}
+			return parsed, nil
+		},
+	}
+}
