--- a/config/validate.go
+++ b/config/validate.go
@@ -34,7 +34,59 @@
 	return strings.Join(parts, "; ")
 }
 
-// Validate returns all that is wrong with c, in the order of its fields.
+// Validate returns all that is wrong with c, in the order of its fields. A
+// configuration without zones, pools, targets or workspaces is wrong too, so
+// that an empty payload is never accepted.
 func Validate(c *v1.Configuration) FieldErrors {
-	return nil
+	v := newValidator(c)
+	v.name("deployment", c.Deployment)
+	v.zones()
+	v.pools()
+	v.targets()
+	v.workspaces()
+	v.classes()
+	v.limits()
+	v.weightStore()
+	return v.errs
+}
+
+// validator collects the errors of one configuration. Its maps hold what the
+// other parts of the configuration refer to.
+type validator struct {
+	config      *v1.Configuration
+	errs        FieldErrors
+	zonesByName map[string]*v1.Zone
+	poolsByName map[string]*v1.Pool
+	classNames  map[string]bool
+	dataCentres map[string]bool
+	// sidesOfPool holds the data centres in which a pool has targets.
+	sidesOfPool map[string]map[string]bool
+}
+
+func newValidator(c *v1.Configuration) *validator {
+	v := &validator{
+		config:      c,
+		zonesByName: map[string]*v1.Zone{},
+		poolsByName: map[string]*v1.Pool{},
+		classNames:  map[string]bool{},
+		dataCentres: map[string]bool{},
+		sidesOfPool: map[string]map[string]bool{},
+	}
+	for _, zone := range c.Zones {
+		v.zonesByName[zone.GetName()] = zone
+		v.dataCentres[zone.GetDataCentre()] = true
+	}
+	for _, class := range c.Classes {
+		v.classNames[class.GetName()] = true
+	}
+	for _, pool := range c.Pools {
+		v.poolsByName[pool.GetName()] = pool
+		v.sidesOfPool[pool.GetName()] = map[string]bool{}
+	}
+	for _, target := range c.Targets {
+		if sides, ok := v.sidesOfPool[target.GetPool()]; ok {
+			sides[v.zonesByName[target.GetZone()].GetDataCentre()] = true
+		}
+	}
+	return v
 }
--- /dev/null
+++ b/config/validate_test.go
@@ -0,0 +1,142 @@
+package config_test
+
+import (
+	"errors"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/config/configtest"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+func TestValidateAcceptsValid(t *testing.T) {
+	is := is.New(t)
+	is.Equal(config.Validate(configtest.Valid()), nil)
+}
+
+func TestEmptyPayloadIsRejected(t *testing.T) {
+	is := is.New(t)
+	_, err := config.Accept(1, nil)
+	var errs config.FieldErrors
+	is.True(errors.As(err, &errs))
+}
+
+func TestValidateNamesTheField(t *testing.T) {
+	tests := []struct {
+		field string
+		spoil func(c *v1.Configuration)
+	}{
+		{"deployment", func(c *v1.Configuration) { c.Deployment = "Siam Broadsheet" }},
+		{"zones[0].region", func(c *v1.Configuration) { c.Zones[0].Region = "" }},
+		{"zones[1].name", func(c *v1.Configuration) { c.Zones = append(c.Zones, c.Zones[0]) }},
+		{"zones[0].data_centre", func(c *v1.Configuration) {
+			c.Zones = append(c.Zones, &v1.Zone{Name: "zone-b", Region: "north", DataCentre: "new"})
+		}},
+		{"pools[0].class", func(c *v1.Configuration) { c.Pools[0].Class = "none" }},
+		{"pools[0].kind", func(c *v1.Configuration) { c.Pools[0].Kind = 0 }},
+		{"pools[0].output_weight", func(c *v1.Configuration) { c.Pools[0].OutputWeight = 0 }},
+		{"pools[0].rules", func(c *v1.Configuration) { c.Pools[0].Rules = c.Pools[1].Rules }},
+		{"pools[0].model.adapters[1]", func(c *v1.Configuration) {
+			c.Pools[0].Model = &v1.ModelState{Version: "1", Adapters: []string{"a", "a"}}
+		}},
+		{"pools[1].model", func(c *v1.Configuration) { c.Pools[1].Model = &v1.ModelState{Version: "1"} }},
+		{"pools[1].initial_cost", func(c *v1.Configuration) { c.Pools[1].InitialCost = 0 }},
+		{"pools[1].input_weight", func(c *v1.Configuration) { c.Pools[1].InputWeight = 1 }},
+		{"pools[1].rules[0].method", func(c *v1.Configuration) { c.Pools[1].Rules[0].Method = "FETCH" }},
+		{"pools[1].rules[1].path_prefix", func(c *v1.Configuration) { c.Pools[1].Rules[1].PathPrefix = "jobs" }},
+		{"pools[1].rules[1].class", func(c *v1.Configuration) { c.Pools[1].Rules[1].Class = "none" }},
+		{"pools[1].rules[1]", func(c *v1.Configuration) { c.Pools[1].Rules[0].Method = "" }},
+		{"targets[0].zone", func(c *v1.Configuration) { c.Targets[0].Zone = "zone-x" }},
+		{"targets[1].pool", func(c *v1.Configuration) { c.Targets[1].Pool = "none" }},
+		{"targets[0].address", func(c *v1.Configuration) { c.Targets[0].Address = "localhost:7100" }},
+		{"targets[0].address", func(c *v1.Configuration) { c.Targets[0].Address = "127.0.0.1:0" }},
+		{"targets[0].address", func(c *v1.Configuration) { c.Targets[0].Address = "0.0.0.0:7100" }},
+		{"targets[2].address", func(c *v1.Configuration) {
+			twin := proto.CloneOf(c.Targets[0])
+			twin.Name = "engine-2"
+			c.Targets = append(c.Targets, twin)
+		}},
+		{"targets[0].slots", func(c *v1.Configuration) { c.Targets[0].Slots = config.MaxSlots + 1 }},
+		{"targets[1].role", func(c *v1.Configuration) { c.Targets[1].Role = "mixed" }},
+		{"workspaces[0].share", func(c *v1.Configuration) { c.Workspaces[0].Share = 0 }},
+		{"workspaces[1].share", func(c *v1.Configuration) { c.Workspaces[1].Share = config.MaxShare + 1 }},
+		{"workspaces[0].token_sha256", func(c *v1.Configuration) { c.Workspaces[0].TokenSha256 = nil }},
+		{"workspaces[0].token_sha256[0]", func(c *v1.Configuration) { c.Workspaces[0].TokenSha256[0] = []byte("token") }},
+		{"workspaces[1].token_sha256[0]", func(c *v1.Configuration) {
+			c.Workspaces[1].TokenSha256 = c.Workspaces[0].TokenSha256
+		}},
+		{"workspaces[0].pools[1]", func(c *v1.Configuration) { c.Workspaces[0].Pools = []string{"desk", "none"} }},
+		{"workspaces[0].pools", func(c *v1.Configuration) {
+			c.Targets = c.Targets[:1]
+			c.Workspaces[0].Pools = []string{"desk"}
+		}},
+		{"workspaces[0].data_centre", func(c *v1.Configuration) { c.Workspaces[0].DataCentre = "old" }},
+		{"workspaces[0].max_queued_requests", func(c *v1.Configuration) { c.Workspaces[0].MaxQueuedRequests = 0 }},
+		{"classes[0].total_ms", func(c *v1.Configuration) { c.Classes[0].TotalMs = 4_999 }},
+		{"limits.max_bodies_bytes", func(c *v1.Configuration) {
+			c.Limits = &v1.Limits{MaxBodyBytes: 1 << 20, MaxBodiesBytes: 1 << 19}
+		}},
+		{"limits.retry_budget_percent", func(c *v1.Configuration) { c.Limits = &v1.Limits{RetryBudgetPercent: 101} }},
+		{"weight_store.bytes_per_second", func(c *v1.Configuration) { c.WeightStore = &v1.WeightStore{MaxConcurrentLoads: 1} }},
+	}
+	for _, test := range tests {
+		t.Run(test.field, func(t *testing.T) {
+			is := is.New(t)
+			c := configtest.Valid()
+			test.spoil(c)
+			errs := config.Validate(c)
+			is.Equal(len(errs), 1)
+			is.Equal(errs[0].Field, test.field)
+			is.True(errs[0].Allowed != "")
+		})
+	}
+}
+
+func TestNamesThatShareAnIDAreRejected(t *testing.T) {
+	is := is.New(t)
+	first, second := collidingNames()
+	is.True(first != second)
+	c := configtest.Valid()
+	c.Workspaces[0].Name, c.Workspaces[1].Name = first, second
+	errs := config.Validate(c)
+	is.Equal(len(errs), 1)
+	is.Equal(errs[0].Field, "workspaces[1].name")
+}
+
+// collidingNames searches for two names with the same ID.
+func collidingNames() (string, string) {
+	seen := map[config.ID]string{}
+	for i := 0; ; i++ {
+		name := "w" + strconv.Itoa(i)
+		if other, ok := seen[config.IDOf(name)]; ok {
+			return other, name
+		}
+		seen[config.IDOf(name)] = name
+	}
+}
+
+func TestLoadsNeedPacing(t *testing.T) {
+	is := is.New(t)
+	c := configtest.Valid()
+	c.Pools[0].Model = &v1.ModelState{Version: "1", WeightBytes: 1 << 30}
+	is.Equal(len(config.Validate(c)), 2)
+	c.WeightStore = &v1.WeightStore{MaxConcurrentLoads: 2, BytesPerSecond: 1 << 30}
+	is.Equal(config.Validate(c), nil)
+}
+
+func TestWorkspaceOfOneSideNeedsATargetThere(t *testing.T) {
+	is := is.New(t)
+	c := configtest.Valid()
+	c.Zones[0].DataCentre = "old"
+	c.Zones = append(c.Zones, &v1.Zone{Name: "zone-b", Region: "north", DataCentre: "new"})
+	c.Workspaces[0].DataCentre = "new"
+	errs := config.Validate(c)
+	is.Equal(len(errs), 1)
+	is.Equal(errs[0].Field, "workspaces[0].pools")
+	c.Targets[1].Zone = "zone-b"
+	is.Equal(config.Validate(c), nil)
+}
