Execute requests under keys and pass them on to the owner

Cause: resends through another router must not run twice. Change: executor around the ledger with claim, forward and record; a refusal before the ledger was asked says UNKNOWN for a request that carries a key.

--- a/router/internal/dispatch/attempt.go
+++ b/router/internal/dispatch/attempt.go
@@ -74,6 +74,12 @@
 func (a *attempt) execute(ctx context.Context) attemptEnd {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	if a.req.MayStart != nil && !a.req.MayStart() {
+		return attemptEnd{
+			result:  result.New(v1.Code_KEY_RIGHT_LAPSED, v1.Ran_NO, "the right to execute the key lapsed while the request waited"),
+			outcome: v1.Outcome_NOT_RUN,
+		}
+	}
 	limits := a.d.limits(a.req.Config)
 	dog := newWatchdog(cancel, min(limits.firstByte, time.Until(a.req.EndBy)))
 	defer dog.stop()
--- a/router/internal/dispatch/request.go
+++ b/router/internal/dispatch/request.go
@@ -33,6 +33,9 @@
 	Prefix uint32
 	// Digest identifies the request's content, whoever sends it.
 	Digest uint64
+	// MayStart, if set, is asked directly before an attempt sends the request.
+	// The request must not be sent when it returns false.
+	MayStart func() bool
 }
 
 // Sink receives the answer. Head is called at most once and before Data. An
--- a/router/internal/entry/answer.go
+++ b/router/internal/entry/answer.go
@@ -118,12 +118,8 @@
 	writeTimeout time.Duration
 }
 
-func newCallerSink(w http.ResponseWriter, writeTimeout time.Duration) *callerSink {
-	tracked, ok := w.(*trackedWriter)
-	if !ok {
-		tracked = &trackedWriter{ResponseWriter: w}
-	}
-	return &callerSink{w: tracked, controller: http.NewResponseController(w), writeTimeout: writeTimeout}
+func newCallerSink(w *trackedWriter, writeTimeout time.Duration) *callerSink {
+	return &callerSink{w: w, controller: http.NewResponseController(w), writeTimeout: writeTimeout}
 }
 
 // hopHeaders are not passed on from a target's answer.
--- a/router/internal/entry/call.go
+++ b/router/internal/entry/call.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/uptrace/bunrouter"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 
@@ -37,6 +36,8 @@
 	maxKeyBytes    = 255
 	// prefixBytes is the part of a prompt that identifies its prefix.
 	prefixBytes = 512
+
+	servicesPrefix = "/services/"
 )
 
 // Call is a request with what concerns its identity.
@@ -46,6 +47,10 @@
 	// IssuedKey and CallerKey are empty if the caller sent none.
 	IssuedKey string
 	CallerKey string
+	// Forwarded is set for a request that came from another router.
+	Forwarded bool
+	// URI is the path and query of the caller's request.
+	URI string
 }
 
 // completionRequest is the part of the OpenAI request that is checked.
@@ -56,8 +61,8 @@
 }
 
 // completion serves requests to model engines.
-func (s *Server) completion(w http.ResponseWriter, r bunrouter.Request, c *caller) *result.Result {
-	b, refusal := s.readBody(w, r.Request, c)
+func (s *Server) completion(w http.ResponseWriter, r *http.Request, c *caller) *result.Result {
+	b, refusal := s.readBody(w, r, c)
 	if refusal != nil {
 		return refusal
 	}
@@ -70,12 +75,12 @@
 	if refusal != nil {
 		return refusal
 	}
-	req := s.newRequest(r.Request, c, p, b.data)
+	req := newRequest(r, c, p, b.data)
 	req.TargetURI = r.URL.RequestURI()
 	req.Idempotent = true
 	req.Prefix = uint32(xxhash.Sum64(b.data[:min(len(b.data), prefixBytes)]))
 	req.Estimate = estimate(p, len(b.data), message.MaxTokens)
-	return s.execute(w, r.Request, c, req, p.Class)
+	return s.execute(r, c, req, p.Class)
 }
 
 // estimate bounds the cost of a completion by the caller's max_tokens. It is
@@ -89,19 +94,19 @@
 }
 
 // service serves calls of plain services.
-func (s *Server) service(w http.ResponseWriter, r bunrouter.Request, c *caller) *result.Result {
-	p, refusal := findPool(c, r.Param("service"), v1.PoolKind_SERVICE)
+func (s *Server) service(w http.ResponseWriter, r *http.Request, c *caller) *result.Result {
+	name, path := splitServicePath(r.URL.EscapedPath())
+	p, refusal := findPool(c, name, v1.PoolKind_SERVICE)
 	if refusal != nil {
 		return refusal
 	}
-	b, refusal := s.readBody(w, r.Request, c)
+	b, refusal := s.readBody(w, r, c)
 	if refusal != nil {
 		return refusal
 	}
 	defer b.release()
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+r.Param("service"))
 	rule := matchRule(p, r.Method, path)
-	req := s.newRequest(r.Request, c, p, b.data)
+	req := newRequest(r, c, p, b.data)
 	req.TargetURI = path
 	if r.URL.RawQuery != "" {
 		req.TargetURI += "?" + r.URL.RawQuery
@@ -111,7 +116,14 @@
 	if rule.GetClass() != "" {
 		class = rule.GetClass()
 	}
-	return s.execute(w, r.Request, c, req, class)
+	return s.execute(r, c, req, class)
+}
+
+// splitServicePath splits /services/{service}/{rest} into the service's name
+// and the path at the target.
+func splitServicePath(path string) (name, rest string) {
+	name, rest, _ = strings.Cut(strings.TrimPrefix(path, servicesPrefix), "/")
+	return name, "/" + rest
 }
 
 // matchRule returns the first rule that matches, nil if none does.
@@ -135,7 +147,7 @@
 	return p, nil
 }
 
-func (s *Server) newRequest(r *http.Request, c *caller, p *v1.Pool, data []byte) *dispatch.Request {
+func newRequest(r *http.Request, c *caller, p *v1.Pool, data []byte) *dispatch.Request {
 	return &dispatch.Request{
 		Config:    c.config,
 		Workspace: c.workspace,
@@ -151,7 +163,7 @@
 func targetHeader(r *http.Request) http.Header {
 	h := r.Header.Clone()
 	removeHopHeaders(h)
-	for _, name := range []string{"Authorization", "Content-Length", HeaderDeadline, HeaderRequestKey} {
+	for _, name := range []string{"Authorization", "Content-Length", HeaderDeadline} {
 		h.Del(name)
 	}
 	return h
@@ -169,7 +181,7 @@
 }
 
 // execute sets the deadlines and the keys, and runs the request.
-func (s *Server) execute(w http.ResponseWriter, r *http.Request, c *caller, req *dispatch.Request, class string) *result.Result {
+func (s *Server) execute(r *http.Request, c *caller, req *dispatch.Request, class string) *result.Result {
 	if refusal := setDeadlines(req, r, c, class); refusal != nil {
 		return refusal
 	}
@@ -178,12 +190,15 @@
 		Request:   req,
 		IssuedKey: r.Header.Get(HeaderRequestKey),
 		CallerKey: r.Header.Get(HeaderIdempotencyKey),
+		Forwarded: c.forwarded,
+		URI:       r.URL.RequestURI(),
 	}
 	if len(call.IssuedKey) > maxKeyBytes || len(call.CallerKey) > maxKeyBytes {
 		return result.New(v1.Code_BAD_REQUEST, v1.Ran_NO, "a key is longer than %d bytes", maxKeyBytes)
 	}
 	otel.GetTextMapPropagator().Inject(call.Context, propagation.HeaderCarrier(req.Header))
-	return s.executor.Execute(call, newCallerSink(w, s.opts.WriteTimeout))
+	c.decided = true
+	return s.executor.Execute(call, c.sink)
 }
 
 // setDeadlines takes the deadline from the caller's header or the class.
--- a/router/internal/entry/server.go
+++ b/router/internal/entry/server.go
@@ -96,7 +96,7 @@
 		http.MethodPatch, http.MethodDelete, http.MethodOptions,
 	}
 	for _, method := range methods {
-		router.Handle(method, "/services/:service/*path", s.guarded(s.service))
+		router.Handle(method, servicesPrefix+":service/*path", s.guarded(s.service))
 	}
 }
 
@@ -119,9 +119,14 @@
 	config    *config.Accepted
 	workspace *v1.Workspace
 	arrived   time.Time
+	sink      dispatch.Sink
+	forwarded bool
+	// decided is set once the request reached the executor, whose results
+	// respect the request's key.
+	decided bool
 }
 
-type handler func(w http.ResponseWriter, r bunrouter.Request, c *caller) *result.Result
+type handler func(w http.ResponseWriter, r *http.Request, c *caller) *result.Result
 
 // guarded checks readiness and the token, bounds the open requests, and
 // answers with the result of h where h has written nothing.
@@ -129,27 +134,46 @@
 	return func(w http.ResponseWriter, r bunrouter.Request) error {
 		c, refusal := s.authenticate(r.Request)
 		if refusal != nil {
-			s.observer.Refused(refusal.Code)
-			writeResult(w, refusal)
+			s.refuse(w, r.Request, refusal)
 			return nil
 		}
 		select {
 		case s.open <- struct{}{}:
 		default:
-			s.observer.Refused(v1.Code_ROUTER_BUSY)
-			writeResult(w, busy("the router has %d requests open", cap(s.open)))
+			s.refuse(w, r.Request, busy("the router has %d requests open", cap(s.open)))
 			return nil
 		}
 		defer func() { <-s.open }()
 		s.observer.Opened()
 		tracked := &trackedWriter{ResponseWriter: w}
-		end := h(tracked, r, c)
+		c.sink = newCallerSink(tracked, s.opts.WriteTimeout)
+		end := h(tracked, r.Request, c)
+		if !c.decided {
+			end.Ran = ranBeforeKeys(r.Request, end.Ran)
+		}
 		s.observer.Ended(end.Code, c.workspace.Name, time.Since(c.arrived))
 		s.finish(tracked, end)
 		return nil
 	}
 }
 
+// refuse answers a request before it is opened.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, refusal *result.Result) {
+	refusal.Ran = ranBeforeKeys(r, refusal.Ran)
+	s.observer.Refused(refusal.Code)
+	writeResult(w, refusal)
+}
+
+// ranBeforeKeys returns what may be said of a request whose key was not looked
+// up: an earlier request with the key may have run.
+func ranBeforeKeys(r *http.Request, ran v1.Ran) v1.Ran {
+	keyed := r.Header.Get(HeaderRequestKey) != "" || r.Header.Get(HeaderIdempotencyKey) != ""
+	if keyed && ran == v1.Ran_NO {
+		return v1.Ran_UNKNOWN
+	}
+	return ran
+}
+
 func busy(format string, args ...any) *result.Result {
 	r := result.New(v1.Code_ROUTER_BUSY, v1.Ran_NO, format, args...)
 	r.RetryAfter = time.Second
@@ -189,7 +213,7 @@
 }
 
 // issueKey answers with a new request key of this router.
-func (s *Server) issueKey(w http.ResponseWriter, _ bunrouter.Request, _ *caller) *result.Result {
+func (s *Server) issueKey(w http.ResponseWriter, _ *http.Request, _ *caller) *result.Result {
 	key, refusal := s.keys.Issue()
 	if refusal != nil {
 		return refusal
--- /dev/null
+++ b/router/internal/keys/peering.go
@@ -0,0 +1,132 @@
+package keys
+
+import (
+	"time"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/requestkey"
+)
+
+// handOverBytes bounds the records of one hand-over message.
+const handOverBytes = 1 << 20
+
+// AnswerClaim answers a router that gained a key. An answer without a record
+// binds this incarnation never to execute the key.
+func (e *Executor) AnswerClaim(req *v1.ClaimKeyRequest) *v1.ClaimKeyReply {
+	e.mu.Lock()
+	reply := e.ledger.AnswerClaim(time.Now(), requestkey.ClaimRequest{
+		ID:       requestkey.ID{Workspace: req.Workspace, Key: req.Key},
+		Revision: req.Revision,
+	})
+	e.mu.Unlock()
+	message := &v1.ClaimKeyReply{Router: reply.From.Name, Incarnation: reply.From.Incarnation}
+	if reply.Record != nil {
+		message.Record = recordMessage(*reply.Record)
+	}
+	return message
+}
+
+// AcceptHandOver takes in a part of a stopping router's ledger. It reports
+// whether all records were accepted.
+func (e *Executor) AcceptHandOver(m *v1.HandOverRequest) bool {
+	h := requestkey.HandOver{
+		From:     requestkey.Member{Name: m.Router, Incarnation: m.Incarnation},
+		To:       m.Successor,
+		Revision: m.Revision,
+		Last:     m.Last,
+	}
+	for _, record := range m.Records {
+		h.Records = append(h.Records, recordFromMessage(record))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ledger.Import(time.Now(), h)
+}
+
+// HandOver stops the ledger and returns its records for each successor, in
+// messages of bounded size that must be sent in order.
+func (e *Executor) HandOver() map[string][]*v1.HandOverRequest {
+	e.mu.Lock()
+	exported := e.ledger.Export(time.Now())
+	e.mu.Unlock()
+	messages := map[string][]*v1.HandOverRequest{}
+	for _, h := range exported {
+		messages[h.To] = splitHandOver(h)
+	}
+	return messages
+}
+
+func splitHandOver(h requestkey.HandOver) []*v1.HandOverRequest {
+	newPart := func() *v1.HandOverRequest {
+		return &v1.HandOverRequest{
+			Router:      h.From.Name,
+			Incarnation: h.From.Incarnation,
+			Successor:   h.To,
+			Revision:    h.Revision,
+		}
+	}
+	parts := []*v1.HandOverRequest{newPart()}
+	size := 0
+	for _, record := range h.Records {
+		message := recordMessage(record)
+		if size > 0 && size+len(message.Body) > handOverBytes {
+			parts = append(parts, newPart())
+			size = 0
+		}
+		last := parts[len(parts)-1]
+		last.Records = append(last.Records, message)
+		size += len(message.Body)
+	}
+	parts[len(parts)-1].Last = h.Last
+	return parts
+}
+
+// Observe takes in instance lists from the platform or from peers.
+func (e *Executor) Observe(views ...requestkey.View) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ledger.Observe(time.Now(), views...)
+}
+
+// Views returns the lists that decide about keys, for peers.
+func (e *Executor) Views() *v1.KeyViewsReply {
+	e.mu.Lock()
+	views := e.ledger.Views()
+	e.mu.Unlock()
+	reply := &v1.KeyViewsReply{}
+	for _, view := range views {
+		m := &v1.KeyView{
+			Revision:        view.Revision,
+			FirstAsOfUnixMs: view.FirstAsOf.UnixMilli(),
+			LastAsOfUnixMs:  view.LastAsOf.UnixMilli(),
+		}
+		for _, router := range view.Routers {
+			m.Routers = append(m.Routers, &v1.Leaving{Instance: router.Name, Incarnation: router.Incarnation})
+		}
+		reply.Views = append(reply.Views, m)
+	}
+	return reply
+}
+
+// ObserveReply takes in the lists that a peer knows.
+func (e *Executor) ObserveReply(reply *v1.KeyViewsReply) {
+	views := make([]requestkey.View, len(reply.Views))
+	for i, m := range reply.Views {
+		views[i] = requestkey.View{
+			Revision:  m.Revision,
+			FirstAsOf: time.UnixMilli(m.FirstAsOfUnixMs),
+			LastAsOf:  time.UnixMilli(m.LastAsOfUnixMs),
+		}
+		for _, router := range m.Routers {
+			views[i].Routers = append(views[i].Routers, requestkey.Member{Name: router.Instance, Incarnation: router.Incarnation})
+		}
+	}
+	e.Observe(views...)
+}
+
+// Remembered returns the number of keys and the bytes of their answers.
+func (e *Executor) Remembered() (count, size int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ledger.Len(), e.ledger.Bytes()
+}
