Add fairshare, breaker and the pool scheduler

Cause: the routers need one pure decision for who gets which slot of a pool. Change: fairshare keeps virtual counters after VTC with estimates, refunds and merges; breaker tracks one target; pool.Scheduler grants, queues, refuses and hands out spare slots. Ruled out: a heap per demand class across workspaces (exclusions are rare, a list of classes in each workspace is enough).

--- /dev/null
+++ b/fairshare/merge.go
@@ -0,0 +1,145 @@
+package fairshare
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chiveseam/chiveseam/config"
+)
+
+// Counter is a workspace's counter in 1/Scale cost units at share 1.
+type Counter struct {
+	Workspace  config.ID
+	Value      uint64
+	Backlogged bool
+}
+
+// foreignCounter is what a region last told of a workspace.
+type foreignCounter struct {
+	value      uint64
+	backlogged bool
+}
+
+// Merge takes over counters that other holders saw: the maximum of each wins.
+// Backlogged workspaces end at most MaxLead below the greatest counter of
+// their group that was merged, and at most MaxLead above their competitors.
+func (c *Counters) Merge(counters []Counter) {
+	highest := map[*group]uint64{}
+	for _, counter := range counters {
+		a := c.account(counter.Workspace)
+		a.raise(counter.Value)
+		highest[a.group] = max(highest[a.group], counter.Value)
+		if a.backlogged {
+			a.group.fix(a)
+		}
+	}
+	for g, high := range highest {
+		if high > c.maxLead {
+			g.lift(high - c.maxLead)
+		}
+	}
+	for _, counter := range counters {
+		c.limitLead(c.accounts[counter.Workspace])
+	}
+}
+
+// lift raises the start of grants and all backlogged accounts to level.
+func (g *group) lift(level uint64) {
+	g.start = max(g.start, level)
+	for {
+		a := g.least()
+		if a == nil || a.key() >= level {
+			return
+		}
+		a.raise(level)
+		g.fix(a)
+	}
+}
+
+func (c *Counters) limitLead(a *account) {
+	if a == nil || !a.backlogged {
+		return
+	}
+	a.limit(c.level(a.group) + c.maxLead)
+	a.group.fix(a)
+}
+
+// MergeRegion charges the service that workspaces received in another region
+// since its last message. It counts for a workspace that is backlogged here
+// and was backlogged there in both messages, so that such a workspace is
+// ordered by its total service. The values are those of Served.
+func (c *Counters) MergeRegion(region string, counters []Counter) {
+	seen := c.regions[region]
+	if seen == nil {
+		seen = map[config.ID]foreignCounter{}
+		c.regions[region] = seen
+	}
+	for _, counter := range counters {
+		a := c.accounts[counter.Workspace]
+		if a == nil {
+			continue
+		}
+		last := seen[counter.Workspace]
+		seen[counter.Workspace] = foreignCounter{counter.Value, counter.Backlogged}
+		if !a.backlogged || !last.backlogged || !counter.Backlogged || counter.Value <= last.value {
+			continue
+		}
+		level := c.level(a.group)
+		a.foreign += min(counter.Value-last.value, c.maxLead)
+		a.group.fix(a)
+		if a.key() > level+c.maxLead {
+			a.limitForeign(level + c.maxLead)
+			a.group.fix(a)
+		}
+	}
+}
+
+// limitForeign lowers the key towards level by foreign service only.
+func (a *account) limitForeign(level uint64) {
+	a.foreign -= min(a.key()-level, a.foreign)
+}
+
+// Value returns the counter of a workspace in 1/Scale cost units at share 1.
+func (c *Counters) Value(id config.ID) uint64 {
+	a := c.accounts[id]
+	if a == nil {
+		return 0
+	}
+	return a.key()
+}
+
+// Snapshot returns all counters ordered by workspace, as Merge takes them.
+func (c *Counters) Snapshot() []Counter {
+	counters := make([]Counter, 0, len(c.accounts))
+	for _, a := range c.accounts {
+		counters = append(counters, Counter{a.id, a.key(), a.backlogged})
+	}
+	sortCounters(counters)
+	return counters
+}
+
+// Served returns, as MergeRegion takes them, the services of workspaces that
+// moved by at least minChange cost units at share 1, or whose backlog began or
+// ended, since they were last returned.
+func (c *Counters) Served(minChange int64) []Counter {
+	threshold := max(uint64(clampCost(minChange))*Scale, 1)
+	var counters []Counter
+	for _, a := range c.accounts {
+		served := a.servedOverShare()
+		moved := served >= a.sentServed+threshold || served+threshold <= a.sentServed
+		if a.backlogged == a.sentState && !(a.backlogged && moved) {
+			continue
+		}
+		a.sentServed = served
+		a.sentState = a.backlogged
+		counters = append(counters, Counter{a.id, served, a.backlogged})
+	}
+	sortCounters(counters)
+	return counters
+}
+
+func sortCounters(counters []Counter) {
+	slices.SortFunc(counters, func(a, b Counter) int {
+		return cmp.Compare(a.Workspace, b.Workspace)
+	})
+}
--- /dev/null
+++ b/pool/affinity.go
@@ -0,0 +1,86 @@
+package pool
+
+import (
+	"container/list"
+
+	"github.com/chiveseam/chiveseam/config"
+)
+
+// affinityTargets is the number of targets remembered for a prompt prefix.
+const affinityTargets = 4
+
+// affinity remembers which targets served a prompt prefix last. The least
+// recently used prefixes are forgotten.
+type affinity struct {
+	limit   int
+	entries map[uint32]*list.Element
+	recent  *list.List
+}
+
+type affinityEntry struct {
+	prefix  uint32
+	targets [affinityTargets]config.ID
+}
+
+func newAffinity(limit int) *affinity {
+	return &affinity{
+		limit:   limit,
+		entries: map[uint32]*list.Element{},
+		recent:  list.New(),
+	}
+}
+
+// record notes that target serves prefix. A zero prefix is ignored.
+func (a *affinity) record(prefix uint32, target config.ID) {
+	if prefix == 0 {
+		return
+	}
+	element := a.entries[prefix]
+	if element == nil {
+		element = a.recent.PushFront(&affinityEntry{prefix: prefix})
+		a.entries[prefix] = element
+		a.evict()
+	}
+	a.recent.MoveToFront(element)
+	element.Value.(*affinityEntry).add(target)
+}
+
+func (a *affinity) evict() {
+	if a.recent.Len() <= a.limit {
+		return
+	}
+	oldest := a.recent.Remove(a.recent.Back()).(*affinityEntry)
+	delete(a.entries, oldest.prefix)
+}
+
+// lookup returns the entry of prefix, or nil.
+func (a *affinity) lookup(prefix uint32) *affinityEntry {
+	element := a.entries[prefix]
+	if element == nil {
+		return nil
+	}
+	return element.Value.(*affinityEntry)
+}
+
+// add puts target first.
+func (e *affinityEntry) add(target config.ID) {
+	previous := target
+	for i := range e.targets {
+		e.targets[i], previous = previous, e.targets[i]
+		if previous == target {
+			return
+		}
+	}
+}
+
+func (e *affinityEntry) has(target config.ID) bool {
+	if e == nil {
+		return false
+	}
+	for _, id := range e.targets {
+		if id == target {
+			return true
+		}
+	}
+	return false
+}
--- a/pool/interface.go
+++ b/pool/interface.go
@@ -1,5 +1,9 @@
 // Package pool decides which waiting demand of one pool of targets gets which
 // free slot.
+//
+// A Scheduler is a state machine: Step takes an event and the time, and returns
+// actions. Between workspaces the order is that of package fairshare, within a
+// workspace it is earliest deadline first.
 package pool
 
 import (
@@ -54,8 +58,8 @@
 	Charged int64
 }
 
-// Counter is the service that a workspace received in cost units divided by
-// its share.
+// Counter is the service that a workspace received divided by its share, in
+// 1/fairshare.Scale cost units.
 type Counter struct {
 	Workspace  config.ID
 	Value      uint64
@@ -76,7 +80,8 @@
 
 // RouterJoined opens a router's stream. It carries the state that the router
 // holds, from which a scheduler without memory is rebuilt. A router that joins
-// again replaces its earlier stream: demands it does not send again are gone.
+// again replaces its earlier stream: demands it does not send again are gone,
+// and the spare slots it held are void.
 type RouterJoined struct {
 	Router   Router
 	Zone     string
@@ -166,7 +171,9 @@
 	RetryAfter time.Duration
 }
 
-// HandSpare hands a slot to a router ahead of demand.
+// HandSpare hands a slot to a router ahead of demand. The router uses it for
+// any workspace that may use the target. The high 32 bits of Spare are the
+// target's ID.
 type HandSpare struct {
 	Router  Router
 	Spare   uint64
--- /dev/null
+++ b/pool/status.go
@@ -0,0 +1,97 @@
+package pool
+
+import (
+	"maps"
+
+	"github.com/chiveseam/chiveseam/breaker"
+	"github.com/chiveseam/chiveseam/config"
+)
+
+// Status is a snapshot of a scheduler.
+type Status struct {
+	// Queued counts the waiting demands.
+	Queued int
+	// Targets is ordered by ID.
+	Targets []TargetStatus
+	// Counters is ordered by workspace, as RouterJoined takes them.
+	Counters []Counter
+	// SpareSlots counts the slots that are handed out ahead.
+	SpareSlots int
+	// FreeSlots counts the slots that are neither busy nor handed out.
+	FreeSlots int
+	// PeerSpares holds the free slots of other regions and shards.
+	PeerSpares map[string]int
+	Granted    uint64
+	Refused    uint64
+}
+
+// TargetStatus is the use of one target.
+type TargetStatus struct {
+	ID    config.ID
+	Slots int
+	Busy  int
+	// Spare counts the slots that are handed out ahead.
+	Spare int
+	// Down is set while the breaker admits no request.
+	Down    bool
+	Leaving bool
+}
+
+// Status returns a snapshot. Its cost grows with targets and workspaces.
+func (s *Scheduler) Status() Status {
+	status := Status{
+		Queued:     s.waiting,
+		Counters:   s.Counters(),
+		SpareSlots: len(s.spares.byID),
+		FreeSlots:  s.freeSlots(),
+		PeerSpares: maps.Clone(s.peerSpares),
+		Granted:    s.granted,
+		Refused:    s.refused,
+	}
+	for _, t := range s.sortedTargets() {
+		status.Targets = append(status.Targets, TargetStatus{
+			ID:      t.ID,
+			Slots:   t.Slots,
+			Busy:    t.busy,
+			Spare:   t.spares,
+			Down:    t.breaker.State(s.now) == breaker.Open,
+			Leaving: t.Leaving,
+		})
+	}
+	return status
+}
+
+// Counters returns the counters of all workspaces, ordered by workspace.
+// Routers keep them and bring them to a new scheduler in RouterJoined.
+func (s *Scheduler) Counters() []Counter {
+	return toCounters(s.counters.Snapshot())
+}
+
+// Counter returns the counter of one workspace, for the router that serves it.
+func (s *Scheduler) Counter(workspace config.ID) Counter {
+	return Counter{
+		Workspace:  workspace,
+		Value:      s.counters.Value(workspace),
+		Backlogged: s.counters.Backlogged(workspace),
+	}
+}
+
+// PeerCounters returns what changed for the schedulers of the same pool in
+// other regions since the last call: workspaces whose backlog began or ended,
+// and backlogged ones that were served at least minChange cost units at share
+// 1. The counters are net service and not those of Counters.
+func (s *Scheduler) PeerCounters(region string, minChange int64) PeerCounters {
+	return PeerCounters{
+		Region:     region,
+		Counters:   toCounters(s.counters.Served(minChange)),
+		SpareSlots: s.freeSlots(),
+	}
+}
+
+func (s *Scheduler) freeSlots() int {
+	free := 0
+	for _, t := range s.open {
+		free += t.free()
+	}
+	return free
+}
--- /dev/null
+++ b/pool/workspace.go
@@ -0,0 +1,104 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/fairshare"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+func (s *Scheduler) workspacesChanged(e WorkspacesChanged) {
+	listed := make(map[config.ID]bool, len(e.Workspaces))
+	for _, w := range e.Workspaces {
+		listed[w.ID] = true
+		s.configure(w)
+	}
+	for _, w := range s.sortedWorkspaces() {
+		if !listed[w.ID] {
+			s.removeWorkspace(w)
+		}
+	}
+	s.refuseUnservable()
+	for _, t := range s.sortedTargets() {
+		s.touch(t)
+	}
+}
+
+func (s *Scheduler) configure(settings Workspace) {
+	if settings.MaxQueued <= 0 {
+		settings.MaxQueued = defaultMaxQueued
+	}
+	if settings.MaxQueuedBytes <= 0 {
+		settings.MaxQueuedBytes = defaultMaxQueuedBytes
+	}
+	w := s.workspaces[settings.ID]
+	if w == nil {
+		w = &workspace{}
+		s.workspaces[settings.ID] = w
+	}
+	w.Workspace = settings
+	s.counters.Configure(w.ID, w.Share, w.DataCentre)
+}
+
+func (s *Scheduler) removeWorkspace(w *workspace) {
+	for _, d := range w.waiting() {
+		s.refuse(d, v1.Code_NOT_ALLOWED, 0)
+	}
+	s.counters.Remove(w.ID)
+	delete(s.workspaces, w.ID)
+}
+
+// refuseUnservable refuses waiting demands that no target could serve.
+func (s *Scheduler) refuseUnservable() {
+	for _, w := range s.sortedWorkspaces() {
+		for _, c := range slices.Clone(w.classes) {
+			if s.servable(w, c.exclude) {
+				continue
+			}
+			for _, d := range slices.Clone(c.queue) {
+				s.refuse(d, v1.Code_NO_TARGET, s.retryAfter(d))
+			}
+		}
+	}
+}
+
+func (s *Scheduler) sortedWorkspaces() []*workspace {
+	workspaces := make([]*workspace, 0, len(s.workspaces))
+	for _, w := range s.workspaces {
+		workspaces = append(workspaces, w)
+	}
+	slices.SortFunc(workspaces, func(a, b *workspace) int { return cmp.Compare(a.ID, b.ID) })
+	return workspaces
+}
+
+// workspaceOf returns a workspace's state for a demand in flight. An unknown
+// workspace is not kept.
+func (s *Scheduler) workspaceOf(id config.ID) *workspace {
+	if w := s.workspaces[id]; w != nil {
+		return w
+	}
+	return &workspace{Workspace: Workspace{ID: id}}
+}
+
+func (s *Scheduler) peerCounters(e PeerCounters) {
+	s.counters.MergeRegion(e.Region, fromCounters(e.Counters))
+	s.peerSpares[e.Region] = e.SpareSlots
+}
+
+func fromCounters(counters []Counter) []fairshare.Counter {
+	converted := make([]fairshare.Counter, len(counters))
+	for i, c := range counters {
+		converted[i] = fairshare.Counter(c)
+	}
+	return converted
+}
+
+func toCounters(counters []fairshare.Counter) []Counter {
+	converted := make([]Counter, len(counters))
+	for i, c := range counters {
+		converted[i] = Counter(c)
+	}
+	return converted
+}
