standin: add platform, engine and service with their binary

Tests and the demo need something that takes the place of the platform, the model engines and the plain services.

Ruled out: bunrouter's Compat handlers. They recover panics, so that an answer aborted with http.ErrAbortHandler ended with the last chunk, as if it were whole. TestTruncatedStreamEndsWithAnError failed with them and passes with native handlers (serve.Handler).

Change: packages platform, engine, service, fault, serve and deployment under internal/standin, and cmd/chiveseam-standin with the sub-commands platform, engine, engines, service and services. Faults are planned through /control/faults or asked for by one request.

Conclusion: go test -race ./internal/standin/... passes; go vet and staticcheck are clean on these packages.

--- /dev/null
+++ b/cmd/chiveseam-standin/engine.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/chiveseam/chiveseam/internal/standin/deployment"
+	"github.com/chiveseam/chiveseam/internal/standin/engine"
+)
+
+// engineOptions are shared by the commands that run engines.
+type engineOptions struct {
+	TokensPerSecond float64       `long:"tokens-per-second" default:"100" description:"speed of each request within the slots"`
+	LoadLag         time.Duration `long:"load-lag" default:"500ms" description:"how far the reported load is behind"`
+	LoadTime        time.Duration `long:"load-time" default:"1s" description:"time to load a version or an adapter"`
+	OmitUsage       bool          `long:"omit-usage" description:"leave the usage out of answers"`
+}
+
+type engineCommand struct {
+	engineOptions
+	Listen        string `long:"listen" env:"CHIVESEAM_STANDIN_LISTEN" description:"IP:port to listen on" required:"true"`
+	Name          string `long:"name" default:"engine" description:"name of the engine"`
+	Slots         int    `long:"slots" default:"8" description:"largest batch at full speed"`
+	CacheTokens   int    `long:"cache-tokens" default:"65536" description:"size of the prefix cache"`
+	ChecksFencing bool   `long:"checks-fencing" description:"refuse orders with an old fencing number"`
+}
+
+// Execute implements flags.Commander.
+func (c *engineCommand) Execute([]string) error {
+	e := engine.New(engine.Settings{
+		Name:            c.Name,
+		Slots:           c.Slots,
+		TokensPerSecond: c.TokensPerSecond,
+		CacheTokens:     c.CacheTokens,
+		LoadLag:         c.LoadLag,
+		LoadTime:        c.LoadTime,
+		OmitUsage:       c.OmitUsage,
+		ChecksFencing:   c.ChecksFencing,
+		OnCrash:         func() { os.Exit(exitCrash) },
+	})
+	return serveUntilSignal("engine", c.Listen, e.Handler())
+}
+
+type enginesCommand struct {
+	engineOptions
+	Configuration string        `long:"configuration" description:"file with a serialized configuration" required:"true"`
+	RestartDelay  time.Duration `long:"restart-delay" default:"1s" description:"time from a crash to the restart"`
+}
+
+// Execute implements flags.Commander.
+func (c *enginesCommand) Execute([]string) error {
+	configuration, err := deployment.Read(c.Configuration)
+	if err != nil {
+		return err
+	}
+	group := deployment.NewGroup(c.RestartDelay)
+	return runGroup("engines", group, func() error {
+		return group.StartEngines(configuration, deployment.EngineOptions{
+			TokensPerSecond: c.TokensPerSecond,
+			LoadLag:         c.LoadLag,
+			LoadTime:        c.LoadTime,
+			OmitUsage:       c.OmitUsage,
+		})
+	})
+}
--- /dev/null
+++ b/internal/standin/deployment/deployment.go
@@ -0,0 +1,129 @@
+// Package deployment runs the stand-ins of a configuration's targets in one
+// process, each on its own address.
+package deployment
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chiveseam/chiveseam/internal/standin/serve"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// Read returns the configuration in the named file.
+func Read(path string) (*v1.Configuration, error) {
+	payload, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	configuration := &v1.Configuration{}
+	if err := proto.Unmarshal(payload, configuration); err != nil {
+		return nil, fmt.Errorf("decode configuration %s: %w", path, err)
+	}
+	return configuration, nil
+}
+
+// TargetsOf returns the targets of all pools of a kind in configuration order.
+func TargetsOf(c *v1.Configuration, kind v1.PoolKind) []*v1.Target {
+	kinds := map[string]v1.PoolKind{}
+	for _, p := range c.Pools {
+		kinds[p.Name] = p.Kind
+	}
+	var targets []*v1.Target
+	for _, t := range c.Targets {
+		if kinds[t.Pool] == kind {
+			targets = append(targets, t)
+		}
+	}
+	return targets
+}
+
+// Instances returns the targets of c as live instances.
+func Instances(c *v1.Configuration) []*v1.Instance {
+	var instances []*v1.Instance
+	for _, t := range c.Targets {
+		instances = append(instances, &v1.Instance{
+			Name:         t.Name,
+			Zone:         t.Zone,
+			EntryAddress: t.Address,
+			State:        v1.InstanceState_LIVE,
+			IsTarget:     true,
+		})
+	}
+	return instances
+}
+
+// Group is a set of servers that stop together.
+type Group struct {
+	restartDelay time.Duration
+
+	mu      sync.Mutex
+	members []*member
+	stopped bool
+}
+
+// NewGroup returns an empty group whose members come back restartDelay after a
+// crash.
+func NewGroup(restartDelay time.Duration) *Group {
+	return &Group{restartDelay: restartDelay}
+}
+
+// Stop closes all servers at once.
+func (g *Group) Stop() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = true
+	var errs []error
+	for _, m := range g.members {
+		if m.server != nil {
+			errs = append(errs, m.server.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// start adds m to the group.
+func (g *Group) start(m *member) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	server, err := serve.Start(m.address, m.handler)
+	if err != nil {
+		return err
+	}
+	m.server = server
+	g.members = append(g.members, m)
+	return nil
+}
+
+// crash closes the server of m with all connections, makes m forget its state
+// and listens again after the restart delay.
+func (g *Group) crash(m *member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped || m.server == nil {
+		return
+	}
+	_ = m.server.Close()
+	m.server = nil
+	m.reset()
+	time.AfterFunc(g.restartDelay, func() { g.restart(m) })
+}
+
+func (g *Group) restart(m *member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return
+	}
+	server, err := serve.Start(m.address, m.handler)
+	if err != nil {
+		time.AfterFunc(g.restartDelay, func() { g.restart(m) })
+		return
+	}
+	m.server = server
+}
--- /dev/null
+++ b/internal/standin/engine/answer.go
@@ -0,0 +1,96 @@
+package engine
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// DefaultMaxTokens applies to requests without max_tokens.
+	DefaultMaxTokens = 64
+	// tokensWordPrefix starts the word in a prompt that fixes the length of
+	// the answer, for instance "tokens=12".
+	tokensWordPrefix = "tokens="
+)
+
+// AnswerTokens returns the tokens of the answer to a prompt. Token i is
+// "w<i>-<hash>", where hash is the xxHash64 of the prompt in 16 hexadecimal
+// digits; each token but the first starts with a space.
+//
+// A word "tokens=N" in the prompt gives N tokens. Otherwise there are
+// 1 + hash mod maxTokens, so that max_tokens is a rough hint only. Never more
+// than maxTokens are returned; maxTokens 0 stands for DefaultMaxTokens.
+//
+// The prompt of a chat is its messages in order, each as "role: content" and a
+// newline. Callers that make their prompts unique can verify with CheckAnswer
+// that an answer is whole and their own.
+func AnswerTokens(prompt string, maxTokens int) []string {
+	if maxTokens <= 0 {
+		maxTokens = DefaultMaxTokens
+	}
+	hash := xxhash.Sum64String(prompt)
+	tokens := make([]string, answerLength(prompt, hash, maxTokens))
+	for i := range tokens {
+		tokens[i] = fmt.Sprintf(" w%d-%016x", i, hash)
+	}
+	tokens[0] = tokens[0][1:]
+	return tokens
+}
+
+func answerLength(prompt string, hash uint64, maxTokens int) int {
+	if wanted := fixedLength(prompt); wanted > 0 {
+		return min(wanted, maxTokens)
+	}
+	return 1 + int(hash%uint64(maxTokens))
+}
+
+// fixedLength returns the N of a word "tokens=N", or 0.
+func fixedLength(prompt string) int {
+	_, rest, found := strings.Cut(prompt, tokensWordPrefix)
+	if !found {
+		return 0
+	}
+	digits := 0
+	for digits < len(rest) && rest[digits] >= '0' && rest[digits] <= '9' {
+		digits++
+	}
+	n, err := strconv.Atoi(rest[:digits])
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// AnswerError says how an answer differs from the one that was expected.
+type AnswerError struct {
+	// Short is set when the answer is a proper prefix of the expected one;
+	// otherwise it belongs to another request.
+	Short bool
+	// Got and Want are lengths in bytes.
+	Got, Want int
+}
+
+// Error describes the difference.
+func (e *AnswerError) Error() string {
+	if e.Short {
+		return fmt.Sprintf("answer is short: %d of %d bytes", e.Got, e.Want)
+	}
+	return fmt.Sprintf("answer of %d bytes is not the one to this request", e.Got)
+}
+
+// CheckAnswer returns nil when text is the whole answer to prompt, and an
+// *AnswerError otherwise.
+func CheckAnswer(prompt string, maxTokens int, text string) error {
+	want := strings.Join(AnswerTokens(prompt, maxTokens), "")
+	if text == want {
+		return nil
+	}
+	return &AnswerError{
+		Short: strings.HasPrefix(want, text),
+		Got:   len(text),
+		Want:  len(want),
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,209 @@
+package engine_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/internal/standin/engine"
+	"github.com/chiveseam/chiveseam/internal/standin/fault"
+)
+
+const fast = 2000 // tokens per second
+
+func start(t *testing.T, settings engine.Settings) (*engine.Engine, *httptest.Server) {
+	t.Helper()
+	e := engine.New(settings)
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(server.Close)
+	return e, server
+}
+
+func post(t *testing.T, url, body string) *http.Response {
+	t.Helper()
+	resp, err := http.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+// chunk is the part of a chunk that the tests use.
+type chunk struct {
+	Choices []struct {
+		Delta   struct{ Content string }
+		Message struct{ Content string }
+	}
+	Usage *struct {
+		CompletionTokens int `json:"completion_tokens"`
+		Details          struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	}
+}
+
+// readEvents reads up to limit events and returns the text, the last ID and
+// whether the stream ended with [DONE].
+func readEvents(t *testing.T, body io.Reader, limit int) (text, lastID string, done bool, last chunk) {
+	t.Helper()
+	scanner := bufio.NewScanner(body)
+	for limit > 0 && scanner.Scan() {
+		line := scanner.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			lastID = id
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		limit--
+		if data == "[DONE]" {
+			return text, lastID, true, last
+		}
+		last = chunk{}
+		if err := json.Unmarshal([]byte(data), &last); err != nil {
+			t.Fatal(err)
+		}
+		if len(last.Choices) > 0 {
+			text += last.Choices[0].Delta.Content
+		}
+	}
+	return text, lastID, false, last
+}
+
+func TestWholeAndStreamedAnswers(t *testing.T) {
+	is := is.New(t)
+	_, server := start(t, engine.Settings{TokensPerSecond: fast})
+	prompt := engine.ChatPrompt("user", "hello tokens=7")
+
+	resp := post(t, server.URL+"/v1/chat/completions", `{"messages":[{"role":"user","content":"hello tokens=7"}]}`)
+	var whole chunk
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&whole))
+	is.NoErr(engine.CheckAnswer(prompt, 0, whole.Choices[0].Message.Content))
+	is.Equal(whole.Usage.CompletionTokens, 7)
+
+	resp = post(t, server.URL+"/v1/chat/completions",
+		`{"messages":[{"role":"user","content":"hello tokens=7"}],"stream":true,"stream_options":{"include_usage":true}}`)
+	text, _, done, last := readEvents(t, resp.Body, 100)
+	is.True(done)
+	is.NoErr(engine.CheckAnswer(prompt, 0, text))
+	is.Equal(last.Usage.CompletionTokens, 7)
+}
+
+func TestCheckAnswerTellsShortFromForeign(t *testing.T) {
+	is := is.New(t)
+	tokens := engine.AnswerTokens("a tokens=5", 0)
+	var answerErr *engine.AnswerError
+	is.True(errors.As(engine.CheckAnswer("a tokens=5", 0, tokens[0]), &answerErr))
+	is.True(answerErr.Short)
+	is.True(errors.As(engine.CheckAnswer("b tokens=5", 0, strings.Join(tokens, "")), &answerErr))
+	is.True(!answerErr.Short)
+}
+
+func TestLostStreamLeavesTheBatchAndResumes(t *testing.T) {
+	is := is.New(t)
+	e, server := start(t, engine.Settings{Name: "e", TokensPerSecond: 200})
+	resp := post(t, server.URL+"/v1/chat/completions", `{"messages":[{"role":"user","content":"x tokens=40"}],"stream":true}`)
+	first, lastID, _, _ := readEvents(t, resp.Body, 10)
+	resp.Body.Close()
+	for e.Active() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+
+	req, err := http.NewRequest(http.MethodGet, server.URL+"/v1/streams/"+resp.Header.Get(engine.StreamIDHeader), nil)
+	is.NoErr(err)
+	req.Header.Set(engine.LastEventIDHeader, lastID)
+	resumed, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resumed.Body.Close()
+	rest, _, done, _ := readEvents(t, resumed.Body, 100)
+	is.True(done)
+	is.NoErr(engine.CheckAnswer(engine.ChatPrompt("user", "x tokens=40"), 0, first+rest))
+}
+
+func TestTruncatedStreamEndsWithAnError(t *testing.T) {
+	is := is.New(t)
+	_, server := start(t, engine.Settings{TokensPerSecond: fast})
+	resp := post(t, server.URL+"/v1/chat/completions",
+		`{"messages":[{"role":"user","content":"fault=truncate tokens=8"}],"stream":true}`)
+	_, err := io.ReadAll(resp.Body)
+	is.True(err != nil)
+}
+
+func TestCrashResetsTheConnection(t *testing.T) {
+	is := is.New(t)
+	e, server := start(t, engine.Settings{})
+	e.SetFaults(fault.Plan{Kind: fault.Crash, Count: 1})
+	_, err := http.Post(server.URL+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"x"}`))
+	is.True(err != nil)
+	is.Equal(e.Crashes(), uint64(1))
+}
+
+func TestPrefixInCacheIsReported(t *testing.T) {
+	is := is.New(t)
+	_, server := start(t, engine.Settings{TokensPerSecond: fast})
+	body := `{"prompt":"` + strings.Repeat("a", 640) + ` tokens=1"}`
+	for _, want := range []int{0, 160} {
+		var answer chunk
+		resp := post(t, server.URL+"/v1/completions", body)
+		is.NoErr(json.NewDecoder(resp.Body).Decode(&answer))
+		is.Equal(answer.Usage.Details.Cached, want)
+	}
+}
+
+func TestOldFencingNumberIsRefusedWhenChecked(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		is := is.New(t)
+		_, server := start(t, engine.Settings{ChecksFencing: checks})
+		resp := post(t, server.URL+"/v1/orders", `{"kind":"load_model","version":"2","fencing":5}`)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		resp = post(t, server.URL+"/v1/orders", `{"kind":"load_model","version":"1","fencing":4}`)
+		is.Equal(resp.StatusCode == http.StatusConflict, checks)
+	}
+}
+
+// serveTime returns the time of n equal requests that arrive together.
+func serveTime(t *testing.T, n int) time.Duration {
+	t.Helper()
+	handler := engine.New(engine.Settings{Slots: 4, TokensPerSecond: 100}).Handler()
+	began := time.Now()
+	results := make(chan int, n)
+	for range n {
+		go func() {
+			recorder := httptest.NewRecorder()
+			body := strings.NewReader(`{"prompt":"x tokens=50"}`)
+			req := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/v1/completions", body)
+			handler.ServeHTTP(recorder, req)
+			results <- recorder.Code
+		}()
+	}
+	for range n {
+		if code := <-results; code != http.StatusOK {
+			t.Errorf("status %d", code)
+		}
+	}
+	return time.Since(began)
+}
+
+func TestBatchOverTheSlotsSlowsAllRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		full := serveTime(t, 4)
+		is.Equal(serveTime(t, 1), full)
+		twice := serveTime(t, 8)
+		ratio := float64(twice) / float64(full)
+		is.True(ratio > 1.9 && ratio <= 2)
+		time.Sleep(engine.DefaultResumeWindow)
+	})
+}
--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,212 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/chiveseam/chiveseam/internal/standin/fault"
+	"github.com/chiveseam/chiveseam/internal/standin/serve"
+)
+
+const (
+	// StreamIDHeader carries the ID under which a stream can be resumed.
+	StreamIDHeader = "X-Stream-Id"
+	// LastEventIDHeader carries the number of the last event received.
+	LastEventIDHeader = "Last-Event-ID"
+	streamPath        = "/v1/streams/:" + streamIDParam
+	// streamIDParam names the part of the path that holds a stream's ID.
+	streamIDParam = "id"
+	// slowFactor is how many times slower the slow fault answers.
+	slowFactor = 20
+)
+
+// Handler returns the HTTP interface of the engine.
+func (e *Engine) Handler() http.Handler {
+	router := bunrouter.New()
+	router.POST("/v1/chat/completions", serve.Handler(e.postChatCompletions))
+	router.POST("/v1/completions", serve.Handler(e.postCompletions))
+	router.GET(streamPath, e.getStream)
+	router.DELETE(streamPath, e.deleteStream)
+	router.GET("/v1/load", serve.Handler(e.getLoad))
+	router.POST("/v1/orders", serve.Handler(e.postOrders))
+	router.GET("/v1/state", serve.Handler(e.getState))
+	router.POST("/control/faults", serve.Handler(e.faults.ServeHTTP))
+	return router
+}
+
+func (e *Engine) postChatCompletions(w http.ResponseWriter, r *http.Request) {
+	e.complete(w, r, true)
+}
+
+func (e *Engine) postCompletions(w http.ResponseWriter, r *http.Request) {
+	e.complete(w, r, false)
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request, chat bool) {
+	req, err := decodeRequest(r, chat)
+	if err != nil {
+		answerError(w, http.StatusBadRequest, err)
+		return
+	}
+	kind := e.faults.Next(r, req.prompt())
+	switch kind {
+	case fault.Crash:
+		e.crash(w)
+	case fault.Silent:
+		fault.Hang(r)
+		return
+	}
+	s := e.begin(req)
+	defer e.detach(s)
+	w.Header().Set(StreamIDHeader, s.id)
+	if req.Stream {
+		e.writeStream(w, r, s, 0, kind)
+		return
+	}
+	e.writeWhole(w, r, s, kind)
+}
+
+// writeWhole answers once all tokens are produced.
+func (e *Engine) writeWhole(w http.ResponseWriter, r *http.Request, s *stream, kind fault.Kind) {
+	if err := e.awaitTokens(r, s, len(s.tokens), kind); err != nil {
+		return
+	}
+	body, err := json.Marshal(s.whole(strings.Join(s.tokens, "")))
+	if err != nil {
+		answerError(w, http.StatusInternalServerError, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	half := len(body) / 2
+	switch kind {
+	case fault.CloseBeforeAnswer:
+		fault.Reset(w)
+	case fault.Truncate:
+		_, _ = w.Write(body[:half])
+		flush(w)
+		panic(http.ErrAbortHandler)
+	case fault.SilentMidStream:
+		_, _ = w.Write(body[:half])
+		flush(w)
+		fault.Hang(r)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+// writeStream answers with the events after number last.
+func (e *Engine) writeStream(w http.ResponseWriter, r *http.Request, s *stream, last int, kind fault.Kind) {
+	if kind == fault.CloseBeforeAnswer {
+		fault.Reset(w)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-cache")
+	w.WriteHeader(http.StatusOK)
+	flush(w)
+	breakAt := len(s.tokens)/2 + 1
+	for i := last + 1; i <= s.events(); i++ {
+		if err := e.awaitTokens(r, s, min(i, len(s.tokens)), kind); err != nil {
+			return
+		}
+		if i == breakAt && breakStream(r, kind) {
+			return
+		}
+		if err := writeEvent(w, s, i); err != nil {
+			return
+		}
+	}
+}
+
+// breakStream runs the faults that end a stream half-way and reports whether
+// one did.
+func breakStream(r *http.Request, kind fault.Kind) bool {
+	switch kind {
+	case fault.Truncate:
+		panic(http.ErrAbortHandler)
+	case fault.SilentMidStream:
+		fault.Hang(r)
+		return true
+	}
+	return false
+}
+
+func writeEvent(w http.ResponseWriter, s *stream, i int) error {
+	data, err := s.event(i)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data); err != nil {
+		return err
+	}
+	flush(w)
+	return nil
+}
+
+// awaitTokens waits until n tokens are produced.
+func (e *Engine) awaitTokens(r *http.Request, s *stream, n int, kind fault.Kind) error {
+	if kind == fault.Slow {
+		if err := sleep(r.Context(), e.settings.stepTime()*slowFactor); err != nil {
+			return err
+		}
+	}
+	_, err := e.batch.wait(r.Context(), s.sequence, n)
+	return err
+}
+
+func (e *Engine) getStream(w http.ResponseWriter, r bunrouter.Request) error {
+	s, err := e.attach(r.Param(streamIDParam))
+	if err != nil {
+		answerError(w, http.StatusNotFound, err)
+		return nil
+	}
+	defer e.detach(s)
+	last, err := strconv.Atoi(r.Header.Get(LastEventIDHeader))
+	if err != nil || last < 0 {
+		last = 0
+	}
+	w.Header().Set(StreamIDHeader, s.id)
+	e.writeStream(w, r.Request, s, last, e.faults.Next(r.Request, ""))
+	return nil
+}
+
+func (e *Engine) deleteStream(w http.ResponseWriter, r bunrouter.Request) error {
+	if err := e.cancel(r.Param(streamIDParam)); err != nil {
+		answerError(w, http.StatusNotFound, err)
+		return nil
+	}
+	w.WriteHeader(http.StatusNoContent)
+	return nil
+}
+
+func (e *Engine) getLoad(w http.ResponseWriter, _ *http.Request) {
+	active, at := e.load.read()
+	answerJSON(w, Load{Active: active, Slots: e.settings.Slots, AsOfUnixMs: at.UnixMilli()})
+}
+
+func (e *Engine) getState(w http.ResponseWriter, _ *http.Request) {
+	answerJSON(w, e.orders.read())
+}
+
+func (e *Engine) postOrders(w http.ResponseWriter, r *http.Request) {
+	var order Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		answerError(w, http.StatusBadRequest, err)
+		return
+	}
+	state, err := e.orders.execute(order)
+	switch {
+	case errors.Is(err, errStaleFencing):
+		answerError(w, http.StatusConflict, err)
+	case err != nil:
+		answerError(w, http.StatusBadRequest, err)
+	default:
+		answerJSON(w, state)
+	}
+}
--- /dev/null
+++ b/internal/standin/service/service_test.go
@@ -0,0 +1,55 @@
+package service_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/internal/standin/fault"
+	"github.com/chiveseam/chiveseam/internal/standin/service"
+)
+
+func call(url, operation, body string) ([]byte, error) {
+	req, err := http.NewRequest(http.MethodPut, url+"/orders/7", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(service.RequestHeader, operation)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	return io.ReadAll(resp.Body)
+}
+
+func TestAnswerEchoesTheCall(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(service.New(service.Settings{}, service.NewLedger()).Handler())
+	defer server.Close()
+	text, err := call(server.URL, "op-1", "banner")
+	is.NoErr(err)
+	is.NoErr(service.CheckAnswer("op-1", []byte("banner"), text))
+	is.True(service.CheckAnswer("op-2", []byte("banner"), text) != nil)
+	is.True(service.CheckAnswer("op-1", []byte("poster"), text) != nil)
+}
+
+func TestLedgerCountsRunsWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	ledger := service.NewLedger()
+	s := service.New(service.Settings{}, ledger)
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	s.SetFaults(fault.Plan{Kind: fault.CloseBeforeAnswer, Count: 1})
+	_, err := call(server.URL, "op", "")
+	is.True(err != nil)
+	is.Equal(ledger.Report().Runs["op"], 1)
+	is.Equal(len(ledger.Report().Doubles), 0)
+	_, err = call(server.URL, "op", "")
+	is.NoErr(err)
+	is.Equal(ledger.Report().Doubles, map[string]int{"op": 2})
+}
