Add the connections between routers and the metrics

Cause: schedulers, keys and views need messages between routers. Ruled out: one connection for all streams, since a drpc connection carries one stream at a time. Conclusion: builds; not run before the daemon exists.

--- /dev/null
+++ b/router/internal/peer/scheduling.go
@@ -0,0 +1,178 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chiveseam/chiveseam/pool"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/router/internal/broker"
+	"github.com/chiveseam/chiveseam/router/internal/scheduling"
+	"github.com/chiveseam/chiveseam/router/internal/state"
+)
+
+// errPeerSilent ends a stream on which nothing arrived for too long.
+var errPeerSilent = errors.New("peer is silent")
+
+// Timing of the connections between routers.
+type Timing struct {
+	// Heartbeat is the time between messages on an otherwise idle stream.
+	Heartbeat time.Duration
+	// SuspectAfter is the silence after which a stream is given up.
+	SuspectAfter time.Duration
+	// Coalesce is the least time between two writes on a stream.
+	Coalesce time.Duration
+	// Dial bounds the time to connect.
+	Dial time.Duration
+}
+
+// Dialer opens scheduling streams. It implements broker.Dialer.
+type Dialer struct {
+	Self    state.Member
+	Host    *scheduling.Host
+	Timing  Timing
+	Traffic Traffic
+}
+
+// Open implements broker.Dialer.
+func (d *Dialer) Open(member state.Member, receiver broker.Receiver) broker.Link {
+	if member.Name == d.Self.Name {
+		return scheduling.OpenLocal(d.Host, d.Self, receiver)
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	l := &remoteLink{
+		dialer: d,
+		cancel: cancel,
+		out:    newCoalescer(d.Timing.Coalesce, func() *v1.EntryBatch { return &v1.EntryBatch{} }),
+	}
+	go l.run(ctx, member, receiver)
+	return l
+}
+
+// remoteLink is the entry's side of a scheduling stream.
+type remoteLink struct {
+	dialer *Dialer
+	cancel context.CancelCauseFunc
+	out    *coalescer[*v1.EntryBatch]
+}
+
+// Send implements broker.Link.
+func (l *remoteLink) Send(batch *v1.EntryBatch) { l.out.add(batch) }
+
+// Close implements broker.Link.
+func (l *remoteLink) Close() { l.cancel(nil) }
+
+func (l *remoteLink) run(ctx context.Context, member state.Member, receiver broker.Receiver) {
+	err := l.serve(ctx, member, receiver)
+	l.cancel(err)
+	receiver.Closed(err)
+}
+
+func (l *remoteLink) serve(ctx context.Context, member state.Member, receiver broker.Receiver) error {
+	conn, err := dial(ctx, member.PeerAddress, l.dialer.Timing.Dial, l.dialer.Traffic)
+	if err != nil {
+		return fmt.Errorf("dial %s: %w", member.Name, err)
+	}
+	defer conn.Close()
+	stream, err := v1.NewDRPCSchedulingClient(conn).Connect(ctx)
+	if err != nil {
+		return fmt.Errorf("connect to %s: %w", member.Name, err)
+	}
+	defer stream.Close()
+	go l.write(ctx, stream)
+	watch := newSilenceWatch(l.dialer.Timing.SuspectAfter, func() {
+		l.cancel(errPeerSilent)
+		conn.Close()
+	})
+	defer watch.stop()
+	for {
+		batch, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		watch.heard()
+		l.dialer.Traffic.Message("scheduler_batch", Received, proto.Size(batch))
+		receiver.Received(batch)
+	}
+}
+
+func (l *remoteLink) write(ctx context.Context, stream v1.DRPCScheduling_ConnectClient) {
+	err := l.out.run(ctx.Done(), l.dialer.Timing.Heartbeat, func(batch *v1.EntryBatch) error {
+		l.dialer.Traffic.Message("entry_batch", Sent, proto.Size(batch))
+		return stream.Send(batch)
+	})
+	if err != nil {
+		l.cancel(err)
+		stream.Close()
+	}
+}
+
+// silenceWatch calls a function once when nothing was heard for a while.
+type silenceWatch struct {
+	limit time.Duration
+	timer *time.Timer
+}
+
+func newSilenceWatch(limit time.Duration, silent func()) *silenceWatch {
+	return &silenceWatch{limit: limit, timer: time.AfterFunc(limit, silent)}
+}
+
+func (w *silenceWatch) heard() { w.timer.Reset(w.limit) }
+
+func (w *silenceWatch) stop() { w.timer.Stop() }
+
+// Connect implements the scheduler's side of the Scheduling service.
+func (s *Server) Connect(stream v1.DRPCScheduling_ConnectStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	hello := first.GetHello()
+	if hello == nil || hello.Router == "" {
+		return errors.New("the first batch has no hello")
+	}
+	out := newCoalescer(s.opts.Timing.Coalesce, func() *v1.SchedulerBatch { return &v1.SchedulerBatch{} })
+	router := pool.Router{Name: hello.Router, Incarnation: hello.Incarnation}
+	session := s.opts.Host.Open(router, hello.Zone, out.add)
+	defer session.Close()
+	return s.serveSession(stream, session, first, out)
+}
+
+// serveSession passes batches both ways until the peer is lost or silent.
+func (s *Server) serveSession(stream v1.DRPCScheduling_ConnectStream, session *scheduling.Session, first *v1.EntryBatch, out *coalescer[*v1.SchedulerBatch]) error {
+	done := make(chan struct{})
+	var once sync.Once
+	end := func() { once.Do(func() { close(done) }) }
+	defer end()
+	failed := make(chan error, 2)
+	go func() {
+		failed <- s.receiveBatches(stream, session, first, end)
+	}()
+	go func() {
+		failed <- out.run(done, s.opts.Timing.Heartbeat, func(batch *v1.SchedulerBatch) error {
+			s.opts.Traffic.Message("scheduler_batch", Sent, proto.Size(batch))
+			return stream.Send(batch)
+		})
+	}()
+	return <-failed
+}
+
+func (s *Server) receiveBatches(stream v1.DRPCScheduling_ConnectStream, session *scheduling.Session, batch *v1.EntryBatch, silent func()) error {
+	watch := newSilenceWatch(s.opts.Timing.SuspectAfter, silent)
+	defer watch.stop()
+	for {
+		s.opts.Traffic.Message("entry_batch", Received, proto.Size(batch))
+		session.Receive(batch)
+		var err error
+		batch, err = stream.Recv()
+		if err != nil {
+			return err
+		}
+		watch.heard()
+	}
+}
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -189,7 +189,7 @@
 		Queued:     uint32(status.Queued),
 		Granted:    status.Granted,
 		Refused:    status.Refused,
-		SpareSlots: uint32(status.SparesOut),
+		SpareSlots: uint32(status.SpareSlots),
 	}
 	for _, t := range status.Targets {
 		target, ok := accepted.Target(t.ID)
--- a/router/internal/state/state.go
+++ b/router/internal/state/state.go
@@ -27,6 +27,9 @@
 	Self Member
 	// Reachable holds the routers that may take roles, Self included.
 	Reachable []Member
+	// Known holds all routers that are known with their addresses, by name,
+	// reachable or not.
+	Known map[string]Member
 	// LeavingTargets holds the targets that must receive no new work.
 	LeavingTargets map[config.ID]bool
 }
@@ -74,7 +77,7 @@
 // NewStore returns a store with a fleet of self alone and no configuration.
 func NewStore(self Member) *Store {
 	s := &Store{}
-	s.fleet.Store(&Fleet{Self: self, Reachable: []Member{self}})
+	s.fleet.Store(&Fleet{Self: self, Reachable: []Member{self}, Known: map[string]Member{self.Name: self}})
 	return s
 }
 
