Add chiveseamctl: questionnaire, config, status and top

Cause: operators had no program; status and fairness could not be seen. Ruled out: asking the platform for status, since routers write nothing to it; splitting what top calls deserved by share alone, since a workspace that wants less than its share leaves the rest to others. Change: internal/operator reads and writes configurations, asks routers in parallel, prints tables or JSON, and compares two samples max-min fairly; cmd/chiveseamctl maps commands to it with exit codes 0, 1 and 2. Conclusion: go test ./cmd/chiveseamctl ./internal/operator passes; no running router was asked yet, only fakes.

--- /dev/null
+++ b/cmd/chiveseamctl/commands.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/chiveseam/chiveseam/internal/operator"
+)
+
+// environment is what commands act on beside their flags.
+type environment struct {
+	ctx    context.Context
+	stdout io.Writer
+}
+
+// group is a command with commands of its own.
+type group struct{}
+
+// newParser returns a parser that executes the command it finds.
+func newParser(env *environment) (*flags.Parser, error) {
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	groups := []struct {
+		name, short string
+		commands    []command
+	}{
+		{"questionnaire", "Check a questionnaire or generate a configuration from it", []command{
+			{"check", "Report all mistakes of a questionnaire", &checkCommand{env: env}},
+			{"generate", "Write the configuration that a questionnaire describes", &generateCommand{env: env}},
+		}},
+		{"config", "Validate or compare configurations", []command{
+			{"validate", "Report all mistakes of a configuration", &validateCommand{env: env}},
+			{"diff", "Tell what changes from one configuration to another", &diffCommand{env: env}},
+		}},
+	}
+	for _, g := range groups {
+		parent, err := parser.AddCommand(g.name, g.short, "", &group{})
+		if err != nil {
+			return nil, err
+		}
+		if err := addCommands(parent, g.commands); err != nil {
+			return nil, err
+		}
+	}
+	return parser, addCommands(parser.Command, []command{
+		{"status", "Show routers, pools, targets and refusals", &statusCommand{env: env}},
+		{"top", "Show what workspaces deserve and receive", &topCommand{env: env}},
+	})
+}
+
+type command struct {
+	name, short string
+	data        any
+}
+
+func addCommands(parent *flags.Command, commands []command) error {
+	for _, c := range commands {
+		if _, err := parent.AddCommand(c.name, c.short, "", c.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type fileArgument struct {
+	File string `positional-arg-name:"FILE" required:"yes"`
+}
+
+type checkCommand struct {
+	env  *environment
+	Args fileArgument `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	generated, err := operator.Generate(c.Args.File)
+	if err != nil {
+		return err
+	}
+	return operator.PrintSummary(c.env.stdout, generated)
+}
+
+type generateCommand struct {
+	env    *environment
+	Output string       `short:"o" long:"output" value-name:"OUT" description:"File to write; standard output if it is not given"`
+	JSON   bool         `long:"json" description:"Write readable JSON in place of the serialized form"`
+	Args   fileArgument `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *generateCommand) Execute([]string) error {
+	generated, err := operator.Generate(c.Args.File)
+	if err != nil {
+		return err
+	}
+	encode := operator.Encode
+	if c.JSON {
+		encode = operator.EncodeConfigurationJSON
+	}
+	content, err := encode(generated)
+	if err != nil {
+		return err
+	}
+	return operator.WriteFile(c.Output, content, c.env.stdout)
+}
+
+type validateCommand struct {
+	env  *environment
+	Args fileArgument `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *validateCommand) Execute([]string) error {
+	valid, err := operator.ValidateFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	return operator.PrintSummary(c.env.stdout, valid)
+}
+
+type diffCommand struct {
+	env  *environment
+	Args struct {
+		Old string `positional-arg-name:"OLD" required:"yes"`
+		New string `positional-arg-name:"NEW" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *diffCommand) Execute([]string) error {
+	from, err := operator.ReadConfiguration(c.Args.Old)
+	if err != nil {
+		return err
+	}
+	to, err := operator.ReadConfiguration(c.Args.New)
+	if err != nil {
+		return err
+	}
+	return operator.PrintDiff(c.env.stdout, from, to)
+}
