Join the duties in chiveseam-router

Cause: the parts have to run as separate processes. Change: control reads the platform and exchanges views; the router runs all duties under one tomb and stops in the planned way; admin endpoints. A fleet that starts without memory refuses caller-chosen keys that do not prove their age. Plain answers lack the result's headers.

--- /dev/null
+++ b/router/admin.go
@@ -0,0 +1,106 @@
+package router
+
+import (
+	stdlog "log"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uptrace/bunrouter"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// adminHandler answers operators and the platform's balancer.
+func (r *Router) adminHandler() http.Handler {
+	router := bunrouter.New()
+	router.GET("/livez", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		return writeText(w, http.StatusOK, "alive\n")
+	})
+	router.GET("/readyz", r.readyz)
+	router.GET("/status", r.status)
+	metrics := promhttp.HandlerFor(r.metrics.Registry(), promhttp.HandlerOpts{})
+	router.GET("/metrics", bunrouter.HTTPHandler(metrics))
+	return router
+}
+
+func writeText(w http.ResponseWriter, status int, text string) error {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, err := w.Write([]byte(text))
+	return err
+}
+
+// ready reports whether callers should be sent here.
+func (r *Router) ready() bool {
+	select {
+	case <-r.stopping:
+		return false
+	default:
+		return r.store.Config() != nil
+	}
+}
+
+func (r *Router) readyz(w http.ResponseWriter, _ bunrouter.Request) error {
+	if !r.ready() {
+		return writeText(w, http.StatusServiceUnavailable, "not ready\n")
+	}
+	return writeText(w, http.StatusOK, "ready\n")
+}
+
+func (r *Router) status(w http.ResponseWriter, _ bunrouter.Request) error {
+	data, err := protojson.MarshalOptions{UseProtoNames: true, Multiline: true}.Marshal(r.Status())
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, err = w.Write(data)
+	return err
+}
+
+// Status describes the router to operators.
+func (r *Router) Status() *v1.RouterStatus {
+	status := &v1.RouterStatus{
+		Router:       r.settings.Name,
+		Incarnation:  r.settings.Incarnation,
+		Zone:         r.settings.Zone,
+		Version:      r.version,
+		Ready:        r.ready(),
+		UptimeMs:     uint64(time.Since(r.started).Milliseconds()),
+		Pools:        r.host.Status(),
+		OpenRequests: uint64(r.entry.OpenRequests()),
+		BodyBytes:    uint64(r.entry.BodyBytes()),
+	}
+	select {
+	case <-r.stopping:
+		status.Stopping = true
+	default:
+	}
+	r.control.Fill(status)
+	r.metrics.Fill(status, r.store.Config())
+	return status
+}
+
+func (r *Router) registerGauges() {
+	r.metrics.Gauge("open_requests", "Requests of callers in progress.", func() float64 {
+		return float64(r.entry.OpenRequests())
+	})
+	r.metrics.Gauge("body_bytes", "Bytes of request bodies in memory.", func() float64 {
+		return float64(r.entry.BodyBytes())
+	})
+	r.metrics.Gauge("reachable_routers", "Routers that may take roles.", func() float64 {
+		return float64(len(r.store.Fleet().Reachable))
+	})
+	r.metrics.Gauge("remembered_keys", "Request keys in the ledger.", func() float64 {
+		count, _ := r.keys.Remembered()
+		return float64(count)
+	})
+}
+
+// stdLogger lets the HTTP servers log through the router's logger.
+func stdLogger(logger log.Logger, duty string) *stdlog.Logger {
+	return stdlog.New(log.NewStdlibAdapter(level.Debug(log.With(logger, "duty", duty))), "", 0)
+}
--- /dev/null
+++ b/router/internal/control/exchange.go
@@ -0,0 +1,117 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/chiveseam/chiveseam/fleet"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	// exchangeTick is how often the view is asked whom to contact.
+	exchangeTick = 100 * time.Millisecond
+	// maxExchanges bounds the contacts that are open at the same time.
+	maxExchanges = 16
+)
+
+// RunExchange is the duty that keeps contact with other routers.
+func (c *Control) RunExchange(ctx context.Context) error {
+	ticker := time.NewTicker(exchangeTick)
+	defer ticker.Stop()
+	slots := make(chan struct{}, maxExchanges)
+	var open sync.WaitGroup
+	defer open.Wait()
+	for {
+		select {
+		case now := <-ticker.C:
+			c.tick(now)
+			c.startExchanges(ctx, now, slots, &open)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (c *Control) tick(now time.Time) {
+	c.mu.Lock()
+	c.view.Tick(now)
+	c.mu.Unlock()
+	c.publishFleet()
+}
+
+func (c *Control) startExchanges(ctx context.Context, now time.Time, slots chan struct{}, open *sync.WaitGroup) {
+	for _, m := range c.due(now) {
+		select {
+		case slots <- struct{}{}:
+		default:
+			return
+		}
+		open.Go(func() {
+			defer func() { <-slots }()
+			c.exchange(ctx, m)
+		})
+	}
+}
+
+func (c *Control) due(now time.Time) []fleet.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Next(now)
+}
+
+// exchangeDue contacts all routers that lack a change and waits for them.
+func (c *Control) exchangeDue(ctx context.Context) {
+	var open sync.WaitGroup
+	for _, m := range c.due(time.Now()) {
+		open.Go(func() { c.exchange(ctx, m) })
+	}
+	open.Wait()
+}
+
+// exchange swaps state with one router.
+func (c *Control) exchange(ctx context.Context, m fleet.Member) {
+	out := c.stateFor(m.Name)
+	in, err := c.opts.Caller.Exchange(ctx, m.PeerAddress, out)
+	if err != nil {
+		// The view has counted the attempt that stays without an answer.
+		return
+	}
+	c.merge(time.Now(), in)
+}
+
+func (c *Control) stateFor(receiver string) *v1.PeerState {
+	c.mu.Lock()
+	out := c.view.StateFor(receiver)
+	c.mu.Unlock()
+	for _, g := range c.opts.Gossip {
+		g.Fill(out)
+	}
+	return out
+}
+
+// Exchange implements peer.Exchanger.
+func (c *Control) Exchange(in *v1.PeerState) *v1.PeerState {
+	c.merge(time.Now(), in)
+	return c.stateFor(in.Router)
+}
+
+func (c *Control) merge(now time.Time, in *v1.PeerState) {
+	c.mu.Lock()
+	merged := c.view.Merge(now, in)
+	if merged.List {
+		c.observeList()
+	}
+	c.mu.Unlock()
+	if merged.Ignored {
+		return
+	}
+	for _, g := range c.opts.Gossip {
+		g.Merge(in)
+	}
+	c.offerVersion(in.Router, merged.Config)
+	if merged.List || merged.Leaving {
+		c.publishFleet()
+	}
+}
--- a/router/internal/entry/server.go
+++ b/router/internal/entry/server.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -56,6 +57,8 @@
 	bodies   *byteBudget
 	stopping chan struct{}
 	handler  http.Handler
+	// forwarded counts the open requests that other routers passed on.
+	forwarded atomic.Int64
 }
 
 // KeyIssuer issues request keys.
@@ -109,7 +112,7 @@
 func (s *Server) Stop() { close(s.stopping) }
 
 // OpenRequests returns the number of requests in progress.
-func (s *Server) OpenRequests() int { return len(s.open) }
+func (s *Server) OpenRequests() int { return len(s.open) + int(s.forwarded.Load()) }
 
 // BodyBytes returns the bytes of bodies held in memory.
 func (s *Server) BodyBytes() int64 { return s.bodies.used() }
--- a/router/internal/keys/peering.go
+++ b/router/internal/keys/peering.go
@@ -43,6 +43,13 @@
 	return e.ledger.Import(time.Now(), h)
 }
 
+// Stop makes the ledger begin no further key. It goes on answering claims.
+func (e *Executor) Stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ledger.Stop()
+}
+
 // HandOver stops the ledger and returns its records for each successor, in
 // messages of bounded size that must be sent in order.
 func (e *Executor) HandOver() map[string][]*v1.HandOverRequest {
--- a/router/internal/peer/scheduling.go
+++ b/router/internal/peer/scheduling.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -34,6 +35,7 @@
 // Dialer opens scheduling streams. It implements broker.Dialer.
 type Dialer struct {
 	Self    state.Member
+	Tomb    *tomb.Tomb
 	Host    *scheduling.Host
 	Timing  Timing
 	Traffic Traffic
@@ -44,13 +46,16 @@
 	if member.Name == d.Self.Name {
 		return scheduling.OpenLocal(d.Host, d.Self, receiver)
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, cancel := context.WithCancelCause(d.Tomb.Context(nil))
 	l := &remoteLink{
 		dialer: d,
 		cancel: cancel,
 		out:    newCoalescer(d.Timing.Coalesce, func() *v1.EntryBatch { return &v1.EntryBatch{} }),
 	}
-	go l.run(ctx, member, receiver)
+	d.Tomb.Go(func() error {
+		l.run(ctx, member, receiver)
+		return nil
+	})
 	return l
 }
 
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -30,6 +30,7 @@
 // Host owns the schedulers of a router. Its methods are safe for concurrent
 // use.
 type Host struct {
+	opts  Options
 	store *state.Store
 	t     *tomb.Tomb
 	in    chan any
@@ -37,7 +38,6 @@
 	// The fields below belong to the loop's goroutine.
 	pools    map[config.ID]*pool.Scheduler
 	sessions map[pool.Router]*Session
-	peers    map[config.ID][]*v1.PoolCounters
 }
 
 // Session is the stream of one entry router.
@@ -64,9 +64,20 @@
 	inspectInput  struct{ fn func() }
 )
 
+// Options are passed to the schedulers.
+type Options struct {
+	// HoldTime is how long the slots of a lost router stay busy.
+	HoldTime time.Duration
+	// MaxSpares is the number of slots that a router may hold ahead of demand.
+	MaxSpares int
+	// Seed selects the jitter of the schedulers.
+	Seed uint64
+}
+
 // New returns a host that runs under t until it dies.
-func New(t *tomb.Tomb, store *state.Store) *Host {
+func New(t *tomb.Tomb, store *state.Store, opts Options) *Host {
 	return &Host{
+		opts:     opts,
 		store:    store,
 		t:        t,
 		in:       make(chan any, inputLimit),
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -24,7 +24,12 @@
 	if !ok {
 		return nil, false
 	}
-	sched := pool.New(pool.Options{InitialCost: int64(p.InitialCost)})
+	sched := pool.New(pool.Options{
+		InitialCost: int64(p.InitialCost),
+		HoldTime:    h.opts.HoldTime,
+		MaxSpares:   h.opts.MaxSpares,
+		Seed:        h.opts.Seed,
+	})
 	h.pools[id] = sched
 	h.configure(id, p, accepted, now)
 	return sched, true
--- a/router/internal/state/state.go
+++ b/router/internal/state/state.go
@@ -4,6 +4,8 @@
 package state
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -34,6 +36,14 @@
 	LeavingTargets map[config.ID]bool
 }
 
+// Equal reports whether two views are the same.
+func (f *Fleet) Equal(other *Fleet) bool {
+	return f.Self == other.Self &&
+		slices.Equal(f.Reachable, other.Reachable) &&
+		maps.Equal(f.Known, other.Known) &&
+		maps.Equal(f.LeavingTargets, other.LeavingTargets)
+}
+
 // Member returns the reachable router with the name.
 func (f *Fleet) Member(name string) (Member, bool) {
 	for _, m := range f.Reachable {
