--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,7 @@
 
 bench:
 	$(GO) test ./... -run '^$$' -bench . -benchmem
+
+# stats counts hand-written code and tests by group of packages.
+stats:
+	$(GO) run ./internal/cmd/stats .
--- a/internal/cmd/settingsgen/generate.go
+++ b/internal/cmd/settingsgen/generate.go
@@ -19,8 +19,23 @@
 
 const durationMessage = "google.protobuf.Duration"
 
-//go:embed settings.go.tmpl
-var settingsTemplate string
+var (
+	//go:embed settings.go.tmpl
+	codeTemplate string
+	//go:embed settings.md.tmpl
+	pageTemplate string
+)
+
+// output is a generated file; its path is relative to the module.
+type output struct {
+	path     string
+	generate func() ([]byte, error)
+}
+
+var outputs = []output{
+	{"settings/settings_gen.go", generateCode},
+	{"docs/SETTINGS.md", generatePage},
+}
 
 // field is one setting as the template needs it.
 type field struct {
@@ -42,22 +57,48 @@
 	return tag + fmt.Sprintf(" description:%q", f.GetDescription())
 }
 
-// generate returns the formatted source of the settings.
-func generate() ([]byte, error) {
-	message := (&v1.RouterSettings{}).ProtoReflect().Descriptor()
-	fields, err := fieldsOf(message)
+// Range returns the accepted values for the reference page.
+func (f field) Range() string {
+	if f.GetMin() != "" {
+		return f.GetMin() + " to " + f.GetMax()
+	}
+	switch f.GetKind() {
+	case v1.SettingKind_NAME:
+		return "a name"
+	case v1.SettingKind_IP_PORT:
+		return "IP:port"
+	case v1.SettingKind_URL:
+		return "http or https URL"
+	}
+	return strings.Join(f.GetChoices(), ", ")
+}
+
+// generateCode returns the formatted Go source of the settings.
+func generateCode() ([]byte, error) {
+	source, err := execute(codeTemplate)
 	if err != nil {
 		return nil, err
 	}
-	tmpl, err := template.New("settings").Parse(settingsTemplate)
+	return format.Source(source)
+}
+
+// generatePage returns the reference page.
+func generatePage() ([]byte, error) {
+	return execute(pageTemplate)
+}
+
+func execute(text string) ([]byte, error) {
+	fields, err := fieldsOf((&v1.RouterSettings{}).ProtoReflect().Descriptor())
 	if err != nil {
 		return nil, err
 	}
-	var source bytes.Buffer
-	if err := tmpl.Execute(&source, fields); err != nil {
+	tmpl, err := template.New("settings").Parse(text)
+	if err != nil {
 		return nil, err
 	}
-	return format.Source(source.Bytes())
+	var out bytes.Buffer
+	err = tmpl.Execute(&out, fields)
+	return out.Bytes(), err
 }
 
 func fieldsOf(message protoreflect.MessageDescriptor) ([]field, error) {
--- a/internal/cmd/settingsgen/generate_test.go
+++ b/internal/cmd/settingsgen/generate_test.go
@@ -8,11 +8,15 @@
 	"github.com/matryer/is"
 )
 
-func TestCommittedCodeIsCurrent(t *testing.T) {
-	is := is.New(t)
-	want, err := generate()
-	is.NoErr(err)
-	got, err := os.ReadFile(filepath.Join("..", "..", "..", filepath.FromSlash(outputPath)))
-	is.NoErr(err)
-	is.Equal(string(got), string(want)) // run make generate
+func TestCommittedFilesAreCurrent(t *testing.T) {
+	for _, output := range outputs {
+		t.Run(output.path, func(t *testing.T) {
+			is := is.New(t)
+			want, err := output.generate()
+			is.NoErr(err)
+			got, err := os.ReadFile(filepath.Join("..", "..", "..", filepath.FromSlash(output.path)))
+			is.NoErr(err)
+			is.Equal(string(got), string(want)) // run make generate
+		})
+	}
 }
--- a/internal/cmd/settingsgen/main.go
+++ b/internal/cmd/settingsgen/main.go
@@ -1,5 +1,5 @@
-// Command settingsgen writes the Go code of the settings from the schema's
-// RouterSettings message. It takes the directory of the module as its argument.
+// Command settingsgen writes the Go code and the reference page of the settings
+// from the schema's RouterSettings message. It takes the directory of the module as its argument.
 package main
 
 import (
@@ -8,8 +8,7 @@
 	"path/filepath"
 )
 
-// outputPath is relative to the directory of the module.
-const outputPath = "settings/settings_gen.go"
+const filePermissions = 0o644
 
 func main() {
 	root := "."
@@ -23,9 +22,14 @@
 }
 
 func run(root string) error {
-	code, err := generate()
-	if err != nil {
-		return err
+	for _, output := range outputs {
+		content, err := output.generate()
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(root, filepath.FromSlash(output.path)), content, filePermissions); err != nil {
+			return err
+		}
 	}
-	return os.WriteFile(filepath.Join(root, filepath.FromSlash(outputPath)), code, 0o644)
+	return nil
 }
