standin: add the load generator

The demo needs a load that verifies what the callers receive and measures how the capacity was shared.

Ruled out: measuring shares from the routers' own counters, which would hide a fault of the counters; the generator counts the tokens that arrive. Requests are sent without GetBody, so that net/http never sends one again by itself.

It exits with an error when a non-idempotent call ran more than once, an answer that ended cleanly is short or foreign, a call that was told not to have run did run, a served call did not run, the ledgers can't be read, or nothing was served. Targets report their load at GET /v1/load (package loadlog).

Not run against a router yet.

--- a/cmd/chiveseam-standin/service.go
+++ b/cmd/chiveseam-standin/service.go
@@ -27,6 +27,7 @@
 type servicesCommand struct {
 	Configuration string        `long:"configuration" description:"file with a serialized configuration" required:"true"`
 	Duration      time.Duration `long:"duration" default:"50ms" description:"time of a run that asks for none"`
+	LoadLag       time.Duration `long:"load-lag" default:"500ms" description:"how far the reported load is behind"`
 	RestartDelay  time.Duration `long:"restart-delay" default:"1s" description:"time from a crash to the restart"`
 }
 
@@ -38,6 +39,6 @@
 	}
 	group := deployment.NewGroup(c.RestartDelay)
 	return runGroup("services", group, func() error {
-		return group.StartServices(configuration, deployment.ServiceOptions{Duration: c.Duration})
+		return group.StartServices(configuration, deployment.ServiceOptions{Duration: c.Duration, LoadLag: c.LoadLag})
 	})
 }
--- a/internal/standin/deployment/targets.go
+++ b/internal/standin/deployment/targets.go
@@ -66,6 +66,7 @@
 type ServiceOptions struct {
 	// Duration is the time of a run on a service of 100 percent.
 	Duration time.Duration
+	LoadLag  time.Duration
 }
 
 // StartServices starts a service for each service target of c. Each has a
@@ -85,6 +86,8 @@
 		Name:     target.Name,
 		Duration: options.Duration,
 		Speed:    speed,
+		Slots:    int(target.Slots),
+		LoadLag:  options.LoadLag,
 		OnCrash:  func() { g.crash(m) },
 	}, service.NewLedger())
 	m.handler = s.Handler()
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -15,8 +15,8 @@
 	blockBytes  = blockTokens * bytesPerToken
 )
 
-// promptTokens returns the number of tokens of a prompt.
-func promptTokens(prompt string) int {
+// PromptTokens returns the number of tokens of a prompt.
+func PromptTokens(prompt string) int {
 	return (len(prompt) + bytesPerToken - 1) / bytesPerToken
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/chiveseam/chiveseam/internal/standin/fault"
+	"github.com/chiveseam/chiveseam/internal/standin/loadlog"
 )
 
 // Settings describe an engine. Zero values are replaced by defaults.
@@ -87,7 +88,7 @@
 	batch    *batch
 	cache    *prefixCache
 	orders   *orders
-	load     *loadLog
+	load     *loadlog.Log
 	faults   fault.Injector
 	crashes  atomic.Uint64
 	nextID   atomic.Uint64
@@ -99,10 +100,10 @@
 // New returns an idle engine.
 func New(settings Settings) *Engine {
 	settings = settings.withDefaults()
-	load := newLoadLog(settings.LoadLag)
+	load := loadlog.New(settings.Slots, settings.LoadLag)
 	return &Engine{
 		settings: settings,
-		batch:    newBatch(settings.Slots, settings.stepTime(), settings.PrefillTokensPerStep, load.record),
+		batch:    newBatch(settings.Slots, settings.stepTime(), settings.PrefillTokensPerStep, load.Record),
 		cache:    newPrefixCache(settings.CacheTokens / blockTokens),
 		orders:   newOrders(settings.ChecksFencing, settings.LoadTime),
 		load:     load,
@@ -141,7 +142,7 @@
 func (e *Engine) begin(req *completionRequest) *stream {
 	prompt := req.prompt()
 	cached := e.cache.add(prompt)
-	total := promptTokens(prompt)
+	total := PromptTokens(prompt)
 	s := &stream{
 		id:       fmt.Sprintf("%s-%d", e.settings.Name, e.nextID.Add(1)),
 		created:  time.Now().Unix(),
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -11,6 +11,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/chiveseam/chiveseam/internal/standin/fault"
+	"github.com/chiveseam/chiveseam/internal/standin/loadlog"
 	"github.com/chiveseam/chiveseam/internal/standin/serve"
 )
 
@@ -33,7 +34,7 @@
 	router.POST("/v1/completions", serve.Handler(e.postCompletions))
 	router.GET(streamPath, e.getStream)
 	router.DELETE(streamPath, e.deleteStream)
-	router.GET("/v1/load", serve.Handler(e.getLoad))
+	router.GET(loadlog.Path, serve.Handler(e.load.ServeHTTP))
 	router.POST("/v1/orders", serve.Handler(e.postOrders))
 	router.GET("/v1/state", serve.Handler(e.getState))
 	router.POST("/control/faults", serve.Handler(e.faults.ServeHTTP))
@@ -185,11 +186,6 @@
 	return nil
 }
 
-func (e *Engine) getLoad(w http.ResponseWriter, _ *http.Request) {
-	active, at := e.load.read()
-	answerJSON(w, Load{Active: active, Slots: e.settings.Slots, AsOfUnixMs: at.UnixMilli()})
-}
-
 func (e *Engine) getState(w http.ResponseWriter, _ *http.Request) {
 	answerJSON(w, e.orders.read())
 }
--- /dev/null
+++ b/internal/standin/load/client.go
@@ -0,0 +1,140 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// Headers between callers and routers.
+const (
+	codeHeader           = "Chiveseam-Code"
+	ranHeader            = "Chiveseam-Ran"
+	deadlineHeader       = "Chiveseam-Deadline-Ms"
+	requestKeyHeader     = "Chiveseam-Request-Key"
+	idempotencyKeyHeader = "Idempotency-Key"
+	retryAfterHeader     = "Retry-After"
+)
+
+const (
+	// tokenPrefix and the workspace's name make its bearer token.
+	tokenPrefix = "token-"
+	// lightDeadline is the deadline that light workspaces ask for.
+	lightDeadline = 10 * time.Second
+	// maxConnections bounds the idle connections to each router.
+	maxConnections = 1024
+)
+
+// Names of outcomes that have no code of a router.
+const (
+	nameUnreachable = "UNREACHABLE"
+	nameAborted     = "ABORTED"
+	nameHTTP        = "HTTP "
+)
+
+// outcome is how a request ended for its caller.
+type outcome struct {
+	code       uint32
+	name       string
+	ran        string
+	retryAfter time.Duration
+}
+
+// served reports whether the caller got an answer of a target.
+func (o outcome) served() bool {
+	switch v1.Code(o.code) {
+	case v1.Code_OK, v1.Code_REPLAYED, v1.Code_TARGET_ERROR:
+		return true
+	}
+	return o.name == nameHTTP+strconv.Itoa(http.StatusOK)
+}
+
+// pause returns how long the caller waits before its next request.
+func (o outcome) pause() time.Duration {
+	if o.served() {
+		return 0
+	}
+	return min(max(o.retryAfter, failurePause), maxPause)
+}
+
+// notRun reports whether the router promised that the request did not run.
+func (o outcome) notRun() bool {
+	return o.ran == v1.Ran_NO.String()
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: maxConnections,
+		DisableCompression:  true,
+	}}
+}
+
+// call is one HTTP request to a router.
+type call struct {
+	router, method, path string
+	headers              map[string]string
+	body                 []byte
+}
+
+// anyRouter returns the entry address of a random router.
+func (g *generator) anyRouter(rng *rand.Rand) string {
+	return g.options.Routers[rng.IntN(len(g.options.Routers))]
+}
+
+// do sends c for the flow's workspace. The transport cannot send the body a
+// second time, so that each attempt is one that the generator knows of.
+func (g *generator) do(ctx context.Context, f *flow, c call) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+c.router+c.path, bytes.NewReader(c.body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+tokenPrefix+f.workspace.Name)
+	req.Header.Set("Content-Type", "application/json")
+	if !f.backlogged {
+		req.Header.Set(deadlineHeader, strconv.FormatInt(lightDeadline.Milliseconds(), 10))
+	}
+	for name, value := range c.headers {
+		req.Header.Set(name, value)
+	}
+	return g.client.Do(req)
+}
+
+// readOutcome returns the outcome that the headers of an answer tell.
+func readOutcome(resp *http.Response) outcome {
+	o := outcome{ran: resp.Header.Get(ranHeader), retryAfter: readRetryAfter(resp)}
+	number, name, found := strings.Cut(resp.Header.Get(codeHeader), " ")
+	code, err := strconv.ParseUint(number, 10, 32)
+	if !found || err != nil {
+		o.name = nameHTTP + strconv.Itoa(resp.StatusCode)
+		return o
+	}
+	o.code, o.name = uint32(code), name
+	return o
+}
+
+func readRetryAfter(resp *http.Response) time.Duration {
+	seconds, err := strconv.ParseFloat(resp.Header.Get(retryAfterHeader), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// failed returns the outcome of a request whose connection failed.
+func failed(name string) outcome {
+	return outcome{name: name, ran: v1.Ran_UNKNOWN.String()}
+}
+
+// drainBody reads and closes the body so that the connection is reused.
+func drainBody(resp *http.Response) {
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/internal/standin/load/measure.go
@@ -0,0 +1,121 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/chiveseam/chiveseam/internal/standin/loadlog"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	// sampleInterval is the time between samples of the delivered service.
+	sampleInterval = 100 * time.Millisecond
+	// loadEvery is the number of samples between readings of the targets' load.
+	loadEvery = 3
+	// loadTimeout bounds the reading of one target's load.
+	loadTimeout = 250 * time.Millisecond
+)
+
+// measurement is what was measured between the warm-up and the end.
+type measurement struct {
+	elapsed time.Duration
+	// received is the cost delivered to each flow.
+	received map[*flow]uint64
+	gaps     map[string]*gapTracker
+	usage    map[string]*slotUsage
+}
+
+// slotUsage sums up readings of the targets' load.
+type slotUsage struct {
+	readings int
+	// used is the sum of the used part of the pool's slots.
+	used float64
+	// peak is the largest load of one target divided by its slots.
+	peak float64
+}
+
+// measure samples until ctx ends.
+func (g *generator) measure(ctx context.Context) *measurement {
+	pause(ctx, min(warmUp, g.options.Duration/4))
+	began := time.Now()
+	before := deliveredOf(g.flows)
+	m := &measurement{gaps: newGapTrackers(g.flows), usage: map[string]*slotUsage{}}
+	for n := 0; ctx.Err() == nil; n++ {
+		m.sampleGaps()
+		if n%loadEvery == 0 {
+			g.sampleLoad(ctx, m)
+		}
+		pause(ctx, sampleInterval)
+	}
+	m.elapsed = time.Since(began)
+	m.received = deliveredOf(g.flows)
+	for f, cost := range before {
+		m.received[f] -= cost
+	}
+	return m
+}
+
+func (m *measurement) sampleGaps() {
+	for _, tracker := range m.gaps {
+		tracker.sample()
+	}
+}
+
+func deliveredOf(flows []*flow) map[*flow]uint64 {
+	delivered := map[*flow]uint64{}
+	for _, f := range flows {
+		delivered[f] = f.delivered.Load()
+	}
+	return delivered
+}
+
+// sampleLoad reads the load of all targets of each pool.
+func (g *generator) sampleLoad(ctx context.Context, m *measurement) {
+	for _, pool := range g.options.Configuration.Pools {
+		used, peak, ok := g.poolLoad(ctx, pool.Name)
+		if !ok {
+			continue
+		}
+		usage := m.usage[pool.Name]
+		if usage == nil {
+			usage = &slotUsage{}
+			m.usage[pool.Name] = usage
+		}
+		usage.readings++
+		usage.used += used
+		usage.peak = max(usage.peak, peak)
+	}
+}
+
+// poolLoad returns the used part of the pool's slots and the largest load of a
+// target; ok is false when no target told its load.
+func (g *generator) poolLoad(ctx context.Context, pool string) (used, peak float64, ok bool) {
+	busy, slots := 0, 0
+	for _, target := range g.options.Configuration.Targets {
+		if target.Pool != pool || target.Slots == 0 {
+			continue
+		}
+		load, err := readLoad(ctx, g.client, target)
+		if err != nil {
+			continue
+		}
+		size := int(target.Slots)
+		busy += min(load.Active, size)
+		slots += size
+		peak = max(peak, float64(load.Active)/float64(size))
+	}
+	if slots == 0 {
+		return 0, 0, false
+	}
+	return float64(busy) / float64(slots), peak, true
+}
+
+func readLoad(ctx context.Context, client *http.Client, target *v1.Target) (loadlog.Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	var load loadlog.Load
+	err := getJSON(ctx, client, "http://"+target.Address+loadlog.Path, &load)
+	return load, err
+}
--- /dev/null
+++ b/internal/standin/load/operation.go
@@ -0,0 +1,224 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/chiveseam/chiveseam/internal/standin/fault"
+	"github.com/chiveseam/chiveseam/internal/standin/service"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	// idempotentPercent is the part of service calls that are idempotent.
+	idempotentPercent = 50
+	// keyedPercent is the part of the other calls that carry a key, half of
+	// them chosen by the caller and half issued by a router.
+	keyedPercent = 60
+	// resentPercent is the part of calls with a key that are sent to a second
+	// router as well.
+	resentPercent = 40
+	// maxAttempts bounds how often an operation that did not run is sent.
+	maxAttempts = 3
+	// maxResendDelay bounds the time between a call and its copy.
+	maxResendDelay = 100 * time.Millisecond
+	requestKeyPath = "/v1/request-keys"
+)
+
+// runTimes are the durations in milliseconds asked of services.
+var runTimes = []int{10, 20, 40, 80}
+
+// operation is one logical operation of a caller, sent once or more.
+type operation struct {
+	name       string
+	idempotent bool
+	call       call
+	runTime    int
+	began      time.Time
+
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+// operate carries out one service operation and returns its last outcome.
+func (g *generator) operate(ctx context.Context, f *flow, rng *rand.Rand) outcome {
+	op, err := g.newOperation(ctx, f, rng)
+	if err != nil {
+		return g.finish(failed(nameUnreachable))
+	}
+	g.recorder.addOperation(op)
+	copies := g.resend(ctx, f, op, rng)
+	result := g.attempt(ctx, f, op, g.anyRouter(rng))
+	for n := 1; n < maxAttempts && result.notRun() && result.retryAfter > 0; n++ {
+		pause(ctx, result.pause())
+		result = g.attempt(ctx, f, op, g.anyRouter(rng))
+	}
+	copies.Wait()
+	return result
+}
+
+// resend sends some operations with a key a second time, to another router
+// and after a short delay.
+func (g *generator) resend(ctx context.Context, f *flow, op *operation, rng *rand.Rand) *sync.WaitGroup {
+	var copies sync.WaitGroup
+	if !op.hasKey() || rng.IntN(100) >= resentPercent {
+		return &copies
+	}
+	router := g.anyRouter(rng)
+	delay := time.Duration(rng.Int64N(int64(maxResendDelay)))
+	copies.Go(func() {
+		pause(ctx, delay)
+		g.attempt(ctx, f, op, router)
+	})
+	return &copies
+}
+
+func (g *generator) newOperation(ctx context.Context, f *flow, rng *rand.Rand) (*operation, error) {
+	op := &operation{
+		idempotent: rng.IntN(100) < idempotentPercent,
+		runTime:    runTimes[rng.IntN(len(runTimes))],
+		began:      time.Now(),
+	}
+	op.name = fmt.Sprintf("op-%s-%d", g.runID, g.nextID.Add(1))
+	method, path := callOf(f.pool, op.idempotent)
+	op.call = call{
+		method: method,
+		path:   "/services/" + f.pool.Name + path,
+		body:   []byte(`{"operation":"` + op.name + `"}`),
+		headers: map[string]string{
+			service.RequestHeader:  op.name,
+			service.DurationHeader: strconv.Itoa(op.runTime),
+		},
+	}
+	if rng.IntN(100) < g.options.FaultPercent {
+		op.call.headers[fault.Header] = string(fault.CloseBeforeAnswer)
+	}
+	if !op.idempotent && rng.IntN(100) < keyedPercent {
+		return op, g.addKey(ctx, f, op, rng)
+	}
+	return op, nil
+}
+
+// addKey gives the operation a key, chosen here or issued by a router.
+func (g *generator) addKey(ctx context.Context, f *flow, op *operation, rng *rand.Rand) error {
+	if rng.IntN(2) == 0 {
+		key, err := uuid.NewV7()
+		if err != nil {
+			return err
+		}
+		op.call.headers[idempotencyKeyHeader] = key.String()
+		return nil
+	}
+	key, err := g.issueKey(ctx, f, rng)
+	if err != nil {
+		return err
+	}
+	op.call.headers[requestKeyHeader] = key
+	return nil
+}
+
+// issueKey asks a router for a request key.
+func (g *generator) issueKey(ctx context.Context, f *flow, rng *rand.Rand) (string, error) {
+	resp, err := g.do(ctx, f, call{router: g.anyRouter(rng), method: http.MethodPost, path: requestKeyPath})
+	if err != nil {
+		return "", err
+	}
+	defer drainBody(resp)
+	var issued struct {
+		Key string `json:"key"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&issued); err != nil {
+		return "", fmt.Errorf("decode request key: %w", err)
+	}
+	if issued.Key == "" {
+		return "", fmt.Errorf("no request key: %s", resp.Status)
+	}
+	return issued.Key, nil
+}
+
+func (op *operation) hasKey() bool {
+	_, chosen := op.call.headers[idempotencyKeyHeader]
+	_, issued := op.call.headers[requestKeyHeader]
+	return chosen || issued
+}
+
+// attempt sends the operation once and verifies the answer.
+func (g *generator) attempt(ctx context.Context, f *flow, op *operation, router string) outcome {
+	c := op.call
+	c.router = router
+	result := g.exchange(ctx, f, op, c)
+	op.mu.Lock()
+	op.outcomes = append(op.outcomes, result)
+	op.mu.Unlock()
+	return g.finish(result)
+}
+
+func (g *generator) exchange(ctx context.Context, f *flow, op *operation, c call) outcome {
+	resp, err := g.do(ctx, f, c)
+	if err != nil {
+		return failed(nameUnreachable)
+	}
+	defer drainBody(resp)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return failed(nameAborted)
+	}
+	result := readOutcome(resp)
+	if !result.served() || resp.StatusCode != http.StatusOK {
+		return result
+	}
+	if err := service.CheckAnswer(op.name, c.body, body); err != nil {
+		g.recorder.violate(violationForeign, err.Error())
+		return result
+	}
+	g.recordServed(f, op, result)
+	return result
+}
+
+// recordServed counts the service delivered by an answer that is not a replay.
+func (g *generator) recordServed(f *flow, op *operation, result outcome) {
+	if v1.Code(result.code) == v1.Code_REPLAYED {
+		return
+	}
+	f.delivered.Add(uint64(op.runTime))
+	f.first.record(time.Since(op.began))
+	g.recorder.service.record(time.Since(op.began))
+}
+
+// callOf returns a method and a path that the pool's rules classify as wanted.
+func callOf(pool *v1.Pool, idempotent bool) (method, path string) {
+	for _, rule := range pool.Rules {
+		method, path := rule.Method, rule.PathPrefix
+		if method == "" {
+			method = http.MethodPost
+		}
+		if !strings.HasPrefix(path, "/") {
+			path = "/" + path
+		}
+		if classify(pool, method, path) == idempotent {
+			return method, path
+		}
+	}
+	return http.MethodPost, "/unclassified"
+}
+
+// classify reports whether the pool's rules call a request idempotent.
+func classify(pool *v1.Pool, method, path string) bool {
+	for _, rule := range pool.Rules {
+		methodMatches := rule.Method == "" || rule.Method == method
+		if methodMatches && strings.HasPrefix(path, rule.PathPrefix) {
+			return rule.Idempotent
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/load/recorder.go
@@ -0,0 +1,143 @@
+package load
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/chiveseam/chiveseam/internal/standin/engine"
+)
+
+// latency is a histogram of durations in microseconds. The zero value is
+// empty. It is safe for concurrent use.
+type latency struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram
+}
+
+const (
+	maxLatency        = 10 * time.Minute
+	significantDigits = 3
+)
+
+func (l *latency) record(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.histogram == nil {
+		l.histogram = hdrhistogram.New(1, maxLatency.Microseconds(), significantDigits)
+	}
+	_ = l.histogram.RecordValue(min(d, maxLatency).Microseconds())
+}
+
+// count returns the number of recorded durations.
+func (l *latency) count() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.histogram == nil {
+		return 0
+	}
+	return l.histogram.TotalCount()
+}
+
+// at returns the duration at a percentile, 0 when nothing was recorded.
+func (l *latency) at(percentile float64) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.histogram == nil {
+		return 0
+	}
+	return time.Duration(l.histogram.ValueAtPercentile(percentile)) * time.Microsecond
+}
+
+// violationKind names a broken promise.
+type violationKind string
+
+const (
+	violationShort    violationKind = "answer ended cleanly but is short"
+	violationForeign  violationKind = "answer to another request"
+	violationDouble   violationKind = "non-idempotent call ran more than once"
+	violationFalseNo  violationKind = "told not run, but ran"
+	violationFalseYes violationKind = "told served, but did not run"
+)
+
+// kindOf returns the kind of an error of engine.CheckAnswer.
+func kindOf(err error) violationKind {
+	var answerErr *engine.AnswerError
+	if errors.As(err, &answerErr) && answerErr.Short {
+		return violationShort
+	}
+	return violationForeign
+}
+
+// resultKey identifies a row of the table of results.
+type resultKey struct {
+	code uint32
+	name string
+	ran  string
+}
+
+// recorder collects what all workers see.
+type recorder struct {
+	firstLight, firstBacklogged latency
+	between, total, service     latency
+
+	mu         sync.Mutex
+	results    map[resultKey]int
+	violations map[violationKind][]string
+	operations []*operation
+	// repeated counts the idempotent calls that ran more than once.
+	repeated int
+	// ledgerErr is set when the ledgers could not be read.
+	ledgerErr error
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		results:    map[resultKey]int{},
+		violations: map[violationKind][]string{},
+	}
+}
+
+func (r *recorder) recordFirst(backlogged bool, d time.Duration) {
+	if backlogged {
+		r.firstBacklogged.record(d)
+		return
+	}
+	r.firstLight.record(d)
+}
+
+// finish counts the outcome of a request and returns it.
+func (g *generator) finish(o outcome) outcome {
+	g.recorder.count(o)
+	return o
+}
+
+func (r *recorder) count(o outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results[resultKey{code: o.code, name: o.name, ran: o.ran}]++
+}
+
+func (r *recorder) violate(kind violationKind, detail string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.violations[kind] = append(r.violations[kind], detail)
+}
+
+func (r *recorder) addOperation(op *operation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.operations = append(r.operations, op)
+}
+
+// sortedResults returns the rows of the table of results by code.
+func (r *recorder) sortedResults() []resultKey {
+	return slices.SortedFunc(maps.Keys(r.results), func(a, b resultKey) int {
+		return cmp.Or(cmp.Compare(a.code, b.code), cmp.Compare(a.name, b.name), cmp.Compare(a.ran, b.ran))
+	})
+}
--- /dev/null
+++ b/internal/standin/load/report.go
@@ -0,0 +1,244 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// maxDetails bounds the violations of one kind that are printed in full.
+const maxDetails = 5
+
+// Report is the result of a run.
+type Report struct {
+	options       Options
+	flows         []*flow
+	recorder      *recorder
+	measurement   *measurement
+	before, after map[string]*v1.RouterStatus
+}
+
+func (g *generator) report(m *measurement, before, after map[string]*v1.RouterStatus) *Report {
+	return &Report{
+		options:     g.options,
+		flows:       g.flows,
+		recorder:    g.recorder,
+		measurement: m,
+		before:      before,
+		after:       after,
+	}
+}
+
+// Err returns an error when a promise was broken or could not be verified.
+func (r *Report) Err() error {
+	if r.recorder.ledgerErr != nil {
+		return fmt.Errorf("not verified: %w", r.recorder.ledgerErr)
+	}
+	total := 0
+	for _, details := range r.recorder.violations {
+		total += len(details)
+	}
+	if total > 0 {
+		return fmt.Errorf("%d violations", total)
+	}
+	if r.servedRequests() == 0 {
+		return fmt.Errorf("no request was served")
+	}
+	return nil
+}
+
+func (r *Report) servedRequests() int {
+	served := 0
+	for key, n := range r.recorder.results {
+		if (outcome{code: key.code, name: key.name}).served() {
+			served += n
+		}
+	}
+	return served
+}
+
+// Print writes the report as text tables.
+func (r *Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "== %s: %v of load, %v measured, seed %d\n",
+		r.options.Configuration.Deployment, r.options.Duration, r.measurement.elapsed.Round(time.Millisecond), r.options.Seed)
+	for _, pool := range r.options.Configuration.Pools {
+		r.printPool(w, pool)
+	}
+	r.printLatencies(w)
+	r.printResults(w)
+	r.printRouters(w)
+	r.printViolations(w)
+}
+
+func (r *Report) printPool(w io.Writer, pool *v1.Pool) {
+	fmt.Fprintf(w, "\nPool %s: %s\n", pool.Name, r.describePool(pool.Name))
+	table := newTable(w)
+	fmt.Fprintln(table, "workspace\tload\tshare\trequests\tnot served\tdeserved %\treceived %\tfirst p50 ms\tfirst p95 ms\t")
+	deserved := r.deserved(pool.Name)
+	total := r.total(pool.Name)
+	for _, f := range r.flowsOf(pool.Name) {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%.2f\t%.2f\t%s\t%s\t\n",
+			f.workspace.Name, f.kind(), f.workspace.Share, f.requests.Load(), f.refused.Load(),
+			percent(deserved[f], total), percent(float64(r.measurement.received[f]), total),
+			ms(f.first.at(50)), ms(f.first.at(95)))
+	}
+	table.Flush()
+}
+
+// describePool returns the utilisation and the largest gap of a pool.
+func (r *Report) describePool(pool string) string {
+	text := "utilisation of slots unknown"
+	if usage := r.measurement.usage[pool]; usage != nil {
+		text = fmt.Sprintf("utilisation of slots %.1f %%, peak load of a target %.2f of its slots",
+			100*usage.used/float64(usage.readings), usage.peak)
+	}
+	rate := r.total(pool) / r.measurement.elapsed.Seconds()
+	if tracker := r.measurement.gaps[pool]; tracker != nil && rate > 0 {
+		text += fmt.Sprintf(", largest gap %.0f cost units = %.2f s of the pool's throughput",
+			tracker.largest(), tracker.largest()/rate)
+	}
+	return text
+}
+
+func (f *flow) kind() string {
+	if f.backlogged {
+		return "backlogged"
+	}
+	return "light"
+}
+
+func (r *Report) flowsOf(pool string) []*flow {
+	var flows []*flow
+	for _, f := range r.flows {
+		if f.pool.Name == pool {
+			flows = append(flows, f)
+		}
+	}
+	return flows
+}
+
+// total returns the cost delivered by a pool.
+func (r *Report) total(pool string) float64 {
+	total := 0.0
+	for _, f := range r.flowsOf(pool) {
+		total += float64(r.measurement.received[f])
+	}
+	return total
+}
+
+// deserved returns the cost that each flow of a pool deserved: a light flow
+// what it received, a backlogged one its share of the rest.
+func (r *Report) deserved(pool string) map[*flow]float64 {
+	rest := r.total(pool)
+	shares := 0.0
+	deserved := map[*flow]float64{}
+	for _, f := range r.flowsOf(pool) {
+		if f.backlogged {
+			shares += f.share()
+			continue
+		}
+		deserved[f] = float64(r.measurement.received[f])
+		rest -= deserved[f]
+	}
+	for _, f := range r.flowsOf(pool) {
+		if f.backlogged {
+			deserved[f] = rest * f.share() / shares
+		}
+	}
+	return deserved
+}
+
+func (r *Report) printLatencies(w io.Writer) {
+	fmt.Fprintln(w, "\nLatency in ms")
+	table := newTable(w)
+	fmt.Fprintln(table, "of\tcount\tp50\tp95\tp99\tmax\t")
+	rows := []struct {
+		name    string
+		latency *latency
+	}{
+		{"first token, light", &r.recorder.firstLight},
+		{"first token, backlogged", &r.recorder.firstBacklogged},
+		{"between tokens", &r.recorder.between},
+		{"whole model answer", &r.recorder.total},
+		{"service answer", &r.recorder.service},
+	}
+	for _, row := range rows {
+		l := row.latency
+		fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%s\t\n",
+			row.name, l.count(), ms(l.at(50)), ms(l.at(95)), ms(l.at(99)), ms(l.at(100)))
+	}
+	table.Flush()
+}
+
+func (r *Report) printResults(w io.Writer) {
+	fmt.Fprintln(w, "\nAnswers by result code")
+	table := newTable(w)
+	fmt.Fprintln(table, "code\tname\tran\tcount\t")
+	for _, key := range r.recorder.sortedResults() {
+		fmt.Fprintf(table, "%d\t%s\t%s\t%d\t\n", key.code, key.name, key.ran, r.recorder.results[key])
+	}
+	table.Flush()
+}
+
+func (r *Report) printRouters(w io.Writer) {
+	if len(r.after) == 0 {
+		fmt.Fprintln(w, "\nRouters: no status")
+		return
+	}
+	fmt.Fprintln(w, "\nControl traffic of the routers over the whole run")
+	table := newTable(w)
+	fmt.Fprintln(table, "router\tzone\trevision\tdirection\tbytes\tbytes/s\tplatform calls\t")
+	seconds := r.options.Duration.Seconds()
+	for _, admin := range slices.Sorted(maps.Keys(r.after)) {
+		status, before := r.after[admin], r.before[admin]
+		calls := status.PlatformCalls - before.GetPlatformCalls()
+		sums, sumsBefore := controlBytes(status), controlBytes(before)
+		for _, direction := range slices.Sorted(maps.Keys(sums)) {
+			bytes := sums[direction] - sumsBefore[direction]
+			fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%d\t%.0f\t%d\t\n", status.Router, status.Zone,
+				status.ConfigRevision, direction, bytes, float64(bytes)/seconds, calls)
+		}
+	}
+	table.Flush()
+}
+
+func (r *Report) printViolations(w io.Writer) {
+	fmt.Fprintf(w, "\n%d service operations, idempotent ones run more than once: %d\n",
+		len(r.recorder.operations), r.recorder.repeated)
+	if r.recorder.ledgerErr != nil {
+		fmt.Fprintf(w, "ledgers not read: %v\n", r.recorder.ledgerErr)
+	}
+	if len(r.recorder.violations) == 0 {
+		fmt.Fprintln(w, "violations: none")
+		return
+	}
+	for _, kind := range slices.Sorted(maps.Keys(r.recorder.violations)) {
+		details := r.recorder.violations[kind]
+		fmt.Fprintf(w, "VIOLATION: %s: %d\n", kind, len(details))
+		for _, detail := range details[:min(maxDetails, len(details))] {
+			fmt.Fprintf(w, "  %s\n", detail)
+		}
+	}
+}
+
+func newTable(w io.Writer) *tabwriter.Writer {
+	const padding = 2
+	return tabwriter.NewWriter(w, 0, 0, padding, ' ', tabwriter.AlignRight)
+}
+
+// percent returns part in percent of total.
+func percent(part, total float64) float64 {
+	if total == 0 {
+		return 0
+	}
+	return 100 * part / total
+}
+
+func ms(d time.Duration) string {
+	return fmt.Sprintf("%.1f", float64(d.Microseconds())/1000)
+}
--- /dev/null
+++ b/internal/standin/load/sse.go
@@ -0,0 +1,130 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// maxLineBytes bounds a line of a stream.
+	maxLineBytes = 1 << 20
+	errorEvent   = "error"
+	doneData     = "[DONE]"
+)
+
+// event is one server-sent event.
+type event struct {
+	name, data string
+}
+
+// eventReader reads server-sent events.
+type eventReader struct {
+	scanner *bufio.Scanner
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
+	return &eventReader{scanner: scanner}
+}
+
+// next returns the next event, or io.EOF at the end of the stream.
+func (r *eventReader) next() (event, error) {
+	var e event
+	for r.scanner.Scan() {
+		line := r.scanner.Text()
+		if line == "" && e.data != "" {
+			return e, nil
+		}
+		field, value, _ := strings.Cut(line, ":")
+		value = strings.TrimPrefix(value, " ")
+		switch field {
+		case "event":
+			e.name = value
+		case "data":
+			e.data += value
+		}
+	}
+	if err := r.scanner.Err(); err != nil {
+		return event{}, err
+	}
+	return event{}, io.EOF
+}
+
+// errorData is the data of an error event.
+type errorData struct {
+	Error struct {
+		Code uint32 `json:"code"`
+		Name string `json:"name"`
+		Ran  string `json:"ran"`
+	} `json:"error"`
+}
+
+// readStream verifies a streamed answer.
+func (g *generator) readStream(c *completion, resp *http.Response, result outcome) outcome {
+	reader := newEventReader(resp.Body)
+	var text strings.Builder
+	previous := time.Time{}
+	for {
+		e, err := reader.next()
+		switch {
+		case err == io.EOF:
+			g.recorder.violate(violationShort, "stream ended without [DONE] and without an error")
+			return failed(nameAborted)
+		case err != nil:
+			return failed(nameAborted)
+		case e.name == errorEvent:
+			return readErrorEvent(e)
+		case e.data == doneData:
+			g.verifyText(c, text.String())
+			g.recorder.total.record(time.Since(c.began))
+			return result
+		}
+		token, err := chunkText(e)
+		if err != nil {
+			g.recorder.violate(violationForeign, err.Error())
+			return result
+		}
+		if token == "" {
+			continue
+		}
+		text.WriteString(token)
+		previous = g.recordToken(c, previous)
+	}
+}
+
+// recordToken counts a token that arrived now; previous is the time of the one
+// before, zero for the first.
+func (g *generator) recordToken(c *completion, previous time.Time) time.Time {
+	now := time.Now()
+	c.flow.deliverTokens(1)
+	if previous.IsZero() {
+		c.flow.deliverPrompt(c.prompt)
+		c.flow.first.record(now.Sub(c.began))
+		g.recorder.recordFirst(c.flow.backlogged, now.Sub(c.began))
+		return now
+	}
+	g.recorder.between.record(now.Sub(previous))
+	return now
+}
+
+func chunkText(e event) (string, error) {
+	var chunk modelAnswer
+	if err := json.Unmarshal([]byte(e.data), &chunk); err != nil {
+		return "", fmt.Errorf("chunk of %d bytes: %w", len(e.data), err)
+	}
+	return chunk.text(), nil
+}
+
+func readErrorEvent(e event) outcome {
+	var data errorData
+	if err := json.Unmarshal([]byte(e.data), &data); err != nil || data.Error.Name == "" {
+		return failed(nameAborted)
+	}
+	return outcome{code: data.Error.Code, name: data.Error.Name, ran: data.Error.Ran}
+}
--- /dev/null
+++ b/internal/standin/load/status.go
@@ -0,0 +1,65 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	// statusTimeout bounds the reading of one router's status.
+	statusTimeout = 2 * time.Second
+	// maxStatusBytes bounds a router's status.
+	maxStatusBytes = 16 << 20
+)
+
+// fetchStatuses returns the status of each router by the address of its
+// endpoint for operators. Routers that do not answer are left out.
+func fetchStatuses(ctx context.Context, client *http.Client, admins []string) map[string]*v1.RouterStatus {
+	statuses := map[string]*v1.RouterStatus{}
+	for _, admin := range admins {
+		if status, err := fetchStatus(ctx, client, admin); err == nil {
+			statuses[admin] = status
+		}
+	}
+	return statuses
+}
+
+func fetchStatus(ctx context.Context, client *http.Client, admin string) (*v1.RouterStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer drainBody(resp)
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status of %s: %s", admin, resp.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
+	if err != nil {
+		return nil, err
+	}
+	status := &v1.RouterStatus{}
+	options := protojson.UnmarshalOptions{DiscardUnknown: true}
+	return status, options.Unmarshal(body, status)
+}
+
+// controlBytes sums up the bytes of control messages by direction.
+func controlBytes(status *v1.RouterStatus) map[string]uint64 {
+	sums := map[string]uint64{}
+	for _, c := range status.GetControl() {
+		sums[c.Direction] += c.Bytes
+	}
+	return sums
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -17,6 +17,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/chiveseam/chiveseam/internal/standin/fault"
+	"github.com/chiveseam/chiveseam/internal/standin/loadlog"
 	"github.com/chiveseam/chiveseam/internal/standin/serve"
 )
 
@@ -42,6 +43,10 @@
 	Duration time.Duration
 	// Speed divides the duration of each run; 0 stands for 1.
 	Speed float64
+	// Slots is reported in GET /v1/load only; it does not bound anything.
+	Slots int
+	// LoadLag is how far GET /v1/load is behind.
+	LoadLag time.Duration
 	// OnCrash is called for the crash fault. The call's connection is reset
 	// when it returns.
 	OnCrash func()
@@ -51,6 +56,7 @@
 type Service struct {
 	settings Settings
 	ledger   *Ledger
+	load     *loadlog.Log
 	faults   fault.Injector
 }
 
@@ -59,7 +65,11 @@
 	if settings.Speed <= 0 {
 		settings.Speed = 1
 	}
-	return &Service{settings: settings, ledger: ledger}
+	return &Service{
+		settings: settings,
+		ledger:   ledger,
+		load:     loadlog.New(settings.Slots, settings.LoadLag),
+	}
 }
 
 // Answer is the body of each answer.
@@ -103,7 +113,7 @@
 }
 
 // Handler returns the HTTP interface of the service: each path outside
-// /control/ is a call.
+// /control/ is a call, but for GET /v1/load.
 func (s *Service) Handler() http.Handler {
 	calls := serve.Handler(s.serveCall)
 	router := bunrouter.New(
@@ -111,6 +121,7 @@
 		bunrouter.WithMethodNotAllowedHandler(calls),
 	)
 	router.POST("/control/faults", serve.Handler(s.faults.ServeHTTP))
+	router.GET(loadlog.Path, serve.Handler(s.load.ServeHTTP))
 	router.GET("/control/ledger", serve.Handler(s.getLedger))
 	return router
 }
@@ -143,7 +154,9 @@
 	if operation != "" {
 		run = s.ledger.record(operation)
 	}
+	s.load.Add(1)
 	time.Sleep(s.duration(r, kind))
+	s.load.Add(-1)
 	return Answer{
 		Service:    s.settings.Name,
 		Request:    operation,
