Say the result in the head of answers that are whole

Cause: plain answers of up to 1 MiB are read whole before their head is sent, yet the head carried no result code; seen by hand on completions and service calls. A caller that closed its connection after a passed-on answer was counted as KEY_OWNER_UNREACHABLE, since its stream ended before the last frame. Ruled out: trailers for plain answers, which many clients do not read. Change: sinks get the result with the head when it is known; a stream that ends because the caller is gone counts as CANCELLED.

--- a/router/internal/dispatch/attempt.go
+++ b/router/internal/dispatch/attempt.go
@@ -102,7 +102,7 @@
 		return s.relay(ctx, resp, dog)
 	}
 	defer resp.Body.Close()
-	document, err := relayWhole(resp, a.sink, dog)
+	document, err := a.relayWhole(resp, a.sink, dog)
 	if err == nil {
 		a.usage.observe(document)
 	}
--- a/router/internal/dispatch/relay.go
+++ b/router/internal/dispatch/relay.go
@@ -10,6 +10,8 @@
 	"mime"
 	"net/http"
 	"time"
+
+	"github.com/chiveseam/chiveseam/result"
 )
 
 const (
@@ -53,7 +55,7 @@
 // relayWhole passes a plain answer to the sink. Up to wholeAnswerLimit the
 // sink sees nothing before the answer is known to be whole. It returns the
 // answer's first bytes for the usage.
-func relayWhole(resp *http.Response, sink Sink, dog *watchdog) ([]byte, error) {
+func (a *attempt) relayWhole(resp *http.Response, sink Sink, dog *watchdog) ([]byte, error) {
 	if !hasVerifiableEnd(resp) {
 		return nil, fmt.Errorf("%w: the target marks no end", errTruncated)
 	}
@@ -61,7 +63,11 @@
 	if err != nil && err != io.EOF {
 		return head, truncated(err)
 	}
-	if sinkErr := sink.Head(resp.StatusCode, resp.Header); sinkErr != nil {
+	var known *result.Result
+	if err == io.EOF {
+		known = a.served(resp).result
+	}
+	if sinkErr := sink.Head(resp.StatusCode, resp.Header, known); sinkErr != nil {
 		return head, errCallerGone
 	}
 	if sinkErr := sink.Data(head); sinkErr != nil {
--- a/router/internal/dispatch/request.go
+++ b/router/internal/dispatch/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/chiveseam/chiveseam/config"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/result"
 )
 
 // Request is one caller's request, read in full.
@@ -38,10 +39,11 @@
 	MayStart func() bool
 }
 
-// Sink receives the answer. Head is called at most once and before Data. An
-// error means that the caller went away.
+// Sink receives the answer. Head is called at most once and before Data. Its
+// result is nil for an answer whose end is not known yet. An error means that
+// the caller went away.
 type Sink interface {
-	Head(status int, header http.Header) error
+	Head(status int, header http.Header, known *result.Result) error
 	Data(p []byte) error
 }
 
@@ -51,7 +53,7 @@
 	started bool
 }
 
-func (s *countingSink) Head(status int, header http.Header) error {
+func (s *countingSink) Head(status int, header http.Header, known *result.Result) error {
 	s.started = true
-	return s.Sink.Head(status, header)
+	return s.Sink.Head(status, header, known)
 }
--- a/router/internal/dispatch/stream.go
+++ b/router/internal/dispatch/stream.go
@@ -34,7 +34,7 @@
 // relay passes events to the sink until the stream's end.
 func (s *stream) relay(ctx context.Context, resp *http.Response, dog *watchdog) error {
 	s.id = resp.Header.Get(streamIDHeader)
-	if err := s.sink.Head(resp.StatusCode, resp.Header); err != nil {
+	if err := s.sink.Head(resp.StatusCode, resp.Header, nil); err != nil {
 		resp.Body.Close()
 		return errCallerGone
 	}
--- a/router/internal/entry/answer.go
+++ b/router/internal/entry/answer.go
@@ -86,7 +86,9 @@
 	case !w.wrote:
 		writeResult(w, end)
 	case end.OK():
-		setTrailers(w.Header(), end)
+		if w.Header().Get(result.HeaderCode) == "" {
+			setTrailers(w.Header(), end)
+		}
 	case w.eventStream:
 		writeErrorEvent(w, end)
 		setTrailers(w.Header(), end)
@@ -136,7 +138,7 @@
 }
 
 // Head implements dispatch.Sink.
-func (c *callerSink) Head(status int, header http.Header) error {
+func (c *callerSink) Head(status int, header http.Header, known *result.Result) error {
 	target := header.Clone()
 	removeHopHeaders(target)
 	dst := c.w.Header()
@@ -147,6 +149,9 @@
 	if c.w.eventStream {
 		dst.Del("Content-Length")
 	}
+	if known != nil {
+		setResultHeaders(dst, known)
+	}
 	c.w.WriteHeader(status)
 	return nil
 }
--- a/router/internal/keys/record.go
+++ b/router/internal/keys/record.go
@@ -29,10 +29,10 @@
 }
 
 // Head implements dispatch.Sink.
-func (r *recorder) Head(status int, header http.Header) error {
+func (r *recorder) Head(status int, header http.Header, known *result.Result) error {
 	r.status = status
 	r.header = header.Clone()
-	if err := r.sink.Head(status, header); err != nil {
+	if err := r.sink.Head(status, header, known); err != nil {
 		r.gone = true
 	}
 	return nil
@@ -77,7 +77,7 @@
 		header.Add(h.Name, h.Value)
 	}
 	end := result.New(v1.Code_REPLAYED, v1.Ran_YES, "recorded answer")
-	if sink.Head(answer.Status, header) != nil || sink.Data(answer.Body) != nil {
+	if sink.Head(answer.Status, header, end) != nil || sink.Data(answer.Body) != nil {
 		return result.New(v1.Code_CANCELLED, v1.Ran_YES, "the caller went away")
 	}
 	return end
--- a/router/internal/peer/forward.go
+++ b/router/internal/peer/forward.go
@@ -62,8 +62,12 @@
 }
 
 // Head implements dispatch.Sink.
-func (f *frameSink) Head(status int, header http.Header) error {
+func (f *frameSink) Head(status int, header http.Header, known *result.Result) error {
 	head := &v1.AnswerHead{Status: uint32(status)}
+	if known != nil {
+		head.Code = known.Code
+		head.Ran = known.Ran
+	}
 	for name, values := range header {
 		for _, value := range values {
 			head.Headers = append(head.Headers, &v1.Header{Name: name, Value: value})
@@ -133,6 +137,9 @@
 func receiveAnswer(stream v1.DRPCPeering_ForwardClient, owner requestkey.Member, sink dispatch.Sink, watch *silenceWatch) *result.Result {
 	for {
 		frame, err := stream.Recv()
+		if err != nil && stream.Context().Err() != nil {
+			return result.New(v1.Code_CANCELLED, v1.Ran_UNKNOWN, "the caller went away")
+		}
 		if err != nil {
 			return ownerLost(owner, err)
 		}
@@ -151,13 +158,21 @@
 	}
 }
 
+// knownResult returns the result that came with the head, nil if none did.
+func knownResult(head *v1.AnswerHead) *result.Result {
+	if head.Code == v1.Code_CODE_UNSPECIFIED {
+		return nil
+	}
+	return result.New(head.Code, head.Ran, "")
+}
+
 func relayFrame(frame *v1.ForwardFrame, sink dispatch.Sink) error {
 	if head := frame.GetAnswer(); head != nil {
 		header := http.Header{}
 		for _, h := range head.Headers {
 			header.Add(h.Name, h.Value)
 		}
-		if err := sink.Head(int(head.Status), header); err != nil {
+		if err := sink.Head(int(head.Status), header, knownResult(head)); err != nil {
 			return err
 		}
 	}
