Give keys the time at which a list was published; live routers only

Two ways to derive the routers of a list differed in leaving routers, so that two routers could have disagreed about a key's owner. Change: the list may carry its publication time; both ways leave out routers that leave. Time limits of the settings reach the dispatcher; spare slots are handed out.

--- a/fleet/list.go
+++ b/fleet/list.go
@@ -21,7 +21,7 @@
 	// Superseded is the router's time at which a newer list came into force;
 	// it is zero for the list in force.
 	Superseded time.Time
-	// Routers are the names and incarnations of the routers in the list.
+	// Routers are the names and incarnations of the live routers in the list.
 	Routers map[string]uint64
 
 	instances map[string]*v1.Instance
@@ -128,7 +128,7 @@
 	}
 	routers := map[string]uint64{}
 	for name, instance := range v.listed {
-		if !instance.IsTarget {
+		if !instance.IsTarget && instance.State == v1.InstanceState_LIVE {
 			routers[name] = instance.Incarnation
 		}
 	}
--- a/router/internal/control/instances.go
+++ b/router/internal/control/instances.go
@@ -47,6 +47,9 @@
 func keyView(list *v1.InstanceList) requestkey.View {
 	asOf := time.UnixMilli(list.AsOfUnixMs)
 	view := requestkey.View{Revision: list.Revision, FirstAsOf: asOf, LastAsOf: asOf}
+	if list.PublishedUnixMs > 0 {
+		view.FirstAsOf = time.UnixMilli(min(list.PublishedUnixMs, list.AsOfUnixMs))
+	}
 	for _, instance := range list.Instances {
 		if !instance.IsTarget && instance.State == v1.InstanceState_LIVE {
 			view.Routers = append(view.Routers, requestkey.Member{Name: instance.Name, Incarnation: instance.Incarnation})
--- a/router/internal/dispatch/attempt.go
+++ b/router/internal/dispatch/attempt.go
@@ -37,7 +37,7 @@
 
 // run executes the attempt and gives the slot back.
 func (a *attempt) run(ctx context.Context) attemptEnd {
-	ctx, span := a.d.tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
+	ctx, span := a.d.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("chiveseam.target", a.target.Name)))
 	defer span.End()
 	a.started = time.Now()
@@ -96,7 +96,7 @@
 
 func (a *attempt) relay(ctx context.Context, resp *http.Response, dog *watchdog) error {
 	if isEventStream(resp.Header) && resp.StatusCode == http.StatusOK {
-		ctx, span := a.d.tracer.Start(ctx, "stream")
+		ctx, span := a.d.Tracer.Start(ctx, "stream")
 		defer span.End()
 		s := &stream{attempt: a, sink: a.sink}
 		return s.relay(ctx, resp, dog)
--- a/router/internal/dispatch/dispatcher.go
+++ b/router/internal/dispatch/dispatcher.go
@@ -13,13 +13,8 @@
 	"github.com/chiveseam/chiveseam/router/internal/state"
 )
 
-// Defaults of limits that the configuration leaves at zero.
-const (
-	defaultFirstByte     = 30 * time.Second
-	defaultBetweenTokens = 10 * time.Second
-	// maxAttempts bounds the attempts of one request.
-	maxAttempts = 4
-)
+// maxAttempts bounds the attempts of one request.
+const maxAttempts = 4
 
 // Acquirer obtains slots.
 type Acquirer interface {
@@ -46,26 +41,30 @@
 	Delivered(workspace, pool string, cost uint32)
 }
 
+// Options are the parts and limits of a Dispatcher.
+type Options struct {
+	Store    *state.Store
+	Acquirer Acquirer
+	Guard    Guard
+	Usage    Usage
+	Tracer   trace.Tracer
+	// DialTimeout bounds the time to connect to a target.
+	DialTimeout time.Duration
+	// FirstByte and BetweenTokens bound a target's silence where the
+	// configuration says nothing.
+	FirstByte     time.Duration
+	BetweenTokens time.Duration
+}
+
 // Dispatcher executes requests. It is safe for concurrent use.
 type Dispatcher struct {
-	store      *state.Store
-	acquirer   Acquirer
-	guard      Guard
-	usage      Usage
-	tracer     trace.Tracer
+	Options
 	transports *transports
 }
 
-// New returns a dispatcher that connects to targets within dialTimeout.
-func New(store *state.Store, acquirer Acquirer, guard Guard, usage Usage, tracer trace.Tracer, dialTimeout time.Duration) *Dispatcher {
-	return &Dispatcher{
-		store:      store,
-		acquirer:   acquirer,
-		guard:      guard,
-		usage:      usage,
-		tracer:     tracer,
-		transports: newTransports(dialTimeout),
-	}
+// New returns a dispatcher.
+func New(opts Options) *Dispatcher {
+	return &Dispatcher{Options: opts, transports: newTransports(opts.DialTimeout)}
 }
 
 type timeLimits struct {
@@ -74,7 +73,7 @@
 }
 
 func (d *Dispatcher) limits(accepted *config.Accepted) timeLimits {
-	limits := timeLimits{firstByte: defaultFirstByte, betweenTokens: defaultBetweenTokens}
+	limits := timeLimits{firstByte: d.FirstByte, betweenTokens: d.BetweenTokens}
 	if ms := accepted.Proto.GetLimits().GetFirstByteTimeoutMs(); ms > 0 {
 		limits.firstByte = time.Duration(ms) * time.Millisecond
 	}
@@ -90,7 +89,7 @@
 func (d *Dispatcher) Do(ctx context.Context, req *Request, sink Sink) *result.Result {
 	ctx, cancel := context.WithDeadline(ctx, req.EndBy)
 	defer cancel()
-	d.guard.Observe()
+	d.Guard.Observe()
 	counting := &countingSink{Sink: sink}
 	ran := v1.Ran_NO
 	var exclude []config.ID
@@ -115,36 +114,36 @@
 
 // once makes one attempt. The target is nil if none was granted.
 func (d *Dispatcher) once(ctx context.Context, req *Request, sink *countingSink, exclude []config.ID) (attemptEnd, *v1.Target) {
-	if refusal := d.guard.Begin(ctx, req.Digest); refusal != nil {
+	if refusal := d.Guard.Begin(ctx, req.Digest); refusal != nil {
 		return attemptEnd{result: refusal}, nil
 	}
 	grant, refusal := d.acquire(ctx, req, exclude)
 	if refusal != nil {
-		d.guard.End(req.Digest, 0, false, false)
+		d.Guard.End(req.Digest, 0, false, false)
 		return attemptEnd{result: refusal}, nil
 	}
 	target, ok := req.Config.Target(grant.Target)
 	if !ok {
-		target, ok = d.store.Config().Target(grant.Target)
+		target, ok = d.Store.Config().Target(grant.Target)
 	}
 	if !ok {
 		grant.Done(0, v1.Outcome_NOT_RUN, 0)
-		d.guard.End(req.Digest, 0, false, false)
+		d.Guard.End(req.Digest, 0, false, false)
 		return attemptEnd{result: result.New(v1.Code_NO_TARGET, v1.Ran_NO, "granted target is not configured")}, nil
 	}
 	a := &attempt{d: d, req: req, target: target, grant: grant, sink: sink}
 	end := a.run(ctx)
-	d.guard.End(req.Digest, grant.Target, end.crashed, end.result.OK())
+	d.Guard.End(req.Digest, grant.Target, end.crashed, end.result.OK())
 	if end.outcome != v1.Outcome_NOT_RUN {
-		d.usage.Delivered(req.Workspace.Name, req.Pool.Name, a.cost(end, time.Since(a.started)))
+		d.Usage.Delivered(req.Workspace.Name, req.Pool.Name, a.cost(end, time.Since(a.started)))
 	}
 	return end, target
 }
 
 func (d *Dispatcher) acquire(ctx context.Context, req *Request, exclude []config.ID) (*broker.Grant, *result.Result) {
-	ctx, span := d.tracer.Start(ctx, "wait")
+	ctx, span := d.Tracer.Start(ctx, "wait")
 	defer span.End()
-	return d.acquirer.Acquire(ctx, broker.Demand{
+	return d.Acquirer.Acquire(ctx, broker.Demand{
 		Pool:       req.Pool.Name,
 		Region:     d.regionFor(req),
 		Workspace:  config.IDOf(req.Workspace.Name),
@@ -160,7 +159,7 @@
 // regionFor returns the region whose scheduler gets the demand: the router's
 // own if it has targets that the workspace may use, else the first that has.
 func (d *Dispatcher) regionFor(req *Request) string {
-	own := d.store.Fleet().Self.Region
+	own := d.Store.Fleet().Self.Region
 	found := ""
 	for _, t := range req.Config.TargetsOf(req.Pool.Name) {
 		zone, ok := req.Config.Zone(t.Zone)
@@ -190,7 +189,7 @@
 	if !req.Idempotent && end.result.Ran != v1.Ran_NO {
 		return false
 	}
-	delay, ok := d.guard.Retry(n)
+	delay, ok := d.Guard.Retry(n)
 	if !ok || time.Now().Add(delay).After(req.StartBy) {
 		return false
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -117,13 +117,26 @@
 	}
 	r.tracing = tracing
 	r.store = state.NewStore(r.self())
-	r.host = scheduling.New(r.tomb, r.store, scheduling.Options{HoldTime: s.GrantHold, Seed: s.Incarnation})
+	r.host = scheduling.New(r.tomb, r.store, scheduling.Options{
+		HoldTime:  s.GrantHold,
+		MaxSpares: maxSpares,
+		Seed:      s.Incarnation,
+	})
 	r.broker = broker.New(r.tomb, r.store, &peer.Dialer{
 		Self: r.self(), Tomb: r.tomb, Host: r.host, Timing: r.timing(), Traffic: r.metrics,
 	}, r.logger)
 	r.client = peer.NewClient(r.store, r.timing(), r.metrics)
 	r.guard = guard.New(s.Name)
-	r.dispatcher = dispatch.New(r.store, r.broker, r.guard, r.metrics, tracing.Tracer(), s.DialTimeout)
+	r.dispatcher = dispatch.New(dispatch.Options{
+		Store:         r.store,
+		Acquirer:      r.broker,
+		Guard:         r.guard,
+		Usage:         r.metrics,
+		Tracer:        tracing.Tracer(),
+		DialTimeout:   s.DialTimeout,
+		FirstByte:     s.FirstByteTimeout,
+		BetweenTokens: s.BetweenTokensTimeout,
+	})
 	if err := r.buildKeys(); err != nil {
 		return err
 	}
@@ -188,6 +201,9 @@
 const (
 	bodyTimeout  = 30 * time.Second
 	writeTimeout = 30 * time.Second
+	// maxSpares is the number of slots of a pool that a router may hold ahead
+	// of demand.
+	maxSpares = 4
 	// listPollsPerRight is how often the instance list is read within the time
 	// that one reading gives the right to execute keys.
 	listPollsPerRight = 4
