--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -39,22 +39,25 @@
 // of the fleet: measured in TestSpreadOfLeaving. At up to FullMeshUpTo
 // members the rings are replaced by the full mesh.
 //
-// A router watches past members that it believes silent, up to and including
-// the first reachable one. So a silent member is still probed by the routers
-// that watch it, and both sides of a network partition close their rings over
-// what they reach.
+// A router watches past members that it believes silent, up to the first one
+// that answers, and past n silent ones tries n more at once. So a silent member
+// is still probed by the routers that watch it, and both sides of a network
+// partition close their rings over what they reach within a logarithmic number
+// of rounds of SuspectAfter, also the small side, to which most are silent.
 //
 // # Who is reachable
 //
 // Own contact decides first: an answer within SuspectAfter means reachable, no
 // answer for SuspectAfter in spite of attempts means not. Without recent
-// contact the watchers decide. A watcher is the nearest reachable predecessor
-// on a ring; each publishes the watched members that are silent to it
-// (SilenceReport), and a member is taken as silent once QuorumOfWatchers of
-// its watchers, or all if there are fewer, report it. So one broken link does
-// not take a member out for all. The reports of a router that has just become
-// reachable again are ignored for SuspectAfter, since they describe the other
-// side of a healed partition.
+// contact the reports of others decide: each router publishes the members that
+// it watches and that are silent to it (SilenceReport), and a member is taken
+// as silent once QuorumOfWatchers reachable routers report it, or one if it has
+// a single watcher. So one broken link does not take a member out for all. The
+// reports of a router that has just become reachable again are ignored for
+// SuspectAfter, since they describe the other side of a healed partition.
+//
+// A message from a router counts as contact with it, in both directions: links
+// that carry one direction only are not detected here.
 //
 // # Changes
 //
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -16,7 +16,7 @@
 func (v *View) Next(now time.Time) []Member {
 	var due []Member
 	watched := v.watched(now)
-	probe := max(v.opts.ProbeInterval, v.countDown(watched)*v.opts.PushInterval)
+	v.probeInterval = v.probeIntervalFor(watched)
 	for _, name := range v.neighbours(watched) {
 		p := v.peer(name)
 		if now.Sub(p.lastAttempt) < v.opts.PushInterval {
@@ -24,11 +24,11 @@
 		}
 		interval := v.opts.HeartbeatInterval
 		if v.down[name] {
-			interval = probe
+			interval = v.probeInterval
 		}
 		heartbeat := slices.Contains(watched, name) && p.quietFor(now) >= interval
 		if heartbeat || v.pushDue(name, p) {
-			p.attempt(now)
+			p.attempt(now, v.attemptMemory())
 			due = append(due, memberOf(v.router(name)))
 		}
 	}
@@ -66,14 +66,17 @@
 	return sortedUnique(slices.Concat(watched, watchers))
 }
 
-func (v *View) countDown(names []string) time.Duration {
-	count := time.Duration(0)
-	for _, name := range names {
+// probeIntervalFor slows probes down when many members are silent, so that a
+// router that is cut off from the fleet makes few attempts a second.
+func (v *View) probeIntervalFor(watched []string) time.Duration {
+	silent := 0
+	for _, name := range watched {
 		if v.down[name] {
-			count++
+			silent++
 		}
 	}
-	return count
+	interval := time.Duration(silent) * v.opts.PushInterval
+	return min(max(v.opts.ProbeInterval, interval), maxProbeInterval)
 }
 
 // pushDue returns whether a reachable neighbour lacks a change or the list.
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -6,7 +6,8 @@
 type Options struct {
 	// HeartbeatInterval is the time between contacts with a watched router.
 	HeartbeatInterval time.Duration
-	// ProbeInterval is the time between contacts with a silent router.
+	// ProbeInterval is the time between contacts with a silent router. It
+	// grows when many are silent.
 	ProbeInterval time.Duration
 	// SuspectAfter is the silence after which a router is not reachable.
 	SuspectAfter time.Duration
@@ -32,6 +33,10 @@
 // before others without contact take it as silent.
 const QuorumOfWatchers = 2
 
+// maxProbeInterval bounds the time between contacts with a silent router when
+// many are silent.
+const maxProbeInterval = 15 * time.Second
+
 // maxHistory bounds the number of lists kept for History.
 const maxHistory = 1024
 
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -30,10 +30,10 @@
 	return !p.lastAnswer.IsZero() && now.Sub(p.lastAnswer) < within
 }
 
-// unanswered returns whether attempts have failed for the time after, and were
-// still made lately.
-func (p *peer) unanswered(now time.Time, after time.Duration) bool {
-	if p.firstAttempt.IsZero() || now.Sub(p.lastAttempt) > 2*after {
+// unanswered returns whether attempts have failed for the time after. A series
+// whose last attempt is older than memory says nothing any more.
+func (p *peer) unanswered(now time.Time, after, memory time.Duration) bool {
+	if p.firstAttempt.IsZero() || now.Sub(p.lastAttempt) > memory {
 		return false
 	}
 	return now.Sub(p.firstAttempt) >= after
@@ -52,16 +52,18 @@
 	p.firstAttempt = time.Time{}
 }
 
-func (p *peer) attempt(now time.Time) {
-	if p.firstAttempt.IsZero() || now.Sub(p.lastAttempt) > attemptMemory {
+func (p *peer) attempt(now time.Time, memory time.Duration) {
+	if p.firstAttempt.IsZero() || now.Sub(p.lastAttempt) > memory {
 		p.firstAttempt = now
 	}
 	p.lastAttempt = now
 }
 
-// attemptMemory is the pause between attempts after which a series of
-// unanswered attempts starts anew.
-const attemptMemory = 10 * time.Second
+// attemptMemory is the pause after which a series of unanswered attempts
+// starts anew. It spans several probes.
+func (v *View) attemptMemory() time.Duration {
+	return 2 * max(v.opts.SuspectAfter, v.probeInterval)
+}
 
 func (v *View) peer(name string) *peer {
 	p, ok := v.peers[name]
@@ -88,5 +90,5 @@
 		v.peer(name).answer(now)
 		return
 	}
-	v.peer(name).attempt(now)
+	v.peer(name).attempt(now, v.attemptMemory())
 }
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -34,7 +34,7 @@
 		if p.answered(now, v.opts.SuspectAfter) {
 			return false
 		}
-		if p.unanswered(now, v.opts.SuspectAfter) {
+		if p.unanswered(now, v.opts.SuspectAfter, v.attemptMemory()) {
 			return true
 		}
 	}
@@ -55,19 +55,29 @@
 	return names
 }
 
-// reportedSilent asks the watchers of a member without recent contact.
+// reportedSilent judges a member without recent contact by the reports of
+// others. A member that the router has just begun to watch stays what it was.
 func (v *View) reportedSilent(now time.Time, name string) bool {
 	watchers := v.rings.watchers(name, v.down)
-	if len(watchers) == 0 || slices.Contains(watchers, v.self.Name) {
-		return v.down[name]
-	}
 	votes := 0
-	for _, watcher := range watchers {
-		if v.settled(now, watcher) && v.reportsSilent(watcher, name) {
+	for reporter := range v.reports {
+		if v.counts(now, reporter) && v.reportsSilent(reporter, name) {
 			votes++
 		}
 	}
-	return votes >= min(QuorumOfWatchers, len(watchers))
+	if votes > 0 && votes >= min(QuorumOfWatchers, len(watchers)) {
+		return true
+	}
+	return v.down[name] && slices.Contains(watchers, v.self.Name)
+}
+
+// counts returns whether the reports of another router are listened to: those
+// of reachable members, since others no longer update them.
+func (v *View) counts(now time.Time, reporter string) bool {
+	if reporter == v.self.Name || !v.rings.holds(reporter) || v.down[reporter] {
+		return false
+	}
+	return v.settled(now, reporter)
 }
 
 // settled returns whether a router has been reachable long enough for its
--- a/fleet/rings.go
+++ b/fleet/rings.go
@@ -46,6 +46,12 @@
 	return ordered
 }
 
+// holds returns whether name is a member.
+func (r *rings) holds(name string) bool {
+	_, ok := slices.BinarySearch(r.names, name)
+	return ok
+}
+
 // successors returns the members after name on a ring, up to and including the
 // first that answered lately. Past n silent members it takes n untried ones at
 // once, so that a long run of silent members is found in a logarithmic number
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -44,6 +44,9 @@
 	rings  rings
 	// down holds the members that are not reachable, as of the last Tick.
 	down map[string]bool
+	// probeInterval is the time between contacts with a silent router, as of
+	// the last Next.
+	probeInterval time.Duration
 }
 
 // mark is about an incarnation of an instance.
--- /dev/null
+++ b/rollout/rejections.go
@@ -0,0 +1,30 @@
+package rollout
+
+import "slices"
+
+// rejections holds rejected versions, lowest first.
+type rejections []Rejection
+
+func compareRejection(r Rejection, v Version) int {
+	return r.Version.Compare(v)
+}
+
+func (r *rejections) has(v Version) bool {
+	_, ok := slices.BinarySearchFunc(*r, v, compareRejection)
+	return ok
+}
+
+// add inserts a rejection and drops the lowest ones above limit.
+func (r *rejections) add(rejection Rejection, limit int) {
+	i, ok := slices.BinarySearchFunc(*r, rejection.Version, compareRejection)
+	if ok {
+		return
+	}
+	*r = slices.Insert(*r, i, rejection)
+	*r = slices.Delete(*r, 0, max(0, len(*r)-limit))
+}
+
+func (r *rejections) above(v Version) []Rejection {
+	i, _ := slices.BinarySearchFunc(*r, v, compareRejection)
+	return slices.Clone((*r)[i:])
+}
