--- a/cmd/chiveseam-standin/main.go
+++ b/cmd/chiveseam-standin/main.go
@@ -59,6 +59,7 @@
 		{"engines", "run all engines of a configuration", &enginesCommand{}},
 		{"service", "run one plain service", &serviceCommand{}},
 		{"services", "run all services of a configuration", &servicesCommand{}},
+		{"routers", "plan the routers of a trial on loopback", &routersCommand{}},
 		{"load", "send the load of a deployment and print a report", &loadCommand{}},
 	}
 }
--- a/cmd/chiveseam-standin/platform.go
+++ b/cmd/chiveseam-standin/platform.go
@@ -22,16 +22,27 @@
 	AddTargets    bool          `long:"add-targets" description:"add the targets of the configuration to the instance list"`
 	Rate          float64       `long:"rate" default:"2000" description:"calls allowed per second over all readers"`
 	Lag           time.Duration `long:"lag" default:"0s" description:"time from publication to visibility"`
+	Refresh       time.Duration `long:"refresh" default:"10s" description:"time after which the instance list is published anew"`
 }
 
 // Execute implements flags.Commander.
 func (c *platformCommand) Execute([]string) error {
+	if c.Refresh <= 0 {
+		return fmt.Errorf("refresh %v is not allowed: want more than 0", c.Refresh)
+	}
 	server := platform.New(c.Rate)
 	if err := c.publish(server); err != nil {
 		return err
 	}
 	// The lag applies to what is published from now on.
 	server.SetFaults(platform.Faults{LagMs: c.Lag.Milliseconds()})
+	ticker := time.NewTicker(c.Refresh)
+	defer ticker.Stop()
+	go func() {
+		for range ticker.C {
+			server.RefreshInstances()
+		}
+	}()
 	return serveUntilSignal("platform", c.Listen, server.Handler())
 }
 
--- a/internal/standin/load/client.go
+++ b/internal/standin/load/client.go
@@ -36,7 +36,10 @@
 const (
 	nameUnreachable = "UNREACHABLE"
 	nameAborted     = "ABORTED"
-	nameHTTP        = "HTTP "
+	nameNoKey       = "KEY_NOT_ISSUED"
+	// nameLeftOpen is a request that was still open when the run ended.
+	nameLeftOpen = "LEFT_OPEN"
+	nameHTTP     = "HTTP "
 )
 
 // outcome is how a request ended for its caller.
@@ -128,8 +131,11 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// failed returns the outcome of a request whose connection failed.
-func failed(name string) outcome {
+// failed returns the outcome of a request of ctx whose connection failed.
+func failed(ctx context.Context, name string) outcome {
+	if ctx.Err() != nil {
+		name = nameLeftOpen
+	}
 	return outcome{name: name, ran: v1.Ran_UNKNOWN.String()}
 }
 
--- a/internal/standin/load/model.go
+++ b/internal/standin/load/model.go
@@ -81,16 +81,16 @@
 	}
 	resp, err := g.do(ctx, f, call{router: g.anyRouter(rng), method: http.MethodPost, path: c.path(), body: body})
 	if err != nil {
-		return g.finish(failed(nameUnreachable))
+		return g.finish(failed(ctx, nameUnreachable))
 	}
 	defer drainBody(resp)
 	result := readOutcome(resp)
 	switch {
 	case !result.served() || resp.StatusCode != http.StatusOK:
 	case c.request.Stream:
-		result = g.readStream(c, resp, result)
+		result = g.readStream(ctx, c, resp, result)
 	default:
-		result = g.readWhole(c, resp, result)
+		result = g.readWhole(ctx, c, resp, result)
 	}
 	return g.finish(result)
 }
@@ -125,10 +125,10 @@
 }
 
 // readWhole verifies an answer that is not streamed.
-func (g *generator) readWhole(c *completion, resp *http.Response, result outcome) outcome {
+func (g *generator) readWhole(ctx context.Context, c *completion, resp *http.Response, result outcome) outcome {
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return failed(nameAborted)
+		return failed(ctx, nameAborted)
 	}
 	var answer modelAnswer
 	if err := json.Unmarshal(body, &answer); err != nil {
--- a/internal/standin/load/operation.go
+++ b/internal/standin/load/operation.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -32,11 +33,13 @@
 	maxAttempts = 3
 	// maxResendDelay bounds the time between a call and its copy.
 	maxResendDelay = 100 * time.Millisecond
+	// callPath is the end of the path of each service call.
+	callPath       = "/standin"
 	requestKeyPath = "/v1/request-keys"
 )
 
 // runTimes are the durations in milliseconds asked of services.
-var runTimes = []int{10, 20, 40, 80}
+var runTimes = []int{50, 100, 200, 400}
 
 // operation is one logical operation of a caller, sent once or more.
 type operation struct {
@@ -54,7 +57,7 @@
 func (g *generator) operate(ctx context.Context, f *flow, rng *rand.Rand) outcome {
 	op, err := g.newOperation(ctx, f, rng)
 	if err != nil {
-		return g.finish(failed(nameUnreachable))
+		return g.finish(failed(ctx, nameNoKey))
 	}
 	g.recorder.addOperation(op)
 	copies := g.resend(ctx, f, op, rng)
@@ -94,7 +97,7 @@
 	op.call = call{
 		method: method,
 		path:   "/services/" + f.pool.Name + path,
-		body:   []byte(`{"operation":"` + op.name + `"}`),
+		body:   bodyOf(method, op.name),
 		headers: map[string]string{
 			service.RequestHeader:  op.name,
 			service.DurationHeader: strconv.Itoa(op.runTime),
@@ -109,6 +112,14 @@
 	return op, nil
 }
 
+// bodyOf returns the body of a call that carries out the named operation.
+func bodyOf(method, operation string) []byte {
+	if method == http.MethodGet {
+		return nil
+	}
+	return []byte(`{"operation":"` + operation + `"}`)
+}
+
 // addKey gives the operation a key, chosen here or issued by a router.
 func (g *generator) addKey(ctx context.Context, f *flow, op *operation, rng *rand.Rand) error {
 	if rng.IntN(2) == 0 {
@@ -166,12 +177,12 @@
 func (g *generator) exchange(ctx context.Context, f *flow, op *operation, c call) outcome {
 	resp, err := g.do(ctx, f, c)
 	if err != nil {
-		return failed(nameUnreachable)
+		return failed(ctx, nameUnreachable)
 	}
 	defer drainBody(resp)
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return failed(nameAborted)
+		return failed(ctx, nameAborted)
 	}
 	result := readOutcome(resp)
 	if !result.served() || resp.StatusCode != http.StatusOK {
@@ -198,18 +209,13 @@
 // callOf returns a method and a path that the pool's rules classify as wanted.
 func callOf(pool *v1.Pool, idempotent bool) (method, path string) {
 	for _, rule := range pool.Rules {
-		method, path := rule.Method, rule.PathPrefix
-		if method == "" {
-			method = http.MethodPost
-		}
-		if !strings.HasPrefix(path, "/") {
-			path = "/" + path
-		}
+		method := cmp.Or(rule.Method, http.MethodPost)
+		path := strings.TrimSuffix(rule.PathPrefix, "/") + callPath
 		if classify(pool, method, path) == idempotent {
 			return method, path
 		}
 	}
-	return http.MethodPost, "/unclassified"
+	return http.MethodPost, callPath
 }
 
 // classify reports whether the pool's rules call a request idempotent.
--- a/internal/standin/load/sse.go
+++ b/internal/standin/load/sse.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -66,7 +67,7 @@
 }
 
 // readStream verifies a streamed answer.
-func (g *generator) readStream(c *completion, resp *http.Response, result outcome) outcome {
+func (g *generator) readStream(ctx context.Context, c *completion, resp *http.Response, result outcome) outcome {
 	reader := newEventReader(resp.Body)
 	var text strings.Builder
 	previous := time.Time{}
@@ -75,11 +76,11 @@
 		switch {
 		case err == io.EOF:
 			g.recorder.violate(violationShort, "stream ended without [DONE] and without an error")
-			return failed(nameAborted)
+			return failed(ctx, nameAborted)
 		case err != nil:
-			return failed(nameAborted)
+			return failed(ctx, nameAborted)
 		case e.name == errorEvent:
-			return readErrorEvent(e)
+			return readErrorEvent(ctx, e)
 		case e.data == doneData:
 			g.verifyText(c, text.String())
 			g.recorder.total.record(time.Since(c.began))
@@ -121,10 +122,10 @@
 	return chunk.text(), nil
 }
 
-func readErrorEvent(e event) outcome {
+func readErrorEvent(ctx context.Context, e event) outcome {
 	var data errorData
 	if err := json.Unmarshal([]byte(e.data), &data); err != nil || data.Error.Name == "" {
-		return failed(nameAborted)
+		return failed(ctx, nameAborted)
 	}
 	return outcome{code: data.Error.Code, name: data.Error.Name, ran: data.Error.Ran}
 }
--- a/internal/standin/platform/history.go
+++ b/internal/standin/platform/history.go
@@ -26,6 +26,14 @@
 	return h.entries[len(h.entries)-1].revision
 }
 
+// lastValue returns the value published last.
+func (h *history[T]) lastValue() (value T, ok bool) {
+	if len(h.entries) == 0 {
+		return value, false
+	}
+	return h.entries[len(h.entries)-1].value, true
+}
+
 // visible returns the value published last among those published at least lag
 // ago and, unless limit is 0, not above revision limit. wake is the time at
 // which the next value becomes visible; zero when none is hidden.
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -102,6 +102,23 @@
 	return list.Revision
 }
 
+// RefreshInstances publishes the last list anew with the present time, as the
+// platform does while nothing changes.
+func (s *Server) RefreshInstances() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, ok := s.lists.lastValue()
+	if !ok {
+		return
+	}
+	now := time.Now()
+	list := proto.CloneOf(last)
+	list.Revision++
+	list.AsOfUnixMs = now.UnixMilli()
+	s.lists.add(list.Revision, list, now)
+	s.wakeLocked()
+}
+
 // SetFaults replaces the faults.
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
