Let the rollout tracker decide about the configuration

Cause: the daemon applied whatever was newer and was ready with its first configuration, so that a router without memory could serve an older one than its peers; every router watched the platform. Ruled out: readiness by time alone, since a stale platform answers at once. Change: control feeds rollout.Tracker with offers, peers' versions and time, and performs its actions; two watchers a zone, others poll; the instance list is read a few times within the time of the right to execute keys.

--- a/router/admin.go
+++ b/router/admin.go
@@ -40,7 +40,7 @@
 	case <-r.stopping:
 		return false
 	default:
-		return r.store.Config() != nil
+		return r.control.Ready()
 	}
 }
 
--- a/router/internal/control/control.go
+++ b/router/internal/control/control.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -16,6 +17,7 @@
 	"github.com/chiveseam/chiveseam/platform"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/requestkey"
+	"github.com/chiveseam/chiveseam/rollout"
 	"github.com/chiveseam/chiveseam/router/internal/state"
 )
 
@@ -72,7 +74,11 @@
 
 	mu      sync.Mutex
 	view    *fleet.View
-	rollout rolloutState
+	tracker *rollout.Tracker
+
+	ready atomic.Bool
+	// calls bounds the calls of peers that the tracker asks for.
+	calls chan struct{}
 }
 
 // New returns a control that knows only the router itself.
@@ -87,9 +93,11 @@
 		State:        v1.InstanceState_LIVE,
 	}
 	return &Control{
-		opts:   opts,
-		logger: log.With(opts.Logger, "duty", "control"),
-		view:   fleet.New(self, opts.Fleet),
+		opts:    opts,
+		logger:  log.With(opts.Logger, "duty", "control"),
+		view:    fleet.New(self, opts.Fleet),
+		tracker: rollout.New(rollout.DefaultOptions(), config.Accept, newRand(), time.Now()),
+		calls:   make(chan struct{}, maxExchanges),
 	}
 }
 
--- a/router/internal/control/exchange.go
+++ b/router/internal/control/exchange.go
@@ -26,7 +26,7 @@
 	for {
 		select {
 		case now := <-ticker.C:
-			c.tick(now)
+			c.tick(ctx, now)
 			c.startExchanges(ctx, now, slots, &open)
 		case <-ctx.Done():
 			return nil
@@ -34,11 +34,12 @@
 	}
 }
 
-func (c *Control) tick(now time.Time) {
+func (c *Control) tick(ctx context.Context, now time.Time) {
 	c.mu.Lock()
 	c.view.Tick(now)
 	c.mu.Unlock()
 	c.publishFleet()
+	c.trackPeers(ctx, now)
 }
 
 func (c *Control) startExchanges(ctx context.Context, now time.Time, slots chan struct{}, open *sync.WaitGroup) {
@@ -78,7 +79,7 @@
 		// The view has counted the attempt that stays without an answer.
 		return
 	}
-	c.merge(time.Now(), in)
+	c.merge(ctx, time.Now(), in)
 }
 
 func (c *Control) stateFor(receiver string) *v1.PeerState {
@@ -93,11 +94,11 @@
 
 // Exchange implements peer.Exchanger.
 func (c *Control) Exchange(in *v1.PeerState) *v1.PeerState {
-	c.merge(time.Now(), in)
+	c.merge(context.Background(), time.Now(), in)
 	return c.stateFor(in.Router)
 }
 
-func (c *Control) merge(now time.Time, in *v1.PeerState) {
+func (c *Control) merge(ctx context.Context, now time.Time, in *v1.PeerState) {
 	c.mu.Lock()
 	merged := c.view.Merge(now, in)
 	if merged.List {
@@ -110,7 +111,7 @@
 	for _, g := range c.opts.Gossip {
 		g.Merge(in)
 	}
-	c.offerVersion(in.Router, merged.Config)
+	c.peerVersion(ctx, in.Router, merged.Config)
 	if merged.List || merged.Leaving {
 		c.publishFleet()
 	}
--- a/router/internal/control/instances.go
+++ b/router/internal/control/instances.go
@@ -10,25 +10,52 @@
 	"github.com/chiveseam/chiveseam/requestkey"
 )
 
-// RunInstances is the duty that reads the platform's instance list. It asks
-// for the list even when it is unchanged, since the time at which the list was
-// true renews the right to execute keys chosen by callers.
+// RunInstances is the duty that watches the platform's instance list.
 func (c *Control) RunInstances(ctx context.Context) error {
+	reader := c.newReader("instances")
+	return c.runReader(ctx, reader, func(wait time.Duration) error {
+		return c.readInstances(ctx, c.listRevision(), wait)
+	})
+}
+
+// RunRenewal is the duty that reads the list even when it is unchanged: the
+// time at which it was true renews the right to execute keys chosen by
+// callers.
+func (c *Control) RunRenewal(ctx context.Context) error {
+	rng := newRand()
 	for ctx.Err() == nil {
-		list, err := c.opts.Platform.Instances(ctx, c.listRevision(), c.opts.ListPoll)
-		if errors.Is(err, platform.ErrUnchanged) {
-			list, err = c.opts.Platform.Instances(ctx, 0, 0)
+		pause := c.opts.ListPoll/2 + time.Duration(rng.Int64N(int64(c.opts.ListPoll)))
+		sleep(ctx, pause)
+		if err := c.readInstances(ctx, 0, 0); err != nil && ctx.Err() == nil {
+			c.logError("instances_read_failed", err)
 		}
-		c.opts.Observer.PlatformCall("instances", outcome(err))
-		if err != nil {
-			sleep(ctx, retryDelay)
-			continue
-		}
-		c.applyList(time.Now(), list)
 	}
 	return nil
 }
 
+func (c *Control) readInstances(ctx context.Context, after uint64, wait time.Duration) error {
+	list, err := c.opts.Platform.Instances(ctx, after, wait)
+	c.opts.Observer.PlatformCall("instances", outcome(err))
+	if err == nil {
+		c.applyList(time.Now(), list)
+	}
+	return err
+}
+
+func isUnchanged(err error) bool { return errors.Is(err, platform.ErrUnchanged) }
+
+func outcome(err error) string {
+	switch {
+	case err == nil:
+		return "changed"
+	case isUnchanged(err):
+		return "unchanged"
+	case errors.Is(err, platform.ErrRateLimited):
+		return "rate_limited"
+	}
+	return "failed"
+}
+
 func (c *Control) listRevision() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -71,6 +98,17 @@
 	}
 }
 
+const retryDelay = time.Second
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // RunKeyViews is the duty that learns from peers which lists decided about
 // keys before this router knew one.
 func (c *Control) RunKeyViews(ctx context.Context) error {
--- a/router/internal/dispatch/stream.go
+++ b/router/internal/dispatch/stream.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/url"
 	"time"
-
 )
 
 const (
@@ -155,4 +154,3 @@
 // progressDivisor sets the step between progress reports as a part of the
 // cost so far.
 const progressDivisor = 2
-
--- a/router/internal/entry/server.go
+++ b/router/internal/entry/server.go
@@ -56,6 +56,7 @@
 	open     chan struct{}
 	bodies   *byteBudget
 	stopping chan struct{}
+	ready    func() bool
 	handler  http.Handler
 	// forwarded counts the open requests that other routers passed on.
 	forwarded atomic.Int64
@@ -67,7 +68,7 @@
 }
 
 // New returns a server.
-func New(opts Options, store *state.Store, executor Executor, keys KeyIssuer, observer Observer, logger log.Logger, tracer trace.Tracer) *Server {
+func New(opts Options, store *state.Store, executor Executor, keys KeyIssuer, observer Observer, ready func() bool, logger log.Logger, tracer trace.Tracer) *Server {
 	s := &Server{
 		opts:     opts,
 		store:    store,
@@ -79,6 +80,7 @@
 		open:     make(chan struct{}, opts.MaxOpenRequests),
 		bodies:   newByteBudget(opts.MaxBodiesBytes),
 		stopping: make(chan struct{}),
+		ready:    ready,
 	}
 	router := bunrouter.New(
 		bunrouter.WithNotFoundHandler(s.notFound),
@@ -193,7 +195,7 @@
 	default:
 	}
 	accepted := s.store.Config()
-	if accepted == nil {
+	if accepted == nil || !s.ready() {
 		refusal := result.New(v1.Code_NOT_READY, v1.Ran_NO, "no configuration is in force")
 		refusal.RetryAfter = time.Second
 		return nil, refusal
--- a/router/router.go
+++ b/router/router.go
@@ -174,7 +174,7 @@
 		MaxBodiesBytes:  s.MaxBodiesBytes,
 		BodyTimeout:     bodyTimeout,
 		WriteTimeout:    writeTimeout,
-	}, r.store, r.keys, r.keys, r.metrics, r.logger, r.tracing.Tracer())
+	}, r.store, r.keys, r.keys, r.metrics, func() bool { return r.control.Ready() }, r.logger, r.tracing.Tracer())
 }
 
 func (r *Router) buildControl() {
@@ -263,6 +263,7 @@
 		func() error { return r.control.RunExchange(ctx) },
 		func() error { return r.control.RunConfiguration(ctx) },
 		func() error { return r.control.RunInstances(ctx) },
+		func() error { return r.control.RunRenewal(ctx) },
 		func() error { return r.control.RunKeyViews(ctx) },
 		func() error { return r.peers.Serve(ctx, r.listeners.peer) },
 		func() error { return serveHTTP(r.entryServer, r.listeners.entry) },
