--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -28,8 +28,8 @@
 	DurationHeader = "X-Standin-Duration-Ms"
 	// maxDuration bounds the duration that a caller may ask for.
 	maxDuration = time.Minute
-	// lateDelay is how much later the late fault answers.
-	lateDelay = 5 * time.Second
+	// LateDelay is how much later the late fault answers.
+	LateDelay = 5 * time.Second
 	// slowFactor is how many times slower the slow fault runs.
 	slowFactor = 20
 	// maxBodyBytes bounds the body of a call.
@@ -193,7 +193,7 @@
 	case fault.CloseBeforeAnswer:
 		fault.Reset(w)
 	case fault.Late:
-		sleep(r.Context(), lateDelay)
+		sleep(r.Context(), LateDelay)
 	case fault.Truncate:
 		writePart(w, body)
 		panic(http.ErrAbortHandler)
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -6,6 +6,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -53,3 +55,18 @@
 	is.NoErr(err)
 	is.Equal(ledger.Report().Doubles, map[string]int{"op": 2})
 }
+
+func TestLateAnswerIsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := service.New(service.Settings{}, service.NewLedger())
+		s.SetFaults(fault.Plan{Kind: fault.Late, Count: fault.Always})
+		began := time.Now()
+		recorder := httptest.NewRecorder()
+		req := httptest.NewRequest(http.MethodPost, "/orders", nil)
+		req.Header.Set(service.DurationHeader, "250")
+		s.Handler().ServeHTTP(recorder, req)
+		is.NoErr(service.CheckAnswer("", nil, recorder.Body.Bytes()))
+		is.Equal(time.Since(began), 250*time.Millisecond+service.LateDelay)
+	})
+}
