Answer lists with the time at which they were true; list age in the demo

Cause: the stand-in platform gave a list the time of its publication, so that a router's right to execute keys would lapse while nothing changes; it published an unchanged list anew every 10 s instead, which moved all keys. Change: an answer carries the last time at which its list was the published one, and its publication time; the demo's lists are 10 min old.

--- a/cmd/chiveseam-standin/platform.go
+++ b/cmd/chiveseam-standin/platform.go
@@ -20,29 +20,19 @@
 	Configuration string        `long:"configuration" description:"file with a serialized configuration"`
 	Instances     string        `long:"instances" description:"file with an instance list in JSON"`
 	AddTargets    bool          `long:"add-targets" description:"add the targets of the configuration to the instance list"`
+	ListAge       time.Duration `long:"list-age" default:"0s" description:"time since the instance list was published"`
 	Rate          float64       `long:"rate" default:"2000" description:"calls allowed per second over all readers"`
 	Lag           time.Duration `long:"lag" default:"0s" description:"time from publication to visibility"`
-	Refresh       time.Duration `long:"refresh" default:"10s" description:"time after which the instance list is published anew"`
 }
 
 // Execute implements flags.Commander.
 func (c *platformCommand) Execute([]string) error {
-	if c.Refresh <= 0 {
-		return fmt.Errorf("refresh %v is not allowed: want more than 0", c.Refresh)
-	}
 	server := platform.New(c.Rate)
 	if err := c.publish(server); err != nil {
 		return err
 	}
 	// The lag applies to what is published from now on.
 	server.SetFaults(platform.Faults{LagMs: c.Lag.Milliseconds()})
-	ticker := time.NewTicker(c.Refresh)
-	defer ticker.Stop()
-	go func() {
-		for range ticker.C {
-			server.RefreshInstances()
-		}
-	}()
 	return serveUntilSignal("platform", c.Listen, server.Handler())
 }
 
@@ -65,6 +55,7 @@
 		}
 		list.Instances = append(list.Instances, deployment.Instances(configuration)...)
 	}
+	list.PublishedUnixMs = time.Now().Add(-c.ListAge).UnixMilli()
 	server.PublishInstances(list)
 	return nil
 }
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -14,6 +14,9 @@
 readonly STOP_SECONDS=10
 readonly TOKENS_PER_SECOND=20
 readonly LIGHT_INTERVAL=4s
+# The fleet starts as one whose instance list has not changed lately: routers
+# that replaced others refuse keys that the others may have executed.
+readonly LIST_AGE=10m
 
 # Deployments: name, port of the platform, port of the first router's entry.
 readonly DEPLOYMENTS=(
@@ -70,7 +73,7 @@
   start "$name-services" "$BIN/chiveseam-standin" services --configuration "$configuration"
   start "$name-platform" "$BIN/chiveseam-standin" platform \
     --listen "127.0.0.1:$port" --configuration "$configuration" \
-    --instances "$WORK/$name.instances" --add-targets
+    --instances "$WORK/$name.instances" --add-targets --list-age "$LIST_AGE"
 }
 
 # start_routers NAME PLATFORM_PORT: the routers of the plan.
--- a/internal/standin/platform/history.go
+++ b/internal/standin/platform/history.go
@@ -26,12 +26,15 @@
 	return h.entries[len(h.entries)-1].revision
 }
 
-// lastValue returns the value published last.
-func (h *history[T]) lastValue() (value T, ok bool) {
-	if len(h.entries) == 0 {
-		return value, false
+// validUntil returns the last time up to now at which revision was the
+// published one.
+func (h *history[T]) validUntil(revision uint64, now time.Time) time.Time {
+	for i, e := range h.entries {
+		if e.revision == revision && i+1 < len(h.entries) && h.entries[i+1].published.Before(now) {
+			return h.entries[i+1].published
+		}
 	}
-	return h.entries[len(h.entries)-1].value, true
+	return now
 }
 
 // visible returns the value published last among those published at least lag
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -85,7 +85,8 @@
 }
 
 // PublishInstances publishes list. A revision of 0 is replaced by the next
-// one, a missing time by the present. It returns the revision.
+// one, a missing publication time by the present. A list without as_of is
+// answered with the last time at which it was true. It returns the revision.
 func (s *Server) PublishInstances(list *v1.InstanceList) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,31 +95,14 @@
 	if list.Revision == 0 {
 		list.Revision = s.lists.last() + 1
 	}
-	if list.AsOfUnixMs == 0 {
-		list.AsOfUnixMs = now.UnixMilli()
+	if list.PublishedUnixMs == 0 {
+		list.PublishedUnixMs = now.UnixMilli()
 	}
 	s.lists.add(list.Revision, list, now)
 	s.wakeLocked()
 	return list.Revision
 }
 
-// RefreshInstances publishes the last list anew with the present time, as the
-// platform does while nothing changes.
-func (s *Server) RefreshInstances() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	last, ok := s.lists.lastValue()
-	if !ok {
-		return
-	}
-	now := time.Now()
-	list := proto.CloneOf(last)
-	list.Revision++
-	list.AsOfUnixMs = now.UnixMilli()
-	s.lists.add(list.Revision, list, now)
-	s.wakeLocked()
-}
-
 // SetFaults replaces the faults.
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
@@ -227,8 +211,18 @@
 		if !ok || entry.revision <= after {
 			return nil, false, wake
 		}
-		return entry.value, true, wake
+		return asOf(entry.value, s.lists.validUntil(entry.revision, now.Add(-s.lag()))), true, wake
+	}
+}
+
+// asOf returns the list with the time at which it was true.
+func asOf(list *v1.InstanceList, at time.Time) *v1.InstanceList {
+	if list.AsOfUnixMs > 0 {
+		return list
 	}
+	list = proto.CloneOf(list)
+	list.AsOfUnixMs = at.UnixMilli()
+	return list
 }
 
 func (s *Server) lag() time.Duration {
