Count callers' requests that are passed on apart from control

Ruled out: messages that are not coalesced: entry and scheduler batches are 22 and 13 B a request at an entry router. Change: connections are of a kind, known from their first call; the report counts connections that carry control.

--- a/internal/standin/load/client.go
+++ b/internal/standin/load/client.go
@@ -112,15 +112,20 @@
 
 // readOutcome returns the outcome that the headers of an answer tell.
 func readOutcome(resp *http.Response) outcome {
-	o := outcome{ran: resp.Header.Get(ranHeader), retryAfter: readRetryAfter(resp)}
-	number, name, found := strings.Cut(resp.Header.Get(codeHeader), " ")
+	o := outcome{name: nameHTTP + strconv.Itoa(resp.StatusCode), retryAfter: readRetryAfter(resp)}
+	o.readResult(resp.Header)
+	return o
+}
+
+// readResult takes the result from headers or trailers, if they carry one.
+func (o *outcome) readResult(header http.Header) {
+	number, name, found := strings.Cut(header.Get(codeHeader), " ")
 	code, err := strconv.ParseUint(number, 10, 32)
 	if !found || err != nil {
-		o.name = nameHTTP + strconv.Itoa(resp.StatusCode)
-		return o
+		return
 	}
 	o.code, o.name = uint32(code), name
-	return o
+	o.ran = header.Get(ranHeader)
 }
 
 func readRetryAfter(resp *http.Response) time.Duration {
--- a/internal/standin/load/model.go
+++ b/internal/standin/load/model.go
@@ -89,6 +89,11 @@
 	case !result.served() || resp.StatusCode != http.StatusOK:
 	case c.request.Stream:
 		result = g.readStream(ctx, c, resp, result)
+		if result.served() {
+			// Trailers are there once the body was read to its end.
+			_, _ = io.Copy(io.Discard, resp.Body)
+			result.readResult(resp.Trailer)
+		}
 	default:
 		result = g.readWhole(ctx, c, resp, result)
 	}
--- a/internal/standin/load/status.go
+++ b/internal/standin/load/status.go
@@ -55,11 +55,16 @@
 	return status, options.Unmarshal(body, status)
 }
 
-// controlBytes sums up the bytes of control messages by direction.
+// controlConnection names the bytes on connections that carry control alone.
+const controlConnection = "connection"
+
+// controlBytes returns the bytes of control traffic by direction.
 func controlBytes(status *v1.RouterStatus) map[string]uint64 {
 	sums := map[string]uint64{}
 	for _, c := range status.GetControl() {
-		sums[c.Direction] += c.Bytes
+		if c.Message == controlConnection {
+			sums[c.Direction] += c.Bytes
+		}
 	}
 	return sums
 }
--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -107,7 +107,7 @@
 	if !ok {
 		return nil, fmt.Errorf("router %s is not known", owner.Name)
 	}
-	return dial(ctx, address, c.timing.Dial, c.traffic)
+	return dial(ctx, address, c.timing.Dial, c.traffic, kindData)
 }
 
 // call runs fn on the kept connection to address, or on a new one when the
@@ -129,7 +129,7 @@
 	ctx, cancel := context.WithTimeout(ctx, unaryTimeout)
 	defer cancel()
 	if kept.conn == nil {
-		conn, err := dial(ctx, address, c.timing.Dial, c.traffic)
+		conn, err := dial(ctx, address, c.timing.Dial, c.traffic, kindControl)
 		if err != nil {
 			return err
 		}
--- a/router/internal/peer/scheduling.go
+++ b/router/internal/peer/scheduling.go
@@ -79,7 +79,7 @@
 }
 
 func (l *remoteLink) serve(ctx context.Context, member state.Member, receiver broker.Receiver) error {
-	conn, err := dial(ctx, member.PeerAddress, l.dialer.Timing.Dial, l.dialer.Traffic)
+	conn, err := dial(ctx, member.PeerAddress, l.dialer.Timing.Dial, l.dialer.Traffic, kindControl)
 	if err != nil {
 		return fmt.Errorf("dial %s: %w", member.Name, err)
 	}
--- a/router/internal/peer/server.go
+++ b/router/internal/peer/server.go
@@ -69,7 +69,7 @@
 	if err := v1.DRPCRegisterPeering(mux, s); err != nil {
 		return err
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+	server := drpcserver.NewWithOptions(countingHandler{mux}, drpcserver.Options{
 		Manager: managerOptions(),
 		Log: func(err error) {
 			level.Debug(s.opts.Logger).Log("event", "peer_connection_failed", "error", err)
--- a/router/internal/telemetry/metrics.go
+++ b/router/internal/telemetry/metrics.go
@@ -58,7 +58,7 @@
 		delivered:     counterVec("delivered_cost_total", "Cost units delivered to a workspace.", "workspace", "pool"),
 		controlBytes:  counterVec("control_message_bytes_total", "Bytes of messages between routers by type.", "message", "direction"),
 		controlCount:  counterVec("control_messages_total", "Messages between routers by type.", "message", "direction"),
-		connBytes:     counterVec("control_connection_bytes_total", "Bytes on connections between routers.", "direction"),
+		connBytes:     counterVec("connection_bytes_total", "Bytes on connections between routers: control, or requests that are passed on (forwarding).", "kind", "direction"),
 		platformCalls: counterVec("platform_calls_total", "Calls of the platform by outcome.", "resource", "outcome"),
 		rejected: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "rejected_configurations_total", Help: "Published configurations that were not accepted.",
@@ -133,15 +133,19 @@
 }
 
 // Bytes implements peer.Traffic.
-func (m *Metrics) Bytes(sent, received int) {
+func (m *Metrics) Bytes(sent, received int, data bool) {
+	kind := "connection"
+	if data {
+		kind = "forwarding"
+	}
 	if sent > 0 {
-		m.connBytes.WithLabelValues("sent").Add(float64(sent))
+		m.connBytes.WithLabelValues(kind, "sent").Add(float64(sent))
+		m.addControl(controlKey{kind, "sent"}, sent)
 	}
 	if received > 0 {
-		m.connBytes.WithLabelValues("received").Add(float64(received))
+		m.connBytes.WithLabelValues(kind, "received").Add(float64(received))
+		m.addControl(controlKey{kind, "received"}, received)
 	}
-	m.addControl(controlKey{"connection", "sent"}, sent)
-	m.addControl(controlKey{"connection", "received"}, received)
 }
 
 // Message implements peer.Traffic.
