Test the pool scheduler under faults; void answers to a replaced stream

Cause: a Refuse or Grant of a timer that fired in the step of RouterJoined was emitted beside the join and would have travelled on the new stream, where the router sends the demand again. Sequence numbers that ended on the old stream were refused on the new one. Ruled out: raising the ring of ended numbers, which does not help a re-sent one. Change: RouterJoined drops the step's earlier actions for the router and clears its ring. Property tests with a model fleet in virtual time: lost, doubled, late, reordered messages, restarts, pauses, moves between two schedulers.

--- /dev/null
+++ b/pool/check_test.go
@@ -0,0 +1,92 @@
+package pool
+
+import (
+	"fmt"
+	"slices"
+)
+
+// checkAnswer fails when a demand is answered twice on one stream.
+func (m *model) checkAnswer(s *Scheduler, id DemandID) {
+	for _, r := range m.routers {
+		if r.id != id.Router {
+			continue
+		}
+		key := fmt.Sprintf("%p %v %d", s, id, r.epoch)
+		if m.answered[key] {
+			m.failf("demand %v answered twice on stream %d", id, r.epoch)
+		}
+		m.answered[key] = true
+	}
+}
+
+// overAdmits tells whether the event reports work that runs already, so that a
+// target may get busier than its slots in the same step.
+func overAdmits(e Event) bool {
+	switch e.(type) {
+	case RouterJoined, SpareUsed:
+		return true
+	}
+	return false
+}
+
+// checkGrant fails when the target may not get the work.
+func (m *model) checkGrant(s *Scheduler, g Grant, overAdmits bool) {
+	t := s.targets[g.Target]
+	if t.Leaving || !t.known || t.free() < 0 && !overAdmits {
+		m.failf("grant on target %+v with %d busy and %d spare", t.Target, t.busy, t.spares)
+	}
+}
+
+// checkScheduler fails when indexes disagree, or when a free slot coexists
+// with a waiting demand that may use it.
+func (m *model) checkScheduler(s *Scheduler) {
+	busy := map[*target]int{}
+	var waiting []*demand
+	for _, r := range s.routers {
+		for _, d := range r.demands {
+			if d.granted() {
+				busy[d.target]++
+			} else {
+				waiting = append(waiting, d)
+			}
+		}
+	}
+	if len(waiting) != s.waiting {
+		m.failf("%d demands wait, counted %d", len(waiting), s.waiting)
+	}
+	for _, t := range s.targets {
+		if t.busy != busy[t] {
+			m.failf("target %d has %d busy slots, counted %d", t.ID, busy[t], t.busy)
+		}
+	}
+	for _, d := range waiting {
+		if !s.counters.Backlogged(d.workspace.ID) {
+			m.failf("workspace %d waits and is not backlogged", d.workspace.ID)
+		}
+		m.checkConserving(s, d)
+	}
+}
+
+func (m *model) checkConserving(s *Scheduler, d *demand) {
+	for _, t := range s.targets {
+		if t.free() > 0 && mayUse(s, d, t) {
+			m.failf("target %d has %d free slots while %v waits", t.ID, t.free(), d.id)
+		}
+	}
+	revoked := len(s.spares.byID) - len(s.spares.usable)
+	for _, sp := range s.spares.usable {
+		if revoked < s.waiting && mayUse(s, d, sp.target) {
+			m.failf("spare %d is not revoked while %v waits", sp.id, d.id)
+		}
+	}
+}
+
+// mayUse restates the rule of which targets a demand may use.
+func mayUse(s *Scheduler, d *demand, t *target) bool {
+	w := d.workspace
+	side := w.DataCentre == "" || w.DataCentre == t.DataCentre
+	health := t.reach[d.router.zone]
+	reached := health == nil || health.breaker.Ready(s.now)
+	excluded := slices.Contains(d.class.exclude, t.ID)
+	return t.known && !t.Leaving && side && !excluded && reached && t.breaker.Ready(s.now)
+}
--- /dev/null
+++ b/pool/model_test.go
@@ -0,0 +1,394 @@
+package pool
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/chiveseam/chiveseam/config"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const modelTick = 10 * time.Millisecond
+
+// modelFaults are probabilities: per message, or per tick.
+type modelFaults struct {
+	loss, double, late           float64
+	restart, pause, rejoin, move float64
+	outcome, report, leave       float64
+	maxDelay                     time.Duration
+}
+
+type modelDemand struct {
+	Demand
+	cost       int64
+	running    bool
+	target     config.ID
+	start, end time.Time
+	reported   int64
+	outcome    v1.Outcome
+}
+
+// progress is the cost that was delivered by now.
+func (d *modelDemand) progress(now time.Time) int64 {
+	if !d.running {
+		return 0
+	}
+	part := float64(now.Sub(d.start)) / float64(d.end.Sub(d.start))
+	return int64(min(part, 1) * float64(d.cost))
+}
+
+type modelRouter struct {
+	id       Router
+	zone     string
+	home     int
+	epoch    int
+	seq      uint64
+	open     map[uint64]*modelDemand
+	counters map[config.ID]Counter
+	spares   map[uint64]time.Time
+	lost     bool
+}
+
+type message struct {
+	at     time.Time
+	router *modelRouter
+	epoch  int
+	event  Event
+	action Action
+	count  Counter
+}
+
+// model is a fleet of routers around schedulers, in virtual time.
+type model struct {
+	rng        *rand.Rand
+	faults     modelFaults
+	options    Options
+	now        time.Time
+	schedulers []*Scheduler
+	pausedTo   []time.Time
+	routers    []*modelRouter
+	targets    []Target
+	workspaces []Workspace
+	meanCost   func(config.ID) int64
+	messages   []message
+	delivered  map[config.ID]int64
+	ended      map[DemandID]string
+	answered   map[string]bool
+	restarts   int
+	started    map[config.ID]int
+	failures   []string
+}
+
+func newModel(seed uint64, schedulers, routers int, o Options, f modelFaults, targets []Target, workspaces []Workspace) *model {
+	m := &model{
+		rng:        rand.New(rand.NewPCG(seed, seed)),
+		faults:     f,
+		options:    o,
+		now:        time.Unix(1e9, 0),
+		targets:    targets,
+		workspaces: workspaces,
+		meanCost:   func(config.ID) int64 { return 100 },
+		delivered:  map[config.ID]int64{},
+		ended:      map[DemandID]string{},
+		answered:   map[string]bool{},
+		started:    map[config.ID]int{},
+	}
+	for i := range schedulers {
+		m.schedulers = append(m.schedulers, nil)
+		m.pausedTo = append(m.pausedTo, time.Time{})
+		m.restart(i)
+	}
+	for i := range routers {
+		r := &modelRouter{
+			id:       Router{Name: fmt.Sprint("r", i), Incarnation: 1},
+			zone:     fmt.Sprint("z", i%2),
+			home:     i % schedulers,
+			open:     map[uint64]*modelDemand{},
+			counters: map[config.ID]Counter{},
+			spares:   map[uint64]time.Time{},
+		}
+		m.routers = append(m.routers, r)
+		m.join(r)
+	}
+	return m
+}
+
+func (m *model) failf(format string, args ...any) {
+	m.failures = append(m.failures, fmt.Sprintf(format, args...))
+}
+
+func (m *model) chance(p float64) bool { return m.rng.Float64() < p }
+
+// restart replaces a scheduler by an empty one.
+func (m *model) restart(i int) {
+	o := m.options
+	o.Seed = m.rng.Uint64()
+	m.schedulers[i] = New(o)
+	m.restarts++
+	m.step(i, TargetsChanged{Targets: slices.Clone(m.targets)})
+	m.step(i, WorkspacesChanged{Workspaces: m.workspaces})
+	for _, r := range m.routers {
+		if r.home == i {
+			m.join(r)
+		}
+	}
+}
+
+// join opens a new stream from r to its scheduler and sends what r holds.
+func (m *model) join(r *modelRouter) {
+	r.epoch++
+	r.lost = false
+	clear(r.spares)
+	e := RouterJoined{Router: r.id, Zone: r.zone}
+	for _, c := range r.counters {
+		e.Counters = append(e.Counters, c)
+	}
+	open := r.sorted()
+	for _, d := range open {
+		if d.running {
+			charged := d.progress(m.now)
+			e.InFlight = append(e.InFlight, InFlight{d.ID, d.Workspace, d.target, charged})
+		}
+	}
+	m.step(r.home, e)
+	for _, d := range open {
+		if !d.running {
+			m.send(r, d.Demand)
+		}
+	}
+}
+
+func (r *modelRouter) sorted() []*modelDemand {
+	demands := make([]*modelDemand, 0, len(r.open))
+	for _, d := range r.open {
+		demands = append(demands, d)
+	}
+	slices.SortFunc(demands, func(a, b *modelDemand) int { return int(a.ID.Seq) - int(b.ID.Seq) })
+	return demands
+}
+
+func (m *model) delay() time.Time {
+	return m.now.Add(time.Duration(m.rng.Int64N(int64(m.faults.maxDelay) + 1)))
+}
+
+// send puts an event of r on the network.
+func (m *model) send(r *modelRouter, e Event) {
+	m.post(message{router: r, epoch: r.epoch, event: e})
+}
+
+func (m *model) post(msg message) {
+	for copies := 1; copies > 0; copies-- {
+		if m.chance(m.faults.double) {
+			copies++
+		}
+		if !m.chance(m.faults.loss) {
+			msg.at = m.delay()
+			m.messages = append(m.messages, msg)
+		}
+	}
+}
+
+// step feeds a scheduler and sends its actions to the routers.
+func (m *model) step(i int, e Event) {
+	s := m.schedulers[i]
+	for _, a := range s.Step(m.now, e) {
+		switch a := a.(type) {
+		case Grant:
+			m.checkAnswer(s, a.ID)
+			m.checkGrant(s, a, overAdmits(e))
+		case Refuse:
+			m.checkAnswer(s, a.ID)
+		}
+		for _, r := range m.routers {
+			if r.id == recipient(a) && r.home == i {
+				m.post(message{router: r, epoch: r.epoch, action: a, count: m.counterOf(s, r, a)})
+			}
+		}
+	}
+	m.checkScheduler(s)
+}
+
+// counterOf returns the counter that travels with a grant.
+func (m *model) counterOf(s *Scheduler, r *modelRouter, a Action) Counter {
+	if g, ok := a.(Grant); ok && r.open[g.ID.Seq] != nil {
+		return s.Counter(r.open[g.ID.Seq].Workspace)
+	}
+	return Counter{}
+}
+
+// deliver hands over the messages that are due, in the order of the network.
+func (m *model) deliver() {
+	var later, due []message
+	for _, msg := range m.messages {
+		waits := msg.event != nil && m.now.Before(m.pausedTo[msg.router.home])
+		if msg.at.After(m.now) || waits {
+			later = append(later, msg)
+		} else {
+			due = append(due, msg)
+		}
+	}
+	m.messages = later
+	for _, msg := range due {
+		current := msg.epoch == msg.router.epoch && !msg.router.lost
+		switch {
+		case msg.event != nil && (current || m.chance(m.faults.late)):
+			m.step(msg.router.home, msg.event)
+		case msg.action != nil && current:
+			m.receive(msg.router, msg.action, msg.count)
+		}
+	}
+}
+
+// receive is the router's part of the protocol.
+func (m *model) receive(r *modelRouter, a Action, c Counter) {
+	switch a := a.(type) {
+	case Grant:
+		d := r.open[a.ID.Seq]
+		if d == nil {
+			m.send(r, Done{ID: a.ID, Outcome: v1.Outcome_NOT_RUN})
+			return
+		}
+		r.counters[c.Workspace] = c
+		if !d.running {
+			m.run(d, a.Target)
+		}
+	case Refuse:
+		if d := r.open[a.ID.Seq]; d != nil && !d.running {
+			m.end(r, d, "refused")
+		}
+	case HandSpare:
+		r.spares[a.Spare] = a.Expires
+	case RevokeSpare:
+		if _, ok := r.spares[a.Spare]; ok {
+			delete(r.spares, a.Spare)
+			m.send(r, SpareReturned{Router: r.id, Spare: a.Spare})
+		}
+	}
+}
+
+func (m *model) run(d *modelDemand, target config.ID) {
+	speed := 1.0
+	for _, t := range m.targets {
+		if t.ID == target {
+			speed = t.Speed
+		}
+	}
+	d.running = true
+	d.target = target
+	d.start = m.now
+	d.end = m.now.Add(time.Duration(float64(d.cost)/speed)*time.Millisecond + 1)
+	m.started[d.Workspace]++
+	d.outcome = v1.Outcome_SERVED
+	if m.chance(m.faults.outcome) {
+		d.outcome = v1.Outcome(2 + m.rng.IntN(3))
+	}
+}
+
+func (m *model) end(r *modelRouter, d *modelDemand, how string) {
+	if before, ok := m.ended[d.ID]; ok {
+		m.failf("demand %v ended twice: %s, %s", d.ID, before, how)
+	}
+	m.ended[d.ID] = how
+	delete(r.open, d.ID.Seq)
+}
+
+// submit makes a demand at r, on a spare slot if there is one.
+func (m *model) submit(r *modelRouter, w Workspace, wait time.Duration) *modelDemand {
+	r.seq++
+	mean := m.meanCost(w.ID)
+	d := &modelDemand{cost: 1 + m.rng.Int64N(2*mean)}
+	d.Demand = Demand{
+		ID:        DemandID{r.id, r.seq},
+		Workspace: w.ID,
+		Deadline:  m.now.Add(wait),
+		Prefix:    m.rng.Uint32N(5),
+		BodyBytes: 10,
+	}
+	r.open[r.seq] = d
+	for _, spare := range slices.Sorted(maps.Keys(r.spares)) {
+		expires := r.spares[spare]
+		delete(r.spares, spare)
+		if expires.After(m.now) {
+			m.run(d, config.ID(spare>>spareTargetShift))
+			m.send(r, SpareUsed{spare, d.Demand})
+			return d
+		}
+	}
+	m.send(r, d.Demand)
+	return d
+}
+
+// advance lets one tick pass at routers and schedulers.
+func (m *model) advance() {
+	m.now = m.now.Add(modelTick)
+	m.disturb()
+	for _, r := range m.routers {
+		for _, d := range r.sorted() {
+			m.serve(r, d)
+		}
+	}
+	m.deliver()
+	for i, s := range m.schedulers {
+		at, ok := s.NextTick()
+		if ok && !at.After(m.now) && !m.now.Before(m.pausedTo[i]) {
+			m.step(i, Tick{})
+		}
+	}
+}
+
+// serve advances one demand at its router.
+func (m *model) serve(r *modelRouter, d *modelDemand) {
+	switch {
+	case !d.running && m.now.After(d.Deadline.Add(time.Second)):
+		m.end(r, d, "expired")
+		m.send(r, Cancel{ID: d.ID})
+	case !d.running:
+	case !d.end.After(m.now):
+		m.delivered[d.Workspace] += d.cost
+		m.end(r, d, "granted")
+		m.send(r, Done{ID: d.ID, Cost: d.cost, Outcome: d.outcome, ServiceTime: d.end.Sub(d.start)})
+	case d.progress(m.now) >= d.reported+50:
+		d.reported = d.progress(m.now)
+		m.send(r, Progress{ID: d.ID, Cost: d.reported})
+	}
+}
+
+// disturb brings about the faults that are not of single messages.
+func (m *model) disturb() {
+	for i := range m.schedulers {
+		if m.chance(m.faults.restart) {
+			m.restart(i)
+		}
+		if m.chance(m.faults.pause) {
+			m.pausedTo[i] = m.now.Add(time.Duration(m.rng.IntN(3000)) * time.Millisecond)
+		}
+		if m.chance(m.faults.leave) {
+			t := &m.targets[m.rng.IntN(len(m.targets))]
+			t.Leaving = !t.Leaving
+			m.step(i, TargetsChanged{Targets: slices.Clone(m.targets)})
+		}
+	}
+	for _, r := range m.routers {
+		if m.chance(m.faults.report) {
+			t := m.targets[m.rng.IntN(len(m.targets))]
+			m.send(r, TargetReport{r.id, t.ID, m.chance(0.5)})
+		}
+		switch {
+		case r.lost && m.chance(0.05):
+			m.join(r)
+		case m.chance(m.faults.rejoin):
+			r.lost = true
+			m.step(r.home, RouterLost{Router: r.id})
+		case m.chance(m.faults.move):
+			old := r.home
+			r.home = m.rng.IntN(len(m.schedulers))
+			m.join(r)
+			if old != r.home {
+				m.step(old, RouterLost{Router: r.id})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pool/property_test.go
@@ -0,0 +1,346 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/fairshare"
+	_ "github.com/chiveseam/chiveseam/internal/fixedseed"
+)
+
+func drawTargets(t *rapid.T, sides bool) []Target {
+	targets := make([]Target, rapid.IntRange(1, 5).Draw(t, "targets"))
+	for i := range targets {
+		targets[i] = Target{
+			ID:    config.ID(100 + i),
+			Zone:  fmt.Sprint("z", i%2),
+			Slots: rapid.IntRange(1, 6).Draw(t, "slots"),
+			Speed: rapid.Float64Range(0.3, 2).Draw(t, "speed"),
+		}
+		if sides {
+			targets[i].DataCentre = fmt.Sprint("dc", i%2)
+		}
+	}
+	return targets
+}
+
+func drawWorkspaces(t *rapid.T, least int, sides bool) []Workspace {
+	workspaces := make([]Workspace, rapid.IntRange(least, 6).Draw(t, "workspaces"))
+	for i := range workspaces {
+		workspaces[i] = Workspace{
+			ID:        config.ID(1 + i),
+			Share:     uint32(rapid.IntRange(1, 4).Draw(t, "share")),
+			MaxQueued: 50,
+		}
+		if sides && i%3 > 0 {
+			workspaces[i].DataCentre = fmt.Sprint("dc", i%3-1)
+		}
+	}
+	return workspaces
+}
+
+// TestFaults checks that each demand ends once, that no usable slot is free
+// while a demand waits, and that nothing is left behind, under all faults.
+func TestFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		faults := modelFaults{
+			loss: 0.02, double: 0.05, late: 0.3, restart: 0.003, pause: 0.003, rejoin: 0.01,
+			move: 0.005, outcome: 0.1, report: 0.01, leave: 0.005, maxDelay: 300 * time.Millisecond,
+		}
+		o := Options{
+			InitialCost: 100, HoldTime: time.Second, MaxService: 5 * time.Second,
+			MaxSpares: rapid.IntRange(0, 3).Draw(t, "spares"), SpareTTL: 500 * time.Millisecond,
+		}
+		schedulers := rapid.IntRange(1, 2).Draw(t, "schedulers")
+		m := newModel(rapid.Uint64().Draw(t, "seed"), schedulers, 4, o, faults,
+			drawTargets(t, true), drawWorkspaces(t, 1, true))
+		for range 400 {
+			for _, r := range m.routers {
+				if m.chance(0.15) {
+					w := m.workspaces[m.rng.IntN(len(m.workspaces))]
+					wait := time.Duration(m.rng.IntN(2000)) * time.Millisecond
+					d := m.submit(r, w, wait)
+					if m.chance(0.1) && !d.running {
+						m.send(r, Cancel{ID: d.ID})
+						m.end(r, d, "cancelled")
+					}
+				}
+			}
+			m.advance()
+		}
+		m.drain(t)
+	})
+}
+
+// drain stops the faults and checks that everything comes to an end.
+func (m *model) drain(t *rapid.T) {
+	m.faults = modelFaults{}
+	for _, r := range m.routers {
+		m.join(r)
+	}
+	for range 700 {
+		m.advance()
+	}
+	for _, failure := range m.failures {
+		t.Fatal(failure)
+	}
+	for _, r := range m.routers {
+		if len(r.open) > 0 {
+			t.Fatalf("%v holds %d demands", r.id, len(r.open))
+		}
+		if uint64(len(m.ended)) == 0 && r.seq > 0 {
+			t.Fatal("no demand ended")
+		}
+	}
+	for _, s := range m.schedulers {
+		status := s.Status()
+		if status.Queued != 0 || status.SpareSlots != 0 {
+			t.Fatalf("left over: %+v", status)
+		}
+		for _, target := range status.Targets {
+			if target.Busy != 0 {
+				t.Fatalf("target left busy: %+v", target)
+			}
+		}
+	}
+}
+
+// load keeps each workspace backlogged at each router.
+func (m *model) load(depth int) {
+	for _, r := range m.routers {
+		waiting := map[config.ID]int{}
+		for _, d := range r.open {
+			if !d.running {
+				waiting[d.Workspace]++
+			}
+		}
+		for _, w := range m.workspaces {
+			for range depth - waiting[w.ID] {
+				m.submit(r, w, time.Hour)
+			}
+		}
+	}
+}
+
+// gapTerms are the terms of the bound in package fairshare, for one workspace.
+type gapTerms struct{ e, m, p, r, x int64 }
+
+// gapWatch records the terms and the course of the service gap.
+type gapWatch struct {
+	terms   map[config.ID]*gapTerms
+	service map[config.ID][]float64
+	first   map[DemandID]int64
+	widest  float64
+}
+
+func newGapWatch(m *model) *gapWatch {
+	g := &gapWatch{
+		terms:   map[config.ID]*gapTerms{},
+		service: map[config.ID][]float64{},
+		first:   map[DemandID]int64{},
+	}
+	for _, w := range m.workspaces {
+		g.terms[w.ID] = &gapTerms{}
+	}
+	return g
+}
+
+// look records the state after a tick.
+func (g *gapWatch) look(m *model) {
+	held := map[config.ID]int64{}
+	for _, s := range m.schedulers {
+		for _, r := range s.routers {
+			for _, d := range r.demands {
+				if d.granted() {
+					held[d.workspace.ID]++
+					g.lookAt(m, d)
+				}
+			}
+		}
+	}
+	for _, w := range m.workspaces {
+		g.terms[w.ID].m = max(g.terms[w.ID].m, held[w.ID])
+		total := m.delivered[w.ID]
+		for _, r := range m.routers {
+			for _, d := range r.open {
+				if d.Workspace == w.ID {
+					total += d.progress(m.now)
+				}
+			}
+		}
+		g.service[w.ID] = append(g.service[w.ID], float64(total)/float64(w.Share))
+	}
+}
+
+func (g *gapWatch) lookAt(m *model, d *demand) {
+	terms := g.terms[d.workspace.ID]
+	charged := d.charge.Cost()
+	if _, ok := g.first[d.id]; !ok {
+		g.first[d.id] = charged
+		terms.e = max(terms.e, charged)
+	}
+	cost := 2 * m.meanCost(d.workspace.ID)
+	delivered := cost
+	for _, r := range m.routers {
+		if r.id != d.id.Router {
+			continue
+		}
+		if open := r.open[d.id.Seq]; open != nil {
+			delivered = open.progress(m.now)
+			cost = open.cost
+		}
+	}
+	terms.p = max(terms.p, cost-g.first[d.id])
+	terms.r = max(terms.r, g.first[d.id])
+	terms.x = max(terms.x, delivered-charged)
+}
+
+// d is D(f,g) of package fairshare in cost units at share 1.
+func (g *gapWatch) d(f, h Workspace) float64 {
+	tf, th := g.terms[f.ID], g.terms[h.ID]
+	return float64(tf.e+tf.m*tf.p)/float64(f.Share) + float64(th.m*th.r)/float64(h.Share)
+}
+
+// inFlight is the last term of the bound.
+func (g *gapWatch) inFlight(w Workspace) float64 {
+	terms := g.terms[w.ID]
+	return float64(terms.m*(terms.e+terms.x)) / float64(w.Share)
+}
+
+// check compares the largest gap over any interval with the bound, to which
+// extra is added.
+func (g *gapWatch) check(t *rapid.T, m *model, extra func(f, h Workspace) float64) {
+	for _, f := range m.workspaces {
+		for _, h := range m.workspaces {
+			low, high := 0.0, 0.0
+			for i := range g.service[f.ID] {
+				difference := g.service[f.ID][i] - g.service[h.ID][i]
+				low = min(low, difference)
+				high = max(high, difference)
+			}
+			bound := g.d(f, h) + g.d(h, f) + g.inFlight(f) + g.inFlight(h) + extra(f, h)
+			if high-low > bound {
+				t.Fatalf("gap %.0f of %d and %d exceeds %.0f", high-low, f.ID, h.ID, bound)
+			}
+			g.widest = max(g.widest, (high-low)/max(bound, 1))
+		}
+	}
+}
+
+// gapModel draws workspaces whose mean costs differ up to 16-fold.
+func gapModel(t *rapid.T, f modelFaults) *model {
+	m := newModel(rapid.Uint64().Draw(t, "seed"), 1, 3, Options{InitialCost: 100}, f,
+		drawTargets(t, false), drawWorkspaces(t, 2, false))
+	m.meanCost = func(id config.ID) int64 { return 10 << (id % 5) }
+	return m
+}
+
+// TestServiceGapBound checks the bound of package fairshare over all intervals
+// with messages delayed, reordered and doubled, and progress late.
+func TestServiceGapBound(t *testing.T) {
+	widest := 0.0
+	rapid.Check(t, func(t *rapid.T) {
+		m := gapModel(t, modelFaults{double: 0.05, maxDelay: 50 * time.Millisecond})
+		g := newGapWatch(m)
+		for range 20 {
+			m.load(10)
+			m.advance()
+			g.look(m)
+		}
+		clear(g.service)
+		for range 800 {
+			m.load(10)
+			m.advance()
+			g.look(m)
+			m.checkCounters(t, g)
+		}
+		g.check(t, m, func(f, h Workspace) float64 { return 0 })
+		widest = max(widest, g.widest)
+	})
+	t.Logf("largest gap is %.2f of the bound", widest)
+}
+
+// checkCounters checks that counters differ at most by D.
+func (m *model) checkCounters(t *rapid.T, g *gapWatch) {
+	s := m.schedulers[0]
+	for _, f := range m.workspaces {
+		for _, h := range m.workspaces {
+			if !s.counters.Backlogged(f.ID) || !s.counters.Backlogged(h.ID) {
+				t.Fatal("a workspace is not backlogged")
+			}
+			ahead := float64(s.counters.Value(f.ID)) - float64(s.counters.Value(h.ID))
+			if ahead/fairshare.Scale > g.d(f, h)+1 {
+				t.Fatalf("counter of %d leads that of %d by %.0f, bound %.0f",
+					f.ID, h.ID, ahead/fairshare.Scale, g.d(f, h))
+			}
+		}
+	}
+}
+
+// TestServiceGapBoundAfterRestart checks the bound when the scheduler is
+// rebuilt empty: each restart adds the requests in flight and MaxLead.
+func TestServiceGapBoundAfterRestart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := gapModel(t, modelFaults{maxDelay: 20 * time.Millisecond, restart: 0.004})
+		m.restarts = 0
+		g := newGapWatch(m)
+		for range 800 {
+			m.load(10)
+			m.advance()
+			g.look(m)
+		}
+		g.check(t, m, func(f, h Workspace) float64 {
+			perRestart := g.inFlight(f) + g.inFlight(h) + 2*g.d(f, h) + 16*100
+			return float64(m.restarts) * perRestart
+		})
+	})
+}
+
+// TestNobodyStarves checks that a workspace which sends one demand at a time
+// beside a flood waits at most for the bound on the gap.
+func TestNobodyStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.Uint64().Draw(t, "seed"), 1, 2, Options{InitialCost: 100},
+			modelFaults{maxDelay: 20 * time.Millisecond}, drawTargets(t, false), drawWorkspaces(t, 2, false))
+		small, flood := m.workspaces[0], m.workspaces[1:]
+		// A request costs at most 200, and the slowest slot serves 0.3 a ms. All
+		// requests granted before, and one for each flood, may come first.
+		longest := time.Duration(float64(200*(2+len(flood))*4)/0.3) * time.Millisecond
+		m.workspaces = flood
+		var d *modelDemand
+		served := 0
+		for range 800 {
+			m.load(15)
+			if d == nil || m.ended[d.ID] != "" {
+				d = m.submit(m.routers[0], small, time.Hour)
+				served++
+			}
+			m.advance()
+			if waited := d.Deadline.Add(-time.Hour); !d.running && m.now.Sub(waited) > longest {
+				t.Fatalf("waited %v", m.now.Sub(waited))
+			}
+		}
+		if served < 2 {
+			t.Fatal("no demand of the small workspace was served")
+		}
+	})
+}
+
+func TestModelIsDeterministic(t *testing.T) {
+	is := is.New(t)
+	run := func() uint64 {
+		m := newModel(7, 1, 3, Options{MaxSpares: 2}, modelFaults{loss: 0.01, restart: 0.01},
+			[]Target{{ID: 100, Slots: 3, Speed: 1}}, []Workspace{{ID: 1, Share: 1}, {ID: 2, Share: 2}})
+		for range 300 {
+			m.load(3)
+			m.advance()
+		}
+		return m.schedulers[0].granted
+	}
+	is.Equal(run(), run())
+}
--- a/pool/router.go
+++ b/pool/router.go
@@ -61,8 +61,11 @@
 		s.loseRouter(current)
 	}
 	r := s.router(e.Router)
+	s.dropActions(r.Router)
 	r.zone = e.Zone
 	r.joined = true
+	r.endedLen = 0
+	r.endedNext = 0
 	s.incarnations[r.Name] = r
 	s.dropWaiting(r)
 	s.dropSpares(r)
@@ -70,6 +73,29 @@
 	s.counters.Merge(fromCounters(e.Counters))
 }
 
+// dropActions drops what this step already has for r: it was meant for the
+// earlier stream, and must not travel on the new one.
+func (s *Scheduler) dropActions(r Router) {
+	s.actions = slices.DeleteFunc(s.actions, func(a Action) bool {
+		return recipient(a) == r
+	})
+}
+
+// recipient returns the router that an action is for.
+func recipient(a Action) Router {
+	switch a := a.(type) {
+	case Grant:
+		return a.ID.Router
+	case Refuse:
+		return a.ID.Router
+	case HandSpare:
+		return a.Router
+	case RevokeSpare:
+		return a.Router
+	}
+	return Router{}
+}
+
 // router returns the state of a router's incarnation.
 func (s *Scheduler) router(id Router) *router {
 	r := s.routers[id]
