--- /dev/null
+++ b/quarantine/book.go
@@ -0,0 +1,201 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// Book is one router's knowledge of suspects. It is not safe for concurrent
+// use.
+type Book struct {
+	self    string
+	opts    Options
+	entries map[Digest]*entry
+	// inFlight counts the runs in progress, of suspects or not.
+	inFlight map[Digest]int
+}
+
+// entry is one suspect.
+type entry struct {
+	// lost holds the targets that count against the request.
+	lost map[Target]struct{}
+	// pardoned holds the targets whose loss was before a whole answer.
+	pardoned map[Target]struct{}
+	expires  time.Time
+	// announced is when this router announced a run; zero means never.
+	announced time.Time
+	// wanted is when Begin was last called for the announcement.
+	wanted time.Time
+	peers  map[string]peerState
+}
+
+// peerState is a peer's last word about a suspect.
+type peerState struct {
+	running bool
+	// until is how long the word is believed.
+	until time.Time
+}
+
+// New returns an empty Book of the router named self.
+func New(self string, opts Options) *Book {
+	return &Book{
+		self:     self,
+		opts:     opts.withDefaults(),
+		entries:  map[Digest]*entry{},
+		inFlight: map[Digest]int{},
+	}
+}
+
+// Begin decides whether a request may be sent to a target now.
+func (b *Book) Begin(now time.Time, digest Digest) Decision {
+	e := b.live(now, digest)
+	switch {
+	case e == nil || len(e.lost) == 0:
+		b.inFlight[digest]++
+		return Decision{Action: Run}
+	case len(e.lost) >= LossLimit:
+		return Decision{Action: Refuse, Code: v1.Code_QUARANTINED, RetryAfter: e.expires.Sub(now)}
+	case b.inFlight[digest] > 0:
+		return Decision{Action: Wait, RetryAfter: b.opts.Settle}
+	}
+	d := b.announce(now, e)
+	if d.Action == Run {
+		b.inFlight[digest]++
+	}
+	return d
+}
+
+// announce asks for the only place of a suspect. The announcement lapses when
+// Begin is not called again.
+func (b *Book) announce(now time.Time, e *entry) Decision {
+	if b.peerBefore(now, e) {
+		e.announced = time.Time{}
+		return Decision{Action: Wait, RetryAfter: b.opts.Settle}
+	}
+	lapsed := now.Sub(e.wanted) > 2*b.opts.Settle
+	if e.announced.IsZero() || lapsed {
+		e.announced = now
+	}
+	e.wanted = now
+	if left := e.announced.Add(b.opts.Settle).Sub(now); left > 0 {
+		return Decision{Action: Wait, RetryAfter: left}
+	}
+	return Decision{Action: Run, Suspect: true}
+}
+
+// peerBefore reports whether a peer runs the suspect or has announced it with
+// precedence: before this router did, or with a lesser name.
+func (b *Book) peerBefore(now time.Time, e *entry) bool {
+	for peer, state := range e.peers {
+		if !now.Before(state.until) {
+			delete(e.peers, peer)
+			continue
+		}
+		if state.running || e.announced.IsZero() || peer < b.self {
+			return true
+		}
+	}
+	return false
+}
+
+// Lost records that a target was lost with the request in flight on it.
+func (b *Book) Lost(now time.Time, digest Digest, target Target) {
+	b.left(digest)
+	e := b.live(now, digest)
+	if e == nil {
+		e = b.add(now, digest)
+	}
+	e.lost[target] = struct{}{}
+	delete(e.pardoned, target)
+	e.expires = now.Add(b.opts.Lifetime)
+	e.announced = time.Time{}
+}
+
+// Answered records that a target answered the request in full; it clears a
+// suspect.
+func (b *Book) Answered(now time.Time, digest Digest) {
+	b.left(digest)
+	e := b.live(now, digest)
+	if e == nil {
+		return
+	}
+	e.announced = time.Time{}
+	if len(e.lost) < LossLimit {
+		e.pardon(slices.Collect(maps.Keys(e.lost)))
+	}
+}
+
+// Ended records that the request left its target without blame or proof of
+// innocence, such as when the caller went away.
+func (b *Book) Ended(now time.Time, digest Digest) {
+	b.left(digest)
+	if e := b.live(now, digest); e != nil {
+		e.announced = time.Time{}
+	}
+}
+
+// Len returns the number of entries.
+func (b *Book) Len() int {
+	return len(b.entries)
+}
+
+// left ends one run of a request.
+func (b *Book) left(digest Digest) {
+	b.inFlight[digest]--
+	if b.inFlight[digest] <= 0 {
+		delete(b.inFlight, digest)
+	}
+}
+
+// pardon keeps the losses of targets from counting, also when a peer that has
+// not heard of the answer reports them again.
+func (e *entry) pardon(targets []Target) {
+	for _, t := range targets {
+		delete(e.lost, t)
+		if len(e.pardoned) < maxTargets {
+			e.pardoned[t] = struct{}{}
+		}
+	}
+}
+
+func (b *Book) live(now time.Time, digest Digest) *entry {
+	e := b.entries[digest]
+	if e != nil && !now.Before(e.expires) {
+		delete(b.entries, digest)
+		return nil
+	}
+	return e
+}
+
+func (b *Book) add(now time.Time, digest Digest) *entry {
+	if len(b.entries) >= b.opts.MaxEntries {
+		b.makeRoom(now)
+	}
+	e := &entry{
+		lost:     map[Target]struct{}{},
+		pardoned: map[Target]struct{}{},
+		expires:  now.Add(b.opts.Lifetime),
+		peers:    map[string]peerState{},
+	}
+	b.entries[digest] = e
+	return e
+}
+
+// makeRoom drops what has expired, or else the entry that expires first.
+func (b *Book) makeRoom(now time.Time) {
+	maps.DeleteFunc(b.entries, func(_ Digest, e *entry) bool { return !now.Before(e.expires) })
+	if len(b.entries) < b.opts.MaxEntries {
+		return
+	}
+	var first Digest
+	var found *entry
+	for digest, e := range b.entries {
+		if found == nil || e.expires.Before(found.expires) {
+			first, found = digest, e
+		}
+	}
+	delete(b.entries, first)
+}
--- /dev/null
+++ b/quarantine/book_test.go
@@ -0,0 +1,128 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/chiveseam/chiveseam/internal/fixedseed"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func TestRefusedEverywhereAfterTwoTargets(t *testing.T) {
+	is := is.New(t)
+	a, b := New("a", Options{}), New("b", Options{})
+	is.Equal(a.Begin(start, 7).Action, Run)
+	a.Lost(start, 7, 1)
+	b.Merge(start, "a", a.Snapshot(start))
+	is.Equal(b.Begin(start, 7).Action, Wait)
+	settled := start.Add(DefaultSettle)
+	d := b.Begin(settled, 7)
+	is.Equal(d.Action, Run)
+	is.True(d.Suspect)
+	b.Lost(settled, 7, 2)
+	a.Merge(settled, "b", b.Snapshot(settled))
+	is.Equal(a.Begin(settled, 7).Action, Refuse)
+	is.Equal(b.Begin(settled, 7).Action, Refuse)
+	expired := settled.Add(DefaultLifetime)
+	is.Equal(b.Begin(expired, 7).Action, Run) // never refused for good
+}
+
+func TestInnocentIsClearedEverywhere(t *testing.T) {
+	is := is.New(t)
+	a, b := New("a", Options{}), New("b", Options{})
+	a.Begin(start, 7)
+	a.Lost(start, 7, 1)
+	old := a.Snapshot(start)
+	b.Merge(start, "a", old)
+	a.Begin(start, 7)
+	settled := start.Add(DefaultSettle)
+	is.Equal(a.Begin(settled, 7).Action, Run)
+	a.Answered(settled, 7)
+	b.Merge(settled, "a", a.Snapshot(settled))
+	b.Merge(settled, "a", old) // a late snapshot does not blame again
+	is.Equal(b.Begin(settled, 7).Action, Run)
+	is.True(!b.Begin(settled, 7).Suspect)
+}
+
+func TestSuspectWaitsForRunThatBeganBeforeTheLoss(t *testing.T) {
+	is := is.New(t)
+	a, b := New("a", Options{}), New("b", Options{})
+	a.Begin(start, 7)
+	b.Begin(start, 7)
+	a.Lost(start, 7, 1)
+	b.Merge(start, "a", a.Snapshot(start))
+	is.Equal(a.Begin(start, 7).Action, Wait)
+	settled := start.Add(DefaultSettle)
+	a.Merge(settled, "b", b.Snapshot(settled))
+	is.Equal(a.Begin(settled, 7).Action, Wait) // b still runs it
+}
+
+func TestExchangeDoesNotKeepEntriesAlive(t *testing.T) {
+	is := is.New(t)
+	a, b := New("a", Options{}), New("b", Options{})
+	a.Lost(start, 7, 1)
+	now := start
+	for now.Before(start.Add(2 * DefaultLifetime)) {
+		fromA, fromB := a.Snapshot(now), b.Snapshot(now)
+		now = now.Add(time.Second)
+		a.Merge(now, "b", fromB)
+		b.Merge(now, "a", fromA)
+	}
+	is.Equal(len(a.Snapshot(now))+len(b.Snapshot(now)), 0)
+}
+
+func TestEntriesAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := New("b", Options{MaxEntries: 3})
+	for i := range 10 {
+		b.Lost(start.Add(time.Duration(i)), Digest(i), 1)
+	}
+	is.Equal(b.Len(), 3)
+	is.Equal(b.Begin(start, 9).Action, Wait)
+	is.Equal(b.Begin(start, 0).Action, Run) // the oldest made room
+}
+
+// Three routers exchange snapshots within half of Settle; callers send one
+// suspect to all of them.
+func TestSuspectRunsOnOneTargetAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c"}
+		books := map[string]*Book{}
+		for _, name := range names {
+			books[name] = New(name, Options{})
+			books[name].Merge(start, "x", []Suspect{{Digest: 7, LostTargets: []Target{1}, Remaining: DefaultLifetime}})
+		}
+		running := map[string]bool{}
+		const tick = 250 * time.Millisecond
+		for i := range 120 {
+			now := start.Add(time.Duration(i) * tick)
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			if running[name] {
+				books[name].Ended(now, 7)
+				delete(running, name)
+			} else if books[name].Begin(now, 7).Action == Run {
+				running[name] = true
+			}
+			if len(running) > 1 {
+				t.Fatalf("running at once: %v", running)
+			}
+			if i%4 == 0 {
+				exchange(books, now)
+			}
+		}
+	})
+}
+
+func exchange(books map[string]*Book, now time.Time) {
+	for from, book := range books {
+		for to, peer := range books {
+			if from != to {
+				peer.Merge(now, from, book.Snapshot(now))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/quarantine/exchange.go
@@ -0,0 +1,87 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// maxTargets bounds the targets of an entry, of each kind.
+const maxTargets = 8
+
+// Snapshot returns the entries for peers, ordered by digest. A suspect that
+// has pardoned losses as well as counted ones is given as two.
+func (b *Book) Snapshot(now time.Time) []Suspect {
+	var result []Suspect
+	for _, digest := range slices.Sorted(maps.Keys(b.entries)) {
+		e := b.live(now, digest)
+		if e == nil {
+			continue
+		}
+		s := Suspect{Digest: digest, Remaining: e.expires.Sub(now)}
+		if len(e.pardoned) > 0 {
+			s.Cleared = true
+			s.LostTargets = slices.Sorted(maps.Keys(e.pardoned))
+			result = append(result, s)
+		}
+		if len(e.lost) > 0 {
+			s.Cleared = false
+			s.LostTargets = slices.Sorted(maps.Keys(e.lost))
+			s.Running = b.inFlight[digest] > 0
+			s.Announced = b.announces(now, e)
+			result = append(result, s)
+		}
+	}
+	return result
+}
+
+func (b *Book) announces(now time.Time, e *entry) bool {
+	return !e.announced.IsZero() && now.Sub(e.wanted) <= 2*b.opts.Settle
+}
+
+// Merge takes in a peer's whole Snapshot. Merging is idempotent and does not depend
+// on the order, but for Running and Announced, of which the latest word counts.
+func (b *Book) Merge(now time.Time, peer string, suspects []Suspect) {
+	for _, e := range b.entries {
+		delete(e.peers, peer)
+	}
+	for _, s := range suspects {
+		b.mergeOne(now, peer, s)
+	}
+}
+
+func (b *Book) mergeOne(now time.Time, peer string, s Suspect) {
+	// Each hop shortens an entry, so that exchange does not keep it alive.
+	remaining := min(s.Remaining, b.opts.Lifetime) - b.opts.Settle
+	e := b.live(now, s.Digest)
+	switch {
+	case e == nil && remaining <= 0:
+		return
+	case e == nil:
+		e = b.add(now, s.Digest)
+		e.expires = now.Add(remaining)
+	}
+	if s.Cleared {
+		e.pardon(s.LostTargets)
+	} else if e.blame(s.LostTargets) && now.Add(remaining).After(e.expires) {
+		e.expires = now.Add(remaining)
+	}
+	if s.Running || s.Announced {
+		e.peers[peer] = peerState{running: s.Running, until: now.Add(b.opts.RunningTTL)}
+	}
+}
+
+// blame counts losses that are not pardoned and reports whether one was new.
+func (e *entry) blame(targets []Target) bool {
+	added := false
+	for _, t := range targets {
+		_, pardoned := e.pardoned[t]
+		_, known := e.lost[t]
+		if pardoned || known || len(e.lost) >= maxTargets {
+			continue
+		}
+		e.lost[t] = struct{}{}
+		added = true
+	}
+	return added
+}
