--- a/requestkey/fleet_test.go
+++ b/requestkey/fleet_test.go
@@ -145,7 +145,7 @@
 func TestFleetRunsKeysAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") }
-		s := newSim(pick, fleetNodes)
+		s := newSim(pick, fleetNodes, simOptions)
 		profile := s.pick(profiles)
 		for range fleetSteps {
 			s.step(profile)
@@ -159,7 +159,7 @@
 func TestFleetRunsKeysAtMostOnceManySeeds(t *testing.T) {
 	total := stats{}
 	for seed := range uint64(fleetSeeds) {
-		s := newSim(rand.New(rand.NewPCG(seed, 1)).IntN, fleetNodes)
+		s := newSim(rand.New(rand.NewPCG(seed, 1)).IntN, fleetNodes, simOptions)
 		for range fleetSteps {
 			s.step(int(seed) % profiles)
 		}
--- a/requestkey/sim_test.go
+++ b/requestkey/sim_test.go
@@ -29,6 +29,7 @@
 // delays and reorders messages. pick(n) returns a number below n.
 type sim struct {
 	pick     func(n int) int
+	opts     Options
 	now      time.Time
 	platform []listing
 	nodes    []*node
@@ -40,6 +41,8 @@
 	stats     stats
 	// lossPercent is the share of messages that are lost.
 	lossPercent int
+	// decided is called with each final decision on a request, if it is set.
+	decided func(key string, d Decision)
 }
 
 // listing is a revision of the platform's list and when it was true.
@@ -87,9 +90,9 @@
 	refusals                             map[v1.Code]int
 }
 
-func newSim(pick func(int) int, nodes int) *sim {
+func newSim(pick func(int) int, nodes int, opts Options) *sim {
 	s := &sim{
-		pick: pick, now: time.UnixMilli(1_800_000_000_000), attempts: map[string][]*attempt{},
+		pick: pick, opts: opts.withDefaults(), now: time.UnixMilli(1_800_000_000_000), attempts: map[string][]*attempt{},
 		stats: stats{refusals: map[v1.Code]int{}}, lossPercent: 10,
 	}
 	for i := range nodes {
@@ -106,7 +109,7 @@
 	for _, n := range s.nodes {
 		n.ledger.Observe(s.clock(n), s.read(0))
 	}
-	s.now = s.now.Add(2 * (simOptions.Lifetime + simOptions.Right))
+	s.now = s.now.Add(2 * (s.opts.Lifetime + s.opts.Right))
 	for _, n := range s.nodes {
 		n.ledger.Observe(s.clock(n), s.read(0))
 	}
@@ -114,7 +117,7 @@
 
 func (s *sim) start(n *node) {
 	n.member.Incarnation++
-	n.ledger, _ = New(n.member, simOptions)
+	n.ledger, _ = New(n.member, s.opts)
 	n.offset = s.skew()
 	n.alive, n.paused, n.stopped = true, false, false
 }
@@ -201,7 +204,7 @@
 		if a == own || !a.mayHaveRun() {
 			continue
 		}
-		remembered := s.now.Before(a.begun.Add(simOptions.Lifetime))
+		remembered := s.now.Before(a.begun.Add(s.opts.Lifetime))
 		if remembered || IsIssued(key) {
 			s.fail("%s of %q at %v, but %v began it at %v", what, key, s.now.UnixMilli(), a.node, a.begun.UnixMilli())
 		}
@@ -248,6 +251,7 @@
 func (s *sim) handle(n *node, key string, forwarded bool, at time.Time, hops int) {
 	id := ID{Workspace: workspaceOfSim, Key: key}
 	d := n.ledger.Begin(at, Request{ID: id, Digest: 1, Forwarded: forwarded})
+	s.report(n, key, d)
 	switch d.Action {
 	case Dispatch:
 		s.dispatch(n, key)
@@ -267,6 +271,16 @@
 	}
 }
 
+func (s *sim) report(n *node, key string, d Decision) {
+	switch {
+	case s.decided == nil || d.Action == Claim:
+	case d.Action != Forward:
+		s.decided(key, d)
+	case !s.connected(n, s.node(d.Owner)):
+		s.decided(key, refuse(v1.Code_KEY_OWNER_UNREACHABLE, v1.Ran_UNKNOWN, 0))
+	}
+}
+
 func (s *sim) node(m Member) *node {
 	for _, n := range s.nodes {
 		if n.member.Name == m.Name {
