Guard attempts with the quarantine and the retry budget

Cause: the dispatcher repeated attempts without a budget and let a request that crashes targets go on to the next one. Change: guard asks quarantine before each attempt and tells it how the attempt ended; suspects travel with the exchanges between routers; the budget's share comes from the configuration, and none is allowed where it says nothing.

--- a/router/internal/dispatch/dispatcher.go
+++ b/router/internal/dispatch/dispatcher.go
@@ -9,13 +9,11 @@
 	"github.com/chiveseam/chiveseam/config"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/result"
+	"github.com/chiveseam/chiveseam/retry"
 	"github.com/chiveseam/chiveseam/router/internal/broker"
 	"github.com/chiveseam/chiveseam/router/internal/state"
 )
 
-// maxAttempts bounds the attempts of one request.
-const maxAttempts = 4
-
 // Acquirer obtains slots.
 type Acquirer interface {
 	Acquire(ctx context.Context, demand broker.Demand) (*broker.Grant, *result.Result)
@@ -29,9 +27,8 @@
 	Begin(ctx context.Context, digest uint64) *result.Result
 	// End is called after each attempt that was begun.
 	End(digest uint64, target config.ID, crashed, answered bool)
-	// Retry reports whether attempt, counted from 1, may be followed by another
-	// one, and after which delay.
-	Retry(attempt int) (time.Duration, bool)
+	// Retry decides whether an attempt may be followed by another one.
+	Retry(attempt retry.Attempt) retry.Verdict
 	// Observe is called once for each request.
 	Observe()
 }
@@ -183,15 +180,25 @@
 // non-idempotent request is repeated only when it is proved that no attempt
 // ran; no request is repeated once the caller has a part of an answer.
 func (d *Dispatcher) mayRetry(ctx context.Context, req *Request, sink *countingSink, end attemptEnd, n int) bool {
-	if sink.started || end.outcome == v1.Outcome_ABANDONED || n >= maxAttempts {
+	if end.outcome == v1.Outcome_ABANDONED {
 		return false
 	}
-	if !req.Idempotent && end.result.Ran != v1.Ran_NO {
-		return false
+	verdict := d.Guard.Retry(retry.Attempt{
+		Number:     n,
+		Ran:        end.result.Ran,
+		Idempotent: req.Idempotent,
+		Delivered:  sink.started,
+		Deadline:   req.StartBy,
+	})
+	if verdict.Retry {
+		return sleep(ctx, verdict.Delay) == nil
 	}
-	delay, ok := d.Guard.Retry(n)
-	if !ok || time.Now().Add(delay).After(req.StartBy) {
-		return false
+	if verdict.Code != v1.Code_CODE_UNSPECIFIED && end.result.Ran == v1.Ran_NO {
+		end.result.Code = verdict.Code
+		end.result.RetryAfter = retryAfter
 	}
-	return sleep(ctx, delay) == nil
+	return false
 }
+
+// retryAfter is told to callers whose request ran nowhere.
+const retryAfter = time.Second
--- a/router/internal/guard/guard.go
+++ b/router/internal/guard/guard.go
@@ -5,36 +5,158 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/chiveseam/chiveseam/config"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/quarantine"
 	"github.com/chiveseam/chiveseam/result"
+	"github.com/chiveseam/chiveseam/retry"
+	"github.com/chiveseam/chiveseam/router/internal/state"
 )
 
+// maxSuspectPause bounds the pause before a suspect asks again, so that the
+// change of a peer's word is seen soon.
+const maxSuspectPause = 250 * time.Millisecond
+
 // Guard implements dispatch.Guard and control.Gossip. It is safe for
 // concurrent use.
 type Guard struct {
-	router string
+	store *state.Store
+
+	mu      sync.Mutex
+	book    *quarantine.Book
+	budget  *retry.Budget
+	percent uint32
+	policy  retry.Policy
 }
 
 // New returns a guard for the router.
-func New(router string) *Guard { return &Guard{router: router} }
+func New(router string, store *state.Store) *Guard {
+	return &Guard{store: store, book: quarantine.New(router, quarantine.Options{})}
+}
 
 // Begin implements dispatch.Guard.
-func (g *Guard) Begin(context.Context, uint64) *result.Result { return nil }
+func (g *Guard) Begin(ctx context.Context, digest uint64) *result.Result {
+	for {
+		decision := g.begin(digest)
+		switch decision.Action {
+		case quarantine.Run:
+			return nil
+		case quarantine.Refuse:
+			refusal := result.New(decision.Code, v1.Ran_NO, "try again once the entry has expired")
+			refusal.RetryAfter = decision.RetryAfter
+			return refusal
+		}
+		timer := time.NewTimer(min(decision.RetryAfter, maxSuspectPause))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return result.New(v1.Code_CANCELLED, v1.Ran_NO, "the caller went away while the request was a suspect")
+		}
+	}
+}
+
+func (g *Guard) begin(digest uint64) quarantine.Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.Begin(time.Now(), quarantine.Digest(digest))
+}
 
 // End implements dispatch.Guard.
-func (g *Guard) End(uint64, config.ID, bool, bool) {}
+func (g *Guard) End(digest uint64, target config.ID, crashed, answered bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	switch {
+	case crashed:
+		g.book.Lost(now, quarantine.Digest(digest), quarantine.Target(target))
+	case answered:
+		g.book.Answered(now, quarantine.Digest(digest))
+	default:
+		g.book.Ended(now, quarantine.Digest(digest))
+	}
+}
+
+// Observe implements dispatch.Guard.
+func (g *Guard) Observe() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if budget := g.currentBudget(now); budget != nil {
+		budget.Requested(now)
+	}
+}
 
 // Retry implements dispatch.Guard.
-func (g *Guard) Retry(int) (time.Duration, bool) { return 10 * time.Millisecond, true }
+func (g *Guard) Retry(attempt retry.Attempt) retry.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	budget := g.currentBudget(now)
+	if budget == nil {
+		return retry.Verdict{Code: v1.Code_RETRY_BUDGET_EXHAUSTED}
+	}
+	return g.policy.Next(now, attempt, budget, rand.Uint64())
+}
 
-// Observe implements dispatch.Guard.
-func (g *Guard) Observe() {}
+// currentBudget returns the budget of the configuration in force, nil if it
+// allows no retries. The caller holds the lock.
+func (g *Guard) currentBudget(now time.Time) *retry.Budget {
+	accepted := g.store.Config()
+	if accepted == nil {
+		return nil
+	}
+	percent := accepted.Proto.GetLimits().GetRetryBudgetPercent()
+	if percent == 0 {
+		return nil
+	}
+	if g.budget == nil || g.percent != percent {
+		g.budget = retry.NewBudget(now, retry.BudgetOptions{Percent: float64(percent)})
+		g.percent = percent
+	}
+	return g.budget
+}
 
 // Fill implements control.Gossip.
-func (g *Guard) Fill(*v1.PeerState) {}
+func (g *Guard) Fill(out *v1.PeerState) {
+	g.mu.Lock()
+	suspects := g.book.Snapshot(time.Now())
+	g.mu.Unlock()
+	for _, s := range suspects {
+		m := &v1.Suspect{
+			Digest:    uint64(s.Digest),
+			ExpiresMs: uint32(s.Remaining.Milliseconds()),
+			Running:   s.Running,
+			Announced: s.Announced,
+			Cleared:   s.Cleared,
+		}
+		for _, target := range s.LostTargets {
+			m.LostTargets = append(m.LostTargets, uint32(target))
+		}
+		out.Suspects = append(out.Suspects, m)
+	}
+}
 
 // Merge implements control.Gossip.
-func (g *Guard) Merge(*v1.PeerState) {}
+func (g *Guard) Merge(in *v1.PeerState) {
+	suspects := make([]quarantine.Suspect, len(in.Suspects))
+	for i, m := range in.Suspects {
+		suspects[i] = quarantine.Suspect{
+			Digest:    quarantine.Digest(m.Digest),
+			Remaining: time.Duration(m.ExpiresMs) * time.Millisecond,
+			Running:   m.Running,
+			Announced: m.Announced,
+			Cleared:   m.Cleared,
+		}
+		for _, target := range m.LostTargets {
+			suspects[i].LostTargets = append(suspects[i].LostTargets, quarantine.Target(target))
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Merge(time.Now(), in.Router, suspects)
+}
