Swap counters and free slots between regions

Cause: the schedulers of one pool in two regions knew nothing of each other: a workspace backlogged in both got twice its share, and slots of one region were idle while work waited in the other. Ruled out: one scheduler for all regions, since regions lose each other. Change: schedulers of a pool swap the counters of backlogged workspaces and the number of free slots once a second; a demand that would wait goes to a region with a free slot, one for each slot that was told. Conclusion: builds; not run with two regions yet.

--- a/pool/status.go
+++ b/pool/status.go
@@ -61,6 +61,11 @@
 	return status
 }
 
+// Queued returns the number of waiting demands.
+func (s *Scheduler) Queued() int {
+	return s.waiting
+}
+
 // Counters returns the counters of all workspaces, ordered by workspace.
 // Routers keep them and bring them to a new scheduler in RouterJoined.
 func (s *Scheduler) Counters() []Counter {
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -71,6 +71,8 @@
 	Exclude   []config.ID
 	// DataCentre restricts the targets; empty allows all.
 	DataCentre string
+	// moved is set once the demand went to another region for its free slots.
+	moved bool
 }
 
 // Broker obtains slots. Its methods are safe for concurrent use.
@@ -307,6 +309,7 @@
 		WaitMs:    uint32(wait.Milliseconds()),
 		Prefix:    r.demand.Prefix,
 		BodyBytes: r.demand.BodyBytes,
+		Moved:     r.demand.moved,
 	}
 	for _, target := range r.demand.Exclude {
 		d.Exclude = append(d.Exclude, uint32(target))
@@ -405,11 +408,26 @@
 	if !ok || r.granted || r.link != l {
 		return
 	}
+	if refusal.Region != "" && !r.demand.moved {
+		b.moveToRegion(r, refusal.Region)
+		return
+	}
 	why := result.New(refusal.Code, v1.Ran_NO, "refused by the scheduler of pool %s", r.demand.Pool)
 	why.RetryAfter = time.Duration(refusal.RetryAfterMs) * time.Millisecond
 	b.refuse(r, why)
 }
 
+// moveToRegion places a demand in a region with free slots, or again in its
+// own if no router of that region can be reached.
+func (b *Broker) moveToRegion(r *request, region string) {
+	r.demand.moved = true
+	now := time.Now()
+	if _, ok := b.schedulerOf(poolKey{r.demand.Pool, region}, now); ok {
+		r.demand.Region = region
+	}
+	b.place(r, now)
+}
+
 // sweep ends demands whose deadline passed without a word of the scheduler,
 // returns spare slots that expired, and closes idle links.
 func (b *Broker) sweep(now time.Time) {
--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -62,6 +63,20 @@
 	return out, err
 }
 
+// ShareCounters swaps counters with the scheduler at address.
+func (c *Client) ShareCounters(ctx context.Context, address string, in *v1.CountersShare) (*v1.CountersShare, error) {
+	c.traffic.Message("counters_share", Sent, proto.Size(in))
+	var out *v1.CountersShare
+	err := c.callConn(ctx, address, func(ctx context.Context, conn drpc.Conn) (err error) {
+		out, err = v1.NewDRPCSchedulingClient(conn).ShareCounters(ctx, in)
+		return err
+	})
+	if err == nil {
+		c.traffic.Message("counters_share", Received, proto.Size(out))
+	}
+	return out, err
+}
+
 // HandOver passes a part of the ledger on.
 func (c *Client) HandOver(ctx context.Context, address string, in *v1.HandOverRequest) (bool, error) {
 	accepted := false
@@ -110,10 +125,17 @@
 	return dial(ctx, address, c.timing.Dial, c.traffic, kindData)
 }
 
-// call runs fn on the kept connection to address, or on a new one when the
+// call runs a call of the Peering service.
+func (c *Client) call(ctx context.Context, address string, fn func(context.Context, v1.DRPCPeeringClient) error) error {
+	return c.callConn(ctx, address, func(ctx context.Context, conn drpc.Conn) error {
+		return fn(ctx, v1.NewDRPCPeeringClient(conn))
+	})
+}
+
+// callConn runs fn on the kept connection to address, or on a new one when the
 // kept one has failed. A call on a connection that was kept is repeated once
 // on a new one: all calls may be repeated.
-func (c *Client) call(ctx context.Context, address string, fn func(context.Context, v1.DRPCPeeringClient) error) error {
+func (c *Client) callConn(ctx context.Context, address string, fn func(context.Context, drpc.Conn) error) error {
 	kept := c.kept(address)
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
@@ -125,7 +147,7 @@
 	return err
 }
 
-func (c *Client) callOnce(ctx context.Context, kept *callConn, address string, fn func(context.Context, v1.DRPCPeeringClient) error) error {
+func (c *Client) callOnce(ctx context.Context, kept *callConn, address string, fn func(context.Context, drpc.Conn) error) error {
 	ctx, cancel := context.WithTimeout(ctx, unaryTimeout)
 	defer cancel()
 	if kept.conn == nil {
@@ -135,7 +157,7 @@
 		}
 		kept.conn = conn
 	}
-	err := fn(ctx, v1.NewDRPCPeeringClient(kept.conn))
+	err := fn(ctx, kept.conn)
 	if err != nil {
 		kept.conn.Close()
 		kept.conn = nil
--- a/router/internal/peer/scheduling.go
+++ b/router/internal/peer/scheduling.go
@@ -148,6 +148,15 @@
 	return s.serveSession(stream, session, first, out)
 }
 
+// ShareCounters implements the Scheduling service.
+func (s *Server) ShareCounters(_ context.Context, in *v1.CountersShare) (*v1.CountersShare, error) {
+	s.opts.Traffic.Message("counters_share", Received, proto.Size(in))
+	s.opts.Host.PeerCounters(in.Pools)
+	out := s.opts.Host.CountersOf(in.Pools)
+	s.opts.Traffic.Message("counters_share", Sent, proto.Size(out))
+	return out, nil
+}
+
 // serveSession passes batches both ways until the peer is lost or silent.
 func (s *Server) serveSession(stream v1.DRPCScheduling_ConnectStream, session *scheduling.Session, first *v1.EntryBatch, out *coalescer[*v1.SchedulerBatch]) error {
 	done := make(chan struct{})
--- a/router/internal/scheduling/events.go
+++ b/router/internal/scheduling/events.go
@@ -27,7 +27,9 @@
 			h.unknownPool(s, d.Seq)
 			continue
 		}
-		h.step(id, now, demandEvent(s, d, now))
+		if !h.moveDemand(s, id, d) {
+			h.step(id, now, demandEvent(s, d, now))
+		}
 	}
 	for _, seq := range batch.Cancels {
 		h.cancel(s, seq, now)
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -38,6 +38,8 @@
 	// The fields below belong to the loop's goroutine.
 	pools    map[config.ID]*pool.Scheduler
 	sessions map[pool.Router]*Session
+	// spares holds the free slots of a pool in other regions, by region.
+	spares map[config.ID]map[string]int
 }
 
 // Session is the stream of one entry router.
@@ -83,6 +85,7 @@
 		in:       make(chan any, inputLimit),
 		pools:    map[config.ID]*pool.Scheduler{},
 		sessions: map[pool.Router]*Session{},
+		spares:   map[config.ID]map[string]int{},
 	}
 }
 
@@ -122,11 +125,6 @@
 	s.host.post(closeInput{s})
 }
 
-// PeerCounters handles counters of schedulers in other regions.
-func (h *Host) PeerCounters(counters []*v1.PoolCounters) {
-	h.post(countersInput{counters})
-}
-
 // Run is the host's duty. It returns when the tomb dies.
 func (h *Host) Run() error {
 	changes := h.store.Subscribe()
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -127,28 +127,13 @@
 	status := sched.Status()
 	message := &v1.PoolCounters{Pool: uint32(id), Region: region, SpareSlots: uint32(status.FreeSlots)}
 	for _, c := range status.Counters {
-		message.Counters = append(message.Counters, &v1.Counter{
-			Workspace:  uint32(c.Workspace),
-			Value:      c.Value,
-			Backlogged: c.Backlogged,
-		})
+		message.Counters = append(message.Counters, counterMessage(c))
 	}
 	return message
 }
 
-// peerCounters merges the counters of schedulers in other regions.
-func (h *Host) peerCounters(list []*v1.PoolCounters, now time.Time) {
-	for _, c := range list {
-		id := config.ID(c.Pool)
-		if _, ok := h.pools[id]; !ok {
-			continue
-		}
-		h.step(id, now, pool.PeerCounters{
-			Region:     c.Region,
-			Counters:   counterEvents(c.Counters),
-			SpareSlots: int(c.SpareSlots),
-		})
-	}
+func counterMessage(c pool.Counter) *v1.Counter {
+	return &v1.Counter{Workspace: uint32(c.Workspace), Value: c.Value, Backlogged: c.Backlogged}
 }
 
 // Status describes the pools that are scheduled here, by name.
--- a/router/router.go
+++ b/router/router.go
@@ -263,6 +263,7 @@
 		func() error { return r.control.RunExchange(ctx) },
 		func() error { return r.control.RunConfiguration(ctx) },
 		func() error { return r.control.RunInstances(ctx) },
+		func() error { return r.host.RunRegions(ctx, r.client) },
 		func() error { return r.control.RunRenewal(ctx) },
 		func() error { return r.control.RunKeyViews(ctx) },
 		func() error { return r.peers.Serve(ctx, r.listeners.peer) },
