requestkey: clear stopped routers through their successors

Cause: after two replacements in a row a key's new owner could not learn what the first stopped router had known, and refused keys without proof of age. Ruled out: sending each ledger to all routers, because of its size. Change: a hand-over and a claim reply name the stopped routers whose records their sender holds; a stopped router takes no hand-over; a second export has the same successors.

--- a/requestkey/claim.go
+++ b/requestkey/claim.go
@@ -1,6 +1,7 @@
 package requestkey
 
 import (
+	"math"
 	"time"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -21,6 +22,9 @@
 	From Member
 	// Record is set when the key was begun; otherwise the key is given up.
 	Record *Record
+	// Cleared are stopped routers whose records of the key, if there were any,
+	// were handed over to From.
+	Cleared []Member
 }
 
 // claim is what earlier owners answered about a key that is not begun here.
@@ -83,16 +87,7 @@
 	if c != nil && c.cleared[t.owner] > t.revision {
 		return true
 	}
-	revision, ok := l.handedOver[t.owner]
-	if !ok {
-		return false
-	}
-	view, ok := l.history.find(revision)
-	if !ok {
-		return false
-	}
-	successor, ok := ownerOf(view.Routers, id, t.owner.Name)
-	return ok && successor.Name == l.self.Name
+	return l.handOvers.reached(&l.history, l.self, t.owner, id)
 }
 
 // pending decides on a tenure that is not cleared and cannot be asked now.
@@ -153,6 +148,7 @@
 	if reply.Record == nil {
 		if c != nil {
 			c.cleared[asked] = max(c.cleared[asked], req.Revision)
+			c.clearStopped(reply.Cleared)
 		}
 		return
 	}
@@ -199,7 +195,15 @@
 		return ClaimReply{From: l.self, Record: &record}
 	}
 	l.promise(req.ID, req.Revision)
-	return ClaimReply{From: l.self}
+	cleared := l.handOvers.reachedFrom(&l.history, l.self, req.ID)
+	return ClaimReply{From: l.self, Cleared: cleared}
+}
+
+// clearStopped clears members that begin no key any more.
+func (c *claim) clearStopped(members []Member) {
+	for _, m := range members {
+		c.cleared[m] = math.MaxUint64
+	}
 }
 
 // promise excludes a key from lists below revision. When too many promises
--- a/requestkey/doc.go
+++ b/requestkey/doc.go
@@ -79,7 +79,7 @@
 //     the two calls and the write a process is not paused for longer than
 //     Options.StartReserve.
 //
-// The lifetime is counted from Begin. A request that is still executed after
+// The lifetime is counted from the time passed to Begin. A request that is still executed after
 // it no longer protects its key, so deadlines must be shorter.
 //
 // What is given up: a router that is cut off from the platform for longer
--- a/requestkey/handover.go
+++ b/requestkey/handover.go
@@ -1,9 +1,6 @@
 package requestkey
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // HandOver is the part of a stopping router's ledger that goes to one
 // successor.
@@ -15,10 +12,21 @@
 	// owners under it with the sender left out.
 	Revision uint64
 	Records  []Record
+	// Earlier are the hand-overs that the sender knows of; their records are
+	// among Records.
+	Earlier []HeldHandOver
 	// Last is set when the successor has all of its records.
 	Last bool
 }
 
+// HeldHandOver says that Holder has the part of From's ledger of which it is
+// the successor under Revision.
+type HeldHandOver struct {
+	From     Member
+	Holder   Member
+	Revision uint64
+}
+
 // Stop makes the ledger begin no further key. It goes on answering claims and
 // replaying answers.
 func (l *Ledger) Stop() {
@@ -28,14 +36,19 @@
 // Export stops the ledger and returns one HandOver with Last set for each
 // other router of the newest list. The caller sends the HandOver in parts if
 // it is large, the last part only when all others were accepted. Requests
-// that are still in progress are handed over with Ran UNKNOWN.
+// that are still in progress are handed over with Ran UNKNOWN. A further Export
+// has the same successors.
 func (l *Ledger) Export(now time.Time) []HandOver {
 	now = l.advance(now)
 	l.Stop()
-	view, ok := l.history.newest()
-	if !ok {
-		return nil
+	if l.exported == nil {
+		view, ok := l.history.newest()
+		if !ok {
+			return nil
+		}
+		l.exported = &view
 	}
+	view := *l.exported
 	bySuccessor := map[string][]Record{}
 	for id, e := range l.records.byID {
 		successor, ok := ownerOf(view.Routers, id, l.self.Name)
@@ -46,6 +59,7 @@
 		record.InProgress = false
 		bySuccessor[successor.Name] = append(bySuccessor[successor.Name], record)
 	}
+	earlier := l.handOvers.list()
 	var result []HandOver
 	for _, m := range view.Routers {
 		if m.Name == l.self.Name {
@@ -53,24 +67,30 @@
 		}
 		result = append(result, HandOver{
 			From: l.self, To: m.Name, Revision: view.Revision,
-			Records: bySuccessor[m.Name], Last: true,
+			Records: bySuccessor[m.Name], Earlier: earlier, Last: true,
 		})
 	}
 	return result
 }
 
 // Import takes in a part of a stopping router's ledger. It reports whether
-// all records were accepted; if not, memory is short and the part must be sent
-// again or given up.
+// all records were accepted; if not, memory is short or this router stops too,
+// and the part must be sent again or given up.
 func (l *Ledger) Import(now time.Time, h HandOver) bool {
 	now = l.advance(now)
+	if l.stopped {
+		return false
+	}
 	for _, r := range h.Records {
 		if !l.importRecord(now, r) {
 			return false
 		}
 	}
 	if h.Last {
-		l.handedOver[h.From] = h.Revision
+		l.handOvers.add(HeldHandOver{From: h.From, Holder: l.self, Revision: h.Revision})
+		for _, earlier := range h.Earlier {
+			l.handOvers.add(earlier)
+		}
 	}
 	return true
 }
@@ -88,18 +108,6 @@
 	return true
 }
 
-// dropHandOvers forgets the routers that no known list contains.
-func (l *Ledger) dropHandOvers() {
-	for m := range l.handedOver {
-		listed := slices.ContainsFunc(l.history.views, func(v View) bool {
-			return slices.Contains(v.Routers, m)
-		})
-		if !listed {
-			delete(l.handedOver, m)
-		}
-	}
-}
-
 func (e *entry) record(now time.Time) Record {
 	return Record{
 		ID: e.id, Digest: e.digest, Ran: e.ran, InProgress: e.inProgress,
--- a/requestkey/ledger.go
+++ b/requestkey/ledger.go
@@ -22,12 +22,12 @@
 	// floor is the revision below which no caller-chosen key is begun.
 	floor uint64
 	// restarts hold when it was learned that an incarnation had ended.
-	restarts map[Member]time.Time
-	// handedOver holds the revision by which successors of a stopped router's
-	// keys are found.
-	handedOver map[Member]uint64
-	stopped    bool
-	nextSweep  time.Time
+	restarts  map[Member]time.Time
+	handOvers handOvers
+	stopped   bool
+	// exported is the list by which this router's successors are found.
+	exported  *View
+	nextSweep time.Time
 }
 
 // New returns the empty ledger of a router that has just started.
@@ -37,14 +37,14 @@
 		return nil, fmt.Errorf("request key ledger: %w", err)
 	}
 	return &Ledger{
-		self:       self,
-		opts:       opts,
-		history:    history{opts: opts},
-		records:    newStore(opts),
-		claims:     map[ID]*claim{},
-		promises:   map[ID]uint64{},
-		restarts:   map[Member]time.Time{},
-		handedOver: map[Member]uint64{},
+		self:      self,
+		opts:      opts,
+		history:   history{opts: opts},
+		records:   newStore(opts),
+		claims:    map[ID]*claim{},
+		promises:  map[ID]uint64{},
+		restarts:  map[Member]time.Time{},
+		handOvers: handOvers{},
 	}, nil
 }
 
@@ -69,7 +69,7 @@
 	}
 	l.history.prune(now)
 	l.dropPromises()
-	l.dropHandOvers()
+	l.handOvers.prune(&l.history)
 }
 
 // Views returns the known lists, oldest first, for peers' Observe.
