Reject configurations with unknown fields; answer before a body that is too large

Cause: a published configuration with a field that the schema does not have was put in force without it. And a caller that sent 'Connection: close' and a body over the limit got a connection reset in place of 413 BODY_TOO_LARGE: net/http does not wait before it closes such a connection, and the kernel resets a connection that is closed while data is unread. Ruled out: draining before the answer, which makes the caller wait for its own 100 MB; a fault of the test's client, as a bare net/http server shows the same. Change: config.Validate lists unknown fields with the message they stand in; the entry answers first, then reads and drops the body for half a second. Left: refusals other than BODY_TOO_LARGE of bodies over 256 KiB with 'Connection: close' may still be reset.

--- a/config/validate.go
+++ b/config/validate.go
@@ -47,6 +47,7 @@
 	v.classes()
 	v.limits()
 	v.weightStore()
+	v.errs = append(v.errs, unknownFields(c)...)
 	return v.errs
 }
 
--- a/config/validate_test.go
+++ b/config/validate_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chiveseam/chiveseam/config"
@@ -25,6 +26,26 @@
 	is.True(errors.As(err, &errs))
 }
 
+func TestUnknownFieldIsRejected(t *testing.T) {
+	is := is.New(t)
+	const number = 999
+	unknown := protowire.AppendTag(nil, number, protowire.VarintType)
+	unknown = protowire.AppendVarint(unknown, 1)
+	c := configtest.Valid()
+	c.Pools[1].Rules[0].ProtoReflect().SetUnknown(unknown)
+	c.ProtoReflect().SetUnknown(unknown)
+	payload, err := proto.Marshal(c)
+	is.NoErr(err)
+	_, err = config.Accept(1, payload)
+	var errs config.FieldErrors
+	is.True(errors.As(err, &errs))
+	fields := map[string]string{}
+	for _, e := range errs {
+		fields[e.Field] = e.Value
+	}
+	is.Equal(fields, map[string]string{"configuration": "field number 999", "pools[1].rules[0]": "field number 999"})
+}
+
 func TestValidateNamesTheField(t *testing.T) {
 	tests := []struct {
 		field string
--- a/router/internal/entry/answer.go
+++ b/router/internal/entry/answer.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
 
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/result"
 )
 
@@ -51,6 +53,23 @@
 	writeJSON(w, r.Status(), newErrorBody(r))
 }
 
+// writeResultBeforeBody answers a request whose body was not read to its end,
+// and goes on reading it for a while: a connection that is closed while the
+// caller still sends is reset, and the answer may be lost with it.
+func writeResultBeforeBody(w http.ResponseWriter, r *http.Request, end *result.Result) {
+	controller := http.NewResponseController(w)
+	// The reading is lost on a connection that cannot do both at once.
+	_ = controller.EnableFullDuplex()
+	w.Header().Set("Connection", "close")
+	writeResult(w, end)
+	_ = controller.Flush()
+	_ = controller.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
+// lingerTime bounds the reading of a body that was refused.
+const lingerTime = 500 * time.Millisecond
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -81,8 +100,10 @@
 // finish ends the answer: as a final answer of the router if nothing was
 // written, as an error event in a stream that broke, and otherwise by closing
 // the connection, so that a short answer never looks whole.
-func (s *Server) finish(w *trackedWriter, end *result.Result) {
+func (s *Server) finish(w *trackedWriter, r *http.Request, end *result.Result) {
 	switch {
+	case !w.wrote && end.Code == v1.Code_BODY_TOO_LARGE:
+		writeResultBeforeBody(w, r, end)
 	case !w.wrote:
 		writeResult(w, end)
 	case end.OK():
--- a/router/internal/entry/server.go
+++ b/router/internal/entry/server.go
@@ -157,7 +157,7 @@
 			end.Ran = ranBeforeKeys(r.Request, end.Ran)
 		}
 		s.observer.Ended(end.Code, c.workspace.Name, time.Since(c.arrived))
-		s.finish(tracked, end)
+		s.finish(tracked, r.Request, end)
 		return nil
 	}
 }
