--- /dev/null
+++ b/orders/sender_test.go
@@ -0,0 +1,292 @@
+package orders_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/chiveseam/chiveseam/internal/fixedseed"
+	"github.com/chiveseam/chiveseam/orders"
+	"github.com/chiveseam/chiveseam/rendezvous"
+)
+
+func (w *world) fail(format string, args ...any) {
+	if w.broken == "" {
+		w.broken = w.now.Sub(start).String() + ": " + fmt.Sprintf(format, args...)
+	}
+}
+
+// checkSend checks an order against what its sender knows.
+func (w *world) checkSend(r *router, o orders.SendOrder) {
+	names := make([]string, len(r.last.Routers))
+	for i, other := range r.last.Routers {
+		names[i] = other.Name
+	}
+	if owner, _ := rendezvous.Owner("orders/north", names); owner != r.name {
+		w.fail("%s sends although %s holds the role", r.name, owner)
+	}
+	if w.now.Sub(r.ticked) > orders.DefaultOptions().MaxPause {
+		w.fail("%s sends with a view of %v ago", r.name, w.now.Sub(r.ticked))
+	}
+	if reported := r.reports[o.Target].Fencing.Revision(); reported > r.last.Plan.Revision {
+		w.fail("%s sends an order of revision %d to %s, which reported %d", r.name, r.last.Plan.Revision, o.Target, reported)
+	}
+	if o.Order.Fencing.Revision() != r.last.Plan.Revision {
+		w.fail("number %d is not of revision %d", o.Order.Fencing, r.last.Plan.Revision)
+	}
+	if o.Order.Kind != orders.SetRole {
+		w.checkRate(r)
+	}
+}
+
+// checkRate checks that a sender admits at most one load beyond the rate.
+func (w *world) checkRate(r *router) {
+	r.admits = append(r.admits, w.now)
+	for i, from := range r.admits {
+		bytes := (len(r.admits) - i) * weightBytes
+		if float64(bytes) > w.now.Sub(from).Seconds()*storeRate+weightBytes {
+			w.fail("%s admits %d bytes in %v", r.name, bytes, w.now.Sub(from))
+		}
+	}
+}
+
+// checkApply checks that the model of an engine that checks numbers never goes
+// back to that of an older revision.
+func (w *world) checkApply(e *engine, order orders.Order) {
+	if order.Kind != orders.LoadModel || !e.checks {
+		return
+	}
+	if slices.Index(w.versions, order.Version) < slices.Index(w.versions, e.newest) {
+		w.fail("%s goes back from %s to %s", e.name, e.newest, order.Version)
+	}
+	e.newest = order.Version
+}
+
+// checkLoads checks the limit of the weight store and the rolling reload for
+// each sender. Strays are left out: their senders have given them up.
+func (w *world) checkLoads() {
+	loads, reloads := map[*router]int{}, map[*router]int{}
+	for _, e := range w.engines {
+		if e.running == nil || e.running.stray {
+			continue
+		}
+		if e.running.order.Order.Kind != orders.SetRole {
+			loads[e.running.from]++
+		}
+		if e.reload {
+			reloads[e.running.from]++
+		}
+	}
+	limit := max(1, len(w.engines)*orders.DefaultOptions().MaxUnavailablePercent/100)
+	for r, count := range loads {
+		if count > storeLoads {
+			w.fail("%d loads of %s at a time", count, r.name)
+		}
+		if reloads[r] > limit && !w.faults.cuts && !w.faults.olderState {
+			w.fail("%d engines reloaded at a time by %s", reloads[r], r.name)
+		}
+	}
+}
+
+// disturb draws the faults of one second.
+func (w *world) disturb() {
+	for i, r := range w.routers {
+		switch {
+		case w.chance(w.faults.pauses):
+			r.paused = w.now.Add(time.Duration(w.rng.IntN(30)) * time.Second)
+		case w.chance(w.faults.routerRestarts):
+			r.gone = true
+			plan, view := r.plan, r.view
+			w.routers[i] = w.newRouter(r.name)
+			w.routers[i].plan, w.routers[i].view = plan, view
+		}
+	}
+	for _, e := range w.engines {
+		if w.chance(w.faults.engineRestarts) {
+			w.restart(e)
+		}
+	}
+	if w.faults.cuts && w.chance(0.1) {
+		border := w.rng.IntN(len(w.routers) + 1)
+		w.setViews(func(a, b int) bool { return (a < border) == (b < border) })
+	}
+}
+
+// publish lets each router learn each revision within the staleness.
+func (w *world) publish(every time.Duration) {
+	for i, plan := range w.plans {
+		for slot := range w.routers {
+			at := time.Duration(i) * every
+			if w.faults.staleness > 0 {
+				at += time.Duration(w.rng.Int64N(int64(w.faults.staleness)))
+			}
+			w.after(at, func() { w.learn(slot, plan) })
+		}
+	}
+}
+
+func (w *world) learn(slot int, plan *orders.Plan) {
+	if r := w.routers[slot]; r.plan == nil || r.plan.Revision < plan.Revision {
+		r.plan = plan
+	}
+}
+
+// settle ends the faults.
+func (w *world) settle() {
+	newest := w.plans[len(w.plans)-1]
+	failing := w.faults.failing
+	w.faults = faults{failing: failing}
+	for i, r := range w.routers {
+		r.paused = time.Time{}
+		w.learn(i, newest)
+	}
+	w.setViews(func(a, b int) bool { return true })
+}
+
+// converged reports whether all engines that do not fail are as desired.
+func (w *world) converged() bool {
+	for _, desired := range w.plans[len(w.plans)-1].Engines {
+		e := w.engine(desired.Name)
+		for _, adapter := range desired.Adapters {
+			if !e.fails && !slices.Contains(e.state.Adapters, adapter) {
+				return false
+			}
+		}
+		if !e.fails && (e.state.Version != desired.Version || e.state.Role != desired.Role) {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	faultyTime = 120 * time.Second
+	// strayTime is the time after which no late order is on its way.
+	strayTime = 60 * time.Second
+	calmTime  = 10 * time.Minute
+)
+
+func (w *world) disturbFor(d time.Duration) bool {
+	ok := true
+	for range int(d / time.Second) {
+		w.disturb()
+		w.run(time.Second, func() bool { return false })
+		ok = ok && w.broken == ""
+	}
+	return ok
+}
+
+// TestConvergesAfterFaults draws worlds with any mixture of faults.
+func TestConvergesAfterFaults(t *testing.T) {
+	var longest time.Duration
+	var worlds, sent int
+	rapid.Check(t, func(t *rapid.T) {
+		f := faults{
+			lost:           rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "lost"),
+			doubled:        rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "doubled"),
+			late:           rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "late"),
+			cuts:           rapid.Bool().Draw(t, "cuts"),
+			pauses:         rapid.SampledFrom([]float64{0, 0.02}).Draw(t, "pauses"),
+			routerRestarts: rapid.SampledFrom([]float64{0, 0.02}).Draw(t, "routerRestarts"),
+			engineRestarts: rapid.SampledFrom([]float64{0, 0.01}).Draw(t, "engineRestarts"),
+			olderState:     rapid.Bool().Draw(t, "olderState"),
+			staleness:      rapid.SampledFrom([]time.Duration{0, time.Minute}).Draw(t, "staleness"),
+			failing:        rapid.IntRange(0, 1).Draw(t, "failing"),
+		}
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), f, 4, rapid.IntRange(2, 9).Draw(t, "engines"), 3)
+		w.publish(faultyTime / 4)
+		w.disturbFor(faultyTime)
+		w.settle()
+		from, last := w.now, w.now
+		w.run(strayTime, func() bool {
+			if !w.converged() {
+				last = w.now
+			}
+			return false
+		})
+		if w.broken == "" && !w.converged() {
+			if !w.run(calmTime, w.converged) {
+				w.fail("not converged")
+			}
+			last = w.now
+		}
+		if w.broken != "" {
+			t.Fatal(w.broken)
+		}
+		longest = max(longest, last.Sub(from))
+		worlds++
+		sent += w.orders
+	})
+	is.New(t).True(sent > worlds)
+	t.Logf("%d worlds, %d orders, longest time to converge %v", worlds, sent, longest)
+}
+
+// TestWeightStoreAcrossHandover checks the rate over all senders while the role
+// moves between routers whose views agree.
+func TestWeightStoreAcrossHandover(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), faults{lost: 0.1, engineRestarts: 0.02}, 4, 9, 3)
+		w.publish(faultyTime / 4)
+		for range 6 {
+			out := w.rng.IntN(len(w.routers))
+			w.setViews(func(_, b int) bool { return b != out })
+			w.routers[out].view = nil
+			w.disturbFor(faultyTime / 6)
+		}
+		var all []time.Time
+		for _, r := range w.routers {
+			all = append(all, r.admits...)
+		}
+		slices.SortFunc(all, time.Time.Compare)
+		shared := &router{name: "the fleet"}
+		for _, at := range all {
+			w.now = at
+			w.checkRate(shared)
+			shared.admits[len(shared.admits)-1] = at
+		}
+		if w.broken != "" {
+			t.Fatal(w.broken)
+		}
+	})
+}
+
+// TestNumbersFenceDoubledOrders checks that the orders of one revision have
+// ascending numbers, so that a doubled load cannot undo a later one.
+func TestNumbersFenceDoubledOrders(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{doubled: 1}, 1, 1, 1)
+	w.publish(time.Second)
+	is.True(w.run(calmTime, w.converged))
+	state := w.engines[0].state
+	is.Equal(state.Fencing.Sequence(), uint64(3)) // role, version, two adapters
+	is.True(!w.run(strayTime, func() bool { return !w.converged() }))
+	is.Equal(w.broken, "")
+}
+
+// TestHoldsBackFailingVersion checks that a version that fails everywhere is
+// tried on two engines of a serving pool and no more.
+func TestHoldsBackFailingVersion(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{}, 1, 8, 2)
+	w.publish(calmTime)
+	is.True(!w.run(calmTime-time.Second, func() bool { return false }))
+	for _, e := range w.engines {
+		is.Equal(e.state.Version, version(1))
+		e.fails = true
+	}
+	tried := map[string]bool{}
+	w.run(calmTime, func() bool {
+		for _, e := range w.engines {
+			if e.running != nil && e.running.order.Order.Kind == orders.LoadModel {
+				tried[e.name] = true
+			}
+		}
+		return false
+	})
+	is.Equal(len(tried), 2)
+	is.Equal(w.routers[0].sender.Status().HeldBack, 6)
+}
