--- a/router/internal/peer/scheduling.go
+++ b/router/internal/peer/scheduling.go
@@ -46,7 +46,7 @@
 	if member.Name == d.Self.Name {
 		return scheduling.OpenLocal(d.Host, d.Self, receiver)
 	}
-	ctx, cancel := context.WithCancelCause(d.Tomb.Context(nil))
+	ctx, cancel := context.WithCancelCause(d.Tomb.Context(context.Background()))
 	l := &remoteLink{
 		dialer: d,
 		cancel: cancel,
--- a/router/router.go
+++ b/router/router.go
@@ -256,7 +256,7 @@
 }
 
 func (r *Router) startDuties() {
-	ctx := r.tomb.Context(nil)
+	ctx := r.tomb.Context(context.Background())
 	duties := []func() error{
 		r.host.Run,
 		r.broker.Run,
