standin: read the result of streams from the trailer; keep service pools busy

Streams were counted as "HTTP 200" (1,561 and 1,522 of them), since the router tells their result in the trailer. Workers paused after a refusal that concerned one key only, so that the services were 30.4 % and 58.5 % busy and their shares said nothing. A target over its slots could not be told by name, nor from the load of somebody else on the same targets.

Ruled out: ignoring Retry-After. It is obeyed for refusals of capacity (3xx), failures of the router (6xx) and lost connections, and when an operation is sent again; a refusal of one request, target or key (2xx, 4xx, 5xx) lets the next one go.

--- a/internal/standin/load/client.go
+++ b/internal/standin/load/client.go
@@ -42,6 +42,14 @@
 	nameHTTP     = "HTTP "
 )
 
+// The classes of result codes are their hundreds.
+const (
+	codesPerClass = 100
+	classRequest  = 2
+	classTarget   = 4
+	classKey      = 5
+)
+
 // outcome is how a request ended for its caller.
 type outcome struct {
 	code       uint32
@@ -59,14 +67,30 @@
 	return o.name == nameHTTP+strconv.Itoa(http.StatusOK)
 }
 
-// pause returns how long the caller waits before its next request.
+// pause returns how long the caller waits before its next request. Refusals
+// that concern one request or its key don't hold the next one up.
 func (o outcome) pause() time.Duration {
-	if o.served() {
+	if o.served() || o.concernsRequest() {
 		return 0
 	}
+	return o.retryPause()
+}
+
+// retryPause returns how long the caller waits before it repeats the request.
+func (o outcome) retryPause() time.Duration {
 	return min(max(o.retryAfter, failurePause), maxPause)
 }
 
+// concernsRequest reports whether the code is about the request or its key,
+// and not about the capacity or the router.
+func (o outcome) concernsRequest() bool {
+	switch o.code / codesPerClass {
+	case classRequest, classTarget, classKey:
+		return true
+	}
+	return false
+}
+
 // notRun reports whether the router promised that the request did not run.
 func (o outcome) notRun() bool {
 	return o.ran == v1.Ran_NO.String()
@@ -112,17 +136,32 @@
 
 // readOutcome returns the outcome that the headers of an answer tell.
 func readOutcome(resp *http.Response) outcome {
-	o := outcome{ran: resp.Header.Get(ranHeader), retryAfter: readRetryAfter(resp)}
-	number, name, found := strings.Cut(resp.Header.Get(codeHeader), " ")
-	code, err := strconv.ParseUint(number, 10, 32)
-	if !found || err != nil {
+	o, ok := parseOutcome(resp.Header)
+	if !ok {
 		o.name = nameHTTP + strconv.Itoa(resp.StatusCode)
-		return o
 	}
-	o.code, o.name = uint32(code), name
+	o.retryAfter = readRetryAfter(resp)
 	return o
 }
 
+// readTrailer returns the outcome in the trailer of an answer that was read to
+// its end, or the one from its headers.
+func readTrailer(resp *http.Response, fromHeaders outcome) outcome {
+	if o, ok := parseOutcome(resp.Trailer); ok {
+		return o
+	}
+	return fromHeaders
+}
+
+func parseOutcome(headers http.Header) (o outcome, ok bool) {
+	number, name, found := strings.Cut(headers.Get(codeHeader), " ")
+	code, err := strconv.ParseUint(number, 10, 32)
+	if !found || err != nil {
+		return outcome{}, false
+	}
+	return outcome{code: uint32(code), name: name, ran: headers.Get(ranHeader)}, true
+}
+
 func readRetryAfter(resp *http.Response) time.Duration {
 	seconds, err := strconv.ParseFloat(resp.Header.Get(retryAfterHeader), 64)
 	if err != nil {
--- a/internal/standin/load/ledger.go
+++ b/internal/standin/load/ledger.go
@@ -20,7 +20,9 @@
 	}
 	for _, op := range g.recorder.operations {
 		g.recorder.verifyOperation(op, runs[op.name])
+		delete(runs, op.name)
 	}
+	g.recorder.foreignRuns = len(runs)
 }
 
 // readLedgers returns the runs of each operation over all services.
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -42,11 +43,24 @@
 	case strings.HasPrefix(r.URL.Path, "/services/"):
 		e.serveService(e, w, r)
 	default:
-		writeCode(w, "100 OK", "YES")
-		e.engine.ServeHTTP(e.wrap(w), r)
+		e.serveModel(w, r)
 	}
 }
 
+// serveModel tells the result in the trailer of streams and in the headers of
+// other answers.
+func (e *entry) serveModel(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	prefix := ""
+	if bytes.Contains(body, []byte(`"stream":true`)) {
+		prefix = http.TrailerPrefix
+	}
+	w.Header().Set(prefix+"Chiveseam-Code", "100 OK")
+	w.Header().Set(prefix+"Chiveseam-Ran", "YES")
+	e.engine.ServeHTTP(e.wrap(w), r)
+}
+
 func writeCode(w http.ResponseWriter, code, ran string) {
 	w.Header().Set("Chiveseam-Code", code)
 	w.Header().Set("Chiveseam-Ran", ran)
@@ -142,6 +156,7 @@
 	t.Log(text)
 	is.NoErr(report.Err())
 	is.True(strings.Contains(text, "violations: none"))
+	is.True(!strings.Contains(text, "HTTP 200")) // the trailer tells the result
 	is.True(strings.Contains(text, "utilisation of slots"))
 }
 
--- a/internal/standin/load/measure.go
+++ b/internal/standin/load/measure.go
@@ -32,8 +32,12 @@
 	readings int
 	// used is the sum of the used part of the pool's slots.
 	used float64
-	// peak is the largest load of one target divided by its slots.
-	peak float64
+	// peak is the largest load of one target, named peakTarget, divided by its
+	// slots.
+	peak       float64
+	peakTarget string
+	// over counts the readings in which a target had more than its slots.
+	over int
 }
 
 // measure samples until ctx ends.
@@ -74,7 +78,7 @@
 // sampleLoad reads the load of all targets of each pool.
 func (g *generator) sampleLoad(ctx context.Context, m *measurement) {
 	for _, pool := range g.options.Configuration.Pools {
-		used, peak, ok := g.poolLoad(ctx, pool.Name)
+		reading, ok := g.poolLoad(ctx, pool.Name)
 		if !ok {
 			continue
 		}
@@ -83,15 +87,32 @@
 			usage = &slotUsage{}
 			m.usage[pool.Name] = usage
 		}
-		usage.readings++
-		usage.used += used
-		usage.peak = max(usage.peak, peak)
+		usage.add(reading)
+	}
+}
+
+func (u *slotUsage) add(r loadReading) {
+	u.readings++
+	u.used += r.used
+	if r.peak > 1 {
+		u.over++
+	}
+	if r.peak > u.peak {
+		u.peak, u.peakTarget = r.peak, r.peakTarget
 	}
 }
 
-// poolLoad returns the used part of the pool's slots and the largest load of a
-// target; ok is false when no target told its load.
-func (g *generator) poolLoad(ctx context.Context, pool string) (used, peak float64, ok bool) {
+// loadReading is the load of a pool at one time.
+type loadReading struct {
+	// used is the used part of the pool's slots.
+	used float64
+	// peak is the largest load of one target divided by its slots.
+	peak       float64
+	peakTarget string
+}
+
+// poolLoad reads the load of the pool's targets; ok is false when none told it.
+func (g *generator) poolLoad(ctx context.Context, pool string) (reading loadReading, ok bool) {
 	busy, slots := 0, 0
 	for _, target := range g.options.Configuration.Targets {
 		if target.Pool != pool || target.Slots == 0 {
@@ -104,12 +125,15 @@
 		size := int(target.Slots)
 		busy += min(load.Active, size)
 		slots += size
-		peak = max(peak, float64(load.Active)/float64(size))
+		if part := float64(load.Active) / float64(size); part > reading.peak {
+			reading.peak, reading.peakTarget = part, target.Name
+		}
 	}
 	if slots == 0 {
-		return 0, 0, false
+		return loadReading{}, false
 	}
-	return float64(busy) / float64(slots), peak, true
+	reading.used = float64(busy) / float64(slots)
+	return reading, true
 }
 
 func readLoad(ctx context.Context, client *http.Client, target *v1.Target) (loadlog.Load, error) {
--- a/internal/standin/load/operation.go
+++ b/internal/standin/load/operation.go
@@ -63,7 +63,7 @@
 	copies := g.resend(ctx, f, op, rng)
 	result := g.attempt(ctx, f, op, g.anyRouter(rng))
 	for n := 1; n < maxAttempts && result.notRun() && result.retryAfter > 0; n++ {
-		pause(ctx, result.pause())
+		pause(ctx, result.retryPause())
 		result = g.attempt(ctx, f, op, g.anyRouter(rng))
 	}
 	copies.Wait()
--- a/internal/standin/load/recorder.go
+++ b/internal/standin/load/recorder.go
@@ -92,6 +92,9 @@
 	operations []*operation
 	// repeated counts the idempotent calls that ran more than once.
 	repeated int
+	// foreignRuns counts operations of other callers in the ledgers, whose
+	// load disturbs the measurement.
+	foreignRuns int
 	// ledgerErr is set when the ledgers could not be read.
 	ledgerErr error
 }
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -94,8 +94,9 @@
 func (r *Report) describePool(pool string) string {
 	text := "utilisation of slots unknown"
 	if usage := r.measurement.usage[pool]; usage != nil {
-		text = fmt.Sprintf("utilisation of slots %.1f %%, peak load of a target %.2f of its slots",
-			100*usage.used/float64(usage.readings), usage.peak)
+		text = fmt.Sprintf("utilisation of slots %.1f %%, peak load %.2f of the slots of %s, over its slots in %.1f %% of readings",
+			percent(usage.used, float64(usage.readings)), usage.peak, usage.peakTarget,
+			percent(float64(usage.over), float64(usage.readings)))
 	}
 	rate := r.total(pool) / r.measurement.elapsed.Seconds()
 	if tracker := r.measurement.gaps[pool]; tracker != nil && rate > 0 {
@@ -185,31 +186,9 @@
 	table.Flush()
 }
 
-func (r *Report) printRouters(w io.Writer) {
-	if len(r.after) == 0 {
-		fmt.Fprintln(w, "\nRouters: no status")
-		return
-	}
-	fmt.Fprintln(w, "\nControl traffic of the routers over the whole run")
-	table := newTable(w)
-	fmt.Fprintln(table, "router\tzone\trevision\tdirection\tbytes\tbytes/s\tplatform calls\t")
-	seconds := r.options.Duration.Seconds()
-	for _, admin := range slices.Sorted(maps.Keys(r.after)) {
-		status, before := r.after[admin], r.before[admin]
-		calls := status.PlatformCalls - before.GetPlatformCalls()
-		sums, sumsBefore := controlBytes(status), controlBytes(before)
-		for _, direction := range slices.Sorted(maps.Keys(sums)) {
-			bytes := sums[direction] - sumsBefore[direction]
-			fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%d\t%.0f\t%d\t\n", status.Router, status.Zone,
-				status.ConfigRevision, direction, bytes, float64(bytes)/seconds, calls)
-		}
-	}
-	table.Flush()
-}
-
 func (r *Report) printViolations(w io.Writer) {
-	fmt.Fprintf(w, "\n%d service operations, idempotent ones run more than once: %d\n",
-		len(r.recorder.operations), r.recorder.repeated)
+	fmt.Fprintf(w, "\n%d service operations, idempotent ones run more than once: %d, operations of other callers in the ledgers: %d\n",
+		len(r.recorder.operations), r.recorder.repeated, r.recorder.foreignRuns)
 	if r.recorder.ledgerErr != nil {
 		fmt.Fprintf(w, "ledgers not read: %v\n", r.recorder.ledgerErr)
 	}
--- a/internal/standin/load/sse.go
+++ b/internal/standin/load/sse.go
@@ -84,7 +84,7 @@
 		case e.data == doneData:
 			g.verifyText(c, text.String())
 			g.recorder.total.record(time.Since(c.began))
-			return result
+			return g.readEnd(reader, resp, result)
 		}
 		token, err := chunkText(e)
 		if err != nil {
@@ -99,6 +99,15 @@
 	}
 }
 
+// readEnd reads what follows the last event of a stream: its end, and the
+// trailer with the result.
+func (g *generator) readEnd(reader *eventReader, resp *http.Response, result outcome) outcome {
+	if e, err := reader.next(); err == nil {
+		g.recorder.violate(violationForeign, "event after [DONE]: "+e.data)
+	}
+	return readTrailer(resp, result)
+}
+
 // recordToken counts a token that arrived now; previous is the time of the one
 // before, zero for the first.
 func (g *generator) recordToken(c *completion, previous time.Time) time.Time {
