fleet: announce unlisted routers themselves; test the view's rules

Cause: TestUnlistedRouterIsForgotten found that a dead router outside the list stayed known: once its watchers forgot it, the others heard no report of it any more. TestFleetAgrees (rapid) found that a restarted router never got back the marks that others had learnt from it before. Ruled out: spreading a sticky mark for forgotten routers, which would shut out the far side of a partition that lasts longer than ForgetAfter. Change: an unlisted router raises a beat of its own, and lapses without one; forgotten routers are probed now and then so that partitions meet again. A receiver that has acknowledged nothing gets also what came from it.

--- a/fleet/changes.go
+++ b/fleet/changes.go
@@ -11,7 +11,7 @@
 const (
 	changeLeaving changeKind = iota + 1
 	changeReport
-	changeJoined
+	changeUnlisted
 	changeConfig
 )
 
@@ -49,14 +49,15 @@
 }
 
 // after returns the changes above seq that were not learnt from the receiver,
-// in the order of their numbers.
+// in the order of their numbers; all changes for a seq of zero.
 func (l *changeLog) after(seq uint64, receiver string) []change {
 	if seq >= l.seq {
 		return nil
 	}
 	unsent := func(c change) bool {
 		e := l.entries[c]
-		return e.seq > seq && e.from != receiver
+		// A receiver that has merged nothing may have lost what it sent.
+		return e.seq > seq && (e.from != receiver || seq == 0)
 	}
 	var changes []change
 	for c := range maps.Keys(l.entries) {
--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -19,9 +19,11 @@
 //     list that any router it reaches has. Without any, the last list holds.
 //   - A router that is silent for SuspectAfter is not reachable and gets no
 //     role. It stays known and is reachable again on contact.
-//   - A router that answers but is not in the list (it started after it, or
-//     was dropped from it) is a member until it has been silent for
-//     ForgetAfter.
+//   - A router that is not in the list (it started after it, or was dropped
+//     from it) announces itself every BeatInterval with a growing beat. It is
+//     a member until no new beat has come for ForgetAfter; then it is probed
+//     now and then for MarkRetention, so that the sides of a long partition
+//     meet again.
 //
 // # Who contacts whom
 //
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -12,7 +12,8 @@
 // Next returns the routers to exchange messages with now, by name, and counts
 // an attempt for each. It is to be called about every 100 ms. Watched routers
 // are due every HeartbeatInterval (silent ones every ProbeInterval), and ring
-// neighbours at once when they lack a change.
+// neighbours at once when they lack a change. A forgotten router is due now and
+// then.
 func (v *View) Next(now time.Time) []Member {
 	var due []Member
 	watched := v.watched(now)
@@ -32,6 +33,9 @@
 			due = append(due, memberOf(v.router(name)))
 		}
 	}
+	if lost, ok := v.forgottenToProbe(now); ok {
+		due = append(due, lost)
+	}
 	return due
 }
 
@@ -136,13 +140,21 @@
 		state.Leaving = append(state.Leaving, m)
 	case changeReport:
 		state.SilenceReports = append(state.SilenceReports, v.reports[c.name])
-	case changeJoined:
-		state.Joined = append(state.Joined, v.joined[c.name])
+	case changeUnlisted:
+		state.Unlisted = append(state.Unlisted, v.unlistedRouter(c.name))
 	case changeConfig:
 		state.ConfigDigest = []byte(v.config.Digest)
 	}
 }
 
+func (v *View) unlistedRouter(name string) *v1.UnlistedRouter {
+	if name == v.self.Name {
+		return &v1.UnlistedRouter{Instance: v.self, Beat: v.beat}
+	}
+	u := v.unlisted[name]
+	return &v1.UnlistedRouter{Instance: u.instance, Beat: u.beat}
+}
+
 // Merged is what a message changed in the view.
 type Merged struct {
 	// Ignored is set for messages of an earlier incarnation or of an unknown
@@ -162,7 +174,7 @@
 	if state.Router == v.self.Name {
 		return Merged{Ignored: true}
 	}
-	v.join(now, state.Self, true, "")
+	v.meet(now, state.Self)
 	if !v.accepts(state) {
 		return Merged{Ignored: true}
 	}
@@ -175,8 +187,11 @@
 	merged.Config = p.mergeConfig(state)
 	v.mergeLeaving(now, state)
 	merged.List = v.mergeList(now, state)
-	for _, instance := range state.Joined {
-		v.join(now, instance, false, state.Router)
+	for _, u := range state.Unlisted {
+		v.mergeUnlisted(now, u, state.Router)
+	}
+	if u := v.unlisted[state.Router]; u != nil {
+		u.refreshed = now
 	}
 	for _, report := range state.SilenceReports {
 		v.mergeReport(report, state.Router)
--- a/fleet/leaving.go
+++ b/fleet/leaving.go
@@ -1,11 +1,8 @@
 package fleet
 
 import (
-	"maps"
 	"slices"
 	"time"
-
-	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
 // MarkLeaving marks an instance, router or target, as leaving for the
@@ -18,7 +15,7 @@
 	if v.leavingAt(name, incarnation) {
 		return false
 	}
-	v.leaving[name] = mark{incarnation: incarnation, since: now, lastNeeded: now}
+	v.leaving[name] = mark{incarnation: incarnation, lastNeeded: now}
 	v.marksAdded++
 	v.log.add(change{kind: changeLeaving, name: name}, from)
 	v.refreshRings()
@@ -59,11 +56,10 @@
 	return ok && m.incarnation >= incarnation
 }
 
-// forget drops marks that have not been needed for MarkRetention and routers
-// outside the list that have been silent for ForgetAfter.
+// forget drops marks and reports that are not needed any more.
 func (v *View) forget(now time.Time) {
 	for name, m := range v.leaving {
-		if v.listed[name] != nil || v.joined[name] != nil || name == v.self.Name {
+		if v.listed[name] != nil || v.router(name) != nil {
 			m.lastNeeded = now
 			v.leaving[name] = m
 			continue
@@ -73,15 +69,6 @@
 			v.log.remove(change{kind: changeLeaving, name: name})
 		}
 	}
-	maps.DeleteFunc(v.forgotten, func(_ string, m mark) bool {
-		return now.Sub(m.lastNeeded) > v.opts.MarkRetention
-	})
-	for name, instance := range v.joined {
-		if v.silentFor(now, name) > v.opts.ForgetAfter {
-			v.forgotten[name] = mark{incarnation: instance.Incarnation, since: now, lastNeeded: now}
-			v.dropJoined(name)
-		}
-	}
 	for name := range v.peers {
 		if v.router(name) == nil {
 			delete(v.peers, name)
@@ -94,32 +81,3 @@
 		}
 	}
 }
-
-// join adds a router outside the list. direct is set when the router itself
-// was in contact.
-func (v *View) join(now time.Time, instance *v1.Instance, direct bool, from string) {
-	if instance == nil || instance.IsTarget || instance.Name == v.self.Name {
-		return
-	}
-	known := v.router(instance.Name)
-	if known != nil && known.Incarnation >= instance.Incarnation {
-		return
-	}
-	if gone, ok := v.forgotten[instance.Name]; ok && !direct && gone.incarnation >= instance.Incarnation {
-		return
-	}
-	if listed := v.listed[instance.Name]; listed != nil && listed.IsTarget {
-		return
-	}
-	delete(v.forgotten, instance.Name)
-	v.joined[instance.Name] = instance
-	v.resetPeer(instance)
-	v.log.add(change{kind: changeJoined, name: instance.Name}, from)
-	v.refreshRings()
-}
-
-func (v *View) dropJoined(name string) {
-	delete(v.joined, name)
-	v.log.remove(change{kind: changeJoined, name: name})
-	v.refreshRings()
-}
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -89,30 +89,6 @@
 	return true
 }
 
-// keepDropped keeps routers that the new list dropped but that answer.
-func (v *View) keepDropped(now time.Time, previous map[string]*v1.Instance) {
-	for name, instance := range previous {
-		if instance.IsTarget || v.listed[name] != nil || v.leavingAt(name, instance.Incarnation) {
-			continue
-		}
-		if p := v.peers[name]; p != nil && p.answered(now, v.opts.SuspectAfter) {
-			v.joined[name] = instance
-			v.log.add(change{kind: changeJoined, name: name}, "")
-		}
-	}
-}
-
-// dropListed drops routers from joined that the list has caught up with.
-func (v *View) dropListed() {
-	for name, joined := range v.joined {
-		listed := v.listed[name]
-		if listed != nil && listed.Incarnation >= joined.Incarnation {
-			delete(v.joined, name)
-			v.log.remove(change{kind: changeJoined, name: name})
-		}
-	}
-}
-
 func (v *View) resetRestarted(previous map[string]*v1.Instance) {
 	for name, instance := range v.listed {
 		if before := previous[name]; before != nil && before.Incarnation < instance.Incarnation {
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -14,8 +14,11 @@
 	// PushInterval is the least time between two messages with changes to one
 	// router.
 	PushInterval time.Duration
-	// ForgetAfter is the silence after which a router outside the list is
-	// forgotten.
+	// BeatInterval is the time between announcements of a router that is not in
+	// the list.
+	BeatInterval time.Duration
+	// ForgetAfter is the time without an announcement after which a router
+	// outside the list is forgotten.
 	ForgetAfter time.Duration
 	// MarkRetention is how long leaving marks of instances that are in no list
 	// are kept.
@@ -47,6 +50,7 @@
 		ProbeInterval:     2 * time.Second,
 		SuspectAfter:      3 * time.Second,
 		PushInterval:      250 * time.Millisecond,
+		BeatInterval:      time.Minute,
 		ForgetAfter:       5 * time.Minute,
 		MarkRetention:     24 * time.Hour,
 		HistoryRetention:  time.Hour,
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -13,7 +13,6 @@
 	// firstAttempt is the first attempt since lastAnswer, or zero.
 	firstAttempt time.Time
 	lastAttempt  time.Time
-	downSince    time.Time
 	// upSince is the time at which the router was reachable again after
 	// silence; zero if it was never silent.
 	upSince time.Time
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -19,10 +19,7 @@
 		}
 	}
 	for _, name := range v.rings.names {
-		switch {
-		case down[name] && !v.down[name]:
-			v.peer(name).downSince = now
-		case !down[name] && v.down[name]:
+		if v.down[name] && !down[name] {
 			v.peer(name).upSince = now
 		}
 	}
@@ -142,22 +139,6 @@
 	return a.Version > b.Version
 }
 
-// silentFor returns how long a router has been silent, zero if it is not. A
-// leaving router has no watchers: its last answer here counts.
-func (v *View) silentFor(now time.Time, name string) time.Duration {
-	if m, ok := v.leaving[name]; ok && v.leavingAt(name, v.router(name).Incarnation) {
-		last := m.since
-		if p := v.peers[name]; p != nil && p.lastAnswer.After(last) {
-			last = p.lastAnswer
-		}
-		return now.Sub(last)
-	}
-	if !v.down[name] {
-		return 0
-	}
-	return now.Sub(v.peer(name).downSince)
-}
-
 func (v *View) fullMesh() bool {
 	return len(v.rings.names) <= v.opts.FullMeshUpTo
 }
--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -10,7 +10,15 @@
 	"github.com/chiveseam/chiveseam/fleet"
 )
 
-const leavingDeadline = 3 * time.Second
+const (
+	leavingDeadline = 3 * time.Second
+	measured        = 5 * time.Second
+)
+
+// perRouter returns a rate in units a second of one router.
+func perRouter(total, size int) float64 {
+	return float64(total) / measured.Seconds() / float64(size)
+}
 
 // TestSpreadOfLeaving measures how long a leaving mark takes from the first
 // router that knows it to the last, and what that and the heartbeats cost.
@@ -22,7 +30,7 @@
 			n.loss = loss
 			n.run(5 * time.Second)
 			n.bytes, n.messages = 0, 0
-			n.run(10 * time.Second)
+			n.run(measured)
 			idle, count := n.bytes, n.messages
 			n.bytes = 0
 			n.views["router-3"].MarkLeaving(n.now, "engine-9", 4)
@@ -30,7 +38,7 @@
 				return n.all(func(v *fleet.View) bool { return v.Leaving("engine-9", 4) })
 			})
 			t.Logf("%3d routers, loss %.0f%%: known by all after %v; idle %.0f B/s and %.1f messages/s a router sent",
-				size, loss*100, took, float64(idle)/10/float64(size), float64(count)/10/float64(size))
+				size, loss*100, took, perRouter(idle, size), perRouter(count, size))
 			is.True(ok)
 		}
 	}
@@ -86,9 +94,11 @@
 		n.cut = func(a, b string) bool { return side(a) != side(b) }
 		settled := func() bool {
 			return n.all(func(v *fleet.View) bool {
-				return !slices.ContainsFunc(n.names, func(name string) bool {
-					return contains(v.Reachable(), name) != (side(name) == side(v.Self().Name))
-				})
+				own := side(v.Self().Name)
+				want := map[bool]int{true: 10 * far, false: 10 * (zones - far)}[own]
+				reachable := v.Reachable()
+				foreign := func(m fleet.Member) bool { return side(m.Name) != own }
+				return len(reachable) == want && !slices.ContainsFunc(reachable, foreign)
 			})
 		}
 		took, ok := n.until(60*time.Second, settled)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -28,11 +28,13 @@
 	list    *v1.InstanceList
 	listed  map[string]*v1.Instance
 	history []ListView
-	// joined holds routers outside the list, by name.
-	joined map[string]*v1.Instance
-	// forgotten holds the highest incarnation of routers that were dropped
-	// from joined; only a contact brings them back.
-	forgotten map[string]mark
+	// unlisted holds routers outside the list, by name.
+	unlisted  map[string]*unlisted
+	forgotten map[string]*forgotten
+	// beat counts the announcements of the router itself while unlisted.
+	beat               uint64
+	lastBeat           time.Time
+	lastForgottenProbe time.Time
 	// leaving holds the highest leaving incarnation of each instance.
 	leaving    map[string]mark
 	marksAdded uint64
@@ -52,8 +54,6 @@
 // mark is about an incarnation of an instance.
 type mark struct {
 	incarnation uint64
-	// since is the time at which the mark was made here.
-	since time.Time
 	// lastNeeded is the last time at which the instance was known.
 	lastNeeded time.Time
 }
@@ -72,8 +72,8 @@
 		self:      self,
 		list:      &v1.InstanceList{},
 		listed:    map[string]*v1.Instance{},
-		joined:    map[string]*v1.Instance{},
-		forgotten: map[string]mark{},
+		unlisted:  map[string]*unlisted{},
+		forgotten: map[string]*forgotten{},
 		leaving:   map[string]mark{},
 		reports:   map[string]*v1.SilenceReport{},
 		peers:     map[string]*peer{},
@@ -115,6 +115,8 @@
 // hundred milliseconds.
 func (v *View) Tick(now time.Time) bool {
 	before := v.reachableNames()
+	v.announceSelf(now)
+	v.expireUnlisted(now)
 	v.forget(now)
 	v.evaluate(now)
 	v.report(now)
@@ -169,12 +171,13 @@
 	if name == v.self.Name {
 		return v.self
 	}
-	listed, joined := v.listed[name], v.joined[name]
+	listed := v.listed[name]
 	if listed != nil && listed.IsTarget {
 		return nil
 	}
-	if listed == nil || (joined != nil && joined.Incarnation > listed.Incarnation) {
-		return joined
+	u := v.unlisted[name]
+	if u != nil && (listed == nil || u.instance.Incarnation > listed.Incarnation) {
+		return u.instance
 	}
 	return listed
 }
@@ -187,7 +190,7 @@
 			names[name] = true
 		}
 	}
-	for name := range v.joined {
+	for name := range v.unlisted {
 		names[name] = true
 	}
 	return slices.Sorted(maps.Keys(names))
