fleet: count the reports of a member once a Tick

Cause: each silent member searched all reports, and a partition makes both many. Change: votes are counted once for all members.

--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -12,9 +12,9 @@
 // evaluate decides which members are silent, from the state of the last Tick.
 func (v *View) evaluate(now time.Time) {
 	down := map[string]bool{}
-	reported := v.reportedNames()
+	votes := v.countVotes(now)
 	for _, name := range v.rings.names {
-		if name != v.self.Name && v.silent(now, name, reported) {
+		if name != v.self.Name && v.silent(now, name, votes[name]) {
 			down[name] = true
 		}
 	}
@@ -26,7 +26,7 @@
 	v.down = down
 }
 
-func (v *View) silent(now time.Time, name string, reported map[string]bool) bool {
+func (v *View) silent(now time.Time, name string, votes int) bool {
 	if p := v.peers[name]; p != nil {
 		if p.answered(now, v.opts.SuspectAfter) {
 			return false
@@ -35,34 +35,40 @@
 			return true
 		}
 	}
-	if v.fullMesh() || (!v.down[name] && !reported[name]) {
+	if v.fullMesh() {
 		return v.down[name]
 	}
-	return v.reportedSilent(now, name)
+	return v.reportedSilent(name, votes)
 }
 
-// reportedNames returns the members that at least one router reports.
-func (v *View) reportedNames() map[string]bool {
-	names := map[string]bool{}
-	for _, report := range v.reports {
+// countVotes returns how many routers report the known incarnation of a member
+// as silent. Members without a report are not in it.
+func (v *View) countVotes(now time.Time) map[string]int {
+	votes := map[string]int{}
+	for reporter, report := range v.reports {
+		if len(report.Silent) == 0 || !v.counts(now, reporter) {
+			continue
+		}
 		for _, m := range report.Silent {
-			names[m.Instance] = true
+			if known := v.router(m.Instance); known != nil && known.Incarnation == m.Incarnation {
+				votes[m.Instance]++
+			}
 		}
 	}
-	return names
+	return votes
 }
 
 // reportedSilent judges a member without recent contact by the reports of
 // others. A member that the router has just begun to watch stays what it was.
-func (v *View) reportedSilent(now time.Time, name string) bool {
-	watchers := v.rings.watchers(name, v.down)
-	votes := 0
-	for reporter := range v.reports {
-		if v.counts(now, reporter) && v.reportsSilent(reporter, name) {
-			votes++
-		}
+func (v *View) reportedSilent(name string, votes int) bool {
+	if votes >= QuorumOfWatchers {
+		return true
+	}
+	if votes == 0 && !v.down[name] {
+		return false
 	}
-	if votes > 0 && votes >= min(QuorumOfWatchers, len(watchers)) {
+	watchers := v.rings.watchers(name, v.down)
+	if votes > 0 && votes >= len(watchers) {
 		return true
 	}
 	return v.down[name] && slices.Contains(watchers, v.self.Name)
@@ -84,18 +90,6 @@
 	return p == nil || p.upSince.IsZero() || now.Sub(p.upSince) >= v.opts.SuspectAfter
 }
 
-// reportsSilent returns whether the reporter lists the known incarnation of name.
-func (v *View) reportsSilent(reporter, name string) bool {
-	report := v.reports[reporter]
-	if report == nil {
-		return false
-	}
-	incarnation := v.router(name).Incarnation
-	return slices.ContainsFunc(report.Silent, func(m *v1.Leaving) bool {
-		return m.Instance == name && m.Incarnation == incarnation
-	})
-}
-
 // report publishes the watched members that are silent.
 func (v *View) report(now time.Time) {
 	report := &v1.SilenceReport{Reporter: v.self.Name, Incarnation: v.self.Incarnation, Version: 1}
