--- a/pool/check_test.go
+++ b/pool/check_test.go
@@ -29,12 +29,16 @@
 	return false
 }
 
-// checkGrant fails when the target may not get the work.
+// checkGrant fails when the target may not get the work, or the deadline is
+// over.
 func (m *model) checkGrant(s *Scheduler, g Grant, overAdmits bool) {
 	t := s.targets[g.Target]
 	if t.Leaving || !t.known || t.free() < 0 && !overAdmits {
 		m.failf("grant on target %+v with %d busy and %d spare", t.Target, t.busy, t.spares)
 	}
+	if d := s.find(g.ID); d != nil && !d.deadline.After(s.now) {
+		m.failf("grant of %v at %v, deadline %v", g.ID, s.now, d.deadline)
+	}
 }
 
 // checkScheduler fails when indexes disagree, or when a free slot coexists
--- a/pool/model_test.go
+++ b/pool/model_test.go
@@ -77,9 +77,11 @@
 	delivered  map[config.ID]int64
 	ended      map[DemandID]string
 	answered   map[string]bool
-	restarts   int
-	started    map[config.ID]int
-	failures   []string
+	// expired holds the demands that no scheduler answered in time.
+	expired  map[DemandID]bool
+	restarts int
+	started  map[config.ID]int
+	failures []string
 }
 
 func newModel(seed uint64, schedulers, routers int, o Options, f modelFaults, targets []Target, workspaces []Workspace) *model {
@@ -94,6 +96,7 @@
 		delivered:  map[config.ID]int64{},
 		ended:      map[DemandID]string{},
 		answered:   map[string]bool{},
+		expired:    map[DemandID]bool{},
 		started:    map[config.ID]int{},
 	}
 	for i := range schedulers {
@@ -344,6 +347,7 @@
 	switch {
 	case !d.running && m.now.After(d.Deadline.Add(time.Second)):
 		m.end(r, d, "expired")
+		m.expired[d.ID] = true
 		m.send(r, Cancel{ID: d.ID})
 	case !d.running:
 	case !d.end.After(m.now):
--- a/pool/router.go
+++ b/pool/router.go
@@ -64,12 +64,12 @@
 	s.dropActions(r.Router)
 	r.zone = e.Zone
 	r.joined = true
-	r.endedLen = 0
-	r.endedNext = 0
 	s.incarnations[r.Name] = r
 	s.dropWaiting(r)
 	s.dropSpares(r)
 	s.reconcile(r, e.InFlight)
+	r.endedLen = 0
+	r.endedNext = 0
 	s.counters.Merge(fromCounters(e.Counters))
 }
 
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -91,7 +91,6 @@
 		s.now = now
 	}
 	s.fire()
-	s.dispatch()
 	s.handle(event)
 	s.dispatch()
 	s.balanceSpares()
@@ -128,12 +127,14 @@
 	}
 }
 
-// demand grants, queues or refuses a new demand.
+// demand grants, queues or refuses a new demand, after those that wait for
+// slots which came free in this step.
 func (s *Scheduler) demand(e Demand) {
 	d := s.newDemand(e)
 	if d == nil {
 		return
 	}
+	s.dispatch()
 	exclude := sortedExclude(e.Exclude)
 	if code := s.admissible(d, exclude); code != v1.Code_OK {
 		s.refuse(d, code, s.retryAfter(d))
--- /dev/null
+++ b/pool/scheduler_test.go
@@ -0,0 +1,326 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/config"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+var (
+	start   = time.Unix(1e9, 0)
+	router1 = Router{Name: "r1", Incarnation: 1}
+)
+
+// fixture is a scheduler with one router in zone z1.
+type fixture struct {
+	*Scheduler
+	now time.Time
+}
+
+func newFixture(o Options, targets ...Target) *fixture {
+	f := &fixture{New(o), start}
+	f.step(TargetsChanged{Targets: targets})
+	f.step(WorkspacesChanged{Workspaces: []Workspace{
+		{ID: 1, Share: 1, MaxQueued: 3, MaxQueuedBytes: 100},
+		{ID: 2, Share: 1, DataCentre: "north"},
+	}})
+	f.step(RouterJoined{Router: router1, Zone: "z1"})
+	return f
+}
+
+func (f *fixture) step(e Event) []Action { return f.Step(f.now, e) }
+
+// ask sends a demand of workspace 1.
+func (f *fixture) ask(seq uint64, wait time.Duration) []Action {
+	return f.step(f.demandOf(seq, wait))
+}
+
+func (f *fixture) demandOf(seq uint64, wait time.Duration) Demand {
+	return Demand{ID: id(seq), Workspace: 1, Deadline: f.now.Add(wait), BodyBytes: 10}
+}
+
+func (f *fixture) finish(seq uint64, outcome v1.Outcome) []Action {
+	return f.step(Done{ID: id(seq), Cost: 100, Outcome: outcome, ServiceTime: time.Second})
+}
+
+func id(seq uint64) DemandID { return DemandID{router1, seq} }
+
+func code(actions []Action) v1.Code {
+	if len(actions) != 1 {
+		return v1.Code_CODE_UNSPECIFIED
+	}
+	refusal, _ := actions[0].(Refuse)
+	return refusal.Code
+}
+
+func granted(actions []Action) config.ID {
+	for _, a := range actions {
+		if g, ok := a.(Grant); ok {
+			return g.Target
+		}
+	}
+	return 0
+}
+
+func oneSlot() Target { return Target{ID: 10, Zone: "z1", Slots: 1, Speed: 1} }
+
+func TestEarliestDeadlineFirst(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{}, oneSlot())
+	f.ask(1, time.Minute)
+	f.ask(2, time.Minute)
+	f.ask(3, time.Second)
+	f.ask(4, time.Minute)
+	is.Equal(f.finish(1, v1.Outcome_SERVED), []Action{Grant{id(3), 10}})
+	is.Equal(f.finish(3, v1.Outcome_SERVED), []Action{Grant{id(2), 10}})
+}
+
+func TestQueueBounds(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{}, oneSlot())
+	f.ask(1, time.Minute)
+	large := f.demandOf(2, time.Minute)
+	large.BodyBytes = 101
+	is.Equal(code(f.step(large)), v1.Code_QUEUE_FULL)
+	for seq := uint64(3); seq < 6; seq++ {
+		is.Equal(len(f.ask(seq, time.Minute)), 0)
+	}
+	is.Equal(code(f.ask(6, time.Minute)), v1.Code_QUEUE_FULL)
+	is.Equal(len(f.ask(5, time.Minute)), 0) // doubled
+	is.Equal(f.Status().Queued, 3)
+}
+
+func TestRefusalBeforeTheWait(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{InitialCost: 100}, oneSlot())
+	for seq := uint64(1); seq <= minServiceSamples; seq++ {
+		f.ask(seq, time.Minute)
+		f.finish(seq, v1.Outcome_SERVED)
+	}
+	f.ask(100, time.Minute)
+	f.ask(101, time.Minute)
+	is.Equal(code(f.ask(102, 1500*time.Millisecond)), v1.Code_CODE_UNSPECIFIED) // before 101
+	actions := f.ask(103, 1900*time.Millisecond)                                // 102 and itself take 2 s
+	is.Equal(code(actions), v1.Code_WAIT_EXCEEDS_DEADLINE)
+	is.True(actions[0].(Refuse).RetryAfter >= minRetryAfter)
+}
+
+func TestExpiryAfterPause(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{}, oneSlot())
+	f.ask(1, time.Minute)
+	f.ask(2, time.Second)
+	at, ok := f.NextTick()
+	is.True(ok)
+	is.Equal(at, start.Add(time.Second))
+	f.now = start.Add(time.Hour) // the slot's Done comes late, the deadline is over
+	is.Equal(code(f.finish(1, v1.Outcome_SERVED)), v1.Code_DEADLINE_EXCEEDED)
+	f.now = start // an earlier time does not turn the clock back
+	is.Equal(code(f.ask(3, time.Second)), v1.Code_DEADLINE_EXCEEDED)
+}
+
+func TestNoTarget(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{}, oneSlot())
+	d := f.demandOf(1, time.Minute)
+	d.Exclude = []config.ID{10}
+	is.Equal(code(f.step(d)), v1.Code_NO_TARGET)
+	d = f.demandOf(2, time.Minute)
+	d.Workspace = 2
+	is.Equal(code(f.step(d)), v1.Code_NO_TARGET) // no target on its side
+	d = f.demandOf(3, time.Minute)
+	d.Workspace = 77
+	is.Equal(code(f.step(d)), v1.Code_NOT_READY)
+	f.ask(4, time.Minute)
+	f.ask(5, time.Minute)
+	leaving := oneSlot()
+	leaving.Leaving = true
+	is.Equal(code(f.step(TargetsChanged{[]Target{leaving}})), v1.Code_NO_TARGET)
+}
+
+func TestTargetChoice(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{},
+		Target{ID: 10, Zone: "z1", Slots: 4, Speed: 1},
+		Target{ID: 11, Zone: "z1", Slots: 4, Speed: 1.2},
+		Target{ID: 12, Zone: "z2", Slots: 4, Speed: 9},
+	)
+	d := f.demandOf(1, time.Minute)
+	d.Prefix = 5
+	is.Equal(granted(f.step(d)), config.ID(11))              // own zone, faster
+	is.Equal(granted(f.ask(2, time.Minute)), config.ID(10))  // less loaded
+	is.Equal(granted(f.ask(3, time.Minute)), config.ID(11))  // even load again
+	d.ID.Seq = 4                                             //
+	is.Equal(granted(f.step(d)), config.ID(11))              // the prefix is there
+	d.ID.Seq = 5                                             //
+	d.Exclude = []config.ID{10, 11}                          //
+	is.Equal(granted(f.step(d)), config.ID(12))              // the others failed
+	f.step(TargetReport{router1, 11, true})                  //
+	is.Equal(granted(f.ask(6, time.Minute)), config.ID(10))  // unreachable from z1
+	f.step(TargetReport{router1, 11, false})                 //
+	is.Equal(granted(f.ask(7, time.Minute)), config.ID(10))  // 3 of 4 busy against 2
+	is.Equal(f.affinity.lookup(5).targets[0], config.ID(12)) // most recent first
+	is.Equal(f.affinity.lookup(5).has(11), true)             //
+	is.Equal(newAffinity(1).lookup(5).has(11), false)        //
+}
+
+func TestAffinityMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	a := newAffinity(8)
+	for prefix := range uint32(100) {
+		a.record(prefix, 1)
+		a.record(50, 2)
+	}
+	is.Equal(len(a.entries), 8)
+	is.True(a.lookup(50).has(2))
+}
+
+func TestUnhealthyTargetIsProbed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{}, Target{ID: 10, Zone: "z1", Slots: 8, Speed: 1})
+	for seq := uint64(1); seq <= targetFailures; seq++ {
+		f.ask(seq, time.Minute)
+	}
+	for seq := uint64(1); seq <= targetFailures; seq++ {
+		f.finish(seq, v1.Outcome_LOST)
+	}
+	is.Equal(len(f.ask(11, time.Minute)), 0)
+	is.Equal(len(f.ask(12, time.Minute)), 0)
+	var probe []Action
+	for len(probe) == 0 {
+		at, ok := f.NextTick()
+		is.True(ok)
+		f.now = at
+		probe = append(probe, f.step(Tick{})...)
+	}
+	is.Equal(probe, []Action{Grant{id(11), 10}}) // one probe
+	is.Equal(f.finish(11, v1.Outcome_SERVED), []Action{Grant{id(12), 10}})
+}
+
+func TestLostRouterHoldsItsSlots(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{HoldTime: time.Second}, oneSlot())
+	f.ask(1, time.Minute)
+	f.ask(2, time.Minute)
+	f.step(RouterLost{router1})
+	f.step(RouterLost{router1})
+	is.Equal(f.Status().Queued, 0)
+	is.Equal(f.Status().FreeSlots, 0)
+	is.Equal(len(f.ask(3, time.Minute)), 0) // no stream
+	f.now = start.Add(time.Second)
+	f.step(Tick{})
+	is.Equal(f.Status().FreeSlots, 1)
+	is.Equal(len(f.routers), 0)
+}
+
+func TestRejoinReconciles(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{}, Target{ID: 10, Zone: "z1", Slots: 2, Speed: 1})
+	f.ask(1, time.Minute)
+	f.ask(2, time.Minute) // its grant is lost
+	f.ask(3, time.Minute)
+	f.step(RouterJoined{Router: router1, Zone: "z1", InFlight: []InFlight{{id(1), 1, 10, 50}}})
+	is.Equal(f.Status().FreeSlots, 1)
+	is.Equal(granted(f.ask(2, time.Minute)), config.ID(10)) // sent again
+	next := Router{Name: "r1", Incarnation: 2}
+	f.step(RouterJoined{Router: next, Zone: "z1"})
+	is.Equal(f.Status().FreeSlots, 0) // the old incarnation's slots are held
+	f.step(RouterJoined{Router: router1, Zone: "z1"})
+	is.Equal(f.incarnations["r1"].Router, next) // late join of the old one
+}
+
+func TestEmptySchedulerIsRebuilt(t *testing.T) {
+	is := is.New(t)
+	old := newFixture(Options{}, oneSlot())
+	old.ask(1, time.Minute)
+	f := newFixture(Options{}, oneSlot())
+	f.step(RouterJoined{
+		Router: router1, Zone: "z1", Counters: old.Counters(),
+		InFlight: []InFlight{{id(1), 1, 10, 256}, {id(9), 1, 99, 0}},
+	})
+	is.Equal(f.Counter(1).Value, old.Counter(1).Value)
+	is.Equal(len(f.ask(2, time.Minute)), 0) // the slot is busy
+	f.step(PeerCounters{Region: "west", SpareSlots: 4})
+	is.Equal(f.Status().PeerSpares["west"], 4)
+	is.Equal(granted(f.finish(1, v1.Outcome_NOT_RUN)), config.ID(10))
+	f.finish(9, v1.Outcome_SERVED)
+	is.Equal(len(f.targets), 1) // the unlisted target is forgotten
+}
+
+func TestSilentGrantIsReleased(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{MaxService: time.Minute}, oneSlot())
+	f.ask(1, time.Minute)
+	f.now = start.Add(40 * time.Second)
+	f.step(Progress{id(1), 10})
+	f.now = start.Add(99 * time.Second)
+	f.step(Tick{})
+	is.Equal(f.Status().FreeSlots, 0)
+	f.now = start.Add(100 * time.Second)
+	f.step(Tick{})
+	is.Equal(f.Status().FreeSlots, 1)
+}
+
+func handed(actions []Action) (HandSpare, bool) {
+	for _, a := range actions {
+		if spare, ok := a.(HandSpare); ok {
+			return spare, true
+		}
+	}
+	return HandSpare{}, false
+}
+
+func TestSpareSlots(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{MaxSpares: 1}, Target{ID: 10, Zone: "z1", Slots: 4, Speed: 1})
+	spare, ok := handed(f.ask(1, time.Minute))
+	is.True(ok)
+	is.Equal(spare.Expires, start.Add(defaultSpareTTL))
+	is.Equal(len(f.step(SpareUsed{spare.Spare, f.demandOf(2, time.Minute)})), 0) // half in use
+	is.Equal(f.Status().Targets[0].Busy, 2)
+	f.step(SpareUsed{spare.Spare, f.demandOf(2, time.Minute)}) // doubled
+	is.Equal(f.Status().Targets[0].Busy, 2)
+	f.step(SpareUsed{spare.Spare, f.demandOf(3, time.Minute)}) // unknown by now
+	is.Equal(f.Status().Targets[0].Busy, 3)
+}
+
+func TestSpareIsRevokedOnContention(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{MaxSpares: 1}, Target{ID: 10, Zone: "z1", Slots: 3, Speed: 1})
+	spare, _ := handed(f.ask(1, time.Minute))
+	f.ask(2, time.Minute)
+	is.Equal(f.ask(3, time.Minute), []Action{RevokeSpare{router1, spare.Spare}})
+	returned := SpareReturned{router1, spare.Spare}
+	is.Equal(f.step(returned), []Action{Grant{id(3), 10}})
+	is.Equal(len(f.step(returned)), 0) // doubled
+}
+
+func TestSpareExpires(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{MaxSpares: 1}, Target{ID: 10, Zone: "z1", Slots: 3, Speed: 1})
+	f.ask(1, time.Minute)
+	is.Equal(f.Status().SpareSlots, 1)
+	f.now = start.Add(defaultSpareTTL + defaultSpareGrace)
+	f.step(Tick{})
+	is.Equal(f.Status().SpareSlots, 0)
+	is.Equal(f.Status().FreeSlots, 2)
+}
+
+func TestPeerCountersOrderByTotalService(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{InitialCost: 100}, Target{ID: 10, Zone: "z1", DataCentre: "north", Slots: 1, Speed: 1})
+	f.ask(1, time.Minute)
+	f.ask(2, time.Minute)
+	other := f.demandOf(3, time.Minute)
+	other.Workspace = 2
+	f.step(other)
+	for _, served := range []uint64{0, 1 << 20} {
+		f.step(PeerCounters{Region: "west", Counters: []Counter{{2, served, true}}})
+	}
+	is.Equal(len(f.PeerCounters("east", 10).Counters), 2)
+	is.Equal(f.finish(1, v1.Outcome_SERVED), []Action{Grant{id(2), 10}}) // 2 was served in west
+}
