--- a/requestkey/doc.go
+++ b/requestkey/doc.go
@@ -25,9 +25,9 @@
 //  3. it has no record of the key from the last L; and
 //  4. for every revision u < v each other incarnation that u makes the owner
 //     is cleared: it has answered that it has no record and will not begin
-//     the key under a revision below v (ClaimReply), or it has handed over its
-//     ledger and this router is the successor for the key (HandOver), or u is
-//     over.
+//     the key under a revision below v (ClaimReply), or it has stopped and
+//     handed over its ledger and its records of the key have come here
+//     (HandOver), or u is over.
 //
 // Revision u is over for a key if no incarnation can have begun the key under
 // it within the last L. With end(u) = as_of(w) + R, where w is the lowest
@@ -50,7 +50,12 @@
 // B cleared the owner of u, which is A, or u was over for B. If A answered
 // B's claim before it began, it had promised the key to v and step 2 stopped
 // it. If it answered afterwards it returned its record, and B began nothing.
-// The same holds for a hand-over, before which A ceases to begin keys.
+// The same holds for a hand-over, before which A ceases to begin keys. The
+// successor of a key is found by the one list that A names, so that exactly one
+// router has A's records of the key. If that router stops in turn, it passes
+// them on with its own, and if it answers a claim without a record, neither it
+// nor A had one. A stopped router takes no hand-over, so that such a chain has
+// an end.
 //
 // If u was over for B: A began at a time of its clock below as_of(u) + R,
 // which is at most as_of(w) + R = end(u), as u had been replaced when w was
--- a/requestkey/rank.go
+++ b/requestkey/rank.go
@@ -2,11 +2,19 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// ownerOf returns the router with the highest xxHash64 of the key, a zero byte
-// and the router's name; equal scores go to the lesser name. The router named
+// hashedBytes is enough for the usual lengths of workspace, key and name.
+const hashedBytes = 256
+
+// ownerOf returns the router with the highest xxHash64 of workspace, key and
+// the router's name, joined by zero bytes; equal scores go to the lesser name. The router named
 // except is left out.
 func ownerOf(routers []Member, id ID, except string) (Member, bool) {
-	prefix := id.Workspace + "\x00" + id.Key + "\x00"
+	hashed := make([]byte, 0, hashedBytes)
+	hashed = append(hashed, id.Workspace...)
+	hashed = append(hashed, 0)
+	hashed = append(hashed, id.Key...)
+	hashed = append(hashed, 0)
+	prefix := len(hashed)
 	var owner Member
 	var best uint64
 	found := false
@@ -14,7 +22,8 @@
 		if m.Name == except {
 			continue
 		}
-		score := xxhash.Sum64String(prefix + m.Name)
+		hashed = append(hashed[:prefix], m.Name...)
+		score := xxhash.Sum64(hashed)
 		if !found || score > best || score == best && m.Name < owner.Name {
 			owner, best, found = m, score, true
 		}
--- a/requestkey/store.go
+++ b/requestkey/store.go
@@ -8,7 +8,7 @@
 )
 
 // entryOverheadBytes is the memory of an entry beside its strings and answer.
-const entryOverheadBytes = 256
+const entryOverheadBytes = 384
 
 // entry is the ledger's knowledge of a key that was begun.
 type entry struct {
