fleet, rollout: sharpen two tests by planted faults

Cause: of 18 planted faults, "acknowledge a part as the whole" was missed, and "ready without asking the peers" was seen by one example only. Change: TestPartIsNotAcknowledgedAsWhole; TestConvergence reads replicas that lag by up to three revisions. Planted on a scratch copy, each then undone, and the test that failed: owner by hash modulo (TestOrderDoesNotMatter); live listing clears a mark, older list accepted, leaving router stays reachable (TestMarksAndRevisionsOnlyGrow); part acknowledged as whole (TestPartIsNotAcknowledgedAsWhole); no suspicion, no report of silence (TestDeadRouterLosesRoles); unsettled reports count (TestPartition); no push of changes (TestSpreadOfLeaving); unlisted routers never expire (TestUnlistedRouterIsForgotten); lower revision accepted, rejection not remembered, digest not ordered (TestHighestAcceptableWins); ready without asking, ready below a peer, no fetch from peers (TestConvergence); failed fetch repeated at once (TestFailedFetchIsNotRepeatedAtOnce); every router watches (TestWatchersOfAZone). Conclusion: 18 of 18 are caught now.

--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -168,6 +168,27 @@
 	}))
 }
 
+// TestPartIsNotAcknowledgedAsWhole sends a restarted router only the newest
+// changes and checks that it gets the earlier ones afterwards.
+func TestPartIsNotAcknowledgedAsWhole(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(2, 1)
+	n.views["router-0"].MarkLeaving(n.now, "engine-1", 1)
+	for i := range 5 { // so that the sender has acknowledged more than the restarted router has
+		n.views["router-1"].MarkLeaving(n.now, fmt.Sprintf("service-%d", i), 1)
+	}
+	n.run(3 * time.Second)
+	sender := n.views["router-0"]
+	restarted := fleet.New(instance("router-1", 2), fleet.DefaultOptions())
+	restarted.ApplyList(n.now, list(1, n.instances()...))
+	n.views["router-1"] = restarted
+	sender.MarkLeaving(n.now, "engine-2", 1)
+	restarted.Merge(n.now, proto.CloneOf(sender.StateFor("router-1")))
+	is.True(restarted.Leaving("engine-2", 1) && !restarted.Leaving("engine-1", 1))
+	n.run(3 * time.Second)
+	is.True(restarted.Leaving("engine-1", 1))
+}
+
 // TestStopSpreads checks that a stopping router loses its roles everywhere and
 // that the next incarnation gets them back though the list still lags.
 func TestStopSpreads(t *testing.T) {
--- a/rollout/tracker_test.go
+++ b/rollout/tracker_test.go
@@ -79,12 +79,15 @@
 		var published []rollout.Offer
 		var want rollout.Version
 		up := rapid.SliceOfN(rapid.Bool(), size, size).Draw(t, "platform up")
-		up[rapid.IntRange(0, size-1).Draw(t, "always up")] = true
+		lag := rapid.SliceOfN(rapid.IntRange(0, 3), size, size).Draw(t, "revisions a replica lags")
+		fresh := rapid.IntRange(0, size-1).Draw(t, "reads a fresh replica")
+		up[fresh], lag[fresh] = true, 0
 		n.reads = func(i int) []rollout.Offer {
 			if !up[i] || len(published) == 0 {
 				return nil
 			}
-			return []rollout.Offer{published[len(published)-1], published[n.rng.IntN(len(published))]}
+			newest := max(0, len(published)-1-lag[i])
+			return []rollout.Offer{published[newest], published[n.rng.IntN(newest+1)]}
 		}
 		for range rapid.IntRange(1, 6).Draw(t, "rounds") {
 			o := offer(uint64(len(published)+1), rapid.SampledFrom([]string{"a", "b", "bad"}).Draw(t, "payload"))
