Charge progress from the expected cost on; forget pools without the role

Cause: an attempt without max_tokens reported its first token and then in steps of half of the cost so far, about ten messages for a mean answer, since the entry did not know what the scheduler had charged. A router that had lost the role of a pool went on sending its old counters to the next in rank. A plain answer without usage counted as one token. An answer that marks no end was blamed on the request as if it had crashed the target. Change: the entry keeps a moving mean by workspace and pool and reports from there on; only the role's holder sends counters, others forget idle pools; the conversions of key records stand once, in requestkey.

--- a/requestkey/wire.go
+++ b/requestkey/wire.go
@@ -9,12 +9,12 @@
 // Proto returns the record as routers exchange it.
 func (r Record) Proto() *v1.KeyRecord {
 	p := &v1.KeyRecord{
-		Workspace:  r.ID.Workspace,
-		Key:        r.ID.Key,
-		Digest:     uint64(r.Digest),
-		Ran:        r.Ran,
-		InProgress: r.InProgress,
-		ExpiresMs:  uint64(max(0, r.Remaining.Milliseconds())),
+		Workspace:   r.ID.Workspace,
+		Key:         r.ID.Key,
+		Digest:      uint64(r.Digest),
+		Ran:         r.Ran,
+		InProgress:  r.InProgress,
+		RemainingMs: uint64(max(0, r.Remaining.Milliseconds())),
 	}
 	if r.Answer == nil {
 		return p
@@ -35,7 +35,7 @@
 		Digest:     Digest(p.GetDigest()),
 		Ran:        v1.Ran_UNKNOWN,
 		InProgress: p.GetInProgress(),
-		Remaining:  time.Duration(p.GetExpiresMs()) * time.Millisecond,
+		Remaining:  time.Duration(p.GetRemainingMs()) * time.Millisecond,
 	}
 	if p.GetRan() != v1.Ran_YES {
 		return r
@@ -55,6 +55,9 @@
 func ViewFromList(list *v1.InstanceList) View {
 	asOf := time.UnixMilli(list.GetAsOfUnixMs())
 	v := View{Revision: list.GetRevision(), FirstAsOf: asOf, LastAsOf: asOf}
+	if published := list.GetPublishedUnixMs(); published > 0 {
+		v.FirstAsOf = time.UnixMilli(min(published, list.GetAsOfUnixMs()))
+	}
 	for _, instance := range list.GetInstances() {
 		if instance.GetIsTarget() || instance.GetState() != v1.InstanceState_LIVE {
 			continue
--- a/router/internal/control/instances.go
+++ b/router/internal/control/instances.go
@@ -66,25 +66,10 @@
 	c.mu.Lock()
 	c.view.ApplyList(now, list)
 	c.mu.Unlock()
-	c.opts.Keys.Observe(keyView(list))
+	c.opts.Keys.Observe(requestkey.ViewFromList(list))
 	c.publishFleet()
 }
 
-// keyView returns the routers of the list that may own keys.
-func keyView(list *v1.InstanceList) requestkey.View {
-	asOf := time.UnixMilli(list.AsOfUnixMs)
-	view := requestkey.View{Revision: list.Revision, FirstAsOf: asOf, LastAsOf: asOf}
-	if list.PublishedUnixMs > 0 {
-		view.FirstAsOf = time.UnixMilli(min(list.PublishedUnixMs, list.AsOfUnixMs))
-	}
-	for _, instance := range list.Instances {
-		if !instance.IsTarget && instance.State == v1.InstanceState_LIVE {
-			view.Routers = append(view.Routers, requestkey.Member{Name: instance.Name, Incarnation: instance.Incarnation})
-		}
-	}
-	return view
-}
-
 // observeList lets the keys follow the list in force, which came from a peer.
 // The caller holds the lock.
 func (c *Control) observeList() {
--- a/router/internal/dispatch/attempt.go
+++ b/router/internal/dispatch/attempt.go
@@ -25,6 +25,8 @@
 	usage      usage
 	nextReport uint32
 	started    time.Time
+	// spent is the final cost, once the attempt has ended.
+	spent uint32
 }
 
 // attemptEnd is what an attempt showed.
@@ -42,10 +44,11 @@
 	defer span.End()
 	a.started = time.Now()
 	a.usage = newUsage(len(a.req.Body))
-	a.nextReport = max(a.req.Estimate, a.usage.cost(a.req.Pool)+1)
+	a.nextReport = max(a.d.expectedCost(a.req), a.usage.cost(a.req.Pool)+1)
 	end := a.execute(ctx)
 	service := time.Since(a.started)
-	a.grant.Done(a.cost(end, service), end.outcome, service)
+	a.spent = a.cost(end, service)
+	a.grant.Done(a.spent, end.outcome, service)
 	span.SetAttributes(attribute.String("chiveseam.code", end.result.Code.String()))
 	return end
 }
@@ -104,7 +107,7 @@
 	defer resp.Body.Close()
 	document, err := a.relayWhole(resp, a.sink, dog)
 	if err == nil {
-		a.usage.observe(document)
+		a.usage.observeWhole(document)
 	}
 	return err
 }
@@ -139,6 +142,8 @@
 			result:  result.New(v1.Code_CANCELLED, v1.Ran_UNKNOWN, "the caller went away"),
 			outcome: v1.Outcome_ABANDONED,
 		}
+	case errors.Is(err, errNoEnd):
+		return a.lost(v1.Code_ANSWER_TRUNCATED, "target %s does not mark the end of its answer", false)
 	case errors.Is(err, errTruncated):
 		return a.lost(v1.Code_ANSWER_TRUNCATED, "the answer of target %s ended short", true)
 	}
--- /dev/null
+++ b/router/internal/dispatch/cost.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import "sync"
+
+// meanWeight is the weight of the newest cost in a moving mean.
+const meanWeight = 0.2
+
+// costMeans holds the moving mean of the cost of a workspace's requests in a
+// pool. It is safe for concurrent use.
+type costMeans struct {
+	mu    sync.Mutex
+	means map[costKey]float64
+}
+
+type costKey struct{ workspace, pool string }
+
+func newCostMeans() *costMeans {
+	return &costMeans{means: map[costKey]float64{}}
+}
+
+func keyOf(req *Request) costKey {
+	return costKey{req.Workspace.Name, req.Pool.Name}
+}
+
+func (c *costMeans) observe(req *Request, cost uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := keyOf(req)
+	mean, ok := c.means[key]
+	if !ok {
+		mean = float64(cost)
+	}
+	c.means[key] = mean + meanWeight*(float64(cost)-mean)
+}
+
+func (c *costMeans) get(req *Request) (uint32, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	mean, ok := c.means[keyOf(req)]
+	return uint32(mean), ok
+}
+
+// expectedCost returns the cost up to which an attempt reports no progress:
+// about what the scheduler charged with the grant.
+func (d *Dispatcher) expectedCost(req *Request) uint32 {
+	expected, ok := d.costs.get(req)
+	if !ok {
+		expected = req.Pool.InitialCost
+	}
+	if req.Estimate > 0 {
+		expected = min(expected, req.Estimate)
+	}
+	return expected
+}
--- a/router/internal/dispatch/dispatcher.go
+++ b/router/internal/dispatch/dispatcher.go
@@ -57,11 +57,12 @@
 type Dispatcher struct {
 	Options
 	transports *transports
+	costs      *costMeans
 }
 
 // New returns a dispatcher.
 func New(opts Options) *Dispatcher {
-	return &Dispatcher{Options: opts, transports: newTransports(opts.DialTimeout)}
+	return &Dispatcher{Options: opts, transports: newTransports(opts.DialTimeout), costs: newCostMeans()}
 }
 
 type timeLimits struct {
@@ -132,7 +133,8 @@
 	end := a.run(ctx)
 	d.Guard.End(req.Digest, grant.Target, end.crashed, end.result.OK())
 	if end.outcome != v1.Outcome_NOT_RUN {
-		d.Usage.Delivered(req.Workspace.Name, req.Pool.Name, a.cost(end, time.Since(a.started)))
+		d.Usage.Delivered(req.Workspace.Name, req.Pool.Name, a.spent)
+		d.costs.observe(req, a.spent)
 	}
 	return end, target
 }
--- a/router/internal/dispatch/relay.go
+++ b/router/internal/dispatch/relay.go
@@ -27,6 +27,7 @@
 var (
 	errSilent     = errors.New("the target fell silent")
 	errTruncated  = errors.New("the answer ended short")
+	errNoEnd      = errors.New("the answer does not mark its end")
 	errCallerGone = errors.New("the caller went away")
 )
 
@@ -57,7 +58,7 @@
 // answer's first bytes for the usage.
 func (a *attempt) relayWhole(resp *http.Response, sink Sink, dog *watchdog) ([]byte, error) {
 	if !hasVerifiableEnd(resp) {
-		return nil, fmt.Errorf("%w: the target marks no end", errTruncated)
+		return nil, errNoEnd
 	}
 	head, err := readUpTo(resp.Body, wholeAnswerLimit, dog)
 	if err != nil && err != io.EOF {
--- a/router/internal/dispatch/usage.go
+++ b/router/internal/dispatch/usage.go
@@ -15,7 +15,6 @@
 type usage struct {
 	promptTokens     uint64
 	completionTokens uint64
-	reported         bool
 }
 
 // chunk is the part of an OpenAI answer or stream event that usage reads.
@@ -36,7 +35,7 @@
 	return usage{promptTokens: uint64(bodyBytes / bytesPerToken)}
 }
 
-// observe counts one JSON document: a whole answer or an event of a stream.
+// observe counts one event of a stream, or a document with a usage.
 func (u *usage) observe(document []byte) {
 	if !bytes.Contains(document, []byte(`"usage"`)) {
 		u.completionTokens++
@@ -49,12 +48,21 @@
 	if c.Usage != nil {
 		u.promptTokens = c.Usage.PromptTokens
 		u.completionTokens = c.Usage.CompletionTokens
-		u.reported = true
 		return
 	}
 	u.completionTokens++
 }
 
+// observeWhole counts a plain answer. One without a usage is estimated by its
+// length.
+func (u *usage) observeWhole(document []byte) {
+	if bytes.Contains(document, []byte(`"usage"`)) {
+		u.observe(document)
+		return
+	}
+	u.completionTokens += uint64(len(document) / bytesPerToken)
+}
+
 // cost returns the cost in cost units of the pool.
 func (u *usage) cost(p *v1.Pool) uint32 {
 	return uint32(u.promptTokens*uint64(p.InputWeight) + u.completionTokens*uint64(p.OutputWeight))
--- a/router/internal/keys/peering.go
+++ b/router/internal/keys/peering.go
@@ -21,7 +21,7 @@
 	e.mu.Unlock()
 	message := &v1.ClaimKeyReply{Router: reply.From.Name, Incarnation: reply.From.Incarnation}
 	if reply.Record != nil {
-		message.Record = recordMessage(*reply.Record)
+		message.Record = reply.Record.Proto()
 	}
 	return message
 }
@@ -36,7 +36,7 @@
 		Last:     m.Last,
 	}
 	for _, record := range m.Records {
-		h.Records = append(h.Records, recordFromMessage(record))
+		h.Records = append(h.Records, requestkey.RecordFromProto(record))
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -75,7 +75,7 @@
 	parts := []*v1.HandOverRequest{newPart()}
 	size := 0
 	for _, record := range h.Records {
-		message := recordMessage(record)
+		message := record.Proto()
 		if size > 0 && size+len(message.Body) > handOverBytes {
 			parts = append(parts, newPart())
 			size = 0
--- a/router/internal/keys/record.go
+++ b/router/internal/keys/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/requestkey"
@@ -87,44 +86,8 @@
 func claimReply(reply *v1.ClaimKeyReply) requestkey.ClaimReply {
 	converted := requestkey.ClaimReply{From: requestkey.Member{Name: reply.Router, Incarnation: reply.Incarnation}}
 	if reply.Record != nil {
-		record := recordFromMessage(reply.Record)
+		record := requestkey.RecordFromProto(reply.Record)
 		converted.Record = &record
 	}
 	return converted
 }
-
-func recordFromMessage(m *v1.KeyRecord) requestkey.Record {
-	record := requestkey.Record{
-		ID:         requestkey.ID{Workspace: m.Workspace, Key: m.Key},
-		Digest:     requestkey.Digest(m.Digest),
-		Ran:        m.Ran,
-		InProgress: m.InProgress,
-		Remaining:  time.Duration(m.RemainingMs) * time.Millisecond,
-	}
-	if m.Answer != nil {
-		record.Answer = &requestkey.Answer{Status: int(m.Answer.Status), Code: m.Answer.Code, Body: m.Body}
-		for _, h := range m.Answer.Headers {
-			record.Answer.Headers = append(record.Answer.Headers, requestkey.Header{Name: h.Name, Value: h.Value})
-		}
-	}
-	return record
-}
-
-func recordMessage(r requestkey.Record) *v1.KeyRecord {
-	m := &v1.KeyRecord{
-		Workspace:   r.ID.Workspace,
-		Key:         r.ID.Key,
-		Digest:      uint64(r.Digest),
-		Ran:         r.Ran,
-		InProgress:  r.InProgress,
-		RemainingMs: uint64(max(r.Remaining, 0).Milliseconds()),
-	}
-	if r.Answer != nil {
-		m.Answer = &v1.AnswerHead{Status: uint32(r.Answer.Status), Code: r.Answer.Code, Ran: r.Ran}
-		m.Body = r.Answer.Body
-		for _, h := range r.Answer.Headers {
-			m.Answer.Headers = append(m.Answer.Headers, &v1.Header{Name: h.Name, Value: h.Value})
-		}
-	}
-	return m
-}
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -112,17 +112,38 @@
 		if !ok {
 			continue
 		}
+		ranked := fleet.SchedulersOf(p.Name, fleet.Self.Region, successors+1)
+		if len(ranked) == 0 || ranked[0].Name != fleet.Self.Name {
+			h.dropIdle(id, sched)
+			continue
+		}
 		message := countersMessage(id, fleet.Self.Region, sched)
-		for _, m := range fleet.SchedulersOf(p.Name, fleet.Self.Region, successors+1) {
-			s, ok := h.sessions[pool.Router{Name: m.Name, Incarnation: m.Incarnation}]
-			if !ok || m.Name == fleet.Self.Name {
-				continue
+		for _, m := range ranked[1:] {
+			if s, ok := h.sessions[pool.Router{Name: m.Name, Incarnation: m.Incarnation}]; ok {
+				s.out.Counters = append(s.out.Counters, message)
 			}
-			s.out.Counters = append(s.out.Counters, message)
 		}
 	}
 }
 
+// dropIdle forgets a pool that another router schedules, once nothing waits or
+// runs here.
+func (h *Host) dropIdle(id config.ID, sched *pool.Scheduler) {
+	status := sched.Status()
+	if status.Queued > 0 {
+		return
+	}
+	for _, t := range status.Targets {
+		if t.Busy > 0 {
+			return
+		}
+	}
+	delete(h.pools, id)
+	for _, s := range h.sessions {
+		delete(s.joined, id)
+	}
+}
+
 func countersMessage(id config.ID, region string, sched *pool.Scheduler) *v1.PoolCounters {
 	status := sched.Status()
 	message := &v1.PoolCounters{Pool: uint32(id), Region: region, SpareSlots: uint32(status.FreeSlots)}
