Pass the trace context on from each hop

Cause: spans of attempts were not parents of the target's, and a request that was passed on to the owner of its key began a new trace. The platform's client took a proxy from the environment. Change: the context is injected by each attempt and with each request that is passed on, which gets a span of its own; the platform's client uses no proxy.

--- a/router/internal/dispatch/transport.go
+++ b/router/internal/dispatch/transport.go
@@ -11,6 +11,9 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
 	"github.com/chiveseam/chiveseam/config"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
@@ -117,6 +120,7 @@
 		return nil, nil, err
 	}
 	out.Header = req.Header.Clone()
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(out.Header))
 	out.Body = &onceBody{data: req.Body}
 	out.ContentLength = int64(len(req.Body))
 	out.GetBody = nil
--- a/router/internal/entry/call.go
+++ b/router/internal/entry/call.go
@@ -11,8 +11,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/propagation"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/result"
@@ -196,7 +194,6 @@
 	if len(call.IssuedKey) > maxKeyBytes || len(call.CallerKey) > maxKeyBytes {
 		return result.New(v1.Code_BAD_REQUEST, v1.Ran_NO, "a key is longer than %d bytes", maxKeyBytes)
 	}
-	otel.GetTextMapPropagator().Inject(call.Context, propagation.HeaderCarrier(req.Header))
 	c.decided = true
 	return s.executor.Execute(call, c.sink)
 }
--- a/router/internal/entry/forwarded.go
+++ b/router/internal/entry/forwarded.go
@@ -8,6 +8,9 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
 	"github.com/chiveseam/chiveseam/config"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/result"
@@ -28,6 +31,10 @@
 	for _, h := range head.Headers {
 		r.Header.Add(h.Name, h.Value)
 	}
+	ctx, span := s.tracer.Start(
+		otel.GetTextMapPropagator().Extract(ctx, propagation.HeaderCarrier(r.Header)), "forwarded")
+	defer span.End()
+	r = r.WithContext(ctx)
 	r.Header.Set(HeaderDeadline, strconv.FormatUint(uint64(max(head.DeadlineMs, 1)), 10))
 	s.forwarded.Add(1)
 	defer s.forwarded.Add(-1)
--- a/router/internal/keys/executor.go
+++ b/router/internal/keys/executor.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/requestkey"
@@ -219,7 +221,9 @@
 		DeadlineMs: uint32(max(time.Until(call.Request.StartBy), 0).Milliseconds()),
 		BodyBytes:  uint64(len(call.Request.Body)),
 	}
-	for name, values := range call.Request.Header {
+	header := call.Request.Header.Clone()
+	otel.GetTextMapPropagator().Inject(call.Context, propagation.HeaderCarrier(header))
+	for name, values := range header {
 		for _, value := range values {
 			head.Headers = append(head.Headers, &v1.Header{Name: name, Value: value})
 		}
--- a/router/router.go
+++ b/router/router.go
@@ -185,7 +185,7 @@
 	r.control = control.New(control.Options{
 		Self:         r.self(),
 		Store:        r.store,
-		Platform:     platform.NewHTTP(s.PlatformURL, &http.Client{}),
+		Platform:     platform.NewHTTP(s.PlatformURL, platform.NewClient(s.DialTimeout)),
 		Caller:       r.client,
 		Keys:         r.keys,
 		Gossip:       []control.Gossip{r.guard},
