--- a/rollout/network_test.go
+++ b/rollout/network_test.go
@@ -30,10 +30,9 @@
 // node is a tracker and what it did.
 type node struct {
 	*rollout.Tracker
-	name      string
-	pending   []rollout.Action
-	decreased bool
-	served    bool
+	name    string
+	pending []rollout.Action
+	served  bool
 }
 
 // network runs trackers in virtual time. Links are lossy and can be cut.
