Move waiting demands to free slots of other regions

Ruled out: telling of slots more often, which costs bytes all the time. Change: the pool has an event for free slots elsewhere and moves waiting demands in the order of their turn; the entry tells the scheduler that moved a demand when its slot is free again.

--- a/pool/interface.go
+++ b/pool/interface.go
@@ -107,6 +107,9 @@
 	BodyBytes int64
 	// Exclude holds targets on which attempts of the request failed.
 	Exclude []config.ID
+	// Moved is set for a demand that another region has moved here. It is not
+	// moved again.
+	Moved bool
 }
 
 // Cancel withdraws a waiting demand. A demand that was granted meanwhile is
@@ -155,6 +158,15 @@
 	SpareSlots int
 }
 
+// Overflow tells of free slots in another region. Waiting demands that may use
+// them are moved there.
+type Overflow struct {
+	Region string
+	// DataCentres are those of the region's targets of the pool.
+	DataCentres []string
+	Slots       int
+}
+
 // Tick lets time pass. It is due at Scheduler.NextTick.
 type Tick struct{}
 
@@ -171,6 +183,13 @@
 	RetryAfter time.Duration
 }
 
+// Move ends a demand here that is to be sent to the pool's scheduler in another
+// region.
+type Move struct {
+	ID     DemandID
+	Region string
+}
+
 // HandSpare hands a slot to a router ahead of demand. The router uses it for
 // any workspace that may use the target. The high 32 bits of Spare are the
 // target's ID.
@@ -200,9 +219,11 @@
 func (SpareUsed) event()         {}
 func (SpareReturned) event()     {}
 func (PeerCounters) event()      {}
+func (Overflow) event()          {}
 func (Tick) event()              {}
 
 func (Grant) action()       {}
 func (Refuse) action()      {}
+func (Move) action()        {}
 func (HandSpare) action()   {}
 func (RevokeSpare) action() {}
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -21,6 +21,7 @@
 	deadline  time.Time
 	// order is the order of arrival among equal deadlines.
 	order uint64
+	moved bool
 	// class is set while the demand waits.
 	class *class
 
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -123,6 +123,8 @@
 		s.workspacesChanged(e)
 	case PeerCounters:
 		s.peerCounters(e)
+	case Overflow:
+		s.overflow(e)
 	case Tick:
 	}
 }
@@ -171,6 +173,7 @@
 		bytes:     max(e.BodyBytes, 0),
 		deadline:  s.capDeadline(e.Deadline),
 		order:     s.order,
+		moved:     e.Moved,
 	}
 	d.owner = d
 	r.demands[e.ID.Seq] = d
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -99,8 +99,10 @@
 
 // request is a demand until its slot is given back.
 type request struct {
-	seq     uint64
-	demand  Demand
+	seq    uint64
+	demand Demand
+	// home is the region that the demand was first sent to.
+	home    string
 	reply   chan reply
 	link    *link
 	granted bool
@@ -132,12 +134,8 @@
 
 // Inputs of the loop.
 type (
-	acquireInput struct {
-		demand Demand
-		reply  chan reply
-		seq    chan uint64
-	}
-	cancelInput   struct{ seq uint64 }
+	acquireInput  struct{ request *request }
+	cancelInput   struct{ request *request }
 	progressInput struct {
 		seq  uint64
 		cost uint32
@@ -169,28 +167,19 @@
 // Acquire waits for a slot. The error is a result with Ran NO: a request that
 // got no slot ran nowhere. The caller must call Grant.Done exactly once.
 func (b *Broker) Acquire(ctx context.Context, demand Demand) (*Grant, *result.Result) {
-	input := acquireInput{demand: demand, reply: make(chan reply, 1), seq: make(chan uint64, 1)}
-	if !b.post(input) {
+	r := &request{demand: demand, home: demand.Region, reply: make(chan reply, 1)}
+	if !b.post(acquireInput{r}) {
 		return nil, stopping()
 	}
 	select {
-	case r := <-input.reply:
-		return r.grant, r.err
+	case answer := <-r.reply:
+		return answer.grant, answer.err
 	case <-b.t.Dying():
 		return nil, stopping()
 	case <-ctx.Done():
 	}
-	return nil, b.withdraw(input)
-}
-
-// withdraw cancels a demand whose caller went away.
-func (b *Broker) withdraw(input acquireInput) *result.Result {
-	select {
-	case seq := <-input.seq:
-		b.post(cancelInput{seq})
-	case <-b.t.Dying():
-	}
-	return result.New(v1.Code_CANCELLED, v1.Ran_NO, "the caller went away while the request waited")
+	b.post(cancelInput{r})
+	return nil, result.New(v1.Code_CANCELLED, v1.Ran_NO, "the caller went away while the request waited")
 }
 
 func stopping() *result.Result {
@@ -261,7 +250,7 @@
 	case acquireInput:
 		b.acquire(in)
 	case cancelInput:
-		b.cancel(in.seq)
+		b.cancel(in.request)
 	case progressInput:
 		b.progress(in)
 	case doneInput:
@@ -276,11 +265,16 @@
 }
 
 func (b *Broker) acquire(in acquireInput) {
+	b.number(in.request)
+	b.place(in.request, time.Now())
+}
+
+// number records a request under a new sequence number.
+func (b *Broker) number(r *request) {
+	delete(b.requests, r.seq)
 	b.seq++
-	r := &request{seq: b.seq, demand: in.demand, reply: in.reply}
-	in.seq <- r.seq
+	r.seq = b.seq
 	b.requests[r.seq] = r
-	b.place(r, time.Now())
 }
 
 // place sends a waiting demand to the scheduler of its pool, or starts it on a
@@ -317,17 +311,16 @@
 	return d
 }
 
-func (b *Broker) cancel(seq uint64) {
-	r, ok := b.requests[seq]
-	if !ok {
+func (b *Broker) cancel(r *request) {
+	if b.requests[r.seq] != r {
 		return
 	}
 	if r.granted {
-		b.finish(r, &v1.Done{Seq: seq, Outcome: v1.Outcome_NOT_RUN})
+		b.finish(r, &v1.Done{Seq: r.seq, Outcome: v1.Outcome_NOT_RUN})
 		return
 	}
-	delete(b.requests, seq)
-	r.link.batch.Cancels = append(r.link.batch.Cancels, seq)
+	delete(b.requests, r.seq)
+	r.link.batch.Cancels = append(r.link.batch.Cancels, r.seq)
 }
 
 func (b *Broker) progress(in progressInput) {
@@ -349,6 +342,21 @@
 func (b *Broker) finish(r *request, done *v1.Done) {
 	delete(b.requests, r.seq)
 	r.link.batch.Done = append(r.link.batch.Done, done)
+	if r.demand.Region != r.home {
+		b.tellFreed(r)
+	}
+}
+
+// tellFreed tells the scheduler that moved the demand that its slot is free.
+func (b *Broker) tellFreed(r *request) {
+	home := b.linkFor(poolKey{r.demand.Pool, r.home}, time.Now())
+	if home == nil {
+		return
+	}
+	home.batch.Freed = append(home.batch.Freed, &v1.FreedSlot{
+		Pool:   uint32(config.IDOf(r.demand.Pool)),
+		Region: r.demand.Region,
+	})
 }
 
 func (b *Broker) refuse(r *request, why *result.Result) {
@@ -421,6 +429,7 @@
 // own if no router of that region can be reached.
 func (b *Broker) moveToRegion(r *request, region string) {
 	r.demand.moved = true
+	b.number(r)
 	now := time.Now()
 	if _, ok := b.schedulerOf(poolKey{r.demand.Pool, region}, now); ok {
 		r.demand.Region = region
--- a/router/internal/entry/answer.go
+++ b/router/internal/entry/answer.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -152,7 +153,14 @@
 	result.HeaderCode, result.HeaderRan,
 }
 
+// removeHopHeaders removes what concerns one connection only, also the headers
+// that the Connection header names.
 func removeHopHeaders(h http.Header) {
+	for _, field := range h.Values("Connection") {
+		for name := range strings.SplitSeq(field, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		h.Del(name)
 	}
--- a/router/internal/scheduling/events.go
+++ b/router/internal/scheduling/events.go
@@ -27,9 +27,8 @@
 			h.unknownPool(s, d.Seq)
 			continue
 		}
-		if !h.moveDemand(s, id, d) {
-			h.step(id, now, demandEvent(s, d, now))
-		}
+		h.step(id, now, demandEvent(s, d, now))
+		h.moveWaiting(id, now)
 	}
 	for _, seq := range batch.Cancels {
 		h.cancel(s, seq, now)
@@ -52,6 +51,9 @@
 	for _, spare := range batch.SpareReturns {
 		h.stepAll(now, pool.SpareReturned{Router: s.router, Spare: spare})
 	}
+	for _, freed := range batch.Freed {
+		h.freed(config.ID(freed.Pool), freed.Region, now)
+	}
 	for _, report := range batch.Reports {
 		h.report(s, report, now)
 	}
@@ -151,6 +153,7 @@
 		Deadline:  now.Add(time.Duration(d.WaitMs) * time.Millisecond),
 		Prefix:    d.Prefix,
 		BodyBytes: int64(d.BodyBytes),
+		Moved:     d.Moved,
 	}
 	for _, target := range d.Exclude {
 		event.Exclude = append(event.Exclude, config.ID(target))
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -230,6 +230,11 @@
 				RetryAfterMs: uint32(a.RetryAfter.Milliseconds()),
 			})
 		}
+	case pool.Move:
+		if s, ok := h.sessions[a.ID.Router]; ok {
+			delete(s.poolOf, a.ID.Seq)
+			s.out.Refusals = append(s.out.Refusals, &v1.Refusal{Seq: a.ID.Seq, Code: v1.Code_QUEUE_FULL, Region: a.Region})
+		}
 	case pool.HandSpare:
 		if s, ok := h.sessions[a.Router]; ok {
 			s.out.Spares = append(s.out.Spares, &v1.Spare{
--- a/router/internal/scheduling/regions.go
+++ b/router/internal/scheduling/regions.go
@@ -166,45 +166,48 @@
 			Counters:   counterEvents(c.Counters),
 			SpareSlots: int(c.SpareSlots),
 		})
+		h.moveWaiting(id, now)
 	}
 }
 
-// moveDemand sends a demand that would wait here to a region with free slots.
-// Each free slot attracts one demand until the region tells of its slots anew.
-func (h *Host) moveDemand(s *Session, id config.ID, d *v1.Demand) bool {
+// freed counts a slot of another region that a moved demand has left.
+func (h *Host) freed(id config.ID, region string, now time.Time) {
+	if spares, ok := h.spares[id]; ok {
+		spares[region]++
+		h.moveWaiting(id, now)
+	}
+}
+
+// moveWaiting moves waiting demands to regions with free slots, one for each
+// slot.
+func (h *Host) moveWaiting(id config.ID, now time.Time) {
 	sched, ok := h.pools[id]
-	if !ok || d.Moved || sched.Queued() == 0 {
-		return false
+	if !ok || sched.Queued() == 0 {
+		return
 	}
 	for region, free := range h.spares[id] {
-		if free == 0 || !h.regionServes(id, region, config.ID(d.Workspace)) {
+		if free <= 0 {
 			continue
 		}
-		h.spares[id][region]--
-		delete(s.poolOf, d.Seq)
-		s.out.Refusals = append(s.out.Refusals, &v1.Refusal{Seq: d.Seq, Code: v1.Code_QUEUE_FULL, Region: region})
-		return true
+		before := sched.Queued()
+		h.step(id, now, pool.Overflow{Region: region, DataCentres: h.dataCentres(id, region), Slots: free})
+		h.spares[id][region] -= before - sched.Queued()
 	}
-	return false
 }
 
-// regionServes reports whether the region has targets of the pool that the
-// workspace may use.
-func (h *Host) regionServes(id config.ID, region string, workspace config.ID) bool {
+// dataCentres returns those of the region's targets of the pool.
+func (h *Host) dataCentres(id config.ID, region string) []string {
 	accepted := h.store.Config()
-	w, ok := accepted.Workspace(workspace)
-	if !ok {
-		return false
-	}
 	p, ok := accepted.PoolByID(id)
 	if !ok {
-		return false
+		return nil
 	}
+	var list []string
 	for _, t := range accepted.TargetsOf(p.Name) {
 		zone, ok := accepted.Zone(t.Zone)
-		if ok && zone.Region == region && (w.DataCentre == "" || w.DataCentre == zone.DataCentre) {
-			return true
+		if ok && zone.Region == region && !slices.Contains(list, zone.DataCentre) {
+			list = append(list, zone.DataCentre)
 		}
 	}
-	return false
+	return list
 }
