--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -44,6 +44,35 @@
 	}
 }
 
+// TestCostOfChanges measures what one change costs each router, beyond the
+// heartbeats, and checks the rate of heartbeats against the limit of all control
+// traffic, framing and TCP/IP headers included.
+func TestCostOfChanges(t *testing.T) {
+	const (
+		limit    = 3000   // bytes a second of one router, all control traffic
+		overhead = 9 + 52 // bytes of drpc framing and of TCP/IP headers
+	)
+	for _, size := range []int{24, 96, 330} {
+		is := is.New(t)
+		n := newNetwork(size, 7)
+		n.run(measured)
+		cost := func() (bytes, messages float64) {
+			n.bytes, n.messages = 0, 0
+			n.run(measured)
+			return perRouter(n.bytes, size), perRouter(n.messages, size)
+		}
+		idle, messages := cost()
+		n.views["router-3"].MarkLeaving(n.now, "engine-9", 4)
+		mark, _ := cost()
+		replaced := append(n.instances()[1:], instance("router-900", 1))
+		n.views["router-3"].ApplyList(n.now, list(2, replaced...))
+		change, _ := cost()
+		t.Logf("%3d routers: idle %.0f B/s and %.1f messages/s sent; a mark %.0f B, a replaced router %.0f B in all a router",
+			size, idle, messages, (mark-idle)*measured.Seconds(), (change-idle)*measured.Seconds())
+		is.True(idle+messages*overhead < limit)
+	}
+}
+
 // TestSpreadOfList checks that one router that reads the platform is enough.
 func TestSpreadOfList(t *testing.T) {
 	is := is.New(t)
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -221,6 +221,27 @@
 	is.True(n.all(func(v *fleet.View) bool { return !contains(v.Known(), "router-5") }))
 }
 
+// TestLongPartitionOfUnlistedRouters checks that two sides that forgot each
+// other, and that no list names to each other, meet again.
+func TestLongPartitionOfUnlistedRouters(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(12, 4)
+	n.run(3 * time.Second)
+	n.views["router-0"].ApplyList(n.now, list(2, instance("router-0", 1)))
+	n.run(3 * time.Second)
+	side := func(name string) bool { return zoneIndex(name)%2 == 0 }
+	n.cut = func(a, b string) bool { return side(a) != side(b) }
+	n.run(2 * fleet.DefaultOptions().ForgetAfter)
+	_, known := n.views["router-2"].Lookup("router-3")
+	is.True(!known)
+	n.cut = func(string, string) bool { return false }
+	took, ok := n.until(time.Minute, func() bool {
+		return n.all(func(v *fleet.View) bool { return len(v.Reachable()) == 12 })
+	})
+	t.Logf("whole again after %v", took)
+	is.True(ok)
+}
+
 func TestHistory(t *testing.T) {
 	is := is.New(t)
 	v := fleet.New(instance("router-0", 1), fleet.DefaultOptions())
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -22,12 +22,18 @@
 // fetches it there. So one router that the platform answers is enough for all
 // that it can reach, directly or through others.
 //
+// A fetch carries the whole payload. With 3,500 workspaces that is the largest
+// part of a router's control traffic (TestPayloadAtFullSize measures it): a
+// fetch of differences would cut it.
+//
 // # Start without memory
 //
 // A Tracker starts in StateUnknown and asks all reachable peers for their
-// version. It becomes StateReady once it has a configuration in force and no
-// peer that answered has a higher one; peers that do not answer hold it up for
-// ReadyWait at most. It stays ready.
+// version. It becomes StateReady once it has a configuration in force, each
+// peer has answered within AnswerMaxAge and none has a higher version; peers
+// that do not answer hold it up for ReadyWait at most, from its first
+// configuration on. So what it serves first is not below what a peer that
+// answers had in force AnswerMaxAge earlier. It stays ready.
 //
 // # Reads of the platform
 //
--- a/rollout/peers.go
+++ b/rollout/peers.go
@@ -8,9 +8,10 @@
 
 // peer is what a Tracker knows about a reachable router.
 type peer struct {
-	answered bool
-	version  Version
-	lastAsk  time.Time
+	// answeredAt is the time of the last word about version, or zero.
+	answeredAt time.Time
+	version    Version
+	lastAsk    time.Time
 	// retryAt is the time before which nothing is fetched from it.
 	retryAt time.Time
 }
@@ -43,7 +44,7 @@
 	if p == nil {
 		return nil
 	}
-	p.answered = true
+	p.answeredAt = now
 	if p.version != version {
 		p.version = version
 		p.retryAt = time.Time{}
@@ -81,10 +82,15 @@
 	if t.state == StateReady {
 		return nil
 	}
+	// Once a configuration may be served, the answers have to be recent.
+	var oldest time.Time
+	if t.current != nil && t.highest().Compare(t.inForce) <= 0 {
+		oldest = now.Add(-t.opts.AskInterval)
+	}
 	var actions []Action
 	for _, name := range slices.Sorted(maps.Keys(t.peers)) {
 		p := t.peers[name]
-		if p.answered || now.Sub(p.lastAsk) < t.opts.AskInterval {
+		if p.answeredAt.After(oldest) || now.Sub(p.lastAsk) < t.opts.AskInterval {
 			continue
 		}
 		if len(actions) >= t.opts.MaxAsks {
@@ -149,12 +155,13 @@
 	return best
 }
 
-func (t *Tracker) allAnswered() bool {
+// allAnswered returns whether each reachable router told its version lately.
+func (t *Tracker) allAnswered(now time.Time) bool {
 	if !t.peersKnown {
 		return false
 	}
 	for _, p := range t.peers {
-		if !p.answered {
+		if p.answeredAt.IsZero() || now.Sub(p.answeredAt) > t.opts.AnswerMaxAge {
 			return false
 		}
 	}
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -15,6 +15,8 @@
 type Options struct {
 	// ReadyWait bounds how long peers that do not answer hold up a start.
 	ReadyWait time.Duration
+	// AnswerMaxAge is the age up to which an answer counts for the start.
+	AnswerMaxAge time.Duration
 	// AskInterval is the time between two Asks of one peer during the start.
 	AskInterval time.Duration
 	// MaxAsks bounds the Asks of one Tick.
@@ -32,6 +34,7 @@
 func DefaultOptions() Options {
 	return Options{
 		ReadyWait:    2 * time.Second,
+		AnswerMaxAge: time.Second,
 		AskInterval:  500 * time.Millisecond,
 		MaxAsks:      64,
 		FetchTimeout: time.Second,
@@ -76,8 +79,9 @@
 	accept AcceptFunc
 	rng    *rand.Rand
 
-	state   State
-	started time.Time
+	state State
+	// holdsSince is the time of the first configuration in force.
+	holdsSince time.Time
 	// peersKnown is set once the reachable peers were told.
 	peersKnown bool
 	inForce    Version
@@ -89,12 +93,11 @@
 }
 
 // New returns a Tracker without memory.
-func New(opts Options, accept AcceptFunc, rng *rand.Rand, now time.Time) *Tracker {
+func New(opts Options, accept AcceptFunc, rng *rand.Rand) *Tracker {
 	return &Tracker{
 		opts:      opts,
 		accept:    accept,
 		rng:       rng,
-		started:   now,
 		peers:     map[string]*peer{},
 		conflicts: map[Version]bool{},
 	}
@@ -119,12 +122,12 @@
 // Offer takes in a published configuration.
 func (t *Tracker) Offer(now time.Time, offer Offer) []Action {
 	version := Version{Revision: offer.Revision, Digest: sha256.Sum256(offer.Payload)}
-	actions := t.judge(version, offer)
+	actions := t.judge(now, version, offer)
 	t.endFetch(now, offer.Source)
 	return append(actions, t.becomeReady(now)...)
 }
 
-func (t *Tracker) judge(version Version, offer Offer) []Action {
+func (t *Tracker) judge(now time.Time, version Version, offer Offer) []Action {
 	if t.rejected.has(version) || version.Revision == 0 {
 		return nil
 	}
@@ -137,6 +140,9 @@
 		return []Action{Reject{Version: version, Source: offer.Source, Err: err}}
 	}
 	actions := t.reportConflict(version, t.inForce, offer.Source)
+	if t.current == nil {
+		t.holdsSince = now
+	}
 	t.inForce, t.current = version, accepted
 	t.forgetConflicts()
 	return append(actions, Apply{Version: version, Configuration: accepted})
@@ -172,8 +178,8 @@
 	if t.state == StateReady || t.current == nil {
 		return nil
 	}
-	waited := now.Sub(t.started) >= t.opts.ReadyWait
-	if !waited && !t.allAnswered() {
+	waited := now.Sub(t.holdsSince) >= t.opts.ReadyWait
+	if !waited && !t.allAnswered(now) {
 		return nil
 	}
 	if t.highest().Compare(t.inForce) > 0 {
