--- a/router/internal/keys/record.go
+++ b/router/internal/keys/record.go
@@ -89,5 +89,8 @@
 		record := requestkey.RecordFromProto(reply.Record)
 		converted.Record = &record
 	}
+	for _, m := range reply.Cleared {
+		converted.Cleared = append(converted.Cleared, memberOf(m))
+	}
 	return converted
 }
