Send spans to the collector's endpoint; bound callers' connections

Nothing bounded idle connections of callers. Ruled out: asking operators for the whole URL, since the setting is a base URL. Change: the path is joined; without a collector no spans are made; setting max-connections.

--- a/router/internal/telemetry/trace.go
+++ b/router/internal/telemetry/trace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/url"
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -11,36 +12,55 @@
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 )
 
+// tracesPath is the path of the collector's OTLP endpoint for traces.
+const tracesPath = "v1/traces"
+
 // Tracing makes spans and sends them by OTLP over HTTP.
 type Tracing struct {
-	provider *sdktrace.TracerProvider
+	provider trace.TracerProvider
+	// close is nil if no spans are sent.
+	close func(context.Context) error
 }
 
-// NewTracing sets the process's tracer provider and W3C propagation. With an
-// empty url spans are neither recorded nor sent, and a caller's trace context
-// is passed on.
-func NewTracing(ctx context.Context, url, router, zone string) (*Tracing, error) {
+// NewTracing sets the process's tracer provider and W3C propagation. base is
+// the collector's base URL. With an empty one no spans are made, and a caller's
+// trace context is passed on unchanged.
+func NewTracing(ctx context.Context, base, router, zone string) (*Tracing, error) {
 	otel.SetTextMapPropagator(propagation.TraceContext{})
-	opts := []sdktrace.TracerProviderOption{
+	t := &Tracing{provider: noop.NewTracerProvider()}
+	if base != "" {
+		provider, err := newProvider(ctx, base, router, zone)
+		if err != nil {
+			return nil, err
+		}
+		t.provider = provider
+		t.close = provider.Shutdown
+	}
+	otel.SetTracerProvider(t.provider)
+	return t, nil
+}
+
+func newProvider(ctx context.Context, base, router, zone string) (*sdktrace.TracerProvider, error) {
+	endpoint, err := url.JoinPath(base, tracesPath)
+	if err != nil {
+		return nil, fmt.Errorf("trace collector: %w", err)
+	}
+	exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(endpoint))
+	if err != nil {
+		return nil, fmt.Errorf("trace exporter: %w", err)
+	}
+	return sdktrace.NewTracerProvider(
 		sdktrace.WithResource(resource.NewSchemaless(
 			attribute.String("service.name", "chiveseam-router"),
 			attribute.String("service.instance.id", router),
 			attribute.String("chiveseam.zone", zone),
 		)),
-		sdktrace.WithSampler(sdktrace.NeverSample()),
-	}
-	if url != "" {
-		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(url))
-		if err != nil {
-			return nil, fmt.Errorf("trace exporter: %w", err)
-		}
-		opts = append(opts, sdktrace.WithSampler(sdktrace.AlwaysSample()), sdktrace.WithBatcher(exporter))
-	}
-	provider := sdktrace.NewTracerProvider(opts...)
-	otel.SetTracerProvider(provider)
-	return &Tracing{provider: provider}, nil
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.AlwaysSample())),
+		sdktrace.WithBatcher(exporter),
+	), nil
 }
 
 // Tracer returns the router's tracer.
@@ -49,4 +69,9 @@
 }
 
 // Close sends the spans that are left.
-func (t *Tracing) Close(ctx context.Context) error { return t.provider.Shutdown(ctx) }
+func (t *Tracing) Close(ctx context.Context) error {
+	if t.close == nil {
+		return nil
+	}
+	return t.close(ctx)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/net/netutil"
 	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/fleet"
@@ -257,6 +258,7 @@
 
 func (r *Router) startDuties() {
 	ctx := r.tomb.Context(context.Background())
+	limited := netutil.LimitListener(r.listeners.entry, r.settings.MaxConnections)
 	duties := []func() error{
 		r.host.Run,
 		r.broker.Run,
@@ -267,7 +269,7 @@
 		func() error { return r.control.RunRenewal(ctx) },
 		func() error { return r.control.RunKeyViews(ctx) },
 		func() error { return r.peers.Serve(ctx, r.listeners.peer) },
-		func() error { return serveHTTP(r.entryServer, r.listeners.entry) },
+		func() error { return serveHTTP(r.entryServer, limited) },
 		func() error { return serveHTTP(r.adminServer, r.listeners.admin) },
 	}
 	for _, duty := range duties {
--- a/settings/settings_gen.go
+++ b/settings/settings_gen.go
@@ -44,6 +44,8 @@
 	PlatformFallbackPoll time.Duration
 	// Requests of callers that are open at the same time.
 	MaxOpenRequests int
+	// Connections of callers that are open at the same time.
+	MaxConnections int
 	// Bytes of a request's headers.
 	MaxHeaderBytes int
 	// Bytes of a request's body.
@@ -98,6 +100,7 @@
 	PlatformWatchWait     string `long:"platform-watch-wait" env:"CHIVESEAM_PLATFORM_WATCH_WAIT" default:"10s" description:"Time that the platform may hold a watch open."`
 	PlatformFallbackPoll  string `long:"platform-fallback-poll" env:"CHIVESEAM_PLATFORM_FALLBACK_POLL" default:"15s" description:"Time between reads by a router that is no watcher and hears from none."`
 	MaxOpenRequests       string `long:"max-open-requests" env:"CHIVESEAM_MAX_OPEN_REQUESTS" default:"4096" description:"Requests of callers that are open at the same time."`
+	MaxConnections        string `long:"max-connections" env:"CHIVESEAM_MAX_CONNECTIONS" default:"16384" description:"Connections of callers that are open at the same time."`
 	MaxHeaderBytes        string `long:"max-header-bytes" env:"CHIVESEAM_MAX_HEADER_BYTES" default:"65536" description:"Bytes of a request's headers."`
 	MaxBodyBytes          string `long:"max-body-bytes" env:"CHIVESEAM_MAX_BODY_BYTES" default:"8388608" description:"Bytes of a request's body."`
 	MaxBodiesBytes        string `long:"max-bodies-bytes" env:"CHIVESEAM_MAX_BODIES_BYTES" default:"67108864" description:"Bytes of all request bodies held in memory."`
@@ -137,6 +140,7 @@
 		PlatformWatchWait:     convert(c, "platform-watch-wait", f.PlatformWatchWait, false, duration(100000000, 300000000000)),
 		PlatformFallbackPoll:  convert(c, "platform-fallback-poll", f.PlatformFallbackPoll, false, duration(100000000, 600000000000)),
 		MaxOpenRequests:       convert(c, "max-open-requests", f.MaxOpenRequests, false, integer[int](1, 1000000)),
+		MaxConnections:        convert(c, "max-connections", f.MaxConnections, false, integer[int](1, 1000000)),
 		MaxHeaderBytes:        convert(c, "max-header-bytes", f.MaxHeaderBytes, false, integer[int](1024, 1048576)),
 		MaxBodyBytes:          convert(c, "max-body-bytes", f.MaxBodyBytes, false, integer[int64](1024, 1073741824)),
 		MaxBodiesBytes:        convert(c, "max-bodies-bytes", f.MaxBodiesBytes, false, integer[int64](1024, 68719476736)),
