--- a/orders/admit.go
+++ b/orders/admit.go
@@ -36,7 +36,7 @@
 		if c.order.Kind.loads() {
 			store.loading++
 		}
-		if now.Sub(c.engine.reportedAt) > s.opts.MaxReportAge {
+		if !c.engine.current || now.Sub(c.engine.reportedAt) > s.opts.MaxReportAge {
 			c.engine.queryAt = now
 			continue
 		}
--- a/orders/engine.go
+++ b/orders/engine.go
@@ -12,6 +12,9 @@
 
 	report     State
 	reportedAt time.Time
+	// current is cleared when the report may no longer hold: after an order
+	// that was not done, and after a query that overlapped the end of one.
+	current bool
 
 	// query is the attempt in progress, 0 is none.
 	query         uint64
@@ -20,6 +23,9 @@
 	queryFailures int
 
 	order *progress
+	// endedAfter is the last attempt before the latest order ended. A query
+	// up to it may show the state before the order.
+	endedAfter uint64
 	// failures counts the orders that failed in succession.
 	failures int
 	retryAt  time.Time
@@ -35,8 +41,9 @@
 	deadline time.Time
 	// reloads is set when the order makes a serving engine unavailable.
 	reloads bool
-	// lostAt is the time at which it became known that no answer comes.
-	lostAt time.Time
+	// lostAfter is the last attempt before it became known that no answer
+	// comes; 0 while one may come.
+	lostAfter uint64
 }
 
 // setDesired replaces the desired state; another one is tried at once.
--- a/orders/report.go
+++ b/orders/report.go
@@ -10,21 +10,26 @@
 	if !ok || e.query != ended.Attempt {
 		return
 	}
-	from := e.queryFrom
 	e.query = 0
+	if ended.Attempt <= e.endedAfter {
+		e.current = false
+		e.queryAt = now
+		return
+	}
 	if ended.Outcome != Done {
 		e.queryFailures++
 		e.queryAt = now.Add(s.retryDelay(e.queryFailures))
 		return
 	}
 	s.reported(now, e, ended.State)
-	s.resolve(now, e, from)
+	s.resolve(now, e, ended.Attempt)
 }
 
 // reported takes over the state of an engine that answered.
 func (s *Sender) reported(now time.Time, e *engine, state State) {
 	e.report = state
 	e.reportedAt = now
+	e.current = true
 	e.queryFailures = 0
 	poll := s.opts.IgnoringPoll
 	if e.desired != nil && e.desired.ChecksFencing {
@@ -33,16 +38,17 @@
 	e.queryAt = now.Add(poll/2 + s.jitter(poll/2))
 }
 
-// resolve ends an order whose effect the report shows, and a lost order that
-// the engine did not take, according to a query that began after the loss.
-func (s *Sender) resolve(now time.Time, e *engine, from time.Time) {
+// resolve ends a lost order if a query that began after the loss shows its
+// effect or that the engine did not take it. An order whose answer may still
+// come is not ended by a report: the effect may be that of another sender's
+// order, with this one waiting at the engine.
+func (s *Sender) resolve(now time.Time, e *engine, query uint64) {
 	switch {
-	case e.order == nil:
+	case e.order == nil || e.order.lostAfter == 0:
+	case query <= e.order.lostAfter:
+		e.queryAt = now
 	case e.order.order.shownBy(e.report):
 		s.finish(now, e, Done)
-	case e.order.lostAt.IsZero():
-	case from.Before(e.order.lostAt):
-		e.queryAt = now
 	case e.report.Fencing < e.order.order.Fencing:
 		s.finish(now, e, Unknown)
 	}
@@ -54,7 +60,7 @@
 		return
 	}
 	if ended.Outcome == Unknown {
-		e.order.lostAt = now
+		e.order.lostAfter = s.attempts
 		e.queryAt = now
 		return
 	}
@@ -68,16 +74,20 @@
 func (s *Sender) finish(now time.Time, e *engine, outcome Outcome) {
 	order := e.order.order
 	e.order = nil
+	e.endedAfter = s.attempts
 	switch outcome {
 	case Done:
 		e.failures = 0
-		e.failedVersion = ""
+		if order.Kind == LoadModel {
+			e.failedVersion = ""
+		}
 		return
 	case Failed, Unknown:
 		if order.Kind == LoadModel {
 			e.failedVersion = order.Version
 		}
 	}
+	e.current = false
 	e.failures++
 	e.retryAt = now.Add(s.retryDelay(e.failures))
 	e.queryAt = now
