Let lists that come from peers carry their publication time

Ruled out: peers' views, which carried the earlier time, but come a second later. Change: the exchange carries the publication time with the list.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -119,6 +119,7 @@
 	}
 	if p.listRevision < v.list.Revision && v.knowsListOf(p) {
 		state.ListAsOfUnixMs = v.list.AsOfUnixMs
+		state.ListPublishedUnixMs = v.list.PublishedUnixMs
 		v.writeList(state, p.listRevision)
 	}
 	for _, c := range v.log.after(acked, receiver) {
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -16,6 +16,9 @@
 	Revision uint64
 	// AsOf is the platform's time at which the list was true.
 	AsOf time.Time
+	// Published is the platform's time of publication, the zero Unix time if it
+	// is not known.
+	Published time.Time
 	// Adopted is the router's time at which the list came into force here.
 	Adopted time.Time
 	// Superseded is the router's time at which a newer list came into force;
@@ -111,6 +114,7 @@
 	v.history = append(v.history, ListView{
 		Revision:  v.list.Revision,
 		AsOf:      time.UnixMilli(v.list.AsOfUnixMs),
+		Published: time.UnixMilli(v.list.PublishedUnixMs),
 		Adopted:   now,
 		Routers:   routers,
 		instances: v.listed,
@@ -157,7 +161,11 @@
 	if !carriesList {
 		return false
 	}
-	list := &v1.InstanceList{Revision: state.ListRevision, AsOfUnixMs: state.ListAsOfUnixMs}
+	list := &v1.InstanceList{
+		Revision:        state.ListRevision,
+		AsOfUnixMs:      state.ListAsOfUnixMs,
+		PublishedUnixMs: state.ListPublishedUnixMs,
+	}
 	if state.ListBaseRevision == 0 {
 		list.Instances = state.Instances
 		return v.applyList(now, list, state.Router)
--- a/router/internal/control/instances.go
+++ b/router/internal/control/instances.go
@@ -76,6 +76,9 @@
 	history := c.view.History(time.Now())
 	for _, l := range history {
 		view := requestkey.View{Revision: l.Revision, FirstAsOf: l.AsOf, LastAsOf: l.AsOf}
+		if l.Published.UnixMilli() > 0 && l.Published.Before(l.AsOf) {
+			view.FirstAsOf = l.Published
+		}
 		for name, incarnation := range l.Routers {
 			view.Routers = append(view.Routers, requestkey.Member{Name: name, Incarnation: incarnation})
 		}
