broker: send waiting demands again under new numbers; let moved ones return

Cause, each seen as a failing test first: - A hello repeated on an open link sent waiting demands again under their old sequence numbers. A grant that crossed the hello was taken for the new demand's, although the scheduler had freed its slot; the second grant was answered by Done NOT_RUN, which freed the slot in use. - When the scheduler role of a pool moved in one region, the hello was repeated on links to other regions as well. Their schedulers dropped the demands that had been moved there, which then waited to their deadline. - A demand moved to another region was refused for good when that region's routers were lost, or refused it (NO_TARGET, NOT_READY, QUEUE_FULL), although its own region could serve it. It now returns home, once. - Spare slots handed out by another region's scheduler were filed under the own region, where no demand could use them, and lay idle until they expired. - A link to a restarted scheduler was opened in the middle of moving its pool: each waiting demand was sent twice and the hello told all slots twice. What is left on such a link is now moved before the next flush. - With no scheduler left in a region, a granted demand was ended at the scheduler that held its slot, while it ran (found by the property test by a direct call; not reachable by events today).

Ruled out: a new link in place of a repeated hello. It costs a connection for each role change and voids the spare slots and requests of the other pools on the link.

Tests: directed ones with a fake Dialer and Link, and a property test (TestEachDemandEndsOnce) that compares the slots that the model schedulers hold with those that the broker uses.

--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -90,6 +90,9 @@
 	avoid    map[string]time.Time
 	spares   map[poolKey][]spare
 	counters map[config.ID]*v1.PoolCounters
+	// dropped holds links to earlier incarnations, whose requests are to be
+	// moved.
+	dropped []*link
 }
 
 type poolKey struct {
@@ -277,40 +280,6 @@
 	b.requests[r.seq] = r
 }
 
-// place sends a waiting demand to the scheduler of its pool, or starts it on a
-// spare slot.
-func (b *Broker) place(r *request, now time.Time) {
-	l := b.linkFor(poolKey{r.demand.Pool, r.demand.Region}, now)
-	if l == nil {
-		b.refuse(r, result.New(v1.Code_NO_TARGET, v1.Ran_NO, "no router of region %q can be reached", r.demand.Region))
-		return
-	}
-	r.link = l
-	l.lastUsed = now
-	if b.useSpare(r, l, now) {
-		return
-	}
-	l.batch.Demands = append(l.batch.Demands, b.demandMessage(r, now))
-}
-
-func (b *Broker) demandMessage(r *request, now time.Time) *v1.Demand {
-	wait := max(r.demand.Deadline.Sub(now), 0)
-	d := &v1.Demand{
-		Seq:       r.seq,
-		Pool:      uint32(config.IDOf(r.demand.Pool)),
-		Workspace: uint32(r.demand.Workspace),
-		Estimate:  r.demand.Estimate,
-		WaitMs:    uint32(wait.Milliseconds()),
-		Prefix:    r.demand.Prefix,
-		BodyBytes: r.demand.BodyBytes,
-		Moved:     r.demand.moved,
-	}
-	for _, target := range r.demand.Exclude {
-		d.Exclude = append(d.Exclude, uint32(target))
-	}
-	return d
-}
-
 func (b *Broker) cancel(r *request) {
 	if b.requests[r.seq] != r {
 		return
@@ -342,23 +311,11 @@
 func (b *Broker) finish(r *request, done *v1.Done) {
 	delete(b.requests, r.seq)
 	r.link.batch.Done = append(r.link.batch.Done, done)
-	if r.demand.Region != r.home {
+	if r.away() {
 		b.tellFreed(r)
 	}
 }
 
-// tellFreed tells the scheduler that moved the demand that its slot is free.
-func (b *Broker) tellFreed(r *request) {
-	home := b.linkFor(poolKey{r.demand.Pool, r.home}, time.Now())
-	if home == nil {
-		return
-	}
-	home.batch.Freed = append(home.batch.Freed, &v1.FreedSlot{
-		Pool:   uint32(config.IDOf(r.demand.Pool)),
-		Region: r.demand.Region,
-	})
-}
-
 func (b *Broker) refuse(r *request, why *result.Result) {
 	delete(b.requests, r.seq)
 	if why.RetryAfter == 0 {
@@ -367,76 +324,6 @@
 	r.reply <- reply{err: why}
 }
 
-// received handles a batch of a scheduler.
-func (b *Broker) received(l *link, batch *v1.SchedulerBatch) {
-	if b.links[l.member.Name] != l {
-		return
-	}
-	now := time.Now()
-	for _, s := range batch.Spares {
-		b.addSpare(l, s, now)
-	}
-	for _, id := range batch.RevokedSpares {
-		b.returnSpare(l, id)
-	}
-	for _, g := range batch.Grants {
-		b.granted(l, g)
-	}
-	for _, refusal := range batch.Refusals {
-		b.refused(l, refusal)
-	}
-	for _, c := range batch.Counters {
-		b.counters[config.ID(c.Pool)] = c
-	}
-}
-
-// granted accepts the first grant of a demand. A slot that was granted a
-// second time, or to a demand that is gone, is given back at once.
-func (b *Broker) granted(l *link, g *v1.Grant) {
-	r, ok := b.requests[g.Seq]
-	if !ok || r.granted || r.link != l {
-		if ok && r.granted && r.link == l && r.target == config.ID(g.Target) {
-			return
-		}
-		l.batch.Done = append(l.batch.Done, &v1.Done{Seq: g.Seq, Outcome: v1.Outcome_NOT_RUN})
-		return
-	}
-	b.start(r, config.ID(g.Target))
-}
-
-// start hands the slot to the waiting caller.
-func (b *Broker) start(r *request, target config.ID) {
-	r.granted = true
-	r.target = target
-	r.reply <- reply{grant: &Grant{broker: b, seq: r.seq, Target: target}}
-}
-
-func (b *Broker) refused(l *link, refusal *v1.Refusal) {
-	r, ok := b.requests[refusal.Seq]
-	if !ok || r.granted || r.link != l {
-		return
-	}
-	if refusal.Region != "" && !r.demand.moved {
-		b.moveToRegion(r, refusal.Region)
-		return
-	}
-	why := result.New(refusal.Code, v1.Ran_NO, "refused by the scheduler of pool %s", r.demand.Pool)
-	why.RetryAfter = time.Duration(refusal.RetryAfterMs) * time.Millisecond
-	b.refuse(r, why)
-}
-
-// moveToRegion places a demand in a region with free slots, or again in its
-// own if no router of that region can be reached.
-func (b *Broker) moveToRegion(r *request, region string) {
-	r.demand.moved = true
-	b.number(r)
-	now := time.Now()
-	if _, ok := b.schedulerOf(poolKey{r.demand.Pool, region}, now); ok {
-		r.demand.Region = region
-	}
-	b.place(r, now)
-}
-
 // sweep ends demands whose deadline passed without a word of the scheduler,
 // returns spare slots that expired, and closes idle links.
 func (b *Broker) sweep(now time.Time) {
--- a/router/internal/broker/link.go
+++ b/router/internal/broker/link.go
@@ -44,7 +44,7 @@
 	l := b.links[member.Name]
 	if l != nil && l.member.Incarnation != member.Incarnation {
 		b.dropLink(l)
-		defer b.moveFrom(l, now)
+		b.dropped = append(b.dropped, l)
 		l = nil
 	}
 	if l == nil {
@@ -128,6 +128,15 @@
 	}
 }
 
+// moveDropped moves what is left on links to earlier incarnations.
+func (b *Broker) moveDropped(now time.Time) {
+	for len(b.dropped) > 0 {
+		l := b.dropped[0]
+		b.dropped = b.dropped[1:]
+		b.moveFrom(l, now)
+	}
+}
+
 // dropLink forgets a link and the spare slots that came over it. The pools of
 // requests that use it must be moved.
 func (b *Broker) dropLink(l *link) {
@@ -153,24 +162,36 @@
 
 // movePool sends all that is outstanding in a pool to its present scheduler.
 // An earlier scheduler is told that the demands are withdrawn and the grants
-// ended, so that it frees the slots.
+// ended, so that it frees the slots. Demands are sent under new sequence
+// numbers: a grant that is on its way was void once the hello or the
+// withdrawal arrived, and must not be taken for that of the new demand.
 func (b *Broker) movePool(key poolKey, now time.Time) {
 	outstanding := b.requestsIn(key)
 	previous := make([]*link, len(outstanding))
 	for i, r := range outstanding {
 		previous[i] = r.link
 	}
-	for _, l := range b.links {
-		delete(l.greeted, key.pool)
-	}
+	b.ungreet(key)
 	b.dropSparesOfPool(key)
 	present := b.linkFor(key, now)
 	for i, r := range outstanding {
-		if previous[i] != present {
+		switch {
+		case !r.granted:
 			b.withdrawFrom(previous[i], r)
-		}
-		if !r.granted {
+			b.number(r)
 			b.place(r, now)
+		case present != nil && previous[i] != present:
+			b.withdrawFrom(previous[i], r)
+		}
+	}
+}
+
+// ungreet makes the next use of the pool in the region send a hello. It leaves
+// the schedulers of other regions alone: they would drop what waits there.
+func (b *Broker) ungreet(key poolKey) {
+	for _, l := range b.links {
+		if l.member.Region == key.region {
+			delete(l.greeted, key.pool)
 		}
 	}
 }
@@ -205,6 +226,7 @@
 
 // flush sends the batches that were filled.
 func (b *Broker) flush() {
+	b.moveDropped(time.Now())
 	for _, l := range b.links {
 		if proto.Size(l.batch) == 0 {
 			continue
--- /dev/null
+++ b/router/internal/broker/place.go
@@ -0,0 +1,79 @@
+package broker
+
+import (
+	"time"
+
+	"github.com/chiveseam/chiveseam/config"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/result"
+)
+
+// place sends a waiting demand to the scheduler of its pool, or starts it on a
+// spare slot.
+func (b *Broker) place(r *request, now time.Time) {
+	l := b.linkFor(poolKey{r.demand.Pool, r.demand.Region}, now)
+	if l == nil && r.away() {
+		b.returnHome(r, now)
+		return
+	}
+	if l == nil {
+		b.refuse(r, result.New(v1.Code_NO_TARGET, v1.Ran_NO, "no router of region %q can be reached", r.demand.Region))
+		return
+	}
+	r.link = l
+	l.lastUsed = now
+	if b.useSpare(r, l, now) {
+		return
+	}
+	l.batch.Demands = append(l.batch.Demands, b.demandMessage(r, now))
+}
+
+func (b *Broker) demandMessage(r *request, now time.Time) *v1.Demand {
+	wait := max(r.demand.Deadline.Sub(now), 0)
+	d := &v1.Demand{
+		Seq:       r.seq,
+		Pool:      uint32(config.IDOf(r.demand.Pool)),
+		Workspace: uint32(r.demand.Workspace),
+		Estimate:  r.demand.Estimate,
+		WaitMs:    uint32(wait.Milliseconds()),
+		Prefix:    r.demand.Prefix,
+		BodyBytes: r.demand.BodyBytes,
+		Moved:     r.demand.moved,
+	}
+	for _, target := range r.demand.Exclude {
+		d.Exclude = append(d.Exclude, uint32(target))
+	}
+	return d
+}
+
+// moveToRegion places a demand in a region with free slots, or again in its
+// own if no router of that region can be reached.
+func (b *Broker) moveToRegion(r *request, region string) {
+	r.demand.moved = true
+	r.demand.Region = region
+	b.number(r)
+	b.place(r, time.Now())
+}
+
+// returnHome places a demand that was moved, and that the other region cannot
+// serve, in its own region again.
+func (b *Broker) returnHome(r *request, now time.Time) {
+	r.demand.Region = r.home
+	b.number(r)
+	b.place(r, now)
+}
+
+// away reports whether the demand is in another region than its own.
+func (r *request) away() bool { return r.demand.Region != r.home }
+
+// tellFreed tells the scheduler that moved the demand that its slot is free.
+func (b *Broker) tellFreed(r *request) {
+	home := b.linkFor(poolKey{r.demand.Pool, r.home}, time.Now())
+	if home == nil {
+		return
+	}
+	home.batch.Freed = append(home.batch.Freed, &v1.FreedSlot{
+		Pool:   uint32(config.IDOf(r.demand.Pool)),
+		Region: r.demand.Region,
+	})
+}
--- /dev/null
+++ b/router/internal/broker/property_test.go
@@ -0,0 +1,395 @@
+package broker
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chiveseam/chiveseam/config"
+	_ "github.com/chiveseam/chiveseam/internal/fixedseed"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/router/internal/state"
+)
+
+// modelScheduler is the scheduler's end of one link: it follows the protocol
+// and decides at random. Batches arrive in order and late.
+type modelScheduler struct {
+	link    *fakeLink
+	waiting map[uint64]bool
+	busy    map[uint64]config.ID
+	spares  map[uint64]config.ID
+	out     []*v1.SchedulerBatch
+}
+
+// read handles the oldest batch that the broker sent.
+func (s *modelScheduler) read() {
+	batch := s.link.sent[0]
+	s.link.sent = s.link.sent[1:]
+	if batch.Hello != nil {
+		s.hello(batch.Hello)
+	}
+	for _, use := range batch.SpareUses {
+		if target, ok := s.spares[use.Spare]; ok {
+			delete(s.spares, use.Spare)
+			s.busy[use.Demand.Seq] = target
+		} else {
+			// The target of an unknown spare is part of its number.
+			s.busy[use.Demand.Seq] = config.ID(use.Spare >> 32)
+		}
+	}
+	for _, d := range batch.Demands {
+		s.waiting[d.Seq] = true
+	}
+	for _, seq := range batch.Cancels {
+		s.end(seq)
+	}
+	for _, d := range batch.Done {
+		s.end(d.Seq)
+	}
+	for _, id := range batch.SpareReturns {
+		delete(s.spares, id)
+	}
+}
+
+// hello rebuilds the state of a pool as pool.RouterJoined does.
+func (s *modelScheduler) hello(hello *v1.Hello) {
+	if len(hello.Counters) == 0 {
+		return
+	}
+	clear(s.waiting)
+	clear(s.busy)
+	clear(s.spares)
+	for _, f := range hello.InFlight {
+		s.busy[f.Seq] = config.ID(f.Target)
+	}
+}
+
+func (s *modelScheduler) end(seq uint64) {
+	delete(s.waiting, seq)
+	delete(s.busy, seq)
+}
+
+// brokerModel is a broker among schedulers, over connections that delay.
+type brokerModel struct {
+	*fixture
+	t          *rapid.T
+	schedulers map[*fakeLink]*modelScheduler
+	requests   []*request
+	answers    map[*request]int
+	grants     map[*request]*Grant
+	cancelled  map[*request]bool
+	ended      map[*request]bool
+	fleet      []state.Member
+	nextSpare  uint64
+}
+
+func newBrokerModel(t *rapid.T) *brokerModel {
+	m := &brokerModel{
+		t:          t,
+		schedulers: map[*fakeLink]*modelScheduler{},
+		answers:    map[*request]int{},
+		grants:     map[*request]*Grant{},
+		cancelled:  map[*request]bool{},
+		ended:      map[*request]bool{},
+		fleet:      []state.Member{member("a", home, 1), member("b", home, 1), member("y", remote, 1), member("z", remote, 1)},
+	}
+	m.fixture = newFixture(t, m.fleet...)
+	return m
+}
+
+func (m *brokerModel) chance(percent int, what string) bool {
+	return rapid.IntRange(1, 100).Draw(m.t, what) <= percent
+}
+
+// sync gives each new link its scheduler, and collects answers.
+func (m *brokerModel) sync() {
+	for _, l := range m.dialer.links {
+		if m.schedulers[l] == nil {
+			m.schedulers[l] = &modelScheduler{
+				link: l, waiting: map[uint64]bool{}, busy: map[uint64]config.ID{}, spares: map[uint64]config.ID{},
+			}
+		}
+	}
+	for _, r := range m.requests {
+		for answer := r.answer(); answer != (reply{}); answer = r.answer() {
+			m.answers[r]++
+			m.grants[r] = answer.grant
+		}
+		if m.answers[r] > 1 {
+			m.t.Fatalf("demand was answered %d times", m.answers[r])
+		}
+	}
+}
+
+// open returns the schedulers whose link is open, in the order of opening.
+func (m *brokerModel) open() []*modelScheduler {
+	var list []*modelScheduler
+	for _, l := range m.dialer.links {
+		if !l.closed {
+			list = append(list, m.schedulers[l])
+		}
+	}
+	return list
+}
+
+// decide lets a scheduler answer one of its demands or hand out a spare.
+func (m *brokerModel) decide(s *modelScheduler) {
+	batch := &v1.SchedulerBatch{}
+	waiting := slices.Sorted(maps.Keys(s.waiting))
+	target := config.ID(100 + rapid.IntRange(0, 3).Draw(m.t, "target"))
+	if len(waiting) == 0 {
+		m.nextSpare++
+		id := uint64(target)<<32 | m.nextSpare
+		s.spares[id] = target
+		spare := spareBatch(id, time.Minute)
+		spare.Spares[0].Target = uint32(target)
+		s.out = append(s.out, spare)
+		return
+	}
+	seq := rapid.SampledFrom(waiting).Draw(m.t, "seq")
+	delete(s.waiting, seq)
+	switch rapid.IntRange(0, 4).Draw(m.t, "decision") {
+	case 0:
+		batch.Refusals = []*v1.Refusal{{Seq: seq, Code: v1.Code_QUEUE_FULL}}
+	case 1:
+		batch.Refusals = []*v1.Refusal{moveTo(seq, remote)}
+	default:
+		s.busy[seq] = target
+		batch.Grants = []*v1.Grant{{Seq: seq, Target: uint32(target)}}
+	}
+	s.out = append(s.out, batch)
+}
+
+// deliver hands the oldest answer of a scheduler to the broker.
+func (m *brokerModel) deliver(s *modelScheduler) {
+	batch := s.out[0]
+	s.out = s.out[1:]
+	l := m.links[s.link.member.Name]
+	if l != nil && l.conn == s.link {
+		m.input(receivedInput{l, batch})
+	}
+}
+
+// step draws one event.
+func (m *brokerModel) step() {
+	switch rapid.IntRange(0, 9).Draw(m.t, "event") {
+	case 0, 1:
+		m.requests = append(m.requests, m.acquire(time.Hour))
+	case 2, 3, 4, 5:
+		m.talk()
+	case 6:
+		m.finishOne()
+	case 7:
+		m.cancelOne()
+	case 8:
+		m.changeFleet()
+	case 9:
+		m.disturbLink()
+	}
+	m.sync()
+}
+
+// talk advances one link by one message or decision.
+func (m *brokerModel) talk() {
+	schedulers := m.open()
+	if len(schedulers) == 0 {
+		return
+	}
+	s := rapid.SampledFrom(schedulers).Draw(m.t, "link")
+	switch {
+	case len(s.link.sent) > 0 && m.chance(50, "read"):
+		s.read()
+	case len(s.out) > 0 && m.chance(50, "deliver"):
+		m.deliver(s)
+	default:
+		m.decide(s)
+	}
+}
+
+// running returns the requests that hold a slot.
+func (m *brokerModel) running() []*request {
+	var list []*request
+	for _, r := range m.requests {
+		if m.grants[r] != nil && !m.ended[r] && !m.cancelled[r] {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+func (m *brokerModel) finishOne() {
+	if running := m.running(); len(running) > 0 {
+		m.finishRequest(rapid.SampledFrom(running).Draw(m.t, "finished"))
+	}
+}
+
+func (m *brokerModel) finishRequest(r *request) {
+	m.ended[r] = true
+	m.input(doneInput{m.grants[r].seq, &v1.Done{Seq: m.grants[r].seq, Outcome: v1.Outcome_SERVED}})
+}
+
+func (m *brokerModel) cancelOne() {
+	if len(m.requests) == 0 {
+		return
+	}
+	r := rapid.SampledFrom(m.requests).Draw(m.t, "cancelled")
+	if m.answers[r] == 0 {
+		m.cancelled[r] = true
+		m.input(cancelInput{r})
+	}
+}
+
+func (m *brokerModel) changeFleet() {
+	var reachable []state.Member
+	for i := range m.fleet {
+		if m.chance(20, "restart") {
+			m.fleet[i].Incarnation++
+		}
+		if m.chance(70, "reachable") {
+			reachable = append(reachable, m.fleet[i])
+		}
+	}
+	m.setFleet(reachable...)
+}
+
+// disturbLink loses a link, or sends a pool again over the links it has.
+func (m *brokerModel) disturbLink() {
+	open := m.open()
+	if len(open) == 0 {
+		return
+	}
+	if m.chance(50, "again") {
+		m.movePool(poolKey{pool, home}, time.Now())
+		m.flush()
+		return
+	}
+	name := rapid.SampledFrom(open).Draw(m.t, "lost").link.member.Name
+	if l := m.links[name]; l != nil {
+		m.input(closedInput{l, nil})
+	}
+}
+
+// settle delivers all that is on its way.
+func (m *brokerModel) settle() {
+	for busy := true; busy; {
+		busy = false
+		m.sync()
+		for _, s := range m.open() {
+			for len(s.link.sent) > 0 {
+				s.read()
+				busy = true
+			}
+			for len(s.out) > 0 {
+				m.deliver(s)
+				busy = true
+			}
+		}
+	}
+}
+
+// checkSlots compares what the schedulers hold with what the broker uses.
+func (m *brokerModel) checkSlots() {
+	for _, r := range m.Broker.requests {
+		s, ok := m.schedulers[linkOf(r)]
+		if !ok || s.link.closed {
+			continue
+		}
+		if r.granted && s.busy[r.seq] != r.target {
+			m.t.Fatalf("demand %d runs on %d, its scheduler %s holds %d", r.seq, r.target, s.link.member.Name, s.busy[r.seq])
+		}
+		if !r.granted && !s.waiting[r.seq] {
+			m.t.Fatalf("demand %d waits, its scheduler %s does not know it", r.seq, s.link.member.Name)
+		}
+	}
+	for _, s := range m.open() {
+		for seq := range s.busy {
+			if r := m.Broker.requests[seq]; r == nil || !r.granted || linkOf(r) != s.link {
+				m.t.Fatalf("scheduler %s holds a slot for %d, which does not use it", s.link.member.Name, seq)
+			}
+		}
+		for seq := range s.waiting {
+			if r := m.Broker.requests[seq]; r == nil || r.granted || linkOf(r) != s.link {
+				m.t.Fatalf("demand %d waits at scheduler %s and nobody asks", seq, s.link.member.Name)
+			}
+		}
+	}
+}
+
+func linkOf(r *request) *fakeLink { return r.link.conn.(*fakeLink) }
+
+// checkEnds fails unless each demand has ended exactly once.
+func (m *brokerModel) checkEnds() {
+	for _, r := range m.requests {
+		ends := m.answers[r]
+		if m.cancelled[r] {
+			ends++
+		}
+		if ends != 1 {
+			m.t.Fatalf("a demand ended %d times", ends)
+		}
+	}
+	if len(m.Broker.requests) > 0 {
+		m.t.Fatalf("%d requests are left", len(m.Broker.requests))
+	}
+}
+
+// end lets all waiting demands be granted and all slots be given back.
+func (m *brokerModel) end() {
+	m.setFleet(m.fleet...)
+	for range 4 {
+		m.settle()
+		for _, s := range m.open() {
+			for _, seq := range slices.Sorted(maps.Keys(s.waiting)) {
+				delete(s.waiting, seq)
+				s.busy[seq] = target1
+				s.out = append(s.out, &v1.SchedulerBatch{Grants: []*v1.Grant{{Seq: seq, Target: uint32(target1)}}})
+			}
+		}
+		m.settle()
+		for _, r := range m.running() {
+			m.finishRequest(r)
+		}
+	}
+	m.settle()
+}
+
+// TestEachDemandEndsOnce checks conservation: whatever crosses, moves and is
+// lost, each demand gets one answer, schedulers hold exactly the slots that are
+// in use, and know each demand that waits.
+func TestEachDemandEndsOnce(t *testing.T) {
+	outcomes := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		m := newBrokerModel(t)
+		for range rapid.IntRange(10, 120).Draw(t, "steps") {
+			m.step()
+			if m.chance(10, "settle") {
+				m.settle()
+				m.checkSlots()
+			}
+		}
+		m.end()
+		m.checkSlots()
+		m.checkEnds()
+		m.count(outcomes)
+	})
+	t.Logf("demands by end: %v", outcomes)
+}
+
+// count adds up how the demands ended.
+func (m *brokerModel) count(outcomes map[string]int) {
+	for _, r := range m.requests {
+		switch {
+		case m.cancelled[r]:
+			outcomes["cancelled"]++
+		case m.grants[r] == nil:
+			outcomes["refused"]++
+		case r.away():
+			outcomes["granted away"]++
+		default:
+			outcomes["granted at home"]++
+		}
+	}
+}
--- a/router/internal/broker/spare.go
+++ b/router/internal/broker/spare.go
@@ -17,7 +17,7 @@
 }
 
 func (b *Broker) addSpare(l *link, s *v1.Spare, now time.Time) {
-	key, ok := b.spareKey(config.ID(s.Pool))
+	key, ok := b.spareKey(l, config.ID(s.Pool))
 	if !ok {
 		l.batch.SpareReturns = append(l.batch.SpareReturns, s.Id)
 		return
@@ -26,9 +26,8 @@
 	b.spares[key] = append(b.spares[key], spare{id: s.Id, link: l, target: config.ID(s.Target), expires: expires})
 }
 
-// spareKey finds the pool of a spare slot. Spare slots come from schedulers of
-// the router's own region only.
-func (b *Broker) spareKey(pool config.ID) (poolKey, bool) {
+// spareKey finds the pool of a spare slot that came over the link.
+func (b *Broker) spareKey(l *link, pool config.ID) (poolKey, bool) {
 	accepted := b.store.Config()
 	if accepted == nil {
 		return poolKey{}, false
@@ -37,7 +36,7 @@
 	if !ok {
 		return poolKey{}, false
 	}
-	return poolKey{p.Name, b.store.Fleet().Self.Region}, true
+	return poolKey{p.Name, l.member.Region}, true
 }
 
 // useSpare starts a demand on a spare slot of the link, if there is one that
