measure: run the decision core in virtual time

Cause: the fairness gap and the utilisation of pool.Scheduler were not measured beside the baselines. Change: internal/measure with a cluster of small fakes, three baselines and the gap, bound, utilisation and wait figures; command internal/cmd/measure.

--- /dev/null
+++ b/internal/measure/cluster.go
@@ -0,0 +1,208 @@
+package measure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
+)
+
+const (
+	routerCount = 6
+	// holdTime is the daemon's default of the setting grant-hold.
+	holdTime  = time.Second
+	maxSpares = 4
+	// counterInterval is how often counters go to the next routers in rank.
+	counterInterval = time.Second
+	successors      = 2
+	tickInterval    = 50 * time.Millisecond
+	// silenceTime is how long a peer is silent before it counts as lost.
+	silenceTime = 2 * time.Second
+	// dialTimeout is how long an attempt at an unreachable target takes.
+	dialTimeout = time.Second
+	// tokenSilence is the silence after which a running request is lost.
+	tokenSilence = 10 * time.Second
+)
+
+// cluster is a deployment in virtual time.
+type cluster struct {
+	clock
+	rng        *rand.Rand
+	deployment *Deployment
+	policy     Policy
+	latency    time.Duration
+	// replicate is set if schedulers give their counters to routers.
+	replicate bool
+	// reportEstimate makes the first report of progress due at the estimate.
+	reportEstimate bool
+	seed           uint64
+	routers        []*router
+	hosts          []*host
+	engines        map[config.ID]*engine
+	index          map[config.ID]int
+	meter          *meter
+	// cutZone is cut off from the other zones unless it is empty.
+	cutZone string
+}
+
+func newCluster(d *Deployment, policy Policy, seed uint64, latency time.Duration) *cluster {
+	c := &cluster{
+		rng:        rand.New(rand.NewPCG(seed, 1)),
+		deployment: d,
+		policy:     policy,
+		latency:    latency,
+		replicate:  true,
+		seed:       seed,
+		engines:    map[config.ID]*engine{},
+		index:      map[config.ID]int{},
+		meter:      newMeter(d),
+	}
+	for i, w := range d.Workspaces {
+		c.index[w.ID] = i
+	}
+	for _, t := range d.Targets {
+		c.engines[t.ID] = &engine{Target: t, cluster: c}
+	}
+	for i := range routerCount {
+		c.routers = append(c.routers, newRouter(c, i))
+	}
+	c.placeHosts()
+	return c
+}
+
+// placeHosts starts the schedulers of the policy and joins the routers.
+func (c *cluster) placeHosts() {
+	if c.policy != Split {
+		h := c.newHost(c.deployment.Targets, c.routers[0].zone, c.latency)
+		for _, r := range c.routers {
+			r.join(h)
+		}
+		return
+	}
+	for i, r := range c.routers {
+		r.join(c.newHost(c.splitTargets(i), r.zone, 0))
+	}
+}
+
+// splitTargets returns the targets with the part of the slots of router i. The
+// slots that are left over after an equal division go to the routers in turn.
+func (c *cluster) splitTargets(i int) []pool.Target {
+	var targets []pool.Target
+	offset := 0
+	for _, t := range c.deployment.Targets {
+		rest := t.Slots % routerCount
+		extra := 0
+		if (i-offset+routerCount)%routerCount < rest {
+			extra = 1
+		}
+		offset = (offset + rest) % routerCount
+		t.Slots = t.Slots/routerCount + extra
+		targets = append(targets, t)
+	}
+	return targets
+}
+
+// reachable tells whether messages pass between two zones.
+func (c *cluster) reachable(a, b string) bool {
+	return c.cutZone == "" || (a == c.cutZone) == (b == c.cutZone)
+}
+
+// host runs a scheduler on a router.
+type host struct {
+	cluster *cluster
+	core    stepper
+	zone    string
+	latency time.Duration
+	alive   bool
+	// charges follows what the scheduler charged, for the bound.
+	charges *chargeMeter
+}
+
+func (c *cluster) newHost(targets []pool.Target, zone string, latency time.Duration) *host {
+	c.seed++
+	h := &host{
+		cluster: c, core: c.policy.newStepper(c.deployment, c.seed),
+		zone: zone, latency: latency, alive: true, charges: newChargeMeter(c),
+	}
+	c.hosts = append(c.hosts, h)
+	h.step(pool.WorkspacesChanged{Workspaces: c.deployment.Workspaces})
+	h.step(pool.TargetsChanged{Targets: targets})
+	c.after(tickInterval, h.tick)
+	if c.replicate {
+		c.after(counterInterval, h.replicateCounters)
+	}
+	return h
+}
+
+func (h *host) tick() {
+	if h.alive {
+		h.step(pool.Tick{})
+		h.cluster.after(tickInterval, h.tick)
+	}
+}
+
+// replicateCounters gives the counters to the routers next in rank.
+func (h *host) replicateCounters() {
+	core, ok := h.core.(*pool.Scheduler)
+	if !h.alive || !ok {
+		return
+	}
+	counters := core.Counters()
+	for _, r := range h.cluster.routers[1 : 1+successors] {
+		h.send(r, func() { r.counters = counters })
+	}
+	h.cluster.after(counterInterval, h.replicateCounters)
+}
+
+// post delivers an event of a router after the latency.
+func (h *host) post(r *router, event pool.Event) {
+	h.cluster.after(h.latency, func() {
+		if h.alive && h.cluster.reachable(r.zone, h.zone) {
+			h.step(event)
+		}
+	})
+}
+
+// send delivers something to a router after the latency.
+func (h *host) send(r *router, fn func()) {
+	h.cluster.after(h.latency, func() {
+		if h.cluster.reachable(r.zone, h.zone) {
+			fn()
+		}
+	})
+}
+
+func (h *host) step(event pool.Event) {
+	h.charges.before(event)
+	for _, action := range h.core.Step(h.cluster.wall(), event) {
+		h.route(action)
+	}
+}
+
+func (h *host) route(action pool.Action) {
+	switch a := action.(type) {
+	case pool.Grant:
+		r := h.cluster.routerOf(a.ID)
+		h.charges.granted(r, a)
+		h.send(r, func() { r.granted(h, a) })
+	case pool.Refuse:
+		r := h.cluster.routerOf(a.ID)
+		h.send(r, func() { r.refused(h, a) })
+	case pool.HandSpare:
+		r := h.cluster.routerNamed(a.Router.Name)
+		h.post(r, pool.SpareReturned{Router: a.Router, Spare: a.Spare})
+	}
+}
+
+func (c *cluster) routerOf(id pool.DemandID) *router { return c.routerNamed(id.Router.Name) }
+
+func (c *cluster) routerNamed(name string) *router {
+	for _, r := range c.routers {
+		if r.id.Name == name {
+			return r
+		}
+	}
+	panic(fmt.Sprintf("measure: no router %q", name))
+}
--- /dev/null
+++ b/internal/measure/meter.go
@@ -0,0 +1,144 @@
+package measure
+
+import "time"
+
+// meter integrates service and the use of slots over time.
+type meter struct {
+	deployment *Deployment
+	now        time.Duration
+	// served and rate are the delivered cost units of each workspace, and
+	// those it gets in a second.
+	served []float64
+	rate   []float64
+	// waiting counts the requests that wait for a grant.
+	waiting      []int
+	totalWaiting int
+	busy         int
+	gaps         *gapMeter
+
+	// from is the time at which the figures below start.
+	from time.Duration
+	// busySeconds and slotSeconds count slots while work waits.
+	busySeconds float64
+	slotSeconds float64
+
+	excessNow    int
+	excessMax    int
+	overAdmitted int
+	reports      int
+	grants       int
+	lost         int
+
+	waitTimes []samples
+	refusals  []int
+	// since is the time of the last grant, or of the first waiting request.
+	since      []time.Duration
+	starvation time.Duration
+}
+
+func newMeter(d *Deployment) *meter {
+	n := len(d.Workspaces)
+	return &meter{
+		deployment: d,
+		served:     make([]float64, n),
+		rate:       make([]float64, n),
+		waiting:    make([]int, n),
+		gaps:       newGapMeter(d),
+		waitTimes:  make([]samples, n),
+		refusals:   make([]int, n),
+		since:      make([]time.Duration, n),
+	}
+}
+
+// reset starts the figures of capacity, gaps, waits and starvation anew.
+func (m *meter) reset(now time.Duration) {
+	m.advance(now)
+	m.from = now
+	m.busySeconds = 0
+	m.slotSeconds = 0
+	m.gaps = newGapMeter(m.deployment)
+	m.starvation = 0
+	m.reports = 0
+	m.grants = 0
+	for i := range m.waitTimes {
+		m.waitTimes[i] = nil
+		m.refusals[i] = 0
+		m.since[i] = now
+	}
+}
+
+// advance integrates up to now with the present rates.
+func (m *meter) advance(now time.Duration) {
+	if now <= m.now {
+		return
+	}
+	elapsed := (now - m.now).Seconds()
+	m.now = now
+	for i, rate := range m.rate {
+		m.served[i] += rate * elapsed
+	}
+	if m.totalWaiting > 0 {
+		m.busySeconds += float64(m.busy) * elapsed
+		m.slotSeconds += float64(m.deployment.slots()) * elapsed
+	}
+	m.gaps.observe(m.served, m.waiting)
+}
+
+// serve notes that a slot starts (+1) or ends (-1) to serve a workspace.
+func (m *meter) serve(workspace, sign int, rate float64) {
+	m.busy += sign
+	m.rate[workspace] += float64(sign) * rate
+}
+
+// waits notes that a request starts (+1) or ends (-1) to wait for a grant.
+func (m *meter) waits(workspace, sign int) {
+	if m.waiting[workspace] == 0 {
+		m.since[workspace] = m.now
+	}
+	m.waiting[workspace] += sign
+	m.totalWaiting += sign
+	if m.waiting[workspace] == 0 {
+		m.progressed(workspace)
+	}
+}
+
+// granted notes the end of a wait by a grant.
+func (m *meter) granted(q *request, now time.Duration) {
+	m.grants++
+	m.waitTimes[q.workspace] = append(m.waitTimes[q.workspace], (now - q.arrivedAt).Seconds())
+	m.progressed(q.workspace)
+	m.waits(q.workspace, -1)
+}
+
+// refused notes the end of a wait by a refusal.
+func (m *meter) refused(workspace int) { m.refusals[workspace]++ }
+
+// progressed ends a time without a grant.
+func (m *meter) progressed(workspace int) {
+	m.starvation = max(m.starvation, m.now-m.since[workspace])
+	m.since[workspace] = m.now
+}
+
+// excess notes that a request starts (+1) or ends (-1) to wait in a full engine.
+func (m *meter) excess(sign int) {
+	m.excessNow += sign
+	m.excessMax = max(m.excessMax, m.excessNow)
+}
+
+// finish ends the figures at the end of a run.
+func (m *meter) finish(now time.Duration) {
+	m.advance(now)
+	for i, waiting := range m.waiting {
+		if waiting > 0 {
+			m.progressed(i)
+		}
+	}
+}
+
+// utilisation is the busy part of the slots while work waits.
+func (m *meter) utilisation() float64 {
+	if m.slotSeconds == 0 {
+		return 1
+	}
+	return m.busySeconds / m.slotSeconds
+}
--- /dev/null
+++ b/internal/measure/router.go
@@ -0,0 +1,238 @@
+package measure
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// reportDivisor sets the step between progress reports as a part of the cost
+// so far, as the dispatcher does.
+const reportDivisor = 2
+
+// promptDivisor sets the cost of the prompt as a part of the whole cost.
+const promptDivisor = 4
+
+// request is one request of a caller.
+type request struct {
+	router    *router
+	seq       uint64
+	workspace int
+	cost      int64
+	hint      int64
+	deadline  time.Duration
+	arrivedAt time.Duration
+	// ended is called once, with the time after which the caller may retry.
+	ended   func(retryAfter time.Duration)
+	exclude []config.ID
+
+	// estimate is what the scheduler charged at the grant.
+	estimate   int64
+	granted    bool
+	target     config.ID
+	engine     *engine
+	running    bool
+	startedAt  time.Duration
+	charged    int64
+	nextReport int64
+}
+
+// router is the entry side: it sends demands and serves what is granted.
+type router struct {
+	cluster  *cluster
+	id       pool.Router
+	zone     string
+	host     *host
+	seq      uint64
+	requests map[uint64]*request
+	// counters were replicated to this router last.
+	counters []pool.Counter
+}
+
+func newRouter(c *cluster, i int) *router {
+	zones := c.deployment.Zones
+	return &router{
+		cluster:  c,
+		id:       pool.Router{Name: fmt.Sprintf("router-%d", i), Incarnation: 1},
+		zone:     zones[i%len(zones)],
+		requests: map[uint64]*request{},
+	}
+}
+
+// join opens the stream to a scheduler and brings it what the router holds.
+func (r *router) join(h *host) {
+	previous := r.host
+	r.host = h
+	joined := pool.RouterJoined{Router: r.id, Zone: r.zone, Counters: r.counters}
+	outstanding := r.outstanding()
+	for _, q := range outstanding {
+		if previous != nil {
+			r.withdraw(previous, q)
+		}
+		if q.granted {
+			joined.InFlight = append(joined.InFlight, pool.InFlight{
+				ID:        r.demandID(q),
+				Workspace: r.cluster.deployment.Workspaces[q.workspace].ID,
+				Target:    q.target,
+				Charged:   q.charged,
+			})
+		}
+	}
+	h.post(r, joined)
+	for _, q := range outstanding {
+		if !q.granted {
+			r.demand(q)
+		}
+	}
+}
+
+func (r *router) outstanding() []*request {
+	var list []*request
+	for _, seq := range slices.Sorted(maps.Keys(r.requests)) {
+		list = append(list, r.requests[seq])
+	}
+	return list
+}
+
+// withdraw ends a request at a scheduler that no longer schedules it.
+func (r *router) withdraw(h *host, q *request) {
+	if q.granted {
+		h.post(r, pool.Done{ID: r.demandID(q), Cost: q.charged, Outcome: v1.Outcome_ABANDONED})
+		return
+	}
+	h.post(r, pool.Cancel{ID: r.demandID(q)})
+}
+
+func (r *router) demandID(q *request) pool.DemandID {
+	return pool.DemandID{Router: r.id, Seq: q.seq}
+}
+
+// submit takes a request of a caller.
+func (r *router) submit(q *request) {
+	q.router = r
+	q.arrivedAt = r.cluster.now
+	r.cluster.meter.advance(r.cluster.now)
+	r.cluster.meter.waits(q.workspace, +1)
+	r.enqueue(q)
+}
+
+// enqueue sends a demand under a new number.
+func (r *router) enqueue(q *request) {
+	r.seq++
+	q.seq = r.seq
+	r.requests[q.seq] = q
+	r.demand(q)
+}
+
+func (r *router) demand(q *request) {
+	r.host.post(r, pool.Demand{
+		ID:        r.demandID(q),
+		Workspace: r.cluster.deployment.Workspaces[q.workspace].ID,
+		Estimate:  q.hint,
+		Deadline:  epoch.Add(q.arrivedAt + q.deadline),
+		Exclude:   q.exclude,
+	})
+}
+
+// granted starts the request, or gives back a slot that nothing waits for.
+func (r *router) granted(h *host, g pool.Grant) {
+	q := r.requests[g.ID.Seq]
+	if q == nil || q.granted || r.host != h {
+		h.post(r, pool.Done{ID: g.ID, Outcome: v1.Outcome_NOT_RUN})
+		return
+	}
+	m := r.cluster.meter
+	m.advance(r.cluster.now)
+	e := r.cluster.engines[g.Target]
+	q.granted = true
+	q.target = g.Target
+	q.estimate = h.charges.estimateOf(g.ID)
+	if !r.cluster.reachable(r.zone, e.Zone) {
+		r.cluster.after(dialTimeout, func() { r.unreached(q) })
+		return
+	}
+	m.granted(q, r.cluster.now)
+	e.admit(q)
+}
+
+// unreached ends an attempt whose target could not be dialled and tries again.
+func (r *router) unreached(q *request) {
+	r.done(q, v1.Outcome_NOT_RUN, 0)
+	q.granted = false
+	q.exclude = append(slices.Clone(q.exclude), q.target)
+	r.enqueue(q)
+}
+
+func (r *router) refused(h *host, refusal pool.Refuse) {
+	q := r.requests[refusal.ID.Seq]
+	if q == nil || q.granted || r.host != h {
+		return
+	}
+	delete(r.requests, q.seq)
+	m := r.cluster.meter
+	m.advance(r.cluster.now)
+	m.refused(q.workspace)
+	m.waits(q.workspace, -1)
+	q.ended(refusal.RetryAfter)
+}
+
+// planReport schedules the next report of progress. The first is due at the
+// hint, or after the prompt without one; later ones when the cost has grown by
+// half. With reportEstimate the first is due at what the grant charged.
+func (r *router) planReport(q *request) {
+	next := max(q.hint, q.cost/promptDivisor, 1)
+	if r.cluster.reportEstimate {
+		next = max(q.estimate, 1)
+	}
+	if q.nextReport > 0 {
+		next = q.nextReport + max(q.nextReport/reportDivisor, 1)
+	}
+	if next >= q.cost {
+		return
+	}
+	q.nextReport = next
+	due := q.startedAt + seconds(float64(next)/q.engine.rate())
+	r.cluster.after(due-r.cluster.now, func() { r.report(q) })
+}
+
+func (r *router) report(q *request) {
+	if !q.running || r.requests[q.seq] != q {
+		return
+	}
+	q.charged = q.nextReport
+	r.cluster.meter.reports++
+	r.host.post(r, pool.Progress{ID: r.demandID(q), Cost: q.nextReport})
+	r.planReport(q)
+}
+
+// finished ends a request that was served in full.
+func (r *router) finished(q *request) {
+	if r.requests[q.seq] != q {
+		return
+	}
+	r.done(q, v1.Outcome_SERVED, q.cost)
+	q.ended(0)
+}
+
+// lose ends a request whose target is cut off.
+func (r *router) lose(q *request) {
+	if r.requests[q.seq] != q || !q.granted || q.engine == nil {
+		return
+	}
+	r.done(q, v1.Outcome_LOST, q.charged)
+	q.ended(0)
+}
+
+func (r *router) done(q *request, outcome v1.Outcome, cost int64) {
+	delete(r.requests, q.seq)
+	done := pool.Done{ID: r.demandID(q), Cost: cost, Outcome: outcome}
+	if q.engine != nil {
+		done.ServiceTime = r.cluster.now - q.startedAt
+	}
+	r.host.post(r, done)
+}
