--- a/internal/cmd/measure/main.go
+++ b/internal/cmd/measure/main.go
@@ -53,6 +53,8 @@
 		m.Fairness(os.Stdout)
 	case "waits":
 		m.Waits(os.Stdout)
+	case "failures":
+		m.Failures(os.Stdout)
 	default:
 		return fmt.Errorf("unknown table %q", o.Args.Table)
 	}
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -130,9 +130,7 @@
 	h.step(pool.WorkspacesChanged{Workspaces: c.deployment.Workspaces})
 	h.step(pool.TargetsChanged{Targets: targets})
 	c.after(tickInterval, h.tick)
-	if c.replicate {
-		c.after(counterInterval, h.replicateCounters)
-	}
+	c.after(counterInterval, h.replicateCounters)
 	return h
 }
 
@@ -146,7 +144,7 @@
 // replicateCounters gives the counters to the routers next in rank.
 func (h *host) replicateCounters() {
 	core, ok := h.core.(*pool.Scheduler)
-	if !h.alive || !ok {
+	if !h.alive || !ok || !h.cluster.replicate {
 		return
 	}
 	counters := core.Counters()
