--- a/router/internal/peer/scheduling.go
+++ b/router/internal/peer/scheduling.go
@@ -79,7 +79,7 @@
 }
 
 func (l *remoteLink) serve(ctx context.Context, member state.Member, receiver broker.Receiver) error {
-	conn, err := dial(ctx, member.PeerAddress, l.dialer.Timing.Dial, l.dialer.Traffic)
+	conn, err := dial(ctx, member.PeerAddress, l.dialer.Timing.Dial, l.dialer.Traffic, kindControl)
 	if err != nil {
 		return fmt.Errorf("dial %s: %w", member.Name, err)
 	}
@@ -148,6 +148,15 @@
 	return s.serveSession(stream, session, first, out)
 }
 
+// ShareCounters implements the Scheduling service.
+func (s *Server) ShareCounters(_ context.Context, in *v1.CountersShare) (*v1.CountersShare, error) {
+	s.opts.Traffic.Message("counters_share", Received, proto.Size(in))
+	s.opts.Host.PeerCounters(in.Pools)
+	out := s.opts.Host.CountersOf(in.Pools)
+	s.opts.Traffic.Message("counters_share", Sent, proto.Size(out))
+	return out, nil
+}
+
 // serveSession passes batches both ways until the peer is lost or silent.
 func (s *Server) serveSession(stream v1.DRPCScheduling_ConnectStream, session *scheduling.Session, first *v1.EntryBatch, out *coalescer[*v1.SchedulerBatch]) error {
 	done := make(chan struct{})
--- a/router/router.go
+++ b/router/router.go
@@ -126,7 +126,7 @@
 		Self: r.self(), Tomb: r.tomb, Host: r.host, Timing: r.timing(), Traffic: r.metrics,
 	}, r.logger)
 	r.client = peer.NewClient(r.store, r.timing(), r.metrics)
-	r.guard = guard.New(s.Name)
+	r.guard = guard.New(s.Name, r.store)
 	r.dispatcher = dispatch.New(dispatch.Options{
 		Store:         r.store,
 		Acquirer:      r.broker,
@@ -263,6 +263,7 @@
 		func() error { return r.control.RunExchange(ctx) },
 		func() error { return r.control.RunConfiguration(ctx) },
 		func() error { return r.control.RunInstances(ctx) },
+		func() error { return r.host.RunRegions(ctx, r.client) },
 		func() error { return r.control.RunRenewal(ctx) },
 		func() error { return r.control.RunKeyViews(ctx) },
 		func() error { return r.peers.Serve(ctx, r.listeners.peer) },
