Carry the charged estimate in grants; report progress from it

Cause: a scheduler charges min(moving mean, hint) at the grant, and the entry router does not know it. It reported progress from the hint, which lies above the cost, so that an overrun of the mean stayed uncharged until the end; for a request without a hint it reported from the prompt on, below what is charged already. InFlight.Charged was zero until the first report, so that a scheduler that got replicated counters and rebuilt from InFlight charged the whole cost a second time, and one that ended a grant as ABANDONED refunded the estimate. Ruled out: reporting at fixed steps by the clock (more messages); a mean kept by each router (differs from what is charged).

--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -95,7 +95,7 @@
 func (s *Scheduler) grant(d *demand, t *target) {
 	s.begin(d, t)
 	s.granted++
-	s.emit(Grant{ID: d.id, Target: t.ID})
+	s.emit(Grant{ID: d.id, Target: t.ID, Estimate: d.charge.Cost()})
 	s.recent(d.router)
 }
 
--- a/pool/interface.go
+++ b/pool/interface.go
@@ -162,6 +162,9 @@
 type Grant struct {
 	ID     DemandID
 	Target config.ID
+	// Estimate is the cost in cost units that is charged at the grant. Progress
+	// below it changes nothing, and InFlight.Charged starts at it.
+	Estimate int64
 }
 
 // Refuse ends a demand that is not granted.
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -335,7 +335,7 @@
 	if !ok {
 		return
 	}
-	r.charged = in.cost
+	r.charged = max(r.charged, in.cost)
 	r.link.batch.Progress = append(r.link.batch.Progress, &v1.Progress{Seq: in.seq, Cost: in.cost})
 }
 
@@ -393,14 +393,15 @@
 		l.batch.Done = append(l.batch.Done, &v1.Done{Seq: g.Seq, Outcome: v1.Outcome_NOT_RUN})
 		return
 	}
-	b.start(r, config.ID(g.Target))
+	b.start(r, config.ID(g.Target), g.Estimate)
 }
 
 // start hands the slot to the waiting caller.
-func (b *Broker) start(r *request, target config.ID) {
+func (b *Broker) start(r *request, target config.ID, estimate uint32) {
 	r.granted = true
 	r.target = target
-	r.reply <- reply{grant: &Grant{broker: b, seq: r.seq, Target: target}}
+	r.charged = estimate
+	r.reply <- reply{grant: &Grant{broker: b, seq: r.seq, Target: target, Estimate: estimate}}
 }
 
 func (b *Broker) refused(l *link, refusal *v1.Refusal) {
--- a/router/internal/broker/grant.go
+++ b/router/internal/broker/grant.go
@@ -13,6 +13,9 @@
 	seq    uint64
 	// Target is the ID of the target.
 	Target config.ID
+	// Estimate is the cost in cost units that the scheduler has charged; zero
+	// means that the slot was handed out ahead and the charge is not known.
+	Estimate uint32
 }
 
 // Progress reports the cost so far in cost units.
--- a/router/internal/broker/spare.go
+++ b/router/internal/broker/spare.go
@@ -51,7 +51,7 @@
 		}
 		b.spares[key] = slices.Delete(list, i, i+1)
 		l.batch.SpareUses = append(l.batch.SpareUses, &v1.SpareUse{Spare: s.id, Demand: b.demandMessage(r, now)})
-		b.start(r, s.target)
+		b.start(r, s.target, 0)
 		return true
 	}
 	return false
--- a/router/internal/dispatch/attempt.go
+++ b/router/internal/dispatch/attempt.go
@@ -42,7 +42,7 @@
 	defer span.End()
 	a.started = time.Now()
 	a.usage = newUsage(len(a.req.Body))
-	a.nextReport = max(a.req.Estimate, a.usage.cost(a.req.Pool)+1)
+	a.nextReport = max(a.charged(), a.usage.cost(a.req.Pool)+1)
 	end := a.execute(ctx)
 	service := time.Since(a.started)
 	a.grant.Done(a.cost(end, service), end.outcome, service)
--- a/router/internal/dispatch/stream.go
+++ b/router/internal/dispatch/stream.go
@@ -140,8 +140,17 @@
 	a.reportProgress()
 }
 
+// charged returns what the scheduler has charged at the grant. For a slot that
+// was handed out ahead it is at most the hint.
+func (a *attempt) charged() uint32 {
+	if a.grant.Estimate > 0 {
+		return a.grant.Estimate
+	}
+	return a.req.Estimate
+}
+
 // reportProgress sends the cost when it passes the amount last charged, in
-// steps that double: the first step is the estimate.
+// steps that grow with it.
 func (a *attempt) reportProgress() {
 	cost := a.usage.cost(a.req.Pool)
 	if cost < a.nextReport {
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -6,6 +6,7 @@
 package scheduling
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -219,7 +220,11 @@
 	switch a := action.(type) {
 	case pool.Grant:
 		if s, ok := h.sessions[a.ID.Router]; ok {
-			s.out.Grants = append(s.out.Grants, &v1.Grant{Seq: a.ID.Seq, Target: uint32(a.Target)})
+			s.out.Grants = append(s.out.Grants, &v1.Grant{
+				Seq:      a.ID.Seq,
+				Target:   uint32(a.Target),
+				Estimate: uint32(min(a.Estimate, math.MaxUint32)),
+			})
 		}
 	case pool.Refuse:
 		if s, ok := h.sessions[a.ID.Router]; ok {
