--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -75,8 +75,8 @@
 	f.ask(2, time.Minute)
 	f.ask(3, time.Second)
 	f.ask(4, time.Minute)
-	is.Equal(f.finish(1, v1.Outcome_SERVED), []Action{Grant{id(3), 10}})
-	is.Equal(f.finish(3, v1.Outcome_SERVED), []Action{Grant{id(2), 10}})
+	is.Equal(f.finish(1, v1.Outcome_SERVED), []Action{Grant{id(3), 10, 100}})
+	is.Equal(f.finish(3, v1.Outcome_SERVED), []Action{Grant{id(2), 10, 100}})
 }
 
 func TestQueueBounds(t *testing.T) {
@@ -197,8 +197,8 @@
 		f.now = at
 		probe = append(probe, f.step(Tick{})...)
 	}
-	is.Equal(probe, []Action{Grant{id(11), 10}}) // one probe
-	is.Equal(f.finish(11, v1.Outcome_SERVED), []Action{Grant{id(12), 10}})
+	is.Equal(probe, []Action{Grant{id(11), 10, defaultInitialCost}}) // one probe
+	is.Equal(f.finish(11, v1.Outcome_SERVED), []Action{Grant{id(12), 10, 100}})
 }
 
 func TestLostRouterHoldsItsSlots(t *testing.T) {
@@ -295,7 +295,7 @@
 	f.ask(2, time.Minute)
 	is.Equal(f.ask(3, time.Minute), []Action{RevokeSpare{router1, spare.Spare}})
 	returned := SpareReturned{router1, spare.Spare}
-	is.Equal(f.step(returned), []Action{Grant{id(3), 10}})
+	is.Equal(f.step(returned), []Action{Grant{id(3), 10, defaultInitialCost}})
 	is.Equal(len(f.step(returned)), 0) // doubled
 }
 
@@ -322,5 +322,5 @@
 		f.step(PeerCounters{Region: "west", Counters: []Counter{{2, served, true}}})
 	}
 	is.Equal(len(f.PeerCounters("east", 10).Counters), 2)
-	is.Equal(f.finish(1, v1.Outcome_SERVED), []Action{Grant{id(2), 10}}) // 2 was served in west
+	is.Equal(f.finish(1, v1.Outcome_SERVED), []Action{Grant{id(2), 10, 100}}) // 2 was served in west
 }
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -297,7 +297,7 @@
 	if !ok {
 		return
 	}
-	r.charged = in.cost
+	r.charged = max(r.charged, in.cost)
 	r.link.batch.Progress = append(r.link.batch.Progress, &v1.Progress{Seq: in.seq, Cost: in.cost})
 }
 
