--- a/internal/measure/clock.go
+++ b/internal/measure/clock.go
@@ -52,12 +52,6 @@
 	heap.Push(&c.events, event{at: c.now + max(d, 0), order: c.order, run: fn})
 }
 
-// every runs fn now and then each interval.
-func (c *clock) every(interval time.Duration, fn func()) {
-	fn()
-	c.after(interval, func() { c.every(interval, fn) })
-}
-
 // runUntil lets time pass to end.
 func (c *clock) runUntil(end time.Duration) {
 	for len(c.events) > 0 && c.events[0].at <= end {
