Honour the questionnaire's bounds on requests and bodies; drop request_key

Cause: limits.open_requests and limits.all_bodies were published and not used, and limits.request_key could not be used: the proof that a key begins once needs one lifetime at all routers at all times, which a configuration that is being rolled out does not give. Two tests of config.Diff used that field as their example and use another one.

--- a/config/diff_test.go
+++ b/config/diff_test.go
@@ -27,7 +27,7 @@
 	new.Targets[0].Name = "engine-0"
 	new.Workspaces[0].Share = 20
 	new.Workspaces[1].TokenSha256 = [][]byte{{1, 2, 3, 4, 5}}
-	new.Limits = &v1.Limits{KeyLifetimeS: 60}
+	new.Limits = &v1.Limits{RetryBudgetPercent: 60}
 	var got []string
 	for _, change := range config.Diff(old, new) {
 		got = append(got, change.String())
@@ -40,7 +40,7 @@
 		`target engine-1 is removed`,
 		`workspace large: token sha256 changes from [96854d0c...] to [01020304...]`,
 		`workspace small: share changes from 1 to 20`,
-		`limits: value changes from unset to {key lifetime s: 60}`,
+		`limits: value changes from unset to {retry budget percent: 60}`,
 	})
 }
 
@@ -49,10 +49,10 @@
 	old, new := configtest.Valid(), configtest.Valid()
 	old.Pools[0].Model = &v1.ModelState{Version: "1"}
 	new.Pools[0].Model = &v1.ModelState{Version: "2"}
-	old.Limits = &v1.Limits{KeyLifetimeS: 60}
-	new.Limits = &v1.Limits{KeyLifetimeS: 90}
+	old.Limits = &v1.Limits{RetryBudgetPercent: 60}
+	new.Limits = &v1.Limits{RetryBudgetPercent: 90}
 	changes := config.Diff(old, new)
 	is.Equal(len(changes), 2)
 	is.Equal(changes[0], config.Change{Kind: config.Changed, Object: "pool", Name: "model", Field: "model version", Old: `"1"`, New: `"2"`})
-	is.Equal(changes[1].String(), "limits: key lifetime s changes from 60 to 90")
+	is.Equal(changes[1].String(), "limits: retry budget percent changes from 60 to 90")
 }
--- a/config/validate_values.go
+++ b/config/validate_values.go
@@ -38,7 +38,6 @@
 	MinTimeoutMillis      = 10
 	MaxTimeoutMillis      = 60 * 60 * 1000
 	MaxRetryBudgetPercent = 100
-	MaxKeyLifetimeSeconds = 24 * 60 * 60
 
 	MaxModelBytes        = 16 << 40
 	MaxConcurrentLoads   = 1_000
--- a/config/validate_workspaces.go
+++ b/config/validate_workspaces.go
@@ -106,7 +106,6 @@
 	zeroOrInRange(v, "limits.first_byte_timeout_ms", l.FirstByteTimeoutMs, MinTimeoutMillis, MaxTimeoutMillis)
 	zeroOrInRange(v, "limits.between_tokens_timeout_ms", l.BetweenTokensTimeoutMs, MinTimeoutMillis, MaxTimeoutMillis)
 	inRange(v, "limits.retry_budget_percent", l.RetryBudgetPercent, 0, MaxRetryBudgetPercent)
-	zeroOrInRange(v, "limits.key_lifetime_s", l.KeyLifetimeS, 1, MaxKeyLifetimeSeconds)
 }
 
 // weightStore requires pacing as soon as a pool loads weights.
--- a/questionnaire/questionnaire.go
+++ b/questionnaire/questionnaire.go
@@ -24,7 +24,7 @@
 	deadlineFields  = []string{"name", "start", "end"}
 	workspaceFields = []string{"name", "share", "token_digest", "token_digests", "pools", "data_centre", "queue"}
 	queueFields     = []string{"requests", "size"}
-	limitFields     = []string{"body", "all_bodies", "open_requests", "first_byte", "between_tokens", "retries", "request_key"}
+	limitFields     = []string{"body", "all_bodies", "open_requests", "first_byte", "between_tokens", "retries"}
 	storeFields     = []string{"loads_at_once", "rate"}
 )
 
@@ -162,7 +162,6 @@
 		"first_byte_timeout_ms":     {key: "first_byte", unit: "ms"},
 		"between_tokens_timeout_ms": {key: "between_tokens", unit: "ms"},
 		"retry_budget_percent":      {key: "retries", unit: "%"},
-		"key_lifetime_s":            {key: "request_key", unit: "s"},
 	})
 	b.config.Limits = &v1.Limits{
 		MaxBodyBytes:           s.size("body"),
@@ -171,7 +170,6 @@
 		FirstByteTimeoutMs:     s.millis("first_byte"),
 		BetweenTokensTimeoutMs: s.millis("between_tokens"),
 		RetryBudgetPercent:     s.percent("retries"),
-		KeyLifetimeS:           s.seconds("request_key"),
 	}
 }
 
--- a/questionnaire/values.go
+++ b/questionnaire/values.go
@@ -114,11 +114,6 @@
 	return s.duration(key, time.Millisecond)
 }
 
-// seconds returns a duration in seconds, or zero if there is none.
-func (s section) seconds(key string) uint32 {
-	return s.duration(key, time.Second)
-}
-
 // duration returns a duration as a multiple of unit.
 func (s section) duration(key string, unit time.Duration) uint32 {
 	if !s.has(key) {
--- a/router/internal/entry/body.go
+++ b/router/internal/entry/body.go
@@ -18,14 +18,11 @@
 // byteBudget bounds the bytes of all bodies in memory. It is safe for
 // concurrent use.
 type byteBudget struct {
-	limit int64
 	taken atomic.Int64
 }
 
-func newByteBudget(limit int64) *byteBudget { return &byteBudget{limit: limit} }
-
-func (b *byteBudget) take(n int64) bool {
-	if b.taken.Add(n) > b.limit {
+func (b *byteBudget) take(n, limit int64) bool {
+	if b.taken.Add(n) > limit {
 		b.taken.Add(-n)
 		return false
 	}
@@ -41,6 +38,8 @@
 	data   []byte
 	held   int64
 	budget *byteBudget
+	// allLimit bounds the bytes of all bodies.
+	allLimit int64
 }
 
 func (b *body) release() {
@@ -59,7 +58,7 @@
 	}
 	// A server without deadlines on its connection reads without one.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.opts.BodyTimeout))
-	b := &body{budget: s.bodies}
+	b := &body{budget: &s.bodies, allLimit: s.bodiesLimit(c)}
 	if refusal := b.fill(r.Body, limit); refusal != nil {
 		b.release()
 		return nil, refusal
@@ -72,6 +71,16 @@
 	return result.New(v1.Code_BODY_TOO_LARGE, v1.Ran_NO, "the limit is %d bytes", limit)
 }
 
+// bodiesLimit returns the bound on all bodies in memory, of the settings and of
+// the configuration.
+func (s *Server) bodiesLimit(c *caller) int64 {
+	limit := s.opts.MaxBodiesBytes
+	if configured := int64(c.config.Proto.GetLimits().GetMaxBodiesBytes()); configured > 0 {
+		limit = min(limit, configured)
+	}
+	return limit
+}
+
 func (b *body) fill(r io.Reader, limit int64) *result.Result {
 	buf := make([]byte, bodyChunk)
 	for {
@@ -80,8 +89,8 @@
 			if int64(len(b.data)+n) > limit {
 				return tooLarge(limit)
 			}
-			if !b.budget.take(int64(n)) {
-				return busy("the bodies in memory reach the limit of %d bytes", b.budget.limit)
+			if !b.budget.take(int64(n), b.allLimit) {
+				return busy("the bodies in memory reach the limit of %d bytes", b.allLimit)
 			}
 			b.held += int64(n)
 			b.data = append(b.data, buf[:n]...)
--- a/router/internal/entry/server.go
+++ b/router/internal/entry/server.go
@@ -53,8 +53,8 @@
 	observer Observer
 	logger   log.Logger
 	tracer   trace.Tracer
-	open     chan struct{}
-	bodies   *byteBudget
+	open     atomic.Int64
+	bodies   byteBudget
 	stopping chan struct{}
 	ready    func() bool
 	handler  http.Handler
@@ -77,8 +77,6 @@
 		observer: observer,
 		logger:   log.With(logger, "duty", "entry"),
 		tracer:   tracer,
-		open:     make(chan struct{}, opts.MaxOpenRequests),
-		bodies:   newByteBudget(opts.MaxBodiesBytes),
 		stopping: make(chan struct{}),
 		ready:    ready,
 	}
@@ -114,7 +112,7 @@
 func (s *Server) Stop() { close(s.stopping) }
 
 // OpenRequests returns the number of requests in progress.
-func (s *Server) OpenRequests() int { return len(s.open) + int(s.forwarded.Load()) }
+func (s *Server) OpenRequests() int { return int(s.open.Load() + s.forwarded.Load()) }
 
 // BodyBytes returns the bytes of bodies held in memory.
 func (s *Server) BodyBytes() int64 { return s.bodies.used() }
@@ -142,13 +140,11 @@
 			s.refuse(w, r.Request, refusal)
 			return nil
 		}
-		select {
-		case s.open <- struct{}{}:
-		default:
-			s.refuse(w, r.Request, busy("the router has %d requests open", cap(s.open)))
+		if !s.enter(c.config) {
+			s.refuse(w, r.Request, busy("the router has too many requests open"))
 			return nil
 		}
-		defer func() { <-s.open }()
+		defer s.open.Add(-1)
 		s.observer.Opened()
 		tracked := &trackedWriter{ResponseWriter: w}
 		c.sink = newCallerSink(tracked, s.opts.WriteTimeout)
@@ -162,6 +158,20 @@
 	}
 }
 
+// enter counts a request as open within the limits of the settings and of the
+// configuration.
+func (s *Server) enter(accepted *config.Accepted) bool {
+	limit := int64(s.opts.MaxOpenRequests)
+	if configured := int64(accepted.Proto.GetLimits().GetMaxConcurrentRequests()); configured > 0 {
+		limit = min(limit, configured)
+	}
+	if s.open.Add(1) > limit {
+		s.open.Add(-1)
+		return false
+	}
+	return true
+}
+
 // refuse answers a request before it is opened.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, refusal *result.Result) {
 	refusal.Ran = ranBeforeKeys(r, refusal.Ran)
