entry: say UNKNOWN when the owner of a key refuses a forwarded request

Cause: a router that had restarted and had no configuration yet answered a request that was passed on to it with NOT_READY and ran NO, although its earlier incarnation had run the request under the same key. Ruled out: the ledger; the refusal was made before it was asked. Change: refusals made before the key was looked up say UNKNOWN, as at the entry of callers, and NOT_READY says when to come back. Before: internal/e2e TestKeyRunsOnceWhileItsOwnerRestartsAtOnce/chosen had 10 callers of 172 operations told NO after the run, TestKeyRunsOnceWhileItsOwnerIsKilled/chosen 5. After: none in 3 runs of each.

--- a/router/internal/entry/forwarded.go
+++ b/router/internal/entry/forwarded.go
@@ -23,7 +23,7 @@
 	}
 	r, err := http.NewRequestWithContext(ctx, head.Method, head.TargetUri, bytes.NewReader(data))
 	if err != nil {
-		return result.New(v1.Code_BAD_REQUEST, v1.Ran_NO, "forwarded request: %v", err)
+		return result.New(v1.Code_BAD_REQUEST, v1.Ran_UNKNOWN, "forwarded request: %v", err)
 	}
 	for _, h := range head.Headers {
 		r.Header.Add(h.Name, h.Value)
@@ -48,14 +48,18 @@
 	return s.completion(w, r, c)
 }
 
+// forwardedCaller returns the caller at the other router. A refusal says
+// UNKNOWN: the request has a key, under which an earlier one may have run.
 func (s *Server) forwardedCaller(head *v1.ForwardHead, sink dispatch.Sink) (*caller, *result.Result) {
 	accepted := s.store.Config()
 	if accepted == nil {
-		return nil, result.New(v1.Code_NOT_READY, v1.Ran_NO, "no configuration is in force")
+		refusal := result.New(v1.Code_NOT_READY, v1.Ran_UNKNOWN, "the owner of the key has no configuration in force")
+		refusal.RetryAfter = time.Second
+		return nil, refusal
 	}
 	workspace, ok := accepted.Workspace(config.IDOf(head.Workspace))
 	if !ok {
-		return nil, result.New(v1.Code_UNKNOWN_TOKEN, v1.Ran_NO, "workspace %q is not configured", head.Workspace)
+		return nil, result.New(v1.Code_UNKNOWN_TOKEN, v1.Ran_UNKNOWN, "workspace %q is not configured", head.Workspace)
 	}
 	return &caller{config: accepted, workspace: workspace, arrived: time.Now(), sink: sink, forwarded: true}, nil
 }
