pool: keep fair order over data centres; take a configuration in as a whole

Cause, each seen as a failing test first: - Overflow asked the data centres one after the other, so that the first of them went first whatever its workspaces' counters. - Overflow charged moves by Counters.Start, which raises the level to which workspaces are lifted later; the refund does not lower it. A workspace that came after four moves began at 409600 in place of 0. - A revision that moves a workspace to targets which it adds reached the scheduler in two events, workspaces first: all that waited was refused with NO_TARGET in between. The other order fails for targets that go. - The host took demands that expired in an Overflow step for moved ones and believed too few slots of the other region to be free.

Change: Counters.Reserve and Before; ConfigurationChanged applies both parts before it refuses what no target can serve; the host lets time pass first.

--- a/fairshare/charge.go
+++ b/fairshare/charge.go
@@ -39,8 +39,14 @@
 func (c *Counters) Start(id config.ID, estimate int64) Charge {
 	a := c.account(id)
 	a.group.start = max(a.group.start, a.key())
+	return c.Reserve(id, estimate)
+}
+
+// Reserve charges like Start, but is no grant: idle workspaces are not lifted to
+// it. It is ended by Refund.
+func (c *Counters) Reserve(id config.ID, estimate int64) Charge {
 	ch := c.Resume(id, clampCost(estimate))
-	c.add(a, ch.cost)
+	c.add(c.account(id), ch.cost)
 	return ch
 }
 
--- a/fairshare/counters.go
+++ b/fairshare/counters.go
@@ -127,6 +127,12 @@
 	c.enlist(a)
 }
 
+// Before tells whether a has the lesser counter, or the lesser ID at equal
+// counters. Both must be backlogged.
+func (c *Counters) Before(a, b config.ID) bool {
+	return before(c.accounts[a], c.accounts[b])
+}
+
 // Next returns the backlogged workspace with the least counter among those of
 // the named group and of the empty group for which usable returns true.
 func (c *Counters) Next(groupName string, usable func(config.ID) bool) (config.ID, bool) {
--- a/pool/check_test.go
+++ b/pool/check_test.go
@@ -36,6 +36,9 @@
 	if t.Leaving || !t.known || t.free() < 0 && !overAdmits {
 		m.failf("grant on target %+v with %d busy and %d spare", t.Target, t.busy, t.spares)
 	}
+	if d := s.find(g.ID); d != nil && !t.serves(d.workspace, nil) {
+		m.failf("grant of %v to a workspace of %q on a target of %q", g.ID, d.workspace.DataCentre, t.DataCentre)
+	}
 	if d := s.find(g.ID); d != nil && !d.deadline.After(s.now) {
 		m.failf("grant of %v at %v, deadline %v", g.ID, s.now, d.deadline)
 	}
--- a/pool/interface.go
+++ b/pool/interface.go
@@ -78,6 +78,13 @@
 // WorkspacesChanged replaces the workspaces that may use the pool.
 type WorkspacesChanged struct{ Workspaces []Workspace }
 
+// ConfigurationChanged replaces both. A waiting demand is refused only if no
+// target can serve it once both are in force.
+type ConfigurationChanged struct {
+	Targets    []Target
+	Workspaces []Workspace
+}
+
 // RouterJoined opens a router's stream. It carries the state that the router
 // holds, from which a scheduler without memory is rebuilt. A router that joins
 // again replaces its earlier stream: demands it does not send again are gone,
@@ -207,20 +214,21 @@
 	Spare  uint64
 }
 
-func (TargetsChanged) event()    {}
-func (WorkspacesChanged) event() {}
-func (RouterJoined) event()      {}
-func (RouterLost) event()        {}
-func (Demand) event()            {}
-func (Cancel) event()            {}
-func (Progress) event()          {}
-func (Done) event()              {}
-func (TargetReport) event()      {}
-func (SpareUsed) event()         {}
-func (SpareReturned) event()     {}
-func (PeerCounters) event()      {}
-func (Overflow) event()          {}
-func (Tick) event()              {}
+func (TargetsChanged) event()       {}
+func (WorkspacesChanged) event()    {}
+func (ConfigurationChanged) event() {}
+func (RouterJoined) event()         {}
+func (RouterLost) event()           {}
+func (Demand) event()               {}
+func (Cancel) event()               {}
+func (Progress) event()             {}
+func (Done) event()                 {}
+func (TargetReport) event()         {}
+func (SpareUsed) event()            {}
+func (SpareReturned) event()        {}
+func (PeerCounters) event()         {}
+func (Overflow) event()             {}
+func (Tick) event()                 {}
 
 func (Grant) action()       {}
 func (Refuse) action()      {}
--- a/pool/model_test.go
+++ b/pool/model_test.go
@@ -18,6 +18,7 @@
 	loss, double, late           float64
 	restart, pause, rejoin, move float64
 	outcome, report, leave       float64
+	side                         float64
 	maxDelay                     time.Duration
 }
 
@@ -360,6 +361,14 @@
 	}
 }
 
+// changeSide moves a workspace to a data centre, of which the other schedulers
+// learn later.
+func (m *model) changeSide(i int) {
+	w := &m.workspaces[m.rng.IntN(len(m.workspaces))]
+	w.DataCentre = []string{"", "dc0", "dc1"}[m.rng.IntN(3)]
+	m.step(i, WorkspacesChanged{Workspaces: slices.Clone(m.workspaces)})
+}
+
 // disturb brings about the faults that are not of single messages.
 func (m *model) disturb() {
 	for i := range m.schedulers {
@@ -369,6 +378,9 @@
 		if m.chance(m.faults.pause) {
 			m.pausedTo[i] = m.now.Add(time.Duration(m.rng.IntN(3000)) * time.Millisecond)
 		}
+		if m.chance(m.faults.side) {
+			m.changeSide(i)
+		}
 		if m.chance(m.faults.leave) {
 			t := &m.targets[m.rng.IntN(len(m.targets))]
 			t.Leaving = !t.Leaving
--- a/pool/overflow.go
+++ b/pool/overflow.go
@@ -19,7 +19,7 @@
 		}
 		id := d.workspace.ID
 		// The charge lets the next workspace take its turn within this step.
-		charges = append(charges, s.counters.Start(id, s.counters.Estimate(id, d.estimate)))
+		charges = append(charges, s.counters.Reserve(id, s.counters.Estimate(id, d.estimate)))
 		s.unqueue(d)
 		s.forget(d)
 		s.emit(Move{ID: d.id, Region: e.Region})
@@ -32,15 +32,16 @@
 // nextFor returns the waiting demand that is first in line for a slot in one of
 // the data centres and has not been moved before, or nil.
 func (s *Scheduler) nextFor(dataCentres []string) *demand {
+	var first *demand
 	for _, dataCentre := range dataCentres {
 		id, ok := s.counters.Next(dataCentre, func(id config.ID) bool {
 			return s.workspaces[id].movable() != nil
 		})
-		if ok {
-			return s.workspaces[id].movable()
+		if ok && (first == nil || s.counters.Before(id, first.workspace.ID)) {
+			first = s.workspaces[id].movable()
 		}
 	}
-	return nil
+	return first
 }
 
 // movable returns the first waiting demand of w that was not moved, or nil.
--- a/pool/router.go
+++ b/pool/router.go
@@ -88,6 +88,8 @@
 		return a.ID.Router
 	case Refuse:
 		return a.ID.Router
+	case Move:
+		return a.ID.Router
 	case HandSpare:
 		return a.Router
 	case RevokeSpare:
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -118,9 +118,15 @@
 	case RouterLost:
 		s.routerLost(e)
 	case TargetsChanged:
-		s.targetsChanged(e)
+		s.setTargets(e.Targets)
+		s.refuseUnservable()
 	case WorkspacesChanged:
-		s.workspacesChanged(e)
+		s.setWorkspaces(e.Workspaces)
+		s.refuseUnservable()
+	case ConfigurationChanged:
+		s.setWorkspaces(e.Workspaces)
+		s.setTargets(e.Targets)
+		s.refuseUnservable()
 	case PeerCounters:
 		s.peerCounters(e)
 	case Overflow:
--- a/pool/target.go
+++ b/pool/target.go
@@ -108,11 +108,11 @@
 	return t
 }
 
-func (s *Scheduler) targetsChanged(e TargetsChanged) {
+func (s *Scheduler) setTargets(targets []Target) {
 	for _, t := range s.targets {
 		t.known = false
 	}
-	for _, listed := range e.Targets {
+	for _, listed := range targets {
 		t := s.target(listed.ID)
 		t.Target = listed
 		t.known = true
@@ -124,7 +124,6 @@
 		s.forgetTarget(t)
 	}
 	s.revokeUnusable()
-	s.refuseUnservable()
 }
 
 // countSlots sums up the slots of targets that get new work.
--- a/pool/workspace.go
+++ b/pool/workspace.go
@@ -9,9 +9,9 @@
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
-func (s *Scheduler) workspacesChanged(e WorkspacesChanged) {
-	listed := make(map[config.ID]bool, len(e.Workspaces))
-	for _, w := range e.Workspaces {
+func (s *Scheduler) setWorkspaces(workspaces []Workspace) {
+	listed := make(map[config.ID]bool, len(workspaces))
+	for _, w := range workspaces {
 		listed[w.ID] = true
 		s.configure(w)
 	}
@@ -20,7 +20,6 @@
 			s.removeWorkspace(w)
 		}
 	}
-	s.refuseUnservable()
 	for _, t := range s.sortedTargets() {
 		s.touch(t)
 	}
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -52,8 +52,10 @@
 }
 
 func (h *Host) configure(id config.ID, p *v1.Pool, accepted *config.Accepted, now time.Time) {
-	h.step(id, now, pool.WorkspacesChanged{Workspaces: workspacesOf(p, accepted)})
-	h.step(id, now, pool.TargetsChanged{Targets: targetsOf(p, accepted, h.store.Fleet())})
+	h.step(id, now, pool.ConfigurationChanged{
+		Targets:    targetsOf(p, accepted, h.store.Fleet()),
+		Workspaces: workspacesOf(p, accepted),
+	})
 }
 
 // workspacesOf returns the workspaces that may use the pool.
--- a/router/internal/scheduling/regions.go
+++ b/router/internal/scheduling/regions.go
@@ -185,6 +185,8 @@
 	if !ok || sched.Queued() == 0 {
 		return
 	}
+	// Demands whose deadline is over must not count as moved.
+	h.step(id, now, pool.Tick{})
 	for region, free := range h.spares[id] {
 		if free <= 0 {
 			continue
