--- a/orders/sender_test.go
+++ b/orders/sender_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/chiveseam/chiveseam/config/configtest"
 	_ "github.com/chiveseam/chiveseam/internal/fixedseed"
 	"github.com/chiveseam/chiveseam/orders"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -21,16 +22,24 @@
 	}
 }
 
+func owns(name string, view []orders.Router) bool {
+	var names []string
+	for _, r := range view {
+		names = append(names, r.Name)
+	}
+	owner, _ := rendezvous.Owner("orders/"+configtest.Region, names)
+	return owner == name
+}
+
 // checkSend checks an order against what its sender knows.
 func (w *world) checkSend(r *router, o orders.SendOrder) {
-	names := make([]string, len(r.last.Routers))
-	for i, other := range r.last.Routers {
-		names[i] = other.Name
+	if !owns(r.name, r.last.Routers) {
+		w.fail("%s sends without the role", r.name)
 	}
-	if owner, _ := rendezvous.Owner("orders/north", names); owner != r.name {
-		w.fail("%s sends although %s holds the role", r.name, owner)
+	if w.now.Sub(r.heldFrom) < settleTime {
+		w.fail("%s sends %v after it gained the role", r.name, w.now.Sub(r.heldFrom))
 	}
-	if w.now.Sub(r.ticked) > orders.DefaultOptions().MaxPause {
+	if w.now.Sub(r.ticked) > maxPause {
 		w.fail("%s sends with a view of %v ago", r.name, w.now.Sub(r.ticked))
 	}
 	if reported := r.reports[o.Target].Fencing.Revision(); reported > r.last.Plan.Revision {
@@ -270,6 +279,52 @@
 	is.Equal(w.broken, "")
 }
 
+// TestFailingEngineYields checks that an engine whose loads fail leaves the
+// only permitted load to the others.
+func TestFailingEngineYields(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{failing: 1, loads: 1}, 1, 6, 1)
+	w.publish(time.Second)
+	tries := 0
+	var last *delivery
+	is.True(w.run(calmTime, func() bool {
+		if running := w.engines[0].running; running != nil && running != last {
+			last = running
+			tries++
+		}
+		return w.converged()
+	}))
+	is.True(tries <= 2)
+}
+
+// TestOverlappingQueryIsRepeated checks that a query that overlaps the end of
+// an order does not bring the state before the order back.
+func TestOverlappingQueryIsRepeated(t *testing.T) {
+	is := is.New(t)
+	sender := orders.New("router-0", orders.Options{Settle: time.Second})
+	now := start
+	view := orders.Tick{Plan: newPlan(1, 1, 1), Routers: []orders.Router{{Name: "router-0", Region: configtest.Region}}}
+	step := func(event orders.Event) []orders.Action {
+		now = now.Add(time.Second)
+		sender.Step(now, view)
+		return sender.Step(now, event)
+	}
+	first := sender.Step(now, view)[0].(orders.QueryState)
+	order := step(orders.QueryEnded{Target: first.Target, Attempt: first.Attempt, Outcome: orders.Done})[0].(orders.SendOrder)
+	is.Equal(order.Order.Kind, orders.SetRole)
+	second := sender.Step(now, view)
+	for ; len(second) == 0; second = sender.Step(now, view) {
+		now = now.Add(time.Second)
+	}
+	query := second[0].(orders.QueryState)
+	state := orders.State{Role: order.Order.Role, Fencing: order.Order.Fencing}
+	step(orders.OrderEnded{Target: order.Target, Attempt: order.Attempt, Outcome: orders.Done, State: state})
+	for _, action := range step(orders.QueryEnded{Target: query.Target, Attempt: query.Attempt, Outcome: orders.Done}) {
+		send, ok := action.(orders.SendOrder)
+		is.True(!ok || send.Order.Kind != orders.SetRole)
+	}
+}
+
 // TestHoldsBackFailingVersion checks that a version that fails everywhere is
 // tried on two engines of a serving pool and no more.
 func TestHoldsBackFailingVersion(t *testing.T) {
--- a/orders/world_test.go
+++ b/orders/world_test.go
@@ -16,6 +16,8 @@
 
 const (
 	tick        = 200 * time.Millisecond
+	settleTime  = time.Second
+	maxPause    = 2 * time.Second
 	loadTime    = 3 * time.Second
 	weightBytes = 10 << 10
 	storeRate   = 5 << 10
@@ -68,13 +70,15 @@
 	plan   *orders.Plan
 	view   []orders.Router
 	// last is the latest tick and ticked its time.
-	last    orders.Tick
-	ticked  time.Time
-	paused  time.Time
-	inbox   []orders.Event
-	reports map[string]orders.State
-	admits  []time.Time
-	gone    bool
+	last   orders.Tick
+	ticked time.Time
+	// heldFrom is the start of the role and zero without it.
+	heldFrom time.Time
+	paused   time.Time
+	inbox    []orders.Event
+	reports  map[string]orders.State
+	admits   []time.Time
+	gone     bool
 }
 
 // world joins routers and engines in virtual time.
@@ -150,7 +154,7 @@
 
 func (w *world) newRouter(name string) *router {
 	w.starts++
-	opts := orders.Options{OrderTimeout: 20 * time.Second, MaxDelay: 10 * time.Second, Seed: w.starts}
+	opts := orders.Options{Settle: settleTime, MaxPause: maxPause, OrderTimeout: 20 * time.Second, MaxDelay: 10 * time.Second, Seed: w.starts}
 	return &router{name: name, sender: orders.New(name, opts), reports: map[string]orders.State{}}
 }
 
@@ -214,6 +218,12 @@
 		}
 		w.do(r, r.sender.Step(w.now, event))
 	}
+	switch {
+	case !owns(r.name, r.view) || r.plan == nil:
+		r.heldFrom = time.Time{}
+	case r.heldFrom.IsZero() || w.now.Sub(r.ticked) > maxPause:
+		r.heldFrom = w.now
+	}
 	r.ticked = w.now
 	r.last = orders.Tick{Plan: r.plan, Routers: r.view}
 	w.do(r, r.sender.Step(w.now, r.last))
