--- a/orders/sender_test.go
+++ b/orders/sender_test.go
@@ -280,21 +280,25 @@
 }
 
 // TestFailingEngineYields checks that an engine whose loads fail leaves the
-// only permitted load to the others.
+// only permitted load to the others, and that its delays grow.
 func TestFailingEngineYields(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(1, faults{failing: 1, loads: 1}, 1, 6, 1)
 	w.publish(time.Second)
 	tries := 0
 	var last *delivery
-	is.True(w.run(calmTime, func() bool {
+	count := func() {
 		if running := w.engines[0].running; running != nil && running != last {
 			last = running
 			tries++
 		}
-		return w.converged()
-	}))
+	}
+	is.True(w.run(calmTime, func() bool { count(); return w.converged() }))
 	is.True(tries <= 2)
+	w.run(calmTime, func() bool { count(); return false })
+	// The mean time between two loads is at least that of a load and half of
+	// the longest delay.
+	is.True(tries < int(calmTime/(loadTime+maxDelay/2)*5/4))
 }
 
 // TestOverlappingQueryIsRepeated checks that a query that overlaps the end of
@@ -303,7 +307,8 @@
 	is := is.New(t)
 	sender := orders.New("router-0", orders.Options{Settle: time.Second})
 	now := start
-	view := orders.Tick{Plan: newPlan(1, 1, 1), Routers: []orders.Router{{Name: "router-0", Region: configtest.Region}}}
+	plan := newPlanOf(1, 1, 1, func(c *v1.Configuration) { c.Pools[0].Model = nil })
+	view := orders.Tick{Plan: plan, Routers: []orders.Router{{Name: "router-0", Region: configtest.Region}}}
 	step := func(event orders.Event) []orders.Action {
 		now = now.Add(time.Second)
 		sender.Step(now, view)
--- a/orders/world_test.go
+++ b/orders/world_test.go
@@ -18,6 +18,7 @@
 	tick        = 200 * time.Millisecond
 	settleTime  = time.Second
 	maxPause    = 2 * time.Second
+	maxDelay    = 10 * time.Second
 	loadTime    = 3 * time.Second
 	weightBytes = 10 << 10
 	storeRate   = 5 << 10
@@ -154,7 +155,7 @@
 
 func (w *world) newRouter(name string) *router {
 	w.starts++
-	opts := orders.Options{Settle: settleTime, MaxPause: maxPause, OrderTimeout: 20 * time.Second, MaxDelay: 10 * time.Second, Seed: w.starts}
+	opts := orders.Options{Settle: settleTime, MaxPause: maxPause, OrderTimeout: 20 * time.Second, MaxDelay: maxDelay, Seed: w.starts}
 	return &router{name: name, sender: orders.New(name, opts), reports: map[string]orders.State{}}
 }
 
