--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -91,7 +91,6 @@
 		s.now = now
 	}
 	s.fire()
-	s.dispatch()
 	s.handle(event)
 	s.dispatch()
 	s.balanceSpares()
@@ -124,16 +123,20 @@
 		s.workspacesChanged(e)
 	case PeerCounters:
 		s.peerCounters(e)
+	case Overflow:
+		s.overflow(e)
 	case Tick:
 	}
 }
 
-// demand grants, queues or refuses a new demand.
+// demand grants, queues or refuses a new demand, after those that wait for
+// slots which came free in this step.
 func (s *Scheduler) demand(e Demand) {
 	d := s.newDemand(e)
 	if d == nil {
 		return
 	}
+	s.dispatch()
 	exclude := sortedExclude(e.Exclude)
 	if code := s.admissible(d, exclude); code != v1.Code_OK {
 		s.refuse(d, code, s.retryAfter(d))
@@ -170,6 +173,7 @@
 		bytes:     max(e.BodyBytes, 0),
 		deadline:  s.capDeadline(e.Deadline),
 		order:     s.order,
+		moved:     e.Moved,
 	}
 	d.owner = d
 	r.demands[e.ID.Seq] = d
--- a/router/internal/control/control.go
+++ b/router/internal/control/control.go
@@ -96,7 +96,7 @@
 		opts:    opts,
 		logger:  log.With(opts.Logger, "duty", "control"),
 		view:    fleet.New(self, opts.Fleet),
-		tracker: rollout.New(rollout.DefaultOptions(), config.Accept, newRand(), time.Now()),
+		tracker: rollout.New(rollout.DefaultOptions(), config.Accept, newRand()),
 		calls:   make(chan struct{}, maxExchanges),
 	}
 }
@@ -110,12 +110,15 @@
 	c.exchangeDue(ctx)
 }
 
-// MarkTargetLeaving marks a target as leaving, for good.
-func (c *Control) MarkTargetLeaving(name string, incarnation uint64) {
+// Listed reports whether the instance list in force has this router as live.
+func (c *Control) Listed() bool {
 	c.mu.Lock()
-	c.view.MarkLeaving(time.Now(), name, incarnation)
-	c.mu.Unlock()
-	c.publishFleet()
+	defer c.mu.Unlock()
+	lists := c.view.History(time.Now())
+	if len(lists) == 0 {
+		return false
+	}
+	return lists[len(lists)-1].Routers[c.opts.Self.Name] == c.opts.Self.Incarnation
 }
 
 // publishFleet replaces the store's view if it changed.
--- a/router/internal/keys/peering.go
+++ b/router/internal/keys/peering.go
@@ -21,7 +21,10 @@
 	e.mu.Unlock()
 	message := &v1.ClaimKeyReply{Router: reply.From.Name, Incarnation: reply.From.Incarnation}
 	if reply.Record != nil {
-		message.Record = recordMessage(*reply.Record)
+		message.Record = reply.Record.Proto()
+	}
+	for _, m := range reply.Cleared {
+		message.Cleared = append(message.Cleared, memberMessage(m))
 	}
 	return message
 }
@@ -35,8 +38,15 @@
 		Revision: m.Revision,
 		Last:     m.Last,
 	}
+	for _, held := range m.Earlier {
+		h.Earlier = append(h.Earlier, requestkey.HeldHandOver{
+			From:     memberOf(held.From),
+			Holder:   memberOf(held.Holder),
+			Revision: held.Revision,
+		})
+	}
 	for _, record := range m.Records {
-		h.Records = append(h.Records, recordFromMessage(record))
+		h.Records = append(h.Records, requestkey.RecordFromProto(record))
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -63,6 +73,15 @@
 	return messages
 }
 
+func memberMessage(m requestkey.Member) *v1.Leaving {
+	return &v1.Leaving{Instance: m.Name, Incarnation: m.Incarnation}
+}
+
+func memberOf(m *v1.Leaving) requestkey.Member {
+	return requestkey.Member{Name: m.GetInstance(), Incarnation: m.GetIncarnation()}
+}
+
+// splitHandOver cuts a hand-over into messages of bounded size.
 func splitHandOver(h requestkey.HandOver) []*v1.HandOverRequest {
 	newPart := func() *v1.HandOverRequest {
 		return &v1.HandOverRequest{
@@ -75,16 +94,24 @@
 	parts := []*v1.HandOverRequest{newPart()}
 	size := 0
 	for _, record := range h.Records {
-		message := recordMessage(record)
+		message := record.Proto()
 		if size > 0 && size+len(message.Body) > handOverBytes {
 			parts = append(parts, newPart())
 			size = 0
 		}
-		last := parts[len(parts)-1]
-		last.Records = append(last.Records, message)
+		part := parts[len(parts)-1]
+		part.Records = append(part.Records, message)
 		size += len(message.Body)
 	}
-	parts[len(parts)-1].Last = h.Last
+	last := parts[len(parts)-1]
+	last.Last = h.Last
+	for _, held := range h.Earlier {
+		last.Earlier = append(last.Earlier, &v1.HeldHandOver{
+			From:     memberMessage(held.From),
+			Holder:   memberMessage(held.Holder),
+			Revision: held.Revision,
+		})
+	}
 	return parts
 }
 
@@ -108,7 +135,7 @@
 			LastAsOfUnixMs:  view.LastAsOf.UnixMilli(),
 		}
 		for _, router := range view.Routers {
-			m.Routers = append(m.Routers, &v1.Leaving{Instance: router.Name, Incarnation: router.Incarnation})
+			m.Routers = append(m.Routers, memberMessage(router))
 		}
 		reply.Views = append(reply.Views, m)
 	}
@@ -125,7 +152,7 @@
 			LastAsOf:  time.UnixMilli(m.LastAsOfUnixMs),
 		}
 		for _, router := range m.Routers {
-			views[i].Routers = append(views[i].Routers, requestkey.Member{Name: router.Instance, Incarnation: router.Incarnation})
+			views[i].Routers = append(views[i].Routers, memberOf(router))
 		}
 	}
 	e.Observe(views...)
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/net/netutil"
 	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/fleet"
@@ -128,7 +129,7 @@
 		Self: r.self(), Tomb: r.tomb, Host: r.host, Timing: r.timing(), Traffic: r.metrics,
 	}, r.logger)
 	r.client = peer.NewClient(r.store, r.timing(), r.metrics)
-	r.guard = guard.New(s.Name)
+	r.guard = guard.New(s.Name, r.store)
 	r.dispatcher = dispatch.New(dispatch.Options{
 		Store:         r.store,
 		Acquirer:      r.broker,
@@ -190,7 +191,7 @@
 	r.control = control.New(control.Options{
 		Self:         r.self(),
 		Store:        r.store,
-		Platform:     platform.NewHTTP(s.PlatformURL, &http.Client{}),
+		Platform:     platform.NewHTTP(s.PlatformURL, platform.NewClient(s.DialTimeout)),
 		Caller:       r.client,
 		Keys:         r.keys,
 		Gossip:       []control.Gossip{r.guard},
@@ -261,18 +262,20 @@
 }
 
 func (r *Router) startDuties() {
-	ctx := r.tomb.Context(nil)
+	ctx := r.tomb.Context(context.Background())
+	limited := netutil.LimitListener(r.listeners.entry, r.settings.MaxConnections)
 	duties := []func() error{
 		r.host.Run,
 		r.broker.Run,
 		func() error { return r.control.RunExchange(ctx) },
 		func() error { return r.control.RunConfiguration(ctx) },
 		func() error { return r.control.RunInstances(ctx) },
+		func() error { return r.host.RunRegions(ctx, r.client) },
 		func() error { return r.control.RunRenewal(ctx) },
 		func() error { return r.control.RunKeyViews(ctx) },
 		func() error { return r.orders.Run(ctx) },
 		func() error { return r.peers.Serve(ctx, r.listeners.peer) },
-		func() error { return serveHTTP(r.entryServer, r.listeners.entry) },
+		func() error { return serveHTTP(r.entryServer, limited) },
 		func() error { return serveHTTP(r.adminServer, r.listeners.admin) },
 	}
 	for _, duty := range duties {
