Report the waiting requests of each workspace

Cause: chiveseamctl top showed the share received as the share deserved, since routers left WorkspaceUsage.queued at zero and top takes a workspace without a queue as satisfied; seen by hand with four backlogged workspaces. Change: the broker counts its waiting demands by pool and workspace.

--- a/router/admin.go
+++ b/router/admin.go
@@ -11,7 +11,9 @@
 	"github.com/uptrace/bunrouter"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/chiveseam/chiveseam/config"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/router/internal/broker"
 )
 
 // adminHandler answers operators and the platform's balancer.
@@ -81,9 +83,19 @@
 	}
 	r.control.Fill(status)
 	r.metrics.Fill(status, r.store.Config())
+	r.fillQueued(status)
 	return status
 }
 
+// fillQueued adds the router's own waiting demands to the usage.
+func (r *Router) fillQueued(status *v1.RouterStatus) {
+	waiting := r.broker.Waiting()
+	for _, usage := range status.Workspaces {
+		key := broker.WaitKey{Pool: usage.Pool, Workspace: config.IDOf(usage.Workspace)}
+		usage.Queued = uint32(waiting[key])
+	}
+}
+
 func (r *Router) registerGauges() {
 	r.metrics.Gauge("open_requests", "Requests of callers in progress.", func() float64 {
 		return float64(r.entry.OpenRequests())
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -189,26 +189,34 @@
 	return result.New(v1.Code_STOPPING, v1.Ran_NO, "the router is stopping")
 }
 
-// Inspect runs fn in the loop's goroutine and waits for it.
-func (b *Broker) Inspect(fn func(waiting, inFlight int)) {
-	done := make(chan struct{})
-	ok := b.post(inspectInput{func() {
-		defer close(done)
-		inFlight := 0
-		for _, r := range b.requests {
-			if r.granted {
-				inFlight++
-			}
-		}
-		fn(len(b.requests)-inFlight, inFlight)
-	}})
-	if !ok {
-		return
+// WaitKey names a workspace's queue in a pool.
+type WaitKey struct {
+	Pool      string
+	Workspace config.ID
+}
+
+// Waiting counts the router's own waiting demands.
+func (b *Broker) Waiting() map[WaitKey]int {
+	result := make(chan map[WaitKey]int, 1)
+	if !b.post(inspectInput{func() { result <- b.countWaiting() }}) {
+		return nil
 	}
 	select {
-	case <-done:
+	case counts := <-result:
+		return counts
 	case <-b.t.Dying():
+		return nil
+	}
+}
+
+func (b *Broker) countWaiting() map[WaitKey]int {
+	counts := map[WaitKey]int{}
+	for _, r := range b.requests {
+		if !r.granted {
+			counts[WaitKey{r.demand.Pool, r.demand.Workspace}]++
+		}
 	}
+	return counts
 }
 
 // Run is the broker's duty. It returns when the tomb dies.
--- a/router/internal/entry/server.go
+++ b/router/internal/entry/server.go
@@ -1,4 +1,4 @@
-// Package entry is the door for callers: it authenticates requests, bounds
+// Package entry serves callers over HTTP: it authenticates requests, bounds
 // them, reads them in full, and answers with the result's code and whether
 // the request ran.
 package entry
--- a/router/internal/keys/executor.go
+++ b/router/internal/keys/executor.go
@@ -26,8 +26,8 @@
 	maxClaimRounds = 3
 	// claimTimeout bounds one question to an earlier owner.
 	claimTimeout = time.Second
-	// joinTimeout is how long a resend waits for the first request to end.
-	retryAfterInProgress = time.Second
+	// retryAfterUnreachable is told when the owner of a key does not answer.
+	retryAfterUnreachable = time.Second
 )
 
 // Doer executes a request without regard to keys.
@@ -208,7 +208,7 @@
 		return end
 	}
 	refusal := result.New(v1.Code_KEY_OWNER_UNREACHABLE, v1.Ran_UNKNOWN, "router %s does not answer", owner.Name)
-	refusal.RetryAfter = retryAfterInProgress
+	refusal.RetryAfter = retryAfterUnreachable
 	return refusal
 }
 
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -186,12 +187,7 @@
 		}
 		list = append(list, poolStatus(p.Name, h.store.Fleet().Self.Region, sched.Status(), accepted))
 	}
-	slices.SortFunc(list, func(a, b *v1.PoolStatus) int {
-		if a.Pool < b.Pool {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b *v1.PoolStatus) int { return cmp.Compare(a.Pool, b.Pool) })
 	return list
 }
 
