dispatch: resume streams that fell silent; no NO after a failed resume

Cause: the watchdog of the first connection cancelled the whole attempt, so that a stream whose connection fell silent was never resumed. And the error of a resume that could not connect was wrapped with errNotSent, so that a stream lost with its engine ended with NO_TARGET and ran NO after half of it had been delivered. Change: the watchdog ends its own connection only; the cause of a failed resume is told but not wrapped. Before: internal/e2e TestBrokenStreamIsResumed (silent-mid-stream) and TestStreamOfKilledEngineIsAborted fail. After: both pass, twice in a row.

--- a/router/internal/dispatch/attempt.go
+++ b/router/internal/dispatch/attempt.go
@@ -72,7 +72,9 @@
 }
 
 func (a *attempt) execute(ctx context.Context) attemptEnd {
-	ctx, cancel := context.WithCancelCause(ctx)
+	// A connection that fell silent ends by itself, so that the stream may be
+	// resumed on another one.
+	conn, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if a.req.MayStart != nil && !a.req.MayStart() {
 		return attemptEnd{
@@ -83,13 +85,13 @@
 	limits := a.d.limits(a.req.Config)
 	dog := newWatchdog(cancel, min(limits.firstByte, time.Until(a.req.EndBy)))
 	defer dog.stop()
-	resp, err := a.d.transports.roundTrip(ctx, a.target, a.req)
+	resp, err := a.d.transports.roundTrip(conn, a.target, a.req)
 	if err != nil {
-		return a.failed(ctx, err)
+		return a.failed(ctx, conn, err)
 	}
 	dog.setLimit(limits.betweenTokens)
 	if err := a.relay(ctx, resp, dog); err != nil {
-		return a.failed(ctx, err)
+		return a.failed(ctx, conn, err)
 	}
 	return a.served(resp)
 }
@@ -120,9 +122,13 @@
 	}
 }
 
-// failed turns an error into the truth about the attempt.
-func (a *attempt) failed(ctx context.Context, err error) attemptEnd {
+// failed turns an error into the truth about the attempt. The end of the
+// attempt's context goes before that of its first connection.
+func (a *attempt) failed(ctx, conn context.Context, err error) attemptEnd {
 	cause := context.Cause(ctx)
+	if cause == nil {
+		cause = context.Cause(conn)
+	}
 	switch {
 	case errors.Is(err, errNotSent):
 		return attemptEnd{
--- a/router/internal/dispatch/stream.go
+++ b/router/internal/dispatch/stream.go
@@ -94,7 +94,9 @@
 		}
 		cause = err
 	}
-	return nil, nil, fmt.Errorf("%w: resume failed: %w", errTruncated, cause)
+	// The cause is not wrapped: that a resume was not sent proves nothing about
+	// the request.
+	return nil, nil, fmt.Errorf("%w: resume failed: %v", errTruncated, cause)
 }
 
 func (s *stream) resumeOnce(ctx context.Context) (*http.Response, *watchdog, error) {
