control: do not take an unread instance list for a fleet of one

Cause: before its first instance list a router told the tracker that it had no peers. All of none had answered, so a router that restarted while the platform answered with an old revision was ready with that revision. Ruled out: the tracker, which waits for peers it knows; a stale answer after readiness, which is refused. Change: the tracker learns the peers from the view once a list is known, under one lock with it.

--- a/router/internal/control/configuration.go
+++ b/router/internal/control/configuration.go
@@ -103,17 +103,27 @@
 
 // trackPeers lets the tracker follow the view.
 func (c *Control) trackPeers(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	// Before the first list the router knows no peers; that is not the same as
+	// having none.
+	if c.view.ListRevision() > 0 {
+		c.tracker.SetPeers(c.peerNames())
+	}
+	actions := c.tracker.Tick(now)
+	c.mu.Unlock()
+	c.perform(ctx, actions)
+}
+
+// peerNames returns the reachable routers but this one. The caller holds the
+// lock.
+func (c *Control) peerNames() []string {
 	var names []string
-	for _, m := range c.opts.Store.Fleet().Reachable {
+	for _, m := range c.view.Reachable() {
 		if m.Name != c.opts.Self.Name {
 			names = append(names, m.Name)
 		}
 	}
-	c.mu.Lock()
-	c.tracker.SetPeers(names)
-	actions := c.tracker.Tick(now)
-	c.mu.Unlock()
-	c.perform(ctx, actions)
+	return names
 }
 
 // peerVersion takes in the configuration that a peer has in force.
