e2e: run the programs under bad input and failures

Tests of the real binaries on loopback: bad input to each door, at most once under resends with owners killed, restarted and paused, whole answers, planned stop and rolling replacement, configuration, loss of the scheduler.

--- /dev/null
+++ b/internal/e2e/operation_test.go
@@ -0,0 +1,133 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/chiveseam/chiveseam/config/configtest"
+	"github.com/chiveseam/chiveseam/internal/standin/engine"
+	"github.com/chiveseam/chiveseam/internal/standin/fault"
+	"github.com/chiveseam/chiveseam/internal/standin/service"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+var nextOperation atomic.Uint64
+
+// newOperation returns the name of an operation that a service counts.
+func newOperation(t *testing.T) string {
+	return fmt.Sprintf("%s-%d", t.Name(), nextOperation.Add(1))
+}
+
+// job returns a non-idempotent call of the service for the operation.
+func job(operation string) call {
+	return call{
+		method: http.MethodPost,
+		path:   "/services/" + configtest.ServicePool + "/jobs",
+		header: map[string]string{service.RequestHeader: operation},
+		body:   `{"job":"` + operation + `"}`,
+	}
+}
+
+// with returns a copy of the call with a header added.
+func (c call) with(name, value string) call {
+	header := map[string]string{name: value}
+	for n, v := range c.header {
+		if n != name {
+			header[n] = v
+		}
+	}
+	c.header = header
+	return c
+}
+
+func (c call) withFault(kind fault.Kind) call { return c.with(fault.Header, string(kind)) }
+
+// issuedBy adds a new key of the router. It returns false if there is none to
+// be had.
+func (c call) issuedBy(r *router) (call, bool) {
+	a := send(r.entry, call{method: http.MethodPost, path: "/v1/request-keys"})
+	var issued struct{ Key string }
+	if a.err != nil || a.status != http.StatusCreated || json.Unmarshal(a.body, &issued) != nil {
+		return c, false
+	}
+	return c.with(entryRequestKey, issued.Key), true
+}
+
+// Headers of request keys.
+const (
+	entryRequestKey     = "Chiveseam-Request-Key"
+	entryIdempotencyKey = "Idempotency-Key"
+)
+
+// prompt is a streamed completion of a number of tokens.
+type prompt struct {
+	text   string
+	tokens int
+}
+
+func newPrompt(t *testing.T, tokens int) prompt {
+	return prompt{text: fmt.Sprintf("%s tokens=%d", newOperation(t), tokens), tokens: tokens}
+}
+
+func (p prompt) call(stream bool) call {
+	body, _ := json.Marshal(map[string]any{
+		"model":      configtest.EnginePool,
+		"prompt":     p.text,
+		"max_tokens": p.tokens,
+		"stream":     stream,
+	})
+	return call{method: http.MethodPost, path: "/v1/completions", body: string(body)}
+}
+
+// doneData is the data of the last event of a whole stream.
+const doneData = "[DONE]"
+
+// streamEnd is how a stream ended for its caller.
+type streamEnd struct {
+	text string
+	// done is set by the last event of a whole stream.
+	done bool
+	// failure is the data of an error event.
+	failure string
+}
+
+func readStream(a answer) streamEnd {
+	var end streamEnd
+	var text strings.Builder
+	for _, e := range eventsOf(a.body) {
+		switch {
+		case e.name == "error":
+			end.failure = e.data
+		case e.data == doneData:
+			end.done = true
+		default:
+			text.WriteString(chunkText(e.data))
+		}
+	}
+	end.text = text.String()
+	return end
+}
+
+func chunkText(data string) string {
+	var chunk struct{ Choices []struct{ Text string } }
+	if json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) == 0 {
+		return ""
+	}
+	return chunk.Choices[0].Text
+}
+
+// expectWhole fails the test unless the stream is whole and the prompt's own.
+func (p prompt) expectWhole(t *testing.T, a answer) {
+	t.Helper()
+	end := readStream(a)
+	if err := engine.CheckAnswer(p.text, p.tokens, end.text); err != nil || !end.done || a.err != nil || end.failure != "" {
+		t.Errorf("stream is not whole: %v; done %v, error event %q, check %v", a, end.done, end.failure, err)
+	}
+	if a.code != v1.Code_OK || a.ran != v1.Ran_YES {
+		t.Errorf("a whole stream says %v", a)
+	}
+}
--- /dev/null
+++ b/internal/e2e/peer_door_test.go
@@ -0,0 +1,112 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcwire"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// peerWriteLimit bounds a write to a peer port that may accept no more.
+const peerWriteLimit = 2 * time.Second
+
+// invocation returns the frames of a call of the method with the message.
+func invocation(method string, message []byte) []byte {
+	id := drpcwire.ID{Stream: 1, Message: 1}
+	data := drpcwire.AppendFrame(nil, drpcwire.Frame{ID: id, Kind: drpcwire.KindInvoke, Data: []byte(method), Done: true})
+	id.Message++
+	return drpcwire.AppendFrame(data, drpcwire.Frame{ID: id, Kind: drpcwire.KindMessage, Data: message, Done: true})
+}
+
+func peerState(t *testing.T) []byte {
+	t.Helper()
+	data, err := proto.Marshal(&v1.PeerState{Router: "router-9", Incarnation: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// writePeer writes raw bytes to the peer port and closes the connection.
+func writePeer(t *testing.T, address string, data []byte) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatalf("the peer port does not accept: %v", err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(peerWriteLimit))
+	// The router may close the connection before it has read all.
+	_, _ = conn.Write(data)
+}
+
+func TestGarbageToThePeerPort(t *testing.T) {
+	t.Parallel()
+	c := doorCluster(t)
+	address := c.routers[0].peer
+	garbage := make([]byte, 64<<10)
+	rng := rand.NewChaCha8([32]byte{1})
+	_, _ = rng.Read(garbage)
+	writePeer(t, address, nil)
+	writePeer(t, address, garbage)
+	writePeer(t, address, []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+	writePeer(t, address, bytes.Repeat([]byte{0xff}, 8<<20))
+	exchange := invocation("/chiveseam.v1.Peering/Exchange", peerState(t))
+	for cut := range exchange {
+		writePeer(t, address, exchange[:cut])
+	}
+	methods := []string{
+		"Peering/Exchange", "Peering/FetchConfiguration", "Peering/Forward", "Peering/ClaimKey",
+		"Peering/HandOver", "Peering/KeyViews", "Scheduling/Connect", "None/None",
+	}
+	for _, method := range methods {
+		path := "/chiveseam.v1." + method
+		writePeer(t, address, invocation(path, nil))
+		writePeer(t, address, invocation(path, garbage[:512]))
+		// A field of length 127 with one byte.
+		writePeer(t, address, invocation(path, []byte{0x0a, 0x7f, 0x00}))
+	}
+	expectPeerServes(t, address)
+	expectServing(t, c)
+}
+
+// expectPeerServes fails the test unless the peer port answers a call.
+func expectPeerServes(t *testing.T, address string) {
+	t.Helper()
+	is := is.New(t)
+	raw, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	conn := drpcconn.New(raw)
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	reply, err := v1.NewDRPCPeeringClient(conn).FetchConfiguration(ctx, &v1.FetchConfigurationRequest{})
+	is.NoErr(err)
+	is.Equal(reply.Revision, uint64(1))
+}
+
+// A message that does not decode and a revision that is not there get an error
+// on the call, not a broken process.
+func TestPeerCallsGetErrors(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := doorCluster(t)
+	raw, err := net.Dial("tcp", c.routers[0].peer)
+	is.NoErr(err)
+	conn := drpcconn.New(raw)
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	_, err = v1.NewDRPCPeeringClient(conn).FetchConfiguration(ctx, &v1.FetchConfigurationRequest{MinRevision: 99})
+	is.True(err != nil)
+	expectServing(t, c)
+}
--- /dev/null
+++ b/internal/e2e/process_other_test.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package e2e
+
+import "syscall"
+
+func endWithParent() *syscall.SysProcAttr { return nil }
--- /dev/null
+++ b/internal/e2e/resender_test.go
@@ -0,0 +1,211 @@
+package e2e
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	resenders = 6
+	// copiesAtOnce is how many times a new operation is sent at the same time.
+	copiesAtOnce = 3
+	// laterCopies is how many times an old operation is sent again for each new
+	// one.
+	laterCopies = 2
+	resendPause = 20 * time.Millisecond
+)
+
+// operation is one piece of non-idempotent work that callers send repeatedly.
+type operation struct {
+	name string
+	call call
+
+	mu      sync.Mutex
+	answers []timedAnswer
+}
+
+// timedAnswer is an answer with the time at which its call was sent.
+type timedAnswer struct {
+	answer
+	sent time.Time
+}
+
+func (o *operation) send(r *router) answer {
+	sent := time.Now()
+	a := send(r.entry, o.call)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.answers = append(o.answers, timedAnswer{a, sent})
+	return a
+}
+
+// sendToAll sends the operation to each router several times at once.
+func (o *operation) sendToAll(routers []*router, copies int) {
+	var wg sync.WaitGroup
+	for _, r := range routers {
+		for range copies {
+			wg.Go(func() { o.send(r) })
+		}
+	}
+	wg.Wait()
+}
+
+// check fails the test if the operation ran twice, or if a caller was told
+// that it did not run after it had.
+func (o *operation) check(t *testing.T, c *cluster) {
+	t.Helper()
+	if runs := c.ledger.Report().Runs[o.name]; runs > 1 {
+		t.Errorf("%s ran %d times: %v", o.name, runs, o.answers)
+	}
+	began, ran := c.runLog.began(o.name)
+	promised := 0
+	for _, a := range o.answers {
+		if a.err != nil || a.ran != v1.Ran_NO {
+			continue
+		}
+		promised++
+		if ran && began.Before(a.sent) {
+			t.Errorf("%s ran at %v and a later caller was told NO: %v", o.name, began, a)
+		}
+	}
+	if ran && promised == len(o.answers) {
+		t.Errorf("%s ran and all callers were told NO: %v", o.name, o.answers)
+	}
+}
+
+// expectRun fails the test unless the operation ran.
+func (o *operation) expectRun(t *testing.T, c *cluster) {
+	t.Helper()
+	if c.ledger.Report().Runs[o.name] == 0 {
+		t.Errorf("%s did not run: %v", o.name, o.answers)
+	}
+}
+
+// resender lets many callers send operations with keys, new ones and old ones
+// again, to routers chosen at random.
+type resender struct {
+	cluster *cluster
+	// newCall adds a key to the call of a new operation.
+	newCall func(call, *router) (call, bool)
+	done    chan struct{}
+	wg      sync.WaitGroup
+
+	mu         sync.Mutex
+	operations []*operation
+}
+
+// startResender sends until stop is called.
+func startResender(c *cluster, newCall func(call, *router) (call, bool)) *resender {
+	s := &resender{cluster: c, newCall: newCall, done: make(chan struct{})}
+	for i := range resenders {
+		rng := rand.New(rand.NewPCG(uint64(i), 1))
+		s.wg.Go(func() { s.run(rng) })
+	}
+	return s
+}
+
+func (s *resender) run(rng *rand.Rand) {
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-time.After(resendPause):
+		}
+		if o := s.begin(rng); o != nil {
+			s.sendCopies(o, rng)
+		}
+		for range laterCopies {
+			if o := s.old(rng); o != nil {
+				o.send(s.anyRouter(rng))
+			}
+		}
+	}
+}
+
+func (s *resender) anyRouter(rng *rand.Rand) *router {
+	return s.cluster.routers[rng.IntN(len(s.cluster.routers))]
+}
+
+// begin returns a new operation, nil if no key could be had for it.
+func (s *resender) begin(rng *rand.Rand) *operation {
+	name := newOperation(s.cluster.t)
+	keyed, ok := s.newCall(job(name), s.anyRouter(rng))
+	if !ok {
+		return nil
+	}
+	o := &operation{name: name, call: keyed}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.operations = append(s.operations, o)
+	return o
+}
+
+func (s *resender) sendCopies(o *operation, rng *rand.Rand) {
+	var wg sync.WaitGroup
+	for range copiesAtOnce {
+		r := s.anyRouter(rng)
+		wg.Go(func() { o.send(r) })
+	}
+	wg.Wait()
+}
+
+// old returns an operation that was sent before.
+func (s *resender) old(rng *rand.Rand) *operation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.operations) == 0 {
+		return nil
+	}
+	return s.operations[rng.IntN(len(s.operations))]
+}
+
+func (s *resender) sentCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.operations)
+}
+
+// awaitMore waits until more operations were sent and more have run.
+func (s *resender) awaitMore(t *testing.T, operations int) {
+	t.Helper()
+	sent, ran := s.sentCount()+operations, s.cluster.runLog.count()+1
+	await(t, "more operations run", func() bool {
+		return s.sentCount() >= sent && s.cluster.runLog.count() >= ran
+	}, func() any { return s.summary() })
+}
+
+// stop ends the sending and checks all operations.
+func (s *resender) stop(t *testing.T) {
+	t.Helper()
+	close(s.done)
+	s.wg.Wait()
+	for _, o := range s.operations {
+		o.check(t, s.cluster)
+	}
+	t.Logf("%d operations, answers: %v", len(s.operations), s.summary())
+}
+
+// outcome is what a caller was told.
+type outcome struct {
+	code v1.Code
+	ran  v1.Ran
+}
+
+// summary counts the answers by outcome.
+func (s *resender) summary() map[outcome]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := map[outcome]int{}
+	for _, o := range s.operations {
+		o.mu.Lock()
+		for _, a := range o.answers {
+			counts[outcome{a.code, a.ran}]++
+		}
+		o.mu.Unlock()
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/e2e/router_test.go
@@ -0,0 +1,140 @@
+package e2e
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/chiveseam/chiveseam/config/configtest"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// Settings of the routers that make failures visible sooner than the defaults.
+var routerFlags = []string{
+	"--peer-heartbeat-interval=100ms",
+	"--peer-suspect-after=1s",
+	"--platform-watch-wait=1s",
+	"--platform-fallback-poll=1s",
+	"--key-lifetime=1m",
+	"--key-right=4s",
+	"--clock-margin=100ms",
+}
+
+// adminTimeout bounds a call of a router's admin address: a stopped process
+// accepts connections and does not answer.
+const adminTimeout = 2 * time.Second
+
+var adminClient = &http.Client{Timeout: adminTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// router is one chiveseam-router process, which can be started again.
+type router struct {
+	*process
+	cluster            *cluster
+	name, zone         string
+	entry, peer, admin string
+	incarnation        uint64
+	flags              []string
+	// listed is set while the platform lists the router.
+	listed bool
+}
+
+func newRouter(c *cluster, i int, zone string, flags []string) *router {
+	return &router{
+		cluster:     c,
+		name:        fmt.Sprintf("router-%d", i+1),
+		zone:        zone,
+		entry:       freeAddress(c.t),
+		peer:        freeAddress(c.t),
+		admin:       freeAddress(c.t),
+		incarnation: 1,
+		flags:       flags,
+		listed:      true,
+	}
+}
+
+func (r *router) instance() *v1.Instance {
+	return &v1.Instance{
+		Name:         r.name,
+		Incarnation:  r.incarnation,
+		Zone:         r.zone,
+		PeerAddress:  r.peer,
+		EntryAddress: r.entry,
+		AdminAddress: r.admin,
+		State:        v1.InstanceState_LIVE,
+	}
+}
+
+func (r *router) args() []string {
+	args := []string{
+		"--name=" + r.name,
+		"--zone=" + r.zone,
+		"--region=" + configtest.Region,
+		"--entry-listen=" + r.entry,
+		"--peer-listen=" + r.peer,
+		"--admin-listen=" + r.admin,
+		"--platform-url=" + r.cluster.platformURL,
+		fmt.Sprintf("--incarnation=%d", r.incarnation),
+	}
+	args = append(args, routerFlags...)
+	return append(args, r.flags...)
+}
+
+func (r *router) start() {
+	r.cluster.t.Helper()
+	r.process = startProcess(r.cluster.t, r.name, "chiveseam-router", r.args()...)
+}
+
+// restart starts the router again as a new incarnation without memory, which
+// the platform lists.
+func (r *router) restart() {
+	r.cluster.t.Helper()
+	r.incarnation++
+	r.listed = true
+	r.start()
+	r.cluster.publishList(time.Now())
+}
+
+// ready reports whether a balancer would send callers to the router.
+func (r *router) ready() bool {
+	resp, err := adminClient.Get("http://" + r.admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (r *router) awaitReady() {
+	r.cluster.t.Helper()
+	await(r.cluster.t, r.name+" is ready", r.ready, func() any { return string(r.logTail()) })
+}
+
+// status returns nil when the router does not answer.
+func (r *router) status() *v1.RouterStatus {
+	resp, err := adminClient.Get("http://" + r.admin + "/status")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil
+	}
+	status := &v1.RouterStatus{}
+	if protojson.Unmarshal(data, status) != nil {
+		return nil
+	}
+	return status
+}
+
+func (r *router) awaitRevision(revision uint64) {
+	r.cluster.t.Helper()
+	var seen uint64
+	await(r.cluster.t, fmt.Sprintf("%s has revision %d in force", r.name, revision), func() bool {
+		seen = r.status().GetConfigRevision()
+		return seen == revision
+	}, func() any { return seen })
+}
--- /dev/null
+++ b/internal/e2e/stop_test.go
@@ -0,0 +1,186 @@
+package e2e
+
+import (
+	"io"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+func TestPlannedStopFinishesStreams(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, size{routers: 3, zones: 3, engines: 2, services: 1}, nil)
+	stopping := c.routers[0]
+	const streams = 6
+	var wg sync.WaitGroup
+	var opened sync.WaitGroup
+	opened.Add(streams)
+	for range streams {
+		p := newPrompt(t, longTokens)
+		resp, body := openStream(t, stopping, p)
+		opened.Done()
+		wg.Go(func() {
+			rest, err := io.ReadAll(resp.Body)
+			p.expectWhole(t, newAnswer(resp, append(body, rest...), err))
+		})
+	}
+	opened.Wait()
+	stopping.signal(t, syscall.SIGTERM)
+	await(t, "the router is not ready", func() bool { return !stopping.ready() }, func() any { return stopping.status() })
+	is.True(stopping.running()) // it is not ready before it ends
+	wg.Wait()
+	is.Equal(stopping.awaitExit(t), exitOK)
+}
+
+// balancer sends calls to ready routers, as the platform's does, and lets
+// refused ones try another router.
+type balancer struct {
+	mu    sync.Mutex
+	ready []*router
+	next  int
+}
+
+func newBalancer(t *testing.T, c *cluster) *balancer {
+	b := &balancer{}
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	b.refresh(c)
+	wg.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(balancerInterval):
+				b.refresh(c)
+			}
+		}
+	})
+	t.Cleanup(func() { close(done); wg.Wait() })
+	return b
+}
+
+// balancerInterval is how often readiness is asked.
+const balancerInterval = 200 * time.Millisecond
+
+func (b *balancer) refresh(c *cluster) {
+	var ready []*router
+	for _, r := range c.routers {
+		if r.ready() {
+			ready = append(ready, r)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+// pick returns the next ready router, nil if there is none.
+func (b *balancer) pick() *router {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return nil
+	}
+	b.next++
+	return b.ready[b.next%len(b.ready)]
+}
+
+// send returns the final answer: a call that was refused before it ran goes to
+// another router.
+func (b *balancer) send(c call) answer {
+	deadline := time.Now().Add(waitLimit)
+	var a answer
+	for time.Now().Before(deadline) {
+		r := b.pick()
+		if r == nil {
+			time.Sleep(waitPoll)
+			continue
+		}
+		a = send(r.entry, c)
+		if !a.refused() {
+			return a
+		}
+		time.Sleep(min(a.retryAfter(), balancerInterval))
+	}
+	return a
+}
+
+// load sends streams and non-idempotent calls through a balancer.
+type load struct {
+	done  chan struct{}
+	wg    sync.WaitGroup
+	mu    sync.Mutex
+	count int
+}
+
+const loadCallers = 6
+
+// startLoad sends until stop is called. Each call must be served.
+func startLoad(t *testing.T, b *balancer) *load {
+	l := &load{done: make(chan struct{})}
+	for range loadCallers {
+		l.wg.Go(func() { l.run(t, b) })
+	}
+	return l
+}
+
+func (l *load) run(t *testing.T, b *balancer) {
+	for {
+		select {
+		case <-l.done:
+			return
+		default:
+		}
+		p := newPrompt(t, streamTokens)
+		p.expectWhole(t, b.send(p.call(true)))
+		b.send(job(newOperation(t))).expect(t, "call under load", v1.Code_OK, v1.Ran_YES)
+		l.mu.Lock()
+		l.count++
+		l.mu.Unlock()
+	}
+}
+
+func (l *load) sent() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count
+}
+
+// awaitMore waits until a number of further calls got their answers.
+func (l *load) awaitMore(t *testing.T, calls int) {
+	t.Helper()
+	want := l.sent() + calls
+	await(t, "more calls get answers", func() bool { return l.sent() >= want }, func() any { return l.sent() })
+}
+
+func (l *load) stop() {
+	close(l.done)
+	l.wg.Wait()
+}
+
+func TestRollingReplacementLosesNoRequest(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, size{routers: 4, zones: 2, engines: 2, services: 2}, nil)
+	l := startLoad(t, newBalancer(t, c))
+	for _, r := range c.routers {
+		l.awaitMore(t, loadCallers)
+		r.signal(t, syscall.SIGTERM)
+		if code := r.awaitExit(t); code != exitOK {
+			t.Errorf("%s ended with code %d", r.name, code)
+		}
+		r.restart()
+		r.awaitReady()
+	}
+	l.awaitMore(t, loadCallers)
+	l.stop()
+	if doubles := c.ledger.Report().Doubles; len(doubles) > 0 {
+		t.Errorf("ran more than once: %v", doubles)
+	}
+	t.Logf("%d rounds of calls", l.sent())
+}
