measure: control traffic with real messages, benchmarks and tests

Cause: bytes of control a request, cost of a step and bytes of state were not known at the planned size. Change: a run of the real messages through coalescing links with heartbeats, benchmarks of the scheduler and of the view, sizes of state, tests that the gap stays within the bound without and through faults (FIFO exceeds it).

--- a/internal/cmd/measure/main.go
+++ b/internal/cmd/measure/main.go
@@ -53,6 +53,8 @@
 		m.Fairness(os.Stdout)
 	case "waits":
 		m.Waits(os.Stdout)
+	case "traffic":
+		measure.TrafficTables(os.Stdout, uint64(o.Seeds))
 	case "failures":
 		m.Failures(os.Stdout)
 	default:
--- /dev/null
+++ b/internal/measure/bench_test.go
@@ -0,0 +1,219 @@
+package measure
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/fleet"
+	"github.com/chiveseam/chiveseam/pool"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	benchTargets = 24
+	benchSlots   = 82
+	benchRouters = 165
+	benchCost    = 1000
+)
+
+// loaded returns a scheduler of a pool whose slots are all in use and in which
+// a tenth of the workspaces waits with several demands.
+func loaded(workspaces, targets int) (*pool.Scheduler, []pool.DemandID) {
+	s := pool.New(pool.Options{InitialCost: benchCost, Seed: 1})
+	s.Step(epoch, pool.WorkspacesChanged{Workspaces: Fleet{Workspaces: workspaces}.workspaces()})
+	var list []pool.Target
+	for i := range targets {
+		list = append(list, pool.Target{ID: config.ID(i + 1), Slots: benchSlots, Speed: 1})
+	}
+	s.Step(epoch, pool.TargetsChanged{Targets: list})
+	for i := range benchRouters {
+		s.Step(epoch, pool.RouterJoined{Router: benchRouter(i)})
+	}
+	var running []pool.DemandID
+	for seq := range targets*benchSlots + 4*max(workspaces/10, 1) {
+		for _, a := range s.Step(epoch, benchDemand(seq, workspaces)) {
+			running = append(running, a.(pool.Grant).ID)
+		}
+	}
+	return s, running
+}
+
+func benchRouter(i int) pool.Router {
+	return pool.Router{Name: fmt.Sprintf("router-%d", i%benchRouters), Incarnation: 1}
+}
+
+func benchDemand(seq, workspaces int) pool.Demand {
+	backlogged := max(workspaces/10, 1)
+	return pool.Demand{
+		ID:        pool.DemandID{Router: benchRouter(seq), Seq: uint64(seq + 1)},
+		Workspace: config.IDOf(fmt.Sprintf("workspace-%d", seq%backlogged)),
+		Deadline:  epoch.Add(time.Minute),
+	}
+}
+
+// BenchmarkGrant is one request at a scheduler whose slots are all in use: a
+// demand that waits, and an end that grants the next.
+func BenchmarkGrant(b *testing.B) {
+	for _, workspaces := range []int{16, 350, 3500} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			s, running := loaded(workspaces, benchTargets)
+			demands := make([]pool.Demand, b.N)
+			for i := range demands {
+				demands[i] = benchDemand(1<<24+i, workspaces)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range demands {
+				s.Step(epoch, demands[i])
+				done := pool.Done{ID: running[i], Cost: benchCost, Outcome: v1.Outcome_SERVED, ServiceTime: time.Second}
+				for _, a := range s.Step(epoch, done) {
+					if g, ok := a.(pool.Grant); ok {
+						running = append(running, g.ID)
+					}
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshot is the counters that go to the successors in each second.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, workspaces := range []int{16, 350, 3500} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			s, _ := loaded(workspaces, benchTargets)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Counters()
+			}
+		})
+	}
+}
+
+// heapOf returns the bytes of the heap that build's result keeps.
+func heapOf(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// TestStateSizes logs the bytes of state that a scheduler keeps for each
+// workspace, target and demand.
+func TestStateSizes(t *testing.T) {
+	is := is.New(t)
+	scheduler := func(workspaces, targets int) func() any {
+		return func() any {
+			s := pool.New(pool.Options{})
+			s.Step(epoch, pool.WorkspacesChanged{Workspaces: Fleet{Workspaces: workspaces}.workspaces()})
+			var list []pool.Target
+			for i := range targets {
+				list = append(list, pool.Target{ID: config.ID(i + 1), Slots: benchSlots, Speed: 1})
+			}
+			s.Step(epoch, pool.TargetsChanged{Targets: list})
+			return s
+		}
+	}
+	empty := heapOf(scheduler(0, 0))
+	perWorkspace := (heapOf(scheduler(3500, 0)) - empty) / 3500
+	perTarget := (heapOf(scheduler(0, 660)) - empty) / 660
+	const demands = 10000
+	filled := heapOf(func() any {
+		s := scheduler(3500, 1)().(*pool.Scheduler)
+		s.Step(epoch, pool.RouterJoined{Router: benchRouter(0)})
+		for seq := range demands {
+			d := benchDemand(seq*benchRouters, 3500)
+			s.Step(epoch, d)
+		}
+		return s
+	})
+	perDemand := (filled - empty - 3500*perWorkspace) / demands
+	t.Logf("bytes per workspace %.0f, per target %.0f, per demand %.0f", perWorkspace, perTarget, perDemand)
+	is.True(perWorkspace < 4096)
+	is.True(perTarget < 4096)
+	is.True(perDemand < 4096)
+}
+
+// instances returns the list of a fleet of the given size.
+func instances(size int) *v1.InstanceList {
+	list := &v1.InstanceList{Revision: 1, AsOfUnixMs: epoch.UnixMilli()}
+	for i := range size {
+		list.Instances = append(list.Instances, &v1.Instance{
+			Name: fmt.Sprintf("router-%d", i), Incarnation: 1, Zone: fmt.Sprintf("zone-%d", i%10),
+			PeerAddress: fmt.Sprintf("10.0.%d.%d:7070", i/256, i%256), State: v1.InstanceState_LIVE,
+		})
+	}
+	return list
+}
+
+func view(list *v1.InstanceList, i int) *fleet.View {
+	v := fleet.New(list.Instances[i], fleet.DefaultOptions())
+	v.ApplyList(epoch, list)
+	return v
+}
+
+var fleetSizes = []int{6, 24, 96, 330}
+
+// BenchmarkViewTick is Tick and Next, which a router calls each 100 ms, and
+// the answers of the routers that it contacts.
+func BenchmarkViewTick(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("routers=%d", size), func(b *testing.B) {
+			list := instances(size)
+			v := view(list, 0)
+			peers := map[string]*fleet.View{}
+			for i := range size {
+				peers[list.Instances[i].Name] = view(list, i)
+			}
+			b.ReportAllocs()
+			now := epoch
+			for b.Loop() {
+				now = now.Add(100 * time.Millisecond)
+				v.Tick(now)
+				for _, m := range v.Next(now) {
+					v.Merge(now, peers[m.Name].StateFor(v.Self().Name))
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkViewMerge is a heartbeat and its answer.
+func BenchmarkViewMerge(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("routers=%d", size), func(b *testing.B) {
+			list := instances(size)
+			v, peer := view(list, 0), view(list, 1)
+			b.ReportAllocs()
+			now := epoch
+			for b.Loop() {
+				now = now.Add(time.Second)
+				v.Merge(now, peer.StateFor(v.Self().Name))
+				peer.Merge(now, v.StateFor(peer.Self().Name))
+			}
+		})
+	}
+}
+
+// TestViewSizes logs the bytes of a router's view of the fleet.
+func TestViewSizes(t *testing.T) {
+	is := is.New(t)
+	for _, size := range fleetSizes {
+		list := instances(size)
+		bytes := heapOf(func() any {
+			v := view(list, 0)
+			v.Tick(epoch)
+			return v
+		})
+		t.Logf("%d routers: view of %.0f bytes beside the list", size, bytes)
+		is.True(bytes < 1<<22)
+	}
+}
--- a/internal/measure/charge.go
+++ b/internal/measure/charge.go
@@ -41,7 +41,7 @@
 		return
 	}
 	id := m.workspaceID(q.workspace)
-	estimate := m.mirror.counters.Estimate(id, q.hint)
+	estimate := g.Estimate
 	m.mirror.open[g.ID] = &openCharge{
 		charge:    m.mirror.counters.Start(id, estimate),
 		workspace: q.workspace,
@@ -54,14 +54,6 @@
 	t.estimate = max(t.estimate, estimate)
 }
 
-// estimateOf returns what the grant charged.
-func (m *chargeMeter) estimateOf(id pool.DemandID) int64 {
-	if open := m.mirror.open[id]; open != nil {
-		return open.estimate
-	}
-	return 0
-}
-
 // before follows the corrections of an event.
 func (m *chargeMeter) before(event pool.Event) {
 	switch e := event.(type) {
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -35,14 +35,12 @@
 	latency    time.Duration
 	// replicate is set if schedulers give their counters to routers.
 	replicate bool
-	// reportEstimate makes the first report of progress due at the estimate.
-	reportEstimate bool
-	seed           uint64
-	routers        []*router
-	hosts          []*host
-	engines        map[config.ID]*engine
-	index          map[config.ID]int
-	meter          *meter
+	seed      uint64
+	routers   []*router
+	hosts     []*host
+	engines   map[config.ID]*engine
+	index     map[config.ID]int
+	meter     *meter
 	// cutZone is cut off from the other zones unless it is empty.
 	cutZone string
 }
--- a/internal/measure/failures.go
+++ b/internal/measure/failures.go
@@ -38,35 +38,36 @@
 // Failures prints the gap, the use of capacity and over-admission through
 // failures of pool.Scheduler.
 func (o Options) Failures(w io.Writer) {
+	o.Warmup = faultAt - beforeFault
+	o.Duration = faultAt + observation
 	for _, d := range o.Deployments {
 		t := newTable(w, fmt.Sprintf("%s: from %v before a fault to %v after it, %d seeds", d.Name, beforeFault, observation, o.Seeds),
 			"fault", "gap of large, s", "gap, % of bound", "busy slots while work waits, %", "longest starvation, s", "sent to a full target", "most beyond slots", "lost")
+		bounds := boundsOf(o.runs(d, scenario{policy: Fair}))
 		for _, f := range faults {
-			o.faultRow(t, d, f)
+			o.faultRow(t, d, f, bounds)
 		}
 		t.flush()
 	}
 }
 
-func (o Options) faultRow(t *table, d *Deployment, f fault) {
-	var gap, bound, use, starved, over, excess, lost samples
-	o.Warmup = faultAt - beforeFault
-	o.Duration = faultAt + observation
-	for seed := 1; seed <= o.Seeds; seed++ {
-		undisturbed := o.run(d, scenario{policy: Fair}, seed)
-		r := o.run(d, scenario{policy: Fair, prepare: func(c *cluster, _ *workload) {
-			c.replicate = !f.silent
-			c.after(faultAt, func() { f.inject(c) })
-		}}, seed)
-		gap = append(gap, r.gapLarge)
-		bound = append(bound, r.gaps.ofBound(undisturbed.bound)*percent)
-		use = append(use, r.utilisation)
-		starved = append(starved, r.starvation)
-		over = append(over, float64(r.over))
-		excess = append(excess, float64(r.excess))
-		lost = append(lost, float64(r.lost))
+func (o Options) faultRow(t *table, d *Deployment, f fault, bounds []func(i, j int) float64) {
+	runs := o.runs(d, scenario{policy: Fair, prepare: func(c *cluster, _ *workload) {
+		c.replicate = !f.silent
+		c.after(faultAt, func() { f.inject(c) })
+	}})
+	var ofBound samples
+	for i, r := range runs {
+		ofBound = append(ofBound, r.gaps.ofBound(bounds[i])*percent)
 	}
-	t.row(f.name, gap.spread("%.2f"), bound.spread("%.1f"), use.spread("%.2f"), starved.spread("%.1f"), over.spread("%.0f"), excess.spread("%.0f"), lost.spread("%.0f"))
+	t.row(f.name,
+		column(runs, "%.2f", func(r figures) float64 { return r.gapLarge }),
+		ofBound.spread("%.1f"),
+		column(runs, "%.2f", func(r figures) float64 { return r.utilisation }),
+		column(runs, "%.1f", func(r figures) float64 { return r.starvation }),
+		column(runs, "%.0f", func(r figures) float64 { return float64(r.over) }),
+		column(runs, "%.0f", func(r figures) float64 { return float64(r.excess) }),
+		column(runs, "%.0f", func(r figures) float64 { return float64(r.lost) }))
 }
 
 // killScheduler ends the scheduler without a word. The routers notice by its
--- a/internal/measure/fairness.go
+++ b/internal/measure/fairness.go
@@ -23,7 +23,6 @@
 type figures struct {
 	gapLarge    float64
 	gapAny      float64
-	gapOfBound  float64
 	utilisation float64
 	reports     float64
 	starvation  float64
@@ -40,14 +39,12 @@
 
 // scenario is one run of a policy.
 type scenario struct {
-	policy         Policy
-	reportEstimate bool
-	prepare        func(*cluster, *workload)
+	policy  Policy
+	prepare func(*cluster, *workload)
 }
 
 func (o Options) run(d *Deployment, s scenario, seed int) figures {
 	c := newCluster(d, s.policy, uint64(seed), o.Latency)
-	c.reportEstimate = s.reportEstimate
 	l := newWorkload(c, uint64(seed))
 	if s.prepare != nil {
 		s.prepare(c, l)
@@ -75,7 +72,6 @@
 		gaps:        m.gaps,
 	}
 	f.idlePerGrant = seconds((m.slotSeconds - m.busySeconds) / float64(max(m.grants, 1)))
-	f.gapOfBound = m.gaps.ofBound(f.bound) * percent
 	for _, n := range m.refusals {
 		f.refused += n
 	}
@@ -88,38 +84,60 @@
 		title := fmt.Sprintf("%s: gap and utilisation, %d slots, %.0f cost units/s, %d seeds, %v",
 			d.Name, d.slots(), d.capacity(), o.Seeds, o.Duration)
 		t := newTable(w, title, "policy", "gap of large, s", "gap of any, s", "gap, % of bound", "busy slots while work waits, %", "longest starvation, s", "idle per grant, ms", "reports/request", "refused")
+		var bounds []func(i, j int) float64
 		for _, p := range Policies {
-			o.fairnessRow(t, d, p.String(), scenario{policy: p})
+			runs := o.runs(d, scenario{policy: p})
+			if p == Fair {
+				bounds = boundsOf(runs)
+			}
+			fairnessRow(t, p, runs, bounds)
 		}
-		o.fairnessRow(t, d, "pool.Scheduler, reports from the estimate", scenario{policy: Fair, reportEstimate: true})
 		t.flush()
 	}
 }
 
-func (o Options) fairnessRow(t *table, d *Deployment, name string, s scenario) {
-	var large, gap, bound, use, starved, idle, reports, refused samples
+// runs runs a scenario with each seed.
+func (o Options) runs(d *Deployment, s scenario) []figures {
+	var runs []figures
 	for seed := 1; seed <= o.Seeds; seed++ {
-		f := o.run(d, s, seed)
-		if s.policy != Fair {
-			f.gapOfBound = o.ofFairBound(d, s, seed)
-		}
-		large = append(large, f.gapLarge)
-		gap = append(gap, f.gapAny)
-		bound = append(bound, f.gapOfBound)
-		use = append(use, f.utilisation)
-		starved = append(starved, f.starvation)
-		idle = append(idle, float64(f.idlePerGrant.Microseconds())/1000)
-		reports = append(reports, f.reports)
-		refused = append(refused, float64(f.refused))
+		runs = append(runs, o.run(d, s, seed))
+	}
+	return runs
+}
+
+func boundsOf(runs []figures) []func(i, j int) float64 {
+	var bounds []func(i, j int) float64
+	for _, f := range runs {
+		bounds = append(bounds, f.bound)
 	}
-	t.row(name, large.spread("%.2f"), gap.spread("%.2f"), bound.spread("%.1f"), use.spread("%.2f"), starved.spread("%.1f"), idle.spread("%.1f"), reports.spread("%.2f"), refused.spread("%.0f"))
+	return bounds
 }
 
-// ofFairBound returns the gap of a baseline as a part of the bound of
-// pool.Scheduler with the same requests.
-func (o Options) ofFairBound(d *Deployment, s scenario, seed int) float64 {
-	fair := o.run(d, scenario{policy: Fair}, seed)
-	return o.run(d, s, seed).gaps.ofBound(fair.bound) * percent
+// column formats one figure of all runs.
+func column(runs []figures, format string, value func(figures) float64) string {
+	var s samples
+	for _, f := range runs {
+		s = append(s, value(f))
+	}
+	return s.spread(format)
+}
+
+// fairnessRow prints a policy. The bounds are those of pool.Scheduler with the
+// same requests.
+func fairnessRow(t *table, p Policy, runs []figures, bounds []func(i, j int) float64) {
+	var ofBound samples
+	for i, f := range runs {
+		ofBound = append(ofBound, f.gaps.ofBound(bounds[i])*percent)
+	}
+	t.row(p.String(),
+		column(runs, "%.2f", func(f figures) float64 { return f.gapLarge }),
+		column(runs, "%.2f", func(f figures) float64 { return f.gapAny }),
+		ofBound.spread("%.1f"),
+		column(runs, "%.2f", func(f figures) float64 { return f.utilisation }),
+		column(runs, "%.1f", func(f figures) float64 { return f.starvation }),
+		column(runs, "%.1f", func(f figures) float64 { return f.idlePerGrant.Seconds() * 1000 }),
+		column(runs, "%.2f", func(f figures) float64 { return f.reports }),
+		column(runs, "%.0f", func(f figures) float64 { return float64(f.refused) }))
 }
 
 // Waits prints the waits of the workspaces under each policy, and how a flood
--- /dev/null
+++ b/internal/measure/fairness_test.go
@@ -0,0 +1,83 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func deployment(t *testing.T) *Deployment {
+	t.Helper()
+	d, err := LoadDeployment("../../examples/siam-broadsheet.yaml")
+	is.New(t).NoErr(err)
+	return d
+}
+
+// TestGapIsWithinBound checks the bound of package fairshare on delivered
+// service, without and with faults, and that a FIFO exceeds it.
+func TestGapIsWithinBound(t *testing.T) {
+	is := is.New(t)
+	d := deployment(t)
+	o := Options{Seeds: 1, Duration: faultAt + 40*time.Second, Latency: time.Millisecond}
+	fair := o.run(d, scenario{policy: Fair}, 1)
+	is.True(fair.gaps.ofBound(fair.bound) < 1)
+	is.True(fair.utilisation > 97)
+	for _, f := range faults {
+		r := o.run(d, scenario{policy: Fair, prepare: func(c *cluster, _ *workload) {
+			c.after(faultAt, func() { f.inject(c) })
+		}}, 1)
+		is.True(r.gaps.ofBound(fair.bound) < 1) // bound through a fault
+	}
+	fifo := o.run(d, scenario{policy: FIFO}, 1)
+	is.True(fifo.gaps.ofBound(fair.bound) > 1)
+}
+
+// TestRunsAreDeterministic checks that a run depends on its seed only.
+func TestRunsAreDeterministic(t *testing.T) {
+	is := is.New(t)
+	d := deployment(t)
+	o := Options{Seeds: 1, Duration: 30 * time.Second, Latency: time.Millisecond}
+	for _, p := range Policies {
+		first, second := o.run(d, scenario{policy: p}, 3), o.run(d, scenario{policy: p}, 3)
+		is.Equal(first.gapLarge, second.gapLarge)
+		is.Equal(first.utilisation, second.utilisation)
+		is.Equal(first.waits, second.waits)
+	}
+}
+
+// TestGapMeter checks that only intervals count in which both are backlogged.
+func TestGapMeter(t *testing.T) {
+	is := is.New(t)
+	d := deployment(t)
+	g := newGapMeter(d)
+	served := make([]float64, len(d.Workspaces))
+	waiting := make([]int, len(d.Workspaces))
+	waiting[0], waiting[1] = 1, 1
+	g.observe(served, waiting)
+	served[0] += 400
+	g.observe(served, waiting)
+	is.Equal(g.worst[1][0], 400/g.shares[0])
+	waiting[1] = 0
+	served[0] += 4000
+	g.observe(served, waiting)
+	waiting[1] = 1
+	g.observe(served, waiting)
+	served[1] += 100
+	g.observe(served, waiting)
+	is.Equal(g.worst[1][0], 400/g.shares[0])
+}
+
+// TestSplitKeepsAllSlots checks that the equal split hands out each slot once.
+func TestSplitKeepsAllSlots(t *testing.T) {
+	is := is.New(t)
+	d := deployment(t)
+	c := newCluster(d, Split, 1, 0)
+	sum := 0
+	for i := range routerCount {
+		for _, target := range c.splitTargets(i) {
+			sum += target.Slots
+		}
+	}
+	is.Equal(sum, d.slots())
+}
--- /dev/null
+++ b/internal/measure/link.go
@@ -0,0 +1,83 @@
+package measure
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// segmentHeader is the size of the IPv4 and TCP headers with timestamps.
+	segmentHeader = 52
+	// frameBytes is what a drpc stream adds to a message.
+	frameBytes = 5
+	heartbeat  = 500 * time.Millisecond
+)
+
+// traffic counts what a node sends or receives.
+type traffic struct {
+	payload    int
+	segments   int
+	heartbeats int
+}
+
+// total returns the bytes with headers.
+func (t traffic) total() int { return t.payload + t.segments*segmentHeader }
+
+func (t traffic) plus(o traffic) traffic {
+	return traffic{t.payload + o.payload, t.segments + o.segments, t.heartbeats + o.heartbeats}
+}
+
+// link is one direction of a stream between two routers. It coalesces as
+// package peer does: a batch after a pause goes at once, later ones wait for
+// the window since the last.
+type link[T proto.Message] struct {
+	clock   *clock
+	window  time.Duration
+	empty   func() T
+	deliver func(T)
+	batch   T
+	filled  bool
+	last    time.Duration
+	// sender and receiver are counted at both ends.
+	sender, receiver *traffic
+}
+
+func newLink[T proto.Message](c *clock, window time.Duration, empty func() T, deliver func(T)) *link[T] {
+	return &link[T]{
+		clock: c, window: window, empty: empty, deliver: deliver, batch: empty(),
+		sender: &traffic{}, receiver: &traffic{},
+	}
+}
+
+// add changes the pending batch.
+func (l *link[T]) add(change func(T)) {
+	change(l.batch)
+	if l.filled {
+		return
+	}
+	l.filled = true
+	l.clock.after(l.last+l.window-l.clock.now, l.flush)
+}
+
+func (l *link[T]) flush() {
+	batch := l.batch
+	l.batch = l.empty()
+	l.filled = false
+	l.beat()
+	l.count(proto.Size(batch), 1, 0)
+	l.clock.after(linkLatency, func() { l.deliver(batch) })
+}
+
+// beat counts the heartbeats since the last batch.
+func (l *link[T]) beat() {
+	n := int((l.clock.now - l.last) / heartbeat)
+	l.count(0, n, n)
+	l.last = l.clock.now
+}
+
+func (l *link[T]) count(payload, segments, heartbeats int) {
+	t := traffic{payload + segments*frameBytes, segments, heartbeats}
+	*l.sender = l.sender.plus(t)
+	*l.receiver = l.receiver.plus(t)
+}
--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -15,9 +15,6 @@
 // so far, as the dispatcher does.
 const reportDivisor = 2
 
-// promptDivisor sets the cost of the prompt as a part of the whole cost.
-const promptDivisor = 4
-
 // request is one request of a caller.
 type request struct {
 	router    *router
@@ -31,8 +28,6 @@
 	ended   func(retryAfter time.Duration)
 	exclude []config.ID
 
-	// estimate is what the scheduler charged at the grant.
-	estimate   int64
 	granted    bool
 	target     config.ID
 	engine     *engine
@@ -151,7 +146,7 @@
 	e := r.cluster.engines[g.Target]
 	q.granted = true
 	q.target = g.Target
-	q.estimate = h.charges.estimateOf(g.ID)
+	q.charged = g.Estimate
 	if !r.cluster.reachable(r.zone, e.Zone) {
 		r.cluster.after(dialTimeout, func() { r.unreached(q) })
 		return
@@ -181,18 +176,14 @@
 	q.ended(refusal.RetryAfter)
 }
 
-// planReport schedules the next report of progress. The first is due at the
-// hint, or after the prompt without one; later ones when the cost has grown by
-// half. With reportEstimate the first is due at what the grant charged.
+// planReport schedules the next report of progress. The first is due at what
+// the grant charged, later ones when the cost has grown by half.
 func (r *router) planReport(q *request) {
-	next := max(q.hint, q.cost/promptDivisor, 1)
-	if r.cluster.reportEstimate {
-		next = max(q.estimate, 1)
-	}
+	next := q.charged
 	if q.nextReport > 0 {
 		next = q.nextReport + max(q.nextReport/reportDivisor, 1)
 	}
-	if next >= q.cost {
+	if next == 0 || next >= q.cost {
 		return
 	}
 	q.nextReport = next
--- /dev/null
+++ b/internal/measure/traffic_test.go
@@ -0,0 +1,19 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestTrafficIsDeterministic checks that a run depends on its seed only, and
+// that coalescing saves segments.
+func TestTrafficIsDeterministic(t *testing.T) {
+	is := is.New(t)
+	fleet := Fleet{Routers: 6, Pools: 2, Targets: 24, Workspaces: 16}
+	first := MeasureTraffic(fleet, 1)
+	is.Equal(first, MeasureTraffic(fleet, 1))
+	fleet.Window = 50 * time.Millisecond
+	is.True(MeasureTraffic(fleet, 1).PerRequest.Segments < first.PerRequest.Segments)
+}
--- /dev/null
+++ b/internal/measure/trafficentry.go
@@ -0,0 +1,175 @@
+package measure
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const demandWait = 10 * time.Second
+
+// pause draws the time to the next request at a router.
+func (t *trafficRun) pause() time.Duration { return seconds(t.rng.ExpFloat64() / requestRate) }
+
+// arrive sends the demand of a new request.
+func (r *trafficRouter) arrive() {
+	t := r.run
+	t.after(t.pause(), r.arrive)
+	t.requests++
+	r.seq++
+	cost := meanCost * math.Exp(t.rng.NormFloat64()*costSpread-costSpread*costSpread/2)
+	r.costs[r.seq] = max(int64(cost), 1)
+	p := t.pools[t.pickPool()]
+	s := r.session(p.holder)
+	s.poolOf[r.seq] = p
+	demand := &v1.Demand{
+		Seq:       r.seq,
+		Pool:      uint32(p.id),
+		Workspace: uint32(t.workspaceIDs[t.rng.IntN(len(t.workspaceIDs))]),
+		WaitMs:    uint32(demandWait.Milliseconds()),
+		Prefix:    t.rng.Uint32(),
+		BodyBytes: uint32(t.rng.IntN(1 << 14)),
+	}
+	if s.useSpare(p, demand) {
+		return
+	}
+	s.up.add(func(b *v1.EntryBatch) { b.Demands = append(b.Demands, demand) })
+}
+
+func (t *trafficRun) pickPool() int {
+	x := t.rng.Float64()
+	for i, p := range t.pools {
+		x -= p.load
+		if x < 0 {
+			return i
+		}
+	}
+	return len(t.pools) - 1
+}
+
+// useSpare starts a request on a slot that was handed out ahead.
+func (s *session) useSpare(p *trafficPool, d *v1.Demand) bool {
+	if len(s.spares[p]) == 0 {
+		return false
+	}
+	spare := s.spares[p][0]
+	s.spares[p] = s.spares[p][1:]
+	s.router.run.spareUses++
+	s.up.add(func(b *v1.EntryBatch) { b.SpareUses = append(b.SpareUses, &v1.SpareUse{Spare: spare.Id, Demand: d}) })
+	s.serve(d.Seq, 0)
+	return true
+}
+
+// receive is the scheduler's side.
+func (s *session) receive(b *v1.EntryBatch) {
+	for _, use := range b.SpareUses {
+		s.poolOf[use.Demand.Seq].step(pool.SpareUsed{Spare: use.Spare, Demand: s.demand(use.Demand)})
+	}
+	for _, d := range b.Demands {
+		s.poolOf[d.Seq].step(s.demand(d))
+	}
+	for _, p := range b.Progress {
+		s.poolOf[p.Seq].step(pool.Progress{ID: s.demandID(p.Seq), Cost: int64(p.Cost)})
+	}
+	for _, d := range b.Done {
+		service := time.Duration(d.ServiceMs) * time.Millisecond
+		s.poolOf[d.Seq].step(pool.Done{ID: s.demandID(d.Seq), Cost: int64(d.Cost), Outcome: d.Outcome, ServiceTime: service})
+		delete(s.poolOf, d.Seq)
+	}
+	for _, id := range b.SpareReturns {
+		for _, p := range s.router.run.pools {
+			if p.holder == s.holder {
+				p.step(pool.SpareReturned{Router: s.router.id, Spare: id})
+			}
+		}
+	}
+}
+
+func (s *session) demandID(seq uint64) pool.DemandID {
+	return pool.DemandID{Router: s.router.id, Seq: seq}
+}
+
+func (s *session) demand(d *v1.Demand) pool.Demand {
+	return pool.Demand{
+		ID:        s.demandID(d.Seq),
+		Workspace: config.ID(d.Workspace),
+		Estimate:  int64(d.Estimate),
+		Deadline:  s.router.run.wall().Add(time.Duration(d.WaitMs) * time.Millisecond),
+		Prefix:    d.Prefix,
+		BodyBytes: int64(d.BodyBytes),
+	}
+}
+
+// answer is the entry's side.
+func (s *session) answer(b *v1.SchedulerBatch) {
+	for _, spare := range b.Spares {
+		p := s.router.run.poolByID(config.ID(spare.Pool))
+		s.spares[p] = append(s.spares[p], spare)
+		s.router.run.after(time.Duration(spare.ExpiresMs)*time.Millisecond, func() { s.giveBack(spare.Id) })
+	}
+	for _, id := range b.RevokedSpares {
+		s.giveBack(id)
+	}
+	for _, g := range b.Grants {
+		s.router.run.grants++
+		s.serve(g.Seq, int64(g.Estimate))
+	}
+	for _, refusal := range b.Refusals {
+		delete(s.router.costs, refusal.Seq)
+		delete(s.poolOf, refusal.Seq)
+	}
+}
+
+func (t *trafficRun) poolByID(id config.ID) *trafficPool {
+	i := slices.IndexFunc(t.pools, func(p *trafficPool) bool { return p.id == id })
+	return t.pools[i]
+}
+
+// giveBack returns a spare slot that was not used.
+func (s *session) giveBack(id uint64) {
+	for p, spares := range s.spares {
+		i := slices.IndexFunc(spares, func(spare *v1.Spare) bool { return spare.Id == id })
+		if i < 0 {
+			continue
+		}
+		s.spares[p] = slices.Delete(spares, i, i+1)
+		s.up.add(func(b *v1.EntryBatch) { b.SpareReturns = append(b.SpareReturns, id) })
+		return
+	}
+}
+
+// serve sends the reports of progress and the end of a request.
+func (s *session) serve(seq uint64, charged int64) {
+	t := s.router.run
+	cost := s.router.costs[seq]
+	delete(s.router.costs, seq)
+	for next := charged; next > 0 && next < cost; next += max(next/reportDivisor, 1) {
+		t.after(seconds(float64(next)/slotRate), func() {
+			t.reports++
+			s.up.add(func(b *v1.EntryBatch) {
+				b.Progress = append(b.Progress, &v1.Progress{Seq: seq, Cost: uint32(next)})
+			})
+		})
+	}
+	service := seconds(float64(cost) / slotRate)
+	t.after(service, func() {
+		s.up.add(func(b *v1.EntryBatch) {
+			b.Done = append(b.Done, &v1.Done{Seq: seq, Cost: uint32(cost), Outcome: v1.Outcome_SERVED, ServiceMs: uint32(service.Milliseconds())})
+		})
+	})
+}
+
+// countersMessage returns the size of the counters that go to a successor.
+func (p *trafficPool) countersMessage() int {
+	message := &v1.PoolCounters{Pool: uint32(p.id), Region: "region-1", SpareSlots: uint32(p.core.Status().FreeSlots)}
+	for _, c := range p.core.Counters() {
+		message.Counters = append(message.Counters, &v1.Counter{Workspace: uint32(c.Workspace), Value: c.Value, Backlogged: c.Backlogged})
+	}
+	return proto.Size(&v1.SchedulerBatch{Counters: []*v1.PoolCounters{message}})
+}
