--- a/internal/measure/bench_test.go
+++ b/internal/measure/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/chiveseam/chiveseam/config"
 	"github.com/chiveseam/chiveseam/fleet"
@@ -217,3 +218,19 @@
 		is.True(bytes < 1<<22)
 	}
 }
+
+// TestHelloSize logs the bytes of the first batch of a stream by requests in
+// flight, from which a scheduler is rebuilt.
+func TestHelloSize(t *testing.T) {
+	is := is.New(t)
+	hello := &v1.Hello{Router: "router-100", Incarnation: 1 << 40, Zone: "zone-4", Counters: []*v1.PoolCounters{{Pool: 1 << 30}}}
+	batch := &v1.EntryBatch{Hello: hello}
+	empty := proto.Size(batch)
+	const inFlight = 100
+	for i := range inFlight {
+		hello.InFlight = append(hello.InFlight, &v1.InFlight{Seq: uint64(1<<20 + i), Pool: 1 << 30, Workspace: 1 << 30, Target: 1 << 30, Charged: benchCost})
+	}
+	each := float64(proto.Size(batch)-empty) / inFlight
+	t.Logf("hello of %d bytes and %.1f bytes a request in flight", empty, each)
+	is.True(each < 64)
+}
