--- a/fleet/list.go
+++ b/fleet/list.go
@@ -16,6 +16,9 @@
 	Revision uint64
 	// AsOf is the platform's time at which the list was true.
 	AsOf time.Time
+	// Published is the platform's time of publication, the zero Unix time if it
+	// is not known.
+	Published time.Time
 	// Adopted is the router's time at which the list came into force here.
 	Adopted time.Time
 	// Superseded is the router's time at which a newer list came into force;
@@ -89,30 +92,6 @@
 	return true
 }
 
-// keepDropped keeps routers that the new list dropped but that answer.
-func (v *View) keepDropped(now time.Time, previous map[string]*v1.Instance) {
-	for name, instance := range previous {
-		if instance.IsTarget || v.listed[name] != nil || v.leavingAt(name, instance.Incarnation) {
-			continue
-		}
-		if p := v.peers[name]; p != nil && p.answered(now, v.opts.SuspectAfter) {
-			v.joined[name] = instance
-			v.log.add(change{kind: changeJoined, name: name}, "")
-		}
-	}
-}
-
-// dropListed drops routers from joined that the list has caught up with.
-func (v *View) dropListed() {
-	for name, joined := range v.joined {
-		listed := v.listed[name]
-		if listed != nil && listed.Incarnation >= joined.Incarnation {
-			delete(v.joined, name)
-			v.log.remove(change{kind: changeJoined, name: name})
-		}
-	}
-}
-
 func (v *View) resetRestarted(previous map[string]*v1.Instance) {
 	for name, instance := range v.listed {
 		if before := previous[name]; before != nil && before.Incarnation < instance.Incarnation {
@@ -135,6 +114,7 @@
 	v.history = append(v.history, ListView{
 		Revision:  v.list.Revision,
 		AsOf:      time.UnixMilli(v.list.AsOfUnixMs),
+		Published: time.UnixMilli(v.list.PublishedUnixMs),
 		Adopted:   now,
 		Routers:   routers,
 		instances: v.listed,
@@ -181,7 +161,11 @@
 	if !carriesList {
 		return false
 	}
-	list := &v1.InstanceList{Revision: state.ListRevision, AsOfUnixMs: state.ListAsOfUnixMs}
+	list := &v1.InstanceList{
+		Revision:        state.ListRevision,
+		AsOfUnixMs:      state.ListAsOfUnixMs,
+		PublishedUnixMs: state.ListPublishedUnixMs,
+	}
 	if state.ListBaseRevision == 0 {
 		list.Instances = state.Instances
 		return v.applyList(now, list, state.Router)
--- a/orders/world_test.go
+++ b/orders/world_test.go
@@ -16,10 +16,12 @@
 
 const (
 	tick        = 200 * time.Millisecond
+	settleTime  = time.Second
+	maxPause    = 2 * time.Second
+	maxDelay    = 10 * time.Second
 	loadTime    = 3 * time.Second
 	weightBytes = 10 << 10
 	storeRate   = 5 << 10
-	storeLoads  = 2
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -35,6 +37,8 @@
 	olderState bool
 	staleness  time.Duration
 	failing    int
+	// loads is the limit of the weight store.
+	loads uint32
 }
 
 // engine is a model of an engine with its queue of orders.
@@ -55,8 +59,9 @@
 type delivery struct {
 	order orders.SendOrder
 	from  *router
-	// stray marks an order that its sender no longer waits for.
-	stray bool
+	// ended is set once the sender has its answer. It is shared by the copies
+	// of an order.
+	ended *bool
 }
 
 // router is a sender with its own view.
@@ -66,13 +71,15 @@
 	plan   *orders.Plan
 	view   []orders.Router
 	// last is the latest tick and ticked its time.
-	last    orders.Tick
-	ticked  time.Time
-	paused  time.Time
-	inbox   []orders.Event
-	reports map[string]orders.State
-	admits  []time.Time
-	gone    bool
+	last   orders.Tick
+	ticked time.Time
+	// heldFrom is the start of the role and zero without it.
+	heldFrom time.Time
+	paused   time.Time
+	inbox    []orders.Event
+	reports  map[string]orders.State
+	admits   []time.Time
+	gone     bool
 }
 
 // world joins routers and engines in virtual time.
@@ -88,13 +95,20 @@
 	timers   map[int64][]func()
 	starts   uint64
 	orders   int
+	// agreed is set when only one sender's orders change an engine and none
+	// arrives late, so that the bound of rolling reloads is exact.
+	agreed bool
 	// broken is the first violation of an invariant.
 	broken string
 }
 
-func newPlan(revision uint64, engines int) *orders.Plan {
+func newPlan(revision uint64, engines int, loads uint32) *orders.Plan {
+	return newPlanOf(revision, engines, loads, func(*v1.Configuration) {})
+}
+
+func newPlanOf(revision uint64, engines int, loads uint32, change func(*v1.Configuration)) *orders.Plan {
 	c := configtest.Valid()
-	c.WeightStore = &v1.WeightStore{MaxConcurrentLoads: storeLoads, BytesPerSecond: storeRate}
+	c.WeightStore = &v1.WeightStore{MaxConcurrentLoads: loads, BytesPerSecond: storeRate}
 	c.Pools[0].Model = &v1.ModelState{Version: version(revision), WeightBytes: weightBytes, Adapters: []string{"legal", "print"}}
 	c.Targets = c.Targets[1:]
 	for i := range engines {
@@ -104,6 +118,7 @@
 			Role: []string{"mixed", "prefill"}[revision%2],
 		})
 	}
+	change(c)
 	payload, err := proto.Marshal(c)
 	if err != nil {
 		panic(err)
@@ -123,9 +138,9 @@
 func engineName(i int) string        { return fmt.Sprintf("engine-%d", i) }
 
 func newWorld(seed uint64, f faults, routers, engines, revisions int) *world {
-	w := &world{now: start, rng: rand.New(rand.NewPCG(seed, 1)), faults: f, timers: map[int64][]func(){}}
+	w := &world{agreed: !f.cuts && !f.olderState && f.late == 0 && f.doubled == 0, now: start, rng: rand.New(rand.NewPCG(seed, 1)), faults: f, timers: map[int64][]func(){}}
 	for i := range revisions {
-		w.plans = append(w.plans, newPlan(uint64(i+1), engines))
+		w.plans = append(w.plans, newPlan(uint64(i+1), engines, f.loads))
 		w.versions = append(w.versions, version(uint64(i+1)))
 	}
 	for i := range engines {
@@ -140,7 +155,7 @@
 
 func (w *world) newRouter(name string) *router {
 	w.starts++
-	opts := orders.Options{OrderTimeout: 20 * time.Second, MaxDelay: 10 * time.Second, Seed: w.starts}
+	opts := orders.Options{Settle: settleTime, MaxPause: maxPause, OrderTimeout: 20 * time.Second, MaxDelay: maxDelay, Seed: w.starts}
 	return &router{name: name, sender: orders.New(name, opts), reports: map[string]orders.State{}}
 }
 
@@ -204,6 +219,12 @@
 		}
 		w.do(r, r.sender.Step(w.now, event))
 	}
+	switch {
+	case !owns(r.name, r.view) || r.plan == nil:
+		r.heldFrom = time.Time{}
+	case r.heldFrom.IsZero() || w.now.Sub(r.ticked) > maxPause:
+		r.heldFrom = w.now
+	}
 	r.ticked = w.now
 	r.last = orders.Tick{Plan: r.plan, Routers: r.view}
 	w.do(r, r.sender.Step(w.now, r.last))
@@ -246,27 +267,30 @@
 func (w *world) send(r *router, o orders.SendOrder) {
 	w.orders++
 	e := w.engine(o.Target)
-	d := delivery{order: o, from: r}
+	d := delivery{order: o, from: r, ended: new(bool)}
 	switch {
 	case w.chance(w.faults.lost):
 		w.after(tick, func() { w.answer(d, orders.Unknown, orders.State{}) })
 	case w.chance(w.faults.late):
-		d.stray = true
 		w.after(tick, func() { w.answer(d, orders.Unknown, orders.State{}) })
 		w.after(time.Duration(w.rng.IntN(30))*time.Second, func() { e.queue = append(e.queue, d) })
 	default:
 		w.after(w.delay(), func() { e.queue = append(e.queue, d) })
 	}
 	if w.chance(w.faults.doubled) {
-		d.stray = true
 		w.after(time.Duration(w.rng.IntN(10))*time.Second, func() { e.queue = append(e.queue, d) })
 	}
 }
 
+// answer tells a sender how its order ended, once.
 func (w *world) answer(d delivery, outcome orders.Outcome, state orders.State) {
+	if *d.ended {
+		return
+	}
 	if outcome != orders.Unknown && w.chance(w.faults.lost) {
 		outcome = orders.Unknown
 	}
+	*d.ended = true
 	w.tell(d.from, orders.OrderEnded{Target: d.order.Target, Attempt: d.order.Attempt, Outcome: outcome, State: state})
 }
 
--- a/pool/model_test.go
+++ b/pool/model_test.go
@@ -18,6 +18,7 @@
 	loss, double, late           float64
 	restart, pause, rejoin, move float64
 	outcome, report, leave       float64
+	side                         float64
 	maxDelay                     time.Duration
 }
 
@@ -77,9 +78,11 @@
 	delivered  map[config.ID]int64
 	ended      map[DemandID]string
 	answered   map[string]bool
-	restarts   int
-	started    map[config.ID]int
-	failures   []string
+	// expired holds the demands that no scheduler answered in time.
+	expired  map[DemandID]bool
+	restarts int
+	started  map[config.ID]int
+	failures []string
 }
 
 func newModel(seed uint64, schedulers, routers int, o Options, f modelFaults, targets []Target, workspaces []Workspace) *model {
@@ -94,6 +97,7 @@
 		delivered:  map[config.ID]int64{},
 		ended:      map[DemandID]string{},
 		answered:   map[string]bool{},
+		expired:    map[DemandID]bool{},
 		started:    map[config.ID]int{},
 	}
 	for i := range schedulers {
@@ -344,6 +348,7 @@
 	switch {
 	case !d.running && m.now.After(d.Deadline.Add(time.Second)):
 		m.end(r, d, "expired")
+		m.expired[d.ID] = true
 		m.send(r, Cancel{ID: d.ID})
 	case !d.running:
 	case !d.end.After(m.now):
@@ -356,6 +361,14 @@
 	}
 }
 
+// changeSide moves a workspace to a data centre, of which the other schedulers
+// learn later.
+func (m *model) changeSide(i int) {
+	w := &m.workspaces[m.rng.IntN(len(m.workspaces))]
+	w.DataCentre = []string{"", "dc0", "dc1"}[m.rng.IntN(3)]
+	m.step(i, WorkspacesChanged{Workspaces: slices.Clone(m.workspaces)})
+}
+
 // disturb brings about the faults that are not of single messages.
 func (m *model) disturb() {
 	for i := range m.schedulers {
@@ -365,6 +378,9 @@
 		if m.chance(m.faults.pause) {
 			m.pausedTo[i] = m.now.Add(time.Duration(m.rng.IntN(3000)) * time.Millisecond)
 		}
+		if m.chance(m.faults.side) {
+			m.changeSide(i)
+		}
 		if m.chance(m.faults.leave) {
 			t := &m.targets[m.rng.IntN(len(m.targets))]
 			t.Leaving = !t.Leaving
--- a/router/internal/dispatch/stream.go
+++ b/router/internal/dispatch/stream.go
@@ -141,12 +141,12 @@
 }
 
 // charged returns what the scheduler has charged at the grant. For a slot that
-// was handed out ahead it is at most the hint.
+// was handed out ahead it is about the mean that the router has seen.
 func (a *attempt) charged() uint32 {
 	if a.grant.Estimate > 0 {
 		return a.grant.Estimate
 	}
-	return a.req.Estimate
+	return a.d.expectedCost(a.req)
 }
 
 // reportProgress sends the cost when it passes the amount last charged, in
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/net/netutil"
 	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/fleet"
@@ -22,6 +23,7 @@
 	"github.com/chiveseam/chiveseam/router/internal/entry"
 	"github.com/chiveseam/chiveseam/router/internal/guard"
 	"github.com/chiveseam/chiveseam/router/internal/keys"
+	"github.com/chiveseam/chiveseam/router/internal/orders"
 	"github.com/chiveseam/chiveseam/router/internal/peer"
 	"github.com/chiveseam/chiveseam/router/internal/scheduling"
 	"github.com/chiveseam/chiveseam/router/internal/state"
@@ -49,6 +51,7 @@
 	keys       *keys.Executor
 	entry      *entry.Server
 	control    *control.Control
+	orders     *orders.Duty
 
 	entryServer *http.Server
 	adminServer *http.Server
@@ -142,6 +145,9 @@
 	}
 	r.buildEntry()
 	r.buildControl()
+	r.orders = orders.New(r.store, orders.NewHTTP(s.DialTimeout), r.metrics, r.logger, orders.Settings{
+		SuspectAfter: s.PeerSuspectAfter, Seed: s.Incarnation,
+	})
 	r.peers = peer.NewServer(peer.ServerOptions{
 		Host: r.host, Exchanger: r.control, Keys: r.keys, Entry: r.entry,
 		Timing: r.timing(), Traffic: r.metrics, Logger: r.logger,
@@ -185,7 +191,7 @@
 	r.control = control.New(control.Options{
 		Self:         r.self(),
 		Store:        r.store,
-		Platform:     platform.NewHTTP(s.PlatformURL, &http.Client{}),
+		Platform:     platform.NewHTTP(s.PlatformURL, platform.NewClient(s.DialTimeout)),
 		Caller:       r.client,
 		Keys:         r.keys,
 		Gossip:       []control.Gossip{r.guard},
@@ -256,7 +262,8 @@
 }
 
 func (r *Router) startDuties() {
-	ctx := r.tomb.Context(nil)
+	ctx := r.tomb.Context(context.Background())
+	limited := netutil.LimitListener(r.listeners.entry, r.settings.MaxConnections)
 	duties := []func() error{
 		r.host.Run,
 		r.broker.Run,
@@ -266,8 +273,9 @@
 		func() error { return r.host.RunRegions(ctx, r.client) },
 		func() error { return r.control.RunRenewal(ctx) },
 		func() error { return r.control.RunKeyViews(ctx) },
+		func() error { return r.orders.Run(ctx) },
 		func() error { return r.peers.Serve(ctx, r.listeners.peer) },
-		func() error { return serveHTTP(r.entryServer, r.listeners.entry) },
+		func() error { return serveHTTP(r.entryServer, limited) },
 		func() error { return serveHTTP(r.adminServer, r.listeners.admin) },
 	}
 	for _, duty := range duties {
--- a/router/stop.go
+++ b/router/stop.go
@@ -17,6 +17,9 @@
 	lameDuckTime = 2 * time.Second
 	drainPoll    = 50 * time.Millisecond
 	handOverTime = 5 * time.Second
+	// unlistedTime bounds the wait for a list without this router, by which the
+	// others find the new owners of its keys.
+	unlistedTime = 3 * time.Second
 )
 
 // drain is the planned stop. Readiness ends first, so that the balancer sends
@@ -30,6 +33,7 @@
 	r.entry.Stop()
 	r.keys.Stop()
 	r.finishRequests()
+	r.awaitUnlisted()
 	r.handOverKeys()
 }
 
@@ -68,6 +72,13 @@
 	return nil
 }
 
+func (r *Router) awaitUnlisted() {
+	deadline := time.Now().Add(unlistedTime)
+	for r.control.Listed() && time.Now().Before(deadline) {
+		r.pause(drainPoll)
+	}
+}
+
 // finishRequests waits until no request is open or the drain time is over.
 func (r *Router) finishRequests() {
 	deadline := time.Now().Add(r.settings.DrainTimeout)
