--- a/internal/measure/stats.go
+++ b/internal/measure/stats.go
@@ -45,3 +45,17 @@
 func (t *table) row(cells ...string) { fmt.Fprintln(t.w, strings.Join(cells, "\t")) }
 
 func (t *table) flush() { t.w.Flush() }
+
+// linearFit returns the least-squares line through the points.
+func linearFit(x, y []float64) (slope, offset float64) {
+	n := float64(len(x))
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx += x[i]
+		sy += y[i]
+		sxx += x[i] * x[i]
+		sxy += x[i] * y[i]
+	}
+	slope = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return slope, (sy - slope*sx) / n
+}
