pool: let a rebuilt scheduler hear all routers before it grants

Cause: the first router that joined a scheduler rebuilt after a loss had its waiting demands granted at once, on slots that the requests in flight of the routers behind it used. The targets got more work than they have slots, and the grants went out in the order of joining instead of that of the counters, before the routers with replicated counters had joined. Ruled out: waiting for a number of routers (the scheduler does not know which live); ordering the joins (not in the scheduler's hands). Change: Options.SettleTime, 100 ms in the daemon: a scheduler without grants that is told of requests in flight grants nothing for that time. Zero, the default of the package, waits for none; a fresh pool never waits. Planted fault: no delay, TestRebuildWaitsForRouters fails.

--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -14,6 +14,8 @@
 	// holdTime is the daemon's default of the setting grant-hold.
 	holdTime  = time.Second
 	maxSpares = 4
+	// settleTime is that of the daemon.
+	settleTime = 100 * time.Millisecond
 	// counterInterval is how often counters go to the next routers in rank.
 	counterInterval = time.Second
 	successors      = 2
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -44,7 +44,7 @@
 	case RoundRobin:
 		return newBaseline(&turnOrder{queues: map[config.ID][]pool.Demand{}})
 	default:
-		return pool.New(pool.Options{InitialCost: d.InitialCost, HoldTime: holdTime, MaxSpares: maxSpares, Seed: seed})
+		return pool.New(pool.Options{InitialCost: d.InitialCost, HoldTime: holdTime, SettleTime: settleTime, MaxSpares: maxSpares, Seed: seed})
 	}
 }
 
--- a/pool/router.go
+++ b/pool/router.go
@@ -68,6 +68,7 @@
 	s.dropWaiting(r)
 	s.dropSpares(r)
 	s.reconcile(r, e.InFlight)
+	s.awaitRouters(len(e.InFlight))
 	r.endedLen = 0
 	r.endedNext = 0
 	s.counters.Merge(fromCounters(e.Counters))
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -16,7 +16,7 @@
 // Scheduler assigns the slots of a pool's targets to waiting demands.
 //
 // After each step, no free slot coexists with a waiting demand that may use
-// it. Between workspaces the least counter of package fairshare goes first,
+// it, except for Options.SettleTime after a rebuild. Between workspaces the least counter of package fairshare goes first,
 // within a workspace the earliest deadline. All state is soft: an empty
 // Scheduler is rebuilt by TargetsChanged, WorkspacesChanged and RouterJoined,
 // in this order. Lost, doubled, reordered and late events do no harm beyond
@@ -38,6 +38,7 @@
 	// incarnations holds the joined incarnation of each router.
 	incarnations map[string]*router
 	spares       spareSet
+	settling     settling
 	service      serviceRate
 	peerSpares   map[string]int
 
--- /dev/null
+++ b/pool/settle_test.go
@@ -0,0 +1,56 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/pool"
+)
+
+// TestRebuildWaitsForRouters checks that a scheduler that is rebuilt grants no
+// slot before all routers had the time to tell which are in use.
+func TestRebuildWaitsForRouters(t *testing.T) {
+	is := is.New(t)
+	const settle = 100 * time.Millisecond
+	start := time.Unix(1_800_000_000, 0)
+	first, second := pool.Router{Name: "first", Incarnation: 1}, pool.Router{Name: "second", Incarnation: 1}
+	s := pool.New(pool.Options{SettleTime: settle})
+	s.Step(start, pool.WorkspacesChanged{Workspaces: []pool.Workspace{{ID: 1, Share: 1}}})
+	s.Step(start, pool.TargetsChanged{Targets: []pool.Target{{ID: 1, Slots: 1, Speed: 1}, {ID: 2, Slots: 2, Speed: 1}}})
+	s.Step(start, pool.RouterJoined{Router: first, InFlight: []pool.InFlight{
+		{ID: pool.DemandID{Router: first, Seq: 1}, Workspace: 1, Target: 1},
+	}})
+	for seq := uint64(2); seq <= 3; seq++ {
+		is.Equal(len(s.Step(start, pool.Demand{ID: pool.DemandID{Router: first, Seq: seq}, Workspace: 1})), 0)
+	}
+	s.Step(start, pool.RouterJoined{Router: second, InFlight: []pool.InFlight{
+		{ID: pool.DemandID{Router: second, Seq: 1}, Workspace: 1, Target: 2},
+	}})
+	is.Equal(s.Status().FreeSlots, 0) // none is told to peers meanwhile
+	due, ok := s.NextTick()
+	is.True(ok)
+	is.Equal(due, start.Add(settle))
+	is.Equal(len(s.Step(due.Add(-time.Nanosecond), pool.Tick{})), 0)
+	granted := 0
+	for _, action := range s.Step(due, pool.Tick{}) {
+		g := action.(pool.Grant)
+		is.Equal(int(g.Target), 2)
+		granted++
+	}
+	is.Equal(granted, 1) // the one slot that is free
+}
+
+// TestFreshSchedulerGrantsAtOnce checks that nothing waits where no request is
+// in flight.
+func TestFreshSchedulerGrantsAtOnce(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_800_000_000, 0)
+	router := pool.Router{Name: "first", Incarnation: 1}
+	s := pool.New(pool.Options{SettleTime: time.Second})
+	s.Step(start, pool.WorkspacesChanged{Workspaces: []pool.Workspace{{ID: 1, Share: 1}}})
+	s.Step(start, pool.TargetsChanged{Targets: []pool.Target{{ID: 1, Slots: 1, Speed: 1}}})
+	s.Step(start, pool.RouterJoined{Router: router})
+	is.Equal(len(s.Step(start, pool.Demand{ID: pool.DemandID{Router: router, Seq: 1}, Workspace: 1})), 1)
+}
--- a/pool/status.go
+++ b/pool/status.go
@@ -95,6 +95,9 @@
 
 func (s *Scheduler) freeSlots() int {
 	free := 0
+	if s.settling.active {
+		return free
+	}
 	for _, t := range s.open {
 		free += t.free()
 	}
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -22,6 +22,8 @@
 	inputLimit = 4096
 	// maxTick bounds the time between two steps of the loop.
 	maxTick = 100 * time.Millisecond
+	// settleTime is how long a scheduler that is rebuilt waits for the routers.
+	settleTime = 100 * time.Millisecond
 	// counterInterval is how often the counters go to the next in rank.
 	counterInterval = time.Second
 	// successors is the number of routers that receive the counters.
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -27,6 +27,7 @@
 	sched := pool.New(pool.Options{
 		InitialCost: int64(p.InitialCost),
 		HoldTime:    h.opts.HoldTime,
+		SettleTime:  settleTime,
 		MaxSpares:   h.opts.MaxSpares,
 		Seed:        h.opts.Seed,
 	})
