Heartbeats only where something waits; counters as changes

Cause: the measurement of control traffic put 4,560 of an entry's 8,137 B/s on heartbeats of 26 streams, most of them without a waiting demand, and 66 KB/s of a role holder on sending all counters to its successors every second. Hellos to schedulers of other regions carried the own region's counters, whose scale differs. Ruled out: no heartbeat at all, since the end of a request that is lost on a silent connection would keep its slot busy. Change: an entry sends a heartbeat every 500 ms where demands wait and nothing is heard, every 5 s elsewhere, and the scheduler answers each; silence limits follow. Only counters that changed are sent, and only to the own region.

--- a/router/internal/broker/answer.go
+++ b/router/internal/broker/answer.go
@@ -27,7 +27,19 @@
 		b.refused(l, refusal)
 	}
 	for _, c := range batch.Counters {
-		b.counters[config.ID(c.Pool)] = c
+		b.mergeCounters(c)
+	}
+}
+
+// mergeCounters keeps the counters that the scheduler of a pool has sent, for
+// a scheduler that starts without memory.
+func (b *Broker) mergeCounters(message *v1.PoolCounters) {
+	pool := config.ID(message.Pool)
+	if b.counters[pool] == nil {
+		b.counters[pool] = map[config.ID]*v1.Counter{}
+	}
+	for _, c := range message.Counters {
+		b.counters[pool][config.ID(c.Workspace)] = c
 	}
 }
 
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -40,6 +40,9 @@
 // block, and may coalesce it with others.
 type Link interface {
 	Send(*v1.EntryBatch)
+	// SetWaiting tells whether demands wait on the link. Its silence is found
+	// sooner while they do.
+	SetWaiting(bool)
 	Close()
 }
 
@@ -89,7 +92,8 @@
 	links    map[string]*link
 	avoid    map[string]time.Time
 	spares   map[poolKey][]spare
-	counters map[config.ID]*v1.PoolCounters
+	// counters holds the last counters seen, by pool and workspace.
+	counters map[config.ID]map[config.ID]*v1.Counter
 	// dropped holds links to earlier incarnations, whose requests are to be
 	// moved.
 	dropped []*link
@@ -130,7 +134,7 @@
 		links:    map[string]*link{},
 		avoid:    map[string]time.Time{},
 		spares:   map[poolKey][]spare{},
-		counters: map[config.ID]*v1.PoolCounters{},
+		counters: map[config.ID]map[config.ID]*v1.Counter{},
 	}
 	return b
 }
@@ -341,11 +345,25 @@
 			b.refuse(r, result.New(v1.Code_DEADLINE_EXCEEDED, v1.Ran_NO, "no slot was granted in time"))
 		}
 	}
+	b.tellWaiting()
 	b.dropExpiredSpares(now)
 	b.closeIdleLinks(now)
 	b.endAvoidance(now)
 }
 
+// tellWaiting tells each link whether demands wait on it.
+func (b *Broker) tellWaiting() {
+	waiting := map[*link]bool{}
+	for _, r := range b.requests {
+		if !r.granted {
+			waiting[r.link] = true
+		}
+	}
+	for _, l := range b.links {
+		l.conn.SetWaiting(waiting[l])
+	}
+}
+
 // endAvoidance lets roles move back to routers that were passed over.
 func (b *Broker) endAvoidance(now time.Time) {
 	ended := false
--- a/router/internal/broker/fixture_test.go
+++ b/router/internal/broker/fixture_test.go
@@ -32,6 +32,7 @@
 
 func (l *fakeLink) Send(batch *v1.EntryBatch) { l.sent = append(l.sent, batch) }
 func (l *fakeLink) Close()                    { l.closed = true }
+func (l *fakeLink) SetWaiting(bool)           {}
 
 // take returns all that was sent since the last call as one batch.
 func (l *fakeLink) take() *v1.EntryBatch {
--- a/router/internal/broker/link.go
+++ b/router/internal/broker/link.go
@@ -76,7 +76,8 @@
 }
 
 // greet adds the router's state of the pool to the link's next batch: the
-// slots in use and the last counters seen.
+// slots in use and, for the scheduler of its own region, the last counters
+// seen.
 func (b *Broker) greet(l *link, key poolKey) {
 	if l.batch.Hello == nil {
 		self := b.store.Fleet().Self
@@ -96,9 +97,11 @@
 			Charged:   r.charged,
 		})
 	}
-	counters := b.counters[id]
-	if counters == nil {
-		counters = &v1.PoolCounters{Pool: uint32(id)}
+	counters := &v1.PoolCounters{Pool: uint32(id)}
+	if key.region == b.store.Fleet().Self.Region {
+		for _, c := range b.counters[id] {
+			counters.Counters = append(counters.Counters, c)
+		}
 	}
 	l.batch.Hello.Counters = append(l.batch.Hello.Counters, counters)
 }
--- a/router/internal/peer/coalescer.go
+++ b/router/internal/peer/coalescer.go
@@ -54,11 +54,8 @@
 }
 
 // run sends batches until send fails or done is closed. The first batch after
-// a pause goes at once; later ones wait for the interval since the last. An
-// empty batch is sent as a heartbeat when nothing else was.
-func (c *coalescer[T]) run(done <-chan struct{}, heartbeat time.Duration, send func(T) error) error {
-	beat := time.NewTimer(heartbeat)
-	defer beat.Stop()
+// a pause goes at once; later ones wait for the interval since the last.
+func (c *coalescer[T]) run(done <-chan struct{}, send func(T) error) error {
 	var last time.Time
 	for {
 		select {
@@ -66,7 +63,6 @@
 			if wait := c.interval - time.Since(last); wait > 0 {
 				time.Sleep(wait)
 			}
-		case <-beat.C:
 		case <-done:
 			return nil
 		}
@@ -75,6 +71,5 @@
 			return err
 		}
 		last = time.Now()
-		beat.Reset(heartbeat)
 	}
 }
--- a/router/internal/peer/scheduling.go
+++ b/router/internal/peer/scheduling.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 	"gopkg.in/tomb.v2"
+	"storj.io/drpc/drpcconn"
 
 	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -22,9 +23,10 @@
 
 // Timing of the connections between routers.
 type Timing struct {
-	// Heartbeat is the time between messages on an otherwise idle stream.
+	// Heartbeat is the time between heartbeats on a silent stream on which
+	// demands wait.
 	Heartbeat time.Duration
-	// SuspectAfter is the silence after which a stream is given up.
+	// SuspectAfter is the silence after which such a stream is given up.
 	SuspectAfter time.Duration
 	// Coalesce is the least time between two writes on a stream.
 	Coalesce time.Duration
@@ -64,8 +66,12 @@
 	dialer *Dialer
 	cancel context.CancelCauseFunc
 	out    *coalescer[*v1.EntryBatch]
+	pulse  pulse
 }
 
+// SetWaiting implements broker.Link.
+func (l *remoteLink) SetWaiting(waiting bool) { l.pulse.setWaiting(waiting, time.Now()) }
+
 // Send implements broker.Link.
 func (l *remoteLink) Send(batch *v1.EntryBatch) { l.out.add(batch) }
 
@@ -89,25 +95,22 @@
 		return fmt.Errorf("connect to %s: %w", member.Name, err)
 	}
 	defer stream.Close()
+	l.pulse.heard(time.Now())
 	go l.write(ctx, stream)
-	watch := newSilenceWatch(l.dialer.Timing.SuspectAfter, func() {
-		l.cancel(errPeerSilent)
-		conn.Close()
-	})
-	defer watch.stop()
+	go l.watch(ctx, conn)
 	for {
 		batch, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		watch.heard()
+		l.pulse.heard(time.Now())
 		l.dialer.Traffic.Message("scheduler_batch", Received, proto.Size(batch))
 		receiver.Received(batch)
 	}
 }
 
 func (l *remoteLink) write(ctx context.Context, stream v1.DRPCScheduling_ConnectClient) {
-	err := l.out.run(ctx.Done(), l.dialer.Timing.Heartbeat, func(batch *v1.EntryBatch) error {
+	err := l.out.run(ctx.Done(), func(batch *v1.EntryBatch) error {
 		l.dialer.Traffic.Message("entry_batch", Sent, proto.Size(batch))
 		return stream.Send(batch)
 	})
@@ -117,6 +120,27 @@
 	}
 }
 
+// watch sends heartbeats on a silent stream and ends one that stays silent.
+func (l *remoteLink) watch(ctx context.Context, conn *drpcconn.Conn) {
+	ticker := time.NewTicker(l.dialer.Timing.Heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			if l.pulse.quiet(now, l.dialer.Timing.SuspectAfter) {
+				l.cancel(errPeerSilent)
+				conn.Close()
+				return
+			}
+			if l.pulse.quiet(now, l.dialer.Timing.Heartbeat) {
+				l.out.add(&v1.EntryBatch{})
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // silenceWatch calls a function once when nothing was heard for a while.
 type silenceWatch struct {
 	limit time.Duration
@@ -165,10 +189,10 @@
 	defer end()
 	failed := make(chan error, 2)
 	go func() {
-		failed <- s.receiveBatches(stream, session, first, end)
+		failed <- s.receiveBatches(stream, session, first, out, end)
 	}()
 	go func() {
-		failed <- out.run(done, s.opts.Timing.Heartbeat, func(batch *v1.SchedulerBatch) error {
+		failed <- out.run(done, func(batch *v1.SchedulerBatch) error {
 			s.opts.Traffic.Message("scheduler_batch", Sent, proto.Size(batch))
 			return stream.Send(batch)
 		})
@@ -176,12 +200,18 @@
 	return <-failed
 }
 
-func (s *Server) receiveBatches(stream v1.DRPCScheduling_ConnectStream, session *scheduling.Session, batch *v1.EntryBatch, silent func()) error {
-	watch := newSilenceWatch(s.opts.Timing.SuspectAfter, silent)
+func (s *Server) receiveBatches(stream v1.DRPCScheduling_ConnectStream, session *scheduling.Session, batch *v1.EntryBatch, out *coalescer[*v1.SchedulerBatch], silent func()) error {
+	watch := newSilenceWatch(idleFactor*s.opts.Timing.SuspectAfter, silent)
 	defer watch.stop()
 	for {
-		s.opts.Traffic.Message("entry_batch", Received, proto.Size(batch))
-		session.Receive(batch)
+		size := proto.Size(batch)
+		s.opts.Traffic.Message("entry_batch", Received, size)
+		if size == 0 {
+			// A heartbeat is answered by one.
+			out.add(&v1.SchedulerBatch{})
+		} else {
+			session.Receive(batch)
+		}
 		var err error
 		batch, err = stream.Recv()
 		if err != nil {
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -55,7 +55,9 @@
 	// The fields below belong to the host's loop.
 	joined map[config.ID]bool
 	poolOf map[uint64]config.ID
-	out    *v1.SchedulerBatch
+	// replicated holds the counters as last sent, by pool and workspace.
+	replicated map[config.ID]map[config.ID]pool.Counter
+	out        *v1.SchedulerBatch
 }
 
 type (
@@ -105,13 +107,14 @@
 // goroutine; it must not block and takes the batch over.
 func (h *Host) Open(router pool.Router, zone string, send func(*v1.SchedulerBatch)) *Session {
 	s := &Session{
-		host:   h,
-		router: router,
-		zone:   zone,
-		send:   send,
-		joined: map[config.ID]bool{},
-		poolOf: map[uint64]config.ID{},
-		out:    &v1.SchedulerBatch{},
+		host:       h,
+		router:     router,
+		zone:       zone,
+		send:       send,
+		joined:     map[config.ID]bool{},
+		poolOf:     map[uint64]config.ID{},
+		replicated: map[config.ID]map[config.ID]pool.Counter{},
+		out:        &v1.SchedulerBatch{},
 	}
 	h.post(openInput{s})
 	return s
--- a/router/internal/scheduling/local.go
+++ b/router/internal/scheduling/local.go
@@ -44,6 +44,9 @@
 	}
 }
 
+// SetWaiting implements broker.Link. A link without a connection is not silent.
+func (l *LocalLink) SetWaiting(bool) {}
+
 func (l *LocalLink) answer(batch *v1.SchedulerBatch) {
 	select {
 	case l.answers <- batch:
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -121,15 +121,35 @@
 			h.dropIdle(id, sched)
 			continue
 		}
-		message := countersMessage(id, fleet.Self.Region, sched)
+		counters := sched.Counters()
 		for _, m := range ranked[1:] {
 			if s, ok := h.sessions[pool.Router{Name: m.Name, Incarnation: m.Incarnation}]; ok {
-				s.out.Counters = append(s.out.Counters, message)
+				s.replicate(id, counters)
 			}
 		}
 	}
 }
 
+// replicate sends the counters that changed since they were last sent on the
+// session.
+func (s *Session) replicate(id config.ID, counters []pool.Counter) {
+	sent, ok := s.replicated[id]
+	if !ok {
+		sent = map[config.ID]pool.Counter{}
+		s.replicated[id] = sent
+	}
+	message := &v1.PoolCounters{Pool: uint32(id)}
+	for _, c := range counters {
+		if sent[c.Workspace] != c {
+			sent[c.Workspace] = c
+			message.Counters = append(message.Counters, counterMessage(c))
+		}
+	}
+	if len(message.Counters) > 0 {
+		s.out.Counters = append(s.out.Counters, message)
+	}
+}
+
 // dropIdle forgets a pool that another router schedules, once nothing waits or
 // runs here.
 func (h *Host) dropIdle(id config.ID, sched *pool.Scheduler) {
@@ -148,15 +168,6 @@
 	}
 }
 
-func countersMessage(id config.ID, region string, sched *pool.Scheduler) *v1.PoolCounters {
-	status := sched.Status()
-	message := &v1.PoolCounters{Pool: uint32(id), Region: region, SpareSlots: uint32(status.FreeSlots)}
-	for _, c := range status.Counters {
-		message.Counters = append(message.Counters, counterMessage(c))
-	}
-	return message
-}
-
 func counterMessage(c pool.Counter) *v1.Counter {
 	return &v1.Counter{Workspace: uint32(c.Workspace), Value: c.Value, Backlogged: c.Backlogged}
 }
