--- /dev/null
+++ b/internal/compose/compose_test.go
@@ -0,0 +1,244 @@
+package compose
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/chiveseam/chiveseam/internal/fixedseed"
+	"github.com/chiveseam/chiveseam/requestkey"
+)
+
+const (
+	minSteps = 10
+	maxSteps = 60
+	maxPause = 2 * time.Second
+	// quietTime is more than any call or exchange takes.
+	quietTime = 45 * time.Second
+	floodSize = 2*MaxQueued + 4
+	// maxStops leaves routers that serve.
+	maxStops = 2
+)
+
+// scenario draws failures and calls for a world.
+type scenario struct {
+	t     *rapid.T
+	w     *World
+	ops   []*Operation
+	stops int
+}
+
+// Any failures, together or twice, leave the promises of the package in force.
+func TestPromisesUnderAnyFailures(t *testing.T) {
+	var total Stats
+	rapid.Check(t, func(t *rapid.T) {
+		s := newScenario(t)
+		for range rapid.IntRange(minSteps, maxSteps).Draw(t, "steps") {
+			s.step()
+			s.run(time.Duration(rapid.IntRange(0, int(maxPause/time.Millisecond)).Draw(t, "ms")) * time.Millisecond)
+		}
+		s.heal()
+		s.run(quietTime)
+		s.w.Finish()
+		s.verify()
+		total.add(s.w.Stats)
+	})
+	t.Logf("%+v", total)
+}
+
+func (s *Stats) add(o Stats) {
+	s.Calls += o.Calls
+	s.Runs += o.Runs
+	s.Served += o.Served
+	s.Replayed += o.Replayed
+	s.Forwards += o.Forwards
+	s.Claims += o.Claims
+	s.Retries += o.Retries
+	s.Lost += o.Lost
+	s.HandOvers += o.HandOvers
+	s.Stops += o.Stops
+	s.Grants += o.Grants
+}
+
+func newScenario(t *rapid.T) *scenario {
+	routers := rapid.IntRange(3, 6).Draw(t, "routers")
+	w := New(Options{
+		Seed:    rapid.Uint64().Draw(t, "seed"),
+		Routers: routers,
+		Zones:   rapid.IntRange(2, min(4, routers)).Draw(t, "zones"),
+		Targets: rapid.IntRange(2, 6).Draw(t, "targets"),
+		Keys: requestkey.Options{
+			Lifetime:     rapid.SampledFrom([]time.Duration{time.Minute, 3 * time.Minute}).Draw(t, "lifetime"),
+			Right:        10 * time.Second,
+			ClockError:   time.Second,
+			StartReserve: 15 * time.Second,
+		},
+	})
+	s := &scenario{t: t, w: w}
+	s.run(5 * time.Second)
+	return s
+}
+
+func (s *scenario) run(d time.Duration) {
+	s.w.Run(d)
+	s.verify()
+}
+
+func (s *scenario) verify() {
+	if s.w.Violation != nil {
+		s.t.Fatal(s.w.Violation)
+	}
+}
+
+// step draws one failure, repair or group of calls.
+func (s *scenario) step() {
+	steps := []struct {
+		name string
+		do   func()
+	}{
+		{"send", s.send}, {"resend", s.resend}, {"resend to all", s.resendToAll}, {"send poison", s.sendPoison},
+		{"flood", s.flood}, {"publish", s.publish}, {"crash", s.crash}, {"restart", s.restart}, {"pause", s.pause},
+		{"resume", s.resume}, {"cut", s.cut}, {"heal cut", s.healCut}, {"network", s.network}, {"platform", s.platform},
+		{"target crash", s.crashTarget}, {"target", s.target}, {"leave", s.leave}, {"stop", s.stop},
+	}
+	names := make([]string, len(steps))
+	for i, step := range steps {
+		names[i] = step.name
+	}
+	name := rapid.SampledFrom(names).Draw(s.t, "step")
+	for _, step := range steps {
+		if step.name == name {
+			step.do()
+		}
+	}
+}
+
+func (s *scenario) router() *Router {
+	return s.w.Routers[rapid.IntRange(0, len(s.w.Routers)-1).Draw(s.t, "router")]
+}
+
+func (s *scenario) aTarget() *Target {
+	return s.w.Targets[rapid.IntRange(0, len(s.w.Targets)-1).Draw(s.t, "target")]
+}
+
+// operation draws an operation with a key of any kind or without.
+func (s *scenario) operation(r *Router, workspace string) *Operation {
+	op := &Operation{
+		Number:     len(s.ops) + 1,
+		Workspace:  workspace,
+		Idempotent: rapid.IntRange(0, 3).Draw(s.t, "idempotent") == 0,
+	}
+	switch rapid.SampledFrom([]string{"none", "issued", "young", "chosen"}).Draw(s.t, "key") {
+	case "issued":
+		op.Key = r.Issue()
+	case "young":
+		op.Key = s.w.YoungKey()
+	case "chosen":
+		op.Key = s.w.ChosenKey()
+	}
+	s.ops = append(s.ops, op)
+	return op
+}
+
+func (s *scenario) send() {
+	r := s.router()
+	op := s.operation(r, rapid.SampledFrom(workspaceNames[:]).Draw(s.t, "workspace"))
+	s.w.Send(op, s.router())
+}
+
+func (s *scenario) sendPoison() {
+	r := s.router()
+	op := s.operation(r, workspaceNames[0])
+	op.Poison = true
+	s.w.Send(op, r)
+}
+
+func (s *scenario) resend() {
+	if len(s.ops) > 0 {
+		op := rapid.SampledFrom(s.ops).Draw(s.t, "operation")
+		s.w.Send(op, s.router())
+	}
+}
+
+func (s *scenario) resendToAll() {
+	if len(s.ops) == 0 {
+		return
+	}
+	op := s.ops[len(s.ops)-1-rapid.IntRange(0, min(3, len(s.ops)-1)).Draw(s.t, "back")]
+	for _, r := range s.w.Routers {
+		s.w.Send(op, r)
+	}
+}
+
+func (s *scenario) flood() {
+	r := s.router()
+	for range floodSize {
+		op := &Operation{Number: len(s.ops) + 1, Workspace: workspaceNames[1]}
+		s.ops = append(s.ops, op)
+		s.w.Send(op, r)
+	}
+}
+
+func (s *scenario) publish() {
+	s.w.Platform.Publish(rapid.IntRange(0, 3).Draw(s.t, "valid") > 0)
+}
+
+func (s *scenario) crash()   { s.router().Crash() }
+func (s *scenario) restart() { s.router().Restart() }
+func (s *scenario) pause()   { s.router().Pause() }
+func (s *scenario) resume()  { s.router().Resume() }
+func (s *scenario) healCut() { s.w.Cut(0) }
+
+func (s *scenario) cut() {
+	s.w.Cut(uint(rapid.IntRange(1, 7).Draw(s.t, "zones")))
+}
+
+func (s *scenario) network() {
+	s.w.Loss = rapid.SampledFrom([]int{0, 5, 30}).Draw(s.t, "loss")
+	s.w.Doubled = rapid.SampledFrom([]int{0, 20}).Draw(s.t, "doubled")
+	s.w.Slow = rapid.Bool().Draw(s.t, "slow")
+}
+
+func (s *scenario) platform() {
+	p := s.w.Platform
+	p.ListLag = time.Duration(rapid.IntRange(0, 10).Draw(s.t, "lag")) * time.Second
+	p.Down = rapid.Bool().Draw(s.t, "down")
+	p.DownFor = map[string]bool{zoneName(rapid.IntRange(0, 3).Draw(s.t, "zone")): rapid.Bool().Draw(s.t, "down for")}
+	if p.StaleSince = (time.Time{}); rapid.Bool().Draw(s.t, "stale") {
+		p.StaleSince = s.w.Now().Add(-time.Duration(rapid.IntRange(0, 60).Draw(s.t, "stale by")) * time.Second)
+	}
+}
+
+func (s *scenario) crashTarget() { s.aTarget().Crash() }
+
+func (s *scenario) target() {
+	t := s.aTarget()
+	t.Silent = rapid.Bool().Draw(s.t, "silent")
+	t.Late = rapid.Bool().Draw(s.t, "late")
+}
+
+func (s *scenario) leave() {
+	s.aTarget().Leave(rapid.Bool().Draw(s.t, "leaving"))
+}
+
+func (s *scenario) stop() {
+	if s.stops < maxStops {
+		s.stops++
+		s.router().Stop()
+	}
+}
+
+// heal ends all failures.
+func (s *scenario) heal() {
+	s.w.Cut(0)
+	s.w.Loss, s.w.Doubled, s.w.Slow = 0, 0, false
+	s.w.Platform.Heal()
+	for _, t := range s.w.Targets {
+		t.Silent, t.Late = false, false
+	}
+	for _, r := range s.w.Routers {
+		r.Resume()
+		r.Restart()
+	}
+}
--- /dev/null
+++ b/internal/compose/execute.go
@@ -0,0 +1,185 @@
+package compose
+
+import (
+	"time"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/quarantine"
+	"github.com/chiveseam/chiveseam/retry"
+)
+
+const (
+	startTime        = 5 * time.Second
+	totalTime        = 20 * time.Second
+	firstByteTimeout = 4 * time.Second
+	// maxSuspectPause is that of the daemon's guard.
+	maxSuspectPause = 250 * time.Millisecond
+	dialTimeout     = 50 * time.Millisecond
+)
+
+// job is the sequence of attempts at one execution.
+type job struct {
+	*execution
+	mayStart func() bool
+	end      func(Final)
+	number   int
+	ran      v1.Ran
+	exclude  []config.ID
+	// informed is set when the attempt at hand is made by a router that must
+	// know of an earlier loss.
+	informed bool
+}
+
+// attempt is one try at a target.
+type attempt struct {
+	*job
+	target *Target
+	seq    uint64
+	sent   time.Time
+	over   bool
+}
+
+// outcome is how an attempt ended.
+type outcome struct {
+	final   Final
+	outcome v1.Outcome
+	crashed bool
+}
+
+// dispatch makes one attempt after the other as far as that is allowed.
+func (r *Router) dispatch(x *execution, mayStart func() bool, end func(Final)) {
+	r.budget.Requested(r.now())
+	r.watch.requests++
+	j := &job{execution: x, mayStart: mayStart, end: end, ran: v1.Ran_NO}
+	j.next()
+}
+
+// next asks the quarantine for the next attempt.
+func (j *job) next() {
+	r := j.r
+	op := j.call.op
+	d := r.book.Begin(r.now(), op.digest())
+	switch {
+	case d.Action == quarantine.Refuse:
+		j.finish(Final{Code: d.Code, Ran: v1.Ran_NO})
+	case d.Action == quarantine.Run:
+		j.informed = r.w.informed(r, j.call)
+		j.acquire()
+	case !r.now().Before(j.endBy):
+		j.finish(Final{Code: v1.Code_CANCELLED, Ran: v1.Ran_NO})
+	default:
+		r.w.after(r, min(d.RetryAfter, maxSuspectPause), j.next)
+	}
+}
+
+func (j *job) acquire() {
+	b := j.r.broker
+	event := pool.Demand{
+		Workspace: config.IDOf(j.call.op.Workspace), Deadline: j.startBy, BodyBytes: 1, Exclude: j.exclude,
+	}
+	var seq uint64
+	b.acquire(event, func(target config.ID, refusal Final) {
+		if refusal.Code != v1.Code_CODE_UNSPECIFIED {
+			j.r.book.Ended(j.r.now(), j.call.op.digest())
+			j.finish(refusal)
+			j.r.checkRefused(j.execution, refusal.Code)
+			return
+		}
+		a := &attempt{job: j, target: j.r.w.targets[target], seq: seq}
+		a.start()
+	})
+	seq = b.seq
+}
+
+// start sends the request to the target.
+func (a *attempt) start() {
+	r := a.r
+	a.number++
+	a.sent = r.w.now
+	if !a.target.accepts(r.zone) {
+		r.w.after(r, dialTimeout, func() {
+			a.ended(outcome{final: Final{Code: v1.Code_NO_TARGET, Ran: v1.Ran_NO}, outcome: v1.Outcome_NOT_RUN})
+		})
+		return
+	}
+	if !a.mayStart() {
+		a.ended(outcome{final: Final{Code: v1.Code_KEY_RIGHT_LAPSED, Ran: v1.Ran_NO}, outcome: v1.Outcome_NOT_RUN})
+		return
+	}
+	r.w.after(nil, r.w.delay(), func() { a.target.execute(a) })
+	limit := min(firstByteTimeout, a.endBy.Sub(r.now()))
+	r.w.after(r, limit, func() { a.lost(v1.Code_TARGET_TIMEOUT, false) })
+}
+
+// answered takes in the target's whole answer.
+func (a *attempt) answered(body string) {
+	a.ended(outcome{final: Final{Code: v1.Code_OK, Ran: v1.Ran_YES, Body: body}, outcome: v1.Outcome_SERVED})
+}
+
+// reset takes in the end of the connection.
+func (a *attempt) reset() { a.lost(v1.Code_TARGET_LOST, true) }
+
+func (a *attempt) lost(code v1.Code, crashed bool) {
+	a.ended(outcome{final: Final{Code: code, Ran: v1.Ran_UNKNOWN}, outcome: v1.Outcome_LOST, crashed: crashed})
+}
+
+// ended gives the slot back and tells the quarantine, once.
+func (a *attempt) ended(o outcome) {
+	if a.over {
+		return
+	}
+	a.over = true
+	r := a.r
+	digest := a.call.op.digest()
+	r.broker.finish(a.seq, o.outcome, r.w.now.Sub(a.sent))
+	switch {
+	case o.crashed:
+		r.book.Lost(r.now(), digest, quarantine.Target(a.target.id))
+		r.w.lossKnown(a.call.op)
+	case o.final.Code == v1.Code_OK:
+		r.book.Answered(r.now(), digest)
+	default:
+		r.book.Ended(r.now(), digest)
+	}
+	a.exclude = append(a.exclude, a.target.id)
+	a.conclude(o)
+}
+
+// conclude ends the job or repeats the attempt.
+func (j *job) conclude(o outcome) {
+	if o.final.Code == v1.Code_OK {
+		j.finish(o.final)
+		return
+	}
+	r := j.r
+	j.ran = combine(j.ran, o.final.Ran)
+	verdict := retry.Policy{}.Next(r.now(), retry.Attempt{
+		Number: j.number, Ran: j.ran, Idempotent: j.call.op.Idempotent, Deadline: j.startBy,
+	}, r.budget, r.rng.Uint64())
+	if verdict.Retry {
+		r.checkRetry()
+		r.w.after(r, verdict.Delay, j.next)
+		return
+	}
+	if verdict.Code != v1.Code_CODE_UNSPECIFIED && j.ran == v1.Ran_NO {
+		o.final.Code = verdict.Code
+	}
+	j.finish(o.final)
+}
+
+// finish ends the job with what is true of all its attempts.
+func (j *job) finish(f Final) {
+	j.ran = combine(j.ran, f.Ran)
+	f.Ran = j.ran
+	j.end(f)
+}
+
+// combine returns what is true of all attempts together.
+func combine(earlier, last v1.Ran) v1.Ran {
+	if last == v1.Ran_NO {
+		return earlier
+	}
+	return last
+}
