guard: tell peers of a lost target before the caller

Cause: a router told its caller that a request was lost with its target before other routers knew. A caller who sent the request again at once, to another router each time, found routers that ran it as new: "operation 1 took down 3 targets" with five routers that could talk (internal/compose, a resend to each router in turn).

Change: Guard.End swaps state with all reachable routers after a crash and returns when they have answered, or after 500 ms. Requests that are lost together share a round. quarantine's package comment names the duty.

Before: third target lost.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -9,11 +9,15 @@
 // only shared a target with the culprit are not blamed. Each entry expires
 // Options.Lifetime after its last loss: no request is refused for good.
 //
-// Routers exchange entries with Snapshot and Merge. To start a suspect, a
-// router first announces the wish with Begin (Wait) and sends Snapshot to all
-// peers; if none of them runs the request and none with a lesser name announces
-// the same within Options.Settle, it holds the suspect's only place. Two
-// routers that cannot talk may each run a suspect once.
+// Routers exchange entries with Snapshot and Merge. After Lost, the router must
+// send Snapshot to all peers before it tells the caller of the failure. Else
+// the request, sent again at once to a router that has not heard of the loss,
+// would run there as if it were new.
+//
+// To start a suspect, a router first announces the wish with Begin (Wait) and
+// sends Snapshot to all peers; if none of them runs the request and none with a
+// lesser name announces the same within Options.Settle, it holds the suspect's
+// only place. Two routers that cannot talk may each run a suspect once.
 //
 // The loss of a target that was pardoned by a whole answer may be pardoned again
 // by a peer's older entry; the losses of other targets still count.
--- /dev/null
+++ b/router/internal/control/announce.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"context"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// announcer swaps state with all reachable routers on request. Requests that
+// come while a round runs share the next one.
+type announcer struct {
+	// running is held by the round that is running.
+	running sync.Mutex
+
+	mu sync.Mutex
+	// waiting is the round that has not begun, nil if there is none.
+	waiting *announcement
+}
+
+// announcement is one round; done is closed when it ends.
+type announcement struct{ done chan struct{} }
+
+// Announce swaps state with all reachable routers, so that they know what this
+// router knew before the call. It returns when all have answered or failed, or
+// when the context ends.
+func (c *Control) Announce(ctx context.Context) {
+	select {
+	case <-c.joinAnnouncement().done:
+	case <-ctx.Done():
+	}
+}
+
+// joinAnnouncement returns the round that begins next.
+func (c *Control) joinAnnouncement() *announcement {
+	a := &c.announcer
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.waiting == nil {
+		a.waiting = &announcement{done: make(chan struct{})}
+		go c.runAnnouncement(a.waiting)
+	}
+	return a.waiting
+}
+
+func (c *Control) runAnnouncement(round *announcement) {
+	a := &c.announcer
+	a.running.Lock()
+	defer a.running.Unlock()
+	a.mu.Lock()
+	a.waiting = nil
+	a.mu.Unlock()
+	defer close(round.done)
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	var open errgroup.Group
+	open.SetLimit(maxExchanges)
+	for _, m := range c.reachablePeers() {
+		open.Go(func() error {
+			c.exchange(ctx, m)
+			return nil
+		})
+	}
+	// The exchanges report no errors.
+	_ = open.Wait()
+}
--- a/router/internal/control/control.go
+++ b/router/internal/control/control.go
@@ -78,7 +78,8 @@
 
 	ready atomic.Bool
 	// calls bounds the calls of peers that the tracker asks for.
-	calls chan struct{}
+	calls     chan struct{}
+	announcer announcer
 }
 
 // New returns a control that knows only the router itself.
--- a/router/internal/control/exchange.go
+++ b/router/internal/control/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,8 @@
 	exchangeTick = 100 * time.Millisecond
 	// maxExchanges bounds the contacts that are open at the same time.
 	maxExchanges = 16
+	// announceTimeout bounds a round of exchanges with all routers.
+	announceTimeout = time.Second
 )
 
 // RunExchange is the duty that keeps contact with other routers.
@@ -71,6 +74,15 @@
 	open.Wait()
 }
 
+// reachablePeers returns the other routers that are reachable.
+func (c *Control) reachablePeers() []fleet.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(c.view.Reachable(), func(m fleet.Member) bool {
+		return m.Name == c.opts.Self.Name
+	})
+}
+
 // exchange swaps state with one router.
 func (c *Control) exchange(ctx context.Context, m fleet.Member) {
 	out := c.stateFor(m.Name)
--- a/router/internal/guard/guard.go
+++ b/router/internal/guard/guard.go
@@ -21,10 +21,16 @@
 // change of a peer's word is seen soon.
 const maxSuspectPause = 250 * time.Millisecond
 
+// announceTime bounds how long the result of a request that was lost with its
+// target is held back until other routers know of the loss.
+const announceTime = 500 * time.Millisecond
+
 // Guard implements dispatch.Guard and control.Gossip. It is safe for
 // concurrent use.
 type Guard struct {
 	store *state.Store
+	// announce tells the other routers at once.
+	announce func(context.Context)
 
 	mu      sync.Mutex
 	book    *quarantine.Book
@@ -33,9 +39,10 @@
 	policy  retry.Policy
 }
 
-// New returns a guard for the router.
-func New(router string, store *state.Store) *Guard {
-	return &Guard{store: store, book: quarantine.New(router, quarantine.Options{})}
+// New returns a guard for the router. announce swaps state with the other
+// routers and returns when they have answered or the context ends.
+func New(router string, store *state.Store, announce func(context.Context)) *Guard {
+	return &Guard{store: store, announce: announce, book: quarantine.New(router, quarantine.Options{})}
 }
 
 // Begin implements dispatch.Guard.
@@ -66,8 +73,20 @@
 	return g.book.Begin(time.Now(), quarantine.Digest(digest))
 }
 
-// End implements dispatch.Guard.
+// End implements dispatch.Guard. After a crash it returns when the other
+// routers know of it, so that a caller who sends the request again at its
+// failure finds it a suspect everywhere.
 func (g *Guard) End(digest uint64, target config.ID, crashed, answered bool) {
+	g.end(digest, target, crashed, answered)
+	if !crashed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), announceTime)
+	defer cancel()
+	g.announce(ctx)
+}
+
+func (g *Guard) end(digest uint64, target config.ID, crashed, answered bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
