quarantine: count repeated losses of one target

Cause: a Book kept the set of targets lost with a request. Ruled out: peers that had not heard of the loss (all could talk, and losses are announced).

Change: losses are counted for each target. Equal requests that were in flight together are lost in one crash, so a further loss of the same target counts only for the run of a suspect, which is alone.

Before: any number of losses of one target. After: the second one makes the router refuse (TestRefusedAfterTwoLossesOfOneTarget), and one crash stays one loss (TestOneCrashIsOneLoss); both pass.

--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -20,8 +20,10 @@
 
 // entry is one suspect.
 type entry struct {
-	// lost holds the targets that count against the request.
-	lost map[Target]struct{}
+	// lost counts the losses of targets that count against the request.
+	lost map[Target]int
+	// alone is set while this router runs the request as a suspect.
+	alone bool
 	// pardoned holds the targets whose loss was before a whole answer.
 	pardoned map[Target]struct{}
 	expires  time.Time
@@ -53,10 +55,10 @@
 func (b *Book) Begin(now time.Time, digest Digest) Decision {
 	e := b.live(now, digest)
 	switch {
-	case e == nil || len(e.lost) == 0:
+	case e == nil || e.losses() == 0:
 		b.inFlight[digest]++
 		return Decision{Action: Run}
-	case len(e.lost) >= LossLimit:
+	case e.losses() >= LossLimit:
 		return Decision{Action: Refuse, Code: v1.Code_QUARANTINED, RetryAfter: e.expires.Sub(now)}
 	case b.inFlight[digest] > 0:
 		return Decision{Action: Wait, RetryAfter: b.opts.Settle}
@@ -83,6 +85,7 @@
 	if left := e.announced.Add(b.opts.Settle).Sub(now); left > 0 {
 		return Decision{Action: Wait, RetryAfter: left}
 	}
+	e.alone = true
 	return Decision{Action: Run, Suspect: true}
 }
 
@@ -101,14 +104,19 @@
 	return false
 }
 
-// Lost records that a target was lost with the request in flight on it.
+// Lost records that a target was lost with the request in flight on it. Runs
+// that began before the first loss may have been lost at once, so that only the
+// run of a suspect counts a further loss of the same target.
 func (b *Book) Lost(now time.Time, digest Digest, target Target) {
 	b.left(digest)
 	e := b.live(now, digest)
 	if e == nil {
 		e = b.add(now, digest)
 	}
-	e.lost[target] = struct{}{}
+	if e.alone || e.lost[target] == 0 {
+		e.lost[target]++
+	}
+	e.alone = false
 	delete(e.pardoned, target)
 	e.expires = now.Add(b.opts.Lifetime)
 	e.announced = time.Time{}
@@ -123,7 +131,8 @@
 		return
 	}
 	e.announced = time.Time{}
-	if len(e.lost) < LossLimit {
+	e.alone = false
+	if e.losses() < LossLimit {
 		e.pardon(slices.Collect(maps.Keys(e.lost)))
 	}
 }
@@ -134,6 +143,7 @@
 	b.left(digest)
 	if e := b.live(now, digest); e != nil {
 		e.announced = time.Time{}
+		e.alone = false
 	}
 }
 
@@ -150,6 +160,15 @@
 	}
 }
 
+// losses returns the number of losses that count, of any target.
+func (e *entry) losses() int {
+	sum := 0
+	for _, count := range e.lost {
+		sum += count
+	}
+	return sum
+}
+
 // pardon keeps the losses of targets from counting, also when a peer that has
 // not heard of the answer reports them again.
 func (e *entry) pardon(targets []Target) {
@@ -175,7 +194,7 @@
 		b.makeRoom(now)
 	}
 	e := &entry{
-		lost:     map[Target]struct{}{},
+		lost:     map[Target]int{},
 		pardoned: map[Target]struct{}{},
 		expires:  now.Add(b.opts.Lifetime),
 		peers:    map[string]peerState{},
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -31,6 +31,35 @@
 	is.Equal(b.Begin(expired, 7).Action, Run) // never refused for good
 }
 
+// A target that restarts is lost again by the same request.
+func TestRefusedAfterTwoLossesOfOneTarget(t *testing.T) {
+	is := is.New(t)
+	a, b := New("a", Options{}), New("b", Options{})
+	a.Begin(start, 7)
+	a.Lost(start, 7, 1)
+	a.Begin(start, 7)
+	settled := start.Add(DefaultSettle)
+	is.True(a.Begin(settled, 7).Suspect)
+	a.Lost(settled, 7, 1)
+	is.Equal(a.Begin(settled, 7).Action, Refuse)
+	b.Merge(settled, "a", a.Snapshot(settled))
+	is.Equal(b.Begin(settled, 7).Action, Refuse)
+}
+
+// Equal requests in flight on a target are lost with it at once.
+func TestOneCrashIsOneLoss(t *testing.T) {
+	is := is.New(t)
+	a, b := New("a", Options{}), New("b", Options{})
+	for _, book := range []*Book{a, a, b} {
+		book.Begin(start, 7)
+	}
+	a.Lost(start, 7, 1)
+	a.Lost(start, 7, 1)
+	b.Lost(start, 7, 1)
+	a.Merge(start, "b", b.Snapshot(start))
+	is.Equal(a.Begin(start, 7).Action, Wait)
+}
+
 func TestInnocentIsClearedEverywhere(t *testing.T) {
 	is := is.New(t)
 	a, b := New("a", Options{}), New("b", Options{})
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -26,7 +26,7 @@
 		}
 		if len(e.lost) > 0 {
 			s.Cleared = false
-			s.LostTargets = slices.Sorted(maps.Keys(e.lost))
+			s.LostTargets = e.lostTargets()
 			s.Running = b.inFlight[digest] > 0
 			s.Announced = b.announces(now, e)
 			result = append(result, s)
@@ -71,16 +71,29 @@
 	}
 }
 
+// lostTargets returns the losses that count, a target once for each.
+func (e *entry) lostTargets() []Target {
+	var targets []Target
+	for _, t := range slices.Sorted(maps.Keys(e.lost)) {
+		targets = append(targets, slices.Repeat([]Target{t}, e.lost[t])...)
+	}
+	return targets
+}
+
 // blame counts losses that are not pardoned and reports whether one was new.
+// Losses of one target that two routers report may be the same.
 func (e *entry) blame(targets []Target) bool {
-	added := false
+	told := map[Target]int{}
 	for _, t := range targets {
+		told[t]++
+	}
+	added := false
+	for _, t := range slices.Sorted(maps.Keys(told)) {
 		_, pardoned := e.pardoned[t]
-		_, known := e.lost[t]
-		if pardoned || known || len(e.lost) >= maxTargets {
+		if pardoned || told[t] <= e.lost[t] || e.losses() >= maxTargets {
 			continue
 		}
-		e.lost[t] = struct{}{}
+		e.lost[t] = min(told[t], LossLimit)
 		added = true
 	}
 	return added
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -32,8 +32,8 @@
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
-// LossLimit is the number of targets lost with a request in flight from which
-// on the request is refused.
+// LossLimit is the number of losses with a request in flight, of one target or
+// of several, from which on the request is refused.
 const LossLimit = 2
 
 // Defaults of Options.
@@ -107,7 +107,8 @@
 
 // Suspect is an entry as routers exchange it.
 type Suspect struct {
-	Digest      Digest
+	Digest Digest
+	// LostTargets holds a target once for each of its losses.
 	LostTargets []Target
 	// Remaining is how much longer the entry is remembered.
 	Remaining time.Duration
