--- a/router/internal/guard/guard.go
+++ b/router/internal/guard/guard.go
@@ -23,7 +23,7 @@
 
 // announceTime bounds how long the result of a request that was lost with its
 // target is held back until other routers know of the loss.
-const announceTime = 500 * time.Millisecond
+const announceTime = 100 * time.Millisecond
 
 // Guard implements dispatch.Guard and control.Gossip. It is safe for
 // concurrent use.
