measure: heartbeats and counters as routers send them now

Cause: the model of a stream still sent a heartbeat every 500 ms and all counters every second. Change: heartbeats where a demand waits and nothing is heard for 500 ms, each 5 s elsewhere; counters that changed.

--- a/internal/measure/link.go
+++ b/internal/measure/link.go
@@ -11,7 +11,6 @@
 	segmentHeader = 52
 	// frameBytes is what a drpc stream adds to a message.
 	frameBytes = 5
-	heartbeat  = 500 * time.Millisecond
 )
 
 // traffic counts what a node sends or receives.
@@ -61,17 +60,13 @@
 	batch := l.batch
 	l.batch = l.empty()
 	l.filled = false
-	l.beat()
+	l.last = l.clock.now
 	l.count(proto.Size(batch), 1, 0)
 	l.clock.after(linkLatency, func() { l.deliver(batch) })
 }
 
-// beat counts the heartbeats since the last batch.
-func (l *link[T]) beat() {
-	n := int((l.clock.now - l.last) / heartbeat)
-	l.count(0, n, n)
-	l.last = l.clock.now
-}
+// beat counts a heartbeat.
+func (l *link[T]) beat() { l.count(0, 1, 1) }
 
 func (l *link[T]) count(payload, segments, heartbeats int) {
 	t := traffic{payload + segments*frameBytes, segments, heartbeats}
--- /dev/null
+++ b/internal/measure/pulse.go
@@ -0,0 +1,67 @@
+package measure
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// Heartbeats as package peer sends them.
+const (
+	heartbeat  = 500 * time.Millisecond
+	idleFactor = 10
+)
+
+// sessionPulse is the silence of a stream as its entry sees it.
+type sessionPulse struct {
+	waiting      int
+	waitingSince time.Duration
+	lastHeard    time.Duration
+}
+
+// wait changes the number of demands that wait.
+func (p *sessionPulse) wait(now time.Duration, change int) {
+	if p.waiting == 0 && change > 0 {
+		p.waitingSince = now
+	}
+	p.waiting += change
+}
+
+func (p *sessionPulse) quiet(now time.Duration) bool {
+	if now-p.lastHeard >= idleFactor*heartbeat {
+		return true
+	}
+	return p.waiting > 0 && now-max(p.lastHeard, p.waitingSince) >= heartbeat
+}
+
+// beat sends a heartbeat and its answer on a silent stream.
+func (s *session) beat() {
+	t := s.router.run
+	t.after(heartbeat, s.beat)
+	if !s.pulse.quiet(t.now) {
+		return
+	}
+	s.up.beat()
+	s.down.beat()
+	s.pulse.lastHeard = t.now
+}
+
+// replicateCounters counts what the holder of pool 0 sends to one successor:
+// the counters that changed.
+func (t *trafficRun) replicateCounters() {
+	t.after(counterInterval, t.replicateCounters)
+	p := t.pools[0]
+	message := &v1.PoolCounters{Pool: uint32(p.id)}
+	for _, c := range p.core.Counters() {
+		if t.replicated[c.Workspace] == c {
+			continue
+		}
+		t.replicated[c.Workspace] = c
+		message.Counters = append(message.Counters, &v1.Counter{Workspace: uint32(c.Workspace), Value: c.Value, Backlogged: c.Backlogged})
+	}
+	if len(message.Counters) > 0 {
+		t.counterBytes += proto.Size(&v1.SchedulerBatch{Counters: []*v1.PoolCounters{message}}) + frameBytes
+	}
+}
--- a/internal/measure/traffic.go
+++ b/internal/measure/traffic.go
@@ -81,6 +81,10 @@
 	workspaceIDs []config.ID
 	// counts of messages while the figures are taken.
 	requests, reports, grants, spareUses int
+	// counterBytes is what the holder of pool 0 sends to one successor.
+	counterBytes int
+	// replicated holds its counters as last sent.
+	replicated map[config.ID]pool.Counter
 }
 
 // trafficPool is a scheduler on the router that holds its role.
@@ -103,6 +107,7 @@
 	// poolOf holds the pools of the requests that are not over.
 	poolOf map[uint64]*trafficPool
 	spares map[*trafficPool][]*v1.Spare
+	pulse  sessionPulse
 }
 
 // trafficRouter is the entry side.
@@ -120,7 +125,7 @@
 	if f.Slots == 0 {
 		f.Slots = engineSlots
 	}
-	t := &trafficRun{fleet: f, rng: rand.New(rand.NewPCG(seed, 3))}
+	t := &trafficRun{fleet: f, rng: rand.New(rand.NewPCG(seed, 3)), replicated: map[config.ID]pool.Counter{}}
 	for _, w := range f.workspaces() {
 		t.workspaceIDs = append(t.workspaceIDs, w.ID)
 	}
@@ -129,6 +134,7 @@
 		t.after(t.pause(), r.arrive)
 	}
 	t.after(trafficStart, t.reset)
+	t.after(counterInterval, t.replicateCounters)
 	t.runUntil(trafficEnd)
 	return t.result()
 }
@@ -174,6 +180,7 @@
 	s.up = newLink(&t.clock, t.fleet.Window, func() *v1.EntryBatch { return &v1.EntryBatch{} }, s.receive)
 	s.down = newLink(&t.clock, t.fleet.Window, func() *v1.SchedulerBatch { return &v1.SchedulerBatch{} }, s.answer)
 	r.sessions[holder] = s
+	t.after(heartbeat, s.beat)
 	return s
 }
 
@@ -221,10 +228,8 @@
 
 // reset starts the figures anew.
 func (t *trafficRun) reset() {
-	t.requests, t.reports, t.grants, t.spareUses = 0, 0, 0, 0
+	t.requests, t.reports, t.grants, t.spareUses, t.counterBytes = 0, 0, 0, 0, 0
 	t.eachSession(func(s *session) {
-		s.up.beat()
-		s.down.beat()
 		*s.up.sender, *s.up.receiver, *s.down.sender, *s.down.receiver = traffic{}, traffic{}, traffic{}, traffic{}
 	})
 }
@@ -252,8 +257,6 @@
 	elapsed := (trafficEnd - trafficStart).Seconds()
 	var entry, hot, others traffic
 	t.eachSession(func(s *session) {
-		s.up.beat()
-		s.down.beat()
 		both := s.up.sender.plus(*s.down.receiver)
 		entry = entry.plus(both)
 		if s.holder == t.pools[0].holder {
@@ -263,13 +266,12 @@
 		}
 	})
 	requests := float64(max(t.requests, 1))
-	message := t.pools[0].countersMessage()
 	return Traffic{
 		Entry:      rateOf(entry, elapsed*float64(len(t.routers))),
 		Holder:     rateOf(hot, elapsed),
 		Other:      rateOf(others, elapsed*float64(max(t.holders()-1, 1))),
 		PerRequest: rateOf(entry, requests),
-		Counters:   float64(successors*(message+frameBytes)) / counterInterval.Seconds(),
+		Counters:   float64(successors*t.counterBytes) / elapsed,
 		Reports:    float64(t.reports) / requests,
 		Grants:     float64(t.grants) / requests,
 		SpareUses:  float64(t.spareUses) / requests,
--- a/internal/measure/trafficentry.go
+++ b/internal/measure/trafficentry.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/chiveseam/chiveseam/config"
 	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -39,6 +37,7 @@
 	if s.useSpare(p, demand) {
 		return
 	}
+	s.pulse.wait(t.now, 1)
 	s.up.add(func(b *v1.EntryBatch) { b.Demands = append(b.Demands, demand) })
 }
 
@@ -108,6 +107,8 @@
 
 // answer is the entry's side.
 func (s *session) answer(b *v1.SchedulerBatch) {
+	s.pulse.lastHeard = s.router.run.now
+	s.pulse.wait(s.router.run.now, -len(b.Grants)-len(b.Refusals))
 	for _, spare := range b.Spares {
 		p := s.router.run.poolByID(config.ID(spare.Pool))
 		s.spares[p] = append(s.spares[p], spare)
@@ -164,12 +165,3 @@
 		})
 	})
 }
-
-// countersMessage returns the size of the counters that go to a successor.
-func (p *trafficPool) countersMessage() int {
-	message := &v1.PoolCounters{Pool: uint32(p.id), Region: "region-1", SpareSlots: uint32(p.core.Status().FreeSlots)}
-	for _, c := range p.core.Counters() {
-		message.Counters = append(message.Counters, &v1.Counter{Workspace: uint32(c.Workspace), Value: c.Value, Backlogged: c.Backlogged})
-	}
-	return proto.Size(&v1.SchedulerBatch{Counters: []*v1.PoolCounters{message}})
-}
