--- /dev/null
+++ b/internal/measure/fairness.go
@@ -0,0 +1,209 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// Options are the sizes of a run.
+type Options struct {
+	Deployments []*Deployment
+	Seeds       int
+	Duration    time.Duration
+	// Latency is the time that a message between routers takes.
+	Latency time.Duration
+	// Warmup is the time before the figures start.
+	Warmup time.Duration
+}
+
+const percent = 100
+
+// figures are the results of one run.
+type figures struct {
+	gapLarge    float64
+	gapAny      float64
+	utilisation float64
+	reports     float64
+	starvation  float64
+	excess      int
+	over        int
+	lost        int
+	refused     int
+	waits       []samples
+	bound       func(i, j int) float64
+	gaps        *gapMeter
+	// idlePerGrant is the idle time of a slot between two requests.
+	idlePerGrant time.Duration
+}
+
+// scenario is one run of a policy.
+type scenario struct {
+	policy  Policy
+	prepare func(*cluster, *workload)
+}
+
+func (o Options) run(d *Deployment, s scenario, seed int) figures {
+	c := newCluster(d, s.policy, uint64(seed), o.Latency)
+	l := newWorkload(c, uint64(seed))
+	if s.prepare != nil {
+		s.prepare(c, l)
+	}
+	l.start()
+	c.after(o.Warmup, func() { c.meter.reset(o.Warmup) })
+	c.runUntil(o.Duration)
+	c.meter.finish(o.Duration)
+	return c.figures()
+}
+
+func (c *cluster) figures() figures {
+	m := c.meter
+	f := figures{
+		gapLarge:    m.gaps.seconds(largeCount, c.deployment.capacity()),
+		gapAny:      m.gaps.seconds(len(m.served), c.deployment.capacity()),
+		utilisation: m.utilisation() * percent,
+		reports:     float64(m.reports) / float64(max(m.grants, 1)),
+		starvation:  m.starvation.Seconds(),
+		excess:      m.excessMax,
+		over:        m.overAdmitted,
+		lost:        m.lost,
+		waits:       m.waitTimes,
+		bound:       boundOver(c.hosts),
+		gaps:        m.gaps,
+	}
+	f.idlePerGrant = seconds((m.slotSeconds - m.busySeconds) / float64(max(m.grants, 1)))
+	for _, n := range m.refusals {
+		f.refused += n
+	}
+	return f
+}
+
+// Fairness prints the gap and the utilisation of each policy.
+func (o Options) Fairness(w io.Writer) {
+	for _, d := range o.Deployments {
+		title := fmt.Sprintf("%s: gap and utilisation, %d slots, %.0f cost units/s, %d seeds, %v",
+			d.Name, d.slots(), d.capacity(), o.Seeds, o.Duration)
+		t := newTable(w, title, "policy", "gap of large, s", "gap of any, s", "gap, % of bound", "busy slots while work waits, %", "longest starvation, s", "idle per grant, ms", "reports/request", "refused")
+		var bounds []func(i, j int) float64
+		for _, p := range Policies {
+			runs := o.runs(d, scenario{policy: p})
+			if p == Fair {
+				bounds = boundsOf(runs)
+			}
+			fairnessRow(t, p, runs, bounds)
+		}
+		t.flush()
+	}
+}
+
+// runs runs a scenario with each seed.
+func (o Options) runs(d *Deployment, s scenario) []figures {
+	var runs []figures
+	for seed := 1; seed <= o.Seeds; seed++ {
+		runs = append(runs, o.run(d, s, seed))
+	}
+	return runs
+}
+
+func boundsOf(runs []figures) []func(i, j int) float64 {
+	var bounds []func(i, j int) float64
+	for _, f := range runs {
+		bounds = append(bounds, f.bound)
+	}
+	return bounds
+}
+
+// column formats one figure of all runs.
+func column(runs []figures, format string, value func(figures) float64) string {
+	var s samples
+	for _, f := range runs {
+		s = append(s, value(f))
+	}
+	return s.spread(format)
+}
+
+// fairnessRow prints a policy. The bounds are those of pool.Scheduler with the
+// same requests.
+func fairnessRow(t *table, p Policy, runs []figures, bounds []func(i, j int) float64) {
+	var ofBound samples
+	for i, f := range runs {
+		ofBound = append(ofBound, f.gaps.ofBound(bounds[i])*percent)
+	}
+	t.row(p.String(),
+		column(runs, "%.2f", func(f figures) float64 { return f.gapLarge }),
+		column(runs, "%.2f", func(f figures) float64 { return f.gapAny }),
+		ofBound.spread("%.1f"),
+		column(runs, "%.2f", func(f figures) float64 { return f.utilisation }),
+		column(runs, "%.1f", func(f figures) float64 { return f.starvation }),
+		column(runs, "%.1f", func(f figures) float64 { return f.idlePerGrant.Seconds() * 1000 }),
+		column(runs, "%.2f", func(f figures) float64 { return f.reports }),
+		column(runs, "%.0f", func(f figures) float64 { return float64(f.refused) }))
+}
+
+// Waits prints the waits of the workspaces under each policy, and how a flood
+// by the largest one changes them.
+func (o Options) Waits(w io.Writer) {
+	for _, d := range o.Deployments {
+		t := newTable(w, d.Name+": wait for a grant in s; the flood is by "+d.names[0],
+			"policy", "load", "large p50", "large p99", "light p50", "light p99", "light refused, %", "worst light p99")
+		for _, p := range Policies {
+			o.waitsRow(t, d, p, "large idle", 0)
+			o.waitsRow(t, d, p, "60 callers", 1)
+			o.waitsRow(t, d, p, "600 callers", floodFactor)
+		}
+		t.flush()
+	}
+}
+
+const (
+	floodFactor = 10
+	// floodAt is the time at which the flood begins and waits are counted.
+	floodAt = 60 * time.Second
+)
+
+func (o Options) waitsRow(t *table, d *Deployment, p Policy, name string, flood int) {
+	var largeMedian, largeTail, lightMedian, lightTail, refused, worst samples
+	for seed := 1; seed <= o.Seeds; seed++ {
+		var c *cluster
+		f := o.run(d, scenario{policy: p, prepare: func(started *cluster, l *workload) {
+			c = started
+			l.silent, l.flood, l.floodAt = true, flood, floodAt
+			c.after(floodAt, func() { c.meter.reset(floodAt) })
+		}}, seed)
+		var large, light samples
+		for i, waits := range f.waits {
+			switch {
+			case i == 0:
+			case i < largeCount:
+				large = append(large, waits...)
+			default:
+				light = append(light, waits...)
+			}
+		}
+		largeMedian = append(largeMedian, large.median())
+		largeTail = append(largeTail, large.quantile(0.99))
+		lightMedian = append(lightMedian, light.median())
+		lightTail = append(lightTail, light.quantile(0.99))
+		worst = append(worst, worstTail(f.waits[largeCount:]))
+		refused = append(refused, refusedPart(c.meter.refusals[largeCount:], len(light)))
+	}
+	t.row(p.String(), name, largeMedian.spread("%.1f"), largeTail.spread("%.1f"), lightMedian.spread("%.3f"), lightTail.spread("%.3f"), refused.spread("%.1f"), worst.spread("%.2f"))
+}
+
+func worstTail(waits []samples) float64 {
+	worst := 0.0
+	for _, s := range waits {
+		if len(s) > 0 {
+			worst = max(worst, s.quantile(0.99))
+		}
+	}
+	return worst
+}
+
+func refusedPart(refusals []int, granted int) float64 {
+	sum := 0
+	for _, n := range refusals {
+		sum += n
+	}
+	return float64(sum) / float64(max(sum+granted, 1)) * percent
+}
--- a/pool/router.go
+++ b/pool/router.go
@@ -64,12 +64,13 @@
 	s.dropActions(r.Router)
 	r.zone = e.Zone
 	r.joined = true
-	r.endedLen = 0
-	r.endedNext = 0
 	s.incarnations[r.Name] = r
 	s.dropWaiting(r)
 	s.dropSpares(r)
 	s.reconcile(r, e.InFlight)
+	s.awaitRouters(len(e.InFlight))
+	r.endedLen = 0
+	r.endedNext = 0
 	s.counters.Merge(fromCounters(e.Counters))
 }
 
@@ -88,6 +89,8 @@
 		return a.ID.Router
 	case Refuse:
 		return a.ID.Router
+	case Move:
+		return a.ID.Router
 	case HandSpare:
 		return a.Router
 	case RevokeSpare:
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -16,7 +16,7 @@
 // Scheduler assigns the slots of a pool's targets to waiting demands.
 //
 // After each step, no free slot coexists with a waiting demand that may use
-// it. Between workspaces the least counter of package fairshare goes first,
+// it, except for Options.SettleTime after a rebuild. Between workspaces the least counter of package fairshare goes first,
 // within a workspace the earliest deadline. All state is soft: an empty
 // Scheduler is rebuilt by TargetsChanged, WorkspacesChanged and RouterJoined,
 // in this order. Lost, doubled, reordered and late events do no harm beyond
@@ -38,6 +38,7 @@
 	// incarnations holds the joined incarnation of each router.
 	incarnations map[string]*router
 	spares       spareSet
+	settling     settling
 	service      serviceRate
 	peerSpares   map[string]int
 
@@ -91,7 +92,6 @@
 		s.now = now
 	}
 	s.fire()
-	s.dispatch()
 	s.handle(event)
 	s.dispatch()
 	s.balanceSpares()
@@ -119,21 +119,31 @@
 	case RouterLost:
 		s.routerLost(e)
 	case TargetsChanged:
-		s.targetsChanged(e)
+		s.setTargets(e.Targets)
+		s.refuseUnservable()
 	case WorkspacesChanged:
-		s.workspacesChanged(e)
+		s.setWorkspaces(e.Workspaces)
+		s.refuseUnservable()
+	case ConfigurationChanged:
+		s.setWorkspaces(e.Workspaces)
+		s.setTargets(e.Targets)
+		s.refuseUnservable()
 	case PeerCounters:
 		s.peerCounters(e)
+	case Overflow:
+		s.overflow(e)
 	case Tick:
 	}
 }
 
-// demand grants, queues or refuses a new demand.
+// demand grants, queues or refuses a new demand, after those that wait for
+// slots which came free in this step.
 func (s *Scheduler) demand(e Demand) {
 	d := s.newDemand(e)
 	if d == nil {
 		return
 	}
+	s.dispatch()
 	exclude := sortedExclude(e.Exclude)
 	if code := s.admissible(d, exclude); code != v1.Code_OK {
 		s.refuse(d, code, s.retryAfter(d))
@@ -170,6 +180,7 @@
 		bytes:     max(e.BodyBytes, 0),
 		deadline:  s.capDeadline(e.Deadline),
 		order:     s.order,
+		moved:     e.Moved,
 	}
 	d.owner = d
 	r.demands[e.ID.Seq] = d
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -40,6 +40,9 @@
 // block, and may coalesce it with others.
 type Link interface {
 	Send(*v1.EntryBatch)
+	// SetWaiting tells whether demands wait on the link. Its silence is found
+	// sooner while they do.
+	SetWaiting(bool)
 	Close()
 }
 
@@ -71,6 +74,8 @@
 	Exclude   []config.ID
 	// DataCentre restricts the targets; empty allows all.
 	DataCentre string
+	// moved is set once the demand went to another region for its free slots.
+	moved bool
 }
 
 // Broker obtains slots. Its methods are safe for concurrent use.
@@ -87,7 +92,11 @@
 	links    map[string]*link
 	avoid    map[string]time.Time
 	spares   map[poolKey][]spare
-	counters map[config.ID]*v1.PoolCounters
+	// counters holds the last counters seen, by pool and workspace.
+	counters map[config.ID]map[config.ID]*v1.Counter
+	// dropped holds links to earlier incarnations, whose requests are to be
+	// moved.
+	dropped []*link
 }
 
 type poolKey struct {
@@ -97,8 +106,10 @@
 
 // request is a demand until its slot is given back.
 type request struct {
-	seq     uint64
-	demand  Demand
+	seq    uint64
+	demand Demand
+	// home is the region that the demand was first sent to.
+	home    string
 	reply   chan reply
 	link    *link
 	granted bool
@@ -123,19 +134,15 @@
 		links:    map[string]*link{},
 		avoid:    map[string]time.Time{},
 		spares:   map[poolKey][]spare{},
-		counters: map[config.ID]*v1.PoolCounters{},
+		counters: map[config.ID]map[config.ID]*v1.Counter{},
 	}
 	return b
 }
 
 // Inputs of the loop.
 type (
-	acquireInput struct {
-		demand Demand
-		reply  chan reply
-		seq    chan uint64
-	}
-	cancelInput   struct{ seq uint64 }
+	acquireInput  struct{ request *request }
+	cancelInput   struct{ request *request }
 	progressInput struct {
 		seq  uint64
 		cost uint32
@@ -167,54 +174,53 @@
 // Acquire waits for a slot. The error is a result with Ran NO: a request that
 // got no slot ran nowhere. The caller must call Grant.Done exactly once.
 func (b *Broker) Acquire(ctx context.Context, demand Demand) (*Grant, *result.Result) {
-	input := acquireInput{demand: demand, reply: make(chan reply, 1), seq: make(chan uint64, 1)}
-	if !b.post(input) {
+	r := &request{demand: demand, home: demand.Region, reply: make(chan reply, 1)}
+	if !b.post(acquireInput{r}) {
 		return nil, stopping()
 	}
 	select {
-	case r := <-input.reply:
-		return r.grant, r.err
+	case answer := <-r.reply:
+		return answer.grant, answer.err
 	case <-b.t.Dying():
 		return nil, stopping()
 	case <-ctx.Done():
 	}
-	return nil, b.withdraw(input)
-}
-
-// withdraw cancels a demand whose caller went away.
-func (b *Broker) withdraw(input acquireInput) *result.Result {
-	select {
-	case seq := <-input.seq:
-		b.post(cancelInput{seq})
-	case <-b.t.Dying():
-	}
-	return result.New(v1.Code_CANCELLED, v1.Ran_NO, "the caller went away while the request waited")
+	b.post(cancelInput{r})
+	return nil, result.New(v1.Code_CANCELLED, v1.Ran_NO, "the caller went away while the request waited")
 }
 
 func stopping() *result.Result {
 	return result.New(v1.Code_STOPPING, v1.Ran_NO, "the router is stopping")
 }
 
-// Inspect runs fn in the loop's goroutine and waits for it.
-func (b *Broker) Inspect(fn func(waiting, inFlight int)) {
-	done := make(chan struct{})
-	ok := b.post(inspectInput{func() {
-		defer close(done)
-		inFlight := 0
-		for _, r := range b.requests {
-			if r.granted {
-				inFlight++
-			}
-		}
-		fn(len(b.requests)-inFlight, inFlight)
-	}})
-	if !ok {
-		return
+// WaitKey names a workspace's queue in a pool.
+type WaitKey struct {
+	Pool      string
+	Workspace config.ID
+}
+
+// Waiting counts the router's own waiting demands.
+func (b *Broker) Waiting() map[WaitKey]int {
+	result := make(chan map[WaitKey]int, 1)
+	if !b.post(inspectInput{func() { result <- b.countWaiting() }}) {
+		return nil
 	}
 	select {
-	case <-done:
+	case counts := <-result:
+		return counts
 	case <-b.t.Dying():
+		return nil
+	}
+}
+
+func (b *Broker) countWaiting() map[WaitKey]int {
+	counts := map[WaitKey]int{}
+	for _, r := range b.requests {
+		if !r.granted {
+			counts[WaitKey{r.demand.Pool, r.demand.Workspace}]++
+		}
 	}
+	return counts
 }
 
 // Run is the broker's duty. It returns when the tomb dies.
@@ -259,7 +265,7 @@
 	case acquireInput:
 		b.acquire(in)
 	case cancelInput:
-		b.cancel(in.seq)
+		b.cancel(in.request)
 	case progressInput:
 		b.progress(in)
 	case doneInput:
@@ -274,57 +280,28 @@
 }
 
 func (b *Broker) acquire(in acquireInput) {
-	b.seq++
-	r := &request{seq: b.seq, demand: in.demand, reply: in.reply}
-	in.seq <- r.seq
-	b.requests[r.seq] = r
-	b.place(r, time.Now())
+	b.number(in.request)
+	b.place(in.request, time.Now())
 }
 
-// place sends a waiting demand to the scheduler of its pool, or starts it on a
-// spare slot.
-func (b *Broker) place(r *request, now time.Time) {
-	l := b.linkFor(poolKey{r.demand.Pool, r.demand.Region}, now)
-	if l == nil {
-		b.refuse(r, result.New(v1.Code_NO_TARGET, v1.Ran_NO, "no router of region %q can be reached", r.demand.Region))
-		return
-	}
-	r.link = l
-	l.lastUsed = now
-	if b.useSpare(r, l, now) {
-		return
-	}
-	l.batch.Demands = append(l.batch.Demands, b.demandMessage(r, now))
-}
-
-func (b *Broker) demandMessage(r *request, now time.Time) *v1.Demand {
-	wait := max(r.demand.Deadline.Sub(now), 0)
-	d := &v1.Demand{
-		Seq:       r.seq,
-		Pool:      uint32(config.IDOf(r.demand.Pool)),
-		Workspace: uint32(r.demand.Workspace),
-		Estimate:  r.demand.Estimate,
-		WaitMs:    uint32(wait.Milliseconds()),
-		Prefix:    r.demand.Prefix,
-		BodyBytes: r.demand.BodyBytes,
-	}
-	for _, target := range r.demand.Exclude {
-		d.Exclude = append(d.Exclude, uint32(target))
-	}
-	return d
+// number records a request under a new sequence number.
+func (b *Broker) number(r *request) {
+	delete(b.requests, r.seq)
+	b.seq++
+	r.seq = b.seq
+	b.requests[r.seq] = r
 }
 
-func (b *Broker) cancel(seq uint64) {
-	r, ok := b.requests[seq]
-	if !ok {
+func (b *Broker) cancel(r *request) {
+	if b.requests[r.seq] != r {
 		return
 	}
 	if r.granted {
-		b.finish(r, &v1.Done{Seq: seq, Outcome: v1.Outcome_NOT_RUN})
+		b.finish(r, &v1.Done{Seq: r.seq, Outcome: v1.Outcome_NOT_RUN})
 		return
 	}
-	delete(b.requests, seq)
-	r.link.batch.Cancels = append(r.link.batch.Cancels, seq)
+	delete(b.requests, r.seq)
+	r.link.batch.Cancels = append(r.link.batch.Cancels, r.seq)
 }
 
 func (b *Broker) progress(in progressInput) {
@@ -332,7 +309,7 @@
 	if !ok {
 		return
 	}
-	r.charged = in.cost
+	r.charged = max(r.charged, in.cost)
 	r.link.batch.Progress = append(r.link.batch.Progress, &v1.Progress{Seq: in.seq, Cost: in.cost})
 }
 
@@ -346,6 +323,9 @@
 func (b *Broker) finish(r *request, done *v1.Done) {
 	delete(b.requests, r.seq)
 	r.link.batch.Done = append(r.link.batch.Done, done)
+	if r.away() {
+		b.tellFreed(r)
+	}
 }
 
 func (b *Broker) refuse(r *request, why *result.Result) {
@@ -356,60 +336,6 @@
 	r.reply <- reply{err: why}
 }
 
-// received handles a batch of a scheduler.
-func (b *Broker) received(l *link, batch *v1.SchedulerBatch) {
-	if b.links[l.member.Name] != l {
-		return
-	}
-	now := time.Now()
-	for _, s := range batch.Spares {
-		b.addSpare(l, s, now)
-	}
-	for _, id := range batch.RevokedSpares {
-		b.returnSpare(l, id)
-	}
-	for _, g := range batch.Grants {
-		b.granted(l, g)
-	}
-	for _, refusal := range batch.Refusals {
-		b.refused(l, refusal)
-	}
-	for _, c := range batch.Counters {
-		b.counters[config.ID(c.Pool)] = c
-	}
-}
-
-// granted accepts the first grant of a demand. A slot that was granted a
-// second time, or to a demand that is gone, is given back at once.
-func (b *Broker) granted(l *link, g *v1.Grant) {
-	r, ok := b.requests[g.Seq]
-	if !ok || r.granted || r.link != l {
-		if ok && r.granted && r.link == l && r.target == config.ID(g.Target) {
-			return
-		}
-		l.batch.Done = append(l.batch.Done, &v1.Done{Seq: g.Seq, Outcome: v1.Outcome_NOT_RUN})
-		return
-	}
-	b.start(r, config.ID(g.Target))
-}
-
-// start hands the slot to the waiting caller.
-func (b *Broker) start(r *request, target config.ID) {
-	r.granted = true
-	r.target = target
-	r.reply <- reply{grant: &Grant{broker: b, seq: r.seq, Target: target}}
-}
-
-func (b *Broker) refused(l *link, refusal *v1.Refusal) {
-	r, ok := b.requests[refusal.Seq]
-	if !ok || r.granted || r.link != l {
-		return
-	}
-	why := result.New(refusal.Code, v1.Ran_NO, "refused by the scheduler of pool %s", r.demand.Pool)
-	why.RetryAfter = time.Duration(refusal.RetryAfterMs) * time.Millisecond
-	b.refuse(r, why)
-}
-
 // sweep ends demands whose deadline passed without a word of the scheduler,
 // returns spare slots that expired, and closes idle links.
 func (b *Broker) sweep(now time.Time) {
@@ -419,11 +345,25 @@
 			b.refuse(r, result.New(v1.Code_DEADLINE_EXCEEDED, v1.Ran_NO, "no slot was granted in time"))
 		}
 	}
+	b.tellWaiting()
 	b.dropExpiredSpares(now)
 	b.closeIdleLinks(now)
 	b.endAvoidance(now)
 }
 
+// tellWaiting tells each link whether demands wait on it.
+func (b *Broker) tellWaiting() {
+	waiting := map[*link]bool{}
+	for _, r := range b.requests {
+		if !r.granted {
+			waiting[r.link] = true
+		}
+	}
+	for _, l := range b.links {
+		l.conn.SetWaiting(waiting[l])
+	}
+}
+
 // endAvoidance lets roles move back to routers that were passed over.
 func (b *Broker) endAvoidance(now time.Time) {
 	ended := false
--- a/router/internal/control/instances.go
+++ b/router/internal/control/instances.go
@@ -66,31 +66,19 @@
 	c.mu.Lock()
 	c.view.ApplyList(now, list)
 	c.mu.Unlock()
-	c.opts.Keys.Observe(keyView(list))
+	c.opts.Keys.Observe(requestkey.ViewFromList(list))
 	c.publishFleet()
 }
 
-// keyView returns the routers of the list that may own keys.
-func keyView(list *v1.InstanceList) requestkey.View {
-	asOf := time.UnixMilli(list.AsOfUnixMs)
-	view := requestkey.View{Revision: list.Revision, FirstAsOf: asOf, LastAsOf: asOf}
-	if list.PublishedUnixMs > 0 {
-		view.FirstAsOf = time.UnixMilli(min(list.PublishedUnixMs, list.AsOfUnixMs))
-	}
-	for _, instance := range list.Instances {
-		if !instance.IsTarget && instance.State == v1.InstanceState_LIVE {
-			view.Routers = append(view.Routers, requestkey.Member{Name: instance.Name, Incarnation: instance.Incarnation})
-		}
-	}
-	return view
-}
-
 // observeList lets the keys follow the list in force, which came from a peer.
 // The caller holds the lock.
 func (c *Control) observeList() {
 	history := c.view.History(time.Now())
 	for _, l := range history {
 		view := requestkey.View{Revision: l.Revision, FirstAsOf: l.AsOf, LastAsOf: l.AsOf}
+		if l.Published.UnixMilli() > 0 && l.Published.Before(l.AsOf) {
+			view.FirstAsOf = l.Published
+		}
 		for name, incarnation := range l.Routers {
 			view.Routers = append(view.Routers, requestkey.Member{Name: name, Incarnation: incarnation})
 		}
--- a/router/internal/keys/executor.go
+++ b/router/internal/keys/executor.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/requestkey"
@@ -24,8 +26,8 @@
 	maxClaimRounds = 3
 	// claimTimeout bounds one question to an earlier owner.
 	claimTimeout = time.Second
-	// joinTimeout is how long a resend waits for the first request to end.
-	retryAfterInProgress = time.Second
+	// retryAfterUnreachable is told when the owner of a key does not answer.
+	retryAfterUnreachable = time.Second
 )
 
 // Doer executes a request without regard to keys.
@@ -206,7 +208,7 @@
 		return end
 	}
 	refusal := result.New(v1.Code_KEY_OWNER_UNREACHABLE, v1.Ran_UNKNOWN, "router %s does not answer", owner.Name)
-	refusal.RetryAfter = retryAfterInProgress
+	refusal.RetryAfter = retryAfterUnreachable
 	return refusal
 }
 
@@ -219,7 +221,9 @@
 		DeadlineMs: uint32(max(time.Until(call.Request.StartBy), 0).Milliseconds()),
 		BodyBytes:  uint64(len(call.Request.Body)),
 	}
-	for name, values := range call.Request.Header {
+	header := call.Request.Header.Clone()
+	otel.GetTextMapPropagator().Inject(call.Context, propagation.HeaderCarrier(header))
+	for name, values := range header {
 		for _, value := range values {
 			head.Headers = append(head.Headers, &v1.Header{Name: name, Value: value})
 		}
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -6,6 +6,7 @@
 package scheduling
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -21,6 +22,8 @@
 	inputLimit = 4096
 	// maxTick bounds the time between two steps of the loop.
 	maxTick = 100 * time.Millisecond
+	// settleTime is how long a scheduler that is rebuilt waits for the routers.
+	settleTime = 100 * time.Millisecond
 	// counterInterval is how often the counters go to the next in rank.
 	counterInterval = time.Second
 	// successors is the number of routers that receive the counters.
@@ -38,6 +41,8 @@
 	// The fields below belong to the loop's goroutine.
 	pools    map[config.ID]*pool.Scheduler
 	sessions map[pool.Router]*Session
+	// spares holds the free slots of a pool in other regions, by region.
+	spares map[config.ID]map[string]int
 }
 
 // Session is the stream of one entry router.
@@ -50,7 +55,9 @@
 	// The fields below belong to the host's loop.
 	joined map[config.ID]bool
 	poolOf map[uint64]config.ID
-	out    *v1.SchedulerBatch
+	// replicated holds the counters as last sent, by pool and workspace.
+	replicated map[config.ID]map[config.ID]pool.Counter
+	out        *v1.SchedulerBatch
 }
 
 type (
@@ -83,6 +90,7 @@
 		in:       make(chan any, inputLimit),
 		pools:    map[config.ID]*pool.Scheduler{},
 		sessions: map[pool.Router]*Session{},
+		spares:   map[config.ID]map[string]int{},
 	}
 }
 
@@ -99,13 +107,14 @@
 // goroutine; it must not block and takes the batch over.
 func (h *Host) Open(router pool.Router, zone string, send func(*v1.SchedulerBatch)) *Session {
 	s := &Session{
-		host:   h,
-		router: router,
-		zone:   zone,
-		send:   send,
-		joined: map[config.ID]bool{},
-		poolOf: map[uint64]config.ID{},
-		out:    &v1.SchedulerBatch{},
+		host:       h,
+		router:     router,
+		zone:       zone,
+		send:       send,
+		joined:     map[config.ID]bool{},
+		poolOf:     map[uint64]config.ID{},
+		replicated: map[config.ID]map[config.ID]pool.Counter{},
+		out:        &v1.SchedulerBatch{},
 	}
 	h.post(openInput{s})
 	return s
@@ -122,11 +131,6 @@
 	s.host.post(closeInput{s})
 }
 
-// PeerCounters handles counters of schedulers in other regions.
-func (h *Host) PeerCounters(counters []*v1.PoolCounters) {
-	h.post(countersInput{counters})
-}
-
 // Run is the host's duty. It returns when the tomb dies.
 func (h *Host) Run() error {
 	changes := h.store.Subscribe()
@@ -221,7 +225,11 @@
 	switch a := action.(type) {
 	case pool.Grant:
 		if s, ok := h.sessions[a.ID.Router]; ok {
-			s.out.Grants = append(s.out.Grants, &v1.Grant{Seq: a.ID.Seq, Target: uint32(a.Target)})
+			s.out.Grants = append(s.out.Grants, &v1.Grant{
+				Seq:      a.ID.Seq,
+				Target:   uint32(a.Target),
+				Estimate: uint32(min(a.Estimate, math.MaxUint32)),
+			})
 		}
 	case pool.Refuse:
 		if s, ok := h.sessions[a.ID.Router]; ok {
@@ -232,6 +240,11 @@
 				RetryAfterMs: uint32(a.RetryAfter.Milliseconds()),
 			})
 		}
+	case pool.Move:
+		if s, ok := h.sessions[a.ID.Router]; ok {
+			delete(s.poolOf, a.ID.Seq)
+			s.out.Refusals = append(s.out.Refusals, &v1.Refusal{Seq: a.ID.Seq, Code: v1.Code_QUEUE_FULL, Region: a.Region})
+		}
 	case pool.HandSpare:
 		if s, ok := h.sessions[a.Router]; ok {
 			s.out.Spares = append(s.out.Spares, &v1.Spare{
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -27,6 +28,7 @@
 	sched := pool.New(pool.Options{
 		InitialCost: int64(p.InitialCost),
 		HoldTime:    h.opts.HoldTime,
+		SettleTime:  settleTime,
 		MaxSpares:   h.opts.MaxSpares,
 		Seed:        h.opts.Seed,
 	})
@@ -52,8 +54,10 @@
 }
 
 func (h *Host) configure(id config.ID, p *v1.Pool, accepted *config.Accepted, now time.Time) {
-	h.step(id, now, pool.WorkspacesChanged{Workspaces: workspacesOf(p, accepted)})
-	h.step(id, now, pool.TargetsChanged{Targets: targetsOf(p, accepted, h.store.Fleet())})
+	h.step(id, now, pool.ConfigurationChanged{
+		Targets:    targetsOf(p, accepted, h.store.Fleet()),
+		Workspaces: workspacesOf(p, accepted),
+	})
 }
 
 // workspacesOf returns the workspaces that may use the pool.
@@ -112,43 +116,60 @@
 		if !ok {
 			continue
 		}
-		message := countersMessage(id, fleet.Self.Region, sched)
-		for _, m := range fleet.SchedulersOf(p.Name, fleet.Self.Region, successors+1) {
-			s, ok := h.sessions[pool.Router{Name: m.Name, Incarnation: m.Incarnation}]
-			if !ok || m.Name == fleet.Self.Name {
-				continue
+		ranked := fleet.SchedulersOf(p.Name, fleet.Self.Region, successors+1)
+		if len(ranked) == 0 || ranked[0].Name != fleet.Self.Name {
+			h.dropIdle(id, sched)
+			continue
+		}
+		counters := sched.Counters()
+		for _, m := range ranked[1:] {
+			if s, ok := h.sessions[pool.Router{Name: m.Name, Incarnation: m.Incarnation}]; ok {
+				s.replicate(id, counters)
 			}
-			s.out.Counters = append(s.out.Counters, message)
 		}
 	}
 }
 
-func countersMessage(id config.ID, region string, sched *pool.Scheduler) *v1.PoolCounters {
-	status := sched.Status()
-	message := &v1.PoolCounters{Pool: uint32(id), Region: region, SpareSlots: uint32(status.FreeSlots)}
-	for _, c := range status.Counters {
-		message.Counters = append(message.Counters, &v1.Counter{
-			Workspace:  uint32(c.Workspace),
-			Value:      c.Value,
-			Backlogged: c.Backlogged,
-		})
+// replicate sends the counters that changed since they were last sent on the
+// session.
+func (s *Session) replicate(id config.ID, counters []pool.Counter) {
+	sent, ok := s.replicated[id]
+	if !ok {
+		sent = map[config.ID]pool.Counter{}
+		s.replicated[id] = sent
+	}
+	message := &v1.PoolCounters{Pool: uint32(id)}
+	for _, c := range counters {
+		if sent[c.Workspace] != c {
+			sent[c.Workspace] = c
+			message.Counters = append(message.Counters, counterMessage(c))
+		}
+	}
+	if len(message.Counters) > 0 {
+		s.out.Counters = append(s.out.Counters, message)
 	}
-	return message
 }
 
-// peerCounters merges the counters of schedulers in other regions.
-func (h *Host) peerCounters(list []*v1.PoolCounters, now time.Time) {
-	for _, c := range list {
-		id := config.ID(c.Pool)
-		if _, ok := h.pools[id]; !ok {
-			continue
+// dropIdle forgets a pool that another router schedules, once nothing waits or
+// runs here.
+func (h *Host) dropIdle(id config.ID, sched *pool.Scheduler) {
+	status := sched.Status()
+	if status.Queued > 0 {
+		return
+	}
+	for _, t := range status.Targets {
+		if t.Busy > 0 {
+			return
 		}
-		h.step(id, now, pool.PeerCounters{
-			Region:     c.Region,
-			Counters:   counterEvents(c.Counters),
-			SpareSlots: int(c.SpareSlots),
-		})
 	}
+	delete(h.pools, id)
+	for _, s := range h.sessions {
+		delete(s.joined, id)
+	}
+}
+
+func counterMessage(c pool.Counter) *v1.Counter {
+	return &v1.Counter{Workspace: uint32(c.Workspace), Value: c.Value, Backlogged: c.Backlogged}
 }
 
 // Status describes the pools that are scheduled here, by name.
@@ -178,12 +199,7 @@
 		}
 		list = append(list, poolStatus(p.Name, h.store.Fleet().Self.Region, sched.Status(), accepted))
 	}
-	slices.SortFunc(list, func(a, b *v1.PoolStatus) int {
-		if a.Pool < b.Pool {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b *v1.PoolStatus) int { return cmp.Compare(a.Pool, b.Pool) })
 	return list
 }
 
