--- a/internal/compose/broker.go
+++ b/internal/compose/broker.go
@@ -41,6 +41,7 @@
 // demand is a request for a slot until the slot is given back.
 type demand struct {
 	event   pool.Demand
+	asked   time.Time
 	granted bool
 	target  config.ID
 	// done takes the target, or the refusal if its code is set.
@@ -68,7 +69,7 @@
 func (b *broker) acquire(event pool.Demand, done func(config.ID, Final)) {
 	b.seq++
 	event.ID = pool.DemandID{Router: b.r.poolRouter(), Seq: b.seq}
-	d := &demand{event: event, done: done}
+	d := &demand{event: event, asked: b.r.now(), done: done}
 	b.demands[b.seq] = d
 	if b.connect() {
 		b.post(d.event)
--- a/internal/compose/call.go
+++ b/internal/compose/call.go
@@ -23,6 +23,8 @@
 
 	// losses are the times at which routers saw a target lost.
 	losses []time.Time
+	// lost are the targets that it took down, in order.
+	lost []string
 	// informedLosses counts targets lost by attempts of routers that had to
 	// know of an earlier loss.
 	informedLosses int
@@ -52,6 +54,10 @@
 	sent  time.Time
 	// Final is nil until the call has ended.
 	Final *Final
+	// then is called when the call has ended; it may be nil.
+	then func()
+	// taken is set once the router has the request.
+	taken bool
 	// toldNo is set once a router decided that it did not run.
 	toldNo bool
 }
@@ -81,21 +87,24 @@
 func (w *World) ChosenKey() string { return fmt.Sprintf("order-%x", w.rng.Uint64()) }
 
 // Send sends an operation through a router.
-func (w *World) Send(op *Operation, r *Router) *Call {
-	call := &Call{w: w, op: op, entry: r, sent: w.now}
+func (w *World) Send(op *Operation, r *Router) { w.SendThen(op, r, nil) }
+
+// SendThen is Send for a caller that does something after the final answer.
+func (w *World) SendThen(op *Operation, r *Router, then func()) {
+	call := &Call{w: w, op: op, entry: r, sent: w.now, then: then}
 	w.calls = append(w.calls, call)
 	w.Stats.Calls++
 	r.open[call] = true
 	if !r.alive {
 		call.end(Final{Ran: v1.Ran_UNKNOWN})
-		return call
+		return
 	}
 	w.after(r, 0, func() { r.enter(call) })
-	return call
 }
 
 // enter takes a caller's request.
 func (r *Router) enter(call *Call) {
+	call.taken = true
 	refused := Final{Ran: v1.Ran_NO}
 	if call.op.Key != "" {
 		refused.Ran = v1.Ran_UNKNOWN
@@ -126,4 +135,7 @@
 		c.w.Stats.Served++
 	}
 	c.w.checkAnswer(c)
+	if c.then != nil {
+		c.w.after(nil, 0, c.then)
+	}
 }
--- a/internal/compose/control.go
+++ b/internal/compose/control.go
@@ -1,6 +1,8 @@
 package compose
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -47,7 +49,7 @@
 
 func (r *Router) readConfig() bool {
 	p := r.w.Platform
-	offer := p.configAt(p.time())
+	offer := p.publicationAt(p.time()).offer
 	if offer.Revision <= r.seenRevision() {
 		return false
 	}
@@ -146,14 +148,51 @@
 	}
 }
 
+// announce swaps state with all reachable routers and goes on when they have
+// answered or the time is up.
+func (r *Router) announce(next func()) {
+	waiting := map[string]bool{}
+	for _, m := range r.view.Reachable() {
+		if m.Name != r.member.Name {
+			waiting[m.Name] = true
+		}
+	}
+	done := false
+	end := func() {
+		if !done {
+			done = true
+			next()
+		}
+	}
+	if len(waiting) == 0 {
+		end()
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(waiting)) {
+		r.swap(name, func() {
+			delete(waiting, name)
+			if len(waiting) == 0 {
+				end()
+			}
+		})
+	}
+	r.w.after(r, announceTime, end)
+}
+
 // exchange swaps state with a peer.
-func (r *Router) exchange(name string) {
+func (r *Router) exchange(name string) { r.swap(name, func() {}) }
+
+// swap exchanges state and calls answered when the peer's has come.
+func (r *Router) swap(name string, answered func()) {
 	to := r.w.peer(name)
 	out := r.stateFor(name)
 	r.w.send(r, to, func() {
 		to.merge(out)
 		in := to.stateFor(r.member.Name)
-		to.w.send(to, r, func() { r.merge(in) })
+		to.w.send(to, r, func() {
+			r.merge(in)
+			answered()
+		})
 	})
 }
 
--- a/internal/compose/execute.go
+++ b/internal/compose/execute.go
@@ -17,6 +17,8 @@
 	// maxSuspectPause is that of the daemon's guard.
 	maxSuspectPause = 250 * time.Millisecond
 	dialTimeout     = 50 * time.Millisecond
+	// announceTime is that of the daemon's guard.
+	announceTime = 500 * time.Millisecond
 )
 
 // job is the sequence of attempts at one execution.
@@ -144,6 +146,10 @@
 		r.book.Ended(r.now(), digest)
 	}
 	a.exclude = append(a.exclude, a.target.id)
+	if o.crashed {
+		r.announce(func() { a.conclude(o) })
+		return
+	}
 	a.conclude(o)
 }
 
--- a/internal/compose/platform.go
+++ b/internal/compose/platform.go
@@ -118,6 +118,12 @@
 	return !p.Down && !p.DownFor[zone]
 }
 
+// offers returns whether a read from a zone brings a version. A stale replica
+// does not count: a router ignores what is older than what it has judged.
+func (p *Platform) offers(zone string, version rollout.Version) bool {
+	return p.reachable(zone) && p.StaleSince.IsZero() && p.publicationAt(p.time()).version == version
+}
+
 // time returns the time as of which the platform answers.
 func (p *Platform) time() time.Time {
 	if p.StaleSince.IsZero() {
@@ -126,13 +132,13 @@
 	return p.StaleSince
 }
 
-// configAt returns the configuration that was newest at a time.
-func (p *Platform) configAt(at time.Time) rollout.Offer {
+// publicationAt returns what was newest at a time.
+func (p *Platform) publicationAt(at time.Time) publication {
 	i := len(p.configs) - 1
 	for i > 0 && p.configs[i].at.After(at) {
 		i--
 	}
-	return p.configs[i].offer
+	return p.configs[i]
 }
 
 // list returns the instance list of a time, as it was a little earlier.
