control: know the instance list before a start counts its peers

Cause: until the instance list is read, a restarted router reaches nobody but itself. It told its tracker so, which took "all peers have answered" as true, and was ready at once with what the platform gave it. Ruled out: a peer that did not answer in ReadyWait (readiness came in the second tick of 100 ms).

Change: the tracker is told the peers only once a list or a peer is known; before, ReadyWait bounds the start as for peers that do not answer. The names come from the view under the same lock, as the store's copy may be older than the list.

--- a/rollout/peers.go
+++ b/rollout/peers.go
@@ -24,6 +24,7 @@
 }
 
 // SetPeers sets the names of the reachable routers, without the router itself.
+// It is not to be called before the instance list is known.
 // What is known about others is dropped.
 func (t *Tracker) SetPeers(names []string) {
 	t.peersKnown = true
--- a/router/internal/control/configuration.go
+++ b/router/internal/control/configuration.go
@@ -101,16 +101,20 @@
 	c.perform(ctx, actions)
 }
 
-// trackPeers lets the tracker follow the view.
+// trackPeers lets the tracker follow the view. Without an instance list the
+// peers are not known: a router that took itself for the only one would be
+// ready at once, with whatever a stale platform gives it.
 func (c *Control) trackPeers(ctx context.Context, now time.Time) {
+	c.mu.Lock()
 	var names []string
-	for _, m := range c.opts.Store.Fleet().Reachable {
+	for _, m := range c.view.Reachable() {
 		if m.Name != c.opts.Self.Name {
 			names = append(names, m.Name)
 		}
 	}
-	c.mu.Lock()
-	c.tracker.SetPeers(names)
+	if c.view.ListRevision() > 0 || len(names) > 0 {
+		c.tracker.SetPeers(names)
+	}
 	actions := c.tracker.Tick(now)
 	c.mu.Unlock()
 	c.perform(ctx, actions)
