--- a/router/internal/control/configuration.go
+++ b/router/internal/control/configuration.go
@@ -101,29 +101,23 @@
 	c.perform(ctx, actions)
 }
 
-// trackPeers lets the tracker follow the view.
+// trackPeers lets the tracker follow the view. Without an instance list the
+// peers are not known: a router that took itself for the only one would be
+// ready at once, with whatever a stale platform gives it.
 func (c *Control) trackPeers(ctx context.Context, now time.Time) {
 	c.mu.Lock()
-	// Before the first list the router knows no peers; that is not the same as
-	// having none.
-	if c.view.ListRevision() > 0 {
-		c.tracker.SetPeers(c.peerNames())
-	}
-	actions := c.tracker.Tick(now)
-	c.mu.Unlock()
-	c.perform(ctx, actions)
-}
-
-// peerNames returns the reachable routers but this one. The caller holds the
-// lock.
-func (c *Control) peerNames() []string {
 	var names []string
 	for _, m := range c.view.Reachable() {
 		if m.Name != c.opts.Self.Name {
 			names = append(names, m.Name)
 		}
 	}
-	return names
+	if c.view.ListRevision() > 0 || len(names) > 0 {
+		c.tracker.SetPeers(names)
+	}
+	actions := c.tracker.Tick(now)
+	c.mu.Unlock()
+	c.perform(ctx, actions)
 }
 
 // peerVersion takes in the configuration that a peer has in force.
