Let a suspect that did not run try another target at once

Ruled out: a shorter settling time, which has to exceed twice the spread. Change: the dispatcher tells that an attempt did not run, and the book keeps the suspect's place.

--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -111,7 +111,6 @@
 // Requests that were in progress at a target when another one crashed it are
 // served when they are sent again.
 func TestInnocentRequestsAreServedAfterACrash(t *testing.T) {
-	knownRed(t)
 	t.Parallel()
 	c := newCluster(t, size{routers: 2, zones: 2, engines: 4, services: 1}, nil)
 	prompts := make([]prompt, innocents)
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -137,6 +137,17 @@
 	}
 }
 
+// NotRun records that the request reached no target after all. A suspect keeps
+// its place, so that it may be tried on another target without announcing the
+// run again.
+func (b *Book) NotRun(now time.Time, digest Digest) {
+	b.left(digest)
+	if e := b.live(now, digest); e != nil {
+		e.wanted = now
+		e.alone = false
+	}
+}
+
 // Ended records that the request left its target without blame or proof of
 // innocence, such as when the caller went away.
 func (b *Book) Ended(now time.Time, digest Digest) {
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -155,3 +155,18 @@
 		}
 	}
 }
+
+func TestSuspectKeepsItsPlaceWhenItDidNotRun(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := New("router-1", Options{})
+	is.Equal(b.Begin(now, 1).Action, Run)
+	b.Lost(now, 1, 10)
+	is.Equal(b.Begin(now, 1).Action, Wait)
+	now = now.Add(DefaultSettle)
+	is.Equal(b.Begin(now, 1).Action, Run)
+	b.NotRun(now, 1)
+	is.Equal(b.Begin(now, 1).Action, Run) // on another target
+	b.Ended(now, 1)
+	is.Equal(b.Begin(now, 1).Action, Wait)
+}
--- a/router/internal/dispatch/attempt.go
+++ b/router/internal/dispatch/attempt.go
@@ -37,6 +37,18 @@
 	crashed bool
 }
 
+func (e attemptEnd) ending() Ending {
+	switch {
+	case e.crashed:
+		return EndedCrashed
+	case e.result.OK():
+		return EndedAnswered
+	case e.outcome == v1.Outcome_NOT_RUN:
+		return EndedNotRun
+	}
+	return EndedOpen
+}
+
 // run executes the attempt and gives the slot back.
 func (a *attempt) run(ctx context.Context) attemptEnd {
 	ctx, span := a.d.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
--- a/router/internal/dispatch/dispatcher.go
+++ b/router/internal/dispatch/dispatcher.go
@@ -26,13 +26,27 @@
 	// that must not run, and waits while a suspect runs elsewhere.
 	Begin(ctx context.Context, digest uint64) *result.Result
 	// End is called after each attempt that was begun.
-	End(digest uint64, target config.ID, crashed, answered bool)
+	End(digest uint64, target config.ID, ending Ending)
 	// Retry decides whether an attempt may be followed by another one.
 	Retry(attempt retry.Attempt) retry.Verdict
 	// Observe is called once for each request.
 	Observe()
 }
 
+// Ending is what an attempt showed of the request.
+type Ending int
+
+const (
+	// EndedOpen: neither blame nor proof of innocence.
+	EndedOpen Ending = iota
+	// EndedNotRun: no target executed the attempt.
+	EndedNotRun
+	// EndedCrashed: the connection broke while the target had the request.
+	EndedCrashed
+	// EndedAnswered: the target answered in full.
+	EndedAnswered
+)
+
 // Usage is told what each workspace received.
 type Usage interface {
 	Delivered(workspace, pool string, cost uint32)
@@ -117,7 +131,7 @@
 	}
 	grant, refusal := d.acquire(ctx, req, exclude)
 	if refusal != nil {
-		d.Guard.End(req.Digest, 0, false, false)
+		d.Guard.End(req.Digest, 0, EndedNotRun)
 		return attemptEnd{result: refusal}, nil
 	}
 	target, ok := req.Config.Target(grant.Target)
@@ -126,12 +140,12 @@
 	}
 	if !ok {
 		grant.Done(0, v1.Outcome_NOT_RUN, 0)
-		d.Guard.End(req.Digest, 0, false, false)
+		d.Guard.End(req.Digest, 0, EndedNotRun)
 		return attemptEnd{result: result.New(v1.Code_NO_TARGET, v1.Ran_NO, "granted target is not configured")}, nil
 	}
 	a := &attempt{d: d, req: req, target: target, grant: grant, sink: sink}
 	end := a.run(ctx)
-	d.Guard.End(req.Digest, grant.Target, end.crashed, end.result.OK())
+	d.Guard.End(req.Digest, grant.Target, end.ending())
 	if end.outcome != v1.Outcome_NOT_RUN {
 		d.Usage.Delivered(req.Workspace.Name, req.Pool.Name, a.spent)
 		d.costs.observe(req, a.spent)
--- a/router/internal/guard/guard.go
+++ b/router/internal/guard/guard.go
@@ -14,6 +14,7 @@
 	"github.com/chiveseam/chiveseam/quarantine"
 	"github.com/chiveseam/chiveseam/result"
 	"github.com/chiveseam/chiveseam/retry"
+	"github.com/chiveseam/chiveseam/router/internal/dispatch"
 	"github.com/chiveseam/chiveseam/router/internal/state"
 )
 
@@ -76,9 +77,9 @@
 // End implements dispatch.Guard. After a crash it returns when the other
 // routers know of it, so that a caller who sends the request again at its
 // failure finds it a suspect everywhere.
-func (g *Guard) End(digest uint64, target config.ID, crashed, answered bool) {
-	g.end(digest, target, crashed, answered)
-	if !crashed {
+func (g *Guard) End(digest uint64, target config.ID, ending dispatch.Ending) {
+	g.end(digest, target, ending)
+	if ending != dispatch.EndedCrashed {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), announceTime)
@@ -86,15 +87,17 @@
 	g.announce(ctx)
 }
 
-func (g *Guard) end(digest uint64, target config.ID, crashed, answered bool) {
+func (g *Guard) end(digest uint64, target config.ID, ending dispatch.Ending) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	switch {
-	case crashed:
+	switch ending {
+	case dispatch.EndedCrashed:
 		g.book.Lost(now, quarantine.Digest(digest), quarantine.Target(target))
-	case answered:
+	case dispatch.EndedAnswered:
 		g.book.Answered(now, quarantine.Digest(digest))
+	case dispatch.EndedNotRun:
+		g.book.NotRun(now, quarantine.Digest(digest))
 	default:
 		g.book.Ended(now, quarantine.Digest(digest))
 	}
--- a/router/internal/guard/guard_test.go
+++ b/router/internal/guard/guard_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/router/internal/dispatch"
 	"github.com/chiveseam/chiveseam/router/internal/state"
 )
 
@@ -20,11 +21,11 @@
 	g = New("a", store, func(context.Context) { g.Fill(announced) })
 
 	is.Equal(g.Begin(t.Context(), 7), nil)
-	g.End(7, 1, false, true)
+	g.End(7, 1, dispatch.EndedAnswered)
 	is.Equal(len(announced.Suspects), 0)
 
 	is.Equal(g.Begin(t.Context(), 7), nil)
-	g.End(7, 1, true, false)
+	g.End(7, 1, dispatch.EndedCrashed)
 	is.Equal(len(announced.Suspects), 1)
 	is.Equal(announced.Suspects[0].LostTargets, []uint32{1})
 }
