entry: answer before a body that is given up; count all memory of bodies

Only BODY_TOO_LARGE was answered with the care that this needs. - The budget counted the bytes that came, not the memory that held them: append leaves up to a quarter more, and each open request had a buffer of 64 KiB beside it.

Change: whatever refuses a body that was not read to its end is answered as BODY_TOO_LARGE is. A body's memory starts at 4 KiB, doubles as bytes come, and is counted whole.

Tests on the real binaries (overload_test.go): - TestFloodLeavesOthersServed: 3 routers, one engine of 8 slots, 48 callers of one workspace (queue of 16) that retry at once, beside 2 callers of another. All 80 light calls are served whole; each refusal of the flood is final, says NO and has Retry-After.

Not covered: a flood of callers without a valid token that send large bodies.

--- /dev/null
+++ b/internal/e2e/memory_test.go
@@ -0,0 +1,27 @@
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+const bytesPerKiB = 1024
+
+// peakMemory returns the largest resident set that the process had, in bytes.
+func (p *process) peakMemory(t *testing.T) uint64 {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		t.Skipf("the system does not tell the memory of processes: %v", err)
+	}
+	for line := range strings.Lines(string(status)) {
+		var kib uint64
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kib); err == nil {
+			return kib * bytesPerKiB
+		}
+	}
+	t.Fatal("the peak of the resident set is not told")
+	return 0
+}
--- /dev/null
+++ b/internal/e2e/overload_test.go
@@ -0,0 +1,287 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chiveseam/chiveseam/config/configtest"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	floodCallers = 48
+	floodQueue   = 16
+	floodTokens  = 40
+	lightCallers = 2
+	lightCalls   = 40
+	lightTokens  = 20
+)
+
+// stormTransport keeps connections, so that a storm of calls does not use up
+// the ports of the machine.
+var stormTransport = &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}
+
+// sendKept sends the call on a connection that may have served others.
+func sendKept(ctx context.Context, address string, c call) answer {
+	req, err := newHTTPRequest(ctx, address, c)
+	if err != nil {
+		return answer{err: err}
+	}
+	resp, err := stormTransport.RoundTrip(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return newAnswer(resp, body, err)
+}
+
+// latencies holds durations. It is safe for concurrent use.
+type latencies struct {
+	mu   sync.Mutex
+	list []time.Duration
+}
+
+func (l *latencies) add(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, d)
+}
+
+// quantile returns the q-quantile, zero if there is none.
+func (l *latencies) quantile(q float64) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.list) == 0 {
+		return 0
+	}
+	slices.Sort(l.list)
+	return l.list[int(q*float64(len(l.list)-1))].Round(10 * time.Microsecond)
+}
+
+// storm is a workspace whose callers send again at once what was refused.
+type storm struct {
+	t        *testing.T
+	routers  []*router
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	served   latencies
+	refusals latencies
+
+	mu    sync.Mutex
+	codes map[outcome]int
+}
+
+func startStorm(t *testing.T, routers []*router, callers int) *storm {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &storm{t: t, routers: routers, cancel: cancel, codes: map[outcome]int{}}
+	for i := range callers {
+		s.wg.Go(func() { s.run(ctx, routers[i%len(routers)]) })
+	}
+	return s
+}
+
+func (s *storm) run(ctx context.Context, r *router) {
+	for ctx.Err() == nil {
+		p := newPrompt(s.t, floodTokens)
+		sent := time.Now()
+		a := sendKept(ctx, r.entry, p.call(true).with("Authorization", "Bearer token-large"))
+		if ctx.Err() != nil {
+			return
+		}
+		s.record(p, a, time.Since(sent))
+	}
+}
+
+func (s *storm) record(p prompt, a answer, took time.Duration) {
+	s.mu.Lock()
+	s.codes[outcome{a.code, a.ran}]++
+	s.mu.Unlock()
+	if a.code == v1.Code_OK {
+		p.expectWhole(s.t, a)
+		s.served.add(took)
+		return
+	}
+	if !a.refused() {
+		s.t.Errorf("flood: %v; want a whole answer or a refusal with Retry-After", a)
+	}
+	s.refusals.add(took)
+}
+
+func (s *storm) stop() {
+	s.cancel()
+	s.wg.Wait()
+}
+
+// TestFloodLeavesOthersServed lets one workspace send more than its queue
+// holds, from callers that retry at once, while another sends a little.
+func TestFloodLeavesOthersServed(t *testing.T) {
+	c := newCluster(t, size{routers: 3, zones: 3, engines: 1, services: 1}, func(c *v1.Configuration) {
+		for _, w := range c.Workspaces {
+			w.Share = 1
+			w.MaxQueuedRequests = floodQueue
+		}
+	})
+	alone := sendLight(t, c)
+	s := startStorm(t, c.routers, floodCallers)
+	await(t, "the flood fills its queue", func() bool { return s.refusals.quantile(0) > 0 }, func() any { return s.codes })
+	beside := sendLight(t, c)
+	s.stop()
+	t.Logf("light calls: median %v, p99 %v, longest %v; without the flood median %v, longest %v",
+		beside.quantile(0.5), beside.quantile(0.99), beside.quantile(1), alone.quantile(0.5), alone.quantile(1))
+	t.Logf("flood: %v; refused after median %v, p99 %v; served after median %v",
+		s.codes, s.refusals.quantile(0.5), s.refusals.quantile(0.99), s.served.quantile(0.5))
+}
+
+// sendLight sends the calls of the light workspace. Each must be served.
+func sendLight(t *testing.T, c *cluster) *latencies {
+	times := &latencies{}
+	var wg sync.WaitGroup
+	for i := range lightCallers {
+		wg.Go(func() {
+			for range lightCalls {
+				p := newPrompt(t, lightTokens)
+				sent := time.Now()
+				a := sendKept(t.Context(), c.routers[i].entry, p.call(true))
+				times.add(time.Since(sent))
+				p.expectWhole(t, a)
+			}
+		})
+	}
+	wg.Wait()
+	return times
+}
+
+const (
+	bodyLimit   = 4 << 20
+	bodiesLimit = 32 << 20
+	// memoryBase is the resident set of a router beside its bodies.
+	memoryBase = 96 << 20
+	// collectorFactor is the heap that the collector lets grow, over what is
+	// in use.
+	collectorFactor = 2
+
+	largeCallers    = 24
+	largeCalls      = 20
+	slowBodies      = 1000
+	slowBodyBytes   = 1000
+	slowReaders     = 200
+	slowReadTokens  = 400
+	memorySlots     = 64
+	slowHoldTime    = 2 * time.Second
+	queuedBodyBytes = 1 << 30
+)
+
+// TestMemoryStaysBounded floods a router with large bodies, bodies that arrive
+// slowly and callers that do not read, and bounds its resident set.
+func TestMemoryStaysBounded(t *testing.T) {
+	floods := []struct {
+		name string
+		send func(*testing.T, *router)
+	}{
+		{"large bodies", sendLargeBodies},
+		{"slow bodies", sendSlowBodies},
+		{"slow readers", readSlowly},
+	}
+	for _, flood := range floods {
+		t.Run(flood.name, func(t *testing.T) {
+			r := newMemoryCluster(t).routers[0]
+			idle := r.peakMemory(t)
+			flood.send(t, r)
+			peak := r.peakMemory(t)
+			const bound = memoryBase + collectorFactor*bodiesLimit
+			t.Logf("peak resident set: idle %d MiB, flooded %d MiB; bound %d MiB", idle>>20, peak>>20, bound>>20)
+			if peak > bound {
+				t.Errorf("the router used %d bytes; the bound is %d", peak, bound)
+			}
+			p := newPrompt(t, lightTokens)
+			p.expectWhole(t, send(r.entry, p.call(true)))
+		})
+	}
+}
+
+func newMemoryCluster(t *testing.T) *cluster {
+	return newCluster(t, size{routers: 1, zones: 1, engines: 1, services: 1}, func(c *v1.Configuration) {
+		for _, w := range c.Workspaces {
+			w.MaxQueuedBytes = queuedBodyBytes
+			w.MaxQueuedRequests = slowReaders
+		}
+		for _, g := range c.Targets {
+			g.Slots = memorySlots
+		}
+	}, fmt.Sprintf("--max-body-bytes=%d", bodyLimit), fmt.Sprintf("--max-bodies-bytes=%d", bodiesLimit))
+}
+
+// sendLargeBodies sends more bytes at once than the router may hold.
+func sendLargeBodies(t *testing.T, r *router) {
+	var wg sync.WaitGroup
+	body := string(bytes.Repeat([]byte("x"), bodyLimit-1))
+	var mu sync.Mutex
+	codes := map[outcome]int{}
+	for range largeCallers {
+		wg.Go(func() {
+			for range largeCalls {
+				j := job(newOperation(t))
+				j.body = body
+				a := send(r.entry, j)
+				mu.Lock()
+				codes[outcome{a.code, a.ran}]++
+				mu.Unlock()
+				if a.code != v1.Code_OK && !a.refused() {
+					t.Errorf("large body: %v", a)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("large bodies: %v", codes)
+}
+
+// sendSlowBodies opens requests whose bodies stop after their first bytes.
+func sendSlowBodies(t *testing.T, r *router) {
+	var conns []net.Conn
+	for range slowBodies {
+		conn, err := net.Dial("tcp", r.entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+		fmt.Fprintf(conn, "POST /services/%s/jobs HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+			configtest.ServicePool, r.entry, token, bodyLimit-1, strings.Repeat("x", slowBodyBytes))
+	}
+	await(t, "slow bodies are held", func() bool {
+		return r.status().GetOpenRequests() >= slowBodies
+	}, func() any { return r.status().GetOpenRequests() })
+}
+
+// readSlowly lets callers ask for streams and not read them.
+func readSlowly(t *testing.T, r *router) {
+	ctx, cancel := context.WithTimeout(t.Context(), slowHoldTime)
+	defer cancel()
+	var wg sync.WaitGroup
+	for range slowReaders {
+		wg.Go(func() {
+			req, err := newHTTPRequest(ctx, r.entry, newPrompt(t, slowReadTokens).call(true))
+			if err != nil {
+				return
+			}
+			resp, err := callerTransport.RoundTrip(req)
+			if err != nil {
+				return
+			}
+			<-ctx.Done()
+			resp.Body.Close()
+		})
+	}
+	wg.Wait()
+}
--- a/router/internal/entry/answer.go
+++ b/router/internal/entry/answer.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/result"
 )
 
@@ -101,9 +100,9 @@
 // finish ends the answer: as a final answer of the router if nothing was
 // written, as an error event in a stream that broke, and otherwise by closing
 // the connection, so that a short answer never looks whole.
-func (s *Server) finish(w *trackedWriter, r *http.Request, end *result.Result) {
+func (s *Server) finish(w *trackedWriter, r *http.Request, c *caller, end *result.Result) {
 	switch {
-	case !w.wrote && end.Code == v1.Code_BODY_TOO_LARGE:
+	case !w.wrote && c.unread:
 		writeResultBeforeBody(w, r, end)
 	case !w.wrote:
 		writeResult(w, end)
--- a/router/internal/entry/body.go
+++ b/router/internal/entry/body.go
@@ -11,9 +11,9 @@
 	"github.com/chiveseam/chiveseam/result"
 )
 
-// bodyChunk is the step in which the budget is taken for a body of unknown
-// length.
-const bodyChunk = 64 << 10
+// firstBodyBytes is the memory for a body before its first bytes came. It
+// doubles as they come, whatever length the caller announced.
+const firstBodyBytes = 4 << 10
 
 // byteBudget bounds the bytes of all bodies in memory. It is safe for
 // concurrent use.
@@ -54,6 +54,7 @@
 	if configured := int64(c.config.Proto.GetLimits().GetMaxBodyBytes()); configured > 0 {
 		limit = min(limit, configured)
 	}
+	c.unread = true
 	if r.ContentLength > limit {
 		return nil, tooLarge(limit)
 	}
@@ -64,6 +65,7 @@
 		b.release()
 		return nil, refusal
 	}
+	c.unread = false
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return b, nil
 }
@@ -73,19 +75,16 @@
 }
 
 func (b *body) fill(r io.Reader, limit int64) *result.Result {
-	buf := make([]byte, bodyChunk)
 	for {
-		n, err := r.Read(buf)
-		if n > 0 {
-			if int64(len(b.data)+n) > limit {
-				return tooLarge(limit)
-			}
-			if !b.budget.take(int64(n)) {
-				return busy("the bodies in memory reach the limit of %d bytes", b.budget.limit)
-			}
-			b.held += int64(n)
-			b.data = append(b.data, buf[:n]...)
+		room, ok := b.room(limit)
+		if !ok {
+			return busy("the bodies in memory reach the limit of %d bytes", b.budget.limit)
 		}
+		n, err := r.Read(room)
+		if int64(len(b.data)+n) > limit {
+			return tooLarge(limit)
+		}
+		b.data = b.data[:len(b.data)+n]
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -94,3 +93,27 @@
 		}
 	}
 }
+
+// room returns where the next bytes go, doubling the memory of the body if
+// there is none. A body at the limit gets one byte, which tells whether there
+// is more. It returns false if the budget does not allow it.
+func (b *body) room(limit int64) ([]byte, bool) {
+	if int64(len(b.data)) == limit {
+		return make([]byte, 1), true
+	}
+	if len(b.data) == cap(b.data) && !b.grow(limit) {
+		return nil, false
+	}
+	return b.data[len(b.data):cap(b.data)], true
+}
+
+// grow doubles the memory of the body, up to the limit.
+func (b *body) grow(limit int64) bool {
+	size := min(max(firstBodyBytes, 2*int64(cap(b.data))), limit)
+	if !b.budget.take(size - b.held) {
+		return false
+	}
+	b.held = size
+	b.data = append(make([]byte, 0, size), b.data...)
+	return true
+}
--- /dev/null
+++ b/router/internal/entry/body_test.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"bytes"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const testLimit = 10_000
+
+func TestBodyIsReadWhole(t *testing.T) {
+	for _, size := range []int{0, 1, firstBodyBytes, firstBodyBytes + 1, testLimit} {
+		is := is.New(t)
+		want := bytes.Repeat([]byte("x"), size)
+		budget := newByteBudget(testLimit)
+		b := &body{budget: budget}
+		is.True(b.fill(iotest.OneByteReader(bytes.NewReader(want)), testLimit) == nil)
+		is.True(bytes.Equal(b.data, want))
+		is.True(budget.used() >= int64(cap(b.data))) // all of its memory counts
+		b.release()
+		is.Equal(budget.used(), int64(0))
+	}
+}
+
+func TestBodyOverTheLimitIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := &body{budget: newByteBudget(10 * testLimit)}
+	refusal := b.fill(bytes.NewReader(make([]byte, testLimit+1)), testLimit)
+	is.Equal(refusal.Code, v1.Code_BODY_TOO_LARGE)
+}
+
+func TestBodiesOverTheBudgetAreRefused(t *testing.T) {
+	is := is.New(t)
+	budget := newByteBudget(testLimit)
+	first := &body{budget: budget}
+	is.True(first.fill(bytes.NewReader(make([]byte, testLimit)), testLimit) == nil)
+	second := &body{budget: budget}
+	refusal := second.fill(bytes.NewReader([]byte("x")), testLimit)
+	is.Equal(refusal.Code, v1.Code_ROUTER_BUSY)
+	is.True(refusal.RetryAfter > 0)
+	second.release()
+	first.release()
+	is.Equal(budget.used(), int64(0))
+}
--- a/router/internal/entry/server.go
+++ b/router/internal/entry/server.go
@@ -126,6 +126,8 @@
 	arrived   time.Time
 	sink      dispatch.Sink
 	forwarded bool
+	// unread is set while the body was not read to its end.
+	unread bool
 	// decided is set once the request reached the executor, whose results
 	// respect the request's key.
 	decided bool
@@ -157,7 +159,7 @@
 			end.Ran = ranBeforeKeys(r.Request, end.Ran)
 		}
 		s.observer.Ended(end.Code, c.workspace.Name, time.Since(c.arrived))
-		s.finish(tracked, r.Request, end)
+		s.finish(tracked, r.Request, c, end)
 		return nil
 	}
 }
