--- a/internal/e2e/overload_test.go
+++ b/internal/e2e/overload_test.go
@@ -248,14 +248,12 @@
 
 // sendSlowBodies opens requests whose bodies stop after their first bytes.
 func sendSlowBodies(t *testing.T, r *router) {
-	var conns []net.Conn
 	for range slowBodies {
 		conn, err := net.Dial("tcp", r.entry)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer conn.Close()
-		conns = append(conns, conn)
 		fmt.Fprintf(conn, "POST /services/%s/jobs HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
 			configtest.ServicePool, r.entry, token, bodyLimit-1, strings.Repeat("x", slowBodyBytes))
 	}
