--- /dev/null
+++ b/router/internal/scheduling/regions_test.go
@@ -0,0 +1,174 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"gopkg.in/tomb.v2"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/config/configtest"
+	"github.com/chiveseam/chiveseam/pool"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/router/internal/state"
+)
+
+const (
+	remoteRegion  = "south"
+	remoteAddress = "127.0.0.1:9"
+	minute        = 60_000
+)
+
+var poolID = config.IDOf(configtest.ServicePool)
+
+// fixture is a host whose loop the test drives, with one entry router.
+type fixture struct {
+	*Host
+	session *Session
+	now     time.Time
+}
+
+// newFixture returns the host of a region with one slot of the pool; the other
+// region has targets in data centre dc-2. Workspace large belongs to dc-1.
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	c := configtest.Valid()
+	c.Zones[0].DataCentre = "dc-1"
+	c.Zones = append(c.Zones, &v1.Zone{Name: "zone-s", Region: remoteRegion, DataCentre: "dc-2"})
+	for _, g := range c.Targets {
+		g.Slots = 1
+	}
+	far := proto.Clone(c.Targets[1]).(*v1.Target)
+	far.Name, far.Zone, far.Address = "desk-2", "zone-s", "127.0.0.1:7201"
+	c.Targets = append(c.Targets, far)
+	c.Workspaces[1].DataCentre = "dc-1"
+	payload, err := proto.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := config.Accept(1, payload)
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := state.Member{Name: "a", Region: configtest.Region, Incarnation: 1}
+	store := state.NewStore(self)
+	store.SetConfig(accepted)
+	store.SetFleet(&state.Fleet{Self: self, Reachable: []state.Member{
+		self, {Name: "z", Region: remoteRegion, PeerAddress: remoteAddress, Incarnation: 1},
+	}})
+	f := &fixture{Host: New(&tomb.Tomb{}, store, Options{HoldTime: time.Second}), now: time.Unix(1e9, 0)}
+	f.session = &Session{
+		host: f.Host, router: pool.Router{Name: "r", Incarnation: 1}, zone: configtest.Zone,
+		joined: map[config.ID]bool{}, poolOf: map[uint64]config.ID{}, out: &v1.SchedulerBatch{},
+	}
+	f.handle(openInput{f.session}, f.now)
+	return f
+}
+
+// ask sends demands of a workspace and drops what is granted.
+func (f *fixture) ask(workspace string, waitMs uint32, seqs ...uint64) {
+	for _, seq := range seqs {
+		f.receive(f.session, &v1.EntryBatch{Demands: []*v1.Demand{{
+			Seq: seq, Pool: uint32(poolID), Workspace: uint32(config.IDOf(workspace)), WaitMs: waitMs,
+		}}}, f.now)
+	}
+	f.session.out.Grants = nil
+}
+
+// free tells of free slots in the other region.
+func (f *fixture) free(slots uint32) {
+	f.peerCounters([]*v1.PoolCounters{{Pool: uint32(poolID), Region: remoteRegion, SpareSlots: slots}}, f.now)
+}
+
+// moved returns the demands that were moved since the last call.
+func (f *fixture) moved() []uint64 {
+	var seqs []uint64
+	for _, refusal := range f.session.out.Refusals {
+		if refusal.Region == remoteRegion {
+			seqs = append(seqs, refusal.Seq)
+		}
+	}
+	f.session.out.Refusals = nil
+	return seqs
+}
+
+func TestFreeSlotsOfAnotherRegionAttractDemands(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.ask("small", minute, 1, 2, 3, 4, 5)
+	f.free(2)
+	is.Equal(f.moved(), []uint64{2, 3}) // demand 1 runs here
+	f.ask("small", minute, 6)
+	is.Equal(len(f.moved()), 0) // both slots are taken
+	f.receive(f.session, &v1.EntryBatch{Freed: []*v1.FreedSlot{{Pool: uint32(poolID), Region: remoteRegion}}}, f.now)
+	is.Equal(f.moved(), []uint64{4})
+}
+
+func TestDemandMovesAtOnceWhileSlotsAreFree(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.ask("small", minute, 1)
+	f.free(1)
+	f.ask("small", minute, 2)
+	is.Equal(f.moved(), []uint64{2})
+}
+
+func TestDemandsMoveOnlyToUsableDataCentres(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.ask("large", minute, 1, 2)
+	f.ask("small", minute, 3)
+	f.free(5)
+	is.Equal(f.moved(), []uint64{3})
+}
+
+// TestExpiredDemandsDoNotCountAsMoved lets two demands expire in the step in
+// which the free slots become known.
+func TestExpiredDemandsDoNotCountAsMoved(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.ask("small", minute, 1)
+	f.ask("small", 10, 2, 3)
+	f.now = f.now.Add(time.Second)
+	f.peerCountersOnly(2)
+	f.moveWaiting(poolID, f.now)
+	is.Equal(len(f.moved()), 0)
+	f.ask("small", minute, 4, 5)
+	is.Equal(f.moved(), []uint64{4, 5})
+}
+
+// peerCountersOnly stores the number of free slots without a step.
+func (f *fixture) peerCountersOnly(slots int) {
+	f.spares[poolID] = map[string]int{remoteRegion: slots}
+}
+
+func TestMovedDemandIsForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.ask("small", minute, 1, 2)
+	f.free(1)
+	is.Equal(len(f.session.poolOf), 1)
+	f.receive(f.session, &v1.EntryBatch{Cancels: []uint64{2}}, f.now)
+	is.Equal(f.pools[poolID].Queued(), 0)
+}
+
+func TestFreedSlotOfAnUnknownPoolIsIgnored(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.receive(f.session, &v1.EntryBatch{Freed: []*v1.FreedSlot{{Pool: 1, Region: remoteRegion}}}, f.now)
+	is.Equal(len(f.moved()), 0)
+}
+
+func TestSharesGoToTheSchedulersOfOtherRegions(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.ask("small", minute, 1)
+	shares := f.collectShares()
+	is.Equal(len(shares), 1)
+	message := shares[remoteAddress].Pools[0]
+	is.Equal(message.Pool, uint32(poolID))
+	is.Equal(message.Region, configtest.Region)
+	is.Equal(message.SpareSlots, uint32(0)) // the one slot is in use
+}
