broker: let waiting demands follow their workspace to another region

Cause: a revision that moves a workspace to a data centre in another region leaves its waiting demands with a scheduler that has no target for them.

Change: on NO_TARGET the broker looks for another region with targets for the workspace by the configuration in force, and places the demand there, once.

Ruled out: a refusal for the caller to repeat.

Not covered: on the real binaries, data centres that are regions of their own; the test there has both in one region, as both examples do.

--- a/router/internal/broker/answer.go
+++ b/router/internal/broker/answer.go
@@ -66,6 +66,12 @@
 		b.returnHome(r, time.Now())
 		return
 	}
+	if refusal.Code == v1.Code_NO_TARGET && !r.demand.moved {
+		if region, ok := b.otherRegionOf(r); ok {
+			b.moveToRegion(r, region)
+			return
+		}
+	}
 	why := result.New(refusal.Code, v1.Ran_NO, "refused by the scheduler of pool %s", r.demand.Pool)
 	why.RetryAfter = time.Duration(refusal.RetryAfterMs) * time.Millisecond
 	b.refuse(r, why)
--- a/router/internal/broker/place.go
+++ b/router/internal/broker/place.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chiveseam/chiveseam/config"
@@ -55,6 +56,28 @@
 	b.place(r, time.Now())
 }
 
+// otherRegionOf returns another region with targets for the demand by the
+// configuration in force, in which its workspace may belong to another data
+// centre than when the demand was made.
+func (b *Broker) otherRegionOf(r *request) (string, bool) {
+	accepted := b.store.Config()
+	w, ok := accepted.Workspace(r.demand.Workspace)
+	if !ok {
+		return "", false
+	}
+	for _, t := range accepted.TargetsOf(r.demand.Pool) {
+		zone, ok := accepted.Zone(t.Zone)
+		if !ok || zone.Region == r.demand.Region || slices.Contains(r.demand.Exclude, config.IDOf(t.Name)) {
+			continue
+		}
+		if w.DataCentre == "" || w.DataCentre == zone.DataCentre {
+			r.demand.DataCentre = w.DataCentre
+			return zone.Region, true
+		}
+	}
+	return "", false
+}
+
 // returnHome places a demand that was moved, and that the other region cannot
 // serve, in its own region again.
 func (b *Broker) returnHome(r *request, now time.Time) {
--- /dev/null
+++ b/router/internal/broker/region_test.go
@@ -0,0 +1,73 @@
+package broker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/config/configtest"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const remoteEngine = "engine-2"
+
+// configure puts a configuration in force in which the other region is a data
+// centre of its own, and workspace small belongs to dataCentre.
+func (f *fixture) configure(t *testing.T, dataCentre string) {
+	t.Helper()
+	c := configtest.Valid()
+	c.Zones[0].DataCentre = "dc-1"
+	c.Zones = append(c.Zones, &v1.Zone{Name: "zone-s", Region: remote, DataCentre: "dc-2"})
+	for i, g := range c.Targets[:2] {
+		far := proto.Clone(g).(*v1.Target)
+		far.Name, far.Zone, far.Address = []string{remoteEngine, "desk-2"}[i], "zone-s", []string{"127.0.0.1:7101", "127.0.0.1:7201"}[i]
+		c.Targets = append(c.Targets, far)
+	}
+	c.Workspaces[0].DataCentre = dataCentre
+	payload, err := proto.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := config.Accept(2, payload)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.store.SetConfig(accepted)
+}
+
+// TestWaitingDemandFollowsItsWorkspace moves the workspace of a waiting demand
+// to a data centre in another region: its scheduler has no target for it.
+func TestWaitingDemandFollowsItsWorkspace(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, member("a", home, 1), member("z", remote, 1))
+	f.configure(t, "dc-1")
+	r := f.acquire(time.Minute)
+	f.configure(t, "dc-2")
+	f.refuse("a", &v1.Refusal{Seq: r.seq, Code: v1.Code_NO_TARGET})
+	is.Equal(r.answer(), reply{})
+	is.Equal(seqs(f.sent("z").Demands), []uint64{r.seq})
+	f.grant("z", r.seq, config.IDOf(remoteEngine))
+	is.Equal(r.answer().target(), config.IDOf(remoteEngine))
+}
+
+func TestDemandWithoutTargetInAnyRegionIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, member("a", home, 1), member("z", remote, 1))
+	f.configure(t, "dc-2")
+	r := f.acquire(time.Minute)
+	r.demand.Exclude = []config.ID{config.IDOf(remoteEngine)}
+	f.refuse("a", &v1.Refusal{Seq: r.seq, Code: v1.Code_NO_TARGET})
+	is.Equal(r.answer().code(), v1.Code_NO_TARGET)
+}
+
+func TestDemandIsNotMovedToTheOtherSideForWantOfATarget(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, member("a", home, 1), member("z", remote, 1))
+	f.configure(t, "dc-1")
+	r := f.acquire(time.Minute)
+	f.refuse("a", &v1.Refusal{Seq: r.seq, Code: v1.Code_NO_TARGET})
+	is.Equal(r.answer().code(), v1.Code_NO_TARGET)
+}
