--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -14,6 +14,8 @@
 	// holdTime is the daemon's default of the setting grant-hold.
 	holdTime  = time.Second
 	maxSpares = 4
+	// settleTime is that of the daemon.
+	settleTime = 100 * time.Millisecond
 	// counterInterval is how often counters go to the next routers in rank.
 	counterInterval = time.Second
 	successors      = 2
@@ -35,14 +37,12 @@
 	latency    time.Duration
 	// replicate is set if schedulers give their counters to routers.
 	replicate bool
-	// reportEstimate makes the first report of progress due at the estimate.
-	reportEstimate bool
-	seed           uint64
-	routers        []*router
-	hosts          []*host
-	engines        map[config.ID]*engine
-	index          map[config.ID]int
-	meter          *meter
+	seed      uint64
+	routers   []*router
+	hosts     []*host
+	engines   map[config.ID]*engine
+	index     map[config.ID]int
+	meter     *meter
 	// cutZone is cut off from the other zones unless it is empty.
 	cutZone string
 }
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -40,6 +40,9 @@
 // block, and may coalesce it with others.
 type Link interface {
 	Send(*v1.EntryBatch)
+	// SetWaiting tells whether demands wait on the link. Its silence is found
+	// sooner while they do.
+	SetWaiting(bool)
 	Close()
 }
 
@@ -89,7 +92,8 @@
 	links    map[string]*link
 	avoid    map[string]time.Time
 	spares   map[poolKey][]spare
-	counters map[config.ID]*v1.PoolCounters
+	// counters holds the last counters seen, by pool and workspace.
+	counters map[config.ID]map[config.ID]*v1.Counter
 	// dropped holds links to earlier incarnations, whose requests are to be
 	// moved.
 	dropped []*link
@@ -130,7 +134,7 @@
 		links:    map[string]*link{},
 		avoid:    map[string]time.Time{},
 		spares:   map[poolKey][]spare{},
-		counters: map[config.ID]*v1.PoolCounters{},
+		counters: map[config.ID]map[config.ID]*v1.Counter{},
 	}
 	return b
 }
@@ -189,28 +193,36 @@
 	return result.New(v1.Code_STOPPING, v1.Ran_NO, "the router is stopping")
 }
 
-// Inspect runs fn in the loop's goroutine and waits for it.
-func (b *Broker) Inspect(fn func(waiting, inFlight int)) {
-	done := make(chan struct{})
-	ok := b.post(inspectInput{func() {
-		defer close(done)
-		inFlight := 0
-		for _, r := range b.requests {
-			if r.granted {
-				inFlight++
-			}
-		}
-		fn(len(b.requests)-inFlight, inFlight)
-	}})
-	if !ok {
-		return
+// WaitKey names a workspace's queue in a pool.
+type WaitKey struct {
+	Pool      string
+	Workspace config.ID
+}
+
+// Waiting counts the router's own waiting demands.
+func (b *Broker) Waiting() map[WaitKey]int {
+	result := make(chan map[WaitKey]int, 1)
+	if !b.post(inspectInput{func() { result <- b.countWaiting() }}) {
+		return nil
 	}
 	select {
-	case <-done:
+	case counts := <-result:
+		return counts
 	case <-b.t.Dying():
+		return nil
 	}
 }
 
+func (b *Broker) countWaiting() map[WaitKey]int {
+	counts := map[WaitKey]int{}
+	for _, r := range b.requests {
+		if !r.granted {
+			counts[WaitKey{r.demand.Pool, r.demand.Workspace}]++
+		}
+	}
+	return counts
+}
+
 // Run is the broker's duty. It returns when the tomb dies.
 func (b *Broker) Run() error {
 	changes := b.store.Subscribe()
@@ -333,11 +345,25 @@
 			b.refuse(r, result.New(v1.Code_DEADLINE_EXCEEDED, v1.Ran_NO, "no slot was granted in time"))
 		}
 	}
+	b.tellWaiting()
 	b.dropExpiredSpares(now)
 	b.closeIdleLinks(now)
 	b.endAvoidance(now)
 }
 
+// tellWaiting tells each link whether demands wait on it.
+func (b *Broker) tellWaiting() {
+	waiting := map[*link]bool{}
+	for _, r := range b.requests {
+		if !r.granted {
+			waiting[r.link] = true
+		}
+	}
+	for _, l := range b.links {
+		l.conn.SetWaiting(waiting[l])
+	}
+}
+
 // endAvoidance lets roles move back to routers that were passed over.
 func (b *Broker) endAvoidance(now time.Time) {
 	ended := false
--- a/router/internal/entry/body_test.go
+++ b/router/internal/entry/body_test.go
@@ -16,8 +16,8 @@
 	for _, size := range []int{0, 1, firstBodyBytes, firstBodyBytes + 1, testLimit} {
 		is := is.New(t)
 		want := bytes.Repeat([]byte("x"), size)
-		budget := newByteBudget(testLimit)
-		b := &body{budget: budget}
+		budget := &byteBudget{}
+		b := &body{budget: budget, allLimit: testLimit}
 		is.True(b.fill(iotest.OneByteReader(bytes.NewReader(want)), testLimit) == nil)
 		is.True(bytes.Equal(b.data, want))
 		is.True(budget.used() >= int64(cap(b.data))) // all of its memory counts
@@ -28,17 +28,17 @@
 
 func TestBodyOverTheLimitIsRefused(t *testing.T) {
 	is := is.New(t)
-	b := &body{budget: newByteBudget(10 * testLimit)}
+	b := &body{budget: &byteBudget{}, allLimit: 10 * testLimit}
 	refusal := b.fill(bytes.NewReader(make([]byte, testLimit+1)), testLimit)
 	is.Equal(refusal.Code, v1.Code_BODY_TOO_LARGE)
 }
 
 func TestBodiesOverTheBudgetAreRefused(t *testing.T) {
 	is := is.New(t)
-	budget := newByteBudget(testLimit)
-	first := &body{budget: budget}
+	budget := &byteBudget{}
+	first := &body{budget: budget, allLimit: testLimit}
 	is.True(first.fill(bytes.NewReader(make([]byte, testLimit)), testLimit) == nil)
-	second := &body{budget: budget}
+	second := &body{budget: budget, allLimit: testLimit}
 	refusal := second.fill(bytes.NewReader([]byte("x")), testLimit)
 	is.Equal(refusal.Code, v1.Code_ROUTER_BUSY)
 	is.True(refusal.RetryAfter > 0)
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -22,6 +22,8 @@
 	inputLimit = 4096
 	// maxTick bounds the time between two steps of the loop.
 	maxTick = 100 * time.Millisecond
+	// settleTime is how long a scheduler that is rebuilt waits for the routers.
+	settleTime = 100 * time.Millisecond
 	// counterInterval is how often the counters go to the next in rank.
 	counterInterval = time.Second
 	// successors is the number of routers that receive the counters.
@@ -53,7 +55,9 @@
 	// The fields below belong to the host's loop.
 	joined map[config.ID]bool
 	poolOf map[uint64]config.ID
-	out    *v1.SchedulerBatch
+	// replicated holds the counters as last sent, by pool and workspace.
+	replicated map[config.ID]map[config.ID]pool.Counter
+	out        *v1.SchedulerBatch
 }
 
 type (
@@ -103,13 +107,14 @@
 // goroutine; it must not block and takes the batch over.
 func (h *Host) Open(router pool.Router, zone string, send func(*v1.SchedulerBatch)) *Session {
 	s := &Session{
-		host:   h,
-		router: router,
-		zone:   zone,
-		send:   send,
-		joined: map[config.ID]bool{},
-		poolOf: map[uint64]config.ID{},
-		out:    &v1.SchedulerBatch{},
+		host:       h,
+		router:     router,
+		zone:       zone,
+		send:       send,
+		joined:     map[config.ID]bool{},
+		poolOf:     map[uint64]config.ID{},
+		replicated: map[config.ID]map[config.ID]pool.Counter{},
+		out:        &v1.SchedulerBatch{},
 	}
 	h.post(openInput{s})
 	return s
