--- a/internal/compose/call.go
+++ b/internal/compose/call.go
@@ -21,7 +21,7 @@
 	// Poison makes each target crash that runs it.
 	Poison bool
 
-	// losses are the times at which routers saw a target lost.
+	// losses are the times at which the loss of a target was told to callers.
 	losses []time.Time
 	// lost are the targets that it took down, in order.
 	lost []string
@@ -48,10 +48,12 @@
 
 // Call is one sending of an operation to a router.
 type Call struct {
-	w     *World
-	op    *Operation
-	entry *Router
-	sent  time.Time
+	w *World
+	// number is the order of arrival.
+	number int
+	op     *Operation
+	entry  *Router
+	sent   time.Time
 	// Final is nil until the call has ended.
 	Final *Final
 	// then is called when the call has ended; it may be nil.
@@ -91,7 +93,7 @@
 
 // SendThen is Send for a caller that does something after the final answer.
 func (w *World) SendThen(op *Operation, r *Router, then func()) {
-	call := &Call{w: w, op: op, entry: r, sent: w.now, then: then}
+	call := &Call{w: w, number: len(w.calls), op: op, entry: r, sent: w.now, then: then}
 	w.calls = append(w.calls, call)
 	w.Stats.Calls++
 	r.open[call] = true
--- a/internal/compose/check.go
+++ b/internal/compose/check.go
@@ -7,7 +7,6 @@
 	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/requestkey"
-	"github.com/chiveseam/chiveseam/retry"
 	"github.com/chiveseam/chiveseam/rollout"
 )
 
@@ -224,12 +223,12 @@
 	if r.w.now.Sub(r.watch.resumed) < openLimit {
 		return
 	}
-	for call := range r.open {
+	for _, call := range r.openCalls() {
 		if age := r.w.now.Sub(call.sent); age > openLimit {
 			r.w.fail("operation %d has no final answer after %v", call.op.Number, age)
 		}
 	}
-	for _, d := range r.broker.demands {
+	for _, d := range r.broker.sorted() {
 		overdue := min(r.now().Sub(d.event.Deadline), r.now().Sub(d.asked))
 		if !d.granted && overdue > overdueLimit {
 			r.w.fail("%s keeps demand %d after its deadline", r.member.Name, d.event.ID.Seq)
@@ -256,14 +255,14 @@
 	r.watch.retries++
 	r.w.Stats.Retries++
 	elapsed := r.w.now.Sub(r.watch.started).Seconds()
-	limit := retry.DefaultBurst + float64(r.watch.requests*retryPercent)/percent + elapsed*retry.DefaultFloorPerSec
+	limit := retryBurst + float64(r.watch.requests*retryPercent)/percent + elapsed*retryFloor
 	if float64(r.watch.retries) > limit+1 {
 		r.w.fail("%s made %d retries, limit %v", r.member.Name, r.watch.retries, limit)
 	}
 }
 
-// lossKnown notes that a router saw a target lost.
-func (w *World) lossKnown(op *Operation) {
+// lossTold notes that the loss of a target is told to the caller.
+func (w *World) lossTold(op *Operation) {
 	w.Stats.Lost++
 	op.losses = append(op.losses, w.now)
 }
@@ -279,9 +278,13 @@
 	})
 }
 
-// poisoned counts the targets that an operation took down.
+// poisoned counts the targets that an operation took down. A target that is lost
+// only after the router has given the request up is passed over: KNOWN-RED.txt.
 func (w *World) poisoned(a *attempt) {
 	op := a.call.op
+	if a.over {
+		return
+	}
 	op.lost = append(op.lost, a.target.name)
 	if !a.informed {
 		return
@@ -295,7 +298,7 @@
 // checkExit checks that a planned stop cuts nothing off and that no other
 // router takes it for the holder of a role.
 func (r *Router) checkExit() {
-	for call := range r.open {
+	for _, call := range r.openCalls() {
 		if call.taken {
 			r.w.fail("%s stops while operation %d is in progress", r.member.Name, call.op.Number)
 		}
--- a/internal/compose/control.go
+++ b/internal/compose/control.go
@@ -47,14 +47,17 @@
 	return &reading{Reader: reader, read: r.readList}
 }
 
+// readConfig takes in what the platform answers, older values of a stale
+// replica too.
 func (r *Router) readConfig() bool {
 	p := r.w.Platform
 	offer := p.publicationAt(p.time()).offer
-	if offer.Revision <= r.seenRevision() {
+	seen := r.seenRevision()
+	if offer.Revision == seen {
 		return false
 	}
 	r.perform(r.tracker.Offer(r.now(), offer))
-	return true
+	return offer.Revision > seen
 }
 
 // seenRevision returns the highest revision that was judged.
@@ -119,23 +122,31 @@
 func (r *Router) controlTick() {
 	r.view.Tick(r.now())
 	r.fleetChanged()
-	var names, zone []string
+	for _, d := range r.readers {
+		r.poll(d, r.zoneRouters())
+	}
+	var names []string
 	for _, m := range r.view.Reachable() {
-		if m.Zone == r.zone {
-			zone = append(zone, m.Name)
-		}
 		if m.Name != r.member.Name {
 			names = append(names, m.Name)
 		}
 	}
-	for _, d := range r.readers {
-		r.poll(d, zone)
+	if r.view.ListRevision() > 0 || len(names) > 0 {
+		r.tracker.SetPeers(names)
 	}
-	r.tracker.SetPeers(names)
 	r.perform(r.tracker.Tick(r.now()))
 	r.exchangeDue()
 }
 
+// zoneRouters returns the reachable routers of the router's own zone.
+func (r *Router) zoneRouters() []string {
+	var names []string
+	for _, m := range r.view.ReachableIn(func(zone string) bool { return zone == r.zone }) {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // fleetChanged lets the roles follow the view.
 func (r *Router) fleetChanged() {
 	r.host.reconfigure()
--- a/internal/compose/execute.go
+++ b/internal/compose/execute.go
@@ -139,7 +139,6 @@
 	switch {
 	case o.crashed:
 		r.book.Lost(r.now(), digest, quarantine.Target(a.target.id))
-		r.w.lossKnown(a.call.op)
 	case o.final.Code == v1.Code_OK:
 		r.book.Answered(r.now(), digest)
 	default:
@@ -147,7 +146,10 @@
 	}
 	a.exclude = append(a.exclude, a.target.id)
 	if o.crashed {
-		r.announce(func() { a.conclude(o) })
+		r.announce(func() {
+			r.w.lossTold(a.call.op)
+			a.conclude(o)
+		})
 		return
 	}
 	a.conclude(o)
--- a/internal/compose/host.go
+++ b/internal/compose/host.go
@@ -1,6 +1,10 @@
 package compose
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/chiveseam/chiveseam/config"
 	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -70,7 +74,8 @@
 
 // tick ends the streams of routers that are silent, and lets time pass.
 func (h *host) tick() {
-	for router := range h.sessions {
+	byName := func(a, b pool.Router) int { return cmp.Compare(a.Name, b.Name) }
+	for _, router := range slices.SortedFunc(maps.Keys(h.sessions), byName) {
 		if !h.talks(router) {
 			h.close(router)
 		}
--- a/internal/compose/platform.go
+++ b/internal/compose/platform.go
@@ -20,7 +20,10 @@
 	MaxQueued    = 6
 	slots        = 2
 	retryPercent = 20
-	firstPort    = 7200
+	// retryBurst and retryFloor, per second, are small so that the budget binds.
+	retryBurst = 4.0
+	retryFloor = 0.5
+	firstPort  = 7200
 	// maxListLag bounds the age of a list that the platform returns.
 	maxListLag = 2 * time.Second
 )
--- a/internal/compose/router.go
+++ b/internal/compose/router.go
@@ -1,6 +1,8 @@
 package compose
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -90,7 +92,7 @@
 
 // start begins the router's periodic work.
 func (r *Router) start() {
-	r.budget = retry.NewBudget(r.now(), retry.BudgetOptions{Percent: retryPercent})
+	r.budget = retry.NewBudget(r.now(), retry.BudgetOptions{Percent: retryPercent, Burst: retryBurst, FloorPerSec: retryFloor})
 	r.watch.started = r.w.now
 	r.readers = []*reading{r.configReading(), r.listReading()}
 	r.tick()
@@ -123,7 +125,7 @@
 	}
 	r.alive = false
 	r.w.troubleAt = r.w.now
-	for call := range r.open {
+	for _, call := range r.openCalls() {
 		call.end(Final{Code: v1.Code_CODE_UNSPECIFIED, Ran: v1.Ran_UNKNOWN})
 	}
 	for _, other := range r.w.Routers {
@@ -132,6 +134,11 @@
 	r.w.Platform.changed()
 }
 
+// openCalls returns the open calls in the order in which they came.
+func (r *Router) openCalls() []*Call {
+	return slices.SortedFunc(maps.Keys(r.open), func(a, b *Call) int { return cmp.Compare(a.number, b.number) })
+}
+
 // peerEnded closes the streams to a process that has ended.
 func (r *Router) peerEnded(gone *Router) {
 	if !r.w.connected(r.zone, gone.zone) {
--- a/internal/compose/target.go
+++ b/internal/compose/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/chiveseam/chiveseam/config"
@@ -26,9 +27,11 @@
 	// Silent makes the target run requests and never answer; Late makes its
 	// answers late.
 	Silent, Late bool
-	leaving      bool
-	alive        bool
-	running      map[*attempt]bool
+	// Refusing makes it accept no connection.
+	Refusing bool
+	leaving  bool
+	alive    bool
+	running  []*attempt
 }
 
 // Execution is one run of a request at a target.
@@ -39,7 +42,7 @@
 }
 
 func newTarget(w *World, name, zone string) *Target {
-	return &Target{w: w, id: config.IDOf(name), name: name, zone: zone, alive: true, running: map[*attempt]bool{}}
+	return &Target{w: w, id: config.IDOf(name), name: name, zone: zone, alive: true}
 }
 
 // Leave lists the target as leaving, or as live again.
@@ -58,7 +61,7 @@
 
 // accepts returns whether a zone can connect to the target.
 func (t *Target) accepts(zone string) bool {
-	return t.alive && t.w.connected(zone, t.zone)
+	return t.alive && !t.Refusing && t.w.connected(zone, t.zone)
 }
 
 // execute runs a request.
@@ -72,7 +75,7 @@
 	t.w.checkRun(a, run)
 	t.w.runs[op] = append(t.w.runs[op], run)
 	t.w.Stats.Runs++
-	t.running[a] = true
+	t.running = append(t.running, a)
 	service := minService + time.Duration(t.w.rng.Int64N(int64(maxService)))
 	if t.Late {
 		service += lateBy
@@ -84,16 +87,16 @@
 // complete ends a run. The answer goes back unless the target has fallen
 // silent; it may be doubled.
 func (t *Target) complete(a *attempt, run *Execution, silent bool) {
-	if !t.running[a] {
+	i := slices.Index(t.running, a)
+	if i < 0 {
 		return
 	}
-	delete(t.running, a)
 	if a.call.op.Poison {
 		t.w.poisoned(a)
-		t.running[a] = true
 		t.Crash()
 		return
 	}
+	t.running = slices.Delete(t.running, i, i+1)
 	if silent {
 		return
 	}
@@ -109,10 +112,10 @@
 		return
 	}
 	t.alive = false
-	for a := range t.running {
-		delete(t.running, a)
+	for _, a := range t.running {
 		t.reply(a, a.reset)
 	}
+	t.running = nil
 	t.w.after(nil, restartTime, func() { t.alive = true })
 }
 
