--- a/internal/compose/check.go
+++ b/internal/compose/check.go
@@ -86,7 +86,9 @@
 	return requestkey.IsIssued(op.Key) || w.now.Before(run.begun.Add(w.opts.Keys.Lifetime))
 }
 
-// checkFinal checks the decision of a router on a request.
+// checkFinal checks the decision of a router on a request. NO holds for a key
+// at the time of the decision: another call may run while the result is relayed
+// to a router that is paused.
 func (r *Router) checkFinal(x *execution, f Final) {
 	if f.Ran != v1.Ran_NO {
 		return
@@ -94,7 +96,8 @@
 	op := x.call.op
 	x.call.toldNo = true
 	for _, run := range r.w.runs[op] {
-		if run.call == x.call || op.Key != "" && r.w.remembered(op, run) {
+		ofKey := op.Key != "" && !x.relayed && r.w.remembered(op, run)
+		if run.call == x.call || ofKey {
 			r.w.fail("%v with NO is told of operation %d, which ran", f.Code, op.Number)
 		}
 	}
--- a/internal/compose/keys.go
+++ b/internal/compose/keys.go
@@ -31,6 +31,8 @@
 	// reply takes the result, once.
 	reply   func(Final)
 	replied bool
+	// relayed is set when the result is that of the owner of its key.
+	relayed bool
 }
 
 // execute runs a request under its key, if it has one.
@@ -131,7 +133,7 @@
 	done := false
 	end := func(f Final) {
 		if !done {
-			done = true
+			done, x.relayed = true, true
 			x.reply(f)
 		}
 	}
