requestkey: a stopped ledger asks no earlier owners

Cause: a router that had drained for its planned stop still took forwarded requests with caller-chosen keys and asked the keys' earlier owners, though it begins no key any more. Three such requests were in progress when it ended, and were cut off (internal/compose). Ruled out: calls of its own callers, which are refused by then.

Change: where a stopped ledger would return Claim it refuses with STOPPING, UNKNOWN, so that the request ends at once. NO is told as before where no earlier owner is left to ask.

--- a/requestkey/ledger.go
+++ b/requestkey/ledger.go
@@ -168,7 +168,12 @@
 	case l.promised(req.ID) > view.Revision:
 		return unreachable
 	}
-	if d, cleared := l.clear(now, req.ID, view.Revision); !cleared {
+	d, cleared := l.clear(now, req.ID, view.Revision)
+	switch {
+	case !cleared && d.Action == Claim && l.stopped:
+		// Earlier owners need not be asked about a key that is not begun.
+		return refuse(v1.Code_STOPPING, v1.Ran_UNKNOWN, l.opts.RetryAfter)
+	case !cleared:
 		return d
 	}
 	return l.dispatch(req, now.Add(l.opts.Lifetime))
