--- a/internal/compose/keys.go
+++ b/internal/compose/keys.go
@@ -168,6 +168,7 @@
 // ends the process.
 func (r *Router) handOver() {
 	parts := r.ledger.Export(r.now())
+	r.checkExport(parts)
 	left := len(parts)
 	if left == 0 {
 		r.exit()
