End keyed requests before their key is forgotten; bound a workspace's open requests

Cause, found by reading: the deadlines of a class may pass the lifetime of a key, after which the key counted as new while its first request still ran. Open requests were bounded for each router only, so that one workspace could take them all. A path without route said NO also for a request with a key. Trailers were set on connections that are aborted.

--- a/fleet/options.go
+++ b/fleet/options.go
@@ -43,7 +43,7 @@
 // maxHistory bounds the number of lists kept for History.
 const maxHistory = 1024
 
-// DefaultOptions returns the options that the daemon uses.
+// DefaultOptions returns the defaults; the daemon takes some from its settings.
 func DefaultOptions() Options {
 	return Options{
 		HeartbeatInterval: time.Second,
--- a/rollout/reader.go
+++ b/rollout/reader.go
@@ -24,7 +24,8 @@
 	StartSpread time.Duration
 }
 
-// DefaultReaderOptions returns the options that the daemon uses.
+// DefaultReaderOptions returns the defaults; the daemon takes some from its
+// settings.
 func DefaultReaderOptions() ReaderOptions {
 	return ReaderOptions{
 		Watchers:         2,
--- a/router/internal/entry/answer.go
+++ b/router/internal/entry/answer.go
@@ -112,7 +112,6 @@
 		}
 	case w.eventStream:
 		writeErrorEvent(w, end)
-		setTrailers(w.Header(), end)
 		panic(http.ErrAbortHandler)
 	default:
 		panic(http.ErrAbortHandler)
--- a/router/internal/entry/forwarded.go
+++ b/router/internal/entry/forwarded.go
@@ -38,7 +38,6 @@
 	r.Header.Set(HeaderDeadline, strconv.FormatUint(uint64(max(head.DeadlineMs, 1)), 10))
 	s.forwarded.Add(1)
 	defer s.forwarded.Add(-1)
-	s.observer.Opened()
 	end := s.routeForwarded(r, c)
 	if !c.decided {
 		end.Ran = ranBeforeKeys(r, end.Ran)
--- a/router/internal/entry/server.go
+++ b/router/internal/entry/server.go
@@ -39,7 +39,6 @@
 
 // Observer is told how requests ended.
 type Observer interface {
-	Opened()
 	Ended(code v1.Code, workspace string, elapsed time.Duration)
 	Refused(code v1.Code)
 }
@@ -53,7 +52,7 @@
 	observer Observer
 	logger   log.Logger
 	tracer   trace.Tracer
-	open     atomic.Int64
+	open     openRequests
 	bodies   byteBudget
 	stopping chan struct{}
 	ready    func() bool
@@ -77,6 +76,7 @@
 		observer: observer,
 		logger:   log.With(logger, "duty", "entry"),
 		tracer:   tracer,
+		open:     openRequests{byWorkspace: map[string]int{}},
 		stopping: make(chan struct{}),
 		ready:    ready,
 	}
@@ -112,7 +112,7 @@
 func (s *Server) Stop() { close(s.stopping) }
 
 // OpenRequests returns the number of requests in progress.
-func (s *Server) OpenRequests() int { return int(s.open.Load() + s.forwarded.Load()) }
+func (s *Server) OpenRequests() int { return s.open.total() + int(s.forwarded.Load()) }
 
 // BodyBytes returns the bytes of bodies held in memory.
 func (s *Server) BodyBytes() int64 { return s.bodies.used() }
@@ -142,12 +142,11 @@
 			s.refuse(w, r.Request, refusal)
 			return nil
 		}
-		if !s.enter(c.config) {
-			s.refuse(w, r.Request, busy("the router has too many requests open"))
+		if refusal := s.enter(c); refusal != nil {
+			s.refuse(w, r.Request, refusal)
 			return nil
 		}
-		defer s.open.Add(-1)
-		s.observer.Opened()
+		defer s.leave(c)
 		tracked := &trackedWriter{ResponseWriter: w}
 		c.sink = newCallerSink(tracked, s.opts.WriteTimeout)
 		end := h(tracked, r.Request, c)
@@ -160,20 +159,6 @@
 	}
 }
 
-// enter counts a request as open within the limits of the settings and of the
-// configuration.
-func (s *Server) enter(accepted *config.Accepted) bool {
-	limit := int64(s.opts.MaxOpenRequests)
-	if configured := int64(accepted.Proto.GetLimits().GetMaxConcurrentRequests()); configured > 0 {
-		limit = min(limit, configured)
-	}
-	if s.open.Add(1) > limit {
-		s.open.Add(-1)
-		return false
-	}
-	return true
-}
-
 // refuse answers a request before it is opened.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, refusal *result.Result) {
 	refusal.Ran = ranBeforeKeys(r, refusal.Ran)
@@ -224,8 +209,7 @@
 }
 
 func (s *Server) notFound(w http.ResponseWriter, r bunrouter.Request) error {
-	s.observer.Refused(v1.Code_UNKNOWN_POOL)
-	writeResult(w, result.New(v1.Code_UNKNOWN_POOL, v1.Ran_NO, "%s %s is no route", r.Method, r.URL.Path))
+	s.refuse(w, r.Request, result.New(v1.Code_UNKNOWN_POOL, v1.Ran_NO, "%s %s is no route", r.Method, r.URL.Path))
 	return nil
 }
 
--- a/router/internal/keys/executor.go
+++ b/router/internal/keys/executor.go
@@ -26,6 +26,8 @@
 	maxClaimRounds = 3
 	// claimTimeout bounds one question to an earlier owner.
 	claimTimeout = time.Second
+	// maxRunPercent is the part of a key's lifetime that its request may take.
+	maxRunPercent = 90
 	// retryAfterUnreachable is told when the owner of a key does not answer.
 	retryAfterUnreachable = time.Second
 )
@@ -49,6 +51,8 @@
 	doer   Doer
 	peers  Peers
 	logger log.Logger
+	// maxRun is the longest time that a request under a key may take.
+	maxRun time.Duration
 
 	mu     sync.Mutex
 	ledger *requestkey.Ledger
@@ -65,6 +69,7 @@
 		doer:   doer,
 		peers:  peers,
 		logger: log.With(logger, "duty", "keys"),
+		maxRun: opts.Lifetime / 100 * maxRunPercent,
 		ledger: ledger,
 	}, nil
 }
@@ -153,6 +158,7 @@
 	ran := v1.Ran_UNKNOWN
 	defer func() { e.finish(id, ran, recorder.answer()) }()
 	call.Request.MayStart = func() bool { return e.mayStart(id) }
+	e.boundRun(call.Request)
 	end := e.doer.Do(context.WithoutCancel(call.Context), call.Request, recorder)
 	recorder.code = end.Code
 	recorder.whole = end.OK()
@@ -160,6 +166,18 @@
 	return end
 }
 
+// boundRun ends a request before its key is forgotten: after that the key would
+// be executed anew beside the first request.
+func (e *Executor) boundRun(req *dispatch.Request) {
+	latest := time.Now().Add(e.maxRun)
+	if req.EndBy.After(latest) {
+		req.EndBy = latest
+	}
+	if req.StartBy.After(latest) {
+		req.StartBy = latest
+	}
+}
+
 func (e *Executor) mayStart(id requestkey.ID) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/router/internal/keys/peering.go
+++ b/router/internal/keys/peering.go
@@ -11,7 +11,7 @@
 const handOverBytes = 1 << 20
 
 // AnswerClaim answers a router that gained a key. An answer without a record
-// binds this incarnation never to execute the key.
+// binds this incarnation not to execute the key under a list of a lower revision.
 func (e *Executor) AnswerClaim(req *v1.ClaimKeyRequest) *v1.ClaimKeyReply {
 	e.mu.Lock()
 	reply := e.ledger.AnswerClaim(time.Now(), requestkey.ClaimRequest{
--- a/router/internal/telemetry/metrics.go
+++ b/router/internal/telemetry/metrics.go
@@ -19,7 +19,7 @@
 	registry *prometheus.Registry
 
 	results       *prometheus.CounterVec
-	durations     *prometheus.HistogramVec
+	durations     prometheus.Histogram
 	delivered     *prometheus.CounterVec
 	controlBytes  *prometheus.CounterVec
 	controlCount  *prometheus.CounterVec
@@ -56,11 +56,11 @@
 	m := &Metrics{
 		registry:      prometheus.NewRegistry(),
 		results:       counterVec("results_total", "Requests by final result code.", "code", "name"),
-		durations:     durationVec("request_duration_seconds", "Time from arrival to the end of the answer.", "pool_kind"),
+		durations:     newDurations("request_duration_seconds", "Time from arrival to the end of the answer."),
 		delivered:     counterVec("delivered_cost_total", "Cost units delivered to a workspace.", "workspace", "pool"),
 		controlBytes:  counterVec("control_message_bytes_total", "Bytes of messages between routers by type.", "message", "direction"),
 		controlCount:  counterVec("control_messages_total", "Messages between routers by type.", "message", "direction"),
-		connBytes:     counterVec("connection_bytes_total", "Bytes on connections between routers: control, or requests that are passed on (forwarding).", "kind", "direction"),
+		connBytes:     counterVec("connection_bytes_total", "Bytes on connections between routers: control (connection), or requests that are passed on (forwarding).", "kind", "direction"),
 		platformCalls: counterVec("platform_calls_total", "Calls of the platform by outcome.", "resource", "outcome"),
 		orders:        counterVec("orders_total", "Orders to engines by outcome.", "kind", "outcome"),
 		engines:       gaugeVec("engines", "Engines that this router gives orders to, by condition.", "condition"),
@@ -91,10 +91,10 @@
 	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
-func durationVec(name, help string, labels ...string) *prometheus.HistogramVec {
-	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+func newDurations(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace, Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.001, 2, 18),
-	}, labels)
+	})
 }
 
 // Registry returns the registry with all metrics.
@@ -106,16 +106,13 @@
 		prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
 }
 
-// Opened implements entry.Observer.
-func (m *Metrics) Opened() {}
-
 // Refused implements entry.Observer.
 func (m *Metrics) Refused(code v1.Code) { m.count(code) }
 
 // Ended implements entry.Observer.
 func (m *Metrics) Ended(code v1.Code, _ string, elapsed time.Duration) {
 	m.count(code)
-	m.durations.WithLabelValues("all").Observe(elapsed.Seconds())
+	m.durations.Observe(elapsed.Seconds())
 }
 
 func (m *Metrics) count(code v1.Code) {
--- a/settings/settings_gen.go
+++ b/settings/settings_gen.go
@@ -72,7 +72,7 @@
 	ClockMargin time.Duration
 	// Longest time that a message to another router waits for others to share its write.
 	CoalesceInterval time.Duration
-	// Time in which a granted slot has to be used.
+	// Time for which the slots of a lost router stay busy.
 	GrantHold time.Duration
 
 	// Version is set when only the version was asked for.
@@ -114,7 +114,7 @@
 	KeyRight              string `long:"key-right" env:"CHIVESEAM_KEY_RIGHT" default:"1m" description:"Time after the platform's last confirmation of this instance in which it may begin keys chosen by callers."`
 	ClockMargin           string `long:"clock-margin" env:"CHIVESEAM_CLOCK_MARGIN" default:"2s" description:"Greatest difference between the clocks of callers and routers that is tolerated."`
 	CoalesceInterval      string `long:"coalesce-interval" env:"CHIVESEAM_COALESCE_INTERVAL" default:"2ms" description:"Longest time that a message to another router waits for others to share its write."`
-	GrantHold             string `long:"grant-hold" env:"CHIVESEAM_GRANT_HOLD" default:"1s" description:"Time in which a granted slot has to be used."`
+	GrantHold             string `long:"grant-hold" env:"CHIVESEAM_GRANT_HOLD" default:"1s" description:"Time for which the slots of a lost router stay busy."`
 
 	Version bool `long:"version" description:"Print the version and exit."`
 	Check   bool `long:"check" description:"Check the settings and exit."`
