--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -48,10 +48,15 @@
 	listRevision uint64
 }
 
+// clusterSlots bounds the deployments that run at the same time.
+var clusterSlots = make(chan struct{}, 4)
+
 // newCluster starts a deployment and waits until all routers are ready and
 // know each other. Change may alter the configuration before it is published.
 func newCluster(t *testing.T, s size, change func(*v1.Configuration), flags ...string) *cluster {
 	t.Helper()
+	clusterSlots <- struct{}{}
+	t.Cleanup(func() { <-clusterSlots })
 	c := &cluster{
 		t:        t,
 		ledger:   service.NewLedger(),
--- /dev/null
+++ b/internal/e2e/crash_test.go
@@ -0,0 +1,153 @@
+package e2e
+
+import (
+	"io"
+	"sync"
+	"testing"
+
+	"github.com/chiveseam/chiveseam/internal/standin/fault"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	// maxTargetsLost is how many targets one request may cost.
+	maxTargetsLost = 2
+	crashRounds    = 4
+	innocents      = 4
+)
+
+// crashing returns a request that ends each target that executes it. Its
+// content, not a header, makes it crash, so that it is the same each time.
+func crashing(t *testing.T) call {
+	p := newPrompt(t, streamTokens)
+	p.text += " fault=" + string(fault.Crash)
+	return p.call(true)
+}
+
+func (c *cluster) crashCount() int {
+	n := 0
+	for _, g := range c.engines {
+		n += g.crashCount()
+	}
+	return n
+}
+
+// expectFew fails the test if a request was served or cost too many targets.
+func expectFew(t *testing.T, c *cluster, answers []answer) {
+	t.Helper()
+	if lost := c.crashCount(); lost > maxTargetsLost {
+		t.Errorf("%d targets were lost to one request", lost)
+	}
+	for _, a := range answers {
+		if a.err == nil && (a.code == v1.Code_OK || a.code == v1.Code_CODE_UNSPECIFIED) {
+			t.Errorf("the crashing request got %v", a)
+		}
+	}
+}
+
+func TestCrashingRequestSentInTurn(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, size{routers: 3, zones: 3, engines: 5, services: 1}, nil)
+	bad := crashing(t)
+	var answers []answer
+	for range crashRounds {
+		for _, r := range c.routers {
+			answers = append(answers, send(r.entry, bad))
+		}
+	}
+	expectFew(t, c, answers)
+	if c.crashCount() == 0 {
+		t.Errorf("the request crashed nothing: %v", answers)
+	}
+	awaitOthersServed(t, c)
+}
+
+// sendAtOnce sends the call to all routers at once, twice to each.
+func sendAtOnce(c *cluster, bad call) []answer {
+	var mu sync.Mutex
+	var answers []answer
+	var wg sync.WaitGroup
+	for _, r := range c.routers {
+		for range 2 {
+			wg.Go(func() {
+				a := send(r.entry, bad)
+				mu.Lock()
+				defer mu.Unlock()
+				answers = append(answers, a)
+			})
+		}
+	}
+	wg.Wait()
+	return answers
+}
+
+// The request is sent once, and again by many callers at once.
+func TestCrashingRequestSentAgainAtOnce(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, size{routers: 3, zones: 3, engines: 5, services: 1}, nil)
+	bad := crashing(t)
+	answers := []answer{send(c.routers[0].entry, bad)}
+	for range crashRounds {
+		answers = append(answers, sendAtOnce(c, bad)...)
+	}
+	expectFew(t, c, answers)
+	awaitOthersServed(t, c)
+}
+
+// Many callers send it at once before it has crashed anything.
+func TestCrashingRequestFirstSentAtOnce(t *testing.T) {
+	knownRed(t)
+	t.Parallel()
+	c := newCluster(t, size{routers: 3, zones: 3, engines: 5, services: 1}, nil)
+	bad := crashing(t)
+	var answers []answer
+	for range crashRounds {
+		answers = append(answers, sendAtOnce(c, bad)...)
+	}
+	expectFew(t, c, answers)
+	awaitOthersServed(t, c)
+}
+
+// Requests that were in progress at a target when another one crashed it are
+// served when they are sent again.
+func TestInnocentRequestsAreServedAfterACrash(t *testing.T) {
+	knownRed(t)
+	t.Parallel()
+	c := newCluster(t, size{routers: 2, zones: 2, engines: 4, services: 1}, nil)
+	prompts := make([]prompt, innocents)
+	var wg sync.WaitGroup
+	for i := range prompts {
+		prompts[i] = newPrompt(t, longTokens)
+		resp, _ := openStream(t, c.routers[i%len(c.routers)], prompts[i])
+		wg.Go(func() { _, _ = io.Copy(io.Discard, resp.Body) })
+	}
+	bad := crashing(t)
+	for _, r := range c.routers {
+		send(r.entry, bad)
+	}
+	wg.Wait()
+	for _, p := range prompts {
+		awaitServed(t, c, p)
+	}
+}
+
+// awaitOthersServed waits until each router serves other requests.
+func awaitOthersServed(t *testing.T, c *cluster) {
+	t.Helper()
+	for range len(c.routers) {
+		awaitServed(t, c, newPrompt(t, streamTokens))
+	}
+}
+
+// awaitServed waits until each router serves the prompt.
+func awaitServed(t *testing.T, c *cluster, p prompt) {
+	t.Helper()
+	for _, r := range c.routers {
+		var a answer
+		await(t, "a request is served through "+r.name, func() bool {
+			a = send(r.entry, p.call(true))
+			return a.code == v1.Code_OK && a.err == nil
+		}, func() any { return a })
+		p.expectWhole(t, a)
+	}
+}
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -12,6 +12,10 @@
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
+// stopTokens is an answer that takes twice as long as a stopping router
+// waits before it refuses new requests.
+const stopTokens = 800
+
 func TestPlannedStopFinishesStreams(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -22,7 +26,7 @@
 	var opened sync.WaitGroup
 	opened.Add(streams)
 	for range streams {
-		p := newPrompt(t, longTokens)
+		p := newPrompt(t, stopTokens)
 		resp, body := openStream(t, stopping, p)
 		opened.Done()
 		wg.Go(func() {
@@ -170,7 +174,11 @@
 	l := startLoad(t, newBalancer(t, c))
 	for _, r := range c.routers {
 		l.awaitMore(t, loadCallers)
+		p := newPrompt(t, stopTokens)
+		resp, body := openStream(t, r, p)
 		r.signal(t, syscall.SIGTERM)
+		rest, err := io.ReadAll(resp.Body)
+		p.expectWhole(t, newAnswer(resp, append(body, rest...), err))
 		if code := r.awaitExit(t); code != exitOK {
 			t.Errorf("%s ended with code %d", r.name, code)
 		}
--- a/internal/e2e/target_test.go
+++ b/internal/e2e/target_test.go
@@ -86,3 +86,9 @@
 	g.mu.Unlock()
 	g.stop()
 }
+
+func (g *target) crashCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.crashes
+}
