e2e: let requests wait while the scheduler is lost

Cause: with slots to spare no request waited for the scheduler that was killed or paused. Change: one slot a target, so that callers are always queued.

--- a/internal/e2e/scheduler_test.go
+++ b/internal/e2e/scheduler_test.go
@@ -97,7 +97,11 @@
 // testSchedulerLoss lets the router that schedules the engines fail under load.
 func testSchedulerLoss(t *testing.T, fail func(*router)) {
 	t.Helper()
-	c := newCluster(t, size{routers: 4, zones: 2, engines: 2, services: 2}, nil)
+	c := newCluster(t, size{routers: 4, zones: 2, engines: 2, services: 2}, func(c *v1.Configuration) {
+		for _, target := range c.Targets {
+			target.Slots = 1 // so that requests wait for the scheduler
+		}
+	})
 	for _, r := range c.routers {
 		p := newPrompt(t, 2)
 		p.expectWhole(t, send(r.entry, p.call(true)))
