--- a/pool/model_test.go
+++ b/pool/model_test.go
@@ -361,14 +361,6 @@
 	}
 }
 
-// changeSide moves a workspace to a data centre, of which the other schedulers
-// learn later.
-func (m *model) changeSide(i int) {
-	w := &m.workspaces[m.rng.IntN(len(m.workspaces))]
-	w.DataCentre = []string{"", "dc0", "dc1"}[m.rng.IntN(3)]
-	m.step(i, WorkspacesChanged{Workspaces: slices.Clone(m.workspaces)})
-}
-
 // disturb brings about the faults that are not of single messages.
 func (m *model) disturb() {
 	for i := range m.schedulers {
--- a/pool/side_test.go
+++ b/pool/side_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,6 +9,14 @@
 	"pgregory.net/rapid"
 )
 
+// changeSide moves a workspace to a data centre, of which the other schedulers
+// learn later.
+func (m *model) changeSide(i int) {
+	w := &m.workspaces[m.rng.IntN(len(m.workspaces))]
+	w.DataCentre = []string{"", "dc0", "dc1"}[m.rng.IntN(3)]
+	m.step(i, WorkspacesChanged{Workspaces: slices.Clone(m.workspaces)})
+}
+
 // TestWorkMovesBetweenDataCentres changes the data centres of workspaces at
 // any time, at one scheduler after the other. Both sides have targets, so that
 // no demand is refused: each is granted once, and what runs is left alone.
