--- a/pool/check_test.go
+++ b/pool/check_test.go
@@ -97,3 +97,11 @@
 	excluded := slices.Contains(d.class.exclude, t.ID)
 	return t.known && !t.Leaving && side && !excluded && reached && t.breaker.Ready(s.now)
 }
+
+// counterOf returns the counter that travels with a grant.
+func (m *model) counterOf(s *Scheduler, r *modelRouter, a Action) Counter {
+	if g, ok := a.(Grant); ok && r.open[g.ID.Seq] != nil {
+		return s.Counter(r.open[g.ID.Seq].Workspace)
+	}
+	return Counter{}
+}
--- a/pool/model_test.go
+++ b/pool/model_test.go
@@ -215,14 +215,6 @@
 	m.checkScheduler(s)
 }
 
-// counterOf returns the counter that travels with a grant.
-func (m *model) counterOf(s *Scheduler, r *modelRouter, a Action) Counter {
-	if g, ok := a.(Grant); ok && r.open[g.ID.Seq] != nil {
-		return s.Counter(r.open[g.ID.Seq].Workspace)
-	}
-	return Counter{}
-}
-
 // deliver hands over the messages that are due, in the order of the network.
 func (m *model) deliver() {
 	var later, due []message
