--- a/pool/model_test.go
+++ b/pool/model_test.go
@@ -215,14 +215,6 @@
 	m.checkScheduler(s)
 }
 
-// counterOf returns the counter that travels with a grant.
-func (m *model) counterOf(s *Scheduler, r *modelRouter, a Action) Counter {
-	if g, ok := a.(Grant); ok && r.open[g.ID.Seq] != nil {
-		return s.Counter(r.open[g.ID.Seq].Workspace)
-	}
-	return Counter{}
-}
-
 // deliver hands over the messages that are due, in the order of the network.
 func (m *model) deliver() {
 	var later, due []message
@@ -361,14 +353,6 @@
 	}
 }
 
-// changeSide moves a workspace to a data centre, of which the other schedulers
-// learn later.
-func (m *model) changeSide(i int) {
-	w := &m.workspaces[m.rng.IntN(len(m.workspaces))]
-	w.DataCentre = []string{"", "dc0", "dc1"}[m.rng.IntN(3)]
-	m.step(i, WorkspacesChanged{Workspaces: slices.Clone(m.workspaces)})
-}
-
 // disturb brings about the faults that are not of single messages.
 func (m *model) disturb() {
 	for i := range m.schedulers {
