guard: end the wait of a suspect at its deadline

Cause: a request that waited as a suspect was told DEADLINE_EXCEEDED only at its turn, up to the end of its total time; in a drawn case of package compose a call that had to start within 5 s ended after 20 s.

Change: Guard.Begin takes the latest start and refuses at it.

--- a/internal/compose/check.go
+++ b/internal/compose/check.go
@@ -239,6 +239,13 @@
 	}
 }
 
+// checkWaits checks that a request that cannot start any more does not wait.
+func (r *Router) checkWaits(j *job) {
+	if late := r.now().Sub(j.startBy); late > 0 {
+		r.w.fail("operation %d waits %v after it had to start", j.call.op.Number, late)
+	}
+}
+
 // checkRefused checks that a refusal has ended its request.
 func (r *Router) checkRefused(x *execution, code v1.Code) {
 	if !x.replied {
--- a/internal/compose/execute.go
+++ b/internal/compose/execute.go
@@ -69,10 +69,12 @@
 	case d.Action == quarantine.Run:
 		j.informed = r.w.informed(r, j.call)
 		j.acquire()
-	case !r.now().Before(j.endBy):
-		j.finish(Final{Code: v1.Code_CANCELLED, Ran: v1.Ran_NO})
+	case !r.now().Before(j.startBy):
+		j.finish(Final{Code: v1.Code_DEADLINE_EXCEEDED, Ran: v1.Ran_NO})
 	default:
-		r.w.after(r, min(d.RetryAfter, maxSuspectPause), j.next)
+		pause := min(d.RetryAfter, maxSuspectPause, j.startBy.Sub(r.now()))
+		r.checkWaits(j)
+		r.w.after(r, pause, j.next)
 	}
 }
 
--- a/router/internal/dispatch/dispatcher.go
+++ b/router/internal/dispatch/dispatcher.go
@@ -23,8 +23,9 @@
 // attempts. Its methods are safe for concurrent use.
 type Guard interface {
 	// Begin is called before each attempt. It returns a refusal for a request
-	// that must not run, and waits while a suspect runs elsewhere.
-	Begin(ctx context.Context, digest uint64) *result.Result
+	// that must not run, and waits while a suspect runs elsewhere, until startBy
+	// at most.
+	Begin(ctx context.Context, digest uint64, startBy time.Time) *result.Result
 	// End is called after each attempt that was begun.
 	End(digest uint64, target config.ID, crashed, answered bool)
 	// Retry decides whether an attempt may be followed by another one.
@@ -112,7 +113,7 @@
 
 // once makes one attempt. The target is nil if none was granted.
 func (d *Dispatcher) once(ctx context.Context, req *Request, sink *countingSink, exclude []config.ID) (attemptEnd, *v1.Target) {
-	if refusal := d.Guard.Begin(ctx, req.Digest); refusal != nil {
+	if refusal := d.Guard.Begin(ctx, req.Digest, req.StartBy); refusal != nil {
 		return attemptEnd{result: refusal}, nil
 	}
 	grant, refusal := d.acquire(ctx, req, exclude)
--- a/router/internal/guard/guard.go
+++ b/router/internal/guard/guard.go
@@ -46,7 +46,7 @@
 }
 
 // Begin implements dispatch.Guard.
-func (g *Guard) Begin(ctx context.Context, digest uint64) *result.Result {
+func (g *Guard) Begin(ctx context.Context, digest uint64, startBy time.Time) *result.Result {
 	for {
 		decision := g.begin(digest)
 		switch decision.Action {
@@ -57,7 +57,11 @@
 			refusal.RetryAfter = decision.RetryAfter
 			return refusal
 		}
-		timer := time.NewTimer(min(decision.RetryAfter, maxSuspectPause))
+		left := time.Until(startBy)
+		if left <= 0 {
+			return result.New(v1.Code_DEADLINE_EXCEEDED, v1.Ran_NO, "the request was a suspect until its deadline")
+		}
+		timer := time.NewTimer(min(decision.RetryAfter, maxSuspectPause, left))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
--- a/router/internal/guard/guard_test.go
+++ b/router/internal/guard/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -19,12 +20,22 @@
 	var g *Guard
 	g = New("a", store, func(context.Context) { g.Fill(announced) })
 
-	is.Equal(g.Begin(t.Context(), 7), nil)
+	is.Equal(g.Begin(t.Context(), 7, time.Now().Add(time.Minute)), nil)
 	g.End(7, 1, false, true)
 	is.Equal(len(announced.Suspects), 0)
 
-	is.Equal(g.Begin(t.Context(), 7), nil)
+	is.Equal(g.Begin(t.Context(), 7, time.Now().Add(time.Minute)), nil)
 	g.End(7, 1, true, false)
 	is.Equal(len(announced.Suspects), 1)
 	is.Equal(announced.Suspects[0].LostTargets, []uint32{1})
 }
+
+// A suspect that cannot start in time is told so at its deadline.
+func TestSuspectWaitsNoLongerThanItsDeadline(t *testing.T) {
+	is := is.New(t)
+	g := New("a", state.NewStore(state.Member{Name: "a"}), func(context.Context) {})
+	g.End(7, 1, true, false)
+	refusal := g.Begin(t.Context(), 7, time.Now())
+	is.Equal(refusal.Code, v1.Code_DEADLINE_EXCEEDED)
+	is.Equal(refusal.Ran, v1.Ran_NO)
+}
