Fetch configurations from routers in their planned stop

Ruled out: the exchange, which told the version. Change: the tracker follows the routers that may be asked, stopping ones that answer included.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -142,6 +142,25 @@
 	return members
 }
 
+// Sources returns the routers that may be asked for what they know, ordered by
+// name: the reachable ones, and those that leave but have answered within
+// SuspectAfter. A router in its planned stop takes no role, yet it may be the
+// only one that has the newest configuration.
+func (v *View) Sources(now time.Time) []Member {
+	reachable := map[string]bool{}
+	for _, name := range v.reachableNames() {
+		reachable[name] = true
+	}
+	var members []Member
+	for _, name := range v.routerNames() {
+		p := v.peers[name]
+		if reachable[name] || p != nil && p.answered(now, v.opts.SuspectAfter) {
+			members = append(members, memberOf(v.router(name)))
+		}
+	}
+	return members
+}
+
 // Lookup returns a known router, reachable or not.
 func (v *View) Lookup(name string) (Member, bool) {
 	instance := v.router(name)
--- a/internal/compose/control.go
+++ b/internal/compose/control.go
@@ -126,7 +126,7 @@
 		r.poll(d, r.zoneRouters())
 	}
 	var names []string
-	for _, m := range r.view.Reachable() {
+	for _, m := range r.view.Sources(r.now()) {
 		if m.Name != r.member.Name {
 			names = append(names, m.Name)
 		}
