--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -28,7 +28,7 @@
 	is.Equal(got.PeerAdvertise, got.PeerListen)
 	is.Equal(got.EntryAdvertise, got.EntryListen)
 	is.Equal(got.PeerHeartbeatInterval, 500*time.Millisecond)
-	is.Equal(got.CoalesceInterval, 2*time.Millisecond)
+	is.Equal(got.CoalesceInterval, time.Duration(0))
 	is.Equal(got.LogLevel, "info")
 	is.True(got.Incarnation > 0) // derived from the start time
 }
