Contact leaving routers, which may have been started again

Cause: of the composed test, traced: a router that was stopped and started again while the platform did not answer its zone knew nobody, and the others did not contact it, since they knew it by its leaving incarnation only. It stayed without a configuration. Ruled out: the tracker and the exchange, which work from the first contact on. Change: a few routers, drawn by rendezvous hashing, contact a leaving router every ProbeInterval. Open: the cost at 330 routers was not measured; each leaving router adds at most three contacts every 2 s in the whole fleet.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -33,6 +33,9 @@
 			due = append(due, memberOf(v.router(name)))
 		}
 	}
+	if leaving, ok := v.leavingToProbe(now); ok {
+		due = append(due, leaving)
+	}
 	if lost, ok := v.forgottenToProbe(now); ok {
 		due = append(due, lost)
 	}
