--- a/router/internal/scheduling/events.go
+++ b/router/internal/scheduling/events.go
@@ -54,9 +54,6 @@
 	for _, freed := range batch.Freed {
 		h.freed(config.ID(freed.Pool), freed.Region, now)
 	}
-	for _, report := range batch.Reports {
-		h.report(s, report, now)
-	}
 }
 
 // cancel withdraws a demand. A router rejects a grant that crosses its cancel,
@@ -114,21 +111,6 @@
 	})
 }
 
-func (h *Host) report(s *Session, report *v1.TargetReport, now time.Time) {
-	accepted := h.store.Config()
-	if accepted == nil {
-		return
-	}
-	target, ok := accepted.Target(config.ID(report.Target))
-	if !ok {
-		return
-	}
-	id := config.IDOf(target.Pool)
-	if _, hosted := h.pools[id]; hosted {
-		h.step(id, now, pool.TargetReport{Router: s.router, Target: config.ID(report.Target), Down: report.Down})
-	}
-}
-
 func (s *Session) demandID(seq uint64) pool.DemandID {
 	return pool.DemandID{Router: s.router, Seq: seq}
 }
