Count answers 502, 503 and 504 against a target's health

Cause, found by reading: a target that answers at once that it cannot serve counted as served, so its free slots attracted all the work of its pool. Ruled out: all answers from 500 on, since one workspace's bad requests could then take a pool's targets out for the others. Change: outcome FAILED settles the cost and counts as a failure at the breaker. Planted: FAILED taken for a success; the new test fails.

--- a/pool/done.go
+++ b/pool/done.go
@@ -26,6 +26,8 @@
 	case v1.Outcome_SERVED:
 		s.counters.Settle(&d.charge, e.Cost)
 		s.service.observe(e.Cost, s.serviceTime(d, e))
+	case v1.Outcome_FAILED:
+		s.counters.Settle(&d.charge, e.Cost)
 	default:
 		s.counters.Close(&d.charge, e.Cost)
 	}
@@ -49,6 +51,10 @@
 	case v1.Outcome_NOT_RUN:
 		t.breaker.Release(s.now)
 		s.unreached(t, zone)
+	case v1.Outcome_FAILED:
+		// The quick refusals of a broken target would attract all the work.
+		t.breaker.Failure(s.now)
+		s.reachable(t, zone)
 	case v1.Outcome_LOST:
 		t.breaker.Failure(s.now)
 		s.unreached(t, zone)
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -324,3 +324,15 @@
 	is.Equal(len(f.PeerCounters("east", 10).Counters), 2)
 	is.Equal(f.finish(1, v1.Outcome_SERVED), []Action{Grant{id(2), 10, 100}}) // 2 was served in west
 }
+
+func TestTargetThatAnswersUnavailableAttractsNoWork(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{},
+		Target{ID: 10, Zone: "z1", Slots: 8, Speed: 1},
+		Target{ID: 11, Zone: "z2", Slots: 8, Speed: 1})
+	for seq := uint64(1); seq <= targetFailures; seq++ {
+		is.Equal(granted(f.ask(seq, time.Minute)), config.ID(10)) // own zone
+		f.finish(seq, v1.Outcome_FAILED)
+	}
+	is.Equal(granted(f.ask(20, time.Minute)), config.ID(11))
+}
--- a/router/internal/dispatch/attempt.go
+++ b/router/internal/dispatch/attempt.go
@@ -133,10 +133,20 @@
 	}
 	return attemptEnd{
 		result:  result.New(code, v1.Ran_YES, "target %s answered %d", a.target.Name, resp.StatusCode),
-		outcome: v1.Outcome_SERVED,
+		outcome: outcomeOf(resp.StatusCode),
 	}
 }
 
+// outcomeOf tells answers that blame the target from those that may be due to
+// the request.
+func outcomeOf(status int) v1.Outcome {
+	switch status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return v1.Outcome_FAILED
+	}
+	return v1.Outcome_SERVED
+}
+
 // failed turns an error into the truth about the attempt. The end of the
 // attempt's context goes before that of its first connection.
 func (a *attempt) failed(ctx, conn context.Context, err error) attemptEnd {
