Name the span of a caller's request entry

Cause: a run of the programs with a collector showed the spans wait, grant, attempt, stream and forwarded, but none named entry: the library names a server's span by its method.

--- a/router/internal/entry/server.go
+++ b/router/internal/entry/server.go
@@ -21,6 +21,9 @@
 	"github.com/chiveseam/chiveseam/router/internal/state"
 )
 
+// entrySpan is the name of the span of a caller's request.
+const entrySpan = "entry"
+
 // Options bound what the entry accepts.
 type Options struct {
 	MaxOpenRequests int
@@ -88,7 +91,8 @@
 	router.POST("/v1/completions", s.guarded(s.completion))
 	router.POST("/v1/request-keys", s.guarded(s.issueKey))
 	s.handleServices(router)
-	s.handler = otelhttp.NewHandler(router, "entry")
+	s.handler = otelhttp.NewHandler(router, entrySpan, otelhttp.WithSpanNameFormatter(
+		func(operation string, _ *http.Request) string { return operation }))
 	return s
 }
 
