Ask the scheduling host through one function; one rule for data centres

Cause: the read of the whole change found the question to the host's goroutine written out three times, and the rule which side a zone is on in three places.

--- a/config/config.go
+++ b/config/config.go
@@ -150,6 +150,12 @@
 	return z, ok
 }
 
+// InDataCentre reports whether the zone is on the side of a migration that a
+// workspace is restricted to; an empty side allows all.
+func InDataCentre(zone *v1.Zone, side string) bool {
+	return side == "" || zone.DataCentre == side
+}
+
 // Class returns the deadline class with the name.
 func (a *Accepted) Class(name string) (*v1.DeadlineClass, bool) {
 	c, ok := a.classes[name]
--- a/router/internal/broker/place.go
+++ b/router/internal/broker/place.go
@@ -71,7 +71,7 @@
 		if !ok || zone.Region == r.demand.Region || slices.Contains(r.demand.Exclude, config.IDOf(t.Name)) {
 			continue
 		}
-		if w.DataCentre == "" || w.DataCentre == zone.DataCentre {
+		if config.InDataCentre(zone, w.DataCentre) {
 			r.demand.DataCentre = w.DataCentre
 			return zone.Region, true
 		}
--- a/router/internal/broker/spare.go
+++ b/router/internal/broker/spare.go
@@ -70,7 +70,7 @@
 		return false
 	}
 	z, ok := accepted.Zone(t.Zone)
-	return ok && z.DataCentre == r.demand.DataCentre
+	return ok && config.InDataCentre(z, r.demand.DataCentre)
 }
 
 func (b *Broker) returnSpare(l *link, id uint64) {
--- a/router/internal/dispatch/dispatcher.go
+++ b/router/internal/dispatch/dispatcher.go
@@ -179,7 +179,7 @@
 	found := ""
 	for _, t := range req.Config.TargetsOf(req.Pool.Name) {
 		zone, ok := req.Config.Zone(t.Zone)
-		if !ok || req.Workspace.DataCentre != "" && zone.DataCentre != req.Workspace.DataCentre {
+		if !ok || !config.InDataCentre(zone, req.Workspace.DataCentre) {
 			continue
 		}
 		if zone.Region == own {
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -108,6 +108,22 @@
 	}
 }
 
+// inspect runs fn in the host's goroutine and returns its result. It returns
+// false when the host has stopped.
+func inspect[T any](h *Host, fn func() T) (T, bool) {
+	result := make(chan T, 1)
+	var none T
+	if !h.post(inspectInput{func() { result <- fn() }}) {
+		return none, false
+	}
+	select {
+	case value := <-result:
+		return value, true
+	case <-h.t.Dying():
+		return none, false
+	}
+}
+
 // Open starts the session of an entry router. send is called by the host's
 // goroutine; it must not block and takes the batch over.
 func (h *Host) Open(router pool.Router, zone string, send func(*v1.SchedulerBatch)) *Session {
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -174,16 +174,8 @@
 
 // Status describes the pools that are scheduled here, by name.
 func (h *Host) Status() []*v1.PoolStatus {
-	result := make(chan []*v1.PoolStatus, 1)
-	if !h.post(inspectInput{func() { result <- h.status() }}) {
-		return nil
-	}
-	select {
-	case list := <-result:
-		return list
-	case <-h.t.Dying():
-		return nil
-	}
+	list, _ := inspect(h, h.status)
+	return list
 }
 
 func (h *Host) status() []*v1.PoolStatus {
--- a/router/internal/scheduling/regions.go
+++ b/router/internal/scheduling/regions.go
@@ -52,16 +52,8 @@
 
 // shares returns what to send, by the address of the scheduler that gets it.
 func (h *Host) shares() map[string]*v1.CountersShare {
-	result := make(chan map[string]*v1.CountersShare, 1)
-	if !h.post(inspectInput{func() { result <- h.collectShares() }}) {
-		return nil
-	}
-	select {
-	case shares := <-result:
-		return shares
-	case <-h.t.Dying():
-		return nil
-	}
+	shares, _ := inspect(h, h.collectShares)
+	return shares
 }
 
 func (h *Host) collectShares() map[string]*v1.CountersShare {
@@ -128,26 +120,22 @@
 // CountersOf returns the counters of the pools that are scheduled here among
 // those asked for.
 func (h *Host) CountersOf(asked []*v1.PoolCounters) *v1.CountersShare {
-	result := make(chan *v1.CountersShare, 1)
-	ok := h.post(inspectInput{func() {
-		share := &v1.CountersShare{}
-		region := h.store.Fleet().Self.Region
-		for _, c := range asked {
-			if sched, ok := h.pools[config.ID(c.Pool)]; ok {
-				share.Pools = append(share.Pools, sharedCounters(config.ID(c.Pool), region, sched))
-			}
-		}
-		result <- share
-	}})
+	share, ok := inspect(h, func() *v1.CountersShare { return h.countersOf(asked) })
 	if !ok {
 		return &v1.CountersShare{}
 	}
-	select {
-	case share := <-result:
-		return share
-	case <-h.t.Dying():
-		return &v1.CountersShare{}
+	return share
+}
+
+func (h *Host) countersOf(asked []*v1.PoolCounters) *v1.CountersShare {
+	share := &v1.CountersShare{}
+	region := h.store.Fleet().Self.Region
+	for _, c := range asked {
+		if sched, ok := h.pools[config.ID(c.Pool)]; ok {
+			share.Pools = append(share.Pools, sharedCounters(config.ID(c.Pool), region, sched))
+		}
 	}
+	return share
 }
 
 // peerCounters merges the counters of schedulers in other regions.
