e2e: find free ports without binding them

Cause: two runs could not listen on a port that had just been found free (20279 and 20204). The question bound the port and closed it; a process that was being forked at that moment held a copy of the socket until its exec, so that the port stayed in use. Ruled out: ports given out twice (the numbers do not repeat within a run), other runs of the tests, outgoing connections (their ports begin at 32768). Change: the question connects in place of binding; a target that starts again waits while its port is in use, at most the limit of all waits.

--- a/internal/e2e/port_test.go
+++ b/internal/e2e/port_test.go
@@ -40,7 +40,9 @@
 
 func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
-// freeAddress returns a loopback address on which nothing listens.
+// freeAddress returns a loopback address on which nothing listens. It asks by
+// connecting: a port that was bound for the question stays in use while a
+// process that is being started at that moment still holds a copy of it.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	base, err := ownBlock()
@@ -49,12 +51,11 @@
 	}
 	for range blockPorts {
 		address := loopback(base + 1 + int(nextPort.Add(1))%(blockPorts-1))
-		listener, err := net.Listen("tcp", address)
+		conn, err := net.Dial("tcp", address)
 		if err != nil {
-			continue
+			return address
 		}
-		listener.Close()
-		return address
+		conn.Close()
 	}
 	t.Fatal("no free port")
 	return ""
--- a/internal/e2e/target_test.go
+++ b/internal/e2e/target_test.go
@@ -1,8 +1,10 @@
 package e2e
 
 import (
+	"errors"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -59,7 +61,13 @@
 // start listens on the target's address until the end of the test.
 func (g *target) start(t *testing.T) {
 	t.Helper()
-	server, err := serve.Start(g.spec.Address, g.handler)
+	var server *serve.Server
+	var err error
+	// A process that is being started may hold a copy of the earlier listener.
+	await(t, g.spec.Name+" listens", func() bool {
+		server, err = serve.Start(g.spec.Address, g.handler)
+		return !errors.Is(err, syscall.EADDRINUSE)
+	}, func() any { return err })
 	if err != nil {
 		t.Fatal(err)
 	}
