pool: charge the predicted service instead of reported progress

Ruled out: a part of the estimate as a floor under the predicted service (longer starvation), no bound on what is predicted (a target that stands still charges without end), reports by the clock. Change: the scheduler charges a quarter of the estimate and then, every 250 ms, what a slot of the target is expected to have served, up to four estimates. A grant carries estimate and rate, so that the entry reports a cost only when it exceeds the charge by half, and every 5 min as a sign. Counters go to the successors when they changed by half an initial cost. The bound of package fairshare has a term for what is charged and not delivered; the test of the bound takes the terms from the charges as they are (as strict: they are measured on each request). Tests of literal grants got the rate, which is zero there.

--- a/fairshare/doc.go
+++ b/fairshare/doc.go
@@ -29,20 +29,22 @@
 // # Bound on the service gap
 //
 // For a workspace f let w(f) be its share, M(f) the largest number of slots it
-// holds at the same time, E(f) its largest estimate, P(f) the largest upward
-// and R(f) the largest downward correction of one request's charge after its
-// grant, and X(f) the largest cost of one request that was delivered and is not
-// charged yet. If L is the largest cost of a request, then P <= L, X <= L and
-// R <= E. Let f and g be any two workspaces that may use the same slots, both
-// backlogged without a break over an interval without merge, and let S be the
-// service delivered within the interval. Then with
+// holds at the same time, E(f) the largest charge at a grant, P(f) the largest
+// upward and R(f) the largest downward correction of one request's charge after
+// its grant, X(f) the largest cost of one request that was delivered and is not
+// charged yet, and Y(f) the largest cost of one request that is charged and was
+// not delivered yet. If L is the largest cost of a request and G the largest
+// charge, then P <= max(L, G), X <= L, and R and Y <= G. Let f and g be any two
+// workspaces that may use the same slots, both backlogged without a break over
+// an interval without merge, and let S be the service delivered within the
+// interval. Then with
 //
 //	D(f,g) = (E(f) + M(f)*P(f))/w(f) + M(g)*R(g)/w(g)
 //
 // the counters satisfy C(f) - C(g) <= D(f,g) at every moment, and
 //
 //	|S(f)/w(f) - S(g)/w(g)| <= D(f,g) + D(g,f)
-//	                         + M(f)*(E(f)+X(f))/w(f) + M(g)*(E(g)+X(g))/w(g)
+//	                         + M(f)*(Y(f)+X(f))/w(f) + M(g)*(Y(g)+X(g))/w(g)
 //
 // Proof sketch. Let t0 be the last grant to f. Just before it C(f) <= C(g),
 // because f was chosen. From then on C(f) rises by the estimate of that grant
@@ -54,14 +56,14 @@
 // the lift in place of C(g). This gives the first line. The counter differs
 // from delivered service by the lifts, of which there are none while
 // backlogged, and by charged minus delivered cost of the requests in flight,
-// which lies between -M*X and M*E. Taking the difference of the first line at
+// which lies between -M*X and M*Y. Taking the difference of the first line at
 // both ends of the interval, in both directions, gives the second.
 //
 // A rebuild from counters that routers saw at their last grants misses what was
 // charged since: the requests in flight. Each rebuild within the interval
 // therefore adds at most
 //
-//	2*D(f,g) + M(f)*(E(f)+X(f))/w(f) + M(g)*(E(g)+X(g))/w(g) + MaxLead
+//	2*D(f,g) + M(f)*(Y(f)+X(f))/w(f) + M(g)*(Y(g)+X(g))/w(g) + MaxLead
 //
 // Nobody starves: a backlogged workspace is chosen at the latest when the
 // counters of all others are above its own, hence after at most n*D of virtual
--- a/internal/cmd/measure/main.go
+++ b/internal/cmd/measure/main.go
@@ -18,6 +18,7 @@
 	Duration       time.Duration `long:"duration" description:"Virtual time of a run." default:"300s"`
 	Warmup         time.Duration `long:"warmup" description:"Virtual time before the figures start." default:"0s"`
 	Latency        time.Duration `long:"latency" description:"Time that a message between routers takes." default:"1ms"`
+	RateSpread     float64       `long:"rate-spread" description:"Standard deviation of the logarithm of the rate at which slots serve requests." default:"0"`
 	Args           struct {
 		Table string `positional-arg-name:"table" description:"fairness, waits, failures or traffic" choice:"fairness" choice:"waits" choice:"failures" choice:"traffic"`
 	} `positional-args:"yes" required:"yes"`
@@ -40,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	m := measure.Options{Seeds: o.Seeds, Duration: o.Duration, Latency: o.Latency, Warmup: o.Warmup}
+	m := measure.Options{Seeds: o.Seeds, Duration: o.Duration, Latency: o.Latency, Warmup: o.Warmup, RateSpread: o.RateSpread}
 	for _, path := range o.Questionnaires {
 		d, err := measure.LoadDeployment(path)
 		if err != nil {
--- a/internal/measure/charge.go
+++ b/internal/measure/charge.go
@@ -1,6 +1,8 @@
 package measure
 
 import (
+	"time"
+
 	"github.com/chiveseam/chiveseam/config"
 	"github.com/chiveseam/chiveseam/fairshare"
 	"github.com/chiveseam/chiveseam/pool"
@@ -15,10 +17,11 @@
 
 // openCharge is the charge of a request in flight.
 type openCharge struct {
-	charge    fairshare.Charge
-	workspace int
-	estimate  int64
-	request   *request
+	charge     fairshare.Charge
+	workspace  int
+	prediction pool.Prediction
+	grantedAt  time.Duration
+	request    *request
 }
 
 func newChargeMeter(c *cluster) *chargeMeter {
@@ -41,26 +44,34 @@
 		return
 	}
 	id := m.workspaceID(q.workspace)
-	estimate := g.Estimate
+	prediction := pool.Prediction{Estimate: g.Estimate, Rate: g.Rate}
+	estimate := prediction.Charged(0)
 	m.mirror.open[g.ID] = &openCharge{
-		charge:    m.mirror.counters.Start(id, estimate),
-		workspace: q.workspace,
-		estimate:  estimate,
-		request:   q,
+		charge:     m.mirror.counters.Start(id, estimate),
+		workspace:  q.workspace,
+		prediction: prediction,
+		grantedAt:  m.cluster.now,
+		request:    q,
 	}
 	t := &m.terms[q.workspace]
 	t.held++
 	t.slots = max(t.slots, t.held)
 	t.estimate = max(t.estimate, estimate)
+	t.over = max(t.over, estimate)
 }
 
 // before follows the corrections of an event.
 func (m *chargeMeter) before(event pool.Event) {
 	switch e := event.(type) {
+	case pool.Tick:
+		for _, open := range m.mirror.open {
+			m.follow(open)
+		}
 	case pool.Progress:
 		if open := m.mirror.open[e.ID]; open != nil {
-			m.measureAhead(open)
-			m.mirror.counters.Progress(&open.charge, e.Cost)
+			m.measure(open)
+			open.prediction.Observe(m.cluster.now-open.grantedAt, e.Cost)
+			m.follow(open)
 		}
 	case pool.Done:
 		if open := m.mirror.open[e.ID]; open != nil {
@@ -70,19 +81,34 @@
 	}
 }
 
-// measureAhead notes the delivered cost that is not charged yet.
-func (m *chargeMeter) measureAhead(open *openCharge) {
+// follow charges what is predicted.
+func (m *chargeMeter) follow(open *openCharge) {
+	m.mirror.counters.Progress(&open.charge, open.prediction.Charged(m.cluster.now-open.grantedAt))
+	m.measure(open)
+}
+
+// measure notes the terms of a charge, of which delivered cost may be a part or
+// more.
+func (m *chargeMeter) measure(open *openCharge) {
 	t := &m.terms[open.workspace]
 	delivered := open.request.delivered(m.cluster.now)
+	first := open.first()
 	t.ahead = max(t.ahead, delivered-open.charge.Cost())
-	t.upward = max(t.upward, delivered-open.estimate)
+	t.over = max(t.over, open.charge.Cost()-delivered)
+	t.upward = max(t.upward, delivered-first, open.charge.Cost()-first)
+}
+
+// first returns what was charged at the grant.
+func (o *openCharge) first() int64 {
+	granted := pool.Prediction{Estimate: o.prediction.Estimate, Rate: o.prediction.Rate}
+	return granted.Charged(0)
 }
 
 func (m *chargeMeter) end(open *openCharge, e pool.Done) {
-	m.measureAhead(open)
+	m.measure(open)
 	t := &m.terms[open.workspace]
 	t.held--
-	t.upward = max(t.upward, e.Cost-open.estimate)
+	t.upward = max(t.upward, e.Cost-open.first())
 	t.downward = max(t.downward, open.charge.Cost()-e.Cost)
 	if e.Outcome == v1.Outcome_SERVED {
 		m.mirror.counters.Settle(&open.charge, e.Cost)
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -43,6 +43,9 @@
 	engines   map[config.ID]*engine
 	index     map[config.ID]int
 	meter     *meter
+	// rateSpread is the standard deviation of the logarithm of a request's rate.
+	rateSpread float64
+	rateRNG    *rand.Rand
 	// cutZone is cut off from the other zones unless it is empty.
 	cutZone string
 }
@@ -58,6 +61,7 @@
 		engines:    map[config.ID]*engine{},
 		index:      map[config.ID]int{},
 		meter:      newMeter(d),
+		rateRNG:    rand.New(rand.NewPCG(seed, 5)),
 	}
 	for i, w := range d.Workspaces {
 		c.index[w.ID] = i
@@ -118,6 +122,8 @@
 	alive   bool
 	// charges follows what the scheduler charged, for the bound.
 	charges *chargeMeter
+	// replicated holds the counters as last sent.
+	replicated map[config.ID]pool.Counter
 }
 
 func (c *cluster) newHost(targets []pool.Target, zone string, latency time.Duration) *host {
@@ -125,6 +131,7 @@
 	h := &host{
 		cluster: c, core: c.policy.newStepper(c.deployment, c.seed),
 		zone: zone, latency: latency, alive: true, charges: newChargeMeter(c),
+		replicated: map[config.ID]pool.Counter{},
 	}
 	c.hosts = append(c.hosts, h)
 	h.step(pool.WorkspacesChanged{Workspaces: c.deployment.Workspaces})
@@ -147,13 +154,28 @@
 	if !h.alive || !ok || !h.cluster.replicate {
 		return
 	}
-	counters := core.Counters()
+	counters := h.changed(core)
 	for _, r := range h.cluster.routers[1 : 1+successors] {
 		h.send(r, func() { r.counters = counters })
 	}
 	h.cluster.after(counterInterval, h.replicateCounters)
 }
 
+// changed returns the counters as last sent, those that changed by the step
+// anew.
+func (h *host) changed(core *pool.Scheduler) []pool.Counter {
+	counters := core.Counters()
+	for i, c := range counters {
+		sent, ok := h.replicated[c.Workspace]
+		if ok && !c.Differs(sent, core.CounterStep()) {
+			counters[i] = sent
+			continue
+		}
+		h.replicated[c.Workspace] = c
+	}
+	return counters
+}
+
 // post delivers an event of a router after the latency.
 func (h *host) post(r *router, event pool.Event) {
 	h.cluster.after(h.latency, func() {
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"math"
 	"time"
 
 	"github.com/chiveseam/chiveseam/pool"
@@ -20,6 +21,16 @@
 
 func (e *engine) rate() float64 { return e.Speed * slotRate }
 
+// rateOf draws the rate of a request's slot, which is that of the engine but
+// for the spread of the cluster.
+func (e *engine) rateOf() float64 {
+	if e.cluster.rateSpread == 0 {
+		return e.rate()
+	}
+	spread := e.cluster.rateSpread
+	return e.rate() * math.Exp(e.cluster.rateRNG.NormFloat64()*spread-spread*spread/2)
+}
+
 // admit takes a request over.
 func (e *engine) admit(r *request) {
 	e.cluster.meter.advance(e.cluster.now)
@@ -34,19 +45,20 @@
 
 func (e *engine) start(r *request) {
 	e.running++
-	e.cluster.meter.serve(r.workspace, +1, e.rate())
+	r.rate = e.rateOf()
+	e.cluster.meter.serve(r.workspace, +1, r.rate)
 	r.startedAt = e.cluster.now
 	r.running = true
 	r.engine = e
-	service := seconds(float64(r.cost) / e.rate())
+	service := seconds(float64(r.cost) / r.rate)
 	e.cluster.after(service, func() { e.finish(r) })
-	r.router.planReport(r)
+	r.router.watch(r)
 }
 
 func (e *engine) finish(r *request) {
 	m := e.cluster.meter
 	m.advance(e.cluster.now)
-	m.serve(r.workspace, -1, e.rate())
+	m.serve(r.workspace, -1, r.rate)
 	r.running = false
 	e.running--
 	if len(e.queue) > 0 {
@@ -63,7 +75,7 @@
 	if r.engine == nil {
 		return 0
 	}
-	return min(int64((now-r.startedAt).Seconds()*r.engine.rate()), r.cost)
+	return min(int64((now-r.startedAt).Seconds()*r.rate), r.cost)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/measure/fairness.go
+++ b/internal/measure/fairness.go
@@ -15,6 +15,9 @@
 	Latency time.Duration
 	// Warmup is the time before the figures start.
 	Warmup time.Duration
+	// RateSpread is the standard deviation of the logarithm of the rate at which
+	// the slots of a target serve different requests.
+	RateSpread float64
 }
 
 const percent = 100
@@ -45,6 +48,7 @@
 
 func (o Options) run(d *Deployment, s scenario, seed int) figures {
 	c := newCluster(d, s.policy, uint64(seed), o.Latency)
+	c.rateSpread = o.RateSpread
 	l := newWorkload(c, uint64(seed))
 	if s.prepare != nil {
 		s.prepare(c, l)
--- a/internal/measure/gap.go
+++ b/internal/measure/gap.go
@@ -94,10 +94,11 @@
 }
 
 // boundTerms are the terms of one workspace: the most slots held, and the
-// largest estimate, upward and downward correction, and uncharged cost.
+// largest charge at the grant, upward and downward correction, delivered cost
+// that is not charged, and charged cost that is not delivered.
 type boundTerms struct {
-	held, slots                       int
-	estimate, upward, downward, ahead int64
+	held, slots                             int
+	estimate, upward, downward, ahead, over int64
 }
 
 // bound is the bound on the gap of two workspaces in cost units at share 1.
@@ -119,7 +120,7 @@
 }
 
 func (t boundTerms) outstanding() float64 {
-	return float64(t.slots) * float64(t.estimate+t.ahead)
+	return float64(t.slots) * float64(t.over+t.ahead)
 }
 
 // boundOver returns the bound with the largest terms of several schedulers.
@@ -140,5 +141,6 @@
 		upward:   max(t.upward, o.upward),
 		downward: max(t.downward, o.downward),
 		ahead:    max(t.ahead, o.ahead),
+		over:     max(t.over, o.over),
 	}
 }
--- a/internal/measure/pulse.go
+++ b/internal/measure/pulse.go
@@ -53,9 +53,10 @@
 func (t *trafficRun) replicateCounters() {
 	t.after(counterInterval, t.replicateCounters)
 	p := t.pools[0]
+	step := p.core.CounterStep()
 	message := &v1.PoolCounters{Pool: uint32(p.id)}
 	for _, c := range p.core.Counters() {
-		if t.replicated[c.Workspace] == c {
+		if !c.Differs(t.replicated[c.Workspace], step) {
 			continue
 		}
 		t.replicated[c.Workspace] = c
--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -11,9 +11,9 @@
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
-// reportDivisor sets the step between progress reports as a part of the cost
-// so far, as the dispatcher does.
-const reportDivisor = 2
+// reportInterval is the time between two looks at the cost of a request, of
+// which the dispatcher takes one at each token.
+const reportInterval = 200 * time.Millisecond
 
 // request is one request of a caller.
 type request struct {
@@ -31,10 +31,16 @@
 	granted    bool
 	target     config.ID
 	engine     *engine
+	rate       float64
 	running    bool
 	startedAt  time.Duration
-	charged    int64
-	nextReport int64
+	grantedAt  time.Duration
+	prediction pool.Prediction
+}
+
+// charged returns the cost that the scheduler has charged.
+func (q *request) charged(now time.Duration) int64 {
+	return q.prediction.Charged(now - q.grantedAt)
 }
 
 // router is the entry side: it sends demands and serves what is granted.
@@ -74,7 +80,8 @@
 				ID:        r.demandID(q),
 				Workspace: r.cluster.deployment.Workspaces[q.workspace].ID,
 				Target:    q.target,
-				Charged:   q.charged,
+				Charged:   q.charged(r.cluster.now),
+				Rate:      q.prediction.Rate,
 			})
 		}
 	}
@@ -97,7 +104,7 @@
 // withdraw ends a request at a scheduler that no longer schedules it.
 func (r *router) withdraw(h *host, q *request) {
 	if q.granted {
-		h.post(r, pool.Done{ID: r.demandID(q), Cost: q.charged, Outcome: v1.Outcome_ABANDONED})
+		h.post(r, pool.Done{ID: r.demandID(q), Cost: q.charged(r.cluster.now), Outcome: v1.Outcome_ABANDONED})
 		return
 	}
 	h.post(r, pool.Cancel{ID: r.demandID(q)})
@@ -146,7 +153,8 @@
 	e := r.cluster.engines[g.Target]
 	q.granted = true
 	q.target = g.Target
-	q.charged = g.Estimate
+	q.grantedAt = r.cluster.now
+	q.prediction = pool.Prediction{Estimate: g.Estimate, Rate: g.Rate}
 	if !r.cluster.reachable(r.zone, e.Zone) {
 		r.cluster.after(dialTimeout, func() { r.unreached(q) })
 		return
@@ -176,29 +184,26 @@
 	q.ended(refusal.RetryAfter)
 }
 
-// planReport schedules the next report of progress. The first is due at what
-// the grant charged, later ones when the cost has grown by half.
-func (r *router) planReport(q *request) {
-	next := q.charged
-	if q.nextReport > 0 {
-		next = q.nextReport + max(q.nextReport/reportDivisor, 1)
-	}
-	if next == 0 || next >= q.cost {
-		return
-	}
-	q.nextReport = next
-	due := q.startedAt + seconds(float64(next)/q.engine.rate())
-	r.cluster.after(due-r.cluster.now, func() { r.report(q) })
+// watch reports the cost of a request in progress when it is due.
+func (r *router) watch(q *request) {
+	r.cluster.after(reportInterval, func() {
+		if !q.running || r.requests[q.seq] != q {
+			return
+		}
+		r.report(q)
+		r.watch(q)
+	})
 }
 
 func (r *router) report(q *request) {
-	if !q.running || r.requests[q.seq] != q {
+	elapsed := r.cluster.now - q.grantedAt
+	cost := q.delivered(r.cluster.now)
+	if q.prediction.Estimate == 0 || !q.prediction.ReportDue(elapsed, cost) {
 		return
 	}
-	q.charged = q.nextReport
+	q.prediction.Observe(elapsed, cost)
 	r.cluster.meter.reports++
-	r.host.post(r, pool.Progress{ID: r.demandID(q), Cost: q.nextReport})
-	r.planReport(q)
+	r.host.post(r, pool.Progress{ID: r.demandID(q), Cost: cost})
 }
 
 // finished ends a request that was served in full.
@@ -215,7 +220,7 @@
 	if r.requests[q.seq] != q || !q.granted || q.engine == nil {
 		return
 	}
-	r.done(q, v1.Outcome_LOST, q.charged)
+	r.done(q, v1.Outcome_LOST, q.charged(r.cluster.now))
 	q.ended(0)
 }
 
--- a/internal/measure/traffic.go
+++ b/internal/measure/traffic.go
@@ -210,7 +210,7 @@
 	switch a := action.(type) {
 	case pool.Grant:
 		p.sessions[a.ID.Router.Name].down.add(func(b *v1.SchedulerBatch) {
-			b.Grants = append(b.Grants, &v1.Grant{Seq: a.ID.Seq, Target: uint32(a.Target), Estimate: uint32(a.Estimate)})
+			b.Grants = append(b.Grants, &v1.Grant{Seq: a.ID.Seq, Target: uint32(a.Target), Estimate: uint32(a.Estimate), Rate: uint32(a.Rate)})
 		})
 	case pool.Refuse:
 		p.sessions[a.ID.Router.Name].down.add(func(b *v1.SchedulerBatch) {
@@ -219,7 +219,7 @@
 	case pool.HandSpare:
 		p.sessions[a.Router.Name].down.add(func(b *v1.SchedulerBatch) {
 			expires := uint32(a.Expires.Sub(p.run.wall()).Milliseconds())
-			b.Spares = append(b.Spares, &v1.Spare{Id: a.Spare, Pool: uint32(p.id), Target: uint32(a.Target), ExpiresMs: expires})
+			b.Spares = append(b.Spares, &v1.Spare{Id: a.Spare, Pool: uint32(p.id), Target: uint32(a.Target), ExpiresMs: expires, Rate: uint32(a.Rate)})
 		})
 	case pool.RevokeSpare:
 		p.sessions[a.Router.Name].down.add(func(b *v1.SchedulerBatch) { b.RevokedSpares = append(b.RevokedSpares, a.Spare) })
--- a/internal/measure/trafficentry.go
+++ b/internal/measure/trafficentry.go
@@ -61,7 +61,7 @@
 	s.spares[p] = s.spares[p][1:]
 	s.router.run.spareUses++
 	s.up.add(func(b *v1.EntryBatch) { b.SpareUses = append(b.SpareUses, &v1.SpareUse{Spare: spare.Id, Demand: d}) })
-	s.serve(d.Seq, 0)
+	s.serve(d.Seq, pool.Prediction{Estimate: meanCost, Rate: int64(spare.Rate)})
 	return true
 }
 
@@ -119,7 +119,7 @@
 	}
 	for _, g := range b.Grants {
 		s.router.run.grants++
-		s.serve(g.Seq, int64(g.Estimate))
+		s.serve(g.Seq, pool.Prediction{Estimate: int64(g.Estimate), Rate: int64(g.Rate)})
 	}
 	for _, refusal := range b.Refusals {
 		delete(s.router.costs, refusal.Seq)
@@ -146,15 +146,23 @@
 }
 
 // serve sends the reports of progress and the end of a request.
-func (s *session) serve(seq uint64, charged int64) {
+func (s *session) serve(seq uint64, prediction pool.Prediction) {
 	t := s.router.run
 	cost := s.router.costs[seq]
 	delete(s.router.costs, seq)
-	for next := charged; next > 0 && next < cost; next += max(next/reportDivisor, 1) {
-		t.after(seconds(float64(next)/slotRate), func() {
+	for elapsed := reportInterval; ; elapsed += reportInterval {
+		served := int64(elapsed.Seconds() * slotRate)
+		if served >= cost {
+			break
+		}
+		if !prediction.ReportDue(elapsed, served) {
+			continue
+		}
+		prediction.Observe(elapsed, served)
+		t.after(elapsed, func() {
 			t.reports++
 			s.up.add(func(b *v1.EntryBatch) {
-				b.Progress = append(b.Progress, &v1.Progress{Seq: seq, Cost: uint32(next)})
+				b.Progress = append(b.Progress, &v1.Progress{Seq: seq, Cost: uint32(served)})
 			})
 		})
 	}
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -101,7 +101,7 @@
 func (s *Scheduler) grant(d *demand, t *target) {
 	s.begin(d, t)
 	s.granted++
-	s.emit(Grant{ID: d.id, Target: t.ID, Estimate: d.charge.Cost()})
+	s.emit(Grant{ID: d.id, Target: t.ID, Estimate: d.prediction.Estimate, Rate: d.prediction.Rate})
 	s.recent(d.router)
 }
 
@@ -109,7 +109,8 @@
 func (s *Scheduler) begin(d *demand, t *target) {
 	id := d.workspace.ID
 	s.counters.Backlog(id)
-	d.charge = s.counters.Start(id, s.counters.Estimate(id, d.estimate))
+	d.prediction = Prediction{Estimate: s.counters.Estimate(id, d.estimate), Rate: t.service.rate()}
+	d.charge = s.counters.Start(id, d.prediction.Charged(0))
 	s.unqueue(d)
 	s.occupy(d, t)
 	s.affinity.record(d.prefix, t.ID)
@@ -137,10 +138,12 @@
 	t.busy++
 	s.updateOpen(t)
 	s.timers.set(&d.timer, s.now.Add(s.options.MaxService))
+	s.follow(d)
 }
 
 // vacate ends the hold of d on its slot and forgets d.
 func (s *Scheduler) vacate(d *demand) {
+	s.unfollow(d)
 	t := d.target
 	t.busy--
 	s.updateOpen(t)
--- a/pool/done.go
+++ b/pool/done.go
@@ -25,7 +25,9 @@
 		s.counters.Refund(&d.charge)
 	case v1.Outcome_SERVED:
 		s.counters.Settle(&d.charge, e.Cost)
-		s.service.observe(e.Cost, s.serviceTime(d, e))
+		service := s.serviceTime(d, e)
+		s.service.observe(e.Cost, service)
+		d.target.service.observe(e.Cost, service)
 	case v1.Outcome_FAILED:
 		s.counters.Settle(&d.charge, e.Cost)
 	default:
--- a/pool/interface.go
+++ b/pool/interface.go
@@ -56,6 +56,8 @@
 	Target    config.ID
 	// Charged is the cost charged so far in cost units.
 	Charged int64
+	// Rate is that of the demand's Prediction.
+	Rate int64
 }
 
 // Counter is the service that a workspace received divided by its share, in
@@ -181,9 +183,10 @@
 type Grant struct {
 	ID     DemandID
 	Target config.ID
-	// Estimate is the cost in cost units that is charged at the grant. Progress
-	// below it changes nothing, and InFlight.Charged starts at it.
+	// Estimate and Rate are those of the Prediction that is charged. Progress
+	// below it changes nothing, and InFlight.Charged follows it.
 	Estimate int64
+	Rate     int64
 }
 
 // Refuse ends a demand that is not granted.
@@ -208,6 +211,8 @@
 	Spare   uint64
 	Target  config.ID
 	Expires time.Time
+	// Rate is that of Prediction for a demand on the slot.
+	Rate int64
 }
 
 // RevokeSpare asks for a spare slot back. The router answers with
--- a/pool/model_test.go
+++ b/pool/model_test.go
@@ -29,6 +29,7 @@
 	target     config.ID
 	start, end time.Time
 	reported   int64
+	rate       int64
 	outcome    v1.Outcome
 }
 
@@ -154,7 +155,7 @@
 	for _, d := range open {
 		if d.running {
 			charged := d.progress(m.now)
-			e.InFlight = append(e.InFlight, InFlight{d.ID, d.Workspace, d.target, charged})
+			e.InFlight = append(e.InFlight, InFlight{d.ID, d.Workspace, d.target, charged, d.rate})
 		}
 	}
 	m.step(r.home, e)
@@ -249,6 +250,7 @@
 		}
 		r.counters[c.Workspace] = c
 		if !d.running {
+			d.rate = a.Rate
 			m.run(d, a.Target)
 		}
 	case Refuse:
--- /dev/null
+++ b/pool/prediction_test.go
@@ -0,0 +1,73 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// TestPredictionFollowsReports checks that a charge never falls, is at least
+// what was reported, stays within its bound without a report, and that a demand
+// served at the rate needs none.
+func TestPredictionFollowsReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Prediction{
+			Estimate: rapid.Int64Range(1, 10_000).Draw(t, "estimate"),
+			Rate:     rapid.Int64Range(0, 1000).Draw(t, "rate"),
+		}
+		var elapsed time.Duration
+		var charged, reported int64
+		for range 50 {
+			elapsed += time.Duration(rapid.Int64Range(0, 5000).Draw(t, "ms")) * time.Millisecond
+			served := min(int64(elapsed.Seconds()*float64(p.Rate)), p.Estimate)
+			if p.Rate > 0 && reported == 0 && p.ReportDue(elapsed, served) {
+				t.Fatalf("report of %d is due at %v: %+v", served, elapsed, p)
+			}
+			if cost := rapid.Int64Range(0, 50_000).Draw(t, "cost"); p.ReportDue(elapsed, cost) {
+				p.Observe(elapsed, cost)
+				reported = max(reported, cost)
+			}
+			now := p.Charged(elapsed)
+			if now < charged || now < reported || now > max(maxEstimates*p.Estimate, reported) {
+				t.Fatalf("charge of %d after %d with %d reported: %+v", now, charged, reported, p)
+			}
+			charged = now
+		}
+	})
+}
+
+func TestResumedPredictionStartsAtTheCharge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		charged := rapid.Int64Range(0, 100_000).Draw(t, "charged")
+		p := Resumed(charged, rapid.Int64Range(0, 1000).Draw(t, "rate"))
+		if p.Charged(0) != charged {
+			t.Fatalf("charge of %d, want %d", p.Charged(0), charged)
+		}
+	})
+}
+
+// TestServedCostIsChargedWithoutReports lets a demand run on a slot whose rate
+// is known: what is served is charged, and what is left is settled at the end.
+func TestServedCostIsChargedWithoutReports(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{}, oneSlot())
+	for seq := uint64(1); seq <= minServiceSamples; seq++ {
+		f.ask(seq, time.Minute)
+		f.finish(seq, v1.Outcome_SERVED)
+	}
+	grant := f.ask(100, time.Minute)[0].(Grant)
+	is.True(grant.Rate > 0)
+	before := f.Counter(1).Value
+	f.now = f.now.Add(time.Second / 2)
+	f.step(Tick{})
+	is.True(f.Counter(1).Value > before)
+	_, waits := f.NextTick()
+	is.True(waits) // the next charge
+	f.finish(100, v1.Outcome_SERVED)
+	_, waits = f.NextTick()
+	is.True(!waits) // nothing runs
+}
--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -132,7 +132,7 @@
 }
 
 // gapTerms are the terms of the bound in package fairshare, for one workspace.
-type gapTerms struct{ e, m, p, r, x int64 }
+type gapTerms struct{ e, m, p, r, x, y int64 }
 
 // gapWatch records the terms and the course of the service gap.
 type gapWatch struct {
@@ -199,9 +199,12 @@
 			cost = open.cost
 		}
 	}
-	terms.p = max(terms.p, cost-g.first[d.id])
-	terms.r = max(terms.r, g.first[d.id])
+	// What is predicted may be charged before the next look.
+	ahead := max(charged, d.prediction.Charged(m.now.Add(modelTick).Sub(d.grantedAt)))
+	terms.p = max(terms.p, max(cost, ahead)-g.first[d.id])
+	terms.r = max(terms.r, ahead-cost)
 	terms.x = max(terms.x, delivered-charged)
+	terms.y = max(terms.y, ahead-delivered)
 }
 
 // d is D(f,g) of package fairshare in cost units at share 1.
@@ -213,7 +216,7 @@
 // inFlight is the last term of the bound.
 func (g *gapWatch) inFlight(w Workspace) float64 {
 	terms := g.terms[w.ID]
-	return float64(terms.m*(terms.e+terms.x)) / float64(w.Share)
+	return float64(terms.m*(terms.y+terms.x)) / float64(w.Share)
 }
 
 // check compares the largest gap over any interval with the bound, to which
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -29,6 +29,10 @@
 	target    *target
 	charge    fairshare.Charge
 	grantedAt time.Time
+	// prediction is what charge follows between reports.
+	prediction Prediction
+	// running is the index in predictor.running plus one; zero is absent.
+	running int
 	// seenAt is the time of the last sign of the granted demand.
 	seenAt time.Time
 	// joined is set while RouterJoined reconciles grants.
--- a/pool/router.go
+++ b/pool/router.go
@@ -133,6 +133,7 @@
 		d = &demand{id: f.ID, router: r, workspace: s.workspaceOf(f.Workspace)}
 		d.owner = d
 		d.charge = s.counters.Resume(f.Workspace, f.Charged)
+		d.prediction = Resumed(f.Charged, f.Rate)
 		r.demands[f.ID.Seq] = d
 		s.occupy(d, s.target(f.Target))
 	}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -40,6 +40,7 @@
 	spares       spareSet
 	settling     settling
 	service      serviceRate
+	predictor    predictor
 	peerSpares   map[string]int
 
 	// slots counts the slots of targets that get new work by data centre.
@@ -80,6 +81,7 @@
 		slots:        map[string]int{},
 	}
 	s.hasDemand = s.candidateHasDemand
+	s.predictor.owner = &s.predictor
 	return s
 }
 
@@ -268,7 +270,9 @@
 		return
 	}
 	d.seenAt = s.now
+	d.prediction.Observe(s.now.Sub(d.grantedAt), e.Cost)
 	s.counters.Progress(&d.charge, e.Cost)
+	s.predict(d)
 }
 
 // find returns a demand by its ID, or nil.
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -75,8 +75,8 @@
 	f.ask(2, time.Minute)
 	f.ask(3, time.Second)
 	f.ask(4, time.Minute)
-	is.Equal(f.finish(1, v1.Outcome_SERVED), []Action{Grant{id(3), 10, 100}})
-	is.Equal(f.finish(3, v1.Outcome_SERVED), []Action{Grant{id(2), 10, 100}})
+	is.Equal(f.finish(1, v1.Outcome_SERVED), []Action{Grant{id(3), 10, 100, 0}})
+	is.Equal(f.finish(3, v1.Outcome_SERVED), []Action{Grant{id(2), 10, 100, 0}})
 }
 
 func TestQueueBounds(t *testing.T) {
@@ -197,8 +197,8 @@
 		f.now = at
 		probe = append(probe, f.step(Tick{})...)
 	}
-	is.Equal(probe, []Action{Grant{id(11), 10, defaultInitialCost}}) // one probe
-	is.Equal(f.finish(11, v1.Outcome_SERVED), []Action{Grant{id(12), 10, 100}})
+	is.Equal(probe, []Action{Grant{id(11), 10, defaultInitialCost, 0}}) // one probe
+	is.Equal(f.finish(11, v1.Outcome_SERVED), []Action{Grant{id(12), 10, 100, 0}})
 }
 
 func TestLostRouterHoldsItsSlots(t *testing.T) {
@@ -223,7 +223,7 @@
 	f.ask(1, time.Minute)
 	f.ask(2, time.Minute) // its grant is lost
 	f.ask(3, time.Minute)
-	f.step(RouterJoined{Router: router1, Zone: "z1", InFlight: []InFlight{{id(1), 1, 10, 50}}})
+	f.step(RouterJoined{Router: router1, Zone: "z1", InFlight: []InFlight{{id(1), 1, 10, 50, 0}}})
 	is.Equal(f.Status().FreeSlots, 1)
 	is.Equal(granted(f.ask(2, time.Minute)), config.ID(10)) // sent again
 	next := Router{Name: "r1", Incarnation: 2}
@@ -240,7 +240,7 @@
 	f := newFixture(Options{}, oneSlot())
 	f.step(RouterJoined{
 		Router: router1, Zone: "z1", Counters: old.Counters(),
-		InFlight: []InFlight{{id(1), 1, 10, 256}, {id(9), 1, 99, 0}},
+		InFlight: []InFlight{{id(1), 1, 10, 256, 0}, {id(9), 1, 99, 0, 0}},
 	})
 	is.Equal(f.Counter(1).Value, old.Counter(1).Value)
 	is.Equal(len(f.ask(2, time.Minute)), 0) // the slot is busy
@@ -295,7 +295,7 @@
 	f.ask(2, time.Minute)
 	is.Equal(f.ask(3, time.Minute), []Action{RevokeSpare{router1, spare.Spare}})
 	returned := SpareReturned{router1, spare.Spare}
-	is.Equal(f.step(returned), []Action{Grant{id(3), 10, defaultInitialCost}})
+	is.Equal(f.step(returned), []Action{Grant{id(3), 10, defaultInitialCost, 0}})
 	is.Equal(len(f.step(returned)), 0) // doubled
 }
 
@@ -322,7 +322,7 @@
 		f.step(PeerCounters{Region: "west", Counters: []Counter{{2, served, true}}})
 	}
 	is.Equal(len(f.PeerCounters("east", 10).Counters), 2)
-	is.Equal(f.finish(1, v1.Outcome_SERVED), []Action{Grant{id(2), 10, 100}}) // 2 was served in west
+	is.Equal(f.finish(1, v1.Outcome_SERVED), []Action{Grant{id(2), 10, 100, 0}}) // 2 was served in west
 }
 
 func TestTargetThatAnswersUnavailableAttractsNoWork(t *testing.T) {
--- a/pool/side_test.go
+++ b/pool/side_test.go
@@ -64,11 +64,11 @@
 		Targets:    []Target{{ID: 11, DataCentre: "south", Slots: 1, Speed: 1}},
 		Workspaces: []Workspace{{ID: 2, Share: 1, DataCentre: "south"}},
 	})
-	is.Equal(got, []Action{Grant{id(2), 11, defaultInitialCost}})
+	is.Equal(got, []Action{Grant{id(2), 11, defaultInitialCost, 0}})
 	is.Equal(f.Queued(), 1)
 	got = f.step(ConfigurationChanged{
 		Targets:    []Target{{ID: 10, DataCentre: "north", Slots: 2, Speed: 1}},
 		Workspaces: []Workspace{{ID: 2, Share: 1, DataCentre: "north"}},
 	})
-	is.Equal(got, []Action{Grant{id(3), 10, defaultInitialCost}}) // demand 1 still runs there
+	is.Equal(got, []Action{Grant{id(3), 10, defaultInitialCost, 0}}) // demand 1 still runs there
 }
--- a/pool/spare.go
+++ b/pool/spare.go
@@ -100,7 +100,7 @@
 	s.updateOpen(t)
 	expires := s.now.Add(s.options.SpareTTL)
 	s.timers.set(&sp.timer, expires.Add(s.options.SpareGrace))
-	s.emit(HandSpare{Router: r.Router, Spare: sp.id, Target: t.ID, Expires: expires})
+	s.emit(HandSpare{Router: r.Router, Spare: sp.id, Target: t.ID, Expires: expires, Rate: t.service.rate()})
 }
 
 // chooseSpare returns the best target whose slots are at most half in use.
--- a/pool/status.go
+++ b/pool/status.go
@@ -5,6 +5,7 @@
 
 	"github.com/chiveseam/chiveseam/breaker"
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/fairshare"
 )
 
 // Status is a snapshot of a scheduler.
@@ -72,6 +73,20 @@
 	return toCounters(s.counters.Snapshot())
 }
 
+// CounterStep is the change from which on a counter is worth sending again to
+// the routers that may rebuild the scheduler.
+func (s *Scheduler) CounterStep() uint64 {
+	const stepsPerCost = 2
+	return uint64(s.options.InitialCost) * fairshare.Scale / stepsPerCost
+}
+
+// Differs tells whether c is to be sent to a router that has seen old: its
+// backlog began or ended, or its value changed by the step.
+func (c Counter) Differs(old Counter, step uint64) bool {
+	change := max(c.Value, old.Value) - min(c.Value, old.Value)
+	return c.Workspace != old.Workspace || c.Backlogged != old.Backlogged || change >= step
+}
+
 // Counter returns the counter of one workspace, for the router that serves it.
 func (s *Scheduler) Counter(workspace config.ID) Counter {
 	return Counter{
--- a/pool/target.go
+++ b/pool/target.go
@@ -27,9 +27,11 @@
 	timer
 	Target
 	// known is set while the target is configured and listed.
-	known   bool
-	busy    int
-	spares  int
+	known  bool
+	busy   int
+	spares int
+	// service is the rate of one of its slots.
+	service serviceRate
 	breaker *breaker.Breaker
 	// reach holds the breakers of zones that saw failures.
 	reach map[string]*reach
--- a/pool/wait.go
+++ b/pool/wait.go
@@ -44,6 +44,13 @@
 	return r.cost / r.seconds, true
 }
 
+// rate returns the cost units that one slot serves a second, zero as long as
+// that is not known.
+func (r *serviceRate) rate() int64 {
+	perSecond, _ := r.perSecond()
+	return int64(math.Round(perSecond))
+}
+
 // expectedWait estimates how long a demand waits for its grant: the cost of
 // the demands of its workspace up to it, at the workspace's share of the
 // observed service rate. It returns false as long as that is not known.
--- a/router/internal/broker/answer.go
+++ b/router/internal/broker/answer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/result"
 )
@@ -54,15 +55,16 @@
 		l.batch.Done = append(l.batch.Done, &v1.Done{Seq: g.Seq, Outcome: v1.Outcome_NOT_RUN})
 		return
 	}
-	b.start(r, config.ID(g.Target), g.Estimate)
+	b.start(r, config.ID(g.Target), pool.Prediction{Estimate: int64(g.Estimate), Rate: int64(g.Rate)}, time.Now())
 }
 
 // start hands the slot to the waiting caller.
-func (b *Broker) start(r *request, target config.ID, estimate uint32) {
+func (b *Broker) start(r *request, target config.ID, prediction pool.Prediction, now time.Time) {
 	r.granted = true
+	r.grantedAt = now
 	r.target = target
-	r.charged = estimate
-	r.reply <- reply{grant: &Grant{broker: b, seq: r.seq, Target: target, Estimate: estimate}}
+	r.prediction = prediction
+	r.reply <- reply{grant: &Grant{broker: b, seq: r.seq, Target: target, Prediction: prediction}}
 }
 
 func (b *Broker) refused(l *link, refusal *v1.Refusal) {
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/go-kit/log"
@@ -16,6 +17,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/result"
 	"github.com/chiveseam/chiveseam/router/internal/state"
@@ -115,8 +117,15 @@
 	reply   chan reply
 	link    *link
 	granted bool
-	target  config.ID
-	charged uint32
+	// The fields below are set once the demand is granted.
+	grantedAt  time.Time
+	target     config.ID
+	prediction pool.Prediction
+}
+
+// charged returns the cost in cost units that the scheduler has charged.
+func (r *request) charged(now time.Time) uint32 {
+	return uint32(min(r.prediction.Charged(now.Sub(r.grantedAt)), math.MaxUint32))
 }
 
 type reply struct {
@@ -311,7 +320,7 @@
 	if !ok {
 		return
 	}
-	r.charged = max(r.charged, in.cost)
+	r.prediction.Observe(time.Since(r.grantedAt), int64(in.cost))
 	r.link.batch.Progress = append(r.link.batch.Progress, &v1.Progress{Seq: in.seq, Cost: in.cost})
 }
 
--- a/router/internal/broker/broker_test.go
+++ b/router/internal/broker/broker_test.go
@@ -191,7 +191,7 @@
 	r := f.acquire(time.Minute)
 	first := r.seq
 	f.sent("a")
-	f.movePool(poolKey{pool, home}, time.Now())
+	f.movePool(poolKey{poolName, home}, time.Now())
 	f.flush()
 	again := f.sent("a")
 	is.Equal(seqs(again.Demands), []uint64{r.seq})
@@ -215,7 +215,7 @@
 
 func spareBatch(id uint64, ttl time.Duration) *v1.SchedulerBatch {
 	return &v1.SchedulerBatch{Spares: []*v1.Spare{{
-		Id: id, Pool: uint32(config.IDOf(pool)), Target: uint32(target1), ExpiresMs: uint32(ttl.Milliseconds()),
+		Id: id, Pool: uint32(config.IDOf(poolName)), Target: uint32(target1), ExpiresMs: uint32(ttl.Milliseconds()),
 	}}}
 }
 
@@ -282,7 +282,7 @@
 	is := is.New(t)
 	f := withSpare(t)
 	r := &request{
-		demand: Demand{Pool: pool, Region: home, DataCentre: "dc-2", Deadline: time.Now().Add(time.Minute)},
+		demand: Demand{Pool: poolName, Region: home, DataCentre: "dc-2", Deadline: time.Now().Add(time.Minute)},
 		home:   home,
 		reply:  make(chan reply, 1),
 	}
--- a/router/internal/broker/fixture_test.go
+++ b/router/internal/broker/fixture_test.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	pool   = configtest.EnginePool
-	home   = configtest.Region
-	remote = "south"
+	poolName = configtest.EnginePool
+	home     = configtest.Region
+	remote   = "south"
 )
 
 // fakeLink records what the broker sends.
@@ -115,7 +115,7 @@
 func (f *fixture) acquire(wait time.Duration) *request {
 	r := &request{
 		demand: Demand{
-			Pool: pool, Region: home, Workspace: config.IDOf("small"), Deadline: time.Now().Add(wait),
+			Pool: poolName, Region: home, Workspace: config.IDOf("small"), Deadline: time.Now().Add(wait),
 		},
 		home:  home,
 		reply: make(chan reply, 2),
--- a/router/internal/broker/grant.go
+++ b/router/internal/broker/grant.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
@@ -13,9 +14,9 @@
 	seq    uint64
 	// Target is the ID of the target.
 	Target config.ID
-	// Estimate is the cost in cost units that the scheduler has charged; zero
-	// means that the slot was handed out ahead and the charge is not known.
-	Estimate uint32
+	// Prediction is what the scheduler charges without a report. Its estimate is
+	// zero if the slot was handed out ahead.
+	Prediction pool.Prediction
 }
 
 // Progress reports the cost so far in cost units.
--- a/router/internal/broker/link.go
+++ b/router/internal/broker/link.go
@@ -84,6 +84,7 @@
 		l.batch.Hello = &v1.Hello{Router: self.Name, Incarnation: self.Incarnation, Zone: self.Zone}
 	}
 	id := config.IDOf(key.pool)
+	now := time.Now()
 	for _, r := range b.requests {
 		if !r.granted || r.demand.Pool != key.pool || r.demand.Region != key.region {
 			continue
@@ -94,7 +95,8 @@
 			Pool:      uint32(id),
 			Workspace: uint32(r.demand.Workspace),
 			Target:    uint32(r.target),
-			Charged:   r.charged,
+			Charged:   r.charged(now),
+			Rate:      uint32(r.prediction.Rate),
 		})
 	}
 	counters := &v1.PoolCounters{Pool: uint32(id)}
@@ -202,7 +204,7 @@
 // withdrawFrom ends a request at a scheduler that no longer schedules it.
 func (b *Broker) withdrawFrom(l *link, r *request) {
 	if r.granted {
-		l.batch.Done = append(l.batch.Done, &v1.Done{Seq: r.seq, Cost: r.charged, Outcome: v1.Outcome_ABANDONED})
+		l.batch.Done = append(l.batch.Done, &v1.Done{Seq: r.seq, Cost: r.charged(time.Now()), Outcome: v1.Outcome_ABANDONED})
 		return
 	}
 	l.batch.Cancels = append(l.batch.Cancels, r.seq)
--- a/router/internal/broker/property_test.go
+++ b/router/internal/broker/property_test.go
@@ -262,7 +262,7 @@
 		return
 	}
 	if m.chance(50, "again") {
-		m.movePool(poolKey{pool, home}, time.Now())
+		m.movePool(poolKey{poolName, home}, time.Now())
 		m.flush()
 		return
 	}
--- a/router/internal/broker/spare.go
+++ b/router/internal/broker/spare.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
@@ -14,6 +15,7 @@
 	link    *link
 	target  config.ID
 	expires time.Time
+	rate    int64
 }
 
 func (b *Broker) addSpare(l *link, s *v1.Spare, now time.Time) {
@@ -23,7 +25,7 @@
 		return
 	}
 	expires := now.Add(time.Duration(s.ExpiresMs) * time.Millisecond)
-	b.spares[key] = append(b.spares[key], spare{id: s.Id, link: l, target: config.ID(s.Target), expires: expires})
+	b.spares[key] = append(b.spares[key], spare{id: s.Id, link: l, target: config.ID(s.Target), expires: expires, rate: int64(s.Rate)})
 }
 
 // spareKey finds the pool of a spare slot that came over the link.
@@ -50,7 +52,7 @@
 		}
 		b.spares[key] = slices.Delete(list, i, i+1)
 		l.batch.SpareUses = append(l.batch.SpareUses, &v1.SpareUse{Spare: s.id, Demand: b.demandMessage(r, now)})
-		b.start(r, s.target, 0)
+		b.start(r, s.target, pool.Prediction{Rate: s.rate}, now)
 		return true
 	}
 	return false
--- a/router/internal/dispatch/attempt.go
+++ b/router/internal/dispatch/attempt.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/result"
 	"github.com/chiveseam/chiveseam/router/internal/broker"
@@ -23,8 +24,10 @@
 	grant      *broker.Grant
 	sink       *countingSink
 	usage      usage
-	nextReport uint32
+	prediction pool.Prediction
 	started    time.Time
+	// reported is the time of the last report of progress.
+	reported time.Time
 	// spent is the final cost, once the attempt has ended.
 	spent uint32
 }
@@ -56,7 +59,8 @@
 	defer span.End()
 	a.started = time.Now()
 	a.usage = newUsage(len(a.req.Body))
-	a.nextReport = max(a.charged(), a.usage.cost(a.req.Pool)+1)
+	a.reported = a.started
+	a.prediction = a.predicted()
 	end := a.execute(ctx)
 	service := time.Since(a.started)
 	a.spent = a.cost(end, service)
--- a/router/internal/dispatch/stream.go
+++ b/router/internal/dispatch/stream.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"github.com/chiveseam/chiveseam/pool"
 )
 
 const (
@@ -142,26 +144,31 @@
 	a.reportProgress()
 }
 
-// charged returns what the scheduler has charged at the grant. For a slot that
-// was handed out ahead it is about the mean that the router has seen.
-func (a *attempt) charged() uint32 {
-	if a.grant.Estimate > 0 {
-		return a.grant.Estimate
+// predicted returns what the scheduler charges without a report. The estimate
+// for a slot that was handed out ahead is about the mean that the router has
+// seen.
+func (a *attempt) predicted() pool.Prediction {
+	prediction := a.grant.Prediction
+	if prediction.Estimate == 0 {
+		prediction.Estimate = int64(a.d.expectedCost(a.req))
 	}
-	return a.d.expectedCost(a.req)
+	return prediction
 }
 
-// reportProgress sends the cost when it passes the amount last charged, in
-// steps that grow with it.
+// reportProgress sends the cost when it differs from what is charged, and now
+// and then as a sign that the request is still served.
 func (a *attempt) reportProgress() {
+	now := time.Now()
+	elapsed := now.Sub(a.started)
 	cost := a.usage.cost(a.req.Pool)
-	if cost < a.nextReport {
+	if !a.prediction.ReportDue(elapsed, int64(cost)) && now.Sub(a.reported) < signInterval {
 		return
 	}
 	a.grant.Progress(cost)
-	a.nextReport = cost + max(cost/progressDivisor, 1)
+	a.prediction.Observe(elapsed, int64(cost))
+	a.reported = now
 }
 
-// progressDivisor sets the step between progress reports as a part of the
-// cost so far.
-const progressDivisor = 2
+// signInterval is the longest time without a report on a stream. It is below
+// the time after which a scheduler takes a silent demand for gone.
+const signInterval = 5 * time.Minute
--- a/router/internal/scheduling/events.go
+++ b/router/internal/scheduling/events.go
@@ -83,6 +83,7 @@
 				Workspace: config.ID(f.Workspace),
 				Target:    config.ID(f.Target),
 				Charged:   int64(f.Charged),
+				Rate:      int64(f.Rate),
 			})
 		}
 		s.joined[id] = true
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -257,6 +257,7 @@
 				Seq:      a.ID.Seq,
 				Target:   uint32(a.Target),
 				Estimate: uint32(min(a.Estimate, math.MaxUint32)),
+				Rate:     uint32(min(a.Rate, math.MaxUint32)),
 			})
 		}
 	case pool.Refuse:
@@ -282,6 +283,7 @@
 				Pool:      uint32(id),
 				Target:    uint32(a.Target),
 				ExpiresMs: uint32(max(a.Expires.Sub(now), 0).Milliseconds()),
+				Rate:      uint32(min(a.Rate, math.MaxUint32)),
 			})
 		}
 	case pool.RevokeSpare:
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -124,7 +124,7 @@
 		counters := sched.Counters()
 		for _, m := range ranked[1:] {
 			if s, ok := h.sessions[pool.Router{Name: m.Name, Incarnation: m.Incarnation}]; ok {
-				s.replicate(id, counters)
+				s.replicate(id, counters, sched.CounterStep())
 			}
 		}
 	}
@@ -132,7 +132,7 @@
 
 // replicate sends the counters that changed since they were last sent on the
 // session.
-func (s *Session) replicate(id config.ID, counters []pool.Counter) {
+func (s *Session) replicate(id config.ID, counters []pool.Counter, step uint64) {
 	sent, ok := s.replicated[id]
 	if !ok {
 		sent = map[config.ID]pool.Counter{}
@@ -140,7 +140,7 @@
 	}
 	message := &v1.PoolCounters{Pool: uint32(id)}
 	for _, c := range counters {
-		if sent[c.Workspace] != c {
+		if c.Differs(sent[c.Workspace], step) {
 			sent[c.Workspace] = c
 			message.Counters = append(message.Counters, counterMessage(c))
 		}
