deal: contract of dealing a pool's slots to its shards

A pool is to be split into shards, each with its own scheduler.

The dealer's allotments go to their Holder. A holder that gives its role up sends Retire.

--- /dev/null
+++ b/deal/interface.go
@@ -0,0 +1,148 @@
+package deal
+
+import (
+	"time"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
+)
+
+// Holding is the part of a target's slots that a shard holds.
+type Holding struct {
+	Target config.ID
+	// Slots is the number of slots that the shard may give to demands.
+	Slots int
+	// Busy is the number of slots in use, spare slots that were handed out
+	// included. It exceeds Slots after the allotment was lowered, until
+	// requests end.
+	Busy int
+}
+
+// Report is what a shard tells the dealer.
+type Report struct {
+	Shard  int
+	Holder pool.Router
+	// Seq numbers the reports of the holder, from one on.
+	Seq uint64
+	// Dealer and Version are those of the allotment in force. Version is zero
+	// if the dealer that the report goes to has given none.
+	Dealer  pool.Router
+	Version uint64
+	// Backlogs has at most one entry for each data centre.
+	Backlogs []pool.Backlog
+	// Holdings has the targets of which slots are held or in use.
+	Holdings []Holding
+	// Rate is the service of the shard in cost units a second.
+	Rate uint64
+	// Retired is set in the last report of a holder that has given its role
+	// up. Nothing is held from there on.
+	Retired bool
+}
+
+// Allotment gives the holder of a shard slots for the time of the lease. It
+// replaces the allotment before it.
+type Allotment struct {
+	Shard  int
+	Holder pool.Router
+	Dealer pool.Router
+	// Version numbers the allotments of the dealer, from one on.
+	Version uint64
+	// Answers is the Seq of the last report that the dealer took in.
+	Answers uint64
+	// Slots is the number of slots by target; absent targets have none.
+	Slots map[config.ID]int
+}
+
+// TargetsChanged replaces the targets of the pool. Targets that are leaving
+// are not dealt.
+type TargetsChanged struct{ Targets []pool.Target }
+
+// DealerChanged names the router that has the dealer role, as the holder sees
+// it.
+type DealerChanged struct{ Dealer pool.Router }
+
+// UsageChanged tells the holder what its scheduler uses and wants. It comes
+// only once the routers have told their requests in flight.
+type UsageChanged struct{ Usage pool.Usage }
+
+// Tick lets time pass. It is due each Options.Interval.
+type Tick struct{}
+
+// DealerEvent is an input of Dealer.Step: Report, TargetsChanged or Tick.
+type DealerEvent interface{ dealerEvent() }
+
+// HolderEvent is an input of Holder.Step: Allotment, TargetsChanged,
+// DealerChanged, UsageChanged or Tick.
+type HolderEvent interface{ holderEvent() }
+
+// HolderAction is an output of Holder.Step: Report or SlotsChanged.
+type HolderAction interface{ holderAction() }
+
+// SlotsChanged sets the number of slots of each target that the shard's
+// scheduler may use. It comes before the Report that tells of it.
+type SlotsChanged struct{ Slots map[config.ID]int }
+
+func (Report) dealerEvent()         {}
+func (TargetsChanged) dealerEvent() {}
+func (Tick) dealerEvent()           {}
+
+func (Allotment) holderEvent()      {}
+func (TargetsChanged) holderEvent() {}
+func (DealerChanged) holderEvent()  {}
+func (UsageChanged) holderEvent()   {}
+func (Tick) holderEvent()           {}
+
+func (Report) holderAction()       {}
+func (SlotsChanged) holderAction() {}
+
+const (
+	// DefaultInterval is the default of Options.Interval.
+	DefaultInterval = 100 * time.Millisecond
+	// DefaultRenewal is the default of Options.Renewal.
+	DefaultRenewal = time.Second
+	// DefaultLease is the default of Options.Lease.
+	DefaultLease = 3 * time.Second
+	// DefaultReclaim is the default of Options.Reclaim.
+	DefaultReclaim = 6 * time.Second
+	// DefaultHorizon is the default of Options.Horizon.
+	DefaultHorizon = 5 * time.Second
+)
+
+// Options are the settings of a pool's dealer and holders, which must be the
+// same on all routers. The zero value of a field selects its default.
+type Options struct {
+	// Shards is the number of shards of the pool.
+	Shards int
+	// Interval is the least time between two reports of a holder and between
+	// two deals.
+	Interval time.Duration
+	// Renewal is the most time between two reports of a holder.
+	Renewal time.Duration
+	// Lease is how long an allotment holds after the report that it answers
+	// was sent.
+	Lease time.Duration
+	// Reclaim is how long after its last report the slots of a silent holder
+	// are dealt again, if no other holder of the shard reports before. It must
+	// exceed Lease.
+	Reclaim time.Duration
+	// Horizon is the lead of a shard, in time of service at the mean rate, at
+	// which the correction of its weight is largest.
+	Horizon time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	o.Shards = max(o.Shards, 1)
+	o.Interval = orDefault(o.Interval, DefaultInterval)
+	o.Renewal = orDefault(o.Renewal, DefaultRenewal)
+	o.Lease = orDefault(o.Lease, DefaultLease)
+	o.Reclaim = orDefault(o.Reclaim, DefaultReclaim)
+	o.Horizon = orDefault(o.Horizon, DefaultHorizon)
+	return o
+}
+
+func orDefault(value, standard time.Duration) time.Duration {
+	if value <= 0 {
+		return standard
+	}
+	return value
+}
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -94,7 +94,7 @@
 
 // freeSpeed is the speed times the proportion of slots that are free.
 func (t *target) freeSpeed() float64 {
-	return t.Speed * float64(t.free()) / float64(t.Slots)
+	return t.Speed * float64(t.free()) / float64(t.usable)
 }
 
 // grant assigns a free slot of t to a waiting demand.
@@ -135,6 +135,7 @@
 	d.grantedAt = s.now
 	d.seenAt = s.now
 	t.busy++
+	d.workspace.running++
 	s.updateOpen(t)
 	s.timers.set(&d.timer, s.now.Add(s.options.MaxService))
 }
@@ -143,6 +144,7 @@
 func (s *Scheduler) vacate(d *demand) {
 	t := d.target
 	t.busy--
+	d.workspace.running--
 	s.updateOpen(t)
 	s.touch(t)
 	s.forget(d)
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -94,6 +94,8 @@
 	classes []*class
 	queued  int
 	bytes   int64
+	// running counts the granted demands.
+	running int
 }
 
 // class returns the class for zone and exclude, which must be sorted.
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -42,7 +42,9 @@
 	service      serviceRate
 	peerSpares   map[string]int
 
-	// slots counts the slots of targets that get new work by data centre.
+	// allotted holds the slots that may be used by target; nil allows all.
+	allotted map[config.ID]int
+	// slots counts the usable slots of targets that get new work by data centre.
 	slots map[string]int
 	// open holds the targets with a free slot.
 	open []*target
@@ -132,6 +134,8 @@
 		s.peerCounters(e)
 	case Overflow:
 		s.overflow(e)
+	case SlotsAllotted:
+		s.allot(e)
 	case Tick:
 	}
 }
--- a/pool/spare.go
+++ b/pool/spare.go
@@ -107,7 +107,7 @@
 func (s *Scheduler) chooseSpare(zone string) *target {
 	var best *target
 	for _, t := range s.open {
-		if 2*t.free() <= t.Slots || !t.healthy(zone, s.now) {
+		if 2*t.free() <= t.usable || !t.healthy(zone, s.now) {
 			continue
 		}
 		if best == nil || better(t, best, zone, nil) {
@@ -131,10 +131,11 @@
 	}
 }
 
-// revokeUnusable asks for the spare slots of targets back that get no new work.
+// revokeUnusable asks for the spare slots of targets back that get no new work
+// or have no slots left for them.
 func (s *Scheduler) revokeUnusable() {
 	for i := len(s.spares.usable) - 1; i >= 0; i-- {
-		if sp := s.spares.usable[i]; !sp.target.admits() {
+		if sp := s.spares.usable[i]; !sp.target.admits() || sp.target.free() < 0 {
 			s.revoke(sp)
 		}
 	}
--- a/pool/target.go
+++ b/pool/target.go
@@ -27,7 +27,9 @@
 	timer
 	Target
 	// known is set while the target is configured and listed.
-	known   bool
+	known bool
+	// usable is the number of slots that this scheduler may use.
+	usable  int
 	busy    int
 	spares  int
 	breaker *breaker.Breaker
@@ -46,7 +48,7 @@
 }
 
 func (t *target) free() int {
-	return t.Slots - t.busy - t.spares
+	return t.usable - t.busy - t.spares
 }
 
 // admits tells whether the target may get new work, health aside.
@@ -117,7 +119,7 @@
 		t.Target = listed
 		t.known = true
 	}
-	s.countSlots()
+	s.limitSlots()
 	for _, t := range s.sortedTargets() {
 		s.updateOpen(t)
 		s.touch(t)
@@ -126,16 +128,16 @@
 	s.revokeUnusable()
 }
 
-// countSlots sums up the slots of targets that get new work.
+// countSlots sums up the usable slots of targets that get new work.
 func (s *Scheduler) countSlots() {
 	clear(s.slots)
 	for _, t := range s.targets {
 		if !t.admits() {
 			continue
 		}
-		s.slots[anyDataCentre] += t.Slots
+		s.slots[anyDataCentre] += t.usable
 		if t.DataCentre != anyDataCentre {
-			s.slots[t.DataCentre] += t.Slots
+			s.slots[t.DataCentre] += t.usable
 		}
 	}
 }
