--- /dev/null
+++ b/deal/change.go
@@ -0,0 +1,94 @@
+package deal
+
+import (
+	"time"
+
+	"github.com/chiveseam/chiveseam/pool"
+)
+
+const (
+	// scarceParts is the part of the held slots, as a divisor, by which the
+	// need must change to be told while slots are scarce.
+	scarceParts = 32
+	// amplyParts is the same while they are not.
+	amplyParts = 4
+	// shareParts is the part of the backlogged shares, as a divisor, by which
+	// they must change to be told.
+	shareParts = 16
+)
+
+// changed tells whether the dealer has to know of what changed since the last
+// report before the next renewal.
+func (h *Holder) changed() bool {
+	if excess(h.holdings()) < excess(h.reported.Holdings) {
+		return true
+	}
+	held := 0
+	for _, n := range h.slots {
+		held += n
+	}
+	now, then := totals(h.usage.Backlogs), totals(h.reported.Backlogs)
+	if now.share != then.share && distance(now.share, then.share)*shareParts >= max(now.share, then.share) {
+		return true
+	}
+	if now.need > held && then.need > held {
+		return 2*then.need < now.need
+	}
+	if now.need > held {
+		return true
+	}
+	parts := amplyParts
+	if h.scarce {
+		parts = scarceParts
+	}
+	return distance(now.need, then.need) >= max(held/parts, 1)
+}
+
+// excess counts the slots that are in use above what is held.
+func excess(holdings []Holding) int {
+	sum := 0
+	for _, held := range holdings {
+		sum += max(held.Busy-held.Slots, 0)
+	}
+	return sum
+}
+
+// total is a sum of backlogs.
+type total struct{ share, need int }
+
+func totals(backlogs []pool.Backlog) total {
+	var t total
+	for _, b := range backlogs {
+		t.share += int(b.Share)
+		t.need += b.Need + b.Active
+	}
+	return t
+}
+
+func distance(a, b int) int { return max(a-b, b-a) }
+
+// sentTimes holds when the reports that may still be answered were sent.
+type sentTimes []sentTime
+
+type sentTime struct {
+	seq uint64
+	at  time.Time
+}
+
+// add notes a report and forgets those older than age.
+func (s sentTimes) add(seq uint64, now time.Time, age time.Duration) sentTimes {
+	first := 0
+	for first < len(s) && now.Sub(s[first].at) >= age {
+		first++
+	}
+	return append(s[first:], sentTime{seq, now})
+}
+
+func (s sentTimes) at(seq uint64) (time.Time, bool) {
+	for _, sent := range s {
+		if sent.seq == seq {
+			return sent.at, true
+		}
+	}
+	return time.Time{}, false
+}
--- a/deal/holder.go
+++ b/deal/holder.go
@@ -1,8 +1,12 @@
 package deal
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/chiveseam/chiveseam/config"
 	"github.com/chiveseam/chiveseam/pool"
 )
 
@@ -14,25 +18,230 @@
 	self    pool.Router
 	shard   int
 	options Options
+	now     time.Time
+	started bool
+
+	targets []pool.Target
+	usage   pool.Usage
+	// usageKnown is set once the scheduler knows the requests in flight.
+	usageKnown bool
+	slots      map[config.ID]int
+	mode       mode
+	// leaseEnd is when the slots of the allotment lapse.
+	leaseEnd time.Time
+
+	dealer pool.Router
+	// firstSeq is that of the first report to dealer.
+	firstSeq uint64
+	version  uint64
+	scarce   bool
+
+	seq      uint64
+	sent     sentTimes
+	reported Report
+	// lastReport is when reported was sent.
+	lastReport time.Time
+	retired    bool
+	// urgent is set when a report is due after Options.Interval.
+	urgent  bool
 	actions []HolderAction
 }
 
+// mode is where the slots of a holder come from.
+type mode int
+
+const (
+	// leased slots are those of an allotment whose lease holds, or none.
+	leased mode = iota
+	// lapsed slots are those that the last allotment and the static division
+	// have in common.
+	lapsed
+	// static slots are those of the static division.
+	static
+)
+
 // NewHolder returns the holder of a shard on the incarnation self. It holds
 // nothing: the scheduler gets pool.SlotsAllotted without slots before its
 // targets. Step returns SlotsChanged as soon as that changes.
 func NewHolder(self pool.Router, shard int, o Options) *Holder {
-	return &Holder{self: self, shard: shard, options: o.withDefaults()}
+	return &Holder{self: self, shard: shard, options: o.withDefaults(), slots: map[config.ID]int{}}
 }
 
-// Step lets time pass to now, takes in the event and returns what follows. The
-// returned slice is valid until the next call. A Report goes to its Dealer.
+// Step lets time pass to now, takes in the event and returns what follows. A
+// now before that of an earlier step counts as that. The returned slice is
+// valid until the next call. A Report goes to its Dealer.
 func (h *Holder) Step(now time.Time, event HolderEvent) []HolderAction {
+	h.actions = h.actions[:0]
+	if h.retired {
+		return nil
+	}
+	if !h.started {
+		h.started = true
+		h.now = now
+		h.leaseEnd = now.Add(h.options.Lease)
+	}
+	if now.After(h.now) {
+		h.now = now
+	}
+	h.lapse()
+	h.handle(event)
+	h.report()
 	return h.actions
 }
 
+func (h *Holder) handle(event HolderEvent) {
+	switch e := event.(type) {
+	case Allotment:
+		h.allotted(e)
+	case TargetsChanged:
+		h.targets = dealt(e.Targets)
+		h.applyStatic()
+	case DealerChanged:
+		h.changeDealer(e.Dealer)
+	case UsageChanged:
+		h.usage = e.Usage
+		h.usageKnown = true
+	case Tick:
+	}
+}
+
 // Retire returns the last report of a holder that gives its role up. Its
 // scheduler must grant nothing more, and its requests in flight are taken over
-// by the next holder.
+// by the next holder. It returns false if no dealer is known.
 func (h *Holder) Retire(now time.Time) (Report, bool) {
-	return Report{}, false
+	if h.dealer == (pool.Router{}) {
+		return Report{}, false
+	}
+	h.retired = true
+	h.seq++
+	return Report{Shard: h.shard, Holder: h.self, Seq: h.seq, Dealer: h.dealer, Retired: true}, true
+}
+
+// changeDealer sends the reports from here on to another dealer. What is held
+// stays until its lease ends.
+func (h *Holder) changeDealer(dealer pool.Router) {
+	if dealer == h.dealer {
+		return
+	}
+	h.dealer = dealer
+	h.firstSeq = h.seq + 1
+	h.version = 0
+	h.sent = nil
+	h.urgent = true
+}
+
+// allotted takes an allotment over unless it is late, doubled or of another
+// dealer.
+func (h *Holder) allotted(a Allotment) {
+	if a.Holder != h.self || a.Shard != h.shard || a.Dealer != h.dealer || a.Version <= h.version {
+		return
+	}
+	sentAt, ok := h.sent.at(a.Answers)
+	if a.Answers < h.firstSeq || !ok {
+		return
+	}
+	end := sentAt.Add(h.options.Lease)
+	if !end.After(h.now) {
+		return
+	}
+	h.version = a.Version
+	h.scarce = a.Scarce
+	h.leaseEnd = end
+	h.mode = leased
+	if h.setSlots(maps.Clone(a.Slots)) {
+		h.urgent = true
+	}
+}
+
+// lapse replaces the slots of an allotment whose lease is over. Slots that the
+// static division adds wait until the leases of all others are over too, if
+// the dealer is lost to all.
+func (h *Holder) lapse() {
+	if h.mode == leased && !h.now.Before(h.leaseEnd) {
+		h.mode = lapsed
+		h.urgent = true
+	}
+	if h.mode == lapsed && !h.now.Before(h.leaseEnd.Add(2*h.options.Renewal)) {
+		h.mode = static
+		h.urgent = true
+	}
+	h.applyStatic()
+}
+
+func (h *Holder) applyStatic() {
+	if h.mode == leased {
+		return
+	}
+	slots := Static(h.targets, h.shard, h.options.Shards)
+	if h.mode == lapsed {
+		for id, n := range slots {
+			slots[id] = min(n, h.slots[id])
+		}
+	}
+	h.setSlots(slots)
+}
+
+// setSlots tells the scheduler of a change and returns whether there was one.
+func (h *Holder) setSlots(slots map[config.ID]int) bool {
+	maps.DeleteFunc(slots, func(_ config.ID, n int) bool { return n <= 0 })
+	if maps.Equal(slots, h.slots) {
+		return false
+	}
+	if slots == nil {
+		slots = map[config.ID]int{}
+	}
+	h.slots = slots
+	h.actions = append(h.actions, SlotsChanged{Slots: maps.Clone(slots)})
+	return true
+}
+
+// report tells the dealer of a change at once, but for Options.Interval, and of
+// the rest each Options.Renewal.
+func (h *Holder) report() {
+	if !h.usageKnown || h.dealer == (pool.Router{}) {
+		return
+	}
+	since := h.now.Sub(h.lastReport)
+	due := since >= h.options.Renewal || h.seq < h.firstSeq
+	if !due && since >= h.options.Interval {
+		due = h.urgent || h.changed()
+	}
+	if !due {
+		return
+	}
+	h.seq++
+	h.reported = h.currentReport()
+	h.lastReport = h.now
+	h.urgent = false
+	h.sent = h.sent.add(h.seq, h.now, h.options.Lease)
+	h.actions = append(h.actions, h.reported)
+}
+
+func (h *Holder) currentReport() Report {
+	r := Report{
+		Shard: h.shard, Holder: h.self, Seq: h.seq,
+		Dealer: h.dealer, Version: h.version,
+		Holdings: h.holdings(), Rate: h.usage.Rate,
+	}
+	limit := sumSlots(h.targets)
+	for _, b := range h.usage.Backlogs {
+		b.Need = min(b.Need, limit)
+		r.Backlogs = append(r.Backlogs, b)
+	}
+	return r
+}
+
+// holdings returns the targets that are held or in use, ordered by ID.
+func (h *Holder) holdings() []Holding {
+	var list []Holding
+	for id, n := range h.slots {
+		list = append(list, Holding{Target: id, Slots: n, Busy: h.usage.Busy[id]})
+	}
+	for id, n := range h.usage.Busy {
+		if _, held := h.slots[id]; !held && n > 0 {
+			list = append(list, Holding{Target: id, Busy: n})
+		}
+	}
+	slices.SortFunc(list, func(a, b Holding) int { return cmp.Compare(a.Target, b.Target) })
+	return list
 }
--- a/deal/interface.go
+++ b/deal/interface.go
@@ -35,7 +35,7 @@
 	// Rate is the service of the shard in cost units a second.
 	Rate uint64
 	// Retired is set in the last report of a holder that has given its role
-	// up. Nothing is held from there on.
+	// up: it grants nothing more, and its requests in flight go on.
 	Retired bool
 }
 
@@ -51,6 +51,9 @@
 	Answers uint64
 	// Slots is the number of slots by target; absent targets have none.
 	Slots map[config.ID]int
+	// Scarce is set while the shards need more slots than there are. Holders
+	// then report slots that they do not need at once.
+	Scarce bool
 }
 
 // TargetsChanged replaces the targets of the pool. Targets that are leaving
@@ -101,11 +104,11 @@
 	// DefaultRenewal is the default of Options.Renewal.
 	DefaultRenewal = time.Second
 	// DefaultLease is the default of Options.Lease.
-	DefaultLease = 3 * time.Second
+	DefaultLease = 4 * time.Second
 	// DefaultReclaim is the default of Options.Reclaim.
-	DefaultReclaim = 6 * time.Second
+	DefaultReclaim = 8 * time.Second
 	// DefaultHorizon is the default of Options.Horizon.
-	DefaultHorizon = 5 * time.Second
+	DefaultHorizon = 10 * time.Second
 )
 
 // Options are the settings of a pool's dealer and holders, which must be the
--- a/deal/shard.go
+++ b/deal/shard.go
@@ -33,24 +33,57 @@
 }
 
 // Static returns the slots of a shard in the equal division that holds without
-// a dealer. The divisions of all shards have each slot once. The slots of a
-// target that are left over go to the shards in turn, across targets.
+// a dealer. The divisions of all shards have each slot once. The slots of each
+// availability zone are divided for themselves, into runs along its targets, so
+// that a shard has slots of few targets in each zone. The runs of a zone differ
+// by one slot at most, and the larger ones go to the shards in turn.
 func Static(targets []pool.Target, shard, shards int) map[config.ID]int {
-	slots := map[config.ID]int{}
 	shards = max(shards, 1)
-	offset := 0
-	for _, t := range dealt(targets) {
-		n := t.Slots / shards
-		rest := t.Slots % shards
-		if (shard-offset+shards)%shards < rest {
-			n++
-		}
-		offset = (offset + rest) % shards
+	slots := map[config.ID]int{}
+	turn := 0
+	for _, zone := range byZone(targets) {
+		total := sumSlots(zone)
+		run := (shard + turn) % shards
+		take(slots, zone, run*total/shards, (run+1)*total/shards)
+		turn += total
+	}
+	return slots
+}
+
+// take adds the slots from first up to end to slots, counted along the targets.
+func take(slots map[config.ID]int, targets []pool.Target, first, end int) {
+	at := 0
+	for _, t := range targets {
+		n := min(end, at+t.Slots) - max(first, at)
 		if n > 0 {
 			slots[t.ID] = n
 		}
+		at += t.Slots
 	}
-	return slots
+}
+
+// byZone returns the targets that get new work by zone, in a fixed order.
+func byZone(targets []pool.Target) [][]pool.Target {
+	var zones [][]pool.Target
+	index := map[string]int{}
+	for _, t := range dealt(targets) {
+		i, ok := index[t.Zone]
+		if !ok {
+			i = len(zones)
+			index[t.Zone] = i
+			zones = append(zones, nil)
+		}
+		zones[i] = append(zones[i], t)
+	}
+	return zones
+}
+
+func sumSlots(targets []pool.Target) int {
+	sum := 0
+	for _, t := range targets {
+		sum += t.Slots
+	}
+	return sum
 }
 
 // dealt returns the targets that get new work, ordered by ID.
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -34,7 +34,9 @@
 	rng        *rand.Rand
 	deployment *Deployment
 	policy     Policy
-	latency    time.Duration
+	// shards is the number of shards of the pool; zero has no dealer.
+	shards  int
+	latency time.Duration
 	// replicate is set if schedulers give their counters to routers.
 	replicate bool
 	seed      uint64
@@ -47,11 +49,12 @@
 	cutZone string
 }
 
-func newCluster(d *Deployment, policy Policy, seed uint64, latency time.Duration) *cluster {
+func newCluster(d *Deployment, s scenario, seed uint64, latency time.Duration) *cluster {
 	c := &cluster{
 		rng:        rand.New(rand.NewPCG(seed, 1)),
 		deployment: d,
-		policy:     policy,
+		policy:     s.policy,
+		shards:     s.shards,
 		latency:    latency,
 		replicate:  true,
 		seed:       seed,
@@ -123,9 +126,9 @@
 func (c *cluster) newHost(targets []pool.Target, zone string, latency time.Duration) *host {
 	c.seed++
 	h := &host{
-		cluster: c, core: c.policy.newStepper(c.deployment, c.seed),
-		zone: zone, latency: latency, alive: true, charges: newChargeMeter(c),
+		cluster: c, zone: zone, latency: latency, alive: true, charges: newChargeMeter(c),
 	}
+	h.core = h.newCore()
 	c.hosts = append(c.hosts, h)
 	h.step(pool.WorkspacesChanged{Workspaces: c.deployment.Workspaces})
 	h.step(pool.TargetsChanged{Targets: targets})
@@ -134,6 +137,13 @@
 	return h
 }
 
+func (h *host) newCore() stepper {
+	if h.cluster.shards > 0 {
+		return newSharded(h)
+	}
+	return h.cluster.policy.newStepper(h.cluster.deployment, h.cluster.seed)
+}
+
 func (h *host) tick() {
 	if h.alive {
 		h.step(pool.Tick{})
--- a/internal/measure/deployment.go
+++ b/internal/measure/deployment.go
@@ -23,6 +23,8 @@
 	// Workspaces is ordered by share, largest first.
 	Workspaces []pool.Workspace
 	names      []string
+	// large is the number of workspaces that are backlogged all the time.
+	large int
 }
 
 // LoadDeployment generates the configuration that a questionnaire describes
@@ -44,7 +46,7 @@
 }
 
 func newDeployment(c *v1.Configuration, p *v1.Pool) *Deployment {
-	d := &Deployment{Name: c.Deployment, InitialCost: int64(p.InitialCost)}
+	d := &Deployment{Name: c.Deployment, InitialCost: int64(p.InitialCost), large: largeCount}
 	dataCentres := map[string]string{}
 	for _, z := range c.Zones {
 		d.Zones = append(d.Zones, z.Name)
--- a/internal/measure/fairness.go
+++ b/internal/measure/fairness.go
@@ -28,23 +28,27 @@
 	starvation  float64
 	excess      int
 	over        int
-	lost        int
-	refused     int
-	waits       []samples
-	bound       func(i, j int) float64
-	gaps        *gapMeter
+	// large is the number of workspaces that are always backlogged.
+	large   int
+	lost    int
+	refused int
+	waits   []samples
+	bound   func(i, j int) float64
+	gaps    *gapMeter
 	// idlePerGrant is the idle time of a slot between two requests.
 	idlePerGrant time.Duration
 }
 
 // scenario is one run of a policy.
 type scenario struct {
-	policy  Policy
+	policy Policy
+	// shards is the number of shards of the pool; zero has no dealer.
+	shards  int
 	prepare func(*cluster, *workload)
 }
 
 func (o Options) run(d *Deployment, s scenario, seed int) figures {
-	c := newCluster(d, s.policy, uint64(seed), o.Latency)
+	c := newCluster(d, s, uint64(seed), o.Latency)
 	l := newWorkload(c, uint64(seed))
 	if s.prepare != nil {
 		s.prepare(c, l)
@@ -59,7 +63,7 @@
 func (c *cluster) figures() figures {
 	m := c.meter
 	f := figures{
-		gapLarge:    m.gaps.seconds(largeCount, c.deployment.capacity()),
+		gapLarge:    m.gaps.seconds(c.deployment.large, c.deployment.capacity()),
 		gapAny:      m.gaps.seconds(len(m.served), c.deployment.capacity()),
 		utilisation: m.utilisation() * percent,
 		reports:     float64(m.reports) / float64(max(m.grants, 1)),
@@ -67,6 +71,7 @@
 		excess:      m.excessMax,
 		over:        m.overAdmitted,
 		lost:        m.lost,
+		large:       c.deployment.large,
 		waits:       m.waitTimes,
 		bound:       boundOver(c.hosts),
 		gaps:        m.gaps,
@@ -174,7 +179,7 @@
 		for i, waits := range f.waits {
 			switch {
 			case i == 0:
-			case i < largeCount:
+			case i < f.large:
 				large = append(large, waits...)
 			default:
 				light = append(light, waits...)
@@ -184,8 +189,8 @@
 		largeTail = append(largeTail, large.quantile(0.99))
 		lightMedian = append(lightMedian, light.median())
 		lightTail = append(lightTail, light.quantile(0.99))
-		worst = append(worst, worstTail(f.waits[largeCount:]))
-		refused = append(refused, refusedPart(c.meter.refusals[largeCount:], len(light)))
+		worst = append(worst, worstTail(f.waits[f.large:]))
+		refused = append(refused, refusedPart(c.meter.refusals[f.large:], len(light)))
 	}
 	t.row(p.String(), name, largeMedian.spread("%.1f"), largeTail.spread("%.1f"), lightMedian.spread("%.3f"), lightTail.spread("%.3f"), refused.spread("%.1f"), worst.spread("%.2f"))
 }
--- a/internal/measure/fairness_test.go
+++ b/internal/measure/fairness_test.go
@@ -72,7 +72,7 @@
 func TestSplitKeepsAllSlots(t *testing.T) {
 	is := is.New(t)
 	d := deployment(t)
-	c := newCluster(d, Split, 1, 0)
+	c := newCluster(d, scenario{policy: Split}, 1, 0)
 	sum := 0
 	for i := range routerCount {
 		for _, target := range c.splitTargets(i) {
--- a/internal/measure/meter.go
+++ b/internal/measure/meter.go
@@ -15,6 +15,9 @@
 	totalWaiting int
 	busy         int
 	gaps         *gapMeter
+	// gapInterval is the least time between two looks at the gaps, and nextGap
+	// is when the next is due.
+	gapInterval, nextGap time.Duration
 
 	// from is the time at which the figures below start.
 	from time.Duration
@@ -81,7 +84,10 @@
 		m.busySeconds += float64(m.busy) * elapsed
 		m.slotSeconds += float64(m.deployment.slots()) * elapsed
 	}
-	m.gaps.observe(m.served, m.waiting)
+	if now >= m.nextGap {
+		m.gaps.observe(m.served, m.waiting)
+		m.nextGap = now + m.gapInterval
+	}
 }
 
 // serve notes that a slot starts (+1) or ends (-1) to serve a workspace.
--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -70,12 +70,7 @@
 			r.withdraw(previous, q)
 		}
 		if q.granted {
-			joined.InFlight = append(joined.InFlight, pool.InFlight{
-				ID:        r.demandID(q),
-				Workspace: r.cluster.deployment.Workspaces[q.workspace].ID,
-				Target:    q.target,
-				Charged:   q.charged,
-			})
+			joined.InFlight = append(joined.InFlight, r.inFlight(q))
 		}
 	}
 	h.post(r, joined)
@@ -86,6 +81,15 @@
 	}
 }
 
+func (r *router) inFlight(q *request) pool.InFlight {
+	return pool.InFlight{
+		ID:        r.demandID(q),
+		Workspace: r.cluster.deployment.Workspaces[q.workspace].ID,
+		Target:    q.target,
+		Charged:   q.charged,
+	}
+}
+
 func (r *router) outstanding() []*request {
 	var list []*request
 	for _, seq := range slices.Sorted(maps.Keys(r.requests)) {
@@ -125,13 +129,17 @@
 }
 
 func (r *router) demand(q *request) {
-	r.host.post(r, pool.Demand{
+	r.host.post(r, r.demandOf(q))
+}
+
+func (r *router) demandOf(q *request) pool.Demand {
+	return pool.Demand{
 		ID:        r.demandID(q),
 		Workspace: r.cluster.deployment.Workspaces[q.workspace].ID,
 		Estimate:  q.hint,
 		Deadline:  epoch.Add(q.arrivedAt + q.deadline),
 		Exclude:   q.exclude,
-	})
+	}
 }
 
 // granted starts the request, or gives back a slot that nothing waits for.
--- /dev/null
+++ b/internal/measure/shardtables.go
@@ -0,0 +1,105 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// shardFault is a failure while a pool is in shards.
+type shardFault struct {
+	name   string
+	inject func(*sharded)
+}
+
+var shardFaults = []shardFault{
+	{name: "none", inject: func(*sharded) {}},
+	{name: "holder of a shard lost", inject: func(s *sharded) { s.killShard(0) }},
+	{name: "dealer lost", inject: (*sharded).killDealer},
+	{name: "both lost", inject: func(s *sharded) {
+		s.killDealer()
+		s.killShard(0)
+	}},
+}
+
+// Shards prints the gap, the use of capacity and the messages of the dealer for
+// pools in shards, beside those of one scheduler.
+func (o Options) Shards(w io.Writer) {
+	for _, d := range o.Deployments {
+		o.shardTable(w, d)
+	}
+	o.shardTable(w, hotDeployment())
+}
+
+func shardCounts(d *Deployment) []int {
+	if d.slots() > hotSlots/2 {
+		return []int{1, 4, 12, 70}
+	}
+	return []int{1, 2, 3, 4}
+}
+
+func (o Options) shardTable(w io.Writer, d *Deployment) {
+	o.Warmup = faultAt - beforeFault
+	o.Duration = faultAt + observation
+	t := newTable(w, fmt.Sprintf("%s in shards: %d slots, %.0f cost units/s, from %v before a fault to %v after it, %d seeds",
+		d.Name, d.slots(), d.capacity(), beforeFault, observation, o.Seeds),
+		"shards", "fault", "gap of large, s", "gap, % of bound", "busy slots while work waits, %", "longest starvation, s", "light p50, s", "light p99, s", "sent to a full target", "holder, B/s", "dealer, B/s", "targets/report")
+	single := o.runs(d, scenario{policy: Fair, prepare: prepareLarge})
+	bounds := boundsOf(single)
+	o.shardRow(t, "no dealer", "none", single, bounds, nil)
+	for _, k := range shardCounts(d) {
+		for _, f := range shardFaults {
+			o.shardFaultRow(t, d, k, f, bounds)
+		}
+	}
+	t.flush()
+}
+
+func (o Options) shardFaultRow(t *table, d *Deployment, k int, f shardFault, bounds []func(i, j int) float64) {
+	var cores []*sharded
+	runs := o.runs(d, scenario{policy: Fair, shards: k, prepare: func(c *cluster, l *workload) {
+		prepareLarge(c, l)
+		core := c.hosts[0].core.(*sharded)
+		cores = append(cores, core)
+		c.after(o.Warmup, func() { core.traffic = dealTraffic{} })
+		c.after(faultAt, func() { f.inject(core) })
+	}})
+	o.shardRow(t, fmt.Sprint(k), f.name, runs, bounds, cores)
+}
+
+func (o Options) shardRow(t *table, shards, fault string, runs []figures, bounds []func(i, j int) float64, cores []*sharded) {
+	var ofBound, median, tail, holder, dealer, targets samples
+	for i, r := range runs {
+		ofBound = append(ofBound, r.gaps.ofBound(bounds[i])*percent)
+		var light samples
+		for _, waits := range r.waits[r.large:] {
+			light = append(light, waits...)
+		}
+		median = append(median, light.median())
+		tail = append(tail, light.quantile(0.99))
+	}
+	for _, core := range cores {
+		rate := float64(core.traffic.bytes) / (o.Duration - o.Warmup).Seconds()
+		dealer = append(dealer, rate)
+		holder = append(holder, rate/float64(len(core.shards)))
+		targets = append(targets, float64(core.traffic.targets)/float64(max(core.traffic.reports, 1)))
+	}
+	t.row(shards, fault,
+		column(runs, "%.2f", func(r figures) float64 { return r.gapLarge }),
+		ofBound.spread("%.1f"),
+		column(runs, "%.2f", func(r figures) float64 { return r.utilisation }),
+		column(runs, "%.1f", func(r figures) float64 { return r.starvation }),
+		median.spread("%.3f"), tail.spread("%.2f"),
+		column(runs, "%.0f", func(r figures) float64 { return float64(r.over) }),
+		holder.spread("%.0f"), dealer.spread("%.0f"), targets.spread("%.1f"))
+}
+
+// gapLook is the least time between two looks at the gaps of a large pool.
+const gapLook = 50 * time.Millisecond
+
+// prepareLarge makes runs of a large pool faster.
+func prepareLarge(c *cluster, _ *workload) {
+	if c.deployment.slots() > hotSlots/2 {
+		c.meter.gapInterval = gapLook
+	}
+}
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -62,7 +62,7 @@
 // start creates the callers and the arrivals.
 func (l *workload) start() {
 	for i := range l.cluster.deployment.Workspaces {
-		if i >= largeCount {
+		if i >= l.cluster.deployment.large {
 			l.arrive(i)
 			continue
 		}
@@ -108,8 +108,8 @@
 }
 
 func (l *workload) mean(workspace int) float64 {
-	if workspace < largeCount {
-		return l.base * costFactors[workspace]
+	if workspace < l.cluster.deployment.large {
+		return l.base * costFactors[workspace%len(costFactors)]
 	}
 	return l.base * lightFactor
 }
--- a/pool/usage.go
+++ b/pool/usage.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/fairshare"
 )
 
 // Backlog is what the workspaces of one data centre want of the pool.
@@ -15,11 +16,16 @@
 	DataCentre string
 	// Share is the sum of the shares of the backlogged workspaces.
 	Share uint64
-	// Need is the number of slots in use and of waiting demands.
+	// Need is the number of their slots in use and of their waiting demands.
 	Need int
 	// Level is the mean counter of the backlogged workspaces weighted by share,
 	// in 1/fairshare.Scale cost units.
 	Level uint64
+	// ActiveShare is the sum of the shares of the workspaces that use slots
+	// while none of their demands waits.
+	ActiveShare uint64
+	// Active is the number of slots that those use.
+	Active int
 }
 
 // Usage is what a scheduler uses and wants of its targets.
@@ -66,6 +72,12 @@
 	s.countSlots()
 }
 
+// Settled tells whether the scheduler knows the requests in flight, as far as
+// routers have joined: it does not wait for Options.SettleTime.
+func (s *Scheduler) Settled() bool {
+	return !s.settling.active
+}
+
 // Usage returns what is used and wanted now. Its cost grows with targets and
 // workspaces.
 func (s *Scheduler) Usage() Usage {
@@ -86,20 +98,17 @@
 
 func (s *Scheduler) backlogs() []Backlog {
 	sums := map[string]*backlogSum{}
-	for _, w := range s.workspaces {
+	for _, w := range s.sortedWorkspaces() {
 		sum := sums[w.DataCentre]
 		if sum == nil {
 			sum = &backlogSum{Backlog: Backlog{DataCentre: w.DataCentre}}
 			sums[w.DataCentre] = sum
 		}
-		sum.Need += w.running + w.queued
-		if s.counters.Backlogged(w.ID) {
-			sum.add(uint64(max(w.Share, 1)), s.counters.Value(w.ID))
-		}
+		sum.add(w, s.counters)
 	}
 	var list []Backlog
 	for _, sum := range sums {
-		if sum.Need > 0 {
+		if sum.Need+sum.Active > 0 {
 			list = append(list, sum.Backlog)
 		}
 	}
@@ -112,9 +121,19 @@
 	Backlog
 }
 
-// add moves the mean level towards value by the part of its share.
-func (b *backlogSum) add(share, value uint64) {
+// add counts a workspace. A backlogged one moves the mean level towards its
+// counter by the part of its share.
+func (b *backlogSum) add(w *workspace, counters *fairshare.Counters) {
+	share := uint64(max(w.Share, 1))
+	if !counters.Backlogged(w.ID) {
+		b.Active += w.running
+		if w.running > 0 {
+			b.ActiveShare += share
+		}
+		return
+	}
+	b.Need += w.running + w.queued
 	b.Share += share
 	part := float64(share) / float64(b.Share)
-	b.Level += uint64(int64(part * float64(int64(value-b.Level))))
+	b.Level += uint64(int64(part * float64(int64(counters.Value(w.ID)-b.Level))))
 }
