deal: yield slots as they come free, damp small changes

Change: holders of few targets yield whichever slots come free; changes up to a 32nd are left out; no report between SlotsChanged and the next usage.

--- a/deal/change.go
+++ b/deal/change.go
@@ -14,19 +14,21 @@
 	amplyParts = 4
 	// shareParts is the part of the backlogged shares, as a divisor, by which
 	// they must change to be told.
-	shareParts = 16
+	shareParts = 8
+	// releaseParts is the part of the held slots, as a divisor, that must have
+	// been given up to be told.
+	releaseParts = 128
 )
 
 // changed tells whether the dealer has to know of what changed since the last
 // report before the next renewal.
 func (h *Holder) changed() bool {
-	if excess(h.holdings()) < excess(h.reported.Holdings) {
+	holdings := h.holdings()
+	held := sumHeld(holdings)
+	released := sumHeld(h.reported.Holdings) - held + excess(h.reported.Holdings) - excess(holdings)
+	if released > held/releaseParts {
 		return true
 	}
-	held := 0
-	for _, n := range h.slots {
-		held += n
-	}
 	now, then := totals(h.usage.Backlogs), totals(h.reported.Backlogs)
 	if now.share != then.share && distance(now.share, then.share)*shareParts >= max(now.share, then.share) {
 		return true
@@ -53,6 +55,14 @@
 	return sum
 }
 
+func sumHeld(holdings []Holding) int {
+	sum := 0
+	for _, held := range holdings {
+		sum += held.Slots
+	}
+	return sum
+}
+
 // total is a sum of backlogs.
 type total struct{ share, need int }
 
--- a/deal/dealer.go
+++ b/deal/dealer.go
@@ -155,7 +155,9 @@
 	d.dirty = false
 	d.lastDeal = d.now
 	if d.learning {
-		d.renew()
+		for _, p := range d.parties {
+			d.renew(p)
+		}
 		return
 	}
 	bounds := make([]map[config.ID]int, len(d.parties))
@@ -165,6 +167,10 @@
 		left[t.ID] = t.Slots
 	}
 	for i, p := range d.parties {
+		if d.waits(p) {
+			d.renew(p)
+			continue
+		}
 		bounds[i] = p.bounds()
 		if !d.silent(p) {
 			live = append(live, i)
@@ -189,18 +195,28 @@
 	}
 }
 
-// renew answers reports with what the holders have.
-func (d *Dealer) renew() {
-	for _, p := range d.parties {
-		if p.unanswered {
-			d.allot(p, p.slots, false)
-		}
+// waits tells whether a new holder has no slots yet because the lease of the
+// one before it may hold. The requests that it knows are then among the slots
+// of that one.
+func (d *Dealer) waits(p *party) bool {
+	if len(p.slots) > 0 || d.now.Sub(p.joined) >= d.leaseTime() {
+		return false
+	}
+	return slices.ContainsFunc(d.parties, func(earlier *party) bool {
+		return earlier.shard == p.shard && earlier.joined.Before(p.joined)
+	})
+}
+
+// renew answers a report with what the holder has.
+func (d *Dealer) renew(p *party) {
+	if p.unanswered {
+		d.allot(p, portion{p.slots, nil}, false)
 	}
 }
 
 // send lowers allotments at once, and raises them as far as no other holder may
 // have the slots.
-func (d *Dealer) send(live []int, wanted []map[config.ID]int, bounds []map[config.ID]int, scarce bool) {
+func (d *Dealer) send(live []int, wanted []portion, bounds []map[config.ID]int, scarce bool) {
 	room := map[config.ID]int{}
 	for _, t := range d.targets {
 		room[t.ID] = t.Slots
@@ -213,26 +229,28 @@
 	for n, i := range live {
 		p := d.parties[i]
 		slots := map[config.ID]int{}
-		for _, id := range slices.Sorted(maps.Keys(wanted[n])) {
-			most := bounds[i][id]
-			more := max(min(wanted[n][id]-most, room[id]), 0)
+		for _, id := range slices.Sorted(maps.Keys(wanted[n].slots)) {
+			most, want := bounds[i][id], wanted[n].slots[id]
+			more := max(min(want-most, room[id]), 0)
 			room[id] -= more
-			slots[id] = min(wanted[n][id], most+more)
+			if want = min(want, most+more); want > 0 {
+				slots[id] = want
+			}
 		}
-		if p.unanswered || !maps.Equal(slots, p.slots) {
-			d.allot(p, slots, scarce)
+		if p.unanswered || !maps.Equal(slots, p.slots) || !maps.Equal(wanted[n].yield, p.yield) {
+			d.allot(p, portion{slots, wanted[n].yield}, scarce)
 		}
 	}
 }
 
-func (d *Dealer) allot(p *party, slots map[config.ID]int, scarce bool) {
+func (d *Dealer) allot(p *party, to portion, scarce bool) {
 	d.version++
-	maps.DeleteFunc(slots, func(_ config.ID, n int) bool { return n <= 0 })
-	p.slots = slots
-	p.pending = append(p.pending, pendingAllotment{d.version, slots})
+	p.slots = to.slots
+	p.yield = to.yield
+	p.pending = append(p.pending, pendingAllotment{d.version, to.slots})
 	p.unanswered = false
 	d.actions = append(d.actions, Allotment{
 		Shard: p.shard, Holder: p.holder, Dealer: d.self, Version: d.version,
-		Answers: p.report.Seq, Slots: maps.Clone(slots), Scarce: scarce,
+		Answers: p.report.Seq, Slots: maps.Clone(to.slots), Yield: maps.Clone(to.yield), Scarce: scarce,
 	})
 }
--- a/deal/divide.go
+++ b/deal/divide.go
@@ -36,6 +36,10 @@
 	}
 }
 
+// dampParts is the part of what a holder has, as a divisor, up to which a change
+// is left out.
+const dampParts = 32
+
 // levelBisections is the number of steps in which fillToLevel finds the level.
 const levelBisections = 48
 
@@ -53,7 +57,7 @@
 
 // divide returns the slots by target that each live holder is to have, and
 // whether the claims exceed the slots.
-func (d *Dealer) divide(live []int, left map[config.ID]int) (wanted []map[config.ID]int, scarce bool) {
+func (d *Dealer) divide(live []int, left map[config.ID]int) (wanted []portion, scarce bool) {
 	if len(live) == 0 {
 		return nil, false
 	}
@@ -61,6 +65,7 @@
 	v.fill()
 	v.compose()
 	v.spread()
+	v.damp()
 	for _, c := range v.claims {
 		scarce = scarce || c.got < c.need
 	}
@@ -264,6 +269,43 @@
 	}
 }
 
+// damp leaves holders with what they have if it is nearly right, so that slots
+// do not move with each request. What it leaves wrong adds up in the levels.
+func (v *division) damp() {
+	for _, dataCentre := range v.dataCentres {
+		surplus := 0
+		var kept []int
+		for party, slots := range v.slots {
+			held := v.held[party][dataCentre]
+			change := held - slots[dataCentre]
+			if change != 0 && distance(change, 0) <= held/dampParts {
+				surplus += change
+				kept = append(kept, party)
+			}
+		}
+		v.undamp(dataCentre, kept, surplus)
+	}
+}
+
+// undamp lets kept holders keep what they have but for the surplus that this
+// takes of others, or leaves.
+func (v *division) undamp(dataCentre string, kept []int, surplus int) {
+	change := func(party int) int { return v.held[party][dataCentre] - v.slots[party][dataCentre] }
+	slices.SortStableFunc(kept, func(a, b int) int { return cmp.Compare(distance(change(b), 0), distance(change(a), 0)) })
+	for _, party := range kept {
+		n := change(party)
+		taken := 0
+		switch {
+		case n > 0 && surplus > 0:
+			taken = min(n, surplus)
+		case n < 0 && surplus < 0:
+			taken = max(n, surplus)
+		}
+		surplus -= taken
+		v.slots[party][dataCentre] += n - taken
+	}
+}
+
 // claimHeap orders claims by the slots for their weight after one more.
 type claimHeap []*claim
 
--- a/deal/holder.go
+++ b/deal/holder.go
@@ -25,8 +25,13 @@
 	usage   pool.Usage
 	// usageKnown is set once the scheduler knows the requests in flight.
 	usageKnown bool
-	slots      map[config.ID]int
-	mode       mode
+	// stale is set from SlotsChanged to the next usage: slots that are no longer
+	// held may have come into use after the last.
+	stale bool
+	// slots were told to the scheduler last, with yield to give up of them.
+	slots map[config.ID]int
+	yield map[string]int
+	mode  mode
 	// leaseEnd is when the slots of the allotment lapse.
 	leaseEnd time.Time
 
@@ -64,7 +69,7 @@
 // nothing: the scheduler gets pool.SlotsAllotted without slots before its
 // targets. Step returns SlotsChanged as soon as that changes.
 func NewHolder(self pool.Router, shard int, o Options) *Holder {
-	return &Holder{self: self, shard: shard, options: o.withDefaults(), slots: map[config.ID]int{}}
+	return &Holder{self: self, shard: shard, options: o.withDefaults(), slots: map[config.ID]int{}, yield: map[string]int{}}
 }
 
 // Step lets time pass to now, takes in the event and returns what follows. A
@@ -101,6 +106,7 @@
 	case UsageChanged:
 		h.usage = e.Usage
 		h.usageKnown = true
+		h.stale = false
 	case Tick:
 	}
 }
@@ -148,7 +154,7 @@
 	h.scarce = a.Scarce
 	h.leaseEnd = end
 	h.mode = leased
-	if h.setSlots(maps.Clone(a.Slots)) {
+	if h.setSlots(maps.Clone(a.Slots), maps.Clone(a.Yield)) {
 		h.urgent = true
 	}
 }
@@ -174,31 +180,63 @@
 	}
 	slots := Static(h.targets, h.shard, h.options.Shards)
 	if h.mode == lapsed {
+		held := h.held()
 		for id, n := range slots {
-			slots[id] = min(n, h.slots[id])
+			slots[id] = min(n, held[id])
 		}
 	}
-	h.setSlots(slots)
+	h.setSlots(slots, nil)
 }
 
+// held returns the slots by target without those that were yielded.
+func (h *Holder) held() map[config.ID]int {
+	held := maps.Clone(h.slots)
+	for id, n := range h.usage.Yielded {
+		held[id] -= n
+		if held[id] <= 0 {
+			delete(held, id)
+		}
+	}
+	return held
+}
+
+// yieldLeft returns the slots by data centre that are still to be given up.
+func (h *Holder) yieldLeft() map[string]int {
+	left := maps.Clone(h.yield)
+	for _, t := range h.targets {
+		left[t.DataCentre] -= h.usage.Yielded[t.ID]
+	}
+	maps.DeleteFunc(left, isDone)
+	return left
+}
+
+func isDone[K comparable](_ K, n int) bool { return n <= 0 }
+
 // setSlots tells the scheduler of a change and returns whether there was one.
-func (h *Holder) setSlots(slots map[config.ID]int) bool {
-	maps.DeleteFunc(slots, func(_ config.ID, n int) bool { return n <= 0 })
-	if maps.Equal(slots, h.slots) {
+func (h *Holder) setSlots(slots map[config.ID]int, yield map[string]int) bool {
+	maps.DeleteFunc(slots, isDone)
+	maps.DeleteFunc(yield, isDone)
+	if maps.Equal(slots, h.held()) && maps.Equal(yield, h.yieldLeft()) {
 		return false
 	}
 	if slots == nil {
 		slots = map[config.ID]int{}
 	}
-	h.slots = slots
-	h.actions = append(h.actions, SlotsChanged{Slots: maps.Clone(slots)})
+	if yield == nil {
+		yield = map[string]int{}
+	}
+	h.slots, h.yield = slots, yield
+	h.stale = true
+	h.usage.Yielded = nil
+	told := pool.SlotsAllotted{Slots: maps.Clone(slots), Yield: maps.Clone(yield)}
+	h.actions = append(h.actions, SlotsChanged{told})
 	return true
 }
 
 // report tells the dealer of a change at once, but for Options.Interval, and of
 // the rest each Options.Renewal.
 func (h *Holder) report() {
-	if !h.usageKnown || h.dealer == (pool.Router{}) {
+	if !h.usageKnown || h.stale || h.dealer == (pool.Router{}) {
 		return
 	}
 	since := h.now.Sub(h.lastReport)
@@ -234,11 +272,12 @@
 // holdings returns the targets that are held or in use, ordered by ID.
 func (h *Holder) holdings() []Holding {
 	var list []Holding
-	for id, n := range h.slots {
+	slots := h.held()
+	for id, n := range slots {
 		list = append(list, Holding{Target: id, Slots: n, Busy: h.usage.Busy[id]})
 	}
 	for id, n := range h.usage.Busy {
-		if _, held := h.slots[id]; !held && n > 0 {
+		if _, held := slots[id]; !held && n > 0 {
 			list = append(list, Holding{Target: id, Busy: n})
 		}
 	}
--- a/deal/interface.go
+++ b/deal/interface.go
@@ -51,6 +51,9 @@
 	Answers uint64
 	// Slots is the number of slots by target; absent targets have none.
 	Slots map[config.ID]int
+	// Yield is the number of these slots by data centre that the holder is to
+	// give up, whichever come free first.
+	Yield map[string]int
 	// Scarce is set while the shards need more slots than there are. Holders
 	// then report slots that they do not need at once.
 	Scarce bool
@@ -65,7 +68,8 @@
 type DealerChanged struct{ Dealer pool.Router }
 
 // UsageChanged tells the holder what its scheduler uses and wants. It comes
-// only once the routers have told their requests in flight.
+// only once the routers have told their requests in flight, and soon after each
+// SlotsChanged, up to which the holder sends no Report.
 type UsageChanged struct{ Usage pool.Usage }
 
 // Tick lets time pass. It is due each Options.Interval.
@@ -82,8 +86,8 @@
 type HolderAction interface{ holderAction() }
 
 // SlotsChanged sets the number of slots of each target that the shard's
-// scheduler may use. It comes before the Report that tells of it.
-type SlotsChanged struct{ Slots map[config.ID]int }
+// scheduler may use.
+type SlotsChanged struct{ pool.SlotsAllotted }
 
 func (Report) dealerEvent()         {}
 func (TargetsChanged) dealerEvent() {}
--- a/deal/model_test.go
+++ b/deal/model_test.go
@@ -49,7 +49,11 @@
 	alive   bool
 	slots   map[config.ID]int
 	busy    map[config.ID]int
+	yield   map[string]int
+	yielded map[config.ID]int
 	backlog pool.Backlog
+	// changed is set after SlotsChanged.
+	changed bool
 }
 
 func newModel(t *rapid.T, shards, targets int) *model {
@@ -113,7 +117,11 @@
 	for _, action := range s.holder.Step(m.now, event) {
 		switch a := action.(type) {
 		case SlotsChanged:
-			s.slots = a.Slots
+			s.changed = true
+			s.slots, s.yield, s.yielded = a.Slots, a.Yield, map[config.ID]int{}
+			for _, t := range m.targets {
+				s.yieldFree(t)
+			}
 		case Report:
 			m.send(modelMessage{dealer: a.Dealer, report: &a})
 		}
@@ -171,7 +179,12 @@
 		m.deliver()
 		for _, s := range m.shards {
 			m.work(s)
-			usage := pool.Usage{Backlogs: []pool.Backlog{s.backlog}, Busy: maps.Clone(s.busy)}
+			if !s.changed && m.rng.IntN(2) == 0 {
+				m.stepHolder(s, Tick{})
+				continue
+			}
+			s.changed = false
+			usage := pool.Usage{Backlogs: []pool.Backlog{s.backlog}, Busy: maps.Clone(s.busy), Yielded: maps.Clone(s.yielded)}
 			m.stepHolder(s, UsageChanged{usage})
 		}
 		m.endOrphans()
@@ -195,6 +208,7 @@
 		for range s.busy[t.ID] {
 			if m.rng.IntN(meanRequest) == 0 {
 				s.busy[t.ID]--
+				s.yieldFree(t)
 			}
 		}
 		running += s.busy[t.ID]
@@ -207,6 +221,16 @@
 	}
 }
 
+// yieldFree gives free slots up as pool.Scheduler does.
+func (s *modelShard) yieldFree(t pool.Target) {
+	n := min(s.slots[t.ID]-s.busy[t.ID], s.yield[t.DataCentre])
+	if n > 0 {
+		s.yield[t.DataCentre] -= n
+		s.yielded[t.ID] += n
+		s.slots[t.ID] -= n
+	}
+}
+
 func (m *model) endOrphans() {
 	for _, shard := range slices.Sorted(maps.Keys(m.orphans)) {
 		for _, t := range m.targets {
--- a/deal/party.go
+++ b/deal/party.go
@@ -16,8 +16,10 @@
 	report Report
 	// heard is when report came, and joined when the first one did.
 	heard, joined time.Time
-	// slots is the allotment that was sent last.
+	// slots is what the holder has, or the allotment that was sent last if it
+	// is not confirmed. yield is what was to be given up of it.
 	slots map[config.ID]int
+	yield map[string]int
 	// pending holds the allotments that the holder has not confirmed.
 	pending []pendingAllotment
 	// unanswered is set while report was not answered.
@@ -35,6 +37,9 @@
 	p.heard = now
 	p.unanswered = !r.Retired
 	p.pending = slices.DeleteFunc(p.pending, func(a pendingAllotment) bool { return a.version <= r.Version })
+	if len(p.pending) == 0 {
+		p.slots = slotsOf(r.Holdings)
+	}
 }
 
 // bounds returns the most slots by target that the holder may hold or use: what
--- a/deal/place.go
+++ b/deal/place.go
@@ -9,6 +9,10 @@
 	"github.com/chiveseam/chiveseam/pool"
 )
 
+// manyTargets is the number of targets from which on a holder gives up slots of
+// its smallest parts.
+const manyTargets = 16
+
 // placement assigns numbers of slots by data centre to targets, with few moves.
 type placement struct {
 	targets map[config.ID]pool.Target
@@ -18,26 +22,37 @@
 	left map[config.ID]int
 }
 
-// place returns the slots of each live holder by target. The holders keep what
-// they have as far as the counts and left allow.
-func (d *Dealer) place(live []int, counts []map[string]int, left map[config.ID]int) []map[config.ID]int {
+// portion is what a holder is to have.
+type portion struct {
+	slots map[config.ID]int
+	// yield is the number of slots by data centre to give up as they come free.
+	yield map[string]int
+}
+
+// place returns what each live holder is to have. The holders keep what they
+// have as far as the counts and left allow. Slots that a holder is to yield are
+// given to others once they came free.
+func (d *Dealer) place(live []int, counts []map[string]int, left map[config.ID]int) []portion {
 	p := &placement{targets: map[config.ID]pool.Target{}, order: map[string][]config.ID{}, left: maps.Clone(left)}
 	for _, t := range d.targets {
 		p.targets[t.ID] = t
 		p.order[t.DataCentre] = append(p.order[t.DataCentre], t.ID)
 	}
-	wanted := make([]map[config.ID]int, len(live))
+	wanted := make([]portion, len(live))
 	for n, i := range live {
-		wanted[n] = p.keep(d.parties[i].slots)
+		wanted[n] = portion{p.keep(d.parties[i].slots), map[string]int{}}
 	}
 	for n, i := range live {
 		for _, dataCentre := range slices.Sorted(maps.Keys(p.order)) {
-			p.lower(wanted[n], dataCentre, counts[n][dataCentre], d.parties[i])
+			yield := p.lower(wanted[n].slots, dataCentre, counts[n][dataCentre], d.parties[i])
+			if yield > 0 {
+				wanted[n].yield[dataCentre] = yield
+			}
 		}
 	}
 	for n := range live {
 		for _, dataCentre := range slices.Sorted(maps.Keys(p.order)) {
-			p.raise(wanted[n], dataCentre, counts[n][dataCentre])
+			p.raise(wanted[n].slots, dataCentre, counts[n][dataCentre])
 		}
 	}
 	return wanted
@@ -65,33 +80,43 @@
 	return sum
 }
 
-// lower takes slots away down to count: first those that are free, then those
-// of the target with the most, which come free soonest.
-func (p *placement) lower(slots map[config.ID]int, dataCentre string, count int, holder *party) {
-	for excess := p.count(slots, dataCentre) - count; excess > 0; {
-		id, free := p.mostFree(slots, dataCentre, holder)
-		n := min(max(free, 1), excess, slots[id])
-		slots[id] -= n
-		p.left[id] += n
-		excess -= n
+// lower takes free slots away down to count. Of the slots in use a holder of
+// few targets yields any, and its number is returned. One of many gives up its
+// smallest parts, so that messages stay short.
+func (p *placement) lower(slots map[config.ID]int, dataCentre string, count int, holder *party) int {
+	excess := p.count(slots, dataCentre) - count
+	for _, id := range p.smallestFirst(slots, dataCentre) {
+		n := min(max(holder.free(id)-(holder.slots[id]-slots[id]), 0), slots[id], excess)
+		excess -= p.drop(slots, id, n)
+	}
+	if len(slots) <= manyTargets {
+		return max(excess, 0)
+	}
+	for _, id := range p.smallestFirst(slots, dataCentre) {
+		excess -= p.drop(slots, id, min(slots[id], excess))
 	}
+	return 0
 }
 
-// mostFree returns the target of which the holder has the most free slots, or
-// the most slots if none is free.
-func (p *placement) mostFree(slots map[config.ID]int, dataCentre string, holder *party) (config.ID, int) {
-	var best config.ID
-	bestFree, found := 0, false
+// drop takes n slots of a target away, if that is positive, and returns how
+// many it took.
+func (p *placement) drop(slots map[config.ID]int, id config.ID, n int) int {
+	n = max(n, 0)
+	slots[id] -= n
+	p.left[id] += n
+	return n
+}
+
+// smallestFirst returns the targets of the data centre of which slots are held.
+func (p *placement) smallestFirst(slots map[config.ID]int, dataCentre string) []config.ID {
+	var ids []config.ID
 	for _, id := range p.order[dataCentre] {
-		if slots[id] <= 0 {
-			continue
-		}
-		free := max(holder.free(id)-(holder.slots[id]-slots[id]), 0)
-		if !found || cmp.Or(cmp.Compare(free, bestFree), cmp.Compare(slots[id], slots[best])) > 0 {
-			best, bestFree, found = id, free, true
+		if slots[id] > 0 {
+			ids = append(ids, id)
 		}
 	}
-	return best, bestFree
+	slices.SortStableFunc(ids, func(a, b config.ID) int { return cmp.Compare(slots[a], slots[b]) })
+	return ids
 }
 
 // raise adds slots up to count, spread over the availability zones.
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/deal"
 	"github.com/chiveseam/chiveseam/pool"
 )
 
@@ -35,8 +36,10 @@
 	deployment *Deployment
 	policy     Policy
 	// shards is the number of shards of the pool; zero has no dealer.
-	shards  int
-	latency time.Duration
+	shards int
+	// dealOptions are the settings of its dealer.
+	dealOptions deal.Options
+	latency     time.Duration
 	// replicate is set if schedulers give their counters to routers.
 	replicate bool
 	seed      uint64
@@ -51,16 +54,17 @@
 
 func newCluster(d *Deployment, s scenario, seed uint64, latency time.Duration) *cluster {
 	c := &cluster{
-		rng:        rand.New(rand.NewPCG(seed, 1)),
-		deployment: d,
-		policy:     s.policy,
-		shards:     s.shards,
-		latency:    latency,
-		replicate:  true,
-		seed:       seed,
-		engines:    map[config.ID]*engine{},
-		index:      map[config.ID]int{},
-		meter:      newMeter(d),
+		rng:         rand.New(rand.NewPCG(seed, 1)),
+		deployment:  d,
+		policy:      s.policy,
+		shards:      s.shards,
+		dealOptions: s.deal,
+		latency:     latency,
+		replicate:   true,
+		seed:        seed,
+		engines:     map[config.ID]*engine{},
+		index:       map[config.ID]int{},
+		meter:       newMeter(d),
 	}
 	for i, w := range d.Workspaces {
 		c.index[w.ID] = i
--- a/internal/measure/fairness.go
+++ b/internal/measure/fairness.go
@@ -4,6 +4,10 @@
 	"fmt"
 	"io"
 	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveseam/chiveseam/deal"
 )
 
 // Options are the sizes of a run.
@@ -17,7 +21,11 @@
 	Warmup time.Duration
 }
 
-const percent = 100
+const (
+	percent = 100
+	// parallelRuns is the number of runs at the same time.
+	parallelRuns = 3
+)
 
 // figures are the results of one run.
 type figures struct {
@@ -37,13 +45,18 @@
 	gaps    *gapMeter
 	// idlePerGrant is the idle time of a slot between two requests.
 	idlePerGrant time.Duration
+	// deal is what the holders of shards and their dealer send.
+	deal   dealTraffic
+	shards int
 }
 
 // scenario is one run of a policy.
 type scenario struct {
 	policy Policy
 	// shards is the number of shards of the pool; zero has no dealer.
-	shards  int
+	shards int
+	// deal are the settings of the dealer.
+	deal    deal.Options
 	prepare func(*cluster, *workload)
 }
 
@@ -76,6 +89,9 @@
 		bound:       boundOver(c.hosts),
 		gaps:        m.gaps,
 	}
+	if core, ok := c.hosts[0].core.(*sharded); ok {
+		f.deal, f.shards = core.traffic, len(core.shards)
+	}
 	f.idlePerGrant = seconds((m.slotSeconds - m.busySeconds) / float64(max(m.grants, 1)))
 	for _, n := range m.refusals {
 		f.refused += n
@@ -101,12 +117,19 @@
 	}
 }
 
-// runs runs a scenario with each seed.
+// runs runs a scenario with each seed, some at the same time. The function
+// scenario.prepare must not share state between runs.
 func (o Options) runs(d *Deployment, s scenario) []figures {
-	var runs []figures
-	for seed := 1; seed <= o.Seeds; seed++ {
-		runs = append(runs, o.run(d, s, seed))
+	runs := make([]figures, o.Seeds)
+	var group errgroup.Group
+	group.SetLimit(parallelRuns)
+	for i := range runs {
+		group.Go(func() error {
+			runs[i] = o.run(d, s, i+1)
+			return nil
+		})
 	}
+	_ = group.Wait()
 	return runs
 }
 
--- a/internal/measure/sharded.go
+++ b/internal/measure/sharded.go
@@ -10,7 +10,10 @@
 )
 
 // dealTick is how often holders and the dealer are stepped.
-const dealTick = 50 * time.Millisecond
+const dealTick = 10 * time.Millisecond
+
+// usageInterval is the least time between two looks at a scheduler's use.
+const usageInterval = 10 * time.Millisecond
 
 // sharded is a scheduler for each shard of a pool, with the slots dealt to them.
 type sharded struct {
@@ -34,6 +37,8 @@
 	core        *pool.Scheduler
 	holder      *deal.Holder
 	id          pool.Router
+	// nextUsage is when the holder is told of the scheduler's use next.
+	nextUsage time.Duration
 	// counters were replicated last.
 	counters []pool.Counter
 }
@@ -41,9 +46,10 @@
 func newSharded(h *host) *sharded {
 	s := &sharded{
 		host:    h,
-		options: deal.Options{Shards: h.cluster.shards},
+		options: h.cluster.dealOptions,
 		shardOf: map[pool.DemandID]int{},
 	}
+	s.options.Shards = h.cluster.shards
 	for i := range h.cluster.shards {
 		s.shards = append(s.shards, &shard{index: i})
 		s.startShard(s.shards[i])
@@ -137,9 +143,18 @@
 		return
 	}
 	s.stepCore(sh, event)
-	if sh.core.Settled() {
-		s.stepHolder(sh, deal.UsageChanged{Usage: sh.core.Usage()})
+	s.tellHolder(i)
+}
+
+// tellHolder tells the holder of a shard what its scheduler uses.
+func (s *sharded) tellHolder(i int) {
+	sh := s.shards[i]
+	now := s.host.cluster.now
+	if !sh.alive || !sh.core.Settled() || now < sh.nextUsage {
+		return
 	}
+	sh.nextUsage = now + usageInterval
+	s.stepHolder(sh, deal.UsageChanged{Usage: sh.core.Usage()})
 }
 
 func (s *sharded) stepCore(sh *shard, event pool.Event) {
@@ -153,7 +168,8 @@
 	for _, action := range sh.holder.Step(s.host.cluster.wall(), event) {
 		switch a := action.(type) {
 		case deal.SlotsChanged:
-			s.stepCore(sh, pool.SlotsAllotted{Slots: a.Slots})
+			s.stepCore(sh, a.SlotsAllotted)
+			sh.nextUsage = s.host.cluster.now
 		case deal.Report:
 			s.traffic.report(a)
 			s.host.cluster.after(s.host.latency, func() { s.stepDealer(a) })
@@ -173,7 +189,10 @@
 
 // allotted delivers an allotment and sends the grants that follow.
 func (s *sharded) allotted(a deal.Allotment) {
-	s.outside(func() { s.stepHolder(s.shards[a.Shard], a) })
+	s.outside(func() {
+		s.stepHolder(s.shards[a.Shard], a)
+		s.tellHolder(a.Shard)
+	})
 }
 
 // outside runs fn out of a step of the host and routes what follows.
@@ -188,6 +207,11 @@
 // tick steps the dealer. The schedulers are stepped by the host's tick.
 func (s *sharded) tick() {
 	s.stepDealer(deal.Tick{})
+	s.outside(func() {
+		for i := range s.shards {
+			s.tellHolder(i)
+		}
+	})
 	s.host.cluster.after(dealTick, s.tick)
 }
 
--- a/internal/measure/shardtables.go
+++ b/internal/measure/shardtables.go
@@ -46,7 +46,7 @@
 		"shards", "fault", "gap of large, s", "gap, % of bound", "busy slots while work waits, %", "longest starvation, s", "light p50, s", "light p99, s", "sent to a full target", "holder, B/s", "dealer, B/s", "targets/report")
 	single := o.runs(d, scenario{policy: Fair, prepare: prepareLarge})
 	bounds := boundsOf(single)
-	o.shardRow(t, "no dealer", "none", single, bounds, nil)
+	o.shardRow(t, "no dealer", "none", single, bounds)
 	for _, k := range shardCounts(d) {
 		for _, f := range shardFaults {
 			o.shardFaultRow(t, d, k, f, bounds)
@@ -56,18 +56,16 @@
 }
 
 func (o Options) shardFaultRow(t *table, d *Deployment, k int, f shardFault, bounds []func(i, j int) float64) {
-	var cores []*sharded
 	runs := o.runs(d, scenario{policy: Fair, shards: k, prepare: func(c *cluster, l *workload) {
 		prepareLarge(c, l)
 		core := c.hosts[0].core.(*sharded)
-		cores = append(cores, core)
 		c.after(o.Warmup, func() { core.traffic = dealTraffic{} })
 		c.after(faultAt, func() { f.inject(core) })
 	}})
-	o.shardRow(t, fmt.Sprint(k), f.name, runs, bounds, cores)
+	o.shardRow(t, fmt.Sprint(k), f.name, runs, bounds)
 }
 
-func (o Options) shardRow(t *table, shards, fault string, runs []figures, bounds []func(i, j int) float64, cores []*sharded) {
+func (o Options) shardRow(t *table, shards, fault string, runs []figures, bounds []func(i, j int) float64) {
 	var ofBound, median, tail, holder, dealer, targets samples
 	for i, r := range runs {
 		ofBound = append(ofBound, r.gaps.ofBound(bounds[i])*percent)
@@ -77,12 +75,10 @@
 		}
 		median = append(median, light.median())
 		tail = append(tail, light.quantile(0.99))
-	}
-	for _, core := range cores {
-		rate := float64(core.traffic.bytes) / (o.Duration - o.Warmup).Seconds()
+		rate := float64(r.deal.bytes) / (o.Duration - o.Warmup).Seconds()
 		dealer = append(dealer, rate)
-		holder = append(holder, rate/float64(len(core.shards)))
-		targets = append(targets, float64(core.traffic.targets)/float64(max(core.traffic.reports, 1)))
+		holder = append(holder, rate/float64(max(r.shards, 1)))
+		targets = append(targets, float64(r.deal.targets)/float64(max(r.deal.reports, 1)))
 	}
 	t.row(shards, fault,
 		column(runs, "%.2f", func(r figures) float64 { return r.gapLarge }),
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -145,6 +145,7 @@
 	t := d.target
 	t.busy--
 	d.workspace.running--
+	s.yieldFree(t)
 	s.updateOpen(t)
 	s.touch(t)
 	s.forget(d)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -44,6 +44,10 @@
 
 	// allotted holds the slots that may be used by target; nil allows all.
 	allotted map[config.ID]int
+	// yield holds the slots to give up by data centre, and yielded those that
+	// were by target.
+	yield   map[string]int
+	yielded map[config.ID]int
 	// slots counts the usable slots of targets that get new work by data centre.
 	slots map[string]int
 	// open holds the targets with a free slot.
@@ -80,6 +84,7 @@
 		spares:       newSpareSet(o.Seed),
 		peerSpares:   map[string]int{},
 		slots:        map[string]int{},
+		yielded:      map[config.ID]int{},
 	}
 	s.hasDemand = s.candidateHasDemand
 	return s
--- a/pool/spare.go
+++ b/pool/spare.go
@@ -154,6 +154,7 @@
 	s.timers.stop(&sp.timer)
 	sp.router.spares--
 	sp.target.spares--
+	s.yieldFree(sp.target)
 	s.updateOpen(sp.target)
 	s.touch(sp.target)
 }
--- a/pool/usage.go
+++ b/pool/usage.go
@@ -35,6 +35,9 @@
 	// Busy holds the slots in use by target, spare slots that were handed out
 	// included.
 	Busy map[config.ID]int
+	// Yielded holds the slots by target that were given up since the last
+	// SlotsAllotted because of its Yield.
+	Yielded map[config.ID]int
 	// Rate is the service of the slots in use in cost units a second, zero as
 	// long as it is not known.
 	Rate uint64
@@ -44,7 +47,12 @@
 // other schedulers use the rest. Absent targets have none. A target's Slots
 // stay what it could serve: a demand is not refused for want of a target
 // because none of its slots are allotted now.
-type SlotsAllotted struct{ Slots map[config.ID]int }
+type SlotsAllotted struct {
+	Slots map[config.ID]int
+	// Yield is the number of slots by data centre to give up, whichever come
+	// free first.
+	Yield map[string]int
+}
 
 func (SlotsAllotted) event() {}
 
@@ -53,8 +61,11 @@
 	if s.allotted == nil {
 		s.allotted = map[config.ID]int{}
 	}
+	s.yield = maps.Clone(e.Yield)
+	clear(s.yielded)
 	s.limitSlots()
 	for _, t := range s.sortedTargets() {
+		s.yieldFree(t)
 		s.updateOpen(t)
 		s.touch(t)
 	}
@@ -66,12 +77,23 @@
 	for _, t := range s.targets {
 		t.usable = t.Slots
 		if s.allotted != nil {
-			t.usable = min(t.Slots, s.allotted[t.ID])
+			t.usable = min(t.Slots, s.allotted[t.ID]-s.yielded[t.ID])
 		}
 	}
 	s.countSlots()
 }
 
+// yieldFree gives free slots of t up as far as they are to be yielded.
+func (s *Scheduler) yieldFree(t *target) {
+	n := min(t.free(), s.yield[t.DataCentre])
+	if n <= 0 {
+		return
+	}
+	s.yield[t.DataCentre] -= n
+	s.yielded[t.ID] += n
+	t.usable -= n
+}
+
 // Settled tells whether the scheduler knows the requests in flight, as far as
 // routers have joined: it does not wait for Options.SettleTime.
 func (s *Scheduler) Settled() bool {
@@ -81,7 +103,7 @@
 // Usage returns what is used and wanted now. Its cost grows with targets and
 // workspaces.
 func (s *Scheduler) Usage() Usage {
-	u := Usage{Busy: map[config.ID]int{}}
+	u := Usage{Busy: map[config.ID]int{}, Yielded: maps.Clone(s.yielded)}
 	busy := 0
 	for _, t := range s.targets {
 		if used := t.busy + t.spares; used > 0 {
