deal: report what was released, not each change of an allotment

Cause: each changed allotment was confirmed at once, 8 reports/s a holder in the hot pool.

Change: a report is due at once only for slots that were given up, and an answer only for a change or a renewal. Slots that come free go first to the holder that has the least part of what it is to have.

--- a/deal/change.go
+++ b/deal/change.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chiveseam/chiveseam/config"
 	"github.com/chiveseam/chiveseam/pool"
 )
 
@@ -12,7 +13,7 @@
 	scarceParts = 32
 	// amplyParts is the same while they are not.
 	amplyParts = 4
-	// shareParts is the part of the backlogged shares, as a divisor, by which
+	// shareParts is the part of the shares with demands, as a divisor, by which
 	// they must change to be told.
 	shareParts = 8
 	// releaseParts is the part of the held slots, as a divisor, that must have
@@ -25,32 +26,44 @@
 func (h *Holder) changed() bool {
 	holdings := h.holdings()
 	held := sumHeld(holdings)
-	released := sumHeld(h.reported.Holdings) - held + excess(h.reported.Holdings) - excess(holdings)
-	if released > held/releaseParts {
+	if released(h.reported.Holdings, holdings) >= max(held/releaseParts, 1) {
+		Why["release"]++
 		return true
 	}
 	now, then := totals(h.usage.Backlogs), totals(h.reported.Backlogs)
 	if now.share != then.share && distance(now.share, then.share)*shareParts >= max(now.share, then.share) {
+		Why["share"]++
 		return true
 	}
 	if now.need > held && then.need > held {
+		if 2*then.need < now.need {
+			Why["double"]++
+		}
 		return 2*then.need < now.need
 	}
 	if now.need > held {
+		Why["need>held"]++
 		return true
 	}
 	parts := amplyParts
 	if h.scarce {
 		parts = scarceParts
 	}
+	if distance(now.need, then.need) >= max(held/parts, 1) {
+		Why["need"]++
+	}
 	return distance(now.need, then.need) >= max(held/parts, 1)
 }
 
-// excess counts the slots that are in use above what is held.
-func excess(holdings []Holding) int {
+// released counts the slots that were held or in use and are no longer.
+func released(before, after []Holding) int {
+	left := map[config.ID]int{}
+	for _, held := range after {
+		left[held.Target] = max(held.Slots, held.Busy)
+	}
 	sum := 0
-	for _, held := range holdings {
-		sum += max(held.Busy-held.Slots, 0)
+	for _, held := range before {
+		sum += max(held.Slots, held.Busy) - min(max(held.Slots, held.Busy), left[held.Target])
 	}
 	return sum
 }
@@ -69,7 +82,7 @@
 func totals(backlogs []pool.Backlog) total {
 	var t total
 	for _, b := range backlogs {
-		t.share += int(b.Share)
+		t.share += int(b.Share + b.ActiveShare)
 		t.need += b.Need + b.Active
 	}
 	return t
@@ -102,3 +115,5 @@
 	}
 	return time.Time{}, false
 }
+
+var Why = map[string]int{}
--- a/deal/dealer.go
+++ b/deal/dealer.go
@@ -209,11 +209,16 @@
 
 // renew answers a report with what the holder has.
 func (d *Dealer) renew(p *party) {
-	if p.unanswered {
+	if d.answerDue(p) {
 		d.allot(p, portion{p.slots, nil}, false)
 	}
 }
 
+// answerDue tells whether the lease of the holder is to be renewed.
+func (d *Dealer) answerDue(p *party) bool {
+	return p.unanswered && d.now.Sub(p.allotted) >= d.options.Renewal/2
+}
+
 // send lowers allotments at once, and raises them as far as no other holder may
 // have the slots.
 func (d *Dealer) send(live []int, wanted []portion, bounds []map[config.ID]int, scarce bool) {
@@ -237,7 +242,7 @@
 				slots[id] = want
 			}
 		}
-		if p.unanswered || !maps.Equal(slots, p.slots) || !maps.Equal(wanted[n].yield, p.yield) {
+		if d.answerDue(p) || !maps.Equal(slots, p.slots) || !maps.Equal(wanted[n].yield, p.yield) {
 			d.allot(p, portion{slots, wanted[n].yield}, scarce)
 		}
 	}
@@ -249,6 +254,7 @@
 	p.yield = to.yield
 	p.pending = append(p.pending, pendingAllotment{d.version, to.slots})
 	p.unanswered = false
+	p.allotted = d.now
 	d.actions = append(d.actions, Allotment{
 		Shard: p.shard, Holder: p.holder, Dealer: d.self, Version: d.version,
 		Answers: p.report.Seq, Slots: maps.Clone(to.slots), Yield: maps.Clone(to.yield), Scarce: scarce,
--- a/deal/holder.go
+++ b/deal/holder.go
@@ -154,9 +154,7 @@
 	h.scarce = a.Scarce
 	h.leaseEnd = end
 	h.mode = leased
-	if h.setSlots(maps.Clone(a.Slots), maps.Clone(a.Yield)) {
-		h.urgent = true
-	}
+	h.setSlots(maps.Clone(a.Slots), maps.Clone(a.Yield))
 }
 
 // lapse replaces the slots of an allotment whose lease is over. Slots that the
@@ -212,12 +210,12 @@
 
 func isDone[K comparable](_ K, n int) bool { return n <= 0 }
 
-// setSlots tells the scheduler of a change and returns whether there was one.
-func (h *Holder) setSlots(slots map[config.ID]int, yield map[string]int) bool {
+// setSlots tells the scheduler of a change.
+func (h *Holder) setSlots(slots map[config.ID]int, yield map[string]int) {
 	maps.DeleteFunc(slots, isDone)
 	maps.DeleteFunc(yield, isDone)
 	if maps.Equal(slots, h.held()) && maps.Equal(yield, h.yieldLeft()) {
-		return false
+		return
 	}
 	if slots == nil {
 		slots = map[config.ID]int{}
@@ -230,7 +228,6 @@
 	h.usage.Yielded = nil
 	told := pool.SlotsAllotted{Slots: maps.Clone(slots), Yield: maps.Clone(yield)}
 	h.actions = append(h.actions, SlotsChanged{told})
-	return true
 }
 
 // report tells the dealer of a change at once, but for Options.Interval, and of
@@ -242,6 +239,9 @@
 	since := h.now.Sub(h.lastReport)
 	due := since >= h.options.Renewal || h.seq < h.firstSeq
 	if !due && since >= h.options.Interval {
+		if h.urgent {
+			Why["urgent"]++
+		}
 		due = h.urgent || h.changed()
 	}
 	if !due {
--- a/deal/interface.go
+++ b/deal/interface.go
@@ -112,7 +112,7 @@
 	// DefaultReclaim is the default of Options.Reclaim.
 	DefaultReclaim = 8 * time.Second
 	// DefaultHorizon is the default of Options.Horizon.
-	DefaultHorizon = 10 * time.Second
+	DefaultHorizon = 20 * time.Second
 )
 
 // Options are the settings of a pool's dealer and holders, which must be the
--- a/deal/party.go
+++ b/deal/party.go
@@ -24,6 +24,8 @@
 	pending []pendingAllotment
 	// unanswered is set while report was not answered.
 	unanswered bool
+	// allotted is when the last allotment was sent.
+	allotted time.Time
 }
 
 type pendingAllotment struct {
--- a/deal/place.go
+++ b/deal/place.go
@@ -13,6 +13,10 @@
 // its smallest parts.
 const manyTargets = 16
 
+// fewParts is the part of its slots, as a divisor, up to which a holder of many
+// targets yields any.
+const fewParts = 32
+
 // placement assigns numbers of slots by data centre to targets, with few moves.
 type placement struct {
 	targets map[config.ID]pool.Target
@@ -50,14 +54,31 @@
 			}
 		}
 	}
-	for n := range live {
-		for _, dataCentre := range slices.Sorted(maps.Keys(p.order)) {
+	for _, dataCentre := range slices.Sorted(maps.Keys(p.order)) {
+		for _, n := range p.shortestFirst(wanted, counts, dataCentre) {
 			p.raise(wanted[n].slots, dataCentre, counts[n][dataCentre])
 		}
 	}
 	return wanted
 }
 
+// shortestFirst returns the holders that are to have more slots, those first
+// that have the least part of them.
+func (p *placement) shortestFirst(wanted []portion, counts []map[string]int, dataCentre string) []int {
+	var short []int
+	have := make([]int, len(wanted))
+	for n := range wanted {
+		have[n] = p.count(wanted[n].slots, dataCentre)
+		if have[n] < counts[n][dataCentre] {
+			short = append(short, n)
+		}
+	}
+	slices.SortStableFunc(short, func(a, b int) int {
+		return cmp.Compare(have[a]*counts[b][dataCentre], have[b]*counts[a][dataCentre])
+	})
+	return short
+}
+
 // keep takes the slots that a holder has as far as they are left.
 func (p *placement) keep(slots map[config.ID]int) map[config.ID]int {
 	kept := map[config.ID]int{}
@@ -81,15 +102,16 @@
 }
 
 // lower takes free slots away down to count. Of the slots in use a holder of
-// few targets yields any, and its number is returned. One of many gives up its
-// smallest parts, so that messages stay short.
+// few targets yields any, as does one that is to give up little, and their
+// number is returned. Others give up their smallest parts, so that messages stay
+// short.
 func (p *placement) lower(slots map[config.ID]int, dataCentre string, count int, holder *party) int {
 	excess := p.count(slots, dataCentre) - count
 	for _, id := range p.smallestFirst(slots, dataCentre) {
 		n := min(max(holder.free(id)-(holder.slots[id]-slots[id]), 0), slots[id], excess)
 		excess -= p.drop(slots, id, n)
 	}
-	if len(slots) <= manyTargets {
+	if len(slots) <= manyTargets || excess <= count/fewParts {
 		return max(excess, 0)
 	}
 	for _, id := range p.smallestFirst(slots, dataCentre) {
@@ -134,7 +156,8 @@
 }
 
 // bestLeft returns the target to take slots of: in the zone of which the holder
-// has the fewest, one that it has already, then the one with the most left.
+// has the fewest, one that it has already, then the one with the most left. A
+// holder of many targets takes one that it has already in any zone.
 func (p *placement) bestLeft(slots map[config.ID]int, dataCentre string) config.ID {
 	zones := map[string]int{}
 	for id, n := range slots {
@@ -155,6 +178,9 @@
 
 func (p *placement) better(slots map[config.ID]int, zones map[string]int, a, b config.ID) bool {
 	hasA, hasB := slots[a] > 0, slots[b] > 0
+	if len(slots) > manyTargets && hasA != hasB {
+		return hasA
+	}
 	if za, zb := zones[p.targets[a].Zone], zones[p.targets[b].Zone]; za != zb {
 		return za < zb
 	}
--- a/internal/measure/shardtables.go
+++ b/internal/measure/shardtables.go
@@ -39,10 +39,13 @@
 }
 
 func (o Options) shardTable(w io.Writer, d *Deployment) {
-	o.Warmup = faultAt - beforeFault
-	o.Duration = faultAt + observation
+	at, after := faultAt, observation
+	if d.slots() > hotSlots/2 {
+		at, after = hotFaultAt, hotObservation
+	}
+	o.Warmup, o.Duration = at-beforeFault, at+after
 	t := newTable(w, fmt.Sprintf("%s in shards: %d slots, %.0f cost units/s, from %v before a fault to %v after it, %d seeds",
-		d.Name, d.slots(), d.capacity(), beforeFault, observation, o.Seeds),
+		d.Name, d.slots(), d.capacity(), beforeFault, after, o.Seeds),
 		"shards", "fault", "gap of large, s", "gap, % of bound", "busy slots while work waits, %", "longest starvation, s", "light p50, s", "light p99, s", "sent to a full target", "holder, B/s", "dealer, B/s", "targets/report")
 	single := o.runs(d, scenario{policy: Fair, prepare: prepareLarge})
 	bounds := boundsOf(single)
@@ -60,7 +63,7 @@
 		prepareLarge(c, l)
 		core := c.hosts[0].core.(*sharded)
 		c.after(o.Warmup, func() { core.traffic = dealTraffic{} })
-		c.after(faultAt, func() { f.inject(core) })
+		c.after(o.Warmup+beforeFault, func() { f.inject(core) })
 	}})
 	o.shardRow(t, fmt.Sprint(k), f.name, runs, bounds)
 }
@@ -90,6 +93,12 @@
 		holder.spread("%.0f"), dealer.spread("%.0f"), targets.spread("%.1f"))
 }
 
+const (
+	// hotFaultAt and hotObservation are the times of runs of a large pool.
+	hotFaultAt     = time.Minute
+	hotObservation = time.Minute
+)
+
 // gapLook is the least time between two looks at the gaps of a large pool.
 const gapLook = 50 * time.Millisecond
 
