--- a/internal/measure/shardtables.go
+++ b/internal/measure/shardtables.go
@@ -29,6 +29,27 @@
 		o.shardTable(w, d)
 	}
 	o.shardTable(w, hotDeployment())
+	shardTraffic(w, uint64(o.Seeds))
+}
+
+// shardTraffic prints the traffic of the requests of a hot model in shards.
+func shardTraffic(w io.Writer, seeds uint64) {
+	t := newTable(w, "Control traffic of requests, 165 routers, 27 pools, a third of the load on one in shards",
+		"shards", "entry, B/s", "of it heartbeats, 1/s", "mean holder of a shard, B/s", "largest, B/s")
+	for _, k := range []int{1, 4, 12, 70} {
+		f := planned
+		f.Hot, f.Shards = hotPart, k
+		var entry, beats, mean, largest samples
+		for seed := uint64(1); seed <= seeds; seed++ {
+			m := MeasureTraffic(f, seed)
+			entry = append(entry, m.Entry.Total())
+			beats = append(beats, m.Entry.Heartbeats)
+			mean = append(mean, m.Shard.Total())
+			largest = append(largest, m.MaxShard.Total())
+		}
+		t.row(fmt.Sprint(k), entry.spread("%.0f"), beats.spread("%.0f"), mean.spread("%.0f"), largest.spread("%.0f"))
+	}
+	t.flush()
 }
 
 func shardCounts(d *Deployment) []int {
--- a/internal/measure/traffic.go
+++ b/internal/measure/traffic.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/deal"
 	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/rendezvous"
@@ -33,6 +33,8 @@
 	Workspaces int
 	// Hot is the part of the load on the first pool beside its equal part.
 	Hot float64
+	// Shards is the number of shards of the first pool; 0 stands for one.
+	Shards int
 	// Window is the least time between two writes on a stream.
 	Window time.Duration
 	// Slots is the number of slots of a target; 0 stands for 100.
@@ -46,6 +48,9 @@
 	Entry, Holder Rate
 	// Other is the same as Holder for the mean of the other holders.
 	Other Rate
+	// Shard is the mean of the holders of the first pool's shards, and MaxShard
+	// the one with the most, for all their roles.
+	Shard, MaxShard Rate
 	// PerRequest is Entry by request.
 	PerRequest Rate
 	// Counters is the payload that the holder sends to its successors.
@@ -77,8 +82,8 @@
 	rng     *rand.Rand
 	pools   []*trafficPool
 	routers []*trafficRouter
-	// workspaceIDs are the workspaces that requests are drawn from.
-	workspaceIDs []config.ID
+	// hot holds the shards of the first pool.
+	hot []*trafficPool
 	// counts of messages while the figures are taken.
 	requests, reports, grants, spareUses int
 	// counterBytes is what the holder of pool 0 sends to one successor.
@@ -94,6 +99,8 @@
 	core     *pool.Scheduler
 	holder   int
 	sessions map[string]*session
+	// workspaces are those that use it.
+	workspaces []pool.Workspace
 	// load is the part of all requests.
 	load float64
 }
@@ -126,9 +133,6 @@
 		f.Slots = engineSlots
 	}
 	t := &trafficRun{fleet: f, rng: rand.New(rand.NewPCG(seed, 3)), replicated: map[config.ID]pool.Counter{}}
-	for _, w := range f.workspaces() {
-		t.workspaceIDs = append(t.workspaceIDs, w.ID)
-	}
 	t.place()
 	for _, r := range t.routers {
 		t.after(t.pause(), r.arrive)
@@ -148,21 +152,47 @@
 		names = append(names, r.id.Name)
 	}
 	for i := range t.fleet.Pools {
-		name := fmt.Sprintf("model-%d", i)
-		p := &trafficPool{run: t, id: config.IDOf(name), sessions: map[string]*session{}, load: (1 - t.fleet.Hot) / float64(t.fleet.Pools)}
-		if i == 0 {
-			p.load += t.fleet.Hot
+		load := (1 - t.fleet.Hot) / float64(t.fleet.Pools)
+		if i > 0 {
+			t.addPool(fmt.Sprintf("model-%d", i), names, load, t.fleet.workspaces())
+			continue
+		}
+		t.addShards(names, load+t.fleet.Hot)
+	}
+}
+
+// addShards adds the first pool with the workspaces dealt to its shards.
+func (t *trafficRun) addShards(names []string, load float64) {
+	all := t.fleet.workspaces()
+	for shard := range t.fleet.shards() {
+		name := "model-0"
+		if shard > 0 {
+			name = fmt.Sprintf("model-0/%d", shard)
+		}
+		workspaces := slices.DeleteFunc(slices.Clone(all), func(w pool.Workspace) bool {
+			return deal.ShardOf(w.ID, t.fleet.shards()) != shard
+		})
+		if len(workspaces) == 0 {
+			continue
 		}
-		owner, _ := rendezvous.Owner(name, names)
-		_, _ = fmt.Sscanf(owner, "router-%d", &p.holder)
-		p.start()
-		t.pools = append(t.pools, p)
+		t.addPool(name, names, load*float64(len(workspaces))/float64(len(all)), workspaces)
+		t.hot = append(t.hot, t.pools[len(t.pools)-1])
 	}
 }
 
+func (f Fleet) shards() int { return max(f.Shards, 1) }
+
+func (t *trafficRun) addPool(name string, names []string, load float64, workspaces []pool.Workspace) {
+	p := &trafficPool{run: t, id: config.IDOf(name), sessions: map[string]*session{}, load: load, workspaces: workspaces}
+	owner, _ := rendezvous.Owner(name, names)
+	_, _ = fmt.Sscanf(owner, "router-%d", &p.holder)
+	p.start()
+	t.pools = append(t.pools, p)
+}
+
 func (p *trafficPool) start() {
 	p.core = pool.New(pool.Options{InitialCost: meanCost, MaxSpares: maxSpares, HoldTime: holdTime, Seed: uint64(p.id)})
-	p.step(pool.WorkspacesChanged{Workspaces: p.run.fleet.workspaces()})
+	p.step(pool.WorkspacesChanged{Workspaces: p.workspaces})
 	p.step(pool.TargetsChanged{Targets: p.targets()})
 	for _, r := range p.run.routers {
 		p.sessions[r.id.Name] = r.session(p.holder)
@@ -225,56 +255,3 @@
 		p.sessions[a.Router.Name].down.add(func(b *v1.SchedulerBatch) { b.RevokedSpares = append(b.RevokedSpares, a.Spare) })
 	}
 }
-
-// reset starts the figures anew.
-func (t *trafficRun) reset() {
-	t.requests, t.reports, t.grants, t.spareUses, t.counterBytes = 0, 0, 0, 0, 0
-	t.eachSession(func(s *session) {
-		*s.up.sender, *s.up.receiver, *s.down.sender, *s.down.receiver = traffic{}, traffic{}, traffic{}, traffic{}
-	})
-}
-
-func (t *trafficRun) eachSession(fn func(*session)) {
-	for i, r := range t.routers {
-		for _, holder := range slices.Sorted(maps.Keys(r.sessions)) {
-			if holder != i {
-				fn(r.sessions[holder])
-			}
-		}
-	}
-}
-
-// holders counts the routers that hold a role.
-func (t *trafficRun) holders() int {
-	holders := map[int]bool{}
-	for _, p := range t.pools {
-		holders[p.holder] = true
-	}
-	return len(holders)
-}
-
-func (t *trafficRun) result() Traffic {
-	elapsed := (trafficEnd - trafficStart).Seconds()
-	var entry, hot, others traffic
-	t.eachSession(func(s *session) {
-		both := s.up.sender.plus(*s.down.receiver)
-		entry = entry.plus(both)
-		if s.holder == t.pools[0].holder {
-			hot = hot.plus(both)
-		} else {
-			others = others.plus(both)
-		}
-	})
-	requests := float64(max(t.requests, 1))
-	return Traffic{
-		Entry:      rateOf(entry, elapsed*float64(len(t.routers))),
-		Holder:     rateOf(hot, elapsed),
-		Other:      rateOf(others, elapsed*float64(max(t.holders()-1, 1))),
-		PerRequest: rateOf(entry, requests),
-		Counters:   float64(successors*t.counterBytes) / elapsed,
-		Reports:    float64(t.reports) / requests,
-		Grants:     float64(t.grants) / requests,
-		SpareUses:  float64(t.spareUses) / requests,
-		Requests:   t.requests,
-	}
-}
--- a/internal/measure/trafficentry.go
+++ b/internal/measure/trafficentry.go
@@ -29,7 +29,7 @@
 	demand := &v1.Demand{
 		Seq:       r.seq,
 		Pool:      uint32(p.id),
-		Workspace: uint32(t.workspaceIDs[t.rng.IntN(len(t.workspaceIDs))]),
+		Workspace: uint32(p.workspaces[t.rng.IntN(len(p.workspaces))].ID),
 		WaitMs:    uint32(demandWait.Milliseconds()),
 		Prefix:    t.rng.Uint32(),
 		BodyBytes: uint32(t.rng.IntN(1 << 14)),
