--- a/deal/change.go
+++ b/deal/change.go
@@ -27,32 +27,25 @@
 	holdings := h.holdings()
 	held := sumHeld(holdings)
 	if released(h.reported.Holdings, holdings) >= max(held/releaseParts, 1) {
-		Why["release"]++
 		return true
 	}
 	now, then := totals(h.usage.Backlogs), totals(h.reported.Backlogs)
 	if now.share != then.share && distance(now.share, then.share)*shareParts >= max(now.share, then.share) {
-		Why["share"]++
 		return true
 	}
-	if now.need > held && then.need > held {
-		if 2*then.need < now.need {
-			Why["double"]++
-		}
-		return 2*then.need < now.need
-	}
-	if now.need > held {
-		Why["need>held"]++
-		return true
+	return h.needChanged(now.need, then.need, held)
+}
+
+// needChanged compares the need now and then with the slots that are held.
+func (h *Holder) needChanged(now, then, held int) bool {
+	if now > held {
+		return then <= held || 2*then < now
 	}
 	parts := amplyParts
 	if h.scarce {
 		parts = scarceParts
 	}
-	if distance(now.need, then.need) >= max(held/parts, 1) {
-		Why["need"]++
-	}
-	return distance(now.need, then.need) >= max(held/parts, 1)
+	return distance(now, then) >= max(held/parts, 1)
 }
 
 // released counts the slots that were held or in use and are no longer.
@@ -115,5 +108,3 @@
 	}
 	return time.Time{}, false
 }
-
-var Why = map[string]int{}
--- a/deal/holder.go
+++ b/deal/holder.go
@@ -239,9 +239,6 @@
 	since := h.now.Sub(h.lastReport)
 	due := since >= h.options.Renewal || h.seq < h.firstSeq
 	if !due && since >= h.options.Interval {
-		if h.urgent {
-			Why["urgent"]++
-		}
 		due = h.urgent || h.changed()
 	}
 	if !due {
