--- a/deal/holder.go
+++ b/deal/holder.go
@@ -23,8 +23,9 @@
 
 	targets []pool.Target
 	usage   pool.Usage
-	// usageKnown is set once the scheduler knows the requests in flight.
-	usageKnown bool
+	// settledAt is when the scheduler knows the requests in flight; zero is not
+	// known yet.
+	settledAt time.Time
 	// stale is set from SlotsChanged to the next usage: slots that are no longer
 	// held may have come into use after the last.
 	stale bool
@@ -105,8 +106,10 @@
 		h.changeDealer(e.Dealer)
 	case UsageChanged:
 		h.usage = e.Usage
-		h.usageKnown = true
 		h.stale = false
+		if h.settledAt.IsZero() {
+			h.settledAt = h.now.Add(h.options.Settle)
+		}
 	case Tick:
 	}
 }
@@ -233,7 +236,7 @@
 // report tells the dealer of a change at once, but for Options.Interval, and of
 // the rest each Options.Renewal.
 func (h *Holder) report() {
-	if !h.usageKnown || h.stale || h.dealer == (pool.Router{}) {
+	if !h.settled() || h.stale || h.dealer == (pool.Router{}) {
 		return
 	}
 	since := h.now.Sub(h.lastReport)
@@ -252,6 +255,11 @@
 	h.actions = append(h.actions, h.reported)
 }
 
+// settled tells whether routers had the time to tell their requests in flight.
+func (h *Holder) settled() bool {
+	return !h.settledAt.IsZero() && !h.now.Before(h.settledAt)
+}
+
 func (h *Holder) currentReport() Report {
 	r := Report{
 		Shard: h.shard, Holder: h.self, Seq: h.seq,
--- a/deal/interface.go
+++ b/deal/interface.go
@@ -67,9 +67,9 @@
 // it.
 type DealerChanged struct{ Dealer pool.Router }
 
-// UsageChanged tells the holder what its scheduler uses and wants. It comes
-// only once the routers have told their requests in flight, and soon after each
-// SlotsChanged, up to which the holder sends no Report.
+// UsageChanged tells the holder what its scheduler uses and wants. It comes from
+// the time on at which the first router joined, and soon after each SlotsChanged,
+// up to which the holder sends no Report.
 type UsageChanged struct{ Usage pool.Usage }
 
 // Tick lets time pass. It is due each Options.Interval.
@@ -111,6 +111,8 @@
 	DefaultLease = 4 * time.Second
 	// DefaultReclaim is the default of Options.Reclaim.
 	DefaultReclaim = 8 * time.Second
+	// DefaultSettle is the default of Options.Settle.
+	DefaultSettle = 500 * time.Millisecond
 	// DefaultHorizon is the default of Options.Horizon.
 	DefaultHorizon = 20 * time.Second
 )
@@ -132,6 +134,9 @@
 	// are dealt again, if no other holder of the shard reports before. It must
 	// exceed Lease.
 	Reclaim time.Duration
+	// Settle is the time from a holder's first usage to its first report, in
+	// which routers tell its scheduler their requests in flight.
+	Settle time.Duration
 	// Horizon is the lead of a shard, in time of service at the mean rate, at
 	// which the correction of its weight is largest.
 	Horizon time.Duration
@@ -143,6 +148,7 @@
 	o.Renewal = orDefault(o.Renewal, DefaultRenewal)
 	o.Lease = orDefault(o.Lease, DefaultLease)
 	o.Reclaim = orDefault(o.Reclaim, DefaultReclaim)
+	o.Settle = orDefault(o.Settle, DefaultSettle)
 	o.Horizon = orDefault(o.Horizon, DefaultHorizon)
 	return o
 }
--- a/deal/property_test.go
+++ b/deal/property_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/chiveseam/chiveseam/config"
 )
 
 // settle is longer than a lease, the learning, and a change of all slots.
@@ -94,6 +96,33 @@
 	})
 }
 
+// TestTwoHolders checks that no slot is dealt twice while two routers have the
+// role of a shard.
+func TestTwoHolders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawModel(t)
+		dealer := m.addDealer("dealer", 1)
+		m.point(dealer, m.shards...)
+		m.run(5 * time.Second)
+		first := m.shards[0]
+		second := m.addHolder(first.shard, 2)
+		m.point(dealer, second)
+		m.run(10 * time.Second)
+		m.kill(first)
+		second.takeOver(m.orphans[first.shard])
+		delete(m.orphans, first.shard)
+		m.run(settle)
+		m.checkDealt()
+	})
+}
+
+// takeOver adds the requests in flight of another holder.
+func (s *modelShard) takeOver(busy map[config.ID]int) {
+	for id, n := range busy {
+		s.busy[id] += n
+	}
+}
+
 // TestTwoDealers checks that a slot is held at most once for each dealer, and
 // once more for what runs on from before.
 func TestTwoDealers(t *testing.T) {
