--- a/deal/holder.go
+++ b/deal/holder.go
@@ -146,7 +146,7 @@
 		return
 	}
 	sentAt, ok := h.sent.at(a.Answers)
-	if a.Answers < h.firstSeq || !ok {
+	if !ok {
 		return
 	}
 	end := sentAt.Add(h.options.Lease)
--- a/deal/property_test.go
+++ b/deal/property_test.go
@@ -96,6 +96,27 @@
 	})
 }
 
+// TestHolderStaysLost checks that the slots of a lost holder come back when
+// none follows, and go to a late one again.
+func TestHolderStaysLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, rapid.IntRange(2, 6).Draw(t, "shards"), rapid.IntRange(1, 8).Draw(t, "targets"))
+		dealer := m.addDealer("dealer", 1)
+		m.point(dealer, m.shards...)
+		m.run(5 * time.Second)
+		lost := m.shards[0]
+		m.kill(lost)
+		m.limit = 2 // requests of the lost holder may outlast its lease
+		m.run(DefaultReclaim)
+		m.run(settle)
+		m.limit = 1
+		m.checkDealt()
+		m.point(dealer, m.addHolder(lost.shard, 2))
+		m.run(settle)
+		m.checkDealt()
+	})
+}
+
 // TestTwoHolders checks that no slot is dealt twice while two routers have the
 // role of a shard.
 func TestTwoHolders(t *testing.T) {
