config: divide a pool into shards

Cause: the scheduler of a hot model has 186 KB/s of control traffic, 62 times the limit of a node (docs/CAPACITY.md); one scheduler a region is the only way that the configuration knows.

Change: `shards` of a pool, 0 or 1 as today, at most 128 and at most the pool's slots in each region with targets. config.Shard names a shard; its ID is made from pool, index and count, and is that of the pool if there is one shard. IDs of shards are checked for collisions as those of names are. The questionnaire asks for `shards` of engines and services; left out, there is one.

Ruled out: a number that is derived from the other answers. The traffic of a scheduler follows the requests a second, and neither these nor the time of a request are asked for.

Conclusion: nothing reads the field yet; configurations without it have the same bytes and IDs as before (go test ./config ./questionnaire).

--- a/config/config.go
+++ b/config/config.go
@@ -27,7 +27,7 @@
 // a workspace, a pool or a target in messages between routers.
 type ID uint32
 
-// IDOf returns the ID of name.
+// IDOf returns the ID of name. See Shard.ID for the shards of a pool.
 func IDOf(name string) ID {
 	return ID(xxhash.Sum64String(name))
 }
@@ -48,6 +48,7 @@
 	workspaces        map[ID]*v1.Workspace
 	pools             map[string]*v1.Pool
 	poolsByID         map[ID]*v1.Pool
+	shards            map[ID]Shard
 	targets           map[ID]*v1.Target
 	targetsByPool     map[string][]*v1.Target
 	zones             map[string]*v1.Zone
@@ -92,6 +93,7 @@
 		a.pools[p.Name] = p
 		a.poolsByID[IDOf(p.Name)] = p
 	}
+	a.indexShards()
 	a.targets = map[ID]*v1.Target{}
 	a.targetsByPool = map[string][]*v1.Target{}
 	for _, t := range a.Proto.Targets {
--- a/config/validate_pools.go
+++ b/config/validate_pools.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -27,6 +29,7 @@
 	for i, pool := range v.config.Pools {
 		field := fmt.Sprintf("pools[%d]", i)
 		ids.check(field+".name", pool.Name)
+		v.shards(field+".shards", pool, ids)
 		v.class(field+".class", pool.Class)
 		inRange(v, field+".initial_cost", pool.InitialCost, MinInitialCost, MaxInitialCost)
 		switch pool.Kind {
@@ -40,6 +43,41 @@
 	}
 }
 
+// shards checks the number of shards of a pool. Each shard needs a slot to begin
+// with in each region that has targets.
+func (v *validator) shards(field string, pool *v1.Pool, ids *uniqueIDs) {
+	if pool.Shards <= 1 {
+		return
+	}
+	if pool.Shards > MaxShards {
+		v.fail(field, pool.Shards, fmt.Sprintf("0 to %d", MaxShards))
+		return
+	}
+	if slots, region := v.leastSlots(pool.Name); uint64(pool.Shards) > slots {
+		v.fail(field, pool.Shards, fmt.Sprintf("at most the %d slots of the pool in region %q", slots, region))
+	}
+	for _, shard := range ShardsOf(pool) {
+		ids.checkID(field, shard.String())
+	}
+}
+
+// leastSlots returns the least number of slots that the pool has in one of the
+// regions in which it has targets, and that region.
+func (v *validator) leastSlots(pool string) (slots uint64, region string) {
+	sums := map[string]uint64{}
+	for _, target := range v.config.Targets {
+		if target.GetPool() == pool {
+			sums[v.zonesByName[target.GetZone()].GetRegion()] += uint64(target.GetSlots())
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(sums)) {
+		if region == "" || sums[name] < slots {
+			slots, region = sums[name], name
+		}
+	}
+	return slots, region
+}
+
 func (v *validator) enginePool(field string, pool *v1.Pool) {
 	inRange(v, field+".input_weight", pool.InputWeight, 0, MaxWeight)
 	inRange(v, field+".output_weight", pool.OutputWeight, 1, MaxWeight)
--- a/config/validate_test.go
+++ b/config/validate_test.go
@@ -65,6 +65,8 @@
 			c.Pools[0].Model = &v1.ModelState{Version: "1", Adapters: []string{"a", "a"}}
 		}},
 		{"pools[1].model", func(c *v1.Configuration) { c.Pools[1].Model = &v1.ModelState{Version: "1"} }},
+		{"pools[0].shards", func(c *v1.Configuration) { c.Pools[0].Shards = config.MaxShards + 1 }},
+		{"pools[1].shards", func(c *v1.Configuration) { c.Pools[1].Shards = 3 }}, // of two slots
 		{"pools[1].initial_cost", func(c *v1.Configuration) { c.Pools[1].InitialCost = 0 }},
 		{"pools[1].input_weight", func(c *v1.Configuration) { c.Pools[1].InputWeight = 1 }},
 		{"pools[1].rules[0].method", func(c *v1.Configuration) { c.Pools[1].Rules[0].Method = "FETCH" }},
@@ -140,6 +142,46 @@
 	}
 }
 
+// TestShardsHaveIDsOfTheirOwn finds each shard by its ID; the one shard of a
+// pool has that of the pool.
+func TestShardsHaveIDsOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	c := configtest.Valid()
+	c.Pools[0].Shards = 3
+	payload, err := proto.Marshal(c)
+	is.NoErr(err)
+	accepted, err := config.Accept(1, payload)
+	is.NoErr(err)
+	ids := map[config.ID]bool{}
+	for i := range 3 {
+		want := config.Shard{Pool: configtest.EnginePool, Index: i, Count: 3}
+		got, ok := accepted.ShardByID(want.ID())
+		is.True(ok)
+		is.Equal(got, want)
+		ids[want.ID()] = true
+	}
+	is.Equal(len(ids), 3)
+	_, ok := accepted.ShardByID(config.IDOf(configtest.EnginePool))
+	is.True(!ok) // it stands for the undivided pool
+	whole, ok := accepted.ShardByID(config.IDOf(configtest.ServicePool))
+	is.True(ok)
+	is.Equal(whole, config.Shard{Pool: configtest.ServicePool, Count: 1})
+}
+
+func TestShardNeedsASlotInEachRegion(t *testing.T) {
+	is := is.New(t)
+	c := configtest.Valid()
+	c.Pools[0].Shards = 4
+	is.Equal(config.Validate(c), nil)
+	c.Zones = append(c.Zones, &v1.Zone{Name: "zone-s", Region: "south"})
+	far := proto.CloneOf(c.Targets[0])
+	far.Name, far.Zone, far.Address, far.Slots = "engine-2", "zone-s", "127.0.0.1:7101", 3
+	c.Targets = append(c.Targets, far)
+	errs := config.Validate(c)
+	is.Equal(len(errs), 1)
+	is.Equal(errs[0].Allowed, `at most the 3 slots of the pool in region "south"`)
+}
+
 func TestLoadsNeedPacing(t *testing.T) {
 	is := is.New(t)
 	c := configtest.Valid()
--- a/config/validate_values.go
+++ b/config/validate_values.go
@@ -19,6 +19,9 @@
 
 	MaxSpeedPercent = 100_000
 
+	// MaxShards bounds the schedulers of a pool in a region.
+	MaxShards = 128
+
 	MaxWeight      = 1_000
 	MinInitialCost = 1
 	MaxInitialCost = 1_000_000_000
@@ -156,6 +159,11 @@
 
 func (u *uniqueIDs) check(field, name string) {
 	u.uniqueNames.check(field, name)
+	u.checkID(field, name)
+}
+
+// checkID checks the ID alone, for names that are made from others.
+func (u *uniqueIDs) checkID(field, name string) {
 	id := IDOf(name)
 	if other, taken := u.nameOfID[id]; taken && other != name {
 		u.v.fail(field, name, fmt.Sprintf("a name whose ID %08x differs from that of %q", uint32(id), other))
--- a/questionnaire/pools.go
+++ b/questionnaire/pools.go
@@ -12,8 +12,8 @@
 
 // Fields of pools.
 var (
-	engineFields  = []string{"name", "deadline", "cost", "model", "targets"}
-	serviceFields = []string{"name", "deadline", "cost", "calls", "targets"}
+	engineFields  = []string{"name", "deadline", "cost", "model", "shards", "targets"}
+	serviceFields = []string{"name", "deadline", "cost", "calls", "shards", "targets"}
 	engineCost    = []string{"input_token", "output_token", "first_estimate"}
 	serviceCost   = []string{"first_estimate"}
 	modelFields   = []string{"version", "adapters", "weights"}
@@ -42,6 +42,7 @@
 		InputWeight:  cost.number("input_token"),
 		OutputWeight: cost.number("output_token"),
 		InitialCost:  cost.number("first_estimate"),
+		Shards:       s.number("shards"),
 	}
 	field := b.addPool(s, pool)
 	if model, ok := s.section("model", modelFields); ok {
@@ -62,6 +63,7 @@
 		Kind:        v1.PoolKind_SERVICE,
 		Class:       s.text("deadline"),
 		InitialCost: cost.number("first_estimate"),
+		Shards:      s.number("shards"),
 	}
 	field := b.addPool(s, pool)
 	for i, call := range s.list("calls", callFields) {
--- a/questionnaire/questionnaire_test.go
+++ b/questionnaire/questionnaire_test.go
@@ -78,6 +78,7 @@
 		{"127.0.0.1:7103", "engine-3:80", Error{Field: "engines[0].targets[2].first_address", Value: "engine-3:80"}},
 		{"resumes: false", "resumes: maybe", Error{Field: "engines[0].targets[1].resumes", Value: "maybe", Allowed: allowedFlag}},
 		{"output_token: 4", "output_token: 0", Error{Field: "engines[0].cost.output_token", Value: "0", Allowed: "1 to 1000"}},
+		{"model: {version: \"2026-11\"", "shards: 1000\n    model: {version: \"2026-11\"", Error{Field: "engines[0].shards", Value: "1000", Allowed: "0 to 128"}},
 		{"queue: {requests: 200", "queue: {requests: 0", Error{Field: "queue.requests", Value: "0", Allowed: "1 to 1000000"}},
 		{"data_centre: dc-2\n", "data_centre: dc-3\n", Error{Field: "workspaces[13].data_centre", Value: "dc-3"}},
 		{"token_digest: ", "token_digest: 00", Error{Field: "workspaces[0].token_digest[0]", Allowed: "a SHA-256 digest of 32 bytes"}},
