--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -65,7 +65,7 @@
 			Router: "r1", Zone: "zone-a", ConfigRevision: 6, Ready: true, Peers: []string{"r2"}, OpenRequests: 3,
 			Pools: []*v1.PoolStatus{{Pool: "desk", Region: "north", Queued: 4, Granted: 9, Refused: 1, SpareSlots: 2, Targets: []*v1.TargetStatus{
 				{Target: "desk-1", Slots: 8, Busy: 5}, {Target: "desk-2", Slots: 4, Down: true, Leaving: true},
-			}}},
+			}}, {Pool: "model", Shard: 1, Shards: 2, Queued: 1}},
 			Results: []*v1.CodeCount{{Code: 100, Name: "OK", Count: 8}, {Code: 300, Name: "QUEUE_FULL", Count: 1}},
 		},
 	}
@@ -75,8 +75,9 @@
 r1      zone-a  ready     6         -         -           1      3     0s
 r2      zone-b  stopping  6         01234567  7: targets  0      0     1m1s
 
-POOL  REGION  SCHEDULER  QUEUED  BUSY  SLOTS  SPARE  GRANTED  REFUSED
-desk  north   r1         4       5     12     2      9        1
+POOL       REGION  SCHEDULER  QUEUED  BUSY  SLOTS  SPARE  GRANTED  REFUSED
+desk       north   r1         4       5     12     2      9        1
+model/1/2  -       r1         1       0     0      0      0        0
 
 TARGET  POOL  SCHEDULER  BUSY  SLOTS  STATE
 desk-1  desk  r1         5     8      up
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/chiveseam/chiveseam/config"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
@@ -100,8 +101,13 @@
 	scheduler string
 }
 
-// poolsOf returns the pools by name, region and scheduler. A pool is listed
-// once for each router that believes it schedules it.
+// name returns the pool's name, with the shard if there are several.
+func (p scheduledPool) name() string {
+	return config.Shard{Pool: p.Pool, Index: int(p.Shard), Count: int(p.Shards)}.String()
+}
+
+// poolsOf returns the shards of the pools by name, region, index and scheduler.
+// A shard is listed once for each router that believes it schedules it.
 func poolsOf(fleet Fleet) []scheduledPool {
 	var pools []scheduledPool
 	for _, r := range fleet.Routers {
@@ -110,7 +116,8 @@
 		}
 	}
 	slices.SortStableFunc(pools, func(a, b scheduledPool) int {
-		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Region, b.Region), cmp.Compare(a.scheduler, b.scheduler))
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Region, b.Region),
+			cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.scheduler, b.scheduler))
 	})
 	return pools
 }
@@ -124,7 +131,7 @@
 			busy += uint64(target.Busy)
 			slots += uint64(target.Slots)
 		}
-		t.row(p.Pool, orDash(p.Region), p.scheduler, p.Queued, busy, slots, p.SpareSlots, p.Granted, p.Refused)
+		t.row(p.name(), orDash(p.Region), p.scheduler, p.Queued, busy, slots, p.SpareSlots, p.Granted, p.Refused)
 	}
 	t.Flush()
 }
@@ -134,7 +141,7 @@
 	t := newTable(w, "TARGET", "POOL", "SCHEDULER", "BUSY", "SLOTS", "STATE")
 	for _, p := range poolsOf(fleet) {
 		for _, target := range p.Targets {
-			t.row(target.Target, p.Pool, p.scheduler, target.Busy, target.Slots, targetState(target))
+			t.row(target.Target, p.name(), p.scheduler, target.Busy, target.Slots, targetState(target))
 		}
 	}
 	t.Flush()
--- a/pool/status.go
+++ b/pool/status.go
@@ -27,7 +27,8 @@
 
 // TargetStatus is the use of one target.
 type TargetStatus struct {
-	ID    config.ID
+	ID config.ID
+	// Slots is the number that the scheduler may use.
 	Slots int
 	Busy  int
 	// Spare counts the slots that are handed out ahead.
@@ -51,7 +52,7 @@
 	for _, t := range s.sortedTargets() {
 		status.Targets = append(status.Targets, TargetStatus{
 			ID:      t.ID,
-			Slots:   t.Slots,
+			Slots:   t.usable,
 			Busy:    t.busy,
 			Spare:   t.spares,
 			Down:    t.breaker.State(s.now) == breaker.Open,
--- a/router/internal/broker/answer.go
+++ b/router/internal/broker/answer.go
@@ -31,10 +31,10 @@
 	}
 }
 
-// mergeCounters keeps the counters that the scheduler of a pool has sent, for
+// mergeCounters keeps the counters that the scheduler of a shard has sent, for
 // a scheduler that starts without memory.
 func (b *Broker) mergeCounters(message *v1.PoolCounters) {
-	pool := config.ID(message.Pool)
+	pool := b.poolOf(config.ID(message.Pool))
 	if b.counters[pool] == nil {
 		b.counters[pool] = map[config.ID]*v1.Counter{}
 	}
@@ -43,6 +43,19 @@
 	}
 }
 
+// poolOf returns the ID of the pool that the shard with the ID is a part of.
+func (b *Broker) poolOf(id config.ID) config.ID {
+	accepted := b.store.Config()
+	if accepted == nil {
+		return id
+	}
+	shard, ok := accepted.ShardByID(id)
+	if !ok {
+		return id
+	}
+	return config.IDOf(shard.Pool)
+}
+
 // granted accepts the first grant of a demand. A slot that was granted a
 // second time, or to a demand that is gone, is given back at once.
 func (b *Broker) granted(l *link, g *v1.Grant) {
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -93,25 +93,23 @@
 	requests map[uint64]*request
 	links    map[string]*link
 	avoid    map[string]time.Time
-	spares   map[poolKey][]spare
-	// counters holds the last counters seen, by pool and workspace.
+	spares   map[shardKey][]spare
+	// counters holds the last counters seen, by the ID of the pool and by
+	// workspace.
 	counters map[config.ID]map[config.ID]*v1.Counter
 	// dropped holds links to earlier incarnations, whose requests are to be
 	// moved.
 	dropped []*link
 }
 
-type poolKey struct {
-	pool   string
-	region string
-}
-
 // request is a demand until its slot is given back.
 type request struct {
 	seq    uint64
 	demand Demand
 	// home is the region that the demand was first sent to.
-	home    string
+	home string
+	// key is the role to which the demand was sent.
+	key     shardKey
 	reply   chan reply
 	link    *link
 	granted bool
@@ -135,7 +133,7 @@
 		requests: map[uint64]*request{},
 		links:    map[string]*link{},
 		avoid:    map[string]time.Time{},
-		spares:   map[poolKey][]spare{},
+		spares:   map[shardKey][]spare{},
 		counters: map[config.ID]map[config.ID]*v1.Counter{},
 	}
 	return b
@@ -195,36 +193,6 @@
 	return result.New(v1.Code_STOPPING, v1.Ran_NO, "the router is stopping")
 }
 
-// WaitKey names a workspace's queue in a pool.
-type WaitKey struct {
-	Pool      string
-	Workspace config.ID
-}
-
-// Waiting counts the router's own waiting demands.
-func (b *Broker) Waiting() map[WaitKey]int {
-	result := make(chan map[WaitKey]int, 1)
-	if !b.post(inspectInput{func() { result <- b.countWaiting() }}) {
-		return nil
-	}
-	select {
-	case counts := <-result:
-		return counts
-	case <-b.t.Dying():
-		return nil
-	}
-}
-
-func (b *Broker) countWaiting() map[WaitKey]int {
-	counts := map[WaitKey]int{}
-	for _, r := range b.requests {
-		if !r.granted {
-			counts[WaitKey{r.demand.Pool, r.demand.Workspace}]++
-		}
-	}
-	return counts
-}
-
 // Run is the broker's duty. It returns when the tomb dies.
 func (b *Broker) Run() error {
 	changes := b.store.Subscribe()
@@ -338,48 +306,6 @@
 	r.reply <- reply{err: why}
 }
 
-// sweep ends demands whose deadline passed without a word of the scheduler,
-// returns spare slots that expired, and closes idle links.
-func (b *Broker) sweep(now time.Time) {
-	for _, r := range b.requests {
-		if !r.granted && now.After(r.demand.Deadline.Add(answerGrace)) {
-			r.link.batch.Cancels = append(r.link.batch.Cancels, r.seq)
-			b.refuse(r, result.New(v1.Code_DEADLINE_EXCEEDED, v1.Ran_NO, "no slot was granted in time"))
-		}
-	}
-	b.tellWaiting()
-	b.dropExpiredSpares(now)
-	b.closeIdleLinks(now)
-	b.endAvoidance(now)
-}
-
-// tellWaiting tells each link whether demands wait on it.
-func (b *Broker) tellWaiting() {
-	waiting := map[*link]bool{}
-	for _, r := range b.requests {
-		if !r.granted {
-			waiting[r.link] = true
-		}
-	}
-	for _, l := range b.links {
-		l.conn.SetWaiting(waiting[l])
-	}
-}
-
-// endAvoidance lets roles move back to routers that were passed over.
-func (b *Broker) endAvoidance(now time.Time) {
-	ended := false
-	for name, until := range b.avoid {
-		if now.After(until) {
-			delete(b.avoid, name)
-			ended = true
-		}
-	}
-	if ended {
-		b.replace(now)
-	}
-}
-
 func (b *Broker) logLink(l *link, event string, err error) {
 	level.Info(b.logger).Log("event", event, "scheduler", l.member.Name, "error", err)
 }
--- a/router/internal/broker/broker_test.go
+++ b/router/internal/broker/broker_test.go
@@ -191,7 +191,7 @@
 	r := f.acquire(time.Minute)
 	first := r.seq
 	f.sent("a")
-	f.movePool(poolKey{pool, home}, time.Now())
+	f.moveShard(shardKey{config.Shard{Pool: pool, Count: 1}, home}, time.Now())
 	f.flush()
 	again := f.sent("a")
 	is.Equal(seqs(again.Demands), []uint64{r.seq})
--- a/router/internal/broker/fixture_test.go
+++ b/router/internal/broker/fixture_test.go
@@ -80,15 +80,7 @@
 	t.Helper()
 	self := member("self", home, 1)
 	store := state.NewStore(self)
-	payload, err := proto.Marshal(configtest.Valid())
-	if err != nil {
-		t.Fatal(err)
-	}
-	accepted, err := config.Accept(1, payload)
-	if err != nil {
-		t.Fatal(err)
-	}
-	store.SetConfig(accepted)
+	store.SetConfig(configuration(t, 1))
 	dialer := &fakeDialer{}
 	f := &fixture{
 		Broker: New(&tomb.Tomb{}, store, dialer, log.NewNopLogger()),
@@ -99,6 +91,29 @@
 	return f
 }
 
+// configuration returns one that divides the pool into shards.
+func configuration(t rapid.TB, shards uint32) *config.Accepted {
+	t.Helper()
+	c := configtest.Valid()
+	c.Pools[0].Shards = shards
+	payload, err := proto.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := config.Accept(1, payload)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return accepted
+}
+
+// setShards divides the pool and lets the broker know.
+func (f *fixture) setShards(t rapid.TB, shards uint32) {
+	f.store.SetConfig(configuration(t, shards))
+	f.replace(time.Now())
+	f.flush()
+}
+
 // setFleet changes the reachable routers and lets the broker know.
 func (f *fixture) setFleet(members ...state.Member) {
 	f.store.SetFleet(&state.Fleet{Self: f.self, Reachable: members})
@@ -113,9 +128,13 @@
 
 // acquire sends a demand from the router's own region.
 func (f *fixture) acquire(wait time.Duration) *request {
+	return f.acquireFor("small", wait)
+}
+
+func (f *fixture) acquireFor(workspace string, wait time.Duration) *request {
 	r := &request{
 		demand: Demand{
-			Pool: pool, Region: home, Workspace: config.IDOf("small"), Deadline: time.Now().Add(wait),
+			Pool: pool, Region: home, Workspace: config.IDOf(workspace), Deadline: time.Now().Add(wait),
 		},
 		home:  home,
 		reply: make(chan reply, 2),
--- a/router/internal/broker/link.go
+++ b/router/internal/broker/link.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/deal"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/router/internal/state"
 )
@@ -16,8 +17,13 @@
 	conn     Link
 	batch    *v1.EntryBatch
 	lastUsed time.Time
-	// greeted holds the pools whose hello was sent.
-	greeted map[string]bool
+	// greeted holds the shards whose hello was sent, by ID.
+	greeted map[config.ID]config.Shard
+}
+
+// leadsTo reports whether the link is to the incarnation of the member.
+func (l *link) leadsTo(member state.Member) bool {
+	return l.member.Name == member.Name && l.member.Incarnation == member.Incarnation
 }
 
 // linkReceiver posts what arrives on a link to the loop.
@@ -34,26 +40,27 @@
 	r.broker.post(closedInput{r.link, err})
 }
 
-// linkFor returns the link to the pool's scheduler, opening it if needed. It
+// linkFor returns the link to the shard's scheduler, opening it if needed. It
 // returns nil if no router of the region can be reached.
-func (b *Broker) linkFor(key poolKey, now time.Time) *link {
+func (b *Broker) linkFor(key shardKey, now time.Time) *link {
 	member, ok := b.schedulerOf(key, now)
 	if !ok {
 		return nil
 	}
 	l := b.links[member.Name]
-	if l != nil && l.member.Incarnation != member.Incarnation {
+	if l != nil && !l.leadsTo(member) {
 		b.dropLink(l)
 		b.dropped = append(b.dropped, l)
 		l = nil
 	}
 	if l == nil {
-		l = &link{member: member, batch: &v1.EntryBatch{}, greeted: map[string]bool{}, lastUsed: now}
+		l = &link{member: member, batch: &v1.EntryBatch{}, greeted: map[config.ID]config.Shard{}, lastUsed: now}
 		b.links[member.Name] = l
 		l.conn = b.dialer.Open(member, linkReceiver{b, l})
 	}
-	if !l.greeted[key.pool] {
-		l.greeted[key.pool] = true
+	id := key.shard.ID()
+	if _, ok := l.greeted[id]; !ok {
+		l.greeted[id] = key.shard
 		b.greet(l, key)
 	}
 	return l
@@ -61,9 +68,9 @@
 
 // schedulerOf returns the first ranked router that is not avoided, or the
 // first one when all are.
-func (b *Broker) schedulerOf(key poolKey, now time.Time) (state.Member, bool) {
+func (b *Broker) schedulerOf(key shardKey, now time.Time) (state.Member, bool) {
 	const candidates = 3
-	ranked := b.store.Fleet().SchedulersOf(key.pool, key.region, candidates)
+	ranked := b.store.Fleet().SchedulersOf(key.shard, key.region, candidates)
 	if len(ranked) == 0 {
 		return state.Member{}, false
 	}
@@ -75,21 +82,21 @@
 	return ranked[0], true
 }
 
-// greet adds the router's state of the pool to the link's next batch: the
+// greet adds the router's state of the shard to the link's next batch: the
 // slots in use and, for the scheduler of its own region, the last counters
 // seen.
-func (b *Broker) greet(l *link, key poolKey) {
+func (b *Broker) greet(l *link, key shardKey) {
 	if l.batch.Hello == nil {
 		self := b.store.Fleet().Self
 		l.batch.Hello = &v1.Hello{Router: self.Name, Incarnation: self.Incarnation, Zone: self.Zone}
 	}
-	id := config.IDOf(key.pool)
-	for _, r := range b.requests {
-		if !r.granted || r.demand.Pool != key.pool || r.demand.Region != key.region {
+	hello, id := l.batch.Hello, key.shard.ID()
+	for _, r := range b.requestsIn(key) {
+		if !r.granted {
 			continue
 		}
 		r.link = l
-		l.batch.Hello.InFlight = append(l.batch.Hello.InFlight, &v1.InFlight{
+		hello.InFlight = append(hello.InFlight, &v1.InFlight{
 			Seq:       r.seq,
 			Pool:      uint32(id),
 			Workspace: uint32(r.demand.Workspace),
@@ -97,13 +104,30 @@
 			Charged:   r.charged,
 		})
 	}
-	counters := &v1.PoolCounters{Pool: uint32(id)}
-	if key.region == b.store.Fleet().Self.Region {
-		for _, c := range b.counters[id] {
-			counters.Counters = append(counters.Counters, c)
+	hello.Counters = append(hello.Counters, &v1.PoolCounters{Pool: uint32(id), Counters: b.countersFor(key)})
+	if key.shard.Count > 1 {
+		hello.Shards = append(hello.Shards, &v1.Shard{
+			Id:    uint32(id),
+			Pool:  uint32(config.IDOf(key.shard.Pool)),
+			Index: uint32(key.shard.Index),
+			Count: uint32(key.shard.Count),
+		})
+	}
+}
+
+// countersFor returns the last counters seen of the shard's workspaces. They
+// are those of the router's own region.
+func (b *Broker) countersFor(key shardKey) []*v1.Counter {
+	if key.region != b.store.Fleet().Self.Region {
+		return nil
+	}
+	var list []*v1.Counter
+	for workspace, c := range b.counters[config.IDOf(key.shard.Pool)] {
+		if deal.ShardOf(workspace, key.shard.Count) == key.shard.Index {
+			list = append(list, c)
 		}
 	}
-	l.batch.Hello.Counters = append(l.batch.Hello.Counters, counters)
+	return list
 }
 
 // linkClosed drops a link and places its waiting demands anew.
@@ -118,16 +142,16 @@
 	b.moveFrom(l, now)
 }
 
-// moveFrom moves the pools that a dropped link served.
+// moveFrom moves the shards that a dropped link served.
 func (b *Broker) moveFrom(l *link, now time.Time) {
-	keys := map[poolKey]bool{}
+	keys := map[shardKey]bool{}
 	for _, r := range b.requests {
 		if r.link == l {
-			keys[poolKey{r.demand.Pool, r.demand.Region}] = true
+			keys[r.key] = true
 		}
 	}
 	for key := range keys {
-		b.movePool(key, now)
+		b.moveShard(key, now)
 	}
 }
 
@@ -140,7 +164,7 @@
 	}
 }
 
-// dropLink forgets a link and the spare slots that came over it. The pools of
+// dropLink forgets a link and the spare slots that came over it. The shards of
 // requests that use it must be moved.
 func (b *Broker) dropLink(l *link) {
 	delete(b.links, l.member.Name)
@@ -148,76 +172,6 @@
 	l.conn.Close()
 }
 
-// replace moves the pools whose scheduler role moved.
-func (b *Broker) replace(now time.Time) {
-	moved := map[poolKey]bool{}
-	for _, r := range b.requests {
-		key := poolKey{r.demand.Pool, r.demand.Region}
-		member, ok := b.schedulerOf(key, now)
-		if ok && (member.Name != r.link.member.Name || member.Incarnation != r.link.member.Incarnation) {
-			moved[key] = true
-		}
-	}
-	for key := range moved {
-		b.movePool(key, now)
-	}
-}
-
-// movePool sends all that is outstanding in a pool to its present scheduler.
-// An earlier scheduler is told that the demands are withdrawn and the grants
-// ended, so that it frees the slots. Demands are sent under new sequence
-// numbers: a grant that is on its way was void once the hello or the
-// withdrawal arrived, and must not be taken for that of the new demand.
-func (b *Broker) movePool(key poolKey, now time.Time) {
-	outstanding := b.requestsIn(key)
-	previous := make([]*link, len(outstanding))
-	for i, r := range outstanding {
-		previous[i] = r.link
-	}
-	b.ungreet(key)
-	b.dropSparesOfPool(key)
-	present := b.linkFor(key, now)
-	for i, r := range outstanding {
-		switch {
-		case !r.granted:
-			b.withdrawFrom(previous[i], r)
-			b.number(r)
-			b.place(r, now)
-		case present != nil && previous[i] != present:
-			b.withdrawFrom(previous[i], r)
-		}
-	}
-}
-
-// ungreet makes the next use of the pool in the region send a hello. It leaves
-// the schedulers of other regions alone: they would drop what waits there.
-func (b *Broker) ungreet(key poolKey) {
-	for _, l := range b.links {
-		if l.member.Region == key.region {
-			delete(l.greeted, key.pool)
-		}
-	}
-}
-
-// withdrawFrom ends a request at a scheduler that no longer schedules it.
-func (b *Broker) withdrawFrom(l *link, r *request) {
-	if r.granted {
-		l.batch.Done = append(l.batch.Done, &v1.Done{Seq: r.seq, Cost: r.charged, Outcome: v1.Outcome_ABANDONED})
-		return
-	}
-	l.batch.Cancels = append(l.batch.Cancels, r.seq)
-}
-
-func (b *Broker) requestsIn(key poolKey) []*request {
-	var list []*request
-	for _, r := range b.requests {
-		if r.demand.Pool == key.pool && r.demand.Region == key.region {
-			list = append(list, r)
-		}
-	}
-	return list
-}
-
 func (b *Broker) hasRequests(l *link) bool {
 	for _, r := range b.requests {
 		if r.link == l {
--- a/router/internal/broker/place.go
+++ b/router/internal/broker/place.go
@@ -9,10 +9,11 @@
 	"github.com/chiveseam/chiveseam/result"
 )
 
-// place sends a waiting demand to the scheduler of its pool, or starts it on a
+// place sends a waiting demand to the scheduler of its shard, or starts it on a
 // spare slot.
 func (b *Broker) place(r *request, now time.Time) {
-	l := b.linkFor(poolKey{r.demand.Pool, r.demand.Region}, now)
+	r.key = b.keyOf(r.demand)
+	l := b.linkFor(r.key, now)
 	if l == nil && r.away() {
 		b.returnHome(r, now)
 		return
@@ -33,7 +34,7 @@
 	wait := max(r.demand.Deadline.Sub(now), 0)
 	d := &v1.Demand{
 		Seq:       r.seq,
-		Pool:      uint32(config.IDOf(r.demand.Pool)),
+		Pool:      uint32(r.key.shard.ID()),
 		Workspace: uint32(r.demand.Workspace),
 		Estimate:  r.demand.Estimate,
 		WaitMs:    uint32(wait.Milliseconds()),
@@ -92,12 +93,12 @@
 
 // tellFreed tells the scheduler that moved the demand that its slot is free.
 func (b *Broker) tellFreed(r *request) {
-	home := b.linkFor(poolKey{r.demand.Pool, r.home}, time.Now())
+	home := b.linkFor(shardKey{r.key.shard, r.home}, time.Now())
 	if home == nil {
 		return
 	}
 	home.batch.Freed = append(home.batch.Freed, &v1.FreedSlot{
-		Pool:   uint32(config.IDOf(r.demand.Pool)),
+		Pool:   uint32(r.key.shard.ID()),
 		Region: r.demand.Region,
 	})
 }
--- a/router/internal/broker/property_test.go
+++ b/router/internal/broker/property_test.go
@@ -15,13 +15,33 @@
 )
 
 // modelScheduler is the scheduler's end of one link: it follows the protocol
-// and decides at random. Batches arrive in order and late.
+// and decides at random. Batches arrive in order and late. The keys of its maps
+// that are no sequence numbers are the IDs of shards.
 type modelScheduler struct {
 	link    *fakeLink
-	waiting map[uint64]bool
-	busy    map[uint64]config.ID
-	spares  map[uint64]config.ID
-	out     []*v1.SchedulerBatch
+	waiting map[uint64]uint32
+	busy    map[uint64]running
+	// spares holds the shards of the spare slots.
+	spares map[uint64]uint32
+	out    []*v1.SchedulerBatch
+	// greeted holds the shards that the router has joined.
+	greeted map[uint32]bool
+}
+
+// running is a slot in use.
+type running struct {
+	shard  uint32
+	target config.ID
+}
+
+func newModelScheduler(l *fakeLink) *modelScheduler {
+	return &modelScheduler{
+		link:    l,
+		waiting: map[uint64]uint32{},
+		busy:    map[uint64]running{},
+		spares:  map[uint64]uint32{},
+		greeted: map[uint32]bool{},
+	}
 }
 
 // read handles the oldest batch that the broker sent.
@@ -32,16 +52,14 @@
 		s.hello(batch.Hello)
 	}
 	for _, use := range batch.SpareUses {
-		if target, ok := s.spares[use.Spare]; ok {
-			delete(s.spares, use.Spare)
-			s.busy[use.Demand.Seq] = target
-		} else {
-			// The target of an unknown spare is part of its number.
-			s.busy[use.Demand.Seq] = config.ID(use.Spare >> 32)
+		delete(s.spares, use.Spare)
+		if b, ok := s.busy[use.Demand.Seq]; !ok || b.shard == use.Demand.Pool {
+			// The target of a spare is part of its number.
+			s.busy[use.Demand.Seq] = running{use.Demand.Pool, config.ID(use.Spare >> 32)}
 		}
 	}
 	for _, d := range batch.Demands {
-		s.waiting[d.Seq] = true
+		s.waiting[d.Seq] = d.Pool
 	}
 	for _, seq := range batch.Cancels {
 		s.end(seq)
@@ -54,16 +72,16 @@
 	}
 }
 
-// hello rebuilds the state of a pool as pool.RouterJoined does.
+// hello rebuilds the state of shards as pool.RouterJoined does.
 func (s *modelScheduler) hello(hello *v1.Hello) {
-	if len(hello.Counters) == 0 {
-		return
+	for _, c := range hello.Counters {
+		s.greeted[c.Pool] = true
+		maps.DeleteFunc(s.waiting, func(_ uint64, shard uint32) bool { return shard == c.Pool })
+		maps.DeleteFunc(s.busy, func(_ uint64, r running) bool { return r.shard == c.Pool })
+		maps.DeleteFunc(s.spares, func(_ uint64, shard uint32) bool { return shard == c.Pool })
 	}
-	clear(s.waiting)
-	clear(s.busy)
-	clear(s.spares)
 	for _, f := range hello.InFlight {
-		s.busy[f.Seq] = config.ID(f.Target)
+		s.busy[f.Seq] = running{f.Pool, config.ID(f.Target)}
 	}
 }
 
@@ -108,9 +126,7 @@
 func (m *brokerModel) sync() {
 	for _, l := range m.dialer.links {
 		if m.schedulers[l] == nil {
-			m.schedulers[l] = &modelScheduler{
-				link: l, waiting: map[uint64]bool{}, busy: map[uint64]config.ID{}, spares: map[uint64]config.ID{},
-			}
+			m.schedulers[l] = newModelScheduler(l)
 		}
 	}
 	for _, r := range m.requests {
@@ -141,15 +157,11 @@
 	waiting := slices.Sorted(maps.Keys(s.waiting))
 	target := config.ID(100 + rapid.IntRange(0, 3).Draw(m.t, "target"))
 	if len(waiting) == 0 {
-		m.nextSpare++
-		id := uint64(target)<<32 | m.nextSpare
-		s.spares[id] = target
-		spare := spareBatch(id, time.Minute)
-		spare.Spares[0].Target = uint32(target)
-		s.out = append(s.out, spare)
+		m.handSpare(s, target)
 		return
 	}
 	seq := rapid.SampledFrom(waiting).Draw(m.t, "seq")
+	shard := s.waiting[seq]
 	delete(s.waiting, seq)
 	switch rapid.IntRange(0, 4).Draw(m.t, "decision") {
 	case 0:
@@ -157,12 +169,27 @@
 	case 1:
 		batch.Refusals = []*v1.Refusal{moveTo(seq, remote)}
 	default:
-		s.busy[seq] = target
+		s.busy[seq] = running{shard, target}
 		batch.Grants = []*v1.Grant{{Seq: seq, Target: uint32(target)}}
 	}
 	s.out = append(s.out, batch)
 }
 
+// handSpare hands out a spare slot of a shard that the router has joined.
+func (m *brokerModel) handSpare(s *modelScheduler, target config.ID) {
+	greeted := slices.Sorted(maps.Keys(s.greeted))
+	if len(greeted) == 0 {
+		return
+	}
+	m.nextSpare++
+	id := uint64(target)<<32 | m.nextSpare
+	shard := rapid.SampledFrom(greeted).Draw(m.t, "shard")
+	s.spares[id] = shard
+	spare := spareBatch(id, time.Minute)
+	spare.Spares[0].Target, spare.Spares[0].Pool = uint32(target), shard
+	s.out = append(s.out, spare)
+}
+
 // deliver hands the oldest answer of a scheduler to the broker.
 func (m *brokerModel) deliver(s *modelScheduler) {
 	batch := s.out[0]
@@ -173,11 +200,15 @@
 	}
 }
 
+// workspaces are of different shards.
+var workspaces = []string{"small", "large", "w1", "w2", "w3"}
+
 // step draws one event.
 func (m *brokerModel) step() {
-	switch rapid.IntRange(0, 9).Draw(m.t, "event") {
+	switch rapid.IntRange(0, 10).Draw(m.t, "event") {
 	case 0, 1:
-		m.requests = append(m.requests, m.acquire(time.Hour))
+		workspace := rapid.SampledFrom(workspaces).Draw(m.t, "workspace")
+		m.requests = append(m.requests, m.acquireFor(workspace, time.Hour))
 	case 2, 3, 4, 5:
 		m.talk()
 	case 6:
@@ -188,6 +219,8 @@
 		m.changeFleet()
 	case 9:
 		m.disturbLink()
+	case 10:
+		m.setShards(m.t, rapid.Uint32Range(1, 3).Draw(m.t, "shards"))
 	}
 	m.sync()
 }
@@ -262,7 +295,7 @@
 		return
 	}
 	if m.chance(50, "again") {
-		m.movePool(poolKey{pool, home}, time.Now())
+		m.moveShard(m.keyOf(Demand{Pool: pool, Region: home, Workspace: config.IDOf(workspaces[0])}), time.Now())
 		m.flush()
 		return
 	}
@@ -297,11 +330,15 @@
 		if !ok || s.link.closed {
 			continue
 		}
-		if r.granted && s.busy[r.seq] != r.target {
-			m.t.Fatalf("demand %d runs on %d, its scheduler %s holds %d", r.seq, r.target, s.link.member.Name, s.busy[r.seq])
+		if _, reachable := m.schedulerOf(r.key, time.Now()); reachable && r.key != m.keyOf(r.demand) {
+			m.t.Fatalf("demand %d is in %v and belongs to %v", r.seq, r.key, m.keyOf(r.demand))
+		}
+		shard := uint32(r.key.shard.ID())
+		if want := (running{shard, r.target}); r.granted && s.busy[r.seq] != want {
+			m.t.Fatalf("demand %d runs on %v, its scheduler %s holds %v", r.seq, want, s.link.member.Name, s.busy[r.seq])
 		}
-		if !r.granted && !s.waiting[r.seq] {
-			m.t.Fatalf("demand %d waits, its scheduler %s does not know it", r.seq, s.link.member.Name)
+		if !r.granted && s.waiting[r.seq] != shard {
+			m.t.Fatalf("demand %d waits for shard %d, its scheduler %s has it in %d", r.seq, shard, s.link.member.Name, s.waiting[r.seq])
 		}
 	}
 	for _, s := range m.open() {
@@ -343,8 +380,8 @@
 		m.settle()
 		for _, s := range m.open() {
 			for _, seq := range slices.Sorted(maps.Keys(s.waiting)) {
+				s.busy[seq] = running{s.waiting[seq], target1}
 				delete(s.waiting, seq)
-				s.busy[seq] = target1
 				s.out = append(s.out, &v1.SchedulerBatch{Grants: []*v1.Grant{{Seq: seq, Target: uint32(target1)}}})
 			}
 		}
--- a/router/internal/broker/spare.go
+++ b/router/internal/broker/spare.go
@@ -26,29 +26,21 @@
 	b.spares[key] = append(b.spares[key], spare{id: s.Id, link: l, target: config.ID(s.Target), expires: expires})
 }
 
-// spareKey finds the pool of a spare slot that came over the link.
-func (b *Broker) spareKey(l *link, pool config.ID) (poolKey, bool) {
-	accepted := b.store.Config()
-	if accepted == nil {
-		return poolKey{}, false
-	}
-	p, ok := accepted.PoolByID(pool)
-	if !ok {
-		return poolKey{}, false
-	}
-	return poolKey{p.Name, l.member.Region}, true
+// spareKey finds the shard of a spare slot that came over the link.
+func (b *Broker) spareKey(l *link, id config.ID) (shardKey, bool) {
+	shard, ok := l.greeted[id]
+	return shardKey{shard, l.member.Region}, ok
 }
 
 // useSpare starts a demand on a spare slot of the link, if there is one that
 // it may use.
 func (b *Broker) useSpare(r *request, l *link, now time.Time) bool {
-	key := poolKey{r.demand.Pool, r.demand.Region}
-	list := b.spares[key]
+	list := b.spares[r.key]
 	for i, s := range list {
 		if s.link != l || now.After(s.expires) || !b.spareAllowed(r, s.target) {
 			continue
 		}
-		b.spares[key] = slices.Delete(list, i, i+1)
+		b.spares[r.key] = slices.Delete(list, i, i+1)
 		l.batch.SpareUses = append(l.batch.SpareUses, &v1.SpareUse{Spare: s.id, Demand: b.demandMessage(r, now)})
 		b.start(r, s.target, 0)
 		return true
@@ -103,7 +95,7 @@
 	}
 }
 
-func (b *Broker) dropSparesOfPool(key poolKey) {
+func (b *Broker) dropSparesOfShard(key shardKey) {
 	for _, s := range b.spares[key] {
 		s.link.batch.SpareReturns = append(s.link.batch.SpareReturns, s.id)
 	}
--- /dev/null
+++ b/router/internal/dealing/dealing_test.go
@@ -0,0 +1,175 @@
+package dealing
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"gopkg.in/tomb.v2"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/config/configtest"
+	"github.com/chiveseam/chiveseam/deal"
+	"github.com/chiveseam/chiveseam/pool"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/router/internal/scheduling"
+	"github.com/chiveseam/chiveseam/router/internal/state"
+)
+
+const slots = 4
+
+// fakeHolders records allotments.
+type fakeHolders struct{ allotted []scheduling.Allotment }
+
+func (h *fakeHolders) Reports() <-chan scheduling.Report { return nil }
+
+func (h *fakeHolders) Allotted(list []scheduling.Allotment) { h.allotted = append(h.allotted, list...) }
+
+// fakeCaller records calls and fails them.
+type fakeCaller struct{ calls chan *v1.DealBatch }
+
+func (c *fakeCaller) Deal(_ context.Context, _ string, in *v1.DealBatch) (*v1.DealBatch, error) {
+	c.calls <- in
+	return nil, errors.New("no answer")
+}
+
+// fixture is the duty of router "dealer", whose loop the test drives, with
+// router "holder" beside it.
+type fixture struct {
+	*Duty
+	holders *fakeHolders
+	caller  *fakeCaller
+	now     time.Time
+}
+
+func newFixture(t *testing.T, shards uint32) *fixture {
+	t.Helper()
+	here := state.Member{Name: self.Name, Incarnation: self.Incarnation, Region: configtest.Region}
+	there := state.Member{Name: holder.Name, Incarnation: holder.Incarnation, Region: configtest.Region}
+	store := state.NewStore(here)
+	store.SetFleet(&state.Fleet{Self: here, Reachable: []state.Member{here, there}})
+	f := &fixture{holders: &fakeHolders{}, caller: &fakeCaller{make(chan *v1.DealBatch, 1)}, now: time.Unix(1e9, 0)}
+	running := &tomb.Tomb{}
+	running.Go(func() error { <-running.Dying(); return nil })
+	t.Cleanup(func() {
+		running.Kill(nil)
+		_ = running.Wait()
+	})
+	f.Duty = New(running, store, f.holders, f.caller, log.NewNopLogger())
+	f.divide(t, shards)
+	return f
+}
+
+// divide puts a configuration with the number of shards in force.
+func (f *fixture) divide(t *testing.T, shards uint32) {
+	t.Helper()
+	c := configtest.Valid()
+	c.Pools[0].Shards = shards
+	payload, err := proto.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := config.Accept(1, payload)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.store.SetConfig(accepted)
+	f.reconfigure(f.now)
+}
+
+func part(index int) config.Shard {
+	return config.Shard{Pool: configtest.EnginePool, Index: index, Count: 2}
+}
+
+// report is the first report of a holder that needs slots.
+func report(holder, dealer pool.Router, index, need int) scheduling.Report {
+	backlogs := []pool.Backlog{{Share: 1, Need: need}}
+	return scheduling.Report{Shard: part(index), Report: deal.Report{
+		Shard: index, Holder: holder, Seq: 1, Dealer: dealer, Backlogs: backlogs,
+	}}
+}
+
+// batch is what the holder sends to this router.
+func (f *fixture) batch(reports ...scheduling.Report) *v1.DealBatch {
+	batch := &v1.DealBatch{Router: holder.Name, Incarnation: holder.Incarnation, Receiver: self.Incarnation}
+	for _, r := range reports {
+		batch.Reports = append(batch.Reports, reportMessage(r.Shard.ID(), r.Report))
+	}
+	return batch
+}
+
+func sum(slots map[config.ID]int) int {
+	total := 0
+	for _, n := range slots {
+		total += n
+	}
+	return total
+}
+
+// TestSlotsFollowTheNeedOfShardsOnTwoRouters lets one shard be scheduled here
+// and one on the other router.
+func TestSlotsFollowTheNeedOfShardsOnTwoRouters(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 2)
+	f.route(report(self, self, 0, slots), f.now)
+	f.receive(f.batch(report(holder, self, 1, 1)), f.now)
+	for range 5 {
+		f.now = f.now.Add(deal.DefaultInterval)
+		f.tick(f.now)
+	}
+	here := f.holders.allotted[len(f.holders.allotted)-1]
+	is.Equal(here.Shard, part(0))
+	reply := f.takeFor(f.batch())
+	is.Equal(reply.Receiver, holder.Incarnation)
+	is.Equal(len(reply.Allotments), 1)
+	there := allotmentOf(reply.Allotments[0], part(1), holder, self)
+	is.Equal(there.Answers, uint64(1))
+	is.Equal(sum(here.Slots)+sum(there.Slots), slots)
+	is.Equal(sum(there.Slots), 1)
+	is.True(proto.Equal(f.takeFor(f.batch()), &v1.DealBatch{})) // told once
+	late := f.batch(report(holder, self, 1, 1))
+	late.Receiver-- // It is meant for an earlier incarnation.
+	late.Reports[0].Seq = 2
+	f.receive(late, f.now)
+	f.tick(f.now.Add(deal.DefaultInterval))
+	is.True(f.outbox(holder).empty())
+}
+
+func TestReportsOfOneRouterShareABatch(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 2)
+	for index := range 2 {
+		f.route(report(self, holder, index, 1), f.now)
+	}
+	newer := report(self, holder, 0, 2)
+	newer.Seq = 2
+	f.route(newer, f.now)
+	f.flush()
+	batch := <-f.caller.calls
+	is.Equal(batch.Receiver, holder.Incarnation)
+	is.Equal(len(batch.Reports), 2) // the newer one of shard 0 replaces the first
+	f.route(newer, f.now)
+	f.flush()
+	is.Equal(len(f.caller.calls), 0) // it waits for the end of the call
+	f.handle(<-f.in, f.now)
+	f.flush()
+	is.Equal(len((<-f.caller.calls).Reports), 1)
+}
+
+// TestDealersEndWithTheDivision also ends one to which nobody reports.
+func TestDealersEndWithTheDivision(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 2)
+	f.route(report(self, self, 0, 1), f.now)
+	is.Equal(len(f.dealers), 1)
+	f.divide(t, 3)
+	is.Equal(len(f.dealers), 0)
+	f.divide(t, 2)
+	f.route(report(self, self, 0, 1), f.now)
+	f.tick(f.now.Add(deal.DefaultReclaim + time.Second))
+	is.Equal(len(f.dealers), 0)
+}
--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -77,6 +77,20 @@
 	return out, err
 }
 
+// Deal swaps reports and allotments of shards with the router at address.
+func (c *Client) Deal(ctx context.Context, address string, in *v1.DealBatch) (*v1.DealBatch, error) {
+	c.traffic.Message("deal", Sent, proto.Size(in))
+	var out *v1.DealBatch
+	err := c.callConn(ctx, address, func(ctx context.Context, conn drpc.Conn) (err error) {
+		out, err = v1.NewDRPCSchedulingClient(conn).Deal(ctx, in)
+		return err
+	})
+	if err == nil {
+		c.traffic.Message("deal", Received, proto.Size(out))
+	}
+	return out, err
+}
+
 // HandOver passes a part of the ledger on.
 func (c *Client) HandOver(ctx context.Context, address string, in *v1.HandOverRequest) (bool, error) {
 	accepted := false
--- a/router/internal/peer/scheduling.go
+++ b/router/internal/peer/scheduling.go
@@ -181,6 +181,16 @@
 	return out, nil
 }
 
+// Deal implements the Scheduling service.
+func (s *Server) Deal(ctx context.Context, in *v1.DealBatch) (*v1.DealBatch, error) {
+	s.opts.Traffic.Message("deal", Received, proto.Size(in))
+	out, err := s.opts.Dealer.Deal(ctx, in)
+	if err == nil {
+		s.opts.Traffic.Message("deal", Sent, proto.Size(out))
+	}
+	return out, err
+}
+
 // serveSession passes batches both ways until the peer is lost or silent.
 func (s *Server) serveSession(stream v1.DRPCScheduling_ConnectStream, session *scheduling.Session, first *v1.EntryBatch, out *coalescer[*v1.SchedulerBatch]) error {
 	done := make(chan struct{})
--- a/router/internal/peer/server.go
+++ b/router/internal/peer/server.go
@@ -36,12 +36,18 @@
 	Forwarded(ctx context.Context, head *v1.ForwardHead, body []byte, sink dispatch.Sink) *result.Result
 }
 
+// Dealer takes in reports and allotments of shards.
+type Dealer interface {
+	Deal(ctx context.Context, in *v1.DealBatch) (*v1.DealBatch, error)
+}
+
 // ServerOptions are the parts that answer peers.
 type ServerOptions struct {
 	Host      *scheduling.Host
 	Exchanger Exchanger
 	Keys      KeyOwner
 	Entry     Entry
+	Dealer    Dealer
 	Timing    Timing
 	Traffic   Traffic
 	Logger    log.Logger
--- a/router/internal/scheduling/events.go
+++ b/router/internal/scheduling/events.go
@@ -17,6 +17,10 @@
 		if use.Demand == nil {
 			continue
 		}
+		if h.movedOn(s, use) {
+			h.step(config.ID(use.Demand.Pool), now, pool.SpareReturned{Router: s.router, Spare: use.Spare})
+			continue
+		}
 		id := s.remember(use.Demand)
 		h.join(s, id, now)
 		h.step(id, now, pool.SpareUsed{Spare: use.Spare, Demand: demandEvent(s, use.Demand, now)})
@@ -68,8 +72,9 @@
 	h.step(id, now, pool.Done{ID: s.demandID(seq), Outcome: v1.Outcome_NOT_RUN})
 }
 
-// hello joins the router to each pool named with the state that it holds.
+// hello joins the router to each shard named with the state that it holds.
 func (h *Host) hello(s *Session, hello *v1.Hello, now time.Time) {
+	h.name(hello.Shards)
 	for _, c := range hello.Counters {
 		id := config.ID(c.Pool)
 		joined := pool.RouterJoined{Router: s.router, Zone: s.zone, Counters: counterEvents(c.Counters)}
@@ -77,6 +82,7 @@
 			if f.Pool != c.Pool {
 				continue
 			}
+			h.leaveEarlier(s, f, now)
 			s.poolOf[f.Seq] = id
 			joined.InFlight = append(joined.InFlight, pool.InFlight{
 				ID:        s.demandID(f.Seq),
@@ -90,7 +96,24 @@
 	}
 }
 
-// join makes sure that the pool knows the router. It reports whether the pool
+// leaveEarlier ends a request in flight in the shard in which the session had
+// it, if its router names it in another one now.
+func (h *Host) leaveEarlier(s *Session, f *v1.InFlight, now time.Time) {
+	earlier, ok := s.poolOf[f.Seq]
+	if !ok || earlier == config.ID(f.Pool) || h.pools[earlier] == nil {
+		return
+	}
+	h.step(earlier, now, pool.Done{ID: s.demandID(f.Seq), Cost: int64(f.Charged), Outcome: v1.Outcome_ABANDONED})
+}
+
+// movedOn reports whether the hello of the same batch has named the request in
+// another shard than the one whose spare slot it began on.
+func (h *Host) movedOn(s *Session, use *v1.SpareUse) bool {
+	id, ok := s.poolOf[use.Demand.Seq]
+	return ok && id != config.ID(use.Demand.Pool)
+}
+
+// join makes sure that the shard knows the router. It reports whether the pool
 // is configured.
 func (h *Host) join(s *Session, id config.ID, now time.Time) bool {
 	if _, ok := h.scheduler(id, now); !ok {
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -1,5 +1,6 @@
 // Package scheduling runs the scheduler role of a router: one pool.Scheduler
-// for each pool whose demands arrive here, whoever sends them.
+// for each shard of a pool whose demands arrive here, whoever sends them. A
+// pool with one shard is its own shard.
 //
 // One goroutine owns the schedulers. Sessions, one for each entry router, post
 // batches to it through a bounded channel, and it answers with batches.
@@ -38,11 +39,21 @@
 	store *state.Store
 	t     *tomb.Tomb
 	in    chan any
+	// reports holds what the holders of shards have to tell the dealers.
+	reports chan Report
 
 	// The fields below belong to the loop's goroutine.
-	pools    map[config.ID]*pool.Scheduler
+	// pools holds the schedulers by the IDs of their shards.
+	pools map[config.ID]*shardScheduler
+	// named holds the shards that routers under another configuration have
+	// named, by ID.
+	named    map[config.ID]config.Shard
 	sessions map[pool.Router]*Session
-	// spares holds the free slots of a pool in other regions, by region.
+	// holdersAt is when the holders were told last.
+	holdersAt time.Time
+	// reportSeqs holds the numbers of the last reports by shard.
+	reportSeqs map[config.ID]uint64
+	// spares holds the free slots of a shard in other regions, by region.
 	spares map[config.ID]map[string]int
 }
 
@@ -58,7 +69,7 @@
 	poolOf map[uint64]config.ID
 	// spans holds the open spans of sampled demands.
 	spans map[uint64]trace.Span
-	// replicated holds the counters as last sent, by pool and workspace.
+	// replicated holds the counters as last sent, by shard and workspace.
 	replicated map[config.ID]map[config.ID]pool.Counter
 	out        *v1.SchedulerBatch
 }
@@ -89,13 +100,16 @@
 // New returns a host that runs under t until it dies.
 func New(t *tomb.Tomb, store *state.Store, opts Options) *Host {
 	return &Host{
-		opts:     opts,
-		store:    store,
-		t:        t,
-		in:       make(chan any, inputLimit),
-		pools:    map[config.ID]*pool.Scheduler{},
-		sessions: map[pool.Router]*Session{},
-		spares:   map[config.ID]map[string]int{},
+		opts:       opts,
+		store:      store,
+		t:          t,
+		in:         make(chan any, inputLimit),
+		reports:    make(chan Report, reportLimit),
+		pools:      map[config.ID]*shardScheduler{},
+		named:      map[config.ID]config.Shard{},
+		reportSeqs: map[config.ID]uint64{},
+		sessions:   map[pool.Router]*Session{},
+		spares:     map[config.ID]map[string]int{},
 	}
 }
 
@@ -164,6 +178,8 @@
 	defer timer.Stop()
 	counters := time.NewTicker(counterInterval)
 	defer counters.Stop()
+	deals := time.NewTicker(HolderTick)
+	defer deals.Stop()
 	for {
 		select {
 		case input := <-h.in:
@@ -171,11 +187,13 @@
 			h.drain()
 		case <-changes:
 			h.reconfigure(time.Now())
-		case now := <-counters.C:
-			h.replicateCounters()
-			h.stepAll(now, pool.Tick{})
-		case now := <-timer.C:
-			h.tick(now)
+		case <-counters.C:
+			h.replicateCounters(time.Now())
+			h.stepAll(time.Now(), pool.Tick{})
+		case <-deals.C:
+			h.tellHolders(time.Now())
+		case <-timer.C:
+			h.tick(time.Now())
 		case <-h.t.Dying():
 			return nil
 		}
@@ -196,6 +214,7 @@
 }
 
 func (h *Host) handle(input any, now time.Time) {
+	h.lapseHolders(now)
 	switch in := input.(type) {
 	case openInput:
 		h.open(in.session, now)
@@ -207,6 +226,8 @@
 		}
 	case countersInput:
 		h.peerCounters(in.counters, now)
+	case allotmentsInput:
+		h.allotted(in.allotments, now)
 	case inspectInput:
 		in.fn()
 	}
@@ -232,6 +253,7 @@
 }
 
 func (h *Host) stepAll(now time.Time, event pool.Event) {
+	h.lapseHolders(now)
 	for id := range h.pools {
 		h.step(id, now, event)
 	}
@@ -292,6 +314,7 @@
 }
 
 func (h *Host) tick(now time.Time) {
+	h.lapseHolders(now)
 	for id, sched := range h.pools {
 		if due, ok := sched.NextTick(); ok && !due.After(now) {
 			h.step(id, now, pool.Tick{})
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -6,69 +6,78 @@
 	"time"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/deal"
 	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/router/internal/state"
 )
 
-// scheduler returns the scheduler of a configured pool, starting it empty on
-// first use.
-func (h *Host) scheduler(id config.ID, now time.Time) (*pool.Scheduler, bool) {
+// scheduler returns the scheduler of a shard of a configured pool, starting it
+// empty on first use.
+func (h *Host) scheduler(id config.ID, now time.Time) (*shardScheduler, bool) {
 	if sched, ok := h.pools[id]; ok {
 		return sched, true
 	}
-	accepted := h.store.Config()
-	if accepted == nil {
+	shard, ok := h.shardOf(id)
+	if !ok {
 		return nil, false
 	}
-	p, ok := accepted.PoolByID(id)
+	accepted := h.store.Config()
+	p, ok := accepted.Pool(shard.Pool)
 	if !ok {
 		return nil, false
 	}
-	sched := pool.New(pool.Options{
+	sched := &shardScheduler{shard: shard, Scheduler: pool.New(pool.Options{
 		InitialCost: int64(p.InitialCost),
 		HoldTime:    h.opts.HoldTime,
 		SettleTime:  settleTime,
 		MaxSpares:   h.opts.MaxSpares,
-		Seed:        h.opts.Seed,
-	})
+		Seed:        shardSeed(h.opts.Seed, shard),
+	})}
 	h.pools[id] = sched
-	h.configure(id, p, accepted, now)
+	h.configure(id, sched, p, accepted, now)
 	return sched, true
 }
 
-// reconfigure applies the configuration and the leaving targets to all pools.
+// reconfigure applies the configuration and the leaving targets to all shards.
 func (h *Host) reconfigure(now time.Time) {
 	accepted := h.store.Config()
 	if accepted == nil {
 		return
 	}
-	for id := range h.pools {
-		p, ok := accepted.PoolByID(id)
+	for id, sched := range h.pools {
+		p, ok := accepted.Pool(sched.shard.Pool)
 		if !ok {
 			h.step(id, now, pool.TargetsChanged{})
 			continue
 		}
-		h.configure(id, p, accepted, now)
+		h.configure(id, sched, p, accepted, now)
 	}
+	h.startShards(accepted, now)
 }
 
-func (h *Host) configure(id config.ID, p *v1.Pool, accepted *config.Accepted, now time.Time) {
+func (h *Host) configure(id config.ID, sched *shardScheduler, p *v1.Pool, accepted *config.Accepted, now time.Time) {
+	targets := TargetsOf(p, accepted, h.store.Fleet())
+	h.configureSlots(id, sched, targets, accepted, now)
 	h.step(id, now, pool.ConfigurationChanged{
-		Targets:    targetsOf(p, accepted, h.store.Fleet()),
-		Workspaces: workspacesOf(p, accepted),
+		Targets:    targets,
+		Workspaces: workspacesOf(p, accepted, sched.shard),
 	})
 }
 
-// workspacesOf returns the workspaces that may use the pool.
-func workspacesOf(p *v1.Pool, accepted *config.Accepted) []pool.Workspace {
+// workspacesOf returns the workspaces of the shard that may use the pool.
+func workspacesOf(p *v1.Pool, accepted *config.Accepted, shard config.Shard) []pool.Workspace {
 	var list []pool.Workspace
 	for _, w := range accepted.Proto.Workspaces {
 		if len(w.Pools) > 0 && !slices.Contains(w.Pools, p.Name) {
 			continue
 		}
+		id := config.IDOf(w.Name)
+		if deal.ShardOf(id, shard.Count) != shard.Index {
+			continue
+		}
 		list = append(list, pool.Workspace{
-			ID:             config.IDOf(w.Name),
+			ID:             id,
 			Share:          w.Share,
 			MaxQueued:      int(w.MaxQueuedRequests),
 			MaxQueuedBytes: int64(w.MaxQueuedBytes),
@@ -78,8 +87,8 @@
 	return list
 }
 
-// targetsOf returns the pool's targets in the router's own region.
-func targetsOf(p *v1.Pool, accepted *config.Accepted, fleet *state.Fleet) []pool.Target {
+// TargetsOf returns the pool's targets in the router's own region.
+func TargetsOf(p *v1.Pool, accepted *config.Accepted, fleet *state.Fleet) []pool.Target {
 	const referencePercent = 100
 	var list []pool.Target
 	for _, t := range accepted.TargetsOf(p.Name) {
@@ -103,24 +112,24 @@
 	return list
 }
 
-// replicateCounters sends the counters of each pool to the routers that are
+// replicateCounters sends the counters of each shard to the routers that are
 // next in rank for its scheduler role.
-func (h *Host) replicateCounters() {
+func (h *Host) replicateCounters(now time.Time) {
 	accepted := h.store.Config()
 	if accepted == nil {
 		return
 	}
 	fleet := h.store.Fleet()
 	for id, sched := range h.pools {
-		p, ok := accepted.PoolByID(id)
-		if !ok {
+		if _, ok := accepted.ShardByID(id); !ok {
+			h.dropIdle(id, sched, now)
 			continue
 		}
-		ranked := fleet.SchedulersOf(p.Name, fleet.Self.Region, successors+1)
-		if len(ranked) == 0 || ranked[0].Name != fleet.Self.Name {
-			h.dropIdle(id, sched)
+		if !h.isHolder(sched.shard) {
+			h.dropIdle(id, sched, now)
 			continue
 		}
+		ranked := fleet.SchedulersOf(sched.shard, fleet.Self.Region, successors+1)
 		counters := sched.Counters()
 		for _, m := range ranked[1:] {
 			if s, ok := h.sessions[pool.Router{Name: m.Name, Incarnation: m.Incarnation}]; ok {
@@ -150,29 +159,38 @@
 	}
 }
 
-// dropIdle forgets a pool that another router schedules, once nothing waits or
-// runs here.
-func (h *Host) dropIdle(id config.ID, sched *pool.Scheduler) {
+// isHolder reports whether the shard's scheduler role is here.
+func (h *Host) isHolder(shard config.Shard) bool {
+	fleet := h.store.Fleet()
+	ranked := fleet.SchedulersOf(shard, fleet.Self.Region, 1)
+	return len(ranked) > 0 && ranked[0].Name == fleet.Self.Name
+}
+
+// dropIdle forgets a shard that another router schedules or none does, once
+// nothing waits or runs here. It reports whether it has.
+func (h *Host) dropIdle(id config.ID, sched *shardScheduler, now time.Time) bool {
 	status := sched.Status()
 	if status.Queued > 0 {
-		return
+		return false
 	}
 	for _, t := range status.Targets {
 		if t.Busy > 0 {
-			return
+			return false
 		}
 	}
+	h.retire(sched, now)
 	delete(h.pools, id)
 	for _, s := range h.sessions {
 		delete(s.joined, id)
 	}
+	return true
 }
 
 func counterMessage(c pool.Counter) *v1.Counter {
 	return &v1.Counter{Workspace: uint32(c.Workspace), Value: c.Value, Backlogged: c.Backlogged}
 }
 
-// Status describes the pools that are scheduled here, by name.
+// Status describes the shards that are scheduled here, by pool and index.
 func (h *Host) Status() []*v1.PoolStatus {
 	list, _ := inspect(h, h.status)
 	return list
@@ -184,26 +202,34 @@
 		return nil
 	}
 	var list []*v1.PoolStatus
-	for id, sched := range h.pools {
-		p, ok := accepted.PoolByID(id)
-		if !ok {
+	for _, sched := range h.pools {
+		if _, ok := accepted.Pool(sched.shard.Pool); !ok {
 			continue
 		}
-		list = append(list, poolStatus(p.Name, h.store.Fleet().Self.Region, sched.Status(), accepted))
+		message := poolStatus(sched.shard, h.store.Fleet().Self.Region, sched.Status(), accepted)
+		if sched.holder != nil {
+			message.Dealer = h.dealerOf(sched.shard).Name
+		}
+		list = append(list, message)
 	}
-	slices.SortFunc(list, func(a, b *v1.PoolStatus) int { return cmp.Compare(a.Pool, b.Pool) })
+	slices.SortFunc(list, func(a, b *v1.PoolStatus) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.Shards, b.Shards))
+	})
 	return list
 }
 
-func poolStatus(name, region string, status pool.Status, accepted *config.Accepted) *v1.PoolStatus {
+func poolStatus(shard config.Shard, region string, status pool.Status, accepted *config.Accepted) *v1.PoolStatus {
 	message := &v1.PoolStatus{
-		Pool:       name,
+		Pool:       shard.Pool,
 		Region:     region,
 		Queued:     uint32(status.Queued),
 		Granted:    status.Granted,
 		Refused:    status.Refused,
 		SpareSlots: uint32(status.SpareSlots),
 	}
+	if shard.Count > 1 {
+		message.Shard, message.Shards = uint32(shard.Index), uint32(shard.Count)
+	}
 	for _, t := range status.Targets {
 		target, ok := accepted.Target(t.ID)
 		if !ok {
--- a/router/internal/scheduling/regions.go
+++ b/router/internal/scheduling/regions.go
@@ -64,7 +64,7 @@
 	fleet := h.store.Fleet()
 	shares := map[string]*v1.CountersShare{}
 	for id, sched := range h.pools {
-		p, ok := accepted.PoolByID(id)
+		p, ok := accepted.Pool(sched.shard.Pool)
 		if !ok {
 			continue
 		}
@@ -74,7 +74,7 @@
 		}
 		message := sharedCounters(id, fleet.Self.Region, sched)
 		for _, region := range regions {
-			for _, m := range fleet.SchedulersOf(p.Name, region, 1) {
+			for _, m := range fleet.SchedulersOf(sched.shard, region, 1) {
 				addShare(shares, m.PeerAddress, message)
 			}
 		}
@@ -103,7 +103,7 @@
 	return regions
 }
 
-func sharedCounters(id config.ID, region string, sched *pool.Scheduler) *v1.PoolCounters {
+func sharedCounters(id config.ID, region string, sched *shardScheduler) *v1.PoolCounters {
 	shared := sched.PeerCounters(region, shareMinChange)
 	message := &v1.PoolCounters{Pool: uint32(id), Region: region, SpareSlots: uint32(shared.SpareSlots)}
 	for _, c := range shared.Counters {
@@ -188,12 +188,12 @@
 // dataCentres returns those of the region's targets of the pool.
 func (h *Host) dataCentres(id config.ID, region string) []string {
 	accepted := h.store.Config()
-	p, ok := accepted.PoolByID(id)
+	shard, ok := h.shardOf(id)
 	if !ok {
 		return nil
 	}
 	var list []string
-	for _, t := range accepted.TargetsOf(p.Name) {
+	for _, t := range accepted.TargetsOf(shard.Pool) {
 		zone, ok := accepted.Zone(t.Zone)
 		if ok && zone.Region == region && !slices.Contains(list, zone.DataCentre) {
 			list = append(list, zone.DataCentre)
--- a/router/internal/scheduling/regions_test.go
+++ b/router/internal/scheduling/regions_test.go
@@ -32,7 +32,8 @@
 
 // newFixture returns the host of a region with one slot of the pool; the other
 // region has targets in data centre dc-2. Workspace large belongs to dc-1.
-func newFixture(t *testing.T) *fixture {
+// Changes may alter the configuration.
+func newFixture(t *testing.T, changes ...func(*v1.Configuration)) *fixture {
 	t.Helper()
 	c := configtest.Valid()
 	c.Zones[0].DataCentre = "dc-1"
@@ -44,6 +45,9 @@
 	far.Name, far.Zone, far.Address = "desk-2", "zone-s", "127.0.0.1:7201"
 	c.Targets = append(c.Targets, far)
 	c.Workspaces[1].DataCentre = "dc-1"
+	for _, change := range changes {
+		change(c)
+	}
 	payload, err := proto.Marshal(c)
 	if err != nil {
 		t.Fatal(err)
--- a/router/internal/state/state.go
+++ b/router/internal/state/state.go
@@ -6,6 +6,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 
@@ -55,8 +56,18 @@
 }
 
 // SchedulersOf ranks the reachable routers of the region for the scheduler
-// role of the pool and returns the first n.
-func (f *Fleet) SchedulersOf(pool, region string, n int) []Member {
+// role of the shard and returns the first n. The rank does not depend on the
+// number of shards.
+func (f *Fleet) SchedulersOf(shard config.Shard, region string, n int) []Member {
+	role := "pool/" + shard.Pool + "/" + region
+	if shard.Index > 0 {
+		role += "/" + strconv.Itoa(shard.Index)
+	}
+	return f.ranked(role, region, n)
+}
+
+// ranked ranks the reachable routers of the region for a role.
+func (f *Fleet) ranked(role, region string, n int) []Member {
 	names := make([]string, 0, len(f.Reachable))
 	byName := make(map[string]Member, len(f.Reachable))
 	for _, m := range f.Reachable {
@@ -66,7 +77,7 @@
 		names = append(names, m.Name)
 		byName[m.Name] = m
 	}
-	ranked := rendezvous.Rank("pool/"+pool+"/"+region, names, n)
+	ranked := rendezvous.Rank(role, names, n)
 	members := make([]Member, len(ranked))
 	for i, name := range ranked {
 		members[i] = byName[name]
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/chiveseam/chiveseam/requestkey"
 	"github.com/chiveseam/chiveseam/router/internal/broker"
 	"github.com/chiveseam/chiveseam/router/internal/control"
+	"github.com/chiveseam/chiveseam/router/internal/dealing"
 	"github.com/chiveseam/chiveseam/router/internal/dispatch"
 	"github.com/chiveseam/chiveseam/router/internal/entry"
 	"github.com/chiveseam/chiveseam/router/internal/guard"
@@ -44,6 +45,7 @@
 	tracing    *telemetry.Tracing
 	host       *scheduling.Host
 	broker     *broker.Broker
+	dealing    *dealing.Duty
 	client     *peer.Client
 	peers      *peer.Server
 	guard      *guard.Guard
@@ -130,6 +132,7 @@
 		Self: r.self(), Tomb: r.tomb, Host: r.host, Timing: r.timing(), Traffic: r.metrics,
 	}, r.logger)
 	r.client = peer.NewClient(r.store, r.timing(), r.metrics)
+	r.dealing = dealing.New(r.tomb, r.store, r.host, r.client, r.logger)
 	r.guard = guard.New(s.Name, r.store, func(ctx context.Context) { r.control.Announce(ctx) })
 	r.dispatcher = dispatch.New(dispatch.Options{
 		Store:         r.store,
@@ -150,7 +153,7 @@
 		SuspectAfter: s.PeerSuspectAfter, Seed: s.Incarnation,
 	})
 	r.peers = peer.NewServer(peer.ServerOptions{
-		Host: r.host, Exchanger: r.control, Keys: r.keys, Entry: r.entry,
+		Host: r.host, Exchanger: r.control, Keys: r.keys, Entry: r.entry, Dealer: r.dealing,
 		Timing: r.timing(), Traffic: r.metrics, Logger: r.logger,
 		MaxForwardBytes: int(s.MaxBodyBytes),
 	})
@@ -268,6 +271,7 @@
 	duties := []func() error{
 		r.host.Run,
 		r.broker.Run,
+		r.dealing.Run,
 		func() error { return r.control.RunExchange(ctx) },
 		func() error { return r.control.RunConfiguration(ctx) },
 		func() error { return r.control.RunInstances(ctx) },
