e2e: shards through the end of a holder and of the dealer, and new numbers

Cause: the path from the entry through a shard's scheduler and the dealer was tested in parts only.

Change: five routers, pools of three shards. A workspace floods one shard while another one sends a little to the next; then the router that schedules the flooded shard goes, and the dealer, killed or stopped. Each time both workspaces are served on, answers are whole or say that the request did not run, no operation runs twice, and the flooded shard has more slots than an equal division gives it. A third test changes the number of shards from 3 to 1, 2 and 3 while one router is held back. The load of the scheduler tests names its workspace.

--- a/internal/e2e/scheduler_test.go
+++ b/internal/e2e/scheduler_test.go
@@ -14,17 +14,19 @@
 // must get a final answer, and those after the failure must be served.
 type schedulerLoad struct {
 	routers []*router
-	done    chan struct{}
-	wg      sync.WaitGroup
-	mu      sync.Mutex
-	served  int
+	// workspace is the one that sends.
+	workspace string
+	done      chan struct{}
+	wg        sync.WaitGroup
+	mu        sync.Mutex
+	served    int
 	// refused counts final answers that are not OK.
 	refused map[outcome]int
 }
 
-func startSchedulerLoad(t *testing.T, routers []*router) *schedulerLoad {
-	l := &schedulerLoad{routers: routers, done: make(chan struct{}), refused: map[outcome]int{}}
-	for i := range loadCallers {
+func startSchedulerLoad(t *testing.T, routers []*router, workspace string, callers int) *schedulerLoad {
+	l := &schedulerLoad{routers: routers, workspace: workspace, done: make(chan struct{}), refused: map[outcome]int{}}
+	for i := range callers {
 		r := routers[i%len(routers)]
 		l.wg.Go(func() { l.run(t, r) })
 	}
@@ -39,12 +41,16 @@
 		default:
 		}
 		p := newPrompt(t, streamTokens)
-		l.count(t, send(r.entry, p.call(true)), func(a answer) { p.expectWhole(t, a) })
+		l.count(t, l.send(r, p.call(true)), func(a answer) { p.expectWhole(t, a) })
 		o := newOperation(t)
-		l.count(t, send(r.entry, job(o)), func(answer) {})
+		l.count(t, l.send(r, job(o)), func(answer) {})
 	}
 }
 
+func (l *schedulerLoad) send(r *router, c call) answer {
+	return send(r.entry, c.with("Authorization", "Bearer token-"+l.workspace))
+}
+
 // count counts a final answer. A lost one fails the test.
 func (l *schedulerLoad) count(t *testing.T, a answer, check func(answer)) {
 	if a.err != nil || a.code == v1.Code_CODE_UNSPECIFIED {
@@ -113,7 +119,7 @@
 			others = append(others, r)
 		}
 	}
-	l := startSchedulerLoad(t, others)
+	l := startSchedulerLoad(t, others, "small", loadCallers)
 	l.awaitMore(t, 4*loadCallers)
 	fail(holder)
 	l.awaitMore(t, 4*loadCallers)
--- /dev/null
+++ b/internal/e2e/shard_test.go
@@ -0,0 +1,173 @@
+package e2e
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/config/configtest"
+	"github.com/chiveseam/chiveseam/deal"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	shardCount = 3
+	shardSlots = 6
+	// shardFlood callers need more slots than the engines have.
+	shardFlood = 4 * shardSlots
+)
+
+// workspaceOfShard returns a name that belongs to the shard.
+func workspaceOfShard(shard int) string {
+	for i := 0; ; i++ {
+		name := fmt.Sprintf("tenant-%d", i)
+		if deal.ShardOf(config.IDOf(name), shardCount) == shard {
+			return name
+		}
+	}
+}
+
+// newShards returns a deployment whose pools have three shards, and the names
+// of a workspace of the first and one of the second.
+func newShards(t *testing.T) (c *cluster, first, second string) {
+	first, second = workspaceOfShard(0), workspaceOfShard(1)
+	c = newCluster(t, size{routers: 5, zones: 2, engines: 2, services: 2}, func(c *v1.Configuration) {
+		for _, p := range c.Pools {
+			p.Shards = shardCount
+		}
+		for _, g := range c.Targets {
+			g.Slots = shardSlots
+		}
+		template := c.Workspaces[0]
+		c.Workspaces = nil
+		for _, name := range []string{first, second} {
+			w := proto.CloneOf(template)
+			digest := sha256.Sum256([]byte("token-" + name))
+			w.Name, w.TokenSha256 = name, [][]byte{digest[:]}
+			c.Workspaces = append(c.Workspaces, w)
+		}
+	})
+	return c, first, second
+}
+
+// shardStatus returns the status of a shard of the engines' pool at the router
+// that granted most of it, with that router.
+func (c *cluster) shardStatus(shard uint32) (*router, *v1.PoolStatus) {
+	var holder *router
+	var status *v1.PoolStatus
+	for _, r := range c.routers {
+		for _, p := range r.status().GetPools() {
+			if p.Pool == configtest.EnginePool && p.Shard == shard && (status == nil || p.Granted > status.Granted) {
+				holder, status = r, p
+			}
+		}
+	}
+	return holder, status
+}
+
+func slotsOf(p *v1.PoolStatus) uint32 {
+	slots := uint32(0)
+	for _, target := range p.GetTargets() {
+		slots += target.Slots
+	}
+	return slots
+}
+
+// awaitMostSlots waits until the flooded shard has more slots than an equal
+// division gives it.
+func (c *cluster) awaitMostSlots(shard uint32) {
+	c.t.Helper()
+	slots := uint32(0)
+	await(c.t, "the flooded shard has slots that others leave", func() bool {
+		_, p := c.shardStatus(shard)
+		slots = slotsOf(p)
+		return slots > 2*shardSlots/shardCount
+	}, func() any { return slots })
+}
+
+// testShardLoss floods one shard while another has a little work. Then the
+// scheduler of the flooded shard goes, and the dealer.
+func testShardLoss(t *testing.T, end func(*router)) {
+	t.Helper()
+	c, first, second := newShards(t)
+	warm := startSchedulerLoad(t, c.routers, first, 1)
+	warm.awaitMore(t, 1)
+	warm.stop(t)
+	holder, status := c.shardStatus(0)
+	dealer := c.routerNamed(status.Dealer)
+	others := slices.DeleteFunc(slices.Clone(c.routers), func(r *router) bool { return r == holder || r == dealer })
+	t.Logf("shard 0 is scheduled by %s, the pool is dealt by %s", holder.name, dealer.name)
+
+	flood := startSchedulerLoad(t, others, first, shardFlood)
+	light := startSchedulerLoad(t, others, second, lightCallers)
+	goOn := func(after string) {
+		began := time.Now()
+		flood.awaitMore(t, shardFlood)
+		light.awaitMore(t, 2*lightCallers)
+		c.awaitMostSlots(0)
+		t.Logf("after %s: went on within %v", after, time.Since(began).Round(time.Millisecond))
+	}
+	goOn("the begin")
+	end(holder)
+	goOn("the end of the holder")
+	end(dealer)
+	goOn("the end of the dealer")
+	flood.stop(t)
+	light.stop(t)
+	if doubles := c.ledger.Report().Doubles; len(doubles) > 0 {
+		t.Errorf("ran more than once: %v", doubles)
+	}
+}
+
+func TestHolderAndDealerOfShardsAreKilled(t *testing.T) {
+	t.Parallel()
+	testShardLoss(t, func(r *router) { r.kill() })
+}
+
+func TestHolderAndDealerOfShardsStop(t *testing.T) {
+	t.Parallel()
+	testShardLoss(t, func(r *router) { r.signal(t, syscall.SIGTERM) })
+}
+
+// TestNumberOfShardsChangesUnderLoad divides the pools anew while requests wait
+// and run. One router is held back, so that revisions are mixed for a while.
+func TestNumberOfShardsChangesUnderLoad(t *testing.T) {
+	t.Parallel()
+	c, first, second := newShards(t)
+	held, others := c.routers[0], c.routers[1:]
+	flood := startSchedulerLoad(t, c.routers, first, shardFlood)
+	light := startSchedulerLoad(t, others, second, lightCallers)
+	for _, shards := range []uint32{1, 2, shardCount} {
+		flood.awaitMore(t, shardFlood)
+		for _, p := range c.configuration.Pools {
+			p.Shards = shards
+		}
+		held.signal(t, syscall.SIGSTOP)
+		revision := c.publish(c.configuration)
+		time.Sleep(revisionGap)
+		held.signal(t, syscall.SIGCONT)
+		c.awaitRevision(revision)
+		light.awaitMore(t, 2*lightCallers)
+	}
+	flood.awaitMore(t, shardFlood)
+	flood.stop(t)
+	light.stop(t)
+	if doubles := c.ledger.Report().Doubles; len(doubles) > 0 {
+		t.Errorf("ran more than once: %v", doubles)
+	}
+}
+
+func (c *cluster) routerNamed(name string) *router {
+	c.t.Helper()
+	i := slices.IndexFunc(c.routers, func(r *router) bool { return r.name == name })
+	if i < 0 {
+		c.t.Fatalf("there is no router %q", name)
+	}
+	return c.routers[i]
+}
