--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/deal"
 	"github.com/chiveseam/chiveseam/pool"
 )
 
@@ -34,7 +35,11 @@
 	rng        *rand.Rand
 	deployment *Deployment
 	policy     Policy
-	latency    time.Duration
+	// shards is the number of shards of the pool; zero has no dealer.
+	shards int
+	// dealOptions are the settings of its dealer.
+	dealOptions deal.Options
+	latency     time.Duration
 	// replicate is set if schedulers give their counters to routers.
 	replicate bool
 	seed      uint64
@@ -50,18 +55,20 @@
 	cutZone string
 }
 
-func newCluster(d *Deployment, policy Policy, seed uint64, latency time.Duration) *cluster {
+func newCluster(d *Deployment, s scenario, seed uint64, latency time.Duration) *cluster {
 	c := &cluster{
-		rng:        rand.New(rand.NewPCG(seed, 1)),
-		deployment: d,
-		policy:     policy,
-		latency:    latency,
-		replicate:  true,
-		seed:       seed,
-		engines:    map[config.ID]*engine{},
-		index:      map[config.ID]int{},
-		meter:      newMeter(d),
-		rateRNG:    rand.New(rand.NewPCG(seed, 5)),
+		rng:         rand.New(rand.NewPCG(seed, 1)),
+		deployment:  d,
+		policy:      s.policy,
+		shards:      s.shards,
+		dealOptions: s.deal,
+		latency:     latency,
+		replicate:   true,
+		seed:        seed,
+		engines:     map[config.ID]*engine{},
+		index:       map[config.ID]int{},
+		meter:       newMeter(d),
+		rateRNG:     rand.New(rand.NewPCG(seed, 5)),
 	}
 	for i, w := range d.Workspaces {
 		c.index[w.ID] = i
@@ -129,10 +136,10 @@
 func (c *cluster) newHost(targets []pool.Target, zone string, latency time.Duration) *host {
 	c.seed++
 	h := &host{
-		cluster: c, core: c.policy.newStepper(c.deployment, c.seed),
-		zone: zone, latency: latency, alive: true, charges: newChargeMeter(c),
+		cluster: c, zone: zone, latency: latency, alive: true, charges: newChargeMeter(c),
 		replicated: map[config.ID]pool.Counter{},
 	}
+	h.core = h.newCore()
 	c.hosts = append(c.hosts, h)
 	h.step(pool.WorkspacesChanged{Workspaces: c.deployment.Workspaces})
 	h.step(pool.TargetsChanged{Targets: targets})
@@ -141,6 +148,13 @@
 	return h
 }
 
+func (h *host) newCore() stepper {
+	if h.cluster.shards > 0 {
+		return newSharded(h)
+	}
+	return h.cluster.policy.newStepper(h.cluster.deployment, h.cluster.seed)
+}
+
 func (h *host) tick() {
 	if h.alive {
 		h.step(pool.Tick{})
--- a/internal/measure/fairness.go
+++ b/internal/measure/fairness.go
@@ -4,6 +4,10 @@
 	"fmt"
 	"io"
 	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveseam/chiveseam/deal"
 )
 
 // Options are the sizes of a run.
@@ -20,7 +24,11 @@
 	RateSpread float64
 }
 
-const percent = 100
+const (
+	percent = 100
+	// parallelRuns is the number of runs at the same time.
+	parallelRuns = 3
+)
 
 // figures are the results of one run.
 type figures struct {
@@ -31,23 +39,32 @@
 	starvation  float64
 	excess      int
 	over        int
-	lost        int
-	refused     int
-	waits       []samples
-	bound       func(i, j int) float64
-	gaps        *gapMeter
+	// large is the number of workspaces that are always backlogged.
+	large   int
+	lost    int
+	refused int
+	waits   []samples
+	bound   func(i, j int) float64
+	gaps    *gapMeter
 	// idlePerGrant is the idle time of a slot between two requests.
 	idlePerGrant time.Duration
+	// deal is what the holders of shards and their dealer send.
+	deal   dealTraffic
+	shards int
 }
 
 // scenario is one run of a policy.
 type scenario struct {
-	policy  Policy
+	policy Policy
+	// shards is the number of shards of the pool; zero has no dealer.
+	shards int
+	// deal are the settings of the dealer.
+	deal    deal.Options
 	prepare func(*cluster, *workload)
 }
 
 func (o Options) run(d *Deployment, s scenario, seed int) figures {
-	c := newCluster(d, s.policy, uint64(seed), o.Latency)
+	c := newCluster(d, s, uint64(seed), o.Latency)
 	c.rateSpread = o.RateSpread
 	l := newWorkload(c, uint64(seed))
 	if s.prepare != nil {
@@ -63,7 +80,7 @@
 func (c *cluster) figures() figures {
 	m := c.meter
 	f := figures{
-		gapLarge:    m.gaps.seconds(largeCount, c.deployment.capacity()),
+		gapLarge:    m.gaps.seconds(c.deployment.large, c.deployment.capacity()),
 		gapAny:      m.gaps.seconds(len(m.served), c.deployment.capacity()),
 		utilisation: m.utilisation() * percent,
 		reports:     float64(m.reports) / float64(max(m.grants, 1)),
@@ -71,10 +88,14 @@
 		excess:      m.excessMax,
 		over:        m.overAdmitted,
 		lost:        m.lost,
+		large:       c.deployment.large,
 		waits:       m.waitTimes,
 		bound:       boundOver(c.hosts),
 		gaps:        m.gaps,
 	}
+	if core, ok := c.hosts[0].core.(*sharded); ok {
+		f.deal, f.shards = core.traffic, len(core.shards)
+	}
 	f.idlePerGrant = seconds((m.slotSeconds - m.busySeconds) / float64(max(m.grants, 1)))
 	for _, n := range m.refusals {
 		f.refused += n
@@ -100,12 +121,19 @@
 	}
 }
 
-// runs runs a scenario with each seed.
+// runs runs a scenario with each seed, some at the same time. The function
+// scenario.prepare must not share state between runs.
 func (o Options) runs(d *Deployment, s scenario) []figures {
-	var runs []figures
-	for seed := 1; seed <= o.Seeds; seed++ {
-		runs = append(runs, o.run(d, s, seed))
+	runs := make([]figures, o.Seeds)
+	var group errgroup.Group
+	group.SetLimit(parallelRuns)
+	for i := range runs {
+		group.Go(func() error {
+			runs[i] = o.run(d, s, i+1)
+			return nil
+		})
 	}
+	_ = group.Wait()
 	return runs
 }
 
@@ -178,7 +206,7 @@
 		for i, waits := range f.waits {
 			switch {
 			case i == 0:
-			case i < largeCount:
+			case i < f.large:
 				large = append(large, waits...)
 			default:
 				light = append(light, waits...)
@@ -188,8 +216,8 @@
 		largeTail = append(largeTail, large.quantile(0.99))
 		lightMedian = append(lightMedian, light.median())
 		lightTail = append(lightTail, light.quantile(0.99))
-		worst = append(worst, worstTail(f.waits[largeCount:]))
-		refused = append(refused, refusedPart(c.meter.refusals[largeCount:], len(light)))
+		worst = append(worst, worstTail(f.waits[f.large:]))
+		refused = append(refused, refusedPart(c.meter.refusals[f.large:], len(light)))
 	}
 	t.row(p.String(), name, largeMedian.spread("%.1f"), largeTail.spread("%.1f"), lightMedian.spread("%.3f"), lightTail.spread("%.3f"), refused.spread("%.1f"), worst.spread("%.2f"))
 }
--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -76,13 +76,7 @@
 			r.withdraw(previous, q)
 		}
 		if q.granted {
-			joined.InFlight = append(joined.InFlight, pool.InFlight{
-				ID:        r.demandID(q),
-				Workspace: r.cluster.deployment.Workspaces[q.workspace].ID,
-				Target:    q.target,
-				Charged:   q.charged(r.cluster.now),
-				Rate:      q.prediction.Rate,
-			})
+			joined.InFlight = append(joined.InFlight, r.inFlight(q))
 		}
 	}
 	h.post(r, joined)
@@ -93,6 +87,16 @@
 	}
 }
 
+func (r *router) inFlight(q *request) pool.InFlight {
+	return pool.InFlight{
+		ID:        r.demandID(q),
+		Workspace: r.cluster.deployment.Workspaces[q.workspace].ID,
+		Target:    q.target,
+		Charged:   q.charged(r.cluster.now),
+		Rate:      q.prediction.Rate,
+	}
+}
+
 func (r *router) outstanding() []*request {
 	var list []*request
 	for _, seq := range slices.Sorted(maps.Keys(r.requests)) {
@@ -132,13 +136,17 @@
 }
 
 func (r *router) demand(q *request) {
-	r.host.post(r, pool.Demand{
+	r.host.post(r, r.demandOf(q))
+}
+
+func (r *router) demandOf(q *request) pool.Demand {
+	return pool.Demand{
 		ID:        r.demandID(q),
 		Workspace: r.cluster.deployment.Workspaces[q.workspace].ID,
 		Estimate:  q.hint,
 		Deadline:  epoch.Add(q.arrivedAt + q.deadline),
 		Exclude:   q.exclude,
-	})
+	}
 }
 
 // granted starts the request, or gives back a slot that nothing waits for.
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -43,7 +43,13 @@
 	predictor    predictor
 	peerSpares   map[string]int
 
-	// slots counts the slots of targets that get new work by data centre.
+	// allotted holds the slots that may be used by target; nil allows all.
+	allotted map[config.ID]int
+	// yield holds the slots to give up by data centre, and yielded those that
+	// were by target.
+	yield   map[string]int
+	yielded map[config.ID]int
+	// slots counts the usable slots of targets that get new work by data centre.
 	slots map[string]int
 	// open holds the targets with a free slot.
 	open []*target
@@ -79,6 +85,7 @@
 		spares:       newSpareSet(o.Seed),
 		peerSpares:   map[string]int{},
 		slots:        map[string]int{},
+		yielded:      map[config.ID]int{},
 	}
 	s.hasDemand = s.candidateHasDemand
 	s.predictor.owner = &s.predictor
@@ -134,6 +141,8 @@
 		s.peerCounters(e)
 	case Overflow:
 		s.overflow(e)
+	case SlotsAllotted:
+		s.allot(e)
 	case Tick:
 	}
 }
