Check copies at once in compose; test equal prompts and spare slots

World.poisoned checks in addition that a request takes down at most two targets in all, if routers could talk all the time from 5 s before its first call on.

Only one router of the fleet may start a digest on a spare slot, not one of each region: routers hold spare slots of other regions too.

--- a/internal/compose/call.go
+++ b/internal/compose/call.go
@@ -23,6 +23,8 @@
 
 	// losses are the times at which the loss of a target was told to callers.
 	losses []time.Time
+	// firstSent is the time of the first call.
+	firstSent time.Time
 	// lost are the targets that it took down, in order.
 	lost []string
 	// informedLosses counts targets lost by attempts of routers that had to
@@ -95,6 +97,9 @@
 func (w *World) SendThen(op *Operation, r *Router, then func()) {
 	call := &Call{w: w, number: len(w.calls), op: op, entry: r, sent: w.now, then: then}
 	w.calls = append(w.calls, call)
+	if op.firstSent.IsZero() {
+		op.firstSent = w.now
+	}
 	w.Stats.Calls++
 	r.open[call] = true
 	if !r.alive {
--- a/internal/compose/check.go
+++ b/internal/compose/check.go
@@ -24,6 +24,9 @@
 	// maxInformedLosses is the number of targets that a request may take down
 	// after a first one, while routers can talk.
 	maxInformedLosses = 1
+	// maxLosses is the number of targets that a request may take down while
+	// routers can talk, also when it is sent many times at once.
+	maxLosses = 2
 )
 
 // watch is what the checks remember of a router.
@@ -293,6 +296,9 @@
 func (w *World) poisoned(a *attempt) {
 	op := a.call.op
 	op.lost = append(op.lost, a.target.name)
+	if len(op.lost) > maxLosses && w.calmSince(op.firstSent) {
+		w.fail("operation %d took down targets %v while all routers could talk", op.Number, op.lost)
+	}
 	if !a.informed {
 		return
 	}
@@ -302,6 +308,12 @@
 	}
 }
 
+// calmSince returns whether routers could talk all the time from calmTime before
+// then on.
+func (w *World) calmSince(then time.Time) bool {
+	return !w.trouble() && then.Sub(w.troubleAt) > calmTime
+}
+
 // checkExit checks that a planned stop cuts nothing off and that no other
 // router takes it for the holder of a role.
 func (r *Router) checkExit() {
--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/chiveseam/chiveseam/internal/standin/fault"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -14,6 +15,8 @@
 	maxTargetsLost = 2
 	crashRounds    = 4
 	innocents      = 4
+	// equalWaves is how often equal prompts are sent at once.
+	equalWaves = 1
 )
 
 // crashing returns a request that ends each target that executes it. Its
@@ -107,6 +110,36 @@
 	awaitOthersServed(t, c)
 }
 
+// Equal prompts that are sent at once are all served. It reports the time of a
+// wave of equal prompts and of one of different prompts.
+func TestEqualPromptsAreServed(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, size{routers: 3, zones: 3, engines: 5, services: 1}, nil)
+	for range equalWaves {
+		equal := newPrompt(t, longTokens)
+		began := time.Now()
+		for _, a := range sendAtOnce(c, equal.call(true)) {
+			equal.expectWhole(t, a)
+		}
+		took := time.Since(began)
+		began = time.Now()
+		sendDifferent(t, c)
+		t.Logf("equal %v, different %v", took, time.Since(began))
+	}
+}
+
+// sendDifferent sends as many prompts as sendAtOnce, each of its own.
+func sendDifferent(t *testing.T, c *cluster) {
+	var wg sync.WaitGroup
+	for _, r := range c.routers {
+		for range 2 {
+			p := newPrompt(t, longTokens)
+			wg.Go(func() { p.expectWhole(t, send(r.entry, p.call(true))) })
+		}
+	}
+	wg.Wait()
+}
+
 // Requests that were in progress at a target when another one crashed it are
 // served when they are sent again.
 func TestInnocentRequestsAreServedAfterACrash(t *testing.T) {
--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -56,6 +56,7 @@
 		Workspace: config.ID(1 + i%backlogged),
 		Deadline:  now.Add(5 * time.Minute),
 		Prefix:    uint32(i % 1000),
+		Digest:    uint32(1 + i),
 		BodyBytes: 1000,
 	}
 }
--- a/router/internal/broker/copies.go
+++ b/router/internal/broker/copies.go
@@ -40,8 +40,8 @@
 }
 
 // maySpare reports whether a demand may start without asking the scheduler,
-// which bounds the copies of a request. Only one router of the region may start
-// a digest so, and only if it runs no copy of it.
+// which bounds the copies of a request. Only one router may start a digest so, and
+// only if it has no other copy of it.
 func (b *Broker) maySpare(r *request) bool {
 	if r.demand.Digest == 0 {
 		return true
@@ -54,14 +54,11 @@
 	return ownsDigest(b.store.Fleet(), r.demand.Digest)
 }
 
-// ownsDigest reports whether the router owns a digest among the routers of its
-// region.
+// ownsDigest reports whether the router owns a digest among the reachable ones.
 func ownsDigest(fleet *state.Fleet, digest uint32) bool {
-	var names []string
-	for _, m := range fleet.Reachable {
-		if m.Region == fleet.Self.Region {
-			names = append(names, m.Name)
-		}
+	names := make([]string, len(fleet.Reachable))
+	for i, m := range fleet.Reachable {
+		names[i] = m.Name
 	}
 	owner, ok := rendezvous.Owner(digestKey(digest), names)
 	return ok && owner == fleet.Self.Name
