Run a suspect once all routers have answered its announcement

Cause: an innocent suspect waited 3 s (Options.Settle) for its place, more than a short deadline allows. The wait stands for 'all routers have heard of the announcement', which went out with the periodic exchange.

Change: the router swaps state with all reachable routers when it announces a suspect, and runs it once all have answered and none goes before. Ruled out: a shorter Settle (a router that has not heard of the announcement runs the suspect too); leaving the suspect's only place to the pool's scheduler (two schedulers while views differ would each run it).

--- a/internal/compose/control.go
+++ b/internal/compose/control.go
@@ -160,8 +160,8 @@
 }
 
 // announce swaps state with all reachable routers and goes on when they have
-// answered or the time is up.
-func (r *Router) announce(next func()) {
+// answered or the limit is over. It tells whether all have answered.
+func (r *Router) announce(limit time.Duration, next func(answered bool)) {
 	waiting := map[string]bool{}
 	for _, m := range r.view.Reachable() {
 		if m.Name != r.member.Name {
@@ -169,25 +169,25 @@
 		}
 	}
 	done := false
-	end := func() {
+	end := func(answered bool) {
 		if !done {
 			done = true
-			next()
+			next(answered)
 		}
 	}
 	if len(waiting) == 0 {
-		end()
+		end(true)
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(waiting)) {
 		r.swap(name, func() {
 			delete(waiting, name)
 			if len(waiting) == 0 {
-				end()
+				end(true)
 			}
 		})
 	}
-	r.w.after(r, announceTime, end)
+	r.w.after(r, limit, func() { end(false) })
 }
 
 // exchange swaps state with a peer.
--- a/internal/compose/execute.go
+++ b/internal/compose/execute.go
@@ -76,13 +76,35 @@
 		j.acquire(d.Suspect)
 	case !r.now().Before(j.startBy):
 		j.finish(Final{Code: v1.Code_DEADLINE_EXCEEDED, Ran: v1.Ran_NO})
+	case d.Announce:
+		limit := min(announceTime, j.startBy.Sub(r.now()))
+		r.announce(limit, func(answered bool) { j.settle(answered, d.RetryAfter) })
 	default:
-		pause := min(d.RetryAfter, maxSuspectPause, j.startBy.Sub(r.now()))
-		r.checkWaits(j)
-		r.w.after(r, pause, j.next)
+		j.pause(d.RetryAfter)
 	}
 }
 
+// settle asks again when all routers have answered the announcement, or after a
+// pause.
+func (j *job) settle(answered bool, retryAfter time.Duration) {
+	if answered {
+		j.r.book.Settled(j.r.now(), j.call.op.digest())
+	}
+	if answered || !j.r.now().Before(j.startBy) {
+		j.next()
+		return
+	}
+	j.pause(retryAfter)
+}
+
+// pause lets the job ask again later, at its deadline at the latest.
+func (j *job) pause(retryAfter time.Duration) {
+	r := j.r
+	pause := min(retryAfter, maxSuspectPause, j.startBy.Sub(r.now()))
+	r.checkWaits(j)
+	r.w.after(r, pause, j.next)
+}
+
 func (j *job) acquire(suspect bool) {
 	b := j.r.broker
 	event := pool.Demand{
@@ -160,7 +182,7 @@
 func (a *attempt) reset() {
 	a.unwatch(func(now time.Time, digest quarantine.Digest) {
 		a.r.book.Lost(now, digest, quarantine.Target(a.target.id))
-		a.r.announce(func() { a.r.w.lossTold(a.call.op) })
+		a.r.announce(announceTime, func(bool) { a.r.w.lossTold(a.call.op) })
 	})
 	a.lost(v1.Code_TARGET_LOST, true)
 }
@@ -188,7 +210,7 @@
 	}
 	a.exclude = append(a.exclude, a.target.id)
 	if o.crashed {
-		r.announce(func() {
+		r.announce(announceTime, func(bool) {
 			r.w.lossTold(a.call.op)
 			a.free(o)
 			a.conclude(o)
--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -157,9 +157,11 @@
 		send(r.entry, bad)
 	}
 	wg.Wait()
+	began := time.Now()
 	for _, p := range prompts {
 		awaitServed(t, c, p)
 	}
+	t.Logf("%d requests served after a crash in %v", len(prompts)*len(c.routers), time.Since(began))
 }
 
 // awaitOthersServed waits until each router serves other requests.
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -29,6 +29,8 @@
 	expires  time.Time
 	// announced is when this router announced a run; zero means never.
 	announced time.Time
+	// settled is set once all peers have answered since the announcement.
+	settled bool
 	// wanted is when Begin was last called for the announcement.
 	wanted time.Time
 	peers  map[string]peerState
@@ -85,21 +87,37 @@
 // Begin is not called again.
 func (b *Book) announce(now time.Time, e *entry) Decision {
 	if b.peerBefore(now, e) {
-		e.announced = time.Time{}
+		e.withdraw()
 		return Decision{Action: Wait, RetryAfter: b.opts.Settle}
 	}
 	lapsed := now.Sub(e.wanted) > 2*b.opts.Settle
 	if e.announced.IsZero() || lapsed {
+		e.withdraw()
 		e.announced = now
 	}
 	e.wanted = now
-	if left := e.announced.Add(b.opts.Settle).Sub(now); left > 0 {
-		return Decision{Action: Wait, RetryAfter: left}
+	if left := e.announced.Add(b.opts.Settle).Sub(now); left > 0 && !e.settled {
+		return Decision{Action: Wait, RetryAfter: left, Announce: true}
 	}
 	e.alone = true
 	return Decision{Action: Run, Suspect: true}
 }
 
+// Settled records that all peers have merged a Snapshot made after Begin has
+// returned Announce, and that their answers are merged. The place is then free
+// without waiting for Options.Settle, if Begin finds no peer before.
+func (b *Book) Settled(now time.Time, digest Digest) {
+	if e := b.live(now, digest); e != nil && b.announces(now, e) {
+		e.settled = true
+	}
+}
+
+// withdraw takes the announcement back.
+func (e *entry) withdraw() {
+	e.announced = time.Time{}
+	e.settled = false
+}
+
 // peerBefore reports whether a peer runs the suspect or has announced it with
 // precedence: before this router did, or with a lesser name.
 func (b *Book) peerBefore(now time.Time, e *entry) bool {
@@ -130,7 +148,7 @@
 	e.alone = false
 	delete(e.pardoned, target)
 	e.expires = now.Add(b.opts.Lifetime)
-	e.announced = time.Time{}
+	e.withdraw()
 }
 
 // Answered records that a target answered the request in full; it clears a
@@ -141,7 +159,7 @@
 	if e == nil {
 		return
 	}
-	e.announced = time.Time{}
+	e.withdraw()
 	e.alone = false
 	if e.losses() < LossLimit {
 		e.pardon(slices.Collect(maps.Keys(e.lost)))
@@ -164,7 +182,7 @@
 func (b *Book) Ended(now time.Time, digest Digest) {
 	b.left(digest)
 	if e := b.live(now, digest); e != nil {
-		e.announced = time.Time{}
+		e.withdraw()
 		e.alone = false
 	}
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -16,8 +16,8 @@
 //
 // To start a suspect, a router first announces the wish with Begin (Wait) and
 // sends Snapshot to all peers; if none of them runs the request and none with a
-// lesser name announces the same within Options.Settle, it holds the suspect's
-// only place. Two routers that cannot talk may each run a suspect once.
+// lesser name announces the same within Options.Settle, or in the answers of all
+// peers to that Snapshot (Settled), it holds the suspect's only place. Two routers that cannot talk may each run a suspect once.
 //
 // The loss of a target that was pardoned by a whole answer may be pardoned again
 // by a peer's older entry; the losses of other targets still count.
@@ -103,6 +103,9 @@
 	// Suspect is set with Run for a suspect. It should get a target that serves
 	// no other suspect, so that a further loss blames one request only.
 	Suspect bool
+	// Announce is set with Wait when the router has announced the suspect: once
+	// all peers have answered a Snapshot, call Settled and Begin again.
+	Announce bool
 }
 
 // Suspect is an entry as routers exchange it.
--- a/router/internal/control/announce.go
+++ b/router/internal/control/announce.go
@@ -19,15 +19,22 @@
 }
 
 // announcement is one round; done is closed when it ends.
-type announcement struct{ done chan struct{} }
+type announcement struct {
+	done chan struct{}
+	// answered is set before done is closed if all routers have answered.
+	answered bool
+}
 
 // Announce swaps state with all reachable routers, so that they know what this
 // router knew before the call. It returns when all have answered or failed, or
-// when the context ends.
-func (c *Control) Announce(ctx context.Context) {
+// when the context ends, and reports whether all have answered.
+func (c *Control) Announce(ctx context.Context) bool {
+	round := c.joinAnnouncement()
 	select {
-	case <-c.joinAnnouncement().done:
+	case <-round.done:
+		return round.answered
 	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -56,11 +63,7 @@
 	var open errgroup.Group
 	open.SetLimit(maxExchanges)
 	for _, m := range c.reachablePeers() {
-		open.Go(func() error {
-			c.exchange(ctx, m)
-			return nil
-		})
+		open.Go(func() error { return c.exchange(ctx, m) })
 	}
-	// The exchanges report no errors.
-	_ = open.Wait()
+	round.answered = open.Wait() == nil
 }
--- a/router/internal/control/exchange.go
+++ b/router/internal/control/exchange.go
@@ -54,7 +54,7 @@
 		}
 		open.Go(func() {
 			defer func() { <-slots }()
-			c.exchange(ctx, m)
+			_ = c.exchange(ctx, m)
 		})
 	}
 }
@@ -69,7 +69,7 @@
 func (c *Control) exchangeDue(ctx context.Context) {
 	var open sync.WaitGroup
 	for _, m := range c.due(time.Now()) {
-		open.Go(func() { c.exchange(ctx, m) })
+		open.Go(func() { _ = c.exchange(ctx, m) })
 	}
 	open.Wait()
 }
@@ -83,15 +83,16 @@
 	})
 }
 
-// exchange swaps state with one router.
-func (c *Control) exchange(ctx context.Context, m fleet.Member) {
+// exchange swaps state with one router. The view has counted an attempt that
+// stays without an answer, so that its error may be ignored.
+func (c *Control) exchange(ctx context.Context, m fleet.Member) error {
 	out := c.stateFor(m.Name)
 	in, err := c.opts.Caller.Exchange(ctx, m.PeerAddress, out)
 	if err != nil {
-		// The view has counted the attempt that stays without an answer.
-		return
+		return err
 	}
 	c.merge(ctx, time.Now(), in)
+	return nil
 }
 
 func (c *Control) stateFor(receiver string) *v1.PeerState {
--- a/router/internal/guard/guard.go
+++ b/router/internal/guard/guard.go
@@ -30,8 +30,9 @@
 // concurrent use.
 type Guard struct {
 	store *state.Store
-	// announce tells the other routers at once.
-	announce func(context.Context)
+	// announce tells the other routers at once and reports whether all have
+	// answered.
+	announce func(context.Context) bool
 
 	mu      sync.Mutex
 	book    *quarantine.Book
@@ -41,8 +42,9 @@
 }
 
 // New returns a guard for the router. announce swaps state with the other
-// routers and returns when they have answered or the context ends.
-func New(router string, store *state.Store, announce func(context.Context)) *Guard {
+// routers, returns when they have answered or the context ends, and reports
+// whether all have answered.
+func New(router string, store *state.Store, announce func(context.Context) bool) *Guard {
 	return &Guard{store: store, announce: announce, book: quarantine.New(router, quarantine.Options{})}
 }
 
@@ -58,6 +60,9 @@
 			refusal.RetryAfter = decision.RetryAfter
 			return false, refusal
 		}
+		if decision.Announce && g.settle(ctx, digest, startBy) {
+			continue
+		}
 		left := time.Until(startBy)
 		if left <= 0 {
 			return false, result.New(v1.Code_DEADLINE_EXCEEDED, v1.Ran_NO, "the request was a suspect until its deadline")
@@ -72,6 +77,20 @@
 	}
 }
 
+// settle announces the wish to run a suspect, until startBy at most. It reports
+// whether all other routers have answered.
+func (g *Guard) settle(ctx context.Context, digest uint64, startBy time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, min(announceTime, time.Until(startBy)))
+	defer cancel()
+	if !g.announce(ctx) {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Settled(time.Now(), quarantine.Digest(digest))
+	return true
+}
+
 func (g *Guard) begin(digest uint64) quarantine.Decision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/router/internal/guard/guard_test.go
+++ b/router/internal/guard/guard_test.go
@@ -19,7 +19,7 @@
 	store := state.NewStore(state.Member{Name: "a"})
 	announced := &v1.PeerState{}
 	var g *Guard
-	g = New("a", store, func(context.Context) { g.Fill(announced) })
+	g = New("a", store, func(context.Context) bool { g.Fill(announced); return true })
 	begin := func() {
 		suspect, refusal := g.Begin(t.Context(), 7, time.Now().Add(time.Minute))
 		is.True(!suspect)
@@ -39,9 +39,25 @@
 // A suspect that cannot start in time is told so at its deadline.
 func TestSuspectWaitsNoLongerThanItsDeadline(t *testing.T) {
 	is := is.New(t)
-	g := New("a", state.NewStore(state.Member{Name: "a"}), func(context.Context) {})
+	g := New("a", state.NewStore(state.Member{Name: "a"}), func(context.Context) bool { return false })
 	g.End(7, 1, dispatch.EndedCrashed)
 	_, refusal := g.Begin(t.Context(), 7, time.Now())
 	is.Equal(refusal.Code, v1.Code_DEADLINE_EXCEEDED)
 	is.Equal(refusal.Ran, v1.Ran_NO)
 }
+
+// A suspect runs as soon as all other routers have answered its announcement.
+func TestSuspectRunsOnceItIsAnnounced(t *testing.T) {
+	is := is.New(t)
+	announcements := 0
+	g := New("a", state.NewStore(state.Member{Name: "a"}), func(context.Context) bool {
+		announcements++
+		return true
+	})
+	g.End(7, 1, dispatch.EndedCrashed)
+	suspect, refusal := g.Begin(t.Context(), 7, time.Now().Add(time.Minute))
+	is.Equal(refusal, nil)
+	is.True(suspect)
+	is.Equal(announcements, 2) // the loss, and the wish to run
+	is.True(g.Confirm(7))
+}
--- a/router/router.go
+++ b/router/router.go
@@ -130,7 +130,7 @@
 		Self: r.self(), Tomb: r.tomb, Host: r.host, Timing: r.timing(), Traffic: r.metrics,
 	}, r.logger)
 	r.client = peer.NewClient(r.store, r.timing(), r.metrics)
-	r.guard = guard.New(s.Name, r.store, func(ctx context.Context) { r.control.Announce(ctx) })
+	r.guard = guard.New(s.Name, r.store, func(ctx context.Context) bool { return r.control.Announce(ctx) })
 	r.dispatcher = dispatch.New(dispatch.Options{
 		Store:         r.store,
 		Acquirer:      r.broker,
