--- a/internal/compose/check.go
+++ b/internal/compose/check.go
@@ -24,6 +24,9 @@
 	// maxInformedLosses is the number of targets that a request may take down
 	// after a first one, while routers can talk.
 	maxInformedLosses = 1
+	// maxLosses is the number of targets that a request may take down while
+	// routers can talk, also when it is sent many times at once.
+	maxLosses = 2
 )
 
 // watch is what the checks remember of a router.
@@ -288,14 +291,14 @@
 	})
 }
 
-// poisoned counts the targets that an operation took down. A target that is lost
-// only after the router has given the request up is passed over: KNOWN-RED.txt.
+// poisoned counts the targets that an operation took down, also those that are
+// lost only after the router has given the request up.
 func (w *World) poisoned(a *attempt) {
 	op := a.call.op
-	if a.over {
-		return
-	}
 	op.lost = append(op.lost, a.target.name)
+	if len(op.lost) > maxLosses && w.calmSince(op.firstSent) {
+		w.fail("operation %d took down targets %v while all routers could talk", op.Number, op.lost)
+	}
 	if !a.informed {
 		return
 	}
@@ -305,6 +308,12 @@
 	}
 }
 
+// calmSince returns whether routers could talk all the time from calmTime before
+// then on.
+func (w *World) calmSince(then time.Time) bool {
+	return !w.trouble() && then.Sub(w.troubleAt) > calmTime
+}
+
 // checkExit checks that a planned stop cuts nothing off and that no other
 // router takes it for the holder of a role.
 func (r *Router) checkExit() {
--- a/pool/spare.go
+++ b/pool/spare.go
@@ -190,6 +190,7 @@
 		return
 	}
 	d := s.newRunning(r, e.Demand)
+	s.admitCopy(d)
 	s.begin(d, s.target(config.ID(e.Spare>>spareTargetShift)))
 	s.granted++
 	s.recent(r)
@@ -202,6 +203,7 @@
 		workspace: s.workspaceOf(e.Workspace),
 		estimate:  e.Estimate,
 		prefix:    e.Prefix,
+		digest:    e.Digest,
 		deadline:  time.Time{},
 	}
 	d.owner = d
--- a/router/internal/broker/link.go
+++ b/router/internal/broker/link.go
@@ -104,6 +104,7 @@
 			Target:    uint32(r.target),
 			Charged:   r.charged(now),
 			Rate:      uint32(r.prediction.Rate),
+			Digest:    r.openDigest(),
 		})
 	}
 	hello.Counters = append(hello.Counters, &v1.PoolCounters{Pool: uint32(id), Counters: b.countersFor(key)})
--- a/router/internal/broker/spare.go
+++ b/router/internal/broker/spare.go
@@ -38,6 +38,9 @@
 // it may use.
 func (b *Broker) useSpare(r *request, l *link, now time.Time) bool {
 	list := b.spares[r.key]
+	if len(list) == 0 || !b.maySpare(r) {
+		return false
+	}
 	for i, s := range list {
 		if s.link != l || now.After(s.expires) || !b.spareAllowed(r, s.target) {
 			continue
--- a/router/internal/scheduling/events.go
+++ b/router/internal/scheduling/events.go
@@ -43,6 +43,11 @@
 			h.step(id, now, pool.Progress{ID: s.demandID(p.Seq), Cost: int64(p.Cost)})
 		}
 	}
+	for _, seq := range batch.FirstBytes {
+		if id, ok := s.poolOf[seq]; ok {
+			h.step(id, now, pool.FirstByte{ID: s.demandID(seq)})
+		}
+	}
 	for _, d := range batch.Done {
 		if id, ok := s.forget(d.Seq); ok {
 			h.step(id, now, pool.Done{
@@ -50,6 +55,7 @@
 				Cost:        int64(d.Cost),
 				Outcome:     d.Outcome,
 				ServiceTime: time.Duration(d.ServiceMs) * time.Millisecond,
+				Unresolved:  time.Duration(d.UnresolvedMs) * time.Millisecond,
 			})
 		}
 	}
@@ -88,6 +94,7 @@
 				ID:        s.demandID(f.Seq),
 				Workspace: config.ID(f.Workspace),
 				Target:    config.ID(f.Target),
+				Digest:    f.Digest,
 				Charged:   int64(f.Charged),
 				Rate:      int64(f.Rate),
 			})
@@ -160,6 +167,7 @@
 		Estimate:  int64(d.Estimate),
 		Deadline:  now.Add(time.Duration(d.WaitMs) * time.Millisecond),
 		Prefix:    d.Prefix,
+		Digest:    d.Digest,
 		BodyBytes: int64(d.BodyBytes),
 		Moved:     d.Moved,
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -133,7 +133,7 @@
 	}, r.logger)
 	r.client = peer.NewClient(r.store, r.timing(), r.metrics)
 	r.dealing = dealing.New(r.tomb, r.store, r.host, r.client, r.logger)
-	r.guard = guard.New(s.Name, r.store, func(ctx context.Context) { r.control.Announce(ctx) })
+	r.guard = guard.New(s.Name, r.store, func(ctx context.Context) bool { return r.control.Announce(ctx) })
 	r.dispatcher = dispatch.New(dispatch.Options{
 		Store:         r.store,
 		Acquirer:      r.broker,
