broker: pass a scheduler that is never heard over for longer

Cause: a router whose own links work counts as reachable, also when the others' streams to it carry one direction only. Each second the broker gave its role back, and the demands waited for another silence limit. A forwarded request whose owner fell silent was answered with CANCELLED to a caller that waits: the stream's context also ends when the connection is given up.

Ruled out: counting only answers as contact in package fleet (twice the messages between routers).

Change: avoidances double from 1 to 16 s while nothing is heard on new links. Forward looks at the caller's context. The dead-router test of package fleet has a router that is not heard as well.

Not heard by the others (go test -v -run TestDeadRouterLosesRoles ./fleet): silent for all after 3.1, 3.5 and 3.6 s at 6, 96 and 330 routers, as a dead one.

Conclusion: a one-way scheduler is avoided, each request of the others gets its slot within its deadline, nothing runs twice. Its own callers may be refused with NO (5 of 1,211 operations through all routers).

--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -91,24 +91,38 @@
 	is.Equal(m.PeerAddress, "10.0.3.132:7070")
 }
 
-// TestDeadRouterLosesRoles checks detection without a contact of one's own.
+// TestDeadRouterLosesRoles checks detection without a contact of one's own, of
+// a router that is dead and of one that hears the others but is not heard.
 func TestDeadRouterLosesRoles(t *testing.T) {
-	for _, size := range []int{6, 96, 330} {
-		is := is.New(t)
-		n := newNetwork(size, 5)
-		n.run(5 * time.Second)
-		n.dead["router-2"] = true
-		took, ok := n.until(15*time.Second, func() bool {
-			return n.all(func(v *fleet.View) bool { return !contains(v.Reachable(), "router-2") })
-		})
-		t.Logf("%d routers: silent for all after %v", size, took)
-		is.True(ok)
-		n.dead["router-2"] = false
-		took, ok = n.until(15*time.Second, func() bool {
-			return n.all(func(v *fleet.View) bool { return contains(v.Reachable(), "router-2") })
-		})
-		t.Logf("%d routers: reachable for all again after %v", size, took)
-		is.True(ok)
+	const lost = "router-2"
+	faults := []struct {
+		name string
+		set  func(n *network, on bool)
+	}{
+		{"dead", func(n *network, on bool) { n.dead[lost] = on }},
+		{"not heard", func(n *network, on bool) { n.cut = func(from, _ string) bool { return on && from == lost } }},
+	}
+	for _, fault := range faults {
+		for _, size := range []int{6, 96, 330} {
+			is := is.New(t)
+			n := newNetwork(size, 5)
+			others := func(reach bool) func() bool {
+				return func() bool {
+					return n.all(func(v *fleet.View) bool {
+						return v.Self().Name == lost || contains(v.Reachable(), lost) == reach
+					})
+				}
+			}
+			n.run(5 * time.Second)
+			fault.set(n, true)
+			took, ok := n.until(15*time.Second, others(false))
+			t.Logf("%d routers, one %s: silent for all others after %v", size, fault.name, took)
+			is.True(ok)
+			fault.set(n, false)
+			took, ok = n.until(15*time.Second, others(true))
+			t.Logf("%d routers: reachable for all again after %v", size, took)
+			is.True(ok)
+		}
 	}
 }
 
--- a/internal/e2e/resender_test.go
+++ b/internal/e2e/resender_test.go
@@ -64,6 +64,9 @@
 	began, ran := c.runLog.began(o.name)
 	promised := 0
 	for _, a := range o.answers {
+		if a.code == v1.Code_CANCELLED {
+			t.Errorf("%s: a caller that waits is told that it went away: %v", o.name, a)
+		}
 		if a.err != nil || a.ran != v1.Ran_NO {
 			continue
 		}
--- a/internal/e2e/router_test.go
+++ b/internal/e2e/router_test.go
@@ -35,19 +35,23 @@
 	cluster            *cluster
 	name, zone         string
 	entry, peer, admin string
-	incarnation        uint64
-	flags              []string
+	// advertised is where other routers reach peer.
+	advertised  string
+	incarnation uint64
+	flags       []string
 	// listed is set while the platform lists the router.
 	listed bool
 }
 
 func newRouter(c *cluster, i int, zone string, flags []string) *router {
+	peer := freeAddress(c.t)
 	return &router{
 		cluster:     c,
 		name:        fmt.Sprintf("router-%d", i+1),
 		zone:        zone,
 		entry:       freeAddress(c.t),
-		peer:        freeAddress(c.t),
+		peer:        peer,
+		advertised:  peer,
 		admin:       freeAddress(c.t),
 		incarnation: 1,
 		flags:       flags,
@@ -60,7 +64,7 @@
 		Name:         r.name,
 		Incarnation:  r.incarnation,
 		Zone:         r.zone,
-		PeerAddress:  r.peer,
+		PeerAddress:  r.advertised,
 		EntryAddress: r.entry,
 		AdminAddress: r.admin,
 		State:        v1.InstanceState_LIVE,
@@ -74,6 +78,7 @@
 		"--region=" + configtest.Region,
 		"--entry-listen=" + r.entry,
 		"--peer-listen=" + r.peer,
+		"--peer-advertise=" + r.advertised,
 		"--admin-listen=" + r.admin,
 		"--platform-url=" + r.cluster.platformURL,
 		fmt.Sprintf("--incarnation=%d", r.incarnation),
--- a/internal/e2e/scheduler_test.go
+++ b/internal/e2e/scheduler_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -94,8 +95,19 @@
 	}
 }
 
-// testSchedulerLoss lets the router that schedules the engines fail under load.
-func testSchedulerLoss(t *testing.T, fail func(*router)) {
+// expectAllServed ends the load and fails the test unless each request got its
+// slot within its deadline, once.
+func (l *schedulerLoad) expectAllServed(t *testing.T) {
+	t.Helper()
+	l.stop(t)
+	if _, refused := l.counts(); len(refused) > 0 {
+		t.Errorf("refused: %v", refused)
+	}
+}
+
+// scheduledCluster is a deployment whose requests wait for the scheduler, and
+// the router that schedules the engines.
+func scheduledCluster(t *testing.T) (*cluster, *router) {
 	t.Helper()
 	c := newCluster(t, size{routers: 4, zones: 2, engines: 2, services: 2}, func(c *v1.Configuration) {
 		for _, target := range c.Targets {
@@ -106,14 +118,19 @@
 		p := newPrompt(t, 2)
 		p.expectWhole(t, send(r.entry, p.call(true)))
 	}
-	holder := c.schedulerOf(configtest.EnginePool)
-	var others []*router
-	for _, r := range c.routers {
-		if r != holder {
-			others = append(others, r)
-		}
-	}
-	l := startSchedulerLoad(t, others)
+	return c, c.schedulerOf(configtest.EnginePool)
+}
+
+// others returns the routers but one.
+func (c *cluster) others(left *router) []*router {
+	return slices.DeleteFunc(slices.Clone(c.routers), func(r *router) bool { return r == left })
+}
+
+// testSchedulerLoss lets the router that schedules the engines fail under load.
+func testSchedulerLoss(t *testing.T, fail func(*router)) {
+	t.Helper()
+	c, holder := scheduledCluster(t)
+	l := startSchedulerLoad(t, c.others(holder))
 	l.awaitMore(t, 4*loadCallers)
 	fail(holder)
 	l.awaitMore(t, 4*loadCallers)
--- a/router/internal/broker/answer.go
+++ b/router/internal/broker/answer.go
@@ -13,6 +13,7 @@
 	if b.links[l.member.Name] != l {
 		return
 	}
+	l.heard = true
 	now := time.Now()
 	for _, s := range batch.Spares {
 		b.addSpare(l, s, now)
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -28,8 +28,6 @@
 	// answerGrace is how long a scheduler's refusal may come after the
 	// deadline before the broker refuses by itself.
 	answerGrace = 50 * time.Millisecond
-	// avoidTime is how long a scheduler that could not be reached is passed over.
-	avoidTime = time.Second
 	// idleLinkTime is how long a link without requests stays open.
 	idleLinkTime = 30 * time.Second
 	// rejoinRetryAfter is told to callers when no scheduler can be reached.
@@ -92,7 +90,7 @@
 	seq      uint64
 	requests map[uint64]*request
 	links    map[string]*link
-	avoid    map[string]time.Time
+	avoid    avoidances
 	spares   map[poolKey][]spare
 	// counters holds the last counters seen, by pool and workspace.
 	counters map[config.ID]map[config.ID]*v1.Counter
@@ -134,7 +132,7 @@
 		in:       make(chan any, inputLimit),
 		requests: map[uint64]*request{},
 		links:    map[string]*link{},
-		avoid:    map[string]time.Time{},
+		avoid:    avoidances{},
 		spares:   map[poolKey][]spare{},
 		counters: map[config.ID]map[config.ID]*v1.Counter{},
 	}
@@ -368,14 +366,7 @@
 
 // endAvoidance lets roles move back to routers that were passed over.
 func (b *Broker) endAvoidance(now time.Time) {
-	ended := false
-	for name, until := range b.avoid {
-		if now.After(until) {
-			delete(b.avoid, name)
-			ended = true
-		}
-	}
-	if ended {
+	if b.avoid.end(now) {
 		b.replace(now)
 	}
 }
--- a/router/internal/broker/broker_test.go
+++ b/router/internal/broker/broker_test.go
@@ -170,6 +170,34 @@
 	is.Equal(seqs(f.sent(first.member.Name).Demands), []uint64{waiting.seq})
 }
 
+// A scheduler that is never heard is passed over for longer each time, until
+// something arrives from it or its next incarnation.
+func TestSilentSchedulerIsPassedOverForLonger(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, member("a", home, 1), member("b", home, 1))
+	waiting := f.acquire(time.Minute)
+	silent := waiting.link.member
+	now := time.Now()
+	lose := func(heard bool) time.Duration {
+		f.avoid.lost(silent, heard, now)
+		return f.avoid[silent.Name].until.Sub(now)
+	}
+	for _, want := range []time.Duration{1, 2, 4, 8, 16, 16} {
+		is.Equal(lose(false), want*time.Second)
+		is.True(f.avoid.avoids(silent, now.Add(want*time.Second)))
+		is.True(!f.avoid.end(now.Add(want * time.Second)))
+		is.True(f.avoid.end(now.Add(want*time.Second + 1)))
+		is.True(!f.avoid.end(now.Add(want*time.Second + 2))) // told once
+	}
+	is.Equal(lose(true), avoidTime)
+	is.True(!f.avoid.avoids(member(silent.Name, home, 2), now))
+	is.Equal(lose(false), 2*avoidTime)
+	f.avoid.end(now.Add(2*avoidTime + maxAvoidTime + 1))
+	is.Equal(len(f.avoid), 0) // forgotten
+	f.input(receivedInput{waiting.link, &v1.SchedulerBatch{}})
+	is.True(waiting.link.heard)
+}
+
 func TestRestartedSchedulerGetsEachDemandOnce(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, member("a", home, 1))
--- a/router/internal/broker/link.go
+++ b/router/internal/broker/link.go
@@ -16,6 +16,8 @@
 	conn     Link
 	batch    *v1.EntryBatch
 	lastUsed time.Time
+	// heard is set once anything has arrived.
+	heard bool
 	// greeted holds the pools whose hello was sent.
 	greeted map[string]bool
 }
@@ -68,7 +70,7 @@
 		return state.Member{}, false
 	}
 	for _, m := range ranked {
-		if now.After(b.avoid[m.Name]) {
+		if !b.avoid.avoids(m, now) {
 			return m, true
 		}
 	}
@@ -113,7 +115,7 @@
 	}
 	now := time.Now()
 	b.logLink(l, "scheduler_lost", err)
-	b.avoid[l.member.Name] = now.Add(avoidTime)
+	b.avoid.lost(l.member, l.heard, now)
 	b.dropLink(l)
 	b.moveFrom(l, now)
 }
--- a/router/internal/peer/forward.go
+++ b/router/internal/peer/forward.go
@@ -106,7 +106,7 @@
 	if err := sendRequest(stream, head, body); err != nil {
 		return ownerLost(owner, err), true
 	}
-	return receiveAnswer(stream, owner, sink, watch), true
+	return receiveAnswer(ctx, stream, owner, sink, watch), true
 }
 
 // forwardGrace is added to the deadline of a request that was passed on
@@ -133,11 +133,12 @@
 	return r
 }
 
-// receiveAnswer relays the owner's frames to the caller.
-func receiveAnswer(stream v1.DRPCPeering_ForwardClient, owner requestkey.Member, sink dispatch.Sink, watch *silenceWatch) *result.Result {
+// receiveAnswer relays the owner's frames to the caller, whose context is ctx. The
+// stream's own context also ends when the connection is given up.
+func receiveAnswer(ctx context.Context, stream v1.DRPCPeering_ForwardClient, owner requestkey.Member, sink dispatch.Sink, watch *silenceWatch) *result.Result {
 	for {
 		frame, err := stream.Recv()
-		if err != nil && stream.Context().Err() != nil {
+		if err != nil && ctx.Err() != nil {
 			return result.New(v1.Code_CANCELLED, v1.Ran_UNKNOWN, "the caller went away")
 		}
 		if err != nil {
