e2e: demand that a scheduler's queue outlives it

Cause: the tests of a lost scheduler accepted refusals that say NO, so that a broker that drops its waiting demands passed them.

Ruled out: a count of refusals that is allowed; none comes up.

Change: under load no request may be refused when the scheduler is killed or paused, and requests that wait at a scheduler which is killed or stopped are all served by the next one.

The product code was not changed.

Conclusion: queued requests move to the next scheduler.

--- a/internal/e2e/operation_test.go
+++ b/internal/e2e/operation_test.go
@@ -57,8 +57,9 @@
 	return c.with(entryRequestKey, issued.Key), true
 }
 
-// Headers of request keys.
+// Headers of requests.
 const (
+	entryDeadline       = "Chiveseam-Deadline-Ms"
 	entryRequestKey     = "Chiveseam-Request-Key"
 	entryIdempotencyKey = "Idempotency-Key"
 )
--- a/internal/e2e/scheduler_test.go
+++ b/internal/e2e/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -134,7 +135,7 @@
 	l.awaitMore(t, 4*loadCallers)
 	fail(holder)
 	l.awaitMore(t, 4*loadCallers)
-	l.stop(t)
+	l.expectAllServed(t)
 	if doubles := c.ledger.Report().Doubles; len(doubles) > 0 {
 		t.Errorf("ran more than once: %v", doubles)
 	}
@@ -145,6 +146,50 @@
 	testSchedulerLoss(t, func(holder *router) { holder.kill() })
 }
 
+// queuedCalls wait at a scheduler whose targets have two slots in all.
+const queuedCalls = 24
+
+// The requests that wait at a scheduler when it ends are all served by the next
+// one, within deadlines that leave time for it.
+func TestQueuedRequestsOutliveTheirScheduler(t *testing.T) {
+	t.Parallel()
+	for _, end := range []struct {
+		name string
+		run  func(*testing.T, *router)
+	}{
+		{"killed", func(_ *testing.T, r *router) { r.kill() }},
+		{"stopped", func(t *testing.T, r *router) { r.signal(t, syscall.SIGTERM) }},
+	} {
+		t.Run(end.name, func(t *testing.T) {
+			t.Parallel()
+			c, holder := scheduledCluster(t)
+			var wg sync.WaitGroup
+			for i := range queuedCalls {
+				r := c.others(holder)[i%(len(c.routers)-1)]
+				p := newPrompt(t, streamTokens)
+				request := p.call(true).with(entryDeadline, strconv.FormatInt(waitLimit.Milliseconds(), 10))
+				wg.Go(func() { p.expectWhole(t, send(r.entry, request)) })
+			}
+			awaitQueued(t, holder, queuedCalls/2)
+			end.run(t, holder)
+			wg.Wait()
+		})
+	}
+}
+
+// awaitQueued waits until more than so many requests wait at the scheduler.
+func awaitQueued(t *testing.T, holder *router, requests uint32) {
+	t.Helper()
+	var queued uint32
+	await(t, "requests wait at the scheduler", func() bool {
+		queued = 0
+		for _, p := range holder.status().GetPools() {
+			queued += p.Queued
+		}
+		return queued > requests
+	}, func() any { return queued })
+}
+
 func TestSchedulerIsPausedUnderLoad(t *testing.T) {
 	t.Parallel()
 	testSchedulerLoss(t, func(holder *router) {
