keys: record an answer before its last part goes to the caller

Cause: the record was made after the answer had been sent, so that a caller which sent an answered request again at once could get KEY_IN_PROGRESS.

Ruled out: letting the resend wait for the record (a wait needs a bound, and a duplicate of a request that does run would wait as well).

Change: dispatch tells of a whole answer and its last part before that part goes to the sink; the executor records it then. Streams count as whole at [DONE].

Conclusion: whoever has the whole answer gets the record.

--- a/router/internal/dispatch/relay.go
+++ b/router/internal/dispatch/relay.go
@@ -71,6 +71,9 @@
 	if sinkErr := sink.Head(resp.StatusCode, resp.Header, known); sinkErr != nil {
 		return head, errCallerGone
 	}
+	if known != nil {
+		a.req.beforeEnd(known, head)
+	}
 	if sinkErr := sink.Data(head); sinkErr != nil {
 		return head, errCallerGone
 	}
--- /dev/null
+++ b/router/internal/dispatch/relay_test.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"io"
+	"math"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/result"
+)
+
+// orderSink records the parts of an answer.
+type orderSink struct{ seen []string }
+
+func (*orderSink) Head(int, http.Header, *result.Result) error { return nil }
+
+func (s *orderSink) Data(p []byte) error {
+	s.seen = append(s.seen, string(p))
+	return nil
+}
+
+// Whoever records an answer has it whole before the caller has.
+func TestEndIsToldBeforeTheLastPart(t *testing.T) {
+	for _, test := range []struct {
+		contentType, body string
+		want              []string
+	}{
+		{"application/json", "whole", []string{"end whole", "whole"}},
+		{"text/event-stream", "data: a\n\ndata: [DONE]\n\n", []string{"data: a\n\n", "end data: [DONE]\n\n", "data: [DONE]\n\n"}},
+	} {
+		is := is.New(t)
+		sink := &orderSink{}
+		a := &attempt{
+			target:     &v1.Target{},
+			nextReport: math.MaxUint32,
+			req: &Request{Pool: &v1.Pool{}, BeforeEnd: func(end *result.Result, last []byte) {
+				is.Equal(end.Code, v1.Code_OK)
+				sink.seen = append(sink.seen, "end "+string(last))
+			}},
+		}
+		resp := &http.Response{
+			StatusCode:    http.StatusOK,
+			Header:        http.Header{"Content-Type": {test.contentType}},
+			Body:          io.NopCloser(strings.NewReader(test.body)),
+			ContentLength: int64(len(test.body)),
+		}
+		dog := newWatchdog(func(error) {}, time.Minute)
+		var err error
+		if isEventStream(resp.Header) {
+			err = (&stream{attempt: a, sink: sink}).relayConnection(resp, dog)
+		} else {
+			_, err = a.relayWhole(resp, sink, dog)
+		}
+		dog.stop()
+		is.NoErr(err)
+		is.Equal(sink.seen, test.want)
+	}
+}
--- a/router/internal/dispatch/request.go
+++ b/router/internal/dispatch/request.go
@@ -37,6 +37,16 @@
 	// MayStart, if set, is asked directly before an attempt sends the request.
 	// The request must not be sent when it returns false.
 	MayStart func() bool
+	// BeforeEnd, if set, is told of an answer that is known to be whole, with its
+	// result and its last part, before that part goes to the sink. It is not called
+	// for plain answers over 1 MiB.
+	BeforeEnd func(end *result.Result, last []byte)
+}
+
+func (r *Request) beforeEnd(end *result.Result, last []byte) {
+	if r.BeforeEnd != nil {
+		r.BeforeEnd(end, last)
+	}
 }
 
 // Sink receives the answer. Head is called at most once and before Data. Its
--- a/router/internal/dispatch/stream.go
+++ b/router/internal/dispatch/stream.go
@@ -61,7 +61,9 @@
 			return truncated(err)
 		}
 		done := bytes.Equal(ev.data, streamEnd)
-		if !done {
+		if done {
+			s.attempt.req.beforeEnd(s.attempt.served(resp).result, ev.raw)
+		} else {
 			s.attempt.observe(ev.data)
 		}
 		if err := s.sink.Data(ev.raw); err != nil {
--- a/router/internal/keys/executor.go
+++ b/router/internal/keys/executor.go
@@ -152,16 +152,20 @@
 }
 
 // dispatch executes a key that was begun here and records how it ended, also
-// when the caller went away.
+// when the caller went away. A whole answer is recorded before the caller gets its
+// last part, so that a request that is sent again after it finds the record.
 func (e *Executor) dispatch(call *entry.Call, id requestkey.ID, sink dispatch.Sink) *result.Result {
 	recorder := &recorder{sink: sink}
 	ran := v1.Ran_UNKNOWN
 	defer func() { e.finish(id, ran, recorder.answer()) }()
 	call.Request.MayStart = func() bool { return e.mayStart(id) }
+	call.Request.BeforeEnd = func(end *result.Result, last []byte) {
+		recorder.end(end, last)
+		e.finish(id, end.Ran, recorder.answer())
+	}
 	e.boundRun(call.Request)
 	end := e.doer.Do(context.WithoutCancel(call.Context), call.Request, recorder)
-	recorder.code = end.Code
-	recorder.whole = end.OK()
+	recorder.end(end, nil)
 	ran = end.Ran
 	return end
 }
--- a/router/internal/keys/record.go
+++ b/router/internal/keys/record.go
@@ -39,12 +39,8 @@
 
 // Data implements dispatch.Sink.
 func (r *recorder) Data(p []byte) error {
-	if len(r.body)+len(p) > maxRecordedBytes {
-		r.over = true
-		r.body = nil
-	}
-	if !r.over {
-		r.body = append(r.body, p...)
+	if !r.whole {
+		r.keep(p)
 	}
 	if r.gone {
 		return nil
@@ -55,6 +51,23 @@
 	return nil
 }
 
+func (r *recorder) keep(p []byte) {
+	if len(r.body)+len(p) > maxRecordedBytes {
+		r.over = true
+		r.body = nil
+	}
+	if !r.over {
+		r.body = append(r.body, p...)
+	}
+}
+
+// end notes the result, with a last part that is still to be passed on.
+func (r *recorder) end(end *result.Result, last []byte) {
+	r.keep(last)
+	r.code = end.Code
+	r.whole = end.OK()
+}
+
 // answer returns the whole answer, nil if there is none.
 func (r *recorder) answer() *requestkey.Answer {
 	if !r.whole || r.over {
