entry: give each refusal a code, before the body is read

Cause: net/http answers header floods and bytes that are no HTTP by itself. It reads up to 256 KiB of a body before it sends a refusal, without a limit of time, and resets the connection of a caller that sends more.

Ruled out: a limit on the whole reading of a request (answers take longer); no reading at all after a refusal (a caller that sends first would be reset).

Change: the entry's connections replace the library's own answers by coded ones. A refusal of a request with a body is sent with its length before any of the body is read; then at most 0.5 s of it is read, without a valid token at most 1 MiB. The connection is kept if a body of up to 256 KiB came whole. The limit of 30 s on bodies is the setting request-body-timeout. TestHeaderFloodIsRefused asks for the code and the whole body besides the status.

Before (go test ./internal/e2e -run 'TestRefusalReaches|TestHeaderFlood'): callers without a valid token or path that announced 1,000 bytes and sent none had no answer after 30 s; 431 and 400 came without a code, and the body of 431 ended in a reset. After: all tests of doors pass (-count=2); 16 callers with 100 MiB each and no valid token get rid of less than 32 MiB each, and none of it is held.

Conclusion: each refusal carries a code and reaches its caller, but for bodies over 1 MiB without a valid token, of which the answer may be lost.

--- a/internal/e2e/door_test.go
+++ b/internal/e2e/door_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -21,16 +20,18 @@
 	hugeBody = 100 << 20
 	// maxHeaderBytes is the limit that the routers of these tests get.
 	maxHeaderBytes = 8 << 10
-	// headerTimeout is the time that these routers give for headers.
+	// headerTimeout and bodyTimeout are the times that these routers give for
+	// headers and bodies.
 	headerTimeout = 500 * time.Millisecond
+	bodyTimeout   = 500 * time.Millisecond
 )
 
 // doorCluster is the smallest deployment that serves calls.
-func doorCluster(t *testing.T) *cluster {
+func doorCluster(t *testing.T, flags ...string) *cluster {
 	return newCluster(t, size{routers: 2, zones: 2, engines: 1, services: 1}, func(c *v1.Configuration) {
 		c.Workspaces[0].Pools = []string{configtest.ServicePool, configtest.EnginePool}
 		c.Workspaces[1].Pools = []string{configtest.ServicePool}
-	}, fmt.Sprintf("--max-header-bytes=%d", maxHeaderBytes), "--request-header-timeout="+headerTimeout.String())
+	}, append(flags, fmt.Sprintf("--max-header-bytes=%d", maxHeaderBytes), "--request-header-timeout="+headerTimeout.String())...)
 }
 
 // expectServing fails the test unless each router serves a call of an engine
@@ -155,17 +156,6 @@
 	return conn
 }
 
-// statusOf returns the status of the answer on the connection.
-func statusOf(t *testing.T, conn net.Conn) int {
-	t.Helper()
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatalf("read an answer: %v", err)
-	}
-	resp.Body.Close()
-	return resp.StatusCode
-}
-
 func TestHeaderFloodIsRefused(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -173,12 +163,12 @@
 	conn := dialRaw(t, c.routers[0].entry)
 	_, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: x\r\nX-Flood: %s\r\n\r\n", strings.Repeat("f", 4*maxHeaderBytes))
 	is.NoErr(err)
-	is.Equal(statusOf(t, conn), http.StatusRequestHeaderFieldsTooLarge)
+	readRaw(conn).expectCoded(t, "header flood", http.StatusRequestHeaderFieldsTooLarge, v1.Code_BAD_REQUEST, v1.Ran_UNKNOWN)
 
 	conn = dialRaw(t, c.routers[0].entry)
 	_, err = io.WriteString(conn, "\x00\x01\x02 no HTTP\r\n\r\n")
 	is.NoErr(err)
-	is.Equal(statusOf(t, conn), http.StatusBadRequest)
+	readRaw(conn).expectCoded(t, "no HTTP", http.StatusBadRequest, v1.Code_BAD_REQUEST, v1.Ran_UNKNOWN)
 	expectServing(t, c)
 }
 
--- /dev/null
+++ b/internal/e2e/unread_body_test.go
@@ -0,0 +1,131 @@
+package e2e
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	// refusedBody is more than net/http reads by itself after an answer, and less
+	// than a router discards of a body without a valid token.
+	refusedBody = 1<<20 - 1
+	// floodBody is sent by callers without a valid token, floodTaken is what a
+	// router and the sockets may take of it.
+	floodBody  = hugeBody
+	floodTaken = 32 << 20
+)
+
+// rawPost returns the head of a request with a body of the length.
+func rawPost(path, bearer string, length int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", path, bearer, length)
+}
+
+// readRaw reads the answer on a connection.
+func readRaw(conn net.Conn) answer {
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return newAnswer(resp, body, err)
+}
+
+// expectCoded fails the test unless the answer has the status and the code, in its
+// headers and its body.
+func (a answer) expectCoded(t *testing.T, what string, status int, code v1.Code, ran v1.Ran) {
+	t.Helper()
+	a.expect(t, what, code, ran)
+	if a.status != status || !strings.Contains(string(a.body), fmt.Sprintf(`"code":%d`, code)) {
+		t.Errorf("%s: status %d, want %d: %s", what, a.status, status, a.body)
+	}
+}
+
+// Refusals before the body was read reach a caller that sends all of it first, and
+// one that sends nothing of it.
+func TestRefusalReachesCallerWithBody(t *testing.T) {
+	t.Parallel()
+	c := doorCluster(t)
+	tests := []struct {
+		name, path, token string
+		code              v1.Code
+	}{
+		{"unknown token", "/v1/completions", "none", v1.Code_UNKNOWN_TOKEN},
+		{"unknown path", "/none", token, v1.Code_UNKNOWN_POOL},
+		{"unknown service", "/services/none/x", token, v1.Code_UNKNOWN_POOL},
+	}
+	for _, test := range tests {
+		for _, length := range []int{1000, refusedBody} {
+			for _, sent := range []int{0, length} {
+				conn := dialRaw(t, c.routers[0].entry)
+				head := rawPost(test.path, test.token, length)
+				_, err := io.WriteString(conn, head+strings.Repeat("x", sent))
+				what := fmt.Sprintf("%s, %d of %d bytes sent (%v)", test.name, sent, length, err)
+				readRaw(conn).expect(t, what, test.code, v1.Ran_NO)
+			}
+		}
+	}
+	expectServing(t, c)
+}
+
+// A connection is kept after a refusal whose small body came whole.
+func TestConnectionIsKeptAfterRefusal(t *testing.T) {
+	t.Parallel()
+	c := doorCluster(t)
+	conn := dialRaw(t, c.routers[0].entry)
+	for range 3 {
+		if _, err := io.WriteString(conn, rawPost("/none", "none", 4)+"body"); err != nil {
+			t.Fatal(err)
+		}
+		readRaw(conn).expect(t, "on a kept connection", v1.Code_UNKNOWN_POOL, v1.Ran_NO)
+	}
+}
+
+// Of large bodies without a valid token next to nothing is read.
+func TestFloodOfBodiesWithoutToken(t *testing.T) {
+	t.Parallel()
+	c := doorCluster(t)
+	r := c.routers[0]
+	const callers = 16
+	done := make(chan int64, callers)
+	for range callers {
+		conn := dialRaw(t, r.entry)
+		go func() {
+			_, _ = io.WriteString(conn, rawPost("/v1/completions", "none", floodBody))
+			taken, _ := io.Copy(conn, io.LimitReader(zeros{}, floodBody))
+			done <- taken
+		}()
+	}
+	for range callers {
+		if taken := <-done; taken > floodTaken {
+			t.Errorf("%d bytes of a body without a valid token were taken; limit %d", taken, floodTaken)
+		}
+	}
+	if status := r.status(); status.GetBodyBytes() != 0 || status.GetOpenRequests() != 0 {
+		t.Errorf("bodies without a valid token are held: %v", status)
+	}
+	expectServing(t, c)
+}
+
+// A body that does not come within its time ends its request with an answer.
+func TestSlowBodyIsRefusedInTime(t *testing.T) {
+	t.Parallel()
+	c := doorCluster(t, "--request-body-timeout="+bodyTimeout.String())
+	conn := dialRaw(t, c.routers[0].entry)
+	if _, err := io.WriteString(conn, rawPost("/services/desk/jobs", token, 100)+"half"); err != nil {
+		t.Fatal(err)
+	}
+	a := readRaw(conn)
+	a.expectCoded(t, "slow body", http.StatusBadRequest, v1.Code_BAD_REQUEST, v1.Ran_NO)
+	if _, err := io.Copy(io.Discard, conn); err != nil {
+		t.Errorf("the connection was not closed: %v", err)
+	}
+	expectServing(t, c)
+}
--- a/router/internal/entry/answer.go
+++ b/router/internal/entry/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -53,28 +54,52 @@
 	writeJSON(w, r.Status(), newErrorBody(r))
 }
 
+const (
+	// lingerTime bounds the reading of a body that was refused, and lingerBytes its
+	// size for a caller whose token was not accepted.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+	// keptBodyBytes is the largest body that is read after a refusal so that the
+	// connection can be kept.
+	keptBodyBytes = 256 << 10
+)
+
 // writeResultBeforeBody answers a request whose body was not read to its end,
-// and goes on reading it for a while: a connection that is closed while the
-// caller still sends is reset, and the answer may be lost with it.
-func writeResultBeforeBody(w http.ResponseWriter, r *http.Request, end *result.Result) {
+// and goes on reading up to limit bytes of it for a while: a connection that is
+// closed while the caller still sends is reset, and the answer may be lost with
+// it. The caller gets the answer before any of this is read.
+func writeResultBeforeBody(w http.ResponseWriter, r *http.Request, end *result.Result, limit int64) {
 	controller := http.NewResponseController(w)
 	// The reading is lost on a connection that cannot do both at once.
 	_ = controller.EnableFullDuplex()
-	w.Header().Set("Connection", "close")
+	kept := r.ContentLength > 0 && r.ContentLength <= keptBodyBytes
+	if !kept {
+		w.Header().Set("Connection", "close")
+	}
 	writeResult(w, end)
 	_ = controller.Flush()
 	_ = controller.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, r.Body)
+	_, err := io.CopyN(io.Discard, r.Body, limit)
+	if kept && !errors.Is(err, io.EOF) {
+		// What is left of the body would be taken for the next request.
+		panic(http.ErrAbortHandler)
+	}
+	_ = controller.SetReadDeadline(time.Time{})
 }
 
-// lingerTime bounds the reading of a body that was refused.
-const lingerTime = 500 * time.Millisecond
-
-func writeJSON(w http.ResponseWriter, status int, body any) {
+// writeJSON writes an answer that is whole once its bytes are there, also when the
+// connection is closed after them.
+func writeJSON(w http.ResponseWriter, status int, message any) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	// The caller may be gone; there is nobody left to tell.
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(body)
 }
 
 // trackedWriter remembers whether a head was written.
@@ -103,7 +128,7 @@
 func (s *Server) finish(w *trackedWriter, r *http.Request, c *caller, end *result.Result) {
 	switch {
 	case !w.wrote && c.unread:
-		writeResultBeforeBody(w, r, end)
+		writeResultBeforeBody(w, r, end, math.MaxInt64)
 	case !w.wrote:
 		writeResult(w, end)
 	case end.OK():
--- a/router/internal/entry/server.go
+++ b/router/internal/entry/server.go
@@ -151,6 +151,7 @@
 			return nil
 		}
 		defer s.leave(c)
+		c.unread = hasBody(r.Request)
 		tracked := &trackedWriter{ResponseWriter: w}
 		c.sink = newCallerSink(tracked, s.opts.WriteTimeout)
 		end := h(tracked, r.Request, c)
@@ -167,9 +168,15 @@
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, refusal *result.Result) {
 	refusal.Ran = ranBeforeKeys(r, refusal.Ran)
 	s.observer.Refused(refusal.Code)
+	if hasBody(r) {
+		writeResultBeforeBody(w, r, refusal, lingerBytes)
+		return
+	}
 	writeResult(w, refusal)
 }
 
+func hasBody(r *http.Request) bool { return r.ContentLength != 0 }
+
 // ranBeforeKeys returns what may be said of a request whose key was not looked
 // up: an earlier request with the key may have run.
 func ranBeforeKeys(r *http.Request, ran v1.Ran) v1.Ran {
--- a/router/router.go
+++ b/router/router.go
@@ -179,7 +179,7 @@
 		MaxOpenRequests: s.MaxOpenRequests,
 		MaxBodyBytes:    s.MaxBodyBytes,
 		MaxBodiesBytes:  s.MaxBodiesBytes,
-		BodyTimeout:     bodyTimeout,
+		BodyTimeout:     s.RequestBodyTimeout,
 		WriteTimeout:    writeTimeout,
 	}, r.store, r.keys, r.keys, r.metrics, func() bool { return r.control.Ready() }, r.logger, r.tracing.Tracer())
 }
@@ -206,7 +206,6 @@
 }
 
 const (
-	bodyTimeout  = 30 * time.Second
 	writeTimeout = 30 * time.Second
 	// maxSpares is the number of slots of a pool that a router may hold ahead
 	// of demand.
@@ -264,7 +263,7 @@
 
 func (r *Router) startDuties() {
 	ctx := r.tomb.Context(context.Background())
-	limited := netutil.LimitListener(r.listeners.entry, r.settings.MaxConnections)
+	limited := entry.NewListener(netutil.LimitListener(r.listeners.entry, r.settings.MaxConnections))
 	duties := []func() error{
 		r.host.Run,
 		r.broker.Run,
--- a/settings/settings_gen.go
+++ b/settings/settings_gen.go
@@ -74,6 +74,8 @@
 	CoalesceInterval time.Duration
 	// Time for which the slots of a lost router stay busy.
 	GrantHold time.Duration
+	// Time for a caller to send the body of a request.
+	RequestBodyTimeout time.Duration
 
 	// Version is set when only the version was asked for.
 	Version bool
@@ -115,6 +117,7 @@
 	ClockMargin           string `long:"clock-margin" env:"CHIVESEAM_CLOCK_MARGIN" default:"2s" description:"Greatest difference between the clocks of callers and routers that is tolerated."`
 	CoalesceInterval      string `long:"coalesce-interval" env:"CHIVESEAM_COALESCE_INTERVAL" default:"0s" description:"Longest time that a message to another router waits for others to share its write."`
 	GrantHold             string `long:"grant-hold" env:"CHIVESEAM_GRANT_HOLD" default:"1s" description:"Time for which the slots of a lost router stay busy."`
+	RequestBodyTimeout    string `long:"request-body-timeout" env:"CHIVESEAM_REQUEST_BODY_TIMEOUT" default:"30s" description:"Time for a caller to send the body of a request."`
 
 	Version bool `long:"version" description:"Print the version and exit."`
 	Check   bool `long:"check" description:"Check the settings and exit."`
@@ -155,6 +158,7 @@
 		ClockMargin:           convert(c, "clock-margin", f.ClockMargin, false, duration(0, 300000000000)),
 		CoalesceInterval:      convert(c, "coalesce-interval", f.CoalesceInterval, false, duration(0, 100000000)),
 		GrantHold:             convert(c, "grant-hold", f.GrantHold, false, duration(10000000, 60000000000)),
+		RequestBodyTimeout:    convert(c, "request-body-timeout", f.RequestBodyTimeout, false, duration(10000000, 3600000000000)),
 		Version:               f.Version,
 		Check:                 f.Check,
 	}
