--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -30,8 +30,6 @@
 	// answerGrace is how long a scheduler's refusal may come after the
 	// deadline before the broker refuses by itself.
 	answerGrace = 50 * time.Millisecond
-	// avoidTime is how long a scheduler that could not be reached is passed over.
-	avoidTime = time.Second
 	// idleLinkTime is how long a link without requests stays open.
 	idleLinkTime = 30 * time.Second
 	// rejoinRetryAfter is told to callers when no scheduler can be reached.
@@ -97,7 +95,7 @@
 	seq      uint64
 	requests map[uint64]*request
 	links    map[string]*link
-	avoid    map[string]time.Time
+	avoid    avoidances
 	spares   map[shardKey][]spare
 	// counters holds the last counters seen, by the ID of the pool and by
 	// workspace.
@@ -148,7 +146,7 @@
 		in:       make(chan any, inputLimit),
 		requests: map[uint64]*request{},
 		links:    map[string]*link{},
-		avoid:    map[string]time.Time{},
+		avoid:    avoidances{},
 		spares:   map[shardKey][]spare{},
 		counters: map[config.ID]map[config.ID]*v1.Counter{},
 	}
--- a/router/internal/broker/link.go
+++ b/router/internal/broker/link.go
@@ -17,6 +17,8 @@
 	conn     Link
 	batch    *v1.EntryBatch
 	lastUsed time.Time
+	// heard is set once anything has arrived.
+	heard bool
 	// greeted holds the shards whose hello was sent, by ID.
 	greeted map[config.ID]config.Shard
 }
@@ -75,7 +77,7 @@
 		return state.Member{}, false
 	}
 	for _, m := range ranked {
-		if now.After(b.avoid[m.Name]) {
+		if !b.avoid.avoids(m, now) {
 			return m, true
 		}
 	}
@@ -140,7 +142,7 @@
 	}
 	now := time.Now()
 	b.logLink(l, "scheduler_lost", err)
-	b.avoid[l.member.Name] = now.Add(avoidTime)
+	b.avoid.lost(l.member, l.heard, now)
 	b.dropLink(l)
 	b.moveFrom(l, now)
 }
