Order the words of suspects; bound the wait for a copy without answer

Cause, 1: two routers ran one suspect at once. With the wait of 3 s the next exchange had repaired that. Cause, 2: copies waited behind one that stays without an answer, a silent target or the slot of a lost router, until the first-byte limit or for 30 s.

Settled names the announcement that was answered, so that one which was withdrawn meanwhile counts for nothing. Change, 2: an admitted copy that has run for 3 s, or whose router is lost, lets one more go. There are two without an answer at most, as before.

--- a/internal/compose/control.go
+++ b/internal/compose/control.go
@@ -23,7 +23,7 @@
 // peerState is what routers exchange.
 type peerState struct {
 	state    *v1.PeerState
-	suspects []quarantine.Suspect
+	suspects quarantine.Snapshot
 }
 
 // reading is the duty that reads one of the platform's values.
--- a/internal/compose/execute.go
+++ b/internal/compose/execute.go
@@ -76,9 +76,9 @@
 		j.acquire(d.Suspect)
 	case !r.now().Before(j.startBy):
 		j.finish(Final{Code: v1.Code_DEADLINE_EXCEEDED, Ran: v1.Ran_NO})
-	case d.Announce:
+	case d.Announcement > 0:
 		limit := min(announceTime, j.startBy.Sub(r.now()))
-		r.announce(limit, func(answered bool) { j.settle(answered, d.RetryAfter) })
+		r.announce(limit, func(answered bool) { j.settle(answered, d) })
 	default:
 		j.pause(d.RetryAfter)
 	}
@@ -86,15 +86,15 @@
 
 // settle asks again when all routers have answered the announcement, or after a
 // pause.
-func (j *job) settle(answered bool, retryAfter time.Duration) {
+func (j *job) settle(answered bool, d quarantine.Decision) {
 	if answered {
-		j.r.book.Settled(j.r.now(), j.call.op.digest())
+		j.r.book.Settled(j.r.now(), j.call.op.digest(), d.Announcement)
 	}
 	if answered || !j.r.now().Before(j.startBy) {
 		j.next()
 		return
 	}
-	j.pause(retryAfter)
+	j.pause(d.RetryAfter)
 }
 
 // pause lets the job ask again later, at its deadline at the latest.
--- a/pool/copies.go
+++ b/pool/copies.go
@@ -9,9 +9,12 @@
 
 const (
 	// maxUnanswered bounds the copies of a request that may take down a target
-	// before one is answered: one that is admitted, and those that were given up
-	// and may still be executed.
+	// before one is answered: those that are admitted, and those that were given
+	// up and may still be executed.
 	maxUnanswered = 2
+	// patience is how long an admitted copy may run without an answer before
+	// another one is admitted.
+	patience = 3 * time.Second
 	// proofTime is how long copies of an answered request are admitted freely.
 	proofTime = time.Minute
 )
@@ -37,7 +40,13 @@
 	if now.Before(c.provenUntil) {
 		return true
 	}
-	return len(c.admitted) == 0 && len(c.unresolved) < maxUnanswered
+	fresh := slices.ContainsFunc(c.admitted, func(d *demand) bool { return d.fresh(now) })
+	return !fresh && len(c.admitted)+len(c.unresolved) < maxUnanswered
+}
+
+// fresh reports whether an admitted copy may be answered soon.
+func (d *demand) fresh(now time.Time) bool {
+	return d.router.joined && (!d.granted() || now.Before(d.grantedAt.Add(patience)))
 }
 
 func (c *content) empty(now time.Time) bool {
@@ -84,6 +93,7 @@
 	w.bytes += d.bytes
 	s.timers.set(&d.timer, d.deadline)
 	s.askFirstByte(c)
+	s.armContent(c)
 	return true
 }
 
@@ -98,8 +108,8 @@
 	}
 }
 
-// askAgain lets the end of the step ask a router that has joined again.
-func (s *Scheduler) askAgain(d *demand) {
+// recheck lets the end of the step see to the copies that wait for d.
+func (s *Scheduler) recheck(d *demand) {
 	if c := s.contents[d.digest]; c != nil {
 		s.freed = append(s.freed, c)
 	}
@@ -175,7 +185,13 @@
 // armContent sets the timer to the next change that time brings.
 func (s *Scheduler) armContent(c *content) {
 	var next time.Time
-	for _, at := range append(slices.Clone(c.unresolved), c.provenUntil) {
+	changes := append(slices.Clone(c.unresolved), c.provenUntil)
+	for _, d := range c.admitted {
+		if d.granted() && len(c.held) > 0 {
+			changes = append(changes, d.grantedAt.Add(patience))
+		}
+	}
+	for _, at := range changes {
 		if at.After(s.now) && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
@@ -205,6 +221,7 @@
 		}
 		if len(c.held) > 0 {
 			s.askFirstByte(c)
+			s.armContent(c)
 		}
 		if c.empty(s.now) && s.contents[c.digest] == c {
 			s.timers.stop(&c.timer)
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -112,6 +112,7 @@
 	d.charge = s.counters.Start(id, s.counters.Estimate(id, d.estimate))
 	s.unqueue(d)
 	s.occupy(d, t)
+	s.recheck(d)
 	s.affinity.record(d.prefix, t.ID)
 	s.admit(t, d.router.zone)
 }
--- a/pool/router.go
+++ b/pool/router.go
@@ -142,7 +142,7 @@
 	}
 	d.joined = true
 	d.asked = false
-	s.askAgain(d)
+	s.recheck(d)
 	d.seenAt = s.now
 	s.counters.Progress(&d.charge, f.Charged)
 	s.timers.set(&d.timer, s.now.Add(s.options.MaxService))
@@ -163,6 +163,7 @@
 	s.dropWaiting(r)
 	for _, d := range r.sortedDemands() {
 		s.timers.set(&d.timer, s.now.Add(s.options.HoldTime))
+		s.recheck(d)
 	}
 	s.dropRouter(r)
 }
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -16,6 +16,12 @@
 	entries map[Digest]*entry
 	// inFlight counts the runs in progress, of suspects or not.
 	inFlight map[Digest]int
+	// announcements counts those of this router.
+	announcements uint64
+	// lastSeq is that of the last Snapshot.
+	lastSeq uint64
+	// seen holds the highest Seq of each peer's snapshots.
+	seen map[string]uint64
 }
 
 // entry is one suspect.
@@ -29,6 +35,8 @@
 	expires  time.Time
 	// announced is when this router announced a run; zero means never.
 	announced time.Time
+	// announcement numbers the announcement.
+	announcement uint64
 	// settled is set once all peers have answered since the announcement.
 	settled bool
 	// wanted is when Begin was last called for the announcement.
@@ -50,6 +58,7 @@
 		opts:     opts.withDefaults(),
 		entries:  map[Digest]*entry{},
 		inFlight: map[Digest]int{},
+		seen:     map[string]uint64{},
 	}
 }
 
@@ -94,20 +103,23 @@
 	if e.announced.IsZero() || lapsed {
 		e.withdraw()
 		e.announced = now
+		b.announcements++
+		e.announcement = b.announcements
 	}
 	e.wanted = now
 	if left := e.announced.Add(b.opts.Settle).Sub(now); left > 0 && !e.settled {
-		return Decision{Action: Wait, RetryAfter: left, Announce: true}
+		return Decision{Action: Wait, RetryAfter: left, Announcement: e.announcement}
 	}
 	e.alone = true
 	return Decision{Action: Run, Suspect: true}
 }
 
 // Settled records that all peers have merged a Snapshot made after Begin has
-// returned Announce, and that their answers are merged. The place is then free
-// without waiting for Options.Settle, if Begin finds no peer before.
-func (b *Book) Settled(now time.Time, digest Digest) {
-	if e := b.live(now, digest); e != nil && b.announces(now, e) {
+// returned the announcement, and that their answers are merged. The place is
+// then free without waiting for Options.Settle, if Begin finds no peer before.
+func (b *Book) Settled(now time.Time, digest Digest, announcement uint64) {
+	e := b.live(now, digest)
+	if e != nil && e.announcement == announcement && b.announces(now, e) {
 		e.settled = true
 	}
 }
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -11,7 +11,12 @@
 
 // Snapshot returns the entries for peers, ordered by digest. A suspect that
 // has pardoned losses as well as counted ones is given as two.
-func (b *Book) Snapshot(now time.Time) []Suspect {
+func (b *Book) Snapshot(now time.Time) Snapshot {
+	b.lastSeq = max(b.lastSeq+1, uint64(now.UnixNano()))
+	return Snapshot{Seq: b.lastSeq, Suspects: b.suspects(now)}
+}
+
+func (b *Book) suspects(now time.Time) []Suspect {
 	var result []Suspect
 	for _, digest := range slices.Sorted(maps.Keys(b.entries)) {
 		e := b.live(now, digest)
@@ -40,17 +45,22 @@
 }
 
 // Merge takes in a peer's whole Snapshot. Merging is idempotent and does not depend
-// on the order, but for Running and Announced, of which the latest word counts.
-func (b *Book) Merge(now time.Time, peer string, suspects []Suspect) {
-	for _, e := range b.entries {
-		delete(e.peers, peer)
+// on the order. Of Running and Announced the word of the highest Seq counts; a
+// snapshot without suspects and Seq leaves earlier words to lapse.
+func (b *Book) Merge(now time.Time, peer string, snapshot Snapshot) {
+	latest := snapshot.Seq >= b.seen[peer] && snapshot.Seq > 0
+	if latest {
+		b.seen[peer] = snapshot.Seq
+		for _, e := range b.entries {
+			delete(e.peers, peer)
+		}
 	}
-	for _, s := range suspects {
-		b.mergeOne(now, peer, s)
+	for _, s := range snapshot.Suspects {
+		b.mergeOne(now, peer, s, latest)
 	}
 }
 
-func (b *Book) mergeOne(now time.Time, peer string, s Suspect) {
+func (b *Book) mergeOne(now time.Time, peer string, s Suspect, latest bool) {
 	// Each hop shortens an entry, so that exchange does not keep it alive.
 	remaining := min(s.Remaining, b.opts.Lifetime) - b.opts.Settle
 	e := b.live(now, s.Digest)
@@ -66,7 +76,7 @@
 	} else if e.blame(s.LostTargets) && now.Add(remaining).After(e.expires) {
 		e.expires = now.Add(remaining)
 	}
-	if s.Running || s.Announced {
+	if latest && (s.Running || s.Announced) {
 		e.peers[peer] = peerState{running: s.Running, until: now.Add(b.opts.RunningTTL)}
 	}
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -103,9 +103,17 @@
 	// Suspect is set with Run for a suspect. It should get a target that serves
 	// no other suspect, so that a further loss blames one request only.
 	Suspect bool
-	// Announce is set with Wait when the router has announced the suspect: once
-	// all peers have answered a Snapshot, call Settled and Begin again.
-	Announce bool
+	// Announcement is set with Wait when the router has announced the suspect:
+	// once all peers have answered a Snapshot, pass it to Settled and call Begin
+	// again.
+	Announcement uint64
+}
+
+// Snapshot is a Book as routers exchange it.
+type Snapshot struct {
+	// Seq orders the snapshots of a router by its clock, in nanoseconds.
+	Seq      uint64
+	Suspects []Suspect
 }
 
 // Suspect is an entry as routers exchange it.
--- a/router/internal/guard/guard.go
+++ b/router/internal/guard/guard.go
@@ -60,7 +60,7 @@
 			refusal.RetryAfter = decision.RetryAfter
 			return false, refusal
 		}
-		if decision.Announce && g.settle(ctx, digest, startBy) {
+		if decision.Announcement > 0 && g.settle(ctx, digest, decision.Announcement, startBy) {
 			continue
 		}
 		left := time.Until(startBy)
@@ -79,7 +79,7 @@
 
 // settle announces the wish to run a suspect, until startBy at most. It reports
 // whether all other routers have answered.
-func (g *Guard) settle(ctx context.Context, digest uint64, startBy time.Time) bool {
+func (g *Guard) settle(ctx context.Context, digest, announcement uint64, startBy time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, min(announceTime, time.Until(startBy)))
 	defer cancel()
 	if !g.announce(ctx) {
@@ -87,7 +87,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.book.Settled(time.Now(), quarantine.Digest(digest))
+	g.book.Settled(time.Now(), quarantine.Digest(digest), announcement)
 	return true
 }
 
@@ -176,9 +176,12 @@
 // Fill implements control.Gossip.
 func (g *Guard) Fill(out *v1.PeerState) {
 	g.mu.Lock()
-	suspects := g.book.Snapshot(time.Now())
+	snapshot := g.book.Snapshot(time.Now())
 	g.mu.Unlock()
-	for _, s := range suspects {
+	if len(snapshot.Suspects) > 0 {
+		out.SuspectsSeq = snapshot.Seq
+	}
+	for _, s := range snapshot.Suspects {
 		m := &v1.Suspect{
 			Digest:    uint64(s.Digest),
 			ExpiresMs: uint32(s.Remaining.Milliseconds()),
@@ -210,5 +213,5 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.book.Merge(time.Now(), in.Router, suspects)
+	g.book.Merge(time.Now(), in.Router, quarantine.Snapshot{Seq: in.SuspectsSeq, Suspects: suspects})
 }
