--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -113,6 +113,7 @@
 	d.charge = s.counters.Start(id, d.prediction.Charged(0))
 	s.unqueue(d)
 	s.occupy(d, t)
+	s.recheck(d)
 	s.affinity.record(d.prefix, t.ID)
 	s.admit(t, d.router.zone)
 }
