--- a/pool/check_test.go
+++ b/pool/check_test.go
@@ -48,11 +48,13 @@
 // with a waiting demand that may use it.
 func (m *model) checkScheduler(s *Scheduler) {
 	busy := map[*target]int{}
+	running := map[*workspace]int{}
 	var waiting []*demand
 	for _, r := range s.routers {
 		for _, d := range r.demands {
 			if d.granted() {
 				busy[d.target]++
+				running[d.workspace]++
 			} else {
 				waiting = append(waiting, d)
 			}
@@ -61,6 +63,11 @@
 	if len(waiting) != s.waiting {
 		m.failf("%d demands wait, counted %d", len(waiting), s.waiting)
 	}
+	for _, w := range s.workspaces {
+		if w.running != running[w] {
+			m.failf("workspace %d has %d demands running, counted %d", w.ID, running[w], w.running)
+		}
+	}
 	for _, t := range s.targets {
 		if t.busy != busy[t] {
 			m.failf("target %d has %d busy slots, counted %d", t.ID, busy[t], t.busy)
