--- a/internal/cmd/measure/main.go
+++ b/internal/cmd/measure/main.go
@@ -19,7 +19,7 @@
 	Warmup         time.Duration `long:"warmup" description:"Virtual time before the figures start." default:"0s"`
 	Latency        time.Duration `long:"latency" description:"Time that a message between routers takes." default:"1ms"`
 	Args           struct {
-		Table string `positional-arg-name:"table" description:"fairness, waits, failures, shards or traffic" choice:"fairness" choice:"waits" choice:"failures" choice:"shards" choice:"traffic"`
+		Table string `positional-arg-name:"table" description:"fairness, waits, failures, shards, hot or traffic" choice:"fairness" choice:"waits" choice:"failures" choice:"shards" choice:"hot" choice:"traffic"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -57,6 +57,8 @@
 		measure.TrafficTables(os.Stdout, uint64(o.Seeds))
 	case "shards":
 		m.Shards(os.Stdout)
+	case "hot":
+		m.HotShards(os.Stdout)
 	case "failures":
 		m.Failures(os.Stdout)
 	default:
