--- a/internal/measure/fairness.go
+++ b/internal/measure/fairness.go
@@ -40,9 +40,12 @@
 	large   int
 	lost    int
 	refused int
-	waits   []samples
-	bound   func(i, j int) float64
-	gaps    *gapMeter
+	// lightRefused is the part of the light workspaces' requests that were
+	// refused, in percent.
+	lightRefused float64
+	waits        []samples
+	bound        func(i, j int) float64
+	gaps         *gapMeter
 	// idlePerGrant is the idle time of a slot between two requests.
 	idlePerGrant time.Duration
 	// deal is what the holders of shards and their dealer send.
@@ -96,6 +99,7 @@
 	for _, n := range m.refusals {
 		f.refused += n
 	}
+	f.lightRefused = refusedPart(m.refusals[f.large:], m.grantsFrom(f.large))
 	return f
 }
 
--- a/internal/measure/meter.go
+++ b/internal/measure/meter.go
@@ -116,6 +116,15 @@
 	m.waits(q.workspace, -1)
 }
 
+// grantsFrom counts the grants to the workspaces from first on.
+func (m *meter) grantsFrom(first int) int {
+	sum := 0
+	for _, waits := range m.waitTimes[first:] {
+		sum += len(waits)
+	}
+	return sum
+}
+
 // refused notes the end of a wait by a refusal.
 func (m *meter) refused(workspace int) { m.refusals[workspace]++ }
 
--- a/internal/measure/shardtables.go
+++ b/internal/measure/shardtables.go
@@ -81,7 +81,7 @@
 	o.Warmup, o.Duration = at-beforeFault, at+after
 	t := newTable(w, fmt.Sprintf("%s in shards: %d slots, %.0f cost units/s, from %v before a fault to %v after it, %d seeds",
 		d.Name, d.slots(), d.capacity(), beforeFault, after, o.Seeds),
-		"shards", "fault", "gap of large, s", "gap, % of bound", "busy slots while work waits, %", "longest starvation, s", "light p50, s", "light p99, s", "sent to a full target", "holder, B/s", "dealer, B/s", "targets/report")
+		"shards", "fault", "gap of large, s", "gap, % of bound", "busy slots while work waits, %", "longest starvation, s", "light p50, s", "light p99, s", "light refused, %", "sent to a full target", "holder, B/s", "dealer, B/s", "targets/report")
 	single := o.runs(d, scenario{policy: Fair, prepare: prepareLarge})
 	bounds := boundsOf(single)
 	o.shardRow(t, "no dealer", "none", single, bounds)
@@ -124,6 +124,7 @@
 		column(runs, "%.2f", func(r figures) float64 { return r.utilisation }),
 		column(runs, "%.1f", func(r figures) float64 { return r.starvation }),
 		median.spread("%.3f"), tail.spread("%.2f"),
+		column(runs, "%.1f", func(r figures) float64 { return r.lightRefused }),
 		column(runs, "%.0f", func(r figures) float64 { return float64(r.over) }),
 		holder.spread("%.0f"), dealer.spread("%.0f"), targets.spread("%.1f"))
 }
