compose: find replays of another key's answer

Cause: resends were drawn among all operations, most of which are of floods and have no key, and stops met hardly any answered key. A planted replay of another key's answer was found late, a planted crossing of answers at the import of records not at all.

Change: a draw sends operations with keys again; a stop comes after a few operations; at the end each router's record of each key must hold one of its own runs' answers.

Conclusion: the check finds both. Spare slots and cost accounting stay out.

--- a/internal/compose/check_stop.go
+++ b/internal/compose/check_stop.go
@@ -1,6 +1,7 @@
 package compose
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chiveseam/chiveseam/requestkey"
@@ -50,6 +51,29 @@
 	for _, h := range w.handed {
 		w.checkHanded(h)
 	}
+	for _, c := range w.calls {
+		if c.op.Key != "" {
+			w.checkRecords(c.op)
+		}
+	}
+}
+
+// checkRecords checks that no router would replay the answer of another key.
+func (w *World) checkRecords(op *Operation) {
+	for _, r := range w.Routers {
+		if !r.alive {
+			continue
+		}
+		d := r.ledger.Begin(r.now(), requestkey.Request{ID: op.id(), Digest: op.keyDigest(), Forwarded: true})
+		if d.Action == requestkey.Replay && !w.own(op, string(d.Answer.Body)) {
+			w.fail("%s records the answer %q for operation %d", r.member.Name, d.Answer.Body, op.Number)
+		}
+	}
+}
+
+// own returns whether a body is the answer of a run of the operation.
+func (w *World) own(op *Operation, body string) bool {
+	return slices.ContainsFunc(w.runs[op], func(run *Execution) bool { return run.body == body })
 }
 
 // checkHanded checks that a successor knows a key that was handed over.
--- a/internal/compose/compose_test.go
+++ b/internal/compose/compose_test.go
@@ -20,6 +20,10 @@
 	// quietTime is more than any call or exchange takes.
 	quietTime = 45 * time.Second
 	floodSize = 2*MaxQueued + 4
+	// answerTime is what most operations take.
+	answerTime = time.Second
+	// resentKeys is the number of operations with keys that are sent again at once.
+	resentKeys = 4
 	// maxStops leaves routers that serve.
 	maxStops = 2
 	// startTimeout is more than routers take to be ready.
@@ -39,9 +43,11 @@
 
 // scenario draws failures and calls for a world.
 type scenario struct {
-	t     *rapid.T
-	w     *World
-	ops   []*Operation
+	t   *rapid.T
+	w   *World
+	ops []*Operation
+	// keyed are the operations with a key.
+	keyed []*Operation
 	stops int
 	// healed is set when callers send nothing more.
 	healed bool
@@ -116,7 +122,8 @@
 var (
 	calls = map[string]func(*scenario){
 		"send": (*scenario).send, "resend": (*scenario).resend, "resend to all": (*scenario).resendToAll,
-		"poison": (*scenario).sendPoison, "flood": (*scenario).flood, "publish": (*scenario).publish,
+		"resend keyed": (*scenario).resendKeyed,
+		"poison":       (*scenario).sendPoison, "flood": (*scenario).flood, "publish": (*scenario).publish,
 	}
 	failures = map[string][]func(*scenario){
 		"crash":        {(*scenario).crash, (*scenario).restart},
@@ -172,6 +179,9 @@
 		op.Key = s.w.ChosenKey()
 	}
 	s.ops = append(s.ops, op)
+	if op.Key != "" {
+		s.keyed = append(s.keyed, op)
+	}
 	return op
 }
 
@@ -203,6 +213,15 @@
 	}
 }
 
+// resendKeyed sends operations with keys again, of which floods have none, so that
+// answers are replayed beside those of other keys.
+func (s *scenario) resendKeyed() {
+	for range min(resentKeys, len(s.keyed)) {
+		op := rapid.SampledFrom(s.keyed).Draw(s.t, "keyed")
+		s.w.Send(op, s.router())
+	}
+}
+
 func (s *scenario) resendToAll() {
 	if len(s.ops) == 0 {
 		return
@@ -265,11 +284,17 @@
 	s.aTarget().Leave(rapid.Bool().Draw(s.t, "leaving"))
 }
 
+// stop stops a router after operations that it may have keys of to hand over.
 func (s *scenario) stop() {
-	if s.stops < maxStops {
-		s.stops++
-		s.router().Stop()
+	if s.stops == maxStops {
+		return
+	}
+	s.stops++
+	for range resentKeys {
+		s.send()
 	}
+	s.run(answerTime)
+	s.router().Stop()
 }
 
 // heal ends all failures.
