--- a/internal/compose/compose_test.go
+++ b/internal/compose/compose_test.go
@@ -20,6 +20,8 @@
 	// quietTime is more than any call or exchange takes.
 	quietTime = 45 * time.Second
 	floodSize = 2*MaxQueued + 4
+	// answerTime is what most operations take.
+	answerTime = time.Second
 	// resentKeys is the number of operations with keys that are sent again at once.
 	resentKeys = 4
 	// maxStops leaves routers that serve.
@@ -282,11 +284,17 @@
 	s.aTarget().Leave(rapid.Bool().Draw(s.t, "leaving"))
 }
 
+// stop stops a router after operations that it may have keys of to hand over.
 func (s *scenario) stop() {
-	if s.stops < maxStops {
-		s.stops++
-		s.router().Stop()
+	if s.stops == maxStops {
+		return
+	}
+	s.stops++
+	for range resentKeys {
+		s.send()
 	}
+	s.run(answerTime)
+	s.router().Stop()
 }
 
 // heal ends all failures.
