--- a/deal/dealer.go
+++ b/deal/dealer.go
@@ -154,7 +154,7 @@
 func (d *Dealer) deal() {
 	d.dirty = false
 	d.lastDeal = d.now
-	if d.learning {
+	if d.learning || d.targets == nil {
 		for _, p := range d.parties {
 			d.renew(p)
 		}
--- a/deal/property_test.go
+++ b/deal/property_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/chiveseam/chiveseam/config"
@@ -79,6 +80,18 @@
 	})
 }
 
+// TestDealerWithoutTargets checks that a dealer that does not know the targets
+// yet leaves holders what they have.
+func TestDealerWithoutTargets(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	d := NewDealer(router("dealer", 1), Options{})
+	held := []Holding{{Target: 7, Slots: 3, Busy: 2}}
+	answers := d.Step(now, Report{Holder: router("holder", 1), Seq: 1, Dealer: d.self, Holdings: held})
+	is.Equal(len(answers), 1)
+	is.Equal(answers[0].Slots, map[config.ID]int{7: 3})
+}
+
 // TestHolderIsReplaced checks that the slots of a lost holder are not dealt
 // while its requests run, and come back.
 func TestHolderIsReplaced(t *testing.T) {
