peer: end the stream of a session that another one has replaced

Cause: a broker that opens a stream to a router twice in a row, as it does when it learns of the router's new incarnation after it has connected to it, has two streams whose first batches may reach the scheduling host in either order. The host ignores what comes on the one that was replaced. If that was the newer one, its stream stayed open: heartbeats are answered without the host, so that the broker sent its demands into the void and refused each at its deadline.

Change: the host ends the stream of a session when it is replaced, and the broker opens another one.

--- a/router/internal/peer/scheduling.go
+++ b/router/internal/peer/scheduling.go
@@ -167,9 +167,13 @@
 	}
 	out := newCoalescer(s.opts.Timing.Coalesce, func() *v1.SchedulerBatch { return &v1.SchedulerBatch{} })
 	router := pool.Router{Name: hello.Router, Incarnation: hello.Incarnation}
-	session := s.opts.Host.Open(router, hello.Zone, out.add)
+	done := make(chan struct{})
+	var once sync.Once
+	end := func() { once.Do(func() { close(done) }) }
+	defer end()
+	session := s.opts.Host.Open(router, hello.Zone, out.add, end)
 	defer session.Close()
-	return s.serveSession(stream, session, first, out)
+	return s.serveSession(stream, session, first, out, done, end)
 }
 
 // ShareCounters implements the Scheduling service.
@@ -191,12 +195,9 @@
 	return out, err
 }
 
-// serveSession passes batches both ways until the peer is lost or silent.
-func (s *Server) serveSession(stream v1.DRPCScheduling_ConnectStream, session *scheduling.Session, first *v1.EntryBatch, out *coalescer[*v1.SchedulerBatch]) error {
-	done := make(chan struct{})
-	var once sync.Once
-	end := func() { once.Do(func() { close(done) }) }
-	defer end()
+// serveSession passes batches both ways until done is closed, by end or the
+// caller, or the peer is lost or silent.
+func (s *Server) serveSession(stream v1.DRPCScheduling_ConnectStream, session *scheduling.Session, first *v1.EntryBatch, out *coalescer[*v1.SchedulerBatch], done <-chan struct{}, end func()) error {
 	failed := make(chan error, 2)
 	go func() {
 		failed <- s.receiveBatches(stream, session, first, out, end)
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -63,6 +63,8 @@
 	router pool.Router
 	zone   string
 	send   func(*v1.SchedulerBatch)
+	// replaced is called once another session of the router is open.
+	replaced func()
 
 	// The fields below belong to the host's loop.
 	joined map[config.ID]bool
@@ -139,9 +141,14 @@
 }
 
 // Open starts the session of an entry router. send is called by the host's
-// goroutine; it must not block and takes the batch over.
-func (h *Host) Open(router pool.Router, zone string, send func(*v1.SchedulerBatch)) *Session {
+// goroutine; it must not block and takes the batch over. replaced is called by
+// it when another session of the router takes the place of this one, which is
+// ignored from then on: the streams of two sessions may arrive in the other
+// order than the router opened them, so that its stream has to end. It must not
+// block.
+func (h *Host) Open(router pool.Router, zone string, send func(*v1.SchedulerBatch), replaced func()) *Session {
 	s := h.newSession(router, zone, send)
+	s.replaced = replaced
 	h.post(openInput{s})
 	return s
 }
@@ -237,6 +244,7 @@
 func (h *Host) open(s *Session, now time.Time) {
 	if old, ok := h.sessions[s.router]; ok {
 		h.close(old, now)
+		old.replaced()
 	}
 	h.sessions[s.router] = s
 }
--- a/router/internal/scheduling/local.go
+++ b/router/internal/scheduling/local.go
@@ -29,7 +29,7 @@
 		closed:  make(chan struct{}),
 	}
 	router := pool.Router{Name: self.Name, Incarnation: self.Incarnation}
-	l.session = h.Open(router, self.Zone, l.answer)
+	l.session = h.Open(router, self.Zone, l.answer, l.Close)
 	h.t.Go(l.forward)
 	h.t.Go(func() error { return l.deliver(receiver) })
 	return l
