--- a/pool/model_test.go
+++ b/pool/model_test.go
@@ -18,7 +18,7 @@
 	loss, double, late           float64
 	restart, pause, rejoin, move float64
 	outcome, report, leave       float64
-	side                         float64
+	side, allot                  float64
 	maxDelay                     time.Duration
 }
 
@@ -365,6 +365,9 @@
 		if m.chance(m.faults.side) {
 			m.changeSide(i)
 		}
+		if m.faults.allot > 0 && m.chance(m.faults.allot) {
+			m.allot(i)
+		}
 		if m.chance(m.faults.leave) {
 			t := &m.targets[m.rng.IntN(len(m.targets))]
 			t.Leaving = !t.Leaving
--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -50,7 +50,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		faults := modelFaults{
 			loss: 0.02, double: 0.05, late: 0.3, restart: 0.003, pause: 0.003, rejoin: 0.01,
-			move: 0.005, outcome: 0.1, report: 0.01, leave: 0.005, maxDelay: 300 * time.Millisecond,
+			move: 0.005, outcome: 0.1, report: 0.01, leave: 0.005, allot: 0.01, maxDelay: 300 * time.Millisecond,
 		}
 		o := Options{
 			InitialCost: 100, HoldTime: time.Second, MaxService: time.Minute,
--- a/pool/usage_test.go
+++ b/pool/usage_test.go
@@ -10,6 +10,17 @@
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
+// allot changes how many slots of each target a scheduler may use, and how many
+// of them it is to give up.
+func (m *model) allot(i int) {
+	e := SlotsAllotted{Slots: map[config.ID]int{}, Yield: map[string]int{}}
+	for _, t := range m.targets {
+		e.Slots[t.ID] = m.rng.IntN(t.Slots + 1)
+		e.Yield[t.DataCentre] = m.rng.IntN(3)
+	}
+	m.step(i, e)
+}
+
 // TestAllottedSlots checks that only allotted slots are granted, and that a
 // demand is not refused while there are none.
 func TestAllottedSlots(t *testing.T) {
