scheduling: take no session without a configuration, join after a lost hello

Cause: a router that has just started serves its peers before it has a configuration. A hello that came in that time marked the router as joined in pools that had no scheduler; once the configuration was there, its demands went to a scheduler that did not know the router and dropped them without a word. Each request through that router waited for its deadline as long as the stream was open. Demands in that time were refused with UNKNOWN_POOL. A pool that is added had the same fault for routers that learn of it first.

Change: the host ends a stream that opens while there is no configuration, so that the broker passes the router over for a second and says hello again. A hello marks a router as joined only in pools that have a scheduler.

--- a/router/internal/scheduling/events.go
+++ b/router/internal/scheduling/events.go
@@ -77,6 +77,9 @@
 	h.name(hello.Shards)
 	for _, c := range hello.Counters {
 		id := config.ID(c.Pool)
+		if _, ok := h.scheduler(id, now); !ok {
+			continue
+		}
 		joined := pool.RouterJoined{Router: s.router, Zone: s.zone, Counters: counterEvents(c.Counters)}
 		for _, f := range hello.InFlight {
 			if f.Pool != c.Pool {
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -63,8 +63,8 @@
 	router pool.Router
 	zone   string
 	send   func(*v1.SchedulerBatch)
-	// replaced is called once another session of the router is open.
-	replaced func()
+	// end ends the stream.
+	end func()
 
 	// The fields below belong to the host's loop.
 	joined map[config.ID]bool
@@ -141,14 +141,13 @@
 }
 
 // Open starts the session of an entry router. send is called by the host's
-// goroutine; it must not block and takes the batch over. replaced is called by
-// it when another session of the router takes the place of this one, which is
-// ignored from then on: the streams of two sessions may arrive in the other
-// order than the router opened them, so that its stream has to end. It must not
-// block.
-func (h *Host) Open(router pool.Router, zone string, send func(*v1.SchedulerBatch), replaced func()) *Session {
+// goroutine; it must not block and takes the batch over. So is end, when the
+// stream has to end: there is no configuration to schedule by, or another
+// session of the router has taken the place of this one. The streams of two
+// sessions may arrive in the other order than the router opened them.
+func (h *Host) Open(router pool.Router, zone string, send func(*v1.SchedulerBatch), end func()) *Session {
 	s := h.newSession(router, zone, send)
-	s.replaced = replaced
+	s.end = end
 	h.post(openInput{s})
 	return s
 }
@@ -240,11 +239,16 @@
 	}
 }
 
-// open replaces an earlier session of the same router.
+// open replaces an earlier session of the same router. Without a configuration
+// the router has to look for another scheduler.
 func (h *Host) open(s *Session, now time.Time) {
+	if h.store.Config() == nil {
+		s.end()
+		return
+	}
 	if old, ok := h.sessions[s.router]; ok {
 		h.close(old, now)
-		old.replaced()
+		old.end()
 	}
 	h.sessions[s.router] = s
 }
--- a/router/internal/scheduling/regions_test.go
+++ b/router/internal/scheduling/regions_test.go
@@ -64,7 +64,7 @@
 	}})
 	f := &fixture{Host: New(&tomb.Tomb{}, store, Options{HoldTime: time.Second}), now: time.Unix(1e9, 0)}
 	f.session = f.newSession(pool.Router{Name: "r", Incarnation: 1}, configtest.Zone, nil)
-	f.session.replaced = func() {}
+	f.session.end = func() {}
 	f.handle(openInput{f.session}, f.now)
 	return f
 }
