Announce losses and suspects to stopping routers too

Cause: a round of announcements went to the reachable routers. A router in its planned stop takes no role and is none of them, but serves for 2 s more: it did not hear of two losses and ran the request a third time. The wait of 3 s had left time for the router's own exchanges.

Change: the round goes to the routers that may be asked (fleet.View.Sources), in the daemon and in compose. A router that has ended within the last 2 s makes the round fail, so that a suspect waits 3 s.

--- a/internal/compose/control.go
+++ b/internal/compose/control.go
@@ -159,11 +159,12 @@
 	}
 }
 
-// announce swaps state with all reachable routers and goes on when they have
-// answered or the limit is over. It tells whether all have answered.
+// announce swaps state with all routers that can be asked, stopping ones too, and
+// goes on when they have answered or the limit is over. It tells whether all have
+// answered.
 func (r *Router) announce(limit time.Duration, next func(answered bool)) {
 	waiting := map[string]bool{}
-	for _, m := range r.view.Reachable() {
+	for _, m := range r.view.Sources(r.now()) {
 		if m.Name != r.member.Name {
 			waiting[m.Name] = true
 		}
--- a/router/internal/control/announce.go
+++ b/router/internal/control/announce.go
@@ -7,7 +7,7 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// announcer swaps state with all reachable routers on request. Requests that
+// announcer swaps state with all routers that may serve requests. Requests that
 // come while a round runs share the next one.
 type announcer struct {
 	// running is held by the round that is running.
@@ -25,9 +25,9 @@
 	answered bool
 }
 
-// Announce swaps state with all reachable routers, so that they know what this
-// router knew before the call. It returns when all have answered or failed, or
-// when the context ends, and reports whether all have answered.
+// Announce swaps state with all routers that may serve requests, so that they
+// know what this router knew before the call. It returns when all have answered
+// or failed, or when the context ends, and reports whether all have answered.
 func (c *Control) Announce(ctx context.Context) bool {
 	round := c.joinAnnouncement()
 	select {
@@ -62,7 +62,7 @@
 	defer cancel()
 	var open errgroup.Group
 	open.SetLimit(maxExchanges)
-	for _, m := range c.reachablePeers() {
+	for _, m := range c.servingPeers() {
 		open.Go(func() error { return c.exchange(ctx, m) })
 	}
 	round.answered = open.Wait() == nil
--- a/router/internal/control/exchange.go
+++ b/router/internal/control/exchange.go
@@ -74,11 +74,12 @@
 	open.Wait()
 }
 
-// reachablePeers returns the other routers that are reachable.
-func (c *Control) reachablePeers() []fleet.Member {
+// servingPeers returns the other routers that may serve requests: the reachable
+// ones, and those in their planned stop.
+func (c *Control) servingPeers() []fleet.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.DeleteFunc(c.view.Reachable(), func(m fleet.Member) bool {
+	return slices.DeleteFunc(c.view.Sources(time.Now()), func(m fleet.Member) bool {
 		return m.Name == c.opts.Self.Name
 	})
 }
