--- a/pool/queue.go
+++ b/pool/queue.go
@@ -22,6 +22,14 @@
 	// order is the order of arrival among equal deadlines.
 	order uint64
 	moved bool
+	// digest identifies the content; zero means that copies are not bounded.
+	digest uint32
+	// exclude is sorted.
+	exclude []config.ID
+	// held is set while an equal request has no answer yet.
+	held bool
+	// asked is set once the router was asked for the first byte.
+	asked bool
 	// class is set while the demand waits.
 	class *class
 
@@ -29,6 +37,10 @@
 	target    *target
 	charge    fairshare.Charge
 	grantedAt time.Time
+	// prediction is what charge follows between reports.
+	prediction Prediction
+	// running is the index in predictor.running plus one; zero is absent.
+	running int
 	// seenAt is the time of the last sign of the granted demand.
 	seenAt time.Time
 	// joined is set while RouterJoined reconciles grants.
@@ -93,7 +105,10 @@
 	Workspace
 	classes []*class
 	queued  int
-	bytes   int64
+	// bytes counts the bodies of waiting and held demands.
+	bytes int64
+	// held counts the demands that wait for the answer to an equal one.
+	held int
 	// running counts the granted demands.
 	running int
 }
@@ -133,7 +148,7 @@
 
 // full tells whether a demand of the given size exceeds the bounds.
 func (w *workspace) full(bytes int64) bool {
-	return w.queued >= w.MaxQueued || w.bytes+bytes > w.MaxQueuedBytes
+	return w.queued+w.held >= w.MaxQueued || w.bytes+bytes > w.MaxQueuedBytes
 }
 
 // rank returns the number of waiting demands before d.
--- a/pool/router.go
+++ b/pool/router.go
@@ -89,6 +89,8 @@
 		return a.ID.Router
 	case Refuse:
 		return a.ID.Router
+	case AskFirstByte:
+		return a.ID.Router
 	case Move:
 		return a.ID.Router
 	case HandSpare:
@@ -133,10 +135,15 @@
 		d = &demand{id: f.ID, router: r, workspace: s.workspaceOf(f.Workspace)}
 		d.owner = d
 		d.charge = s.counters.Resume(f.Workspace, f.Charged)
+		d.prediction = Resumed(f.Charged, f.Rate)
+		d.digest = f.Digest
 		r.demands[f.ID.Seq] = d
+		s.admitCopy(d)
 		s.occupy(d, s.target(f.Target))
 	}
 	d.joined = true
+	d.asked = false
+	s.recheck(d)
 	d.seenAt = s.now
 	s.counters.Progress(&d.charge, f.Charged)
 	s.timers.set(&d.timer, s.now.Add(s.options.MaxService))
@@ -157,6 +164,7 @@
 	s.dropWaiting(r)
 	for _, d := range r.sortedDemands() {
 		s.timers.set(&d.timer, s.now.Add(s.options.HoldTime))
+		s.recheck(d)
 	}
 	s.dropRouter(r)
 }
@@ -167,6 +175,7 @@
 			continue
 		}
 		s.unqueue(d)
+		s.leaveContent(d)
 		s.timers.stop(&d.timer)
 		delete(r.demands, d.id.Seq)
 	}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -40,7 +40,11 @@
 	spares       spareSet
 	settling     settling
 	service      serviceRate
+	predictor    predictor
 	peerSpares   map[string]int
+	contents     map[uint32]*content
+	// freed holds the contents that may admit a held copy in this step.
+	freed []*content
 
 	// allotted holds the slots that may be used by target; nil allows all.
 	allotted map[config.ID]int
@@ -83,10 +87,12 @@
 		incarnations: map[string]*router{},
 		spares:       newSpareSet(o.Seed),
 		peerSpares:   map[string]int{},
+		contents:     map[uint32]*content{},
 		slots:        map[string]int{},
 		yielded:      map[config.ID]int{},
 	}
 	s.hasDemand = s.candidateHasDemand
+	s.predictor.owner = &s.predictor
 	return s
 }
 
@@ -100,6 +106,7 @@
 	}
 	s.fire()
 	s.handle(event)
+	s.admitHeld()
 	s.dispatch()
 	s.balanceSpares()
 	return s.actions
@@ -113,6 +120,8 @@
 		s.done(e)
 	case Progress:
 		s.progress(e)
+	case FirstByte:
+		s.firstByte(e)
 	case Cancel:
 		s.cancel(e)
 	case SpareUsed:
@@ -153,12 +162,18 @@
 		return
 	}
 	s.dispatch()
-	exclude := sortedExclude(e.Exclude)
-	if code := s.admissible(d, exclude); code != v1.Code_OK {
+	if code := s.admissible(d, d.exclude); code != v1.Code_OK {
 		s.refuse(d, code, s.retryAfter(d))
 		return
 	}
-	c := d.workspace.class(d.router.zone, exclude)
+	if !s.hold(d) {
+		s.seat(d)
+	}
+}
+
+// seat grants a slot to a demand, or makes it wait for one.
+func (s *Scheduler) seat(d *demand) {
+	c := d.workspace.class(d.router.zone, d.exclude)
 	if t := s.choose(d, c); t != nil {
 		s.grant(d, t)
 		return
@@ -186,6 +201,8 @@
 		workspace: w,
 		estimate:  e.Estimate,
 		prefix:    e.Prefix,
+		digest:    e.Digest,
+		exclude:   sortedExclude(e.Exclude),
 		bytes:     max(e.BodyBytes, 0),
 		deadline:  s.capDeadline(e.Deadline),
 		order:     s.order,
@@ -277,7 +294,9 @@
 		return
 	}
 	d.seenAt = s.now
+	d.prediction.Observe(s.now.Sub(d.grantedAt), e.Cost)
 	s.counters.Progress(&d.charge, e.Cost)
+	s.predict(d)
 }
 
 // find returns a demand by its ID, or nil.
--- a/pool/spare.go
+++ b/pool/spare.go
@@ -100,7 +100,7 @@
 	s.updateOpen(t)
 	expires := s.now.Add(s.options.SpareTTL)
 	s.timers.set(&sp.timer, expires.Add(s.options.SpareGrace))
-	s.emit(HandSpare{Router: r.Router, Spare: sp.id, Target: t.ID, Expires: expires})
+	s.emit(HandSpare{Router: r.Router, Spare: sp.id, Target: t.ID, Expires: expires, Rate: t.service.rate()})
 }
 
 // chooseSpare returns the best target whose slots are at most half in use.
@@ -190,6 +190,7 @@
 		return
 	}
 	d := s.newRunning(r, e.Demand)
+	s.admitCopy(d)
 	s.begin(d, s.target(config.ID(e.Spare>>spareTargetShift)))
 	s.granted++
 	s.recent(r)
@@ -202,6 +203,7 @@
 		workspace: s.workspaceOf(e.Workspace),
 		estimate:  e.Estimate,
 		prefix:    e.Prefix,
+		digest:    e.Digest,
 		deadline:  time.Time{},
 	}
 	d.owner = d
--- a/pool/target.go
+++ b/pool/target.go
@@ -29,9 +29,11 @@
 	// known is set while the target is configured and listed.
 	known bool
 	// usable is the number of slots that this scheduler may use.
-	usable  int
-	busy    int
-	spares  int
+	usable int
+	busy   int
+	spares int
+	// service is the rate of one of its slots.
+	service serviceRate
 	breaker *breaker.Breaker
 	// reach holds the breakers of zones that saw failures.
 	reach map[string]*reach
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -16,6 +16,12 @@
 	entries map[Digest]*entry
 	// inFlight counts the runs in progress, of suspects or not.
 	inFlight map[Digest]int
+	// announcements counts those of this router.
+	announcements uint64
+	// lastSeq is that of the last Snapshot.
+	lastSeq uint64
+	// seen holds the highest Seq of each peer's snapshots.
+	seen map[string]uint64
 }
 
 // entry is one suspect.
@@ -29,6 +35,10 @@
 	expires  time.Time
 	// announced is when this router announced a run; zero means never.
 	announced time.Time
+	// announcement numbers the announcement.
+	announcement uint64
+	// settled is set once all peers have answered since the announcement.
+	settled bool
 	// wanted is when Begin was last called for the announcement.
 	wanted time.Time
 	peers  map[string]peerState
@@ -48,6 +58,7 @@
 		opts:     opts.withDefaults(),
 		entries:  map[Digest]*entry{},
 		inFlight: map[Digest]int{},
+		seen:     map[string]uint64{},
 	}
 }
 
@@ -70,25 +81,55 @@
 	return d
 }
 
+// Confirm reports whether a run that Begin has allowed may still be sent to its
+// target. A run that began as new may not once a loss is known; NotRun must
+// follow.
+func (b *Book) Confirm(now time.Time, digest Digest) bool {
+	e := b.live(now, digest)
+	if e == nil || e.losses() == 0 {
+		return true
+	}
+	return e.alone && e.losses() < LossLimit
+}
+
 // announce asks for the only place of a suspect. The announcement lapses when
 // Begin is not called again.
 func (b *Book) announce(now time.Time, e *entry) Decision {
 	if b.peerBefore(now, e) {
-		e.announced = time.Time{}
+		e.withdraw()
 		return Decision{Action: Wait, RetryAfter: b.opts.Settle}
 	}
 	lapsed := now.Sub(e.wanted) > 2*b.opts.Settle
 	if e.announced.IsZero() || lapsed {
+		e.withdraw()
 		e.announced = now
+		b.announcements++
+		e.announcement = b.announcements
 	}
 	e.wanted = now
-	if left := e.announced.Add(b.opts.Settle).Sub(now); left > 0 {
-		return Decision{Action: Wait, RetryAfter: left}
+	if left := e.announced.Add(b.opts.Settle).Sub(now); left > 0 && !e.settled {
+		return Decision{Action: Wait, RetryAfter: left, Announcement: e.announcement}
 	}
 	e.alone = true
 	return Decision{Action: Run, Suspect: true}
 }
 
+// Settled records that all peers have merged a Snapshot made after Begin has
+// returned the announcement, and that their answers are merged. The place is
+// then free without waiting for Options.Settle, if Begin finds no peer before.
+func (b *Book) Settled(now time.Time, digest Digest, announcement uint64) {
+	e := b.live(now, digest)
+	if e != nil && e.announcement == announcement && b.announces(now, e) {
+		e.settled = true
+	}
+}
+
+// withdraw takes the announcement back.
+func (e *entry) withdraw() {
+	e.announced = time.Time{}
+	e.settled = false
+}
+
 // peerBefore reports whether a peer runs the suspect or has announced it with
 // precedence: before this router did, or with a lesser name.
 func (b *Book) peerBefore(now time.Time, e *entry) bool {
@@ -119,7 +160,7 @@
 	e.alone = false
 	delete(e.pardoned, target)
 	e.expires = now.Add(b.opts.Lifetime)
-	e.announced = time.Time{}
+	e.withdraw()
 }
 
 // Answered records that a target answered the request in full; it clears a
@@ -130,7 +171,7 @@
 	if e == nil {
 		return
 	}
-	e.announced = time.Time{}
+	e.withdraw()
 	e.alone = false
 	if e.losses() < LossLimit {
 		e.pardon(slices.Collect(maps.Keys(e.lost)))
@@ -153,7 +194,7 @@
 func (b *Book) Ended(now time.Time, digest Digest) {
 	b.left(digest)
 	if e := b.live(now, digest); e != nil {
-		e.announced = time.Time{}
+		e.withdraw()
 		e.alone = false
 	}
 }
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/go-kit/log"
@@ -16,6 +17,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/result"
 	"github.com/chiveseam/chiveseam/router/internal/state"
@@ -28,8 +30,6 @@
 	// answerGrace is how long a scheduler's refusal may come after the
 	// deadline before the broker refuses by itself.
 	answerGrace = 50 * time.Millisecond
-	// avoidTime is how long a scheduler that could not be reached is passed over.
-	avoidTime = time.Second
 	// idleLinkTime is how long a link without requests stays open.
 	idleLinkTime = 30 * time.Second
 	// rejoinRetryAfter is told to callers when no scheduler can be reached.
@@ -68,8 +68,11 @@
 	// Estimate is the expected cost in cost units; zero means unknown.
 	Estimate uint32
 	// Deadline is the latest time of a grant.
-	Deadline  time.Time
-	Prefix    uint32
+	Deadline time.Time
+	Prefix   uint32
+	// Digest identifies the request's content; zero lets copies run side by
+	// side.
+	Digest    uint32
 	BodyBytes uint32
 	Exclude   []config.ID
 	// DataCentre restricts the targets; empty allows all.
@@ -92,31 +95,40 @@
 	seq      uint64
 	requests map[uint64]*request
 	links    map[string]*link
-	avoid    map[string]time.Time
-	spares   map[poolKey][]spare
-	// counters holds the last counters seen, by pool and workspace.
+	avoid    avoidances
+	spares   map[shardKey][]spare
+	// counters holds the last counters seen, by the ID of the pool and by
+	// workspace.
 	counters map[config.ID]map[config.ID]*v1.Counter
 	// dropped holds links to earlier incarnations, whose requests are to be
 	// moved.
 	dropped []*link
 }
 
-type poolKey struct {
-	pool   string
-	region string
-}
-
 // request is a demand until its slot is given back.
 type request struct {
 	seq    uint64
 	demand Demand
 	// home is the region that the demand was first sent to.
-	home    string
+	home string
+	// key is the role to which the demand was sent.
+	key     shardKey
 	reply   chan reply
 	link    *link
 	granted bool
-	target  config.ID
-	charged uint32
+	// answering is set once the answer has begun, asked once the scheduler wants
+	// to know of that.
+	answering bool
+	asked     bool
+	// The fields below are set once the demand is granted.
+	grantedAt  time.Time
+	target     config.ID
+	prediction pool.Prediction
+}
+
+// charged returns the cost in cost units that the scheduler has charged.
+func (r *request) charged(now time.Time) uint32 {
+	return uint32(min(r.prediction.Charged(now.Sub(r.grantedAt)), math.MaxUint32))
 }
 
 type reply struct {
@@ -134,8 +146,8 @@
 		in:       make(chan any, inputLimit),
 		requests: map[uint64]*request{},
 		links:    map[string]*link{},
-		avoid:    map[string]time.Time{},
-		spares:   map[poolKey][]spare{},
+		avoid:    avoidances{},
+		spares:   map[shardKey][]spare{},
 		counters: map[config.ID]map[config.ID]*v1.Counter{},
 	}
 	return b
@@ -149,7 +161,8 @@
 		seq  uint64
 		cost uint32
 	}
-	doneInput struct {
+	firstByteInput struct{ seq uint64 }
+	doneInput      struct {
 		seq  uint64
 		done *v1.Done
 	}
@@ -195,36 +208,6 @@
 	return result.New(v1.Code_STOPPING, v1.Ran_NO, "the router is stopping")
 }
 
-// WaitKey names a workspace's queue in a pool.
-type WaitKey struct {
-	Pool      string
-	Workspace config.ID
-}
-
-// Waiting counts the router's own waiting demands.
-func (b *Broker) Waiting() map[WaitKey]int {
-	result := make(chan map[WaitKey]int, 1)
-	if !b.post(inspectInput{func() { result <- b.countWaiting() }}) {
-		return nil
-	}
-	select {
-	case counts := <-result:
-		return counts
-	case <-b.t.Dying():
-		return nil
-	}
-}
-
-func (b *Broker) countWaiting() map[WaitKey]int {
-	counts := map[WaitKey]int{}
-	for _, r := range b.requests {
-		if !r.granted {
-			counts[WaitKey{r.demand.Pool, r.demand.Workspace}]++
-		}
-	}
-	return counts
-}
-
 // Run is the broker's duty. It returns when the tomb dies.
 func (b *Broker) Run() error {
 	changes := b.store.Subscribe()
@@ -270,6 +253,8 @@
 		b.cancel(in.request)
 	case progressInput:
 		b.progress(in)
+	case firstByteInput:
+		b.firstByte(in)
 	case doneInput:
 		b.done(in)
 	case receivedInput:
@@ -311,7 +296,7 @@
 	if !ok {
 		return
 	}
-	r.charged = max(r.charged, in.cost)
+	r.prediction.Observe(time.Since(r.grantedAt), int64(in.cost))
 	r.link.batch.Progress = append(r.link.batch.Progress, &v1.Progress{Seq: in.seq, Cost: in.cost})
 }
 
@@ -338,48 +323,6 @@
 	r.reply <- reply{err: why}
 }
 
-// sweep ends demands whose deadline passed without a word of the scheduler,
-// returns spare slots that expired, and closes idle links.
-func (b *Broker) sweep(now time.Time) {
-	for _, r := range b.requests {
-		if !r.granted && now.After(r.demand.Deadline.Add(answerGrace)) {
-			r.link.batch.Cancels = append(r.link.batch.Cancels, r.seq)
-			b.refuse(r, result.New(v1.Code_DEADLINE_EXCEEDED, v1.Ran_NO, "no slot was granted in time"))
-		}
-	}
-	b.tellWaiting()
-	b.dropExpiredSpares(now)
-	b.closeIdleLinks(now)
-	b.endAvoidance(now)
-}
-
-// tellWaiting tells each link whether demands wait on it.
-func (b *Broker) tellWaiting() {
-	waiting := map[*link]bool{}
-	for _, r := range b.requests {
-		if !r.granted {
-			waiting[r.link] = true
-		}
-	}
-	for _, l := range b.links {
-		l.conn.SetWaiting(waiting[l])
-	}
-}
-
-// endAvoidance lets roles move back to routers that were passed over.
-func (b *Broker) endAvoidance(now time.Time) {
-	ended := false
-	for name, until := range b.avoid {
-		if now.After(until) {
-			delete(b.avoid, name)
-			ended = true
-		}
-	}
-	if ended {
-		b.replace(now)
-	}
-}
-
 func (b *Broker) logLink(l *link, event string, err error) {
 	level.Info(b.logger).Log("event", event, "scheduler", l.member.Name, "error", err)
 }
--- a/router/internal/guard/guard.go
+++ b/router/internal/guard/guard.go
@@ -30,8 +30,9 @@
 // concurrent use.
 type Guard struct {
 	store *state.Store
-	// announce tells the other routers at once.
-	announce func(context.Context)
+	// announce tells the other routers at once and reports whether all have
+	// answered.
+	announce func(context.Context) bool
 
 	mu      sync.Mutex
 	book    *quarantine.Book
@@ -41,43 +42,68 @@
 }
 
 // New returns a guard for the router. announce swaps state with the other
-// routers and returns when they have answered or the context ends.
-func New(router string, store *state.Store, announce func(context.Context)) *Guard {
+// routers, returns when they have answered or the context ends, and reports
+// whether all have answered.
+func New(router string, store *state.Store, announce func(context.Context) bool) *Guard {
 	return &Guard{store: store, announce: announce, book: quarantine.New(router, quarantine.Options{})}
 }
 
 // Begin implements dispatch.Guard.
-func (g *Guard) Begin(ctx context.Context, digest uint64, startBy time.Time) *result.Result {
+func (g *Guard) Begin(ctx context.Context, digest uint64, startBy time.Time) (bool, *result.Result) {
 	for {
 		decision := g.begin(digest)
 		switch decision.Action {
 		case quarantine.Run:
-			return nil
+			return decision.Suspect, nil
 		case quarantine.Refuse:
 			refusal := result.New(decision.Code, v1.Ran_NO, "try again once the entry has expired")
 			refusal.RetryAfter = decision.RetryAfter
-			return refusal
+			return false, refusal
+		}
+		if decision.Announcement > 0 && g.settle(ctx, digest, decision.Announcement, startBy) {
+			continue
 		}
 		left := time.Until(startBy)
 		if left <= 0 {
-			return result.New(v1.Code_DEADLINE_EXCEEDED, v1.Ran_NO, "the request was a suspect until its deadline")
+			return false, result.New(v1.Code_DEADLINE_EXCEEDED, v1.Ran_NO, "the request was a suspect until its deadline")
 		}
 		timer := time.NewTimer(min(decision.RetryAfter, maxSuspectPause, left))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return result.New(v1.Code_CANCELLED, v1.Ran_NO, "the caller went away while the request was a suspect")
+			return false, result.New(v1.Code_CANCELLED, v1.Ran_NO, "the caller went away while the request was a suspect")
 		}
 	}
 }
 
+// settle announces the wish to run a suspect, until startBy at most. It reports
+// whether all other routers have answered.
+func (g *Guard) settle(ctx context.Context, digest, announcement uint64, startBy time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, min(announceTime, time.Until(startBy)))
+	defer cancel()
+	if !g.announce(ctx) {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Settled(time.Now(), quarantine.Digest(digest), announcement)
+	return true
+}
+
 func (g *Guard) begin(digest uint64) quarantine.Decision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.book.Begin(time.Now(), quarantine.Digest(digest))
 }
 
+// Confirm implements dispatch.Guard.
+func (g *Guard) Confirm(digest uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.Confirm(time.Now(), quarantine.Digest(digest))
+}
+
 // End implements dispatch.Guard. After a crash it returns when the other
 // routers know of it, so that a caller who sends the request again at its
 // failure finds it a suspect everywhere.
@@ -150,9 +176,12 @@
 // Fill implements control.Gossip.
 func (g *Guard) Fill(out *v1.PeerState) {
 	g.mu.Lock()
-	suspects := g.book.Snapshot(time.Now())
+	snapshot := g.book.Snapshot(time.Now())
 	g.mu.Unlock()
-	for _, s := range suspects {
+	if len(snapshot.Suspects) > 0 {
+		out.SuspectsSeq = snapshot.Seq
+	}
+	for _, s := range snapshot.Suspects {
 		m := &v1.Suspect{
 			Digest:    uint64(s.Digest),
 			ExpiresMs: uint32(s.Remaining.Milliseconds()),
@@ -184,5 +213,5 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.book.Merge(time.Now(), in.Router, suspects)
+	g.book.Merge(time.Now(), in.Router, quarantine.Snapshot{Seq: in.SuspectsSeq, Suspects: suspects})
 }
--- a/router/internal/peer/scheduling.go
+++ b/router/internal/peer/scheduling.go
@@ -155,8 +155,12 @@
 
 func (w *silenceWatch) stop() { w.timer.Stop() }
 
-// Connect implements the scheduler's side of the Scheduling service.
+// Connect implements the scheduler's side of the Scheduling service. A router that
+// has no configuration yet refuses, so that the demands go to another one.
 func (s *Server) Connect(stream v1.DRPCScheduling_ConnectStream) error {
+	if !s.opts.Host.Configured() {
+		return errors.New("no configuration is in force")
+	}
 	first, err := stream.Recv()
 	if err != nil {
 		return err
@@ -167,9 +171,13 @@
 	}
 	out := newCoalescer(s.opts.Timing.Coalesce, func() *v1.SchedulerBatch { return &v1.SchedulerBatch{} })
 	router := pool.Router{Name: hello.Router, Incarnation: hello.Incarnation}
-	session := s.opts.Host.Open(router, hello.Zone, out.add)
+	done := make(chan struct{})
+	var once sync.Once
+	end := func() { once.Do(func() { close(done) }) }
+	defer end()
+	session := s.opts.Host.Open(router, hello.Zone, out.add, end)
 	defer session.Close()
-	return s.serveSession(stream, session, first, out)
+	return s.serveSession(stream, session, first, out, done, end)
 }
 
 // ShareCounters implements the Scheduling service.
@@ -181,12 +189,19 @@
 	return out, nil
 }
 
-// serveSession passes batches both ways until the peer is lost or silent.
-func (s *Server) serveSession(stream v1.DRPCScheduling_ConnectStream, session *scheduling.Session, first *v1.EntryBatch, out *coalescer[*v1.SchedulerBatch]) error {
-	done := make(chan struct{})
-	var once sync.Once
-	end := func() { once.Do(func() { close(done) }) }
-	defer end()
+// Deal implements the Scheduling service.
+func (s *Server) Deal(ctx context.Context, in *v1.DealBatch) (*v1.DealBatch, error) {
+	s.opts.Traffic.Message("deal", Received, proto.Size(in))
+	out, err := s.opts.Dealer.Deal(ctx, in)
+	if err == nil {
+		s.opts.Traffic.Message("deal", Sent, proto.Size(out))
+	}
+	return out, err
+}
+
+// serveSession passes batches both ways until done is closed, by end or the
+// caller, or the peer is lost or silent.
+func (s *Server) serveSession(stream v1.DRPCScheduling_ConnectStream, session *scheduling.Session, first *v1.EntryBatch, out *coalescer[*v1.SchedulerBatch], done <-chan struct{}, end func()) error {
 	failed := make(chan error, 2)
 	go func() {
 		failed <- s.receiveBatches(stream, session, first, out, end)
--- a/router/internal/scheduling/events.go
+++ b/router/internal/scheduling/events.go
@@ -17,6 +17,10 @@
 		if use.Demand == nil {
 			continue
 		}
+		if h.movedOn(s, use) {
+			h.step(config.ID(use.Demand.Pool), now, pool.SpareReturned{Router: s.router, Spare: use.Spare})
+			continue
+		}
 		id := s.remember(use.Demand)
 		h.join(s, id, now)
 		h.step(id, now, pool.SpareUsed{Spare: use.Spare, Demand: demandEvent(s, use.Demand, now)})
@@ -39,6 +43,11 @@
 			h.step(id, now, pool.Progress{ID: s.demandID(p.Seq), Cost: int64(p.Cost)})
 		}
 	}
+	for _, seq := range batch.FirstBytes {
+		if id, ok := s.poolOf[seq]; ok {
+			h.step(id, now, pool.FirstByte{ID: s.demandID(seq)})
+		}
+	}
 	for _, d := range batch.Done {
 		if id, ok := s.forget(d.Seq); ok {
 			h.step(id, now, pool.Done{
@@ -46,6 +55,7 @@
 				Cost:        int64(d.Cost),
 				Outcome:     d.Outcome,
 				ServiceTime: time.Duration(d.ServiceMs) * time.Millisecond,
+				Unresolved:  time.Duration(d.UnresolvedMs) * time.Millisecond,
 			})
 		}
 	}
@@ -68,21 +78,30 @@
 	h.step(id, now, pool.Done{ID: s.demandID(seq), Outcome: v1.Outcome_NOT_RUN})
 }
 
-// hello joins the router to each pool named with the state that it holds.
+// hello joins the router to each shard named with the state that it holds. A
+// shard that is not configured here yet is joined by the first demand after it
+// is.
 func (h *Host) hello(s *Session, hello *v1.Hello, now time.Time) {
+	h.name(hello.Shards)
 	for _, c := range hello.Counters {
 		id := config.ID(c.Pool)
+		if _, ok := h.scheduler(id, now); !ok {
+			continue
+		}
 		joined := pool.RouterJoined{Router: s.router, Zone: s.zone, Counters: counterEvents(c.Counters)}
 		for _, f := range hello.InFlight {
 			if f.Pool != c.Pool {
 				continue
 			}
+			h.leaveEarlier(s, f, now)
 			s.poolOf[f.Seq] = id
 			joined.InFlight = append(joined.InFlight, pool.InFlight{
 				ID:        s.demandID(f.Seq),
 				Workspace: config.ID(f.Workspace),
 				Target:    config.ID(f.Target),
+				Digest:    f.Digest,
 				Charged:   int64(f.Charged),
+				Rate:      int64(f.Rate),
 			})
 		}
 		s.joined[id] = true
@@ -90,7 +109,24 @@
 	}
 }
 
-// join makes sure that the pool knows the router. It reports whether the pool
+// leaveEarlier ends a request in flight in the shard in which the session had
+// it, if its router names it in another one now.
+func (h *Host) leaveEarlier(s *Session, f *v1.InFlight, now time.Time) {
+	earlier, ok := s.poolOf[f.Seq]
+	if !ok || earlier == config.ID(f.Pool) || h.pools[earlier] == nil {
+		return
+	}
+	h.step(earlier, now, pool.Done{ID: s.demandID(f.Seq), Cost: int64(f.Charged), Outcome: v1.Outcome_ABANDONED})
+}
+
+// movedOn reports whether the hello of the same batch has named the request in
+// another shard than the one whose spare slot it began on.
+func (h *Host) movedOn(s *Session, use *v1.SpareUse) bool {
+	id, ok := s.poolOf[use.Demand.Seq]
+	return ok && id != config.ID(use.Demand.Pool)
+}
+
+// join makes sure that the shard knows the router. It reports whether the pool
 // is configured.
 func (h *Host) join(s *Session, id config.ID, now time.Time) bool {
 	if _, ok := h.scheduler(id, now); !ok {
@@ -103,11 +139,13 @@
 	return true
 }
 
+// unknownPool refuses a demand of a pool that the router which asks has in its
+// configuration, which is newer or older than the one here.
 func (h *Host) unknownPool(s *Session, seq uint64) {
 	delete(s.poolOf, seq)
 	s.out.Refusals = append(s.out.Refusals, &v1.Refusal{
 		Seq:          seq,
-		Code:         v1.Code_UNKNOWN_POOL,
+		Code:         v1.Code_NO_TARGET,
 		RetryAfterMs: uint32(counterInterval.Milliseconds()),
 	})
 }
@@ -136,6 +174,7 @@
 		Estimate:  int64(d.Estimate),
 		Deadline:  now.Add(time.Duration(d.WaitMs) * time.Millisecond),
 		Prefix:    d.Prefix,
+		Digest:    d.Digest,
 		BodyBytes: int64(d.BodyBytes),
 		Moved:     d.Moved,
 	}
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -1,5 +1,6 @@
 // Package scheduling runs the scheduler role of a router: one pool.Scheduler
-// for each pool whose demands arrive here, whoever sends them.
+// for each shard of a pool whose demands arrive here, whoever sends them. A
+// pool with one shard is its own shard.
 //
 // One goroutine owns the schedulers. Sessions, one for each entry router, post
 // batches to it through a bounded channel, and it answers with batches.
@@ -38,11 +39,21 @@
 	store *state.Store
 	t     *tomb.Tomb
 	in    chan any
+	// reports holds what the holders of shards have to tell the dealers.
+	reports chan Report
 
 	// The fields below belong to the loop's goroutine.
-	pools    map[config.ID]*pool.Scheduler
+	// pools holds the schedulers by the IDs of their shards.
+	pools map[config.ID]*shardScheduler
+	// named holds the shards that routers under another configuration have
+	// named, by ID.
+	named    map[config.ID]config.Shard
 	sessions map[pool.Router]*Session
-	// spares holds the free slots of a pool in other regions, by region.
+	// holdersAt is when the holders were told last.
+	holdersAt time.Time
+	// reportSeqs holds the numbers of the last reports by shard.
+	reportSeqs map[config.ID]uint64
+	// spares holds the free slots of a shard in other regions, by region.
 	spares map[config.ID]map[string]int
 }
 
@@ -52,13 +63,15 @@
 	router pool.Router
 	zone   string
 	send   func(*v1.SchedulerBatch)
+	// replaced is called once another session of the router is open.
+	replaced func()
 
 	// The fields below belong to the host's loop.
 	joined map[config.ID]bool
 	poolOf map[uint64]config.ID
 	// spans holds the open spans of sampled demands.
 	spans map[uint64]trace.Span
-	// replicated holds the counters as last sent, by pool and workspace.
+	// replicated holds the counters as last sent, by shard and workspace.
 	replicated map[config.ID]map[config.ID]pool.Counter
 	out        *v1.SchedulerBatch
 }
@@ -89,13 +102,16 @@
 // New returns a host that runs under t until it dies.
 func New(t *tomb.Tomb, store *state.Store, opts Options) *Host {
 	return &Host{
-		opts:     opts,
-		store:    store,
-		t:        t,
-		in:       make(chan any, inputLimit),
-		pools:    map[config.ID]*pool.Scheduler{},
-		sessions: map[pool.Router]*Session{},
-		spares:   map[config.ID]map[string]int{},
+		opts:       opts,
+		store:      store,
+		t:          t,
+		in:         make(chan any, inputLimit),
+		reports:    make(chan Report, reportLimit),
+		pools:      map[config.ID]*shardScheduler{},
+		named:      map[config.ID]config.Shard{},
+		reportSeqs: map[config.ID]uint64{},
+		sessions:   map[pool.Router]*Session{},
+		spares:     map[config.ID]map[string]int{},
 	}
 }
 
@@ -125,9 +141,14 @@
 }
 
 // Open starts the session of an entry router. send is called by the host's
-// goroutine; it must not block and takes the batch over.
-func (h *Host) Open(router pool.Router, zone string, send func(*v1.SchedulerBatch)) *Session {
+// goroutine; it must not block and takes the batch over. replaced is called by
+// it when another session of the router takes the place of this one, which is
+// ignored from then on: the streams of two sessions may arrive in the other
+// order than the router opened them, so that its stream has to end. It must not
+// block.
+func (h *Host) Open(router pool.Router, zone string, send func(*v1.SchedulerBatch), replaced func()) *Session {
 	s := h.newSession(router, zone, send)
+	s.replaced = replaced
 	h.post(openInput{s})
 	return s
 }
@@ -146,6 +167,10 @@
 	}
 }
 
+// Configured reports whether a configuration is in force, without which no pool
+// is known.
+func (h *Host) Configured() bool { return h.store.Config() != nil }
+
 // Receive handles a batch of the entry router. It blocks while the host's
 // input is full.
 func (s *Session) Receive(batch *v1.EntryBatch) {
@@ -164,6 +189,8 @@
 	defer timer.Stop()
 	counters := time.NewTicker(counterInterval)
 	defer counters.Stop()
+	deals := time.NewTicker(HolderTick)
+	defer deals.Stop()
 	for {
 		select {
 		case input := <-h.in:
@@ -171,11 +198,13 @@
 			h.drain()
 		case <-changes:
 			h.reconfigure(time.Now())
-		case now := <-counters.C:
-			h.replicateCounters()
-			h.stepAll(now, pool.Tick{})
-		case now := <-timer.C:
-			h.tick(now)
+		case <-counters.C:
+			h.replicateCounters(time.Now())
+			h.stepAll(time.Now(), pool.Tick{})
+		case <-deals.C:
+			h.tellHolders(time.Now())
+		case <-timer.C:
+			h.tick(time.Now())
 		case <-h.t.Dying():
 			return nil
 		}
@@ -196,6 +225,7 @@
 }
 
 func (h *Host) handle(input any, now time.Time) {
+	h.lapseHolders(now)
 	switch in := input.(type) {
 	case openInput:
 		h.open(in.session, now)
@@ -207,6 +237,8 @@
 		}
 	case countersInput:
 		h.peerCounters(in.counters, now)
+	case allotmentsInput:
+		h.allotted(in.allotments, now)
 	case inspectInput:
 		in.fn()
 	}
@@ -216,6 +248,7 @@
 func (h *Host) open(s *Session, now time.Time) {
 	if old, ok := h.sessions[s.router]; ok {
 		h.close(old, now)
+		old.replaced()
 	}
 	h.sessions[s.router] = s
 }
@@ -232,6 +265,7 @@
 }
 
 func (h *Host) stepAll(now time.Time, event pool.Event) {
+	h.lapseHolders(now)
 	for id := range h.pools {
 		h.step(id, now, event)
 	}
@@ -257,8 +291,13 @@
 				Seq:      a.ID.Seq,
 				Target:   uint32(a.Target),
 				Estimate: uint32(min(a.Estimate, math.MaxUint32)),
+				Rate:     uint32(min(a.Rate, math.MaxUint32)),
 			})
 		}
+	case pool.AskFirstByte:
+		if s, ok := h.sessions[a.ID.Router]; ok {
+			s.out.FirstByteAsks = append(s.out.FirstByteAsks, a.ID.Seq)
+		}
 	case pool.Refuse:
 		if s, ok := h.sessions[a.ID.Router]; ok {
 			delete(s.poolOf, a.ID.Seq)
@@ -282,6 +321,7 @@
 				Pool:      uint32(id),
 				Target:    uint32(a.Target),
 				ExpiresMs: uint32(max(a.Expires.Sub(now), 0).Milliseconds()),
+				Rate:      uint32(min(a.Rate, math.MaxUint32)),
 			})
 		}
 	case pool.RevokeSpare:
@@ -292,6 +332,7 @@
 }
 
 func (h *Host) tick(now time.Time) {
+	h.lapseHolders(now)
 	for id, sched := range h.pools {
 		if due, ok := sched.NextTick(); ok && !due.After(now) {
 			h.step(id, now, pool.Tick{})
--- a/router/internal/scheduling/regions_test.go
+++ b/router/internal/scheduling/regions_test.go
@@ -32,7 +32,8 @@
 
 // newFixture returns the host of a region with one slot of the pool; the other
 // region has targets in data centre dc-2. Workspace large belongs to dc-1.
-func newFixture(t *testing.T) *fixture {
+// Changes may alter the configuration.
+func newFixture(t *testing.T, changes ...func(*v1.Configuration)) *fixture {
 	t.Helper()
 	c := configtest.Valid()
 	c.Zones[0].DataCentre = "dc-1"
@@ -44,6 +45,9 @@
 	far.Name, far.Zone, far.Address = "desk-2", "zone-s", "127.0.0.1:7201"
 	c.Targets = append(c.Targets, far)
 	c.Workspaces[1].DataCentre = "dc-1"
+	for _, change := range changes {
+		change(c)
+	}
 	payload, err := proto.Marshal(c)
 	if err != nil {
 		t.Fatal(err)
@@ -60,10 +64,31 @@
 	}})
 	f := &fixture{Host: New(&tomb.Tomb{}, store, Options{HoldTime: time.Second}), now: time.Unix(1e9, 0)}
 	f.session = f.newSession(pool.Router{Name: "r", Incarnation: 1}, configtest.Zone, nil)
+	f.session.replaced = func() {}
 	f.handle(openInput{f.session}, f.now)
 	return f
 }
 
+// A router that greets a scheduler before its pool is configured there is refused
+// for the time being, and served afterwards.
+func TestHelloBeforeTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	accepted := f.store.Config()
+	f.store.SetConfig(nil)
+	is.True(!f.Configured())
+	hello := &v1.Hello{Router: "r", Counters: []*v1.PoolCounters{{Pool: uint32(poolID)}}}
+	f.receive(f.session, &v1.EntryBatch{Hello: hello}, f.now)
+	f.ask("small", minute, 1)
+	is.Equal(f.session.out.Refusals[0].Code, v1.Code_NO_TARGET)
+	f.store.SetConfig(accepted)
+	f.now = f.now.Add(settleTime)
+	f.receive(f.session, &v1.EntryBatch{Demands: []*v1.Demand{{
+		Seq: 2, Pool: uint32(poolID), Workspace: uint32(config.IDOf("small")), WaitMs: minute,
+	}}}, f.now)
+	is.Equal(len(f.session.out.Grants), 1)
+}
+
 // ask sends demands of a workspace and drops what is granted.
 func (f *fixture) ask(workspace string, waitMs uint32, seqs ...uint64) {
 	for _, seq := range seqs {
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/chiveseam/chiveseam/requestkey"
 	"github.com/chiveseam/chiveseam/router/internal/broker"
 	"github.com/chiveseam/chiveseam/router/internal/control"
+	"github.com/chiveseam/chiveseam/router/internal/dealing"
 	"github.com/chiveseam/chiveseam/router/internal/dispatch"
 	"github.com/chiveseam/chiveseam/router/internal/entry"
 	"github.com/chiveseam/chiveseam/router/internal/guard"
@@ -44,6 +45,7 @@
 	tracing    *telemetry.Tracing
 	host       *scheduling.Host
 	broker     *broker.Broker
+	dealing    *dealing.Duty
 	client     *peer.Client
 	peers      *peer.Server
 	guard      *guard.Guard
@@ -130,7 +132,8 @@
 		Self: r.self(), Tomb: r.tomb, Host: r.host, Timing: r.timing(), Traffic: r.metrics,
 	}, r.logger)
 	r.client = peer.NewClient(r.store, r.timing(), r.metrics)
-	r.guard = guard.New(s.Name, r.store, func(ctx context.Context) { r.control.Announce(ctx) })
+	r.dealing = dealing.New(r.tomb, r.store, r.host, r.client, r.logger)
+	r.guard = guard.New(s.Name, r.store, func(ctx context.Context) bool { return r.control.Announce(ctx) })
 	r.dispatcher = dispatch.New(dispatch.Options{
 		Store:         r.store,
 		Acquirer:      r.broker,
@@ -150,7 +153,7 @@
 		SuspectAfter: s.PeerSuspectAfter, Seed: s.Incarnation,
 	})
 	r.peers = peer.NewServer(peer.ServerOptions{
-		Host: r.host, Exchanger: r.control, Keys: r.keys, Entry: r.entry,
+		Host: r.host, Exchanger: r.control, Keys: r.keys, Entry: r.entry, Dealer: r.dealing,
 		Timing: r.timing(), Traffic: r.metrics, Logger: r.logger,
 		MaxForwardBytes: int(s.MaxBodyBytes),
 	})
@@ -179,7 +182,7 @@
 		MaxOpenRequests: s.MaxOpenRequests,
 		MaxBodyBytes:    s.MaxBodyBytes,
 		MaxBodiesBytes:  s.MaxBodiesBytes,
-		BodyTimeout:     bodyTimeout,
+		BodyTimeout:     s.RequestBodyTimeout,
 		WriteTimeout:    writeTimeout,
 	}, r.store, r.keys, r.keys, r.metrics, func() bool { return r.control.Ready() }, r.logger, r.tracing.Tracer())
 }
@@ -206,7 +209,6 @@
 }
 
 const (
-	bodyTimeout  = 30 * time.Second
 	writeTimeout = 30 * time.Second
 	// maxSpares is the number of slots of a pool that a router may hold ahead
 	// of demand.
@@ -264,10 +266,11 @@
 
 func (r *Router) startDuties() {
 	ctx := r.tomb.Context(context.Background())
-	limited := netutil.LimitListener(r.listeners.entry, r.settings.MaxConnections)
+	limited := entry.NewListener(netutil.LimitListener(r.listeners.entry, r.settings.MaxConnections))
 	duties := []func() error{
 		r.host.Run,
 		r.broker.Run,
+		r.dealing.Run,
 		func() error { return r.control.RunExchange(ctx) },
 		func() error { return r.control.RunConfiguration(ctx) },
 		func() error { return r.control.RunInstances(ctx) },
