measure: two regions, with and without the exchange

Cause: the gap of two regions and the use of their slots were seen once by hand. The new table runs pool.Scheduler in each of two regions, with the exchange as the daemon has it, under three loads.

Conclusion: two causes. What a moved demand costs is told only if its workspace has a backlog in the other region, which it has not while slots are free there. And two workspaces that wait in different regions are never compared.

--- a/internal/cmd/measure/main.go
+++ b/internal/cmd/measure/main.go
@@ -19,7 +19,7 @@
 	Warmup         time.Duration `long:"warmup" description:"Virtual time before the figures start." default:"0s"`
 	Latency        time.Duration `long:"latency" description:"Time that a message between routers takes." default:"1ms"`
 	Args           struct {
-		Table string `positional-arg-name:"table" description:"fairness, waits, failures or traffic" choice:"fairness" choice:"waits" choice:"failures" choice:"traffic"`
+		Table string `positional-arg-name:"table" description:"fairness, waits, failures, regions or traffic" choice:"fairness" choice:"waits" choice:"failures" choice:"regions" choice:"traffic"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -55,6 +55,8 @@
 		m.Waits(os.Stdout)
 	case "traffic":
 		measure.TrafficTables(os.Stdout, uint64(o.Seeds))
+	case "regions":
+		m.Regions(os.Stdout)
 	case "failures":
 		m.Failures(os.Stdout)
 	default:
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -43,8 +43,10 @@
 	engines   map[config.ID]*engine
 	index     map[config.ID]int
 	meter     *meter
-	// cutZone is cut off from the other zones unless it is empty.
-	cutZone string
+	// cutZones are cut off from the other zones.
+	cutZones map[string]bool
+	// regions is empty if one scheduler serves all targets.
+	regions []*region
 }
 
 func newCluster(d *Deployment, policy Policy, seed uint64, latency time.Duration) *cluster {
@@ -106,7 +108,7 @@
 
 // reachable tells whether messages pass between two zones.
 func (c *cluster) reachable(a, b string) bool {
-	return c.cutZone == "" || (a == c.cutZone) == (b == c.cutZone)
+	return c.cutZones[a] == c.cutZones[b]
 }
 
 // host runs a scheduler on a router.
@@ -116,6 +118,8 @@
 	zone    string
 	latency time.Duration
 	alive   bool
+	// region is nil if one scheduler serves all targets.
+	region *region
 	// charges follows what the scheduler charged, for the bound.
 	charges *chargeMeter
 }
@@ -159,6 +163,9 @@
 	h.cluster.after(h.latency, func() {
 		if h.alive && h.cluster.reachable(r.zone, h.zone) {
 			h.step(event)
+			if _, ok := event.(pool.Demand); ok && h.region != nil {
+				h.region.moveWaiting()
+			}
 		}
 	})
 }
@@ -188,6 +195,9 @@
 	case pool.Refuse:
 		r := h.cluster.routerOf(a.ID)
 		h.send(r, func() { r.refused(h, a) })
+	case pool.Move:
+		r := h.cluster.routerOf(a.ID)
+		h.send(r, func() { r.moved(h, a) })
 	case pool.HandSpare:
 		r := h.cluster.routerNamed(a.Router.Name)
 		h.post(r, pool.SpareReturned{Router: a.Router, Spare: a.Spare})
--- a/internal/measure/failures.go
+++ b/internal/measure/failures.go
@@ -102,21 +102,22 @@
 // cutOff separates a zone from the others. Each side schedules what it
 // reaches.
 func cutOff(c *cluster) {
-	c.cutZone = c.deployment.Zones[cutZoneIndex]
+	cutZone := c.deployment.Zones[cutZoneIndex]
+	c.cutZones = map[string]bool{cutZone: true}
 	main := c.hosts[0]
 	// The scheduler is on the larger side.
 	main.zone = c.deployment.Zones[cutZoneIndex+1]
-	inside := c.routersIn(c.cutZone)
+	inside := c.routersIn(cutZone)
 	c.after(tokenSilence, c.loseAcross)
 	c.after(silenceTime, func() {
-		side := c.newHost(c.deployment.Targets, c.cutZone, c.latency)
+		side := c.newHost(c.deployment.Targets, cutZone, c.latency)
 		for _, r := range inside {
 			main.step(pool.RouterLost{Router: r.id})
 		}
 		c.rejoin(inside, side)
 	})
 	c.after(cutTime, func() {
-		c.cutZone = ""
+		c.cutZones = nil
 		c.after(rejoinTime, func() {
 			c.rejoin(inside, main)
 			c.after(rejoinTime, func() { c.hosts[len(c.hosts)-1].alive = false })
--- a/internal/measure/fairness.go
+++ b/internal/measure/fairness.go
@@ -71,6 +71,9 @@
 		bound:       boundOver(c.hosts),
 		gaps:        m.gaps,
 	}
+	if len(c.regions) > 0 {
+		f.bound = c.regionBound()
+	}
 	f.idlePerGrant = seconds((m.slotSeconds - m.busySeconds) / float64(max(m.grants, 1)))
 	for _, n := range m.refusals {
 		f.refused += n
--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -28,6 +28,9 @@
 	ended   func(retryAfter time.Duration)
 	exclude []config.ID
 
+	// host schedules the request.
+	host       *host
+	moved      bool
 	granted    bool
 	target     config.ID
 	engine     *engine
@@ -63,12 +66,18 @@
 func (r *router) join(h *host) {
 	previous := r.host
 	r.host = h
-	joined := pool.RouterJoined{Router: r.id, Zone: r.zone, Counters: r.counters}
-	outstanding := r.outstanding()
+	r.replace(previous, h, r.counters)
+}
+
+// replace brings a scheduler what the router holds at the previous one.
+func (r *router) replace(previous, h *host, counters []pool.Counter) {
+	joined := pool.RouterJoined{Router: r.id, Zone: r.zone, Counters: counters}
+	outstanding := slices.DeleteFunc(r.outstanding(), func(q *request) bool { return q.host != previous })
 	for _, q := range outstanding {
-		if previous != nil {
+		if previous != h {
 			r.withdraw(previous, q)
 		}
+		q.host = h
 		if q.granted {
 			joined.InFlight = append(joined.InFlight, pool.InFlight{
 				ID:        r.demandID(q),
@@ -120,24 +129,26 @@
 func (r *router) enqueue(q *request) {
 	r.seq++
 	q.seq = r.seq
+	q.host = r.host
 	r.requests[q.seq] = q
 	r.demand(q)
 }
 
 func (r *router) demand(q *request) {
-	r.host.post(r, pool.Demand{
+	q.host.post(r, pool.Demand{
 		ID:        r.demandID(q),
 		Workspace: r.cluster.deployment.Workspaces[q.workspace].ID,
 		Estimate:  q.hint,
 		Deadline:  epoch.Add(q.arrivedAt + q.deadline),
 		Exclude:   q.exclude,
+		Moved:     q.moved,
 	})
 }
 
 // granted starts the request, or gives back a slot that nothing waits for.
 func (r *router) granted(h *host, g pool.Grant) {
 	q := r.requests[g.ID.Seq]
-	if q == nil || q.granted || r.host != h {
+	if q == nil || q.granted || q.host != h {
 		h.post(r, pool.Done{ID: g.ID, Outcome: v1.Outcome_NOT_RUN})
 		return
 	}
@@ -165,7 +176,12 @@
 
 func (r *router) refused(h *host, refusal pool.Refuse) {
 	q := r.requests[refusal.ID.Seq]
-	if q == nil || q.granted || r.host != h {
+	if q == nil || q.granted || q.host != h {
+		return
+	}
+	if q.host != r.host && refusal.Code != v1.Code_DEADLINE_EXCEEDED {
+		delete(r.requests, q.seq)
+		r.enqueue(q)
 		return
 	}
 	delete(r.requests, q.seq)
@@ -197,7 +213,7 @@
 	}
 	q.charged = q.nextReport
 	r.cluster.meter.reports++
-	r.host.post(r, pool.Progress{ID: r.demandID(q), Cost: q.nextReport})
+	q.host.post(r, pool.Progress{ID: r.demandID(q), Cost: q.nextReport})
 	r.planReport(q)
 }
 
@@ -225,5 +241,8 @@
 	if q.engine != nil {
 		done.ServiceTime = r.cluster.now - q.startedAt
 	}
-	r.host.post(r, done)
+	q.host.post(r, done)
+	if q.host != r.host {
+		r.host.freed(r, q.host)
+	}
 }
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -48,15 +48,19 @@
 	floodAt time.Duration
 	// silent is set to leave the first workspace without requests until floodAt.
 	silent bool
+	// pick draws the router of a request.
+	pick func(workspace int) *router
 }
 
 func newWorkload(c *cluster, seed uint64) *workload {
-	return &workload{
+	l := &workload{
 		cluster: c,
 		rng:     rand.New(rand.NewPCG(seed, 2)),
 		base:    float64(c.deployment.InitialCost) * baseCostPart,
 		flood:   1,
 	}
+	l.pick = l.pickRouter
+	return l
 }
 
 // start creates the callers and the arrivals.
@@ -77,7 +81,7 @@
 // addCallers creates callers that never pause.
 func (l *workload) addCallers(workspace, count int) {
 	for range count {
-		l.call(workspace, l.pickRouter(workspace))
+		l.call(workspace, l.pick(workspace))
 	}
 }
 
@@ -102,7 +106,7 @@
 	l.cluster.after(seconds(l.rng.ExpFloat64()*mean), func() {
 		q := l.request(workspace, lightWait)
 		q.ended = func(time.Duration) {}
-		l.pickRouter(workspace).submit(q)
+		l.pick(workspace).submit(q)
 		l.arrive(workspace)
 	})
 }
