--- a/fairshare/account.go
+++ b/fairshare/account.go
@@ -35,9 +35,6 @@
 	foreign uint64
 	// served is the net charge in cost units, without lifts.
 	served int64
-	// sentServed is the served service that was last given to peers.
-	sentServed uint64
-	sentState  bool
 	// mean is the moving mean of costs in 1/meanScale cost units; zero is none.
 	mean int64
 	// lifts counts the lifts that raised the counter.
--- a/fairshare/counters.go
+++ b/fairshare/counters.go
@@ -41,7 +41,7 @@
 	groups map[string]*group
 	// idle lists unconfigured idle accounts, longest idle first.
 	idle    *list.List
-	regions map[string]map[config.ID]foreignCounter
+	regions map[string]*regionView
 	skipped []*account
 }
 
@@ -64,7 +64,7 @@
 		all:         &group{},
 		groups:      map[string]*group{},
 		idle:        list.New(),
-		regions:     map[string]map[config.ID]foreignCounter{},
+		regions:     map[string]*regionView{},
 	}
 }
 
@@ -252,8 +252,8 @@
 		oldest := c.idle.Front().Value.(*account)
 		c.unlist(oldest)
 		delete(c.accounts, oldest.id)
-		for _, seen := range c.regions {
-			delete(seen, oldest.id)
+		for _, view := range c.regions {
+			delete(view.counters, oldest.id)
 		}
 	}
 }
--- a/fairshare/counters_test.go
+++ b/fairshare/counters_test.go
@@ -121,35 +121,64 @@
 	is.Equal(c.Value(a), uint64(500*Scale)) // a would starve in the east otherwise
 }
 
+// told returns a message of another region about workspace a.
+func told(epoch, version, served uint64) RegionCounters {
+	return RegionCounters{Region: "west", Epoch: epoch, Version: version, Counters: []Counter{{a, served * Scale, false}}}
+}
+
 func TestRegionsOrderByTotalService(t *testing.T) {
 	is := is.New(t)
 	c := twoWorkspaces()
 	c.Backlog(a)
 	c.Backlog(b)
 	serve(c, b, 200) // 100 over its share
-	c.MergeRegion("west", []Counter{{a, 9000 * Scale, true}})
+	is.True(c.MergeRegion(told(1, 1, 9000)))
 	is.Equal(c.Value(a), uint64(0)) // the first message is the base
-	c.MergeRegion("west", []Counter{{a, 9150 * Scale, true}})
+	c.MergeRegion(told(1, 2, 9150))
 	is.Equal(c.Value(a), uint64(150*Scale))
 	first, ok := c.Next("", anyWorkspace)
 	is.True(ok)
 	is.Equal(first, b)
-	c.MergeRegion("west", []Counter{{a, 9000 * Scale, true}}) // restarted there
-	c.MergeRegion("west", []Counter{{a, 99000 * Scale, true}})
+	c.MergeRegion(told(2, 1, 9400)) // another scheduler there
+	is.Equal(c.Value(a), uint64(150*Scale))
+	c.MergeRegion(told(2, 2, 99000))
 	is.Equal(c.Value(a)-c.Value(b), uint64(500*Scale)) // at most MaxLead ahead
 }
 
-func TestServedReportsChangesOnly(t *testing.T) {
+func TestLateAndDoubledRegionCountersChangeNothing(t *testing.T) {
+	is := is.New(t)
+	c := twoWorkspaces()
+	c.Backlog(a)
+	c.MergeRegion(told(1, 1, 100))
+	c.MergeRegion(told(1, 3, 130))
+	is.True(!c.MergeRegion(told(1, 2, 110)))
+	is.True(!c.MergeRegion(told(1, 3, 130)))
+	c.MergeRegion(told(1, 4, 140))
+	is.Equal(c.Value(a), uint64(40*Scale))
+}
+
+func TestForeignServiceOfAnIdleWorkspaceIsNotCharged(t *testing.T) {
 	is := is.New(t)
 	c := twoWorkspaces()
+	c.MergeRegion(told(1, 1, 100))
 	c.Backlog(a)
-	is.Equal(len(c.Served(10)), 1)
-	is.Equal(len(c.Served(10)), 0)
+	c.MergeRegion(told(1, 2, 200))
+	is.Equal(c.Value(a), uint64(0))
+	c.MergeRegion(told(1, 3, 210))
+	is.Equal(c.Value(a), uint64(10*Scale))
+}
+
+func TestServedTellsOfWorkspacesBackloggedSomewhere(t *testing.T) {
+	is := is.New(t)
+	c := twoWorkspaces()
 	serve(c, a, 11)
-	serve(c, b, 1000) // not backlogged
-	is.Equal(c.Served(10), []Counter{{a, 11 * Scale, true}})
-	c.Idle(a)
-	is.Equal(c.Served(10), []Counter{{a, 11 * Scale, false}})
+	is.Equal(len(c.Served()), 0)
+	c.MergeRegion(RegionCounters{Region: "west", Version: 1, Counters: []Counter{{a, 0, true}}})
+	is.Equal(c.Served(), []Counter{{a, 11 * Scale, false}})
+	c.Backlog(b)
+	is.Equal(len(c.Served()), 2)
+	c.MergeRegion(RegionCounters{Region: "west", Version: 2})
+	is.Equal(c.Served(), []Counter{{b, 0, true}})
 }
 
 func TestGroupsCompeteApart(t *testing.T) {
--- a/fairshare/merge.go
+++ b/fairshare/merge.go
@@ -14,12 +14,6 @@
 	Backlogged bool
 }
 
-// foreignCounter is what a region last told of a workspace.
-type foreignCounter struct {
-	value      uint64
-	backlogged bool
-}
-
 // Merge takes over counters that other holders saw: the maximum of each wins.
 // Backlogged workspaces end at most MaxLead below the greatest counter of
 // their group that was merged, and at most MaxLead above their competitors.
@@ -64,41 +58,6 @@
 	a.group.fix(a)
 }
 
-// MergeRegion charges the service that workspaces received in another region
-// since its last message. It counts for a workspace that is backlogged here
-// and was backlogged there in both messages, so that such a workspace is
-// ordered by its total service. The values are those of Served.
-func (c *Counters) MergeRegion(region string, counters []Counter) {
-	seen := c.regions[region]
-	if seen == nil {
-		seen = map[config.ID]foreignCounter{}
-		c.regions[region] = seen
-	}
-	for _, counter := range counters {
-		a := c.accounts[counter.Workspace]
-		if a == nil {
-			continue
-		}
-		last := seen[counter.Workspace]
-		seen[counter.Workspace] = foreignCounter{counter.Value, counter.Backlogged}
-		if !a.backlogged || !last.backlogged || !counter.Backlogged || counter.Value <= last.value {
-			continue
-		}
-		level := c.level(a.group)
-		a.foreign += min(counter.Value-last.value, c.maxLead)
-		a.group.fix(a)
-		if a.key() > level+c.maxLead {
-			a.limitForeign(level + c.maxLead)
-			a.group.fix(a)
-		}
-	}
-}
-
-// limitForeign lowers the key towards level by foreign service only.
-func (a *account) limitForeign(level uint64) {
-	a.foreign -= min(a.key()-level, a.foreign)
-}
-
 // Value returns the counter of a workspace in 1/Scale cost units at share 1.
 func (c *Counters) Value(id config.ID) uint64 {
 	a := c.accounts[id]
@@ -118,26 +77,6 @@
 	return counters
 }
 
-// Served returns, as MergeRegion takes them, the services of workspaces that
-// moved by at least minChange cost units at share 1, or whose backlog began or
-// ended, since they were last returned.
-func (c *Counters) Served(minChange int64) []Counter {
-	threshold := max(uint64(clampCost(minChange))*Scale, 1)
-	var counters []Counter
-	for _, a := range c.accounts {
-		served := a.servedOverShare()
-		moved := served >= a.sentServed+threshold || served+threshold <= a.sentServed
-		if a.backlogged == a.sentState && !(a.backlogged && moved) {
-			continue
-		}
-		a.sentServed = served
-		a.sentState = a.backlogged
-		counters = append(counters, Counter{a.id, served, a.backlogged})
-	}
-	sortCounters(counters)
-	return counters
-}
-
 func sortCounters(counters []Counter) {
 	slices.SortFunc(counters, func(a, b Counter) int {
 		return cmp.Compare(a.Workspace, b.Workspace)
--- a/internal/measure/charge.go
+++ b/internal/measure/charge.go
@@ -37,6 +37,9 @@
 // granted charges the estimate.
 func (m *chargeMeter) granted(r *router, g pool.Grant) {
 	q := r.requests[g.ID.Seq]
+	if q == nil {
+		q = r.copies[g.ID.Seq]
+	}
 	if q == nil {
 		return
 	}
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -45,6 +45,8 @@
 	meter     *meter
 	// cutZones are cut off from the other zones.
 	cutZones map[string]bool
+	// split is set while schedulers know that the regions are cut off.
+	split bool
 	// regions is empty if one scheduler serves all targets.
 	regions []*region
 }
@@ -163,9 +165,6 @@
 	h.cluster.after(h.latency, func() {
 		if h.alive && h.cluster.reachable(r.zone, h.zone) {
 			h.step(event)
-			if _, ok := event.(pool.Demand); ok && h.region != nil {
-				h.region.moveWaiting()
-			}
 		}
 	})
 }
@@ -195,9 +194,9 @@
 	case pool.Refuse:
 		r := h.cluster.routerOf(a.ID)
 		h.send(r, func() { r.refused(h, a) })
-	case pool.Move:
+	case pool.Copy:
 		r := h.cluster.routerOf(a.ID)
-		h.send(r, func() { r.moved(h, a) })
+		h.send(r, func() { r.copyDemand(h, a) })
 	case pool.HandSpare:
 		r := h.cluster.routerNamed(a.Router.Name)
 		h.post(r, pool.SpareReturned{Router: a.Router, Spare: a.Spare})
--- a/internal/measure/regions.go
+++ b/internal/measure/regions.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/chiveseam/chiveseam/pool"
@@ -10,8 +11,6 @@
 const (
 	// shareInterval is the time between two exchanges of a region.
 	shareInterval = time.Second
-	// shareMinChange is the least change of a counter that is told.
-	shareMinChange = 1
 	// regionLatency is the time that a message between regions takes.
 	regionLatency = 5 * time.Millisecond
 )
@@ -24,7 +23,6 @@
 	targets     []pool.Target
 	dataCentres []string
 	host        *host
-	free        map[string]int
 }
 
 // splitRegions gives the first half of the zones and the rest to a region each.
@@ -49,6 +47,9 @@
 		}
 	}
 	if exchange {
+		for _, g := range c.regions {
+			g.setReachable(true)
+		}
 		for i, g := range c.regions {
 			c.after(shareInterval*time.Duration(i+1)/time.Duration(len(c.regions)), g.share)
 		}
@@ -56,7 +57,7 @@
 }
 
 func newRegion(c *cluster, name string, zones []string) *region {
-	g := &region{cluster: c, name: name, zones: zones, free: map[string]int{}}
+	g := &region{cluster: c, name: name, zones: zones}
 	for _, t := range c.deployment.Targets {
 		if g.has(t.Zone) {
 			g.targets = append(g.targets, t)
@@ -67,12 +68,7 @@
 }
 
 func (g *region) has(zone string) bool {
-	for _, z := range g.zones {
-		if z == zone {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(g.zones, zone)
 }
 
 func (g *region) others() []*region {
@@ -87,70 +83,83 @@
 
 func (g *region) scheduler() *pool.Scheduler { return g.host.core.(*pool.Scheduler) }
 
-// share swaps counters and free slots with the other regions.
+// share swaps counters with the other regions.
 func (g *region) share() {
+	g.setReachable(!g.cluster.split)
 	for _, o := range g.others() {
-		message := g.scheduler().PeerCounters(g.name, shareMinChange)
-		g.deliver(o, message, func() {
-			reply := o.scheduler().PeerCounters(o.name, shareMinChange)
-			o.deliver(g, reply, func() {})
-		})
+		g.tell(o, func() { o.tell(g, func() {}) })
 	}
 	g.cluster.after(shareInterval, g.share)
 }
 
-func (g *region) deliver(to *region, message pool.PeerCounters, then func()) {
+// tell sends the counters to another region and runs then on their arrival.
+func (g *region) tell(to *region, then func()) {
+	if !g.host.alive {
+		return
+	}
+	message := g.scheduler().PeerCounters(g.name)
 	g.cluster.after(regionLatency, func() {
-		if !g.host.alive || !to.host.alive || !g.cluster.reachable(g.zones[0], to.zones[0]) {
-			return
+		if to.host.alive && g.cluster.reachable(g.zones[0], to.zones[0]) {
+			to.host.step(message)
+			then()
 		}
-		to.free[message.Region] = message.SpareSlots
-		to.host.step(message)
-		to.moveWaiting()
-		then()
 	})
 }
 
-func (g *region) moveWaiting() {
-	sched := g.scheduler()
-	if sched.Queued() == 0 {
-		return
-	}
-	g.host.step(pool.Tick{})
+// setReachable tells the scheduler whether copies reach the other regions.
+func (g *region) setReachable(reachable bool) {
+	var regions []pool.Region
 	for _, o := range g.others() {
-		free := g.free[o.name]
-		if free <= 0 {
-			continue
+		if reachable {
+			regions = append(regions, pool.Region{Name: o.name, DataCentres: o.dataCentres})
 		}
-		before := sched.Queued()
-		g.host.step(pool.Overflow{Region: o.name, DataCentres: o.dataCentres, Slots: free})
-		g.free[o.name] -= before - sched.Queued()
 	}
+	g.host.step(pool.RegionsChanged{Regions: regions})
+}
+
+func (c *cluster) regionNamed(name string) *region {
+	i := slices.IndexFunc(c.regions, func(g *region) bool { return g.name == name })
+	return c.regions[i]
 }
 
-func (r *router) moved(h *host, a pool.Move) {
+// placed is a demand at the scheduler of another region than its router's.
+type placed struct {
+	host *host
+	seq  uint64
+}
+
+// copyDemand sends a waiting demand to another region as well.
+func (r *router) copyDemand(h *host, a pool.Copy) {
 	q := r.requests[a.ID.Seq]
-	if q == nil || q.granted || q.host != h {
+	other := r.cluster.regionNamed(a.Region).host
+	if q == nil || q.granted || q.host != h || q.copyAt(other) >= 0 {
 		return
 	}
-	for _, g := range r.cluster.regions {
-		if g.name == a.Region {
-			delete(r.requests, q.seq)
-			r.seq++
-			q.seq, q.host, q.moved = r.seq, g.host, true
-			r.requests[q.seq] = q
-			r.demand(q)
-		}
-	}
+	r.seq++
+	q.copies = append(q.copies, placed{other, r.seq})
+	r.copies[r.seq] = q
+	other.post(r, r.demandEvent(q, r.seq, true))
 }
 
-func (h *host) freed(r *router, away *host) {
-	h.cluster.after(h.latency, func() {
-		if h.alive && h.cluster.reachable(r.zone, h.zone) {
-			h.region.free[away.region.name]++
-			h.region.moveWaiting()
+func (q *request) copyAt(h *host) int {
+	return slices.IndexFunc(q.copies, func(p placed) bool { return p.host == h })
+}
+
+// take makes the place that was granted the only one of the request.
+func (r *router) take(h *host, q *request, seq uint64) {
+	if q.seq != seq {
+		q.host.post(r, pool.Cancel{ID: r.demandID(q)})
+	}
+	for _, p := range q.copies {
+		delete(r.copies, p.seq)
+		if p.seq != seq {
+			p.host.post(r, pool.Cancel{ID: pool.DemandID{Router: r.id, Seq: p.seq}})
 		}
-	})
+	}
+	delete(r.requests, q.seq)
+	q.copies = nil
+	q.seq, q.host = seq, h
+	r.requests[seq] = q
 }
 
 // regionalLoad draws the region of a request.
--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -28,9 +28,9 @@
 	ended   func(retryAfter time.Duration)
 	exclude []config.ID
 
-	// host schedules the request.
+	// host schedules the request. Copies wait at others.
 	host       *host
-	moved      bool
+	copies     []placed
 	granted    bool
 	target     config.ID
 	engine     *engine
@@ -48,6 +48,8 @@
 	host     *host
 	seq      uint64
 	requests map[uint64]*request
+	// copies holds the requests by the numbers of their copies.
+	copies map[uint64]*request
 	// counters were replicated to this router last.
 	counters []pool.Counter
 }
@@ -59,6 +61,7 @@
 		id:       pool.Router{Name: fmt.Sprintf("router-%d", i), Incarnation: 1},
 		zone:     zones[i%len(zones)],
 		requests: map[uint64]*request{},
+		copies:   map[uint64]*request{},
 	}
 }
 
@@ -135,23 +138,28 @@
 }
 
 func (r *router) demand(q *request) {
-	q.host.post(r, pool.Demand{
-		ID:        r.demandID(q),
+	q.host.post(r, r.demandEvent(q, q.seq, false))
+}
+
+func (r *router) demandEvent(q *request, seq uint64, moved bool) pool.Demand {
+	return pool.Demand{
+		ID:        pool.DemandID{Router: r.id, Seq: seq},
 		Workspace: r.cluster.deployment.Workspaces[q.workspace].ID,
 		Estimate:  q.hint,
 		Deadline:  epoch.Add(q.arrivedAt + q.deadline),
 		Exclude:   q.exclude,
-		Moved:     q.moved,
-	})
+		Moved:     moved,
+	}
 }
 
 // granted starts the request, or gives back a slot that nothing waits for.
 func (r *router) granted(h *host, g pool.Grant) {
-	q := r.requests[g.ID.Seq]
-	if q == nil || q.granted || q.host != h {
+	q := r.waitingAt(h, g.ID.Seq)
+	if q == nil {
 		h.post(r, pool.Done{ID: g.ID, Outcome: v1.Outcome_NOT_RUN})
 		return
 	}
+	r.take(h, q, g.ID.Seq)
 	m := r.cluster.meter
 	m.advance(r.cluster.now)
 	e := r.cluster.engines[g.Target]
@@ -166,6 +174,18 @@
 	e.admit(q)
 }
 
+// waitingAt returns the request that waits at a scheduler under a number, or
+// nil.
+func (r *router) waitingAt(h *host, seq uint64) *request {
+	if q := r.requests[seq]; q != nil && !q.granted && q.host == h {
+		return q
+	}
+	if q := r.copies[seq]; q != nil && q.copyAt(h) >= 0 {
+		return q
+	}
+	return nil
+}
+
 // unreached ends an attempt whose target could not be dialled and tries again.
 func (r *router) unreached(q *request) {
 	r.done(q, v1.Outcome_NOT_RUN, 0)
@@ -175,15 +195,11 @@
 }
 
 func (r *router) refused(h *host, refusal pool.Refuse) {
-	q := r.requests[refusal.ID.Seq]
-	if q == nil || q.granted || q.host != h {
-		return
-	}
-	if q.host != r.host && refusal.Code != v1.Code_DEADLINE_EXCEEDED {
-		delete(r.requests, q.seq)
-		r.enqueue(q)
+	q := r.waitingAt(h, refusal.ID.Seq)
+	if q == nil || q.host != h {
 		return
 	}
+	r.take(h, q, q.seq)
 	delete(r.requests, q.seq)
 	m := r.cluster.meter
 	m.advance(r.cluster.now)
@@ -242,7 +258,4 @@
 		done.ServiceTime = r.cluster.now - q.startedAt
 	}
 	q.host.post(r, done)
-	if q.host != r.host {
-		r.host.freed(r, q.host)
-	}
 }
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -153,6 +153,7 @@
 	w := d.workspace
 	if d.class != nil {
 		w.remove(d)
+		s.changed(w)
 		s.waiting--
 	}
 	if w.queued == 0 {
--- a/pool/interface.go
+++ b/pool/interface.go
@@ -114,8 +114,8 @@
 	BodyBytes int64
 	// Exclude holds targets on which attempts of the request failed.
 	Exclude []config.ID
-	// Moved is set for a demand that another region has moved here. It is not
-	// moved again.
+	// Moved is set for a demand that came from another region, as a copy or for
+	// want of a target there. It is not copied.
 	Moved bool
 }
 
@@ -158,22 +158,29 @@
 }
 
 // PeerCounters carries the counters of the same pool's scheduler in another
-// region or of another shard.
+// region: of the workspaces that are backlogged there or here.
 type PeerCounters struct {
-	Region     string
+	Region string
+	// Epoch differs between schedulers of the region. Version grows with each
+	// message of one scheduler, so that late ones are known.
+	Epoch      uint64
+	Version    uint64
 	Counters   []Counter
 	SpareSlots int
 }
 
-// Overflow tells of free slots in another region. Waiting demands that may use
-// them are moved there.
-type Overflow struct {
-	Region string
-	// DataCentres are those of the region's targets of the pool.
+// Region is another region that has targets of the pool.
+type Region struct {
+	Name string
+	// DataCentres are those of the targets.
 	DataCentres []string
-	Slots       int
 }
 
+// RegionsChanged replaces the other regions whose scheduler of the pool can be
+// reached. Copies of waiting demands are sent to them. It is due once in each
+// exchange interval.
+type RegionsChanged struct{ Regions []Region }
+
 // Tick lets time pass. It is due at Scheduler.NextTick.
 type Tick struct{}
 
@@ -193,9 +200,10 @@
 	RetryAfter time.Duration
 }
 
-// Move ends a demand here that is to be sent to the pool's scheduler in another
-// region.
-type Move struct {
+// Copy asks the router to send a waiting demand to the pool's scheduler in
+// another region as well. The demand goes on waiting here. The router takes the
+// first grant and withdraws the demand elsewhere.
+type Copy struct {
 	ID     DemandID
 	Region string
 }
@@ -230,11 +238,11 @@
 func (SpareUsed) event()            {}
 func (SpareReturned) event()        {}
 func (PeerCounters) event()         {}
-func (Overflow) event()             {}
+func (RegionsChanged) event()       {}
 func (Tick) event()                 {}
 
 func (Grant) action()       {}
 func (Refuse) action()      {}
-func (Move) action()        {}
+func (Copy) action()        {}
 func (HandSpare) action()   {}
 func (RevokeSpare) action() {}
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -21,7 +21,10 @@
 	deadline  time.Time
 	// order is the order of arrival among equal deadlines.
 	order uint64
+	// moved is set for a demand from another region.
 	moved bool
+	// copies names the regions that have a copy.
+	copies []string
 	// class is set while the demand waits.
 	class *class
 
@@ -94,6 +97,13 @@
 	classes []*class
 	queued  int
 	bytes   int64
+	// copied counts the waiting demands with a copy, by region.
+	copied map[string]int
+	// taken counts the demands with copies that were withdrawn since the last
+	// RegionsChanged, takenBefore those between the two before.
+	taken, takenBefore int
+	// changed is set while the workspace is listed in Scheduler.uncopied.
+	changed bool
 }
 
 // class returns the class for zone and exclude, which must be sorted.
@@ -122,6 +132,9 @@
 	d.class = nil
 	w.queued--
 	w.bytes -= d.bytes
+	for _, region := range d.copies {
+		w.copied[region]--
+	}
 	if len(c.queue) > 0 {
 		return
 	}
--- /dev/null
+++ b/pool/regions_model_test.go
@@ -0,0 +1,468 @@
+package pool
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chiveseam/chiveseam/config"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	regionTick     = 10 * time.Millisecond
+	regionExchange = 500 * time.Millisecond
+	// regionRate is the number of cost units that a slot serves in a second.
+	regionRate = 400.0
+	// regionReport is the time between two reports of progress.
+	regionReport = 50 * time.Millisecond
+	silence      = 300 * time.Millisecond
+)
+
+// regionFaults are probabilities of each exchange message, and its largest
+// delay.
+type regionFaults struct {
+	loss, double float64
+	delay        time.Duration
+}
+
+// regionsModel joins the schedulers of several regions. Each has a router whose
+// streams to all schedulers delay and keep the order.
+type regionsModel struct {
+	t          *rapid.T
+	rng        *rand.Rand
+	now        time.Time
+	pending    []delayed
+	regions    []*modelRegion
+	workspaces []Workspace
+	faults     regionFaults
+	running    []*regionDemand
+	all        []*regionDemand
+	served     map[config.ID]float64
+	terms      map[config.ID]*regionTerms
+	// cut separates the first region from the others.
+	cut bool
+	// untold is the longest time between the sending of two messages that a
+	// region took, and the delay of the second.
+	untold  time.Duration
+	granted map[config.ID]time.Time
+	// starved is the longest time without a grant.
+	starved time.Duration
+}
+
+type delayed struct {
+	at  time.Time
+	run func()
+}
+
+type modelRegion struct {
+	name    string
+	sched   *Scheduler
+	target  Target
+	router  Router
+	seq     uint64
+	demands map[uint64]*regionDemand
+	saved   []Counter
+	// taken holds the times at which the last accepted messages were sent.
+	taken map[string]time.Time
+	index int
+}
+
+// regionDemand is a demand and the schedulers that know it.
+type regionDemand struct {
+	workspace config.ID
+	cost      int64
+	home      *modelRegion
+	deadline  time.Time
+	places    map[*modelRegion]uint64
+	at        *modelRegion
+	seq       uint64
+	charged   int64
+	start     time.Time
+	reported  time.Time
+	done      bool
+	ends      int
+	refused   bool
+}
+
+// regionTerms are the terms of the bound for one workspace.
+type regionTerms struct {
+	held, slots        int
+	estimate, up, down int64
+}
+
+func newRegionsModel(t *rapid.T, count int, faults regionFaults) *regionsModel {
+	m := &regionsModel{
+		t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), now: start, faults: faults, served: map[config.ID]float64{},
+		terms: map[config.ID]*regionTerms{}, granted: map[config.ID]time.Time{},
+	}
+	for i := range rapid.IntRange(2, 5).Draw(t, "workspaces") {
+		w := Workspace{ID: config.ID(i + 1), Share: uint32(rapid.IntRange(1, 4).Draw(t, "share"))}
+		if side := rapid.IntRange(0, 2*count-1).Draw(t, "side"); side < count {
+			w.DataCentre = regionName(side)
+		}
+		m.workspaces = append(m.workspaces, w)
+		m.terms[w.ID] = &regionTerms{}
+	}
+	for i := range count {
+		name := regionName(i)
+		m.regions = append(m.regions, &modelRegion{
+			name: name, router: Router{Name: name, Incarnation: 1}, index: i,
+			target:  Target{ID: config.ID(100 + i), DataCentre: name, Slots: rapid.IntRange(1, 5).Draw(t, "slots"), Speed: 1},
+			demands: map[uint64]*regionDemand{}, taken: map[string]time.Time{},
+		})
+	}
+	for _, g := range m.regions {
+		m.startScheduler(g)
+	}
+	for i, g := range m.regions {
+		m.after(time.Duration(i+1)*regionExchange/time.Duration(count), func() { m.exchange(g) })
+	}
+	return m
+}
+
+func regionName(i int) string { return string(rune('a' + i)) }
+
+func (m *regionsModel) after(d time.Duration, run func()) {
+	m.pending = append(m.pending, delayed{m.now.Add(d), run})
+}
+
+func (m *regionsModel) chance(p float64) bool { return m.rng.Float64() < p }
+
+func (m *regionsModel) reachable(a, b *modelRegion) bool {
+	return !m.cut || (a.index == 0) == (b.index == 0)
+}
+
+// stream returns the delay of the stream between a router and a scheduler.
+func stream(a, b *modelRegion) time.Duration {
+	return time.Duration(1+3*max(a.index-b.index, b.index-a.index)) * time.Millisecond
+}
+
+// startScheduler starts an empty scheduler and joins the routers in reach.
+func (m *regionsModel) startScheduler(g *modelRegion) {
+	g.sched = New(Options{InitialCost: 100, MaxLead: regionLead, HoldTime: time.Second, SettleTime: regionTick})
+	g.sched.Step(m.now, ConfigurationChanged{Targets: []Target{g.target}, Workspaces: m.workspaces})
+	for _, from := range m.regions {
+		if m.reachable(from, g) {
+			m.join(from, g)
+		}
+	}
+	m.tellRegions(g)
+}
+
+// join opens the stream of a router with what it holds there.
+func (m *regionsModel) join(from, g *modelRegion) {
+	joined := RouterJoined{Router: from.router, Counters: g.saved}
+	for _, d := range m.running {
+		if d.home == from && d.at == g {
+			joined.InFlight = append(joined.InFlight, InFlight{DemandID{from.router, d.seq}, d.workspace, g.target.ID, d.charged})
+		}
+	}
+	m.post(from, g, joined)
+	for _, d := range m.all {
+		if seq, waits := d.places[g]; waits && d.home == from {
+			m.post(from, g, m.event(d, seq, g != from))
+		}
+	}
+}
+
+func (m *regionsModel) tellRegions(g *modelRegion) {
+	var others []Region
+	for _, o := range m.regions {
+		if o != g && m.reachable(g, o) {
+			others = append(others, Region{Name: o.name, DataCentres: []string{o.name}})
+		}
+	}
+	m.step(g, RegionsChanged{others})
+}
+
+// post sends an event of a router. It is lost if the scheduler it is sent to is
+// gone or cut off.
+func (m *regionsModel) post(from, g *modelRegion, e Event) {
+	sched := g.sched
+	m.after(stream(from, g), func() {
+		if g.sched == sched && m.reachable(from, g) {
+			m.step(g, e)
+		}
+	})
+}
+
+func (m *regionsModel) step(g *modelRegion, e Event) {
+	sched := g.sched
+	for _, action := range slices.Clone(sched.Step(m.now, e)) {
+		from := m.regionOf(recipient(action))
+		m.after(stream(from, g), func() {
+			if g.sched == sched && m.reachable(from, g) {
+				m.handle(from, g, action)
+			}
+		})
+	}
+}
+
+func (m *regionsModel) regionOf(r Router) *modelRegion {
+	return m.regions[slices.IndexFunc(m.regions, func(g *modelRegion) bool { return g.router == r })]
+}
+
+// handle is what a router does with an action of a scheduler.
+func (m *regionsModel) handle(from, g *modelRegion, action Action) {
+	switch a := action.(type) {
+	case Copy:
+		d, other := from.demands[a.ID.Seq], m.regions[a.Region[0]-'a']
+		if d != nil && d.waitsAt(g, a.ID.Seq) && d.places[other] == 0 && m.reachable(from, other) {
+			m.place(d, other)
+		}
+	case Refuse:
+		d := from.demands[a.ID.Seq]
+		if d != nil && d.waitsAt(g, a.ID.Seq) && g == from {
+			m.withdraw(d, nil)
+			d.refused = true
+			d.end(m.t)
+		}
+	case Grant:
+		m.grant(from, g, a)
+	}
+}
+
+func (d *regionDemand) waitsAt(g *modelRegion, seq uint64) bool { return d.places[g] == seq }
+
+func (d *regionDemand) end(t *rapid.T) {
+	d.ends++
+	if d.ends > 1 {
+		t.Fatalf("a demand ended %d times", d.ends)
+	}
+}
+
+func (m *regionsModel) grant(from, g *modelRegion, a Grant) {
+	d := from.demands[a.ID.Seq]
+	if d == nil || !d.waitsAt(g, a.ID.Seq) {
+		if d == nil || d.at != g || d.seq != a.ID.Seq {
+			m.post(from, g, Done{ID: a.ID, Outcome: v1.Outcome_NOT_RUN})
+		}
+		return
+	}
+	if d.at != nil {
+		m.t.Fatalf("a demand runs twice")
+	}
+	m.withdraw(d, g)
+	d.at, d.seq, d.charged, d.start, d.reported = g, a.ID.Seq, a.Estimate, m.now, m.now
+	m.running = append(m.running, d)
+	terms := m.terms[d.workspace]
+	terms.held++
+	terms.slots = max(terms.slots, terms.held)
+	terms.estimate = max(terms.estimate, a.Estimate)
+	terms.up = max(terms.up, d.cost-a.Estimate)
+	terms.down = max(terms.down, a.Estimate-d.cost)
+	m.noteGrant(d.workspace)
+}
+
+func (m *regionsModel) noteGrant(id config.ID) {
+	m.starved = max(m.starved, m.now.Sub(m.granted[id]))
+	m.granted[id] = m.now
+}
+
+// withdraw ends the waiting of a demand everywhere but at one scheduler.
+func (m *regionsModel) withdraw(d *regionDemand, but *modelRegion) {
+	for _, g := range m.regions {
+		seq, waits := d.places[g]
+		if !waits || g == but {
+			continue
+		}
+		delete(d.home.demands, seq)
+		id := DemandID{d.home.router, seq}
+		m.post(d.home, g, Cancel{id})
+		m.post(d.home, g, Done{ID: id, Outcome: v1.Outcome_NOT_RUN})
+	}
+	d.places = nil
+}
+
+func (m *regionsModel) submit(home *modelRegion, workspace config.ID, cost int64, wait time.Duration) {
+	d := &regionDemand{
+		workspace: workspace, cost: cost, home: home, deadline: m.now.Add(wait), places: map[*modelRegion]uint64{},
+	}
+	m.all = append(m.all, d)
+	m.place(d, home)
+}
+
+func (m *regionsModel) place(d *regionDemand, g *modelRegion) {
+	d.home.seq++
+	d.places[g] = d.home.seq
+	d.home.demands[d.home.seq] = d
+	m.post(d.home, g, m.event(d, d.home.seq, g != d.home))
+}
+
+func (m *regionsModel) event(d *regionDemand, seq uint64, moved bool) Demand {
+	return Demand{ID: DemandID{d.home.router, seq}, Workspace: d.workspace, Deadline: d.deadline, Moved: moved}
+}
+
+// exchange sends the counters of a region to the others.
+func (m *regionsModel) exchange(g *modelRegion) {
+	for _, o := range m.regions {
+		if o == g {
+			continue
+		}
+		message, sent := g.sched.PeerCounters(g.name), m.now
+		copies := 1
+		if m.chance(m.faults.double) {
+			copies = 2
+		}
+		for range copies {
+			if m.chance(m.faults.loss) {
+				continue
+			}
+			delay := time.Duration(m.rng.Int64N(int64(m.faults.delay)) + 1)
+			m.after(delay, func() { m.takeCounters(g, o, message, sent) })
+		}
+	}
+	g.saved = g.sched.Counters()
+	m.tellRegions(g)
+	m.after(regionExchange, func() { m.exchange(g) })
+}
+
+func (m *regionsModel) takeCounters(from, to *modelRegion, message PeerCounters, sent time.Time) {
+	if !m.reachable(from, to) {
+		return
+	}
+	if last, ok := to.taken[from.name]; ok && sent.After(last) {
+		m.untold = max(m.untold, m.now.Sub(last))
+	}
+	if sent.After(to.taken[from.name]) {
+		to.taken[from.name] = sent
+	}
+	m.step(to, message)
+}
+
+// advance lets one tick pass.
+func (m *regionsModel) advance() {
+	end := m.now.Add(regionTick)
+	for len(m.pending) > 0 {
+		next := 0
+		for i, d := range m.pending {
+			if d.at.Before(m.pending[next].at) {
+				next = i
+			}
+		}
+		d := m.pending[next]
+		if d.at.After(end) {
+			break
+		}
+		m.pending = slices.Delete(m.pending, next, next+1)
+		m.now = d.at
+		d.run()
+	}
+	m.now = end
+	for _, g := range m.regions {
+		m.step(g, Tick{})
+	}
+	m.serve()
+}
+
+// serve delivers the service of a tick.
+func (m *regionsModel) serve() {
+	for _, d := range m.running {
+		before := d.delivered(m.now.Add(-regionTick))
+		m.served[d.workspace] += d.delivered(m.now) - before
+		id := DemandID{d.home.router, d.seq}
+		switch {
+		case d.delivered(m.now) >= float64(d.cost):
+			d.done = true
+			d.end(m.t)
+			delete(d.home.demands, d.seq)
+			m.terms[d.workspace].held--
+			m.post(d.home, d.at, Done{ID: id, Cost: d.cost, Outcome: v1.Outcome_SERVED, ServiceTime: m.now.Sub(d.start)})
+		case m.now.Sub(d.reported) >= regionReport:
+			d.reported = m.now
+			d.charged = max(d.charged, int64(d.delivered(m.now)))
+			m.post(d.home, d.at, Progress{id, d.charged})
+		}
+	}
+	m.running = slices.DeleteFunc(m.running, func(d *regionDemand) bool { return d.done })
+}
+
+func (d *regionDemand) delivered(now time.Time) float64 {
+	return min(max(now.Sub(d.start).Seconds(), 0)*regionRate, float64(d.cost))
+}
+
+// setCut separates the first region, or joins it again. Routers notice lost
+// streams after a silence.
+func (m *regionsModel) setCut(cut bool) {
+	m.cut = cut
+	m.after(silence, func() {
+		for _, g := range m.regions {
+			m.tellRegions(g)
+			for _, from := range m.regions {
+				m.reconnect(from, g)
+			}
+		}
+	})
+}
+
+func (m *regionsModel) reconnect(from, g *modelRegion) {
+	if (from.index == 0) == (g.index == 0) {
+		return
+	}
+	if !m.cut {
+		m.join(from, g)
+		return
+	}
+	m.step(g, RouterLost{from.router})
+	for _, d := range m.all {
+		if seq, waits := d.places[g]; waits && d.home == from && g != from {
+			delete(d.places, g)
+			delete(from.demands, seq)
+		}
+	}
+}
+
+// bound is the bound over regions of docs/DESIGN.md in cost units at share 1.
+func (m *regionsModel) bound(f, g Workspace) float64 {
+	return m.drift(f, g) + m.drift(g, f) + m.outstanding(f)/float64(f.Share) + m.outstanding(g)/float64(g.Share)
+}
+
+func (m *regionsModel) outstanding(w Workspace) float64 {
+	const uncharged = regionRate * float64(regionReport+4*regionTick) / float64(time.Second)
+	return float64(m.terms[w.ID].slots) * (float64(m.terms[w.ID].estimate) + uncharged)
+}
+
+func (m *regionsModel) drift(f, g Workspace) float64 {
+	tf, tg := m.terms[f.ID], m.terms[g.ID]
+	others := float64(len(m.regions) - 1)
+	untold := m.capacity(false)*(m.untold+regionTick).Seconds() + m.outstanding(f) + others
+	up := float64(tf.estimate) + float64(tf.slots)*float64(tf.up) + untold + others*float64(tf.slots)*float64(tf.down)
+	down := (1 + others) * float64(tg.slots) * float64(tg.down)
+	return up/float64(f.Share) + down/float64(g.Share)
+}
+
+// capacity returns the cost units a second of all regions, or of all but the
+// smallest.
+func (m *regionsModel) capacity(all bool) float64 {
+	slots := 0
+	for _, g := range m.regions {
+		slots += g.target.Slots
+	}
+	if !all {
+		smallest := slices.MinFunc(m.regions, func(a, b *modelRegion) int { return cmp.Compare(a.target.Slots, b.target.Slots) })
+		slots -= smallest.target.Slots
+	}
+	return float64(slots) * regionRate
+}
+
+// drain ends all demands and checks that each ended once and all slots are free.
+func (m *regionsModel) drain(limit time.Duration) {
+	for end := m.now.Add(limit); m.now.Before(end); {
+		m.advance()
+	}
+	for _, d := range m.all {
+		if d.ends != 1 {
+			m.t.Fatalf("a demand ended %d times; it waits at %d schedulers", d.ends, len(slices.Collect(maps.Keys(d.places))))
+		}
+	}
+	for _, g := range m.regions {
+		if status := g.sched.Status(); status.FreeSlots != g.target.Slots || status.Queued != 0 {
+			m.t.Fatalf("region %s has %d of %d slots free and %d demands waiting", g.name, status.FreeSlots, g.target.Slots, status.Queued)
+		}
+	}
+}
--- /dev/null
+++ b/pool/regions_property_test.go
@@ -0,0 +1,268 @@
+package pool
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chiveseam/chiveseam/config"
+)
+
+// regionLead is MaxLead in the model of regions.
+const regionLead = 2000
+
+// backlog keeps demands of each workspace waiting at the routers of its regions.
+type backlog struct {
+	*regionsModel
+	// homes holds the regions whose routers take requests of a workspace.
+	homes [][]*modelRegion
+	costs []int64
+}
+
+const backlogDepth = 12
+
+func newBacklog(t *rapid.T, m *regionsModel) *backlog {
+	b := &backlog{regionsModel: m}
+	for _, w := range m.workspaces {
+		homes := m.regions
+		if i := slices.IndexFunc(m.regions, func(g *modelRegion) bool { return g.name == w.DataCentre }); i >= 0 {
+			homes = m.regions[i : i+1]
+		} else if one := rapid.IntRange(0, len(m.regions)).Draw(t, "home"); one < len(m.regions) {
+			homes = m.regions[one : one+1]
+		}
+		b.homes = append(b.homes, homes)
+		b.costs = append(b.costs, rapid.Int64Range(40, 300).Draw(t, "cost"))
+	}
+	return b
+}
+
+// fill submits demands until backlogDepth of each workspace wait.
+func (b *backlog) fill() {
+	waiting := map[int]int{}
+	for _, d := range b.all {
+		if d.at == nil && d.ends == 0 {
+			waiting[int(d.workspace)-1]++
+		}
+	}
+	for i, w := range b.workspaces {
+		for n := waiting[i]; n < backlogDepth; n++ {
+			home := b.homes[i][n%len(b.homes[i])]
+			cost := b.costs[i] * int64(1+(len(b.all)*7)%5) / 3
+			b.submit(home, w.ID, cost, time.Hour)
+		}
+	}
+}
+
+// forget drops demands that ended, so that a long run stays fast.
+func (b *backlog) forget() {
+	kept := b.all[:0]
+	for _, d := range b.all {
+		if d.ends == 0 {
+			kept = append(kept, d)
+		}
+	}
+	b.all = kept
+}
+
+// gaps follows the range of the difference of services of each pair.
+type gaps struct{ low, high map[[2]int]float64 }
+
+func (b *backlog) observe(g *gaps) float64 {
+	worst := 0.0
+	for i, f := range b.workspaces {
+		for j, other := range b.workspaces[:i] {
+			if f.DataCentre != other.DataCentre {
+				continue
+			}
+			pair := [2]int{i, j}
+			difference := b.served[f.ID]/float64(f.Share) - b.served[other.ID]/float64(other.Share)
+			if _, ok := g.low[pair]; !ok {
+				g.low[pair], g.high[pair] = difference, difference
+			}
+			g.low[pair], g.high[pair] = min(g.low[pair], difference), max(g.high[pair], difference)
+			worst = max(worst, (g.high[pair]-g.low[pair])/b.bound(f, other))
+		}
+	}
+	return worst
+}
+
+// ahead returns how far a workspace that may use all slots is ahead of all that
+// compete with it, as a part of the bound, if it has competitors everywhere.
+func (b *backlog) ahead(from map[config.ID]float64) float64 {
+	worst := 0.0
+	for _, f := range b.workspaces {
+		if f.DataCentre != "" || !b.contested(f) {
+			continue
+		}
+		part := math.Inf(1)
+		for _, g := range b.workspaces {
+			if g.ID != f.ID {
+				lead := (b.served[f.ID]-from[f.ID])/float64(f.Share) - (b.served[g.ID]-from[g.ID])/float64(g.Share)
+				part = min(part, lead/b.bound(f, g))
+			}
+		}
+		worst = max(worst, part)
+	}
+	return worst
+}
+
+// contested tells whether others than f may use the slots of each region.
+func (b *backlog) contested(f Workspace) bool {
+	for _, g := range b.regions {
+		if !slices.ContainsFunc(b.workspaces, func(w Workspace) bool {
+			return w.ID != f.ID && (w.DataCentre == "" || w.DataCentre == g.name)
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
+// run keeps the backlog for a while and returns the largest gap as a part of
+// the bound.
+func (b *backlog) run(d time.Duration) float64 {
+	g := &gaps{map[[2]int]float64{}, map[[2]int]float64{}}
+	from := maps.Clone(b.served)
+	for _, w := range b.workspaces {
+		b.granted[w.ID] = b.now
+	}
+	b.starved = 0
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.fill()
+		b.advance()
+		b.observe(g)
+		b.forget()
+	}
+	for _, w := range b.workspaces {
+		b.starved = max(b.starved, b.now.Sub(b.granted[w.ID]))
+	}
+	return max(b.observe(g), b.ahead(from))
+}
+
+// starvationLimit is the time after which a workspace that gets nothing is
+// further behind another one than the gap, since all slots of the smallest
+// region are busy.
+func (b *backlog) starvationLimit(gap float64) time.Duration {
+	shares := 0.0
+	for _, w := range b.workspaces {
+		shares += float64(w.Share)
+	}
+	const longest = 2 * time.Second
+	return longest + time.Duration(gap*shares/(b.capacity(true)-b.capacity(false))*float64(time.Second))
+}
+
+func (b *backlog) largestBound() float64 {
+	bound := 0.0
+	for i, f := range b.workspaces {
+		for _, g := range b.workspaces[:i] {
+			bound = max(bound, b.bound(f, g))
+		}
+	}
+	return bound
+}
+
+func drawRegionFaults(t *rapid.T) regionFaults {
+	return regionFaults{
+		loss:   rapid.Float64Range(0, 0.3).Draw(t, "loss"),
+		double: rapid.Float64Range(0, 0.3).Draw(t, "double"),
+		delay:  time.Duration(rapid.IntRange(2, 700).Draw(t, "delay")) * time.Millisecond,
+	}
+}
+
+// TestGapOverRegions checks the bound of docs/DESIGN.md over two or three
+// regions, and that nobody starves, while exchange messages are lost, doubled,
+// late and out of order.
+func TestGapOverRegions(t *testing.T) {
+	worst := 0.0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newRegionsModel(t, rapid.IntRange(2, 3).Draw(t, "regions"), drawRegionFaults(t))
+		b := newBacklog(t, m)
+		b.run(2 * time.Second)
+		part := b.run(time.Minute)
+		if part > 1 {
+			t.Fatalf("the gap is %.2f of the bound", part)
+		}
+		if limit := b.starvationLimit(b.largestBound()); b.starved > limit {
+			t.Fatalf("a workspace had no grant for %v; the limit is %v", b.starved, limit)
+		}
+		worst = max(worst, part)
+	})
+	t.Logf("largest gap: %.2f of the bound", worst)
+}
+
+// TestNobodyStarvesAfterACut cuts one region off, loses a scheduler, and checks
+// that a workspace waits at most for its competitors' lead of MaxLead after it.
+func TestNobodyStarvesAfterACut(t *testing.T) {
+	worst := 0.0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newRegionsModel(t, rapid.IntRange(2, 3).Draw(t, "regions"), drawRegionFaults(t))
+		b := newBacklog(t, m)
+		b.run(2 * time.Second)
+		m.setCut(true)
+		b.run(time.Duration(rapid.IntRange(1, 20).Draw(t, "cut")) * time.Second)
+		if rapid.Bool().Draw(t, "lost") {
+			m.startScheduler(rapid.SampledFrom(m.regions).Draw(t, "region"))
+		}
+		m.setCut(false)
+		b.run(2 * time.Second)
+		part := b.run(20 * time.Second)
+		limit := b.starvationLimit(b.largestBound() + regionLead)
+		if b.starved > limit {
+			t.Fatalf("a workspace had no grant for %v; the limit is %v", b.starved, limit)
+		}
+		worst = max(worst, part)
+	})
+	t.Logf("largest gap after the cut: %.2f of the bound without one", worst)
+}
+
+// TestDemandsEndOnceOverRegions checks conservation: each demand runs or is
+// refused once, whatever crosses and is lost, and no slot stays in use.
+func TestDemandsEndOnceOverRegions(t *testing.T) {
+	away, refused, total := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newRegionsModel(t, rapid.IntRange(2, 3).Draw(t, "regions"), drawRegionFaults(t))
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			m.drawEvent()
+			for range rapid.IntRange(0, 20).Draw(t, "ticks") {
+				m.advance()
+			}
+		}
+		if m.cut {
+			m.setCut(false)
+		}
+		m.drain(20 * time.Second)
+		for _, d := range m.all {
+			total++
+			if d.refused {
+				refused++
+			} else if d.at != d.home {
+				away++
+			}
+		}
+	})
+	t.Logf("%d of %d demands ran in another region, %d were refused", away, total, refused)
+}
+
+// drawEvent draws a burst of demands, a cut, a heal or the loss of a scheduler.
+func (m *regionsModel) drawEvent() {
+	switch rapid.IntRange(0, 15).Draw(m.t, "event") {
+	case 0:
+		m.setCut(!m.cut)
+	case 1:
+		m.startScheduler(rapid.SampledFrom(m.regions).Draw(m.t, "lost"))
+	default:
+		home := rapid.SampledFrom(m.regions).Draw(m.t, "home")
+		workspace := rapid.SampledFrom(m.workspaces).Draw(m.t, "workspace")
+		for workspace.DataCentre != "" && workspace.DataCentre != home.name {
+			home = m.regions[(home.index+1)%len(m.regions)]
+		}
+		for range rapid.IntRange(1, 8).Draw(m.t, "burst") {
+			wait := time.Duration(rapid.IntRange(50, 5000).Draw(m.t, "wait")) * time.Millisecond
+			m.submit(home, workspace.ID, rapid.Int64Range(10, 400).Draw(m.t, "cost"), wait)
+		}
+	}
+}
--- a/pool/router.go
+++ b/pool/router.go
@@ -89,7 +89,7 @@
 		return a.ID.Router
 	case Refuse:
 		return a.ID.Router
-	case Move:
+	case Copy:
 		return a.ID.Router
 	case HandSpare:
 		return a.Router
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -40,7 +40,12 @@
 	spares       spareSet
 	settling     settling
 	service      serviceRate
-	peerSpares   map[string]int
+	remotes      []*remoteRegion
+	// uncopied holds the workspaces whose waiting demands may need copies.
+	uncopied []*workspace
+	// startedAt is the time of the first step; versions counts PeerCounters.
+	startedAt time.Time
+	versions  uint64
 
 	// slots counts the slots of targets that get new work by data centre.
 	slots map[string]int
@@ -76,7 +81,6 @@
 		routers:      map[Router]*router{},
 		incarnations: map[string]*router{},
 		spares:       newSpareSet(o.Seed),
-		peerSpares:   map[string]int{},
 		slots:        map[string]int{},
 	}
 	s.hasDemand = s.candidateHasDemand
@@ -91,10 +95,14 @@
 	if now.After(s.now) {
 		s.now = now
 	}
+	if s.startedAt.IsZero() {
+		s.startedAt = s.now
+	}
 	s.fire()
 	s.handle(event)
 	s.dispatch()
 	s.balanceSpares()
+	s.copyWaiting()
 	return s.actions
 }
 
@@ -130,8 +138,8 @@
 		s.refuseUnservable()
 	case PeerCounters:
 		s.peerCounters(e)
-	case Overflow:
-		s.overflow(e)
+	case RegionsChanged:
+		s.setRegions(e.Regions)
 	case Tick:
 	}
 }
@@ -238,6 +246,7 @@
 		return
 	}
 	w.push(d, c)
+	s.changed(w)
 	s.waiting++
 	s.counters.Backlog(w.ID)
 	s.timers.set(&d.timer, d.deadline)
@@ -257,6 +266,9 @@
 	if d.granted() {
 		return
 	}
+	if len(d.copies) > 0 {
+		d.workspace.taken++
+	}
 	s.unqueue(d)
 	s.forget(d)
 }
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -244,7 +244,9 @@
 	})
 	is.Equal(f.Counter(1).Value, old.Counter(1).Value)
 	is.Equal(len(f.ask(2, time.Minute)), 0) // the slot is busy
-	f.step(PeerCounters{Region: "west", SpareSlots: 4})
+	f.step(RegionsChanged{[]Region{{Name: "west"}}})
+	f.step(PeerCounters{Region: "west", Version: 1, SpareSlots: 4})
+	f.step(PeerCounters{Region: "west", Version: 1, SpareSlots: 7}) // doubled
 	is.Equal(f.Status().PeerSpares["west"], 4)
 	is.Equal(granted(f.finish(1, v1.Outcome_NOT_RUN)), config.ID(10))
 	f.finish(9, v1.Outcome_SERVED)
@@ -318,10 +320,10 @@
 	other := f.demandOf(3, time.Minute)
 	other.Workspace = 2
 	f.step(other)
-	for _, served := range []uint64{0, 1 << 20} {
-		f.step(PeerCounters{Region: "west", Counters: []Counter{{2, served, true}}})
+	for i, served := range []uint64{0, 1 << 20} {
+		f.step(PeerCounters{Region: "west", Version: uint64(i + 1), Counters: []Counter{{2, served, true}}})
 	}
-	is.Equal(len(f.PeerCounters("east", 10).Counters), 2)
+	is.Equal(len(f.PeerCounters("east").Counters), 2)
 	is.Equal(f.finish(1, v1.Outcome_SERVED), []Action{Grant{id(2), 10, 100}}) // 2 was served in west
 }
 
--- a/pool/status.go
+++ b/pool/status.go
@@ -1,8 +1,6 @@
 package pool
 
 import (
-	"maps"
-
 	"github.com/chiveseam/chiveseam/breaker"
 	"github.com/chiveseam/chiveseam/config"
 )
@@ -19,7 +17,7 @@
 	SpareSlots int
 	// FreeSlots counts the slots that are neither busy nor handed out.
 	FreeSlots int
-	// PeerSpares holds the free slots of other regions and shards.
+	// PeerSpares holds the free slots of the reachable other regions.
 	PeerSpares map[string]int
 	Granted    uint64
 	Refused    uint64
@@ -44,10 +42,13 @@
 		Counters:   s.Counters(),
 		SpareSlots: len(s.spares.byID),
 		FreeSlots:  s.freeSlots(),
-		PeerSpares: maps.Clone(s.peerSpares),
+		PeerSpares: map[string]int{},
 		Granted:    s.granted,
 		Refused:    s.refused,
 	}
+	for _, r := range s.remotes {
+		status.PeerSpares[r.Name] = r.free
+	}
 	for _, t := range s.sortedTargets() {
 		status.Targets = append(status.Targets, TargetStatus{
 			ID:      t.ID,
@@ -81,14 +82,16 @@
 	}
 }
 
-// PeerCounters returns what changed for the schedulers of the same pool in
-// other regions since the last call: workspaces whose backlog began or ended,
-// and backlogged ones that were served at least minChange cost units at share
-// 1. The counters are net service and not those of Counters.
-func (s *Scheduler) PeerCounters(region string, minChange int64) PeerCounters {
+// PeerCounters returns a message for the schedulers of the same pool in other
+// regions: the workspaces that are backlogged here or there. The counters are
+// net service and not those of Counters.
+func (s *Scheduler) PeerCounters(region string) PeerCounters {
+	s.versions++
 	return PeerCounters{
 		Region:     region,
-		Counters:   toCounters(s.counters.Served(minChange)),
+		Epoch:      uint64(s.startedAt.UnixNano()),
+		Version:    s.versions,
+		Counters:   toCounters(s.counters.Served()),
 		SpareSlots: s.freeSlots(),
 	}
 }
--- a/pool/workspace.go
+++ b/pool/workspace.go
@@ -34,7 +34,7 @@
 	}
 	w := s.workspaces[settings.ID]
 	if w == nil {
-		w = &workspace{}
+		w = &workspace{copied: map[string]int{}}
 		s.workspaces[settings.ID] = w
 	}
 	w.Workspace = settings
@@ -82,8 +82,18 @@
 }
 
 func (s *Scheduler) peerCounters(e PeerCounters) {
-	s.counters.MergeRegion(e.Region, fromCounters(e.Counters))
-	s.peerSpares[e.Region] = e.SpareSlots
+	fresh := s.counters.MergeRegion(fairshare.RegionCounters{
+		Region:   e.Region,
+		Epoch:    e.Epoch,
+		Version:  e.Version,
+		Counters: fromCounters(e.Counters),
+	})
+	for _, r := range s.remotes {
+		if fresh && r.Name == e.Region {
+			r.free = e.SpareSlots
+		}
+	}
+	s.changeAll()
 }
 
 func fromCounters(counters []Counter) []fairshare.Counter {
--- a/router/internal/broker/answer.go
+++ b/router/internal/broker/answer.go
@@ -26,6 +26,9 @@
 	for _, refusal := range batch.Refusals {
 		b.refused(l, refusal)
 	}
+	for _, c := range batch.Copies {
+		b.copyTo(l, c)
+	}
 	for _, c := range batch.Counters {
 		b.mergeCounters(c)
 	}
@@ -59,6 +62,7 @@
 
 // start hands the slot to the waiting caller.
 func (b *Broker) start(r *request, target config.ID, estimate uint32) {
+	b.take(r)
 	r.granted = true
 	r.target = target
 	r.charged = estimate
@@ -70,8 +74,8 @@
 	if !ok || r.granted || r.link != l {
 		return
 	}
-	if refusal.Region != "" && !r.demand.moved {
-		b.moveToRegion(r, refusal.Region)
+	if r.original != nil {
+		b.dropCopy(r)
 		return
 	}
 	if r.away() && refusal.Code != v1.Code_DEADLINE_EXCEEDED {
@@ -80,6 +84,7 @@
 	}
 	if refusal.Code == v1.Code_NO_TARGET && !r.demand.moved {
 		if region, ok := b.otherRegionOf(r); ok {
+			b.withdrawCopies(r)
 			b.moveToRegion(r, region)
 			return
 		}
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -76,7 +76,8 @@
 	DataCentre string
 	// Trace is the encoded context of a sampled span; nil for others.
 	Trace []byte
-	// moved is set once the demand went to another region for its free slots.
+	// moved is set for a copy, and for a demand that went to another region for
+	// want of a target.
 	moved bool
 }
 
@@ -117,6 +118,12 @@
 	granted bool
 	target  config.ID
 	charged uint32
+	// original is set for a copy.
+	original *request
+	// copies wait in other regions.
+	copies []*request
+	// taken is the copy that was granted.
+	taken *request
 }
 
 type reply struct {
@@ -218,7 +225,7 @@
 func (b *Broker) countWaiting() map[WaitKey]int {
 	counts := map[WaitKey]int{}
 	for _, r := range b.requests {
-		if !r.granted {
+		if !r.granted && r.original == nil {
 			counts[WaitKey{r.demand.Pool, r.demand.Workspace}]++
 		}
 	}
@@ -295,6 +302,9 @@
 }
 
 func (b *Broker) cancel(r *request) {
+	if r.taken != nil {
+		r = r.taken
+	}
 	if b.requests[r.seq] != r {
 		return
 	}
@@ -302,8 +312,8 @@
 		b.finish(r, &v1.Done{Seq: r.seq, Outcome: v1.Outcome_NOT_RUN})
 		return
 	}
-	delete(b.requests, r.seq)
-	r.link.batch.Cancels = append(r.link.batch.Cancels, r.seq)
+	b.withdraw(r)
+	b.withdrawCopies(r)
 }
 
 func (b *Broker) progress(in progressInput) {
@@ -325,13 +335,11 @@
 func (b *Broker) finish(r *request, done *v1.Done) {
 	delete(b.requests, r.seq)
 	r.link.batch.Done = append(r.link.batch.Done, done)
-	if r.away() {
-		b.tellFreed(r)
-	}
 }
 
 func (b *Broker) refuse(r *request, why *result.Result) {
 	delete(b.requests, r.seq)
+	b.withdrawCopies(r)
 	if why.RetryAfter == 0 {
 		why.RetryAfter = rejoinRetryAfter
 	}
@@ -342,7 +350,7 @@
 // returns spare slots that expired, and closes idle links.
 func (b *Broker) sweep(now time.Time) {
 	for _, r := range b.requests {
-		if !r.granted && now.After(r.demand.Deadline.Add(answerGrace)) {
+		if !r.granted && r.original == nil && now.After(r.demand.Deadline.Add(answerGrace)) {
 			r.link.batch.Cancels = append(r.link.batch.Cancels, r.seq)
 			b.refuse(r, result.New(v1.Code_DEADLINE_EXCEEDED, v1.Ran_NO, "no slot was granted in time"))
 		}
--- /dev/null
+++ b/router/internal/broker/copies_test.go
@@ -0,0 +1,160 @@
+package broker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+func (f *fixture) copyDemand(name string, seq uint64, region string) {
+	f.receive(name, &v1.SchedulerBatch{Copies: []*v1.Copy{{Seq: seq, Region: region}}})
+}
+
+// copied returns a broker with a demand that waits in both regions, and the
+// number of its copy.
+func copied(t *testing.T) (*fixture, *request, uint64) {
+	f := newFixture(t, member("a", home, 1), member("z", remote, 1))
+	r := f.acquire(time.Minute)
+	f.copyDemand("a", r.seq, remote)
+	f.sent("a")
+	sent := f.sent("z").Demands
+	if len(sent) != 1 || !sent[0].Moved || sent[0].Seq == r.seq {
+		t.Fatalf("the copies are %v", sent)
+	}
+	return f, r, sent[0].Seq
+}
+
+func TestCopyIsGranted(t *testing.T) {
+	is := is.New(t)
+	f, r, seq := copied(t)
+	f.grant("z", seq, target1)
+	answer := r.answer()
+	is.Equal(answer.target(), target1)
+	is.Equal(f.sent("a").Cancels, []uint64{r.seq})
+	f.grant("a", r.seq, target1) // crosses the withdrawal
+	is.Equal(r.answer(), reply{})
+	is.Equal(f.sent("a").Done[0].Outcome, v1.Outcome_NOT_RUN)
+	f.input(doneInput{answer.grant.seq, &v1.Done{Seq: seq, Outcome: v1.Outcome_SERVED}})
+	is.Equal(f.sent("z").Done[0].Seq, seq)
+	is.Equal(len(f.requests), 0)
+}
+
+func TestOriginalIsGranted(t *testing.T) {
+	is := is.New(t)
+	f, r, seq := copied(t)
+	f.grant("a", r.seq, target1)
+	is.Equal(r.answer().target(), target1)
+	is.Equal(f.sent("z").Cancels, []uint64{seq})
+	f.grant("z", seq, target1) // crosses the withdrawal
+	is.Equal(r.answer(), reply{})
+	is.Equal(f.sent("z").Done[0].Outcome, v1.Outcome_NOT_RUN)
+}
+
+func TestRefusedCopyGoesOnWaitingAtHome(t *testing.T) {
+	for _, code := range []v1.Code{v1.Code_NO_TARGET, v1.Code_NOT_READY, v1.Code_QUEUE_FULL, v1.Code_DEADLINE_EXCEEDED} {
+		is := is.New(t)
+		f, r, seq := copied(t)
+		f.refuse("z", &v1.Refusal{Seq: seq, Code: code})
+		is.Equal(r.answer(), reply{})
+		is.Equal(len(f.sent("a").Demands), 0) // it has not lost its place
+		f.refuse("a", &v1.Refusal{Seq: r.seq, Code: code})
+		is.Equal(r.answer().code(), code)
+	}
+}
+
+func TestRefusalAtHomeWithdrawsTheCopy(t *testing.T) {
+	is := is.New(t)
+	f, r, seq := copied(t)
+	f.refuse("a", &v1.Refusal{Seq: r.seq, Code: v1.Code_DEADLINE_EXCEEDED})
+	is.Equal(r.answer().code(), v1.Code_DEADLINE_EXCEEDED)
+	is.Equal(f.sent("z").Cancels, []uint64{seq})
+	is.Equal(len(f.requests), 0)
+}
+
+func TestCallerGoesAway(t *testing.T) {
+	is := is.New(t)
+	f, r, seq := copied(t)
+	f.input(cancelInput{r})
+	is.Equal(f.sent("a").Cancels, []uint64{r.seq})
+	is.Equal(f.sent("z").Cancels, []uint64{seq})
+	f, r, seq = copied(t)
+	f.grant("z", seq, target1) // the caller left before it read the grant
+	f.input(cancelInput{r})
+	is.Equal(f.sent("z").Done[0].Outcome, v1.Outcome_NOT_RUN)
+	is.Equal(len(f.requests), 0)
+}
+
+func TestCopyIsLostWithItsRegion(t *testing.T) {
+	is := is.New(t)
+	f, r, _ := copied(t)
+	f.setFleet(member("a", home, 1))
+	f.input(closedInput{f.links["z"], nil})
+	is.Equal(len(f.sent("a").Demands), 0)
+	f.grant("a", r.seq, target1)
+	is.Equal(r.answer().target(), target1)
+}
+
+func TestCopyFollowsTheRoleOfItsRegion(t *testing.T) {
+	is := is.New(t)
+	f, r, _ := copied(t)
+	f.setFleet(member("a", home, 1), member("y", remote, 1))
+	is.Equal(len(f.sent("z").Cancels), 1)
+	again := f.sent("y").Demands
+	is.Equal(len(again), 1)
+	f.grant("y", again[0].Seq, target1)
+	is.Equal(r.answer().target(), target1)
+}
+
+// TestRoleMoveAtHomeLeavesTheCopyAlone checks that no hello is repeated on the
+// open link of the other region: it would drop what waits there.
+func TestRoleMoveAtHomeLeavesTheCopyAlone(t *testing.T) {
+	is := is.New(t)
+	f, r, seq := copied(t)
+	f.setFleet(member("b", home, 1), member("z", remote, 1))
+	f.copyDemand("b", r.seq, remote) // the new holder does not know of the copy
+	sent := f.sent("z")
+	is.Equal(sent.Hello, nil)
+	is.Equal(len(sent.Demands), 0)
+	f.grant("z", seq, target1)
+	is.Equal(r.answer().target(), target1)
+	is.Equal(f.sent("b").Cancels, []uint64{r.seq})
+}
+
+func TestCopyToARegionWithoutSchedulerIsDropped(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, member("a", home, 1))
+	r := f.acquire(time.Minute)
+	f.copyDemand("a", r.seq, remote)
+	is.Equal(len(f.requests), 1)
+	is.Equal(len(r.copies), 0)
+}
+
+func TestCopyIsNotCopied(t *testing.T) {
+	is := is.New(t)
+	f, _, seq := copied(t)
+	f.copyDemand("z", seq, home)
+	is.Equal(len(f.requests), 2)
+}
+
+// TestSpareOfAnotherRegion checks that a spare slot serves demands of its region
+// and copies there, and no others.
+func TestSpareOfAnotherRegion(t *testing.T) {
+	is := is.New(t)
+	f, _, _ := copied(t)
+	f.receive("z", spareBatch(9, time.Minute))
+	r := f.acquire(time.Minute)
+	is.Equal(r.answer(), reply{})
+	f.copyDemand("a", r.seq, remote)
+	is.Equal(r.answer().target(), target1)
+	is.Equal(f.sent("z").SpareUses[0].Spare, uint64(9))
+	is.Equal(f.sent("a").Cancels, []uint64{r.seq})
+}
+
+func TestCopiesAreNotCountedAsWaiting(t *testing.T) {
+	is := is.New(t)
+	f, r, _ := copied(t)
+	is.Equal(f.countWaiting()[WaitKey{pool, r.demand.Workspace}], 1)
+}
--- a/router/internal/broker/place.go
+++ b/router/internal/broker/place.go
@@ -13,6 +13,10 @@
 // spare slot.
 func (b *Broker) place(r *request, now time.Time) {
 	l := b.linkFor(poolKey{r.demand.Pool, r.demand.Region}, now)
+	if l == nil && r.original != nil {
+		b.dropCopy(r)
+		return
+	}
 	if l == nil && r.away() {
 		b.returnHome(r, now)
 		return
@@ -48,7 +52,7 @@
 	return d
 }
 
-// moveToRegion places a demand in a region with free slots, or again in its
+// moveToRegion places a demand in a region with targets for it, or again in its
 // own if no router of that region can be reached.
 func (b *Broker) moveToRegion(r *request, region string) {
 	r.demand.moved = true
@@ -89,15 +93,3 @@
 
 // away reports whether the demand is in another region than its own.
 func (r *request) away() bool { return r.demand.Region != r.home }
-
-// tellFreed tells the scheduler that moved the demand that its slot is free.
-func (b *Broker) tellFreed(r *request) {
-	home := b.linkFor(poolKey{r.demand.Pool, r.home}, time.Now())
-	if home == nil {
-		return
-	}
-	home.batch.Freed = append(home.batch.Freed, &v1.FreedSlot{
-		Pool:   uint32(config.IDOf(r.demand.Pool)),
-		Region: r.demand.Region,
-	})
-}
--- a/router/internal/broker/property_test.go
+++ b/router/internal/broker/property_test.go
@@ -150,12 +150,16 @@
 		return
 	}
 	seq := rapid.SampledFrom(waiting).Draw(m.t, "seq")
+	decision := rapid.IntRange(0, 5).Draw(m.t, "decision")
+	if decision == 1 || decision == 2 {
+		batch.Copies = []*v1.Copy{{Seq: seq, Region: remote}}
+		s.out = append(s.out, batch)
+		return
+	}
 	delete(s.waiting, seq)
-	switch rapid.IntRange(0, 4).Draw(m.t, "decision") {
+	switch decision {
 	case 0:
 		batch.Refusals = []*v1.Refusal{{Seq: seq, Code: v1.Code_QUEUE_FULL}}
-	case 1:
-		batch.Refusals = []*v1.Refusal{moveTo(seq, remote)}
 	default:
 		s.busy[seq] = target
 		batch.Grants = []*v1.Grant{{Seq: seq, Target: uint32(target)}}
@@ -386,7 +390,7 @@
 			outcomes["cancelled"]++
 		case m.grants[r] == nil:
 			outcomes["refused"]++
-		case r.away():
+		case r.taken != nil:
 			outcomes["granted away"]++
 		default:
 			outcomes["granted at home"]++
--- a/router/internal/broker/region_test.go
+++ b/router/internal/broker/region_test.go
@@ -71,3 +71,47 @@
 	f.refuse("a", &v1.Refusal{Seq: r.seq, Code: v1.Code_NO_TARGET})
 	is.Equal(r.answer().code(), v1.Code_NO_TARGET)
 }
+
+// moved returns a broker with a demand that went to the other region for want
+// of a target at home.
+func moved(t *testing.T) (*fixture, *request) {
+	f := newFixture(t, member("a", home, 1), member("z", remote, 1))
+	f.configure(t, "dc-1")
+	r := f.acquire(time.Minute)
+	f.configure(t, "dc-2")
+	f.refuse("a", &v1.Refusal{Seq: r.seq, Code: v1.Code_NO_TARGET})
+	f.sent("a")
+	return f, r
+}
+
+func TestMovedDemandReturnsHomeWhenTheRegionIsLost(t *testing.T) {
+	is := is.New(t)
+	f, r := moved(t)
+	f.setFleet(member("a", home, 1))
+	f.input(closedInput{f.links["z"], nil})
+	is.Equal(r.answer(), reply{})
+	is.Equal(seqs(f.sent("a").Demands), []uint64{r.seq})
+	f.grant("a", r.seq, target1)
+	is.Equal(r.answer().target(), target1)
+}
+
+func TestMovedDemandReturnsHomeWhenItIsRefusedThere(t *testing.T) {
+	for _, code := range []v1.Code{v1.Code_NO_TARGET, v1.Code_NOT_READY, v1.Code_UNKNOWN_POOL, v1.Code_QUEUE_FULL} {
+		is := is.New(t)
+		f, r := moved(t)
+		f.refuse("z", &v1.Refusal{Seq: r.seq, Code: code})
+		is.Equal(r.answer(), reply{})
+		again := f.sent("a").Demands
+		is.Equal(seqs(again), []uint64{r.seq})
+		is.True(again[0].Moved)
+		f.refuse("a", &v1.Refusal{Seq: r.seq, Code: code})
+		is.Equal(r.answer().code(), code) // the refusal at home is final
+	}
+}
+
+func TestMovedDemandExpiresInTheOtherRegion(t *testing.T) {
+	is := is.New(t)
+	f, r := moved(t)
+	f.refuse("z", &v1.Refusal{Seq: r.seq, Code: v1.Code_DEADLINE_EXCEEDED})
+	is.Equal(r.answer().code(), v1.Code_DEADLINE_EXCEEDED)
+}
--- a/router/internal/scheduling/events.go
+++ b/router/internal/scheduling/events.go
@@ -29,7 +29,6 @@
 		}
 		s.beginSpan(d)
 		h.step(id, now, demandEvent(s, d, now))
-		h.moveWaiting(id, now)
 	}
 	for _, seq := range batch.Cancels {
 		h.cancel(s, seq, now)
@@ -52,9 +51,6 @@
 	for _, spare := range batch.SpareReturns {
 		h.stepAll(now, pool.SpareReturned{Router: s.router, Spare: spare})
 	}
-	for _, freed := range batch.Freed {
-		h.freed(config.ID(freed.Pool), freed.Region, now)
-	}
 }
 
 // cancel withdraws a demand. A router rejects a grant that crosses its cancel,
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -42,8 +42,6 @@
 	// The fields below belong to the loop's goroutine.
 	pools    map[config.ID]*pool.Scheduler
 	sessions map[pool.Router]*Session
-	// spares holds the free slots of a pool in other regions, by region.
-	spares map[config.ID]map[string]int
 }
 
 // Session is the stream of one entry router.
@@ -95,7 +93,6 @@
 		in:       make(chan any, inputLimit),
 		pools:    map[config.ID]*pool.Scheduler{},
 		sessions: map[pool.Router]*Session{},
-		spares:   map[config.ID]map[string]int{},
 	}
 }
 
@@ -269,11 +266,9 @@
 				RetryAfterMs: uint32(a.RetryAfter.Milliseconds()),
 			})
 		}
-	case pool.Move:
+	case pool.Copy:
 		if s, ok := h.sessions[a.ID.Router]; ok {
-			delete(s.poolOf, a.ID.Seq)
-			s.endSpan(a.ID.Seq, "moved")
-			s.out.Refusals = append(s.out.Refusals, &v1.Refusal{Seq: a.ID.Seq, Code: v1.Code_QUEUE_FULL, Region: a.Region})
+			s.out.Copies = append(s.out.Copies, &v1.Copy{Seq: a.ID.Seq, Region: a.Region})
 		}
 	case pool.HandSpare:
 		if s, ok := h.sessions[a.Router]; ok {
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -58,6 +58,7 @@
 		Targets:    targetsOf(p, accepted, h.store.Fleet()),
 		Workspaces: workspacesOf(p, accepted),
 	})
+	h.setRegions(id, p, accepted, now)
 }
 
 // workspacesOf returns the workspaces that may use the pool.
--- a/router/internal/scheduling/regions.go
+++ b/router/internal/scheduling/regions.go
@@ -10,13 +10,8 @@
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
-const (
-	// shareInterval is the time between two exchanges with another region.
-	shareInterval = time.Second
-	// shareMinChange is the service in cost units at share 1 from which on a
-	// counter is sent again.
-	shareMinChange = 1
-)
+// shareInterval is the time between two exchanges with another region.
+const shareInterval = time.Second
 
 // Sharer swaps counters with the scheduler at an address.
 type Sharer interface {
@@ -52,11 +47,11 @@
 
 // shares returns what to send, by the address of the scheduler that gets it.
 func (h *Host) shares() map[string]*v1.CountersShare {
-	shares, _ := inspect(h, h.collectShares)
+	shares, _ := inspect(h, func() map[string]*v1.CountersShare { return h.collectShares(time.Now()) })
 	return shares
 }
 
-func (h *Host) collectShares() map[string]*v1.CountersShare {
+func (h *Host) collectShares(now time.Time) map[string]*v1.CountersShare {
 	accepted := h.store.Config()
 	if accepted == nil {
 		return nil
@@ -68,20 +63,26 @@
 		if !ok {
 			continue
 		}
-		regions := otherRegions(p, accepted, fleet.Self.Region)
-		if len(regions) == 0 {
-			continue
-		}
-		message := sharedCounters(id, fleet.Self.Region, sched)
-		for _, region := range regions {
-			for _, m := range fleet.SchedulersOf(p.Name, region, 1) {
-				addShare(shares, m.PeerAddress, message)
+		for _, region := range h.setRegions(id, p, accepted, now) {
+			for _, m := range fleet.SchedulersOf(p.Name, region.Name, 1) {
+				addShare(shares, m.PeerAddress, sharedCounters(id, fleet.Self.Region, sched))
 			}
 		}
 	}
 	return shares
 }
 
+// setRegions tells a scheduler which other regions can be reached, and returns
+// them.
+func (h *Host) setRegions(id config.ID, p *v1.Pool, accepted *config.Accepted, now time.Time) []pool.Region {
+	fleet := h.store.Fleet()
+	regions := slices.DeleteFunc(otherRegions(p, accepted, fleet.Self.Region), func(r pool.Region) bool {
+		return len(fleet.SchedulersOf(p.Name, r.Name, 1)) == 0
+	})
+	h.step(id, now, pool.RegionsChanged{Regions: regions})
+	return regions
+}
+
 func addShare(shares map[string]*v1.CountersShare, address string, message *v1.PoolCounters) {
 	share, ok := shares[address]
 	if !ok {
@@ -92,20 +93,34 @@
 }
 
 // otherRegions returns the regions with targets of the pool but for own.
-func otherRegions(p *v1.Pool, accepted *config.Accepted, own string) []string {
-	var regions []string
+func otherRegions(p *v1.Pool, accepted *config.Accepted, own string) []pool.Region {
+	var regions []pool.Region
 	for _, t := range accepted.TargetsOf(p.Name) {
 		zone, ok := accepted.Zone(t.Zone)
-		if ok && zone.Region != own && !slices.Contains(regions, zone.Region) {
-			regions = append(regions, zone.Region)
+		if !ok || zone.Region == own {
+			continue
+		}
+		i := slices.IndexFunc(regions, func(r pool.Region) bool { return r.Name == zone.Region })
+		if i < 0 {
+			i = len(regions)
+			regions = append(regions, pool.Region{Name: zone.Region})
+		}
+		if !slices.Contains(regions[i].DataCentres, zone.DataCentre) {
+			regions[i].DataCentres = append(regions[i].DataCentres, zone.DataCentre)
 		}
 	}
 	return regions
 }
 
 func sharedCounters(id config.ID, region string, sched *pool.Scheduler) *v1.PoolCounters {
-	shared := sched.PeerCounters(region, shareMinChange)
-	message := &v1.PoolCounters{Pool: uint32(id), Region: region, SpareSlots: uint32(shared.SpareSlots)}
+	shared := sched.PeerCounters(region)
+	message := &v1.PoolCounters{
+		Pool:       uint32(id),
+		Region:     region,
+		Epoch:      shared.Epoch,
+		Version:    shared.Version,
+		SpareSlots: uint32(shared.SpareSlots),
+	}
 	for _, c := range shared.Counters {
 		message.Counters = append(message.Counters, counterMessage(c))
 	}
@@ -145,59 +160,12 @@
 		if _, ok := h.pools[id]; !ok {
 			continue
 		}
-		if h.spares[id] == nil {
-			h.spares[id] = map[string]int{}
-		}
-		h.spares[id][c.Region] = int(c.SpareSlots)
 		h.step(id, now, pool.PeerCounters{
 			Region:     c.Region,
+			Epoch:      c.Epoch,
+			Version:    c.Version,
 			Counters:   counterEvents(c.Counters),
 			SpareSlots: int(c.SpareSlots),
 		})
-		h.moveWaiting(id, now)
-	}
-}
-
-// freed counts a slot of another region that a moved demand has left.
-func (h *Host) freed(id config.ID, region string, now time.Time) {
-	if spares, ok := h.spares[id]; ok {
-		spares[region]++
-		h.moveWaiting(id, now)
-	}
-}
-
-// moveWaiting moves waiting demands to regions with free slots, one for each
-// slot.
-func (h *Host) moveWaiting(id config.ID, now time.Time) {
-	sched, ok := h.pools[id]
-	if !ok || sched.Queued() == 0 {
-		return
-	}
-	// Demands whose deadline is over must not count as moved.
-	h.step(id, now, pool.Tick{})
-	for region, free := range h.spares[id] {
-		if free <= 0 {
-			continue
-		}
-		before := sched.Queued()
-		h.step(id, now, pool.Overflow{Region: region, DataCentres: h.dataCentres(id, region), Slots: free})
-		h.spares[id][region] -= before - sched.Queued()
-	}
-}
-
-// dataCentres returns those of the region's targets of the pool.
-func (h *Host) dataCentres(id config.ID, region string) []string {
-	accepted := h.store.Config()
-	p, ok := accepted.PoolByID(id)
-	if !ok {
-		return nil
-	}
-	var list []string
-	for _, t := range accepted.TargetsOf(p.Name) {
-		zone, ok := accepted.Zone(t.Zone)
-		if ok && zone.Region == region && !slices.Contains(list, zone.DataCentre) {
-			list = append(list, zone.DataCentre)
-		}
 	}
-	return list
 }
--- a/router/internal/scheduling/regions_test.go
+++ b/router/internal/scheduling/regions_test.go
@@ -65,107 +65,100 @@
 }
 
 // ask sends demands of a workspace and drops what is granted.
-func (f *fixture) ask(workspace string, waitMs uint32, seqs ...uint64) {
+func (f *fixture) ask(workspace string, seqs ...uint64) {
 	for _, seq := range seqs {
 		f.receive(f.session, &v1.EntryBatch{Demands: []*v1.Demand{{
-			Seq: seq, Pool: uint32(poolID), Workspace: uint32(config.IDOf(workspace)), WaitMs: waitMs,
+			Seq: seq, Pool: uint32(poolID), Workspace: uint32(config.IDOf(workspace)), WaitMs: minute,
 		}}}, f.now)
 	}
 	f.session.out.Grants = nil
 }
 
-// free tells of free slots in the other region.
-func (f *fixture) free(slots uint32) {
-	f.peerCounters([]*v1.PoolCounters{{Pool: uint32(poolID), Region: remoteRegion, SpareSlots: slots}}, f.now)
+// setReachable sets whether the other region can be reached and exchanges once.
+func (f *fixture) setReachable(reachable bool) map[string]*v1.CountersShare {
+	fleet := *f.store.Fleet()
+	fleet.Reachable = []state.Member{fleet.Self}
+	if reachable {
+		fleet.Reachable = append(fleet.Reachable, state.Member{Name: "z", Region: remoteRegion, PeerAddress: remoteAddress, Incarnation: 1})
+	}
+	f.store.SetFleet(&fleet)
+	return f.collectShares(f.now)
 }
 
-// moved returns the demands that were moved since the last call.
-func (f *fixture) moved() []uint64 {
+// copied returns the demands that were copied since the last call.
+func (f *fixture) copied() []uint64 {
 	var seqs []uint64
-	for _, refusal := range f.session.out.Refusals {
-		if refusal.Region == remoteRegion {
-			seqs = append(seqs, refusal.Seq)
+	for _, c := range f.session.out.Copies {
+		if c.Region == remoteRegion {
+			seqs = append(seqs, c.Seq)
 		}
 	}
-	f.session.out.Refusals = nil
+	f.session.out.Copies = nil
 	return seqs
 }
 
-func TestFreeSlotsOfAnotherRegionAttractDemands(t *testing.T) {
-	is := is.New(t)
-	f := newFixture(t)
-	f.ask("small", minute, 1, 2, 3, 4, 5)
-	f.free(2)
-	is.Equal(f.moved(), []uint64{2, 3}) // demand 1 runs here
-	f.ask("small", minute, 6)
-	is.Equal(len(f.moved()), 0) // both slots are taken
-	f.receive(f.session, &v1.EntryBatch{Freed: []*v1.FreedSlot{{Pool: uint32(poolID), Region: remoteRegion}}}, f.now)
-	is.Equal(f.moved(), []uint64{4})
-}
-
-func TestDemandMovesAtOnceWhileSlotsAreFree(t *testing.T) {
-	is := is.New(t)
-	f := newFixture(t)
-	f.ask("small", minute, 1)
-	f.free(1)
-	f.ask("small", minute, 2)
-	is.Equal(f.moved(), []uint64{2})
-}
-
-func TestDemandsMoveOnlyToUsableDataCentres(t *testing.T) {
-	is := is.New(t)
-	f := newFixture(t)
-	f.ask("large", minute, 1, 2)
-	f.ask("small", minute, 3)
-	f.free(5)
-	is.Equal(f.moved(), []uint64{3})
-}
-
-// TestExpiredDemandsDoNotCountAsMoved lets two demands expire in the step in
-// which the free slots become known.
-func TestExpiredDemandsDoNotCountAsMoved(t *testing.T) {
+func TestWaitingDemandsAreCopiedToAReachableRegion(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	f.ask("small", minute, 1)
-	f.ask("small", 10, 2, 3)
-	f.now = f.now.Add(time.Second)
-	f.peerCountersOnly(2)
-	f.moveWaiting(poolID, f.now)
-	is.Equal(len(f.moved()), 0)
-	f.ask("small", minute, 4, 5)
-	is.Equal(f.moved(), []uint64{4, 5})
-}
-
-// peerCountersOnly stores the number of free slots without a step.
-func (f *fixture) peerCountersOnly(slots int) {
-	f.spares[poolID] = map[string]int{remoteRegion: slots}
+	f.setReachable(false)
+	f.ask("small", 1, 2, 3) // demand 1 runs here
+	is.Equal(len(f.copied()), 0)
+	f.setReachable(true)
+	is.Equal(f.copied(), []uint64{2, 3})
+	f.ask("small", 4)
+	is.Equal(f.copied(), []uint64{4})
+	f.setReachable(false)
+	f.ask("small", 5)
+	is.Equal(len(f.copied()), 0)
+	f.setReachable(true)
+	is.Equal(f.copied(), []uint64{2, 3, 4, 5})
 }
 
-func TestMovedDemandIsForgotten(t *testing.T) {
+func TestWithdrawnDemandMakesRoomForACopy(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	f.ask("small", minute, 1, 2)
-	f.free(1)
-	is.Equal(len(f.session.poolOf), 1)
-	f.receive(f.session, &v1.EntryBatch{Cancels: []uint64{2}}, f.now)
-	is.Equal(f.pools[poolID].Queued(), 0)
+	f.setReachable(true)
+	f.ask("small", 1, 2, 3, 4, 5, 6, 7)
+	is.Equal(f.copied(), []uint64{2, 3, 4, 5})
+	f.receive(f.session, &v1.EntryBatch{Cancels: []uint64{3}}, f.now) // granted in the other region
+	is.Equal(f.copied(), []uint64{6})
+	f.receive(f.session, &v1.EntryBatch{Done: []*v1.Done{{Seq: 1}}}, f.now) // demand 2 runs here
+	is.Equal(f.copied(), []uint64{7})
 }
 
-func TestFreedSlotOfAnUnknownPoolIsIgnored(t *testing.T) {
+func TestDemandsAreCopiedOnlyToUsableDataCentres(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	f.receive(f.session, &v1.EntryBatch{Freed: []*v1.FreedSlot{{Pool: 1, Region: remoteRegion}}}, f.now)
-	is.Equal(len(f.moved()), 0)
+	f.setReachable(true)
+	f.ask("large", 1, 2)
+	f.ask("small", 3)
+	is.Equal(f.copied(), []uint64{3})
 }
 
 func TestSharesGoToTheSchedulersOfOtherRegions(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	f.ask("small", minute, 1)
-	shares := f.collectShares()
+	f.ask("small", 1)
+	shares := f.setReachable(true)
 	is.Equal(len(shares), 1)
 	message := shares[remoteAddress].Pools[0]
 	is.Equal(message.Pool, uint32(poolID))
 	is.Equal(message.Region, configtest.Region)
 	is.Equal(message.SpareSlots, uint32(0)) // the one slot is in use
+	is.Equal(message.Epoch, uint64(f.now.UnixNano()))
+	reply := f.countersOf([]*v1.PoolCounters{message})
+	is.True(reply.Pools[0].Version > message.Version)
+}
+
+// TestLateCountersChangeNothing delivers the free slots of two messages in the
+// wrong order.
+func TestLateCountersChangeNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.setReachable(true)
+	f.ask("small", 1)
+	for _, version := range []uint64{2, 1} {
+		f.peerCounters([]*v1.PoolCounters{{Pool: uint32(poolID), Region: remoteRegion, Version: version, SpareSlots: 10 - uint32(version)}}, f.now)
+	}
+	is.Equal(f.pools[poolID].Status().PeerSpares[remoteRegion], 8)
 }
