measure: faults of two regions; test the bound over regions

Cause: the table had no failures, and messages between regions took as long as those within one.

A test checks the bound under each load and fault; the property test of cuts lasts up to 90 s.

--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -45,8 +45,9 @@
 	meter     *meter
 	// cutZones are cut off from the other zones.
 	cutZones map[string]bool
-	// split is set while schedulers know that the regions are cut off.
-	split bool
+	// exchange is set if regions swap counters and copies of demands. split is
+	// set while schedulers know that the regions are cut off.
+	exchange, split bool
 	// regions is empty if one scheduler serves all targets.
 	regions []*region
 }
@@ -154,15 +155,32 @@
 		return
 	}
 	counters := core.Counters()
-	for _, r := range h.cluster.routers[1 : 1+successors] {
+	local := h.local()
+	for _, r := range local[1:min(1+successors, len(local))] {
 		h.send(r, func() { r.counters = counters })
 	}
 	h.cluster.after(counterInterval, h.replicateCounters)
 }
 
+// local returns the routers of the scheduler's region.
+func (h *host) local() []*router {
+	if h.region == nil {
+		return h.cluster.routers
+	}
+	return h.region.routers()
+}
+
+// delay is the time that a message from or to a router takes.
+func (h *host) delay(r *router) time.Duration {
+	if h.region != nil && !h.region.has(r.zone) {
+		return regionLatency
+	}
+	return h.latency
+}
+
 // post delivers an event of a router after the latency.
 func (h *host) post(r *router, event pool.Event) {
-	h.cluster.after(h.latency, func() {
+	h.cluster.after(h.delay(r), func() {
 		if h.alive && h.cluster.reachable(r.zone, h.zone) {
 			h.step(event)
 		}
@@ -171,7 +189,7 @@
 
 // send delivers something to a router after the latency.
 func (h *host) send(r *router, fn func()) {
-	h.cluster.after(h.latency, func() {
+	h.cluster.after(h.delay(r), func() {
 		if h.cluster.reachable(r.zone, h.zone) {
 			fn()
 		}
--- a/internal/measure/regions.go
+++ b/internal/measure/regions.go
@@ -46,10 +46,9 @@
 			r.replace(nil, g.host, nil)
 		}
 	}
+	c.exchange = exchange
+	c.setSplit(false)
 	if exchange {
-		for _, g := range c.regions {
-			g.setReachable(true)
-		}
 		for i, g := range c.regions {
 			c.after(shareInterval*time.Duration(i+1)/time.Duration(len(c.regions)), g.share)
 		}
@@ -71,6 +70,16 @@
 	return slices.Contains(g.zones, zone)
 }
 
+func (g *region) routers() []*router {
+	var list []*router
+	for _, r := range g.cluster.routers {
+		if g.has(r.zone) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 func (g *region) others() []*region {
 	var list []*region
 	for _, o := range g.cluster.regions {
@@ -106,6 +115,17 @@
 	})
 }
 
+// setSplit lets the schedulers know whether the regions reach each other.
+func (c *cluster) setSplit(split bool) {
+	c.split = split
+	if !c.exchange {
+		return
+	}
+	for _, g := range c.regions {
+		g.setReachable(!split)
+	}
+}
+
 // setReachable tells the scheduler whether copies reach the other regions.
 func (g *region) setReachable(reachable bool) {
 	var regions []pool.Region
@@ -122,46 +142,6 @@
 	return c.regions[i]
 }
 
-// placed is a demand at the scheduler of another region than its router's.
-type placed struct {
-	host *host
-	seq  uint64
-}
-
-// copyDemand sends a waiting demand to another region as well.
-func (r *router) copyDemand(h *host, a pool.Copy) {
-	q := r.requests[a.ID.Seq]
-	other := r.cluster.regionNamed(a.Region).host
-	if q == nil || q.granted || q.host != h || q.copyAt(other) >= 0 {
-		return
-	}
-	r.seq++
-	q.copies = append(q.copies, placed{other, r.seq})
-	r.copies[r.seq] = q
-	other.post(r, r.demandEvent(q, r.seq, true))
-}
-
-func (q *request) copyAt(h *host) int {
-	return slices.IndexFunc(q.copies, func(p placed) bool { return p.host == h })
-}
-
-// take makes the place that was granted the only one of the request.
-func (r *router) take(h *host, q *request, seq uint64) {
-	if q.seq != seq {
-		q.host.post(r, pool.Cancel{ID: r.demandID(q)})
-	}
-	for _, p := range q.copies {
-		delete(r.copies, p.seq)
-		if p.seq != seq {
-			p.host.post(r, pool.Cancel{ID: pool.DemandID{Router: r.id, Seq: p.seq}})
-		}
-	}
-	delete(r.requests, q.seq)
-	q.copies = nil
-	q.seq, q.host = seq, h
-	r.requests[seq] = q
-}
-
 // regionalLoad draws the region of a request.
 type regionalLoad struct {
 	name string
@@ -173,7 +153,7 @@
 
 var regionalLoads = []regionalLoad{
 	{"uneven", [largeCount]float64{1, 0, 0.8, 0.5}, 0.7},
-	{"apart", [largeCount]float64{1, 0, 1, 0}, 0.7},
+	{"large ones apart", [largeCount]float64{1, 0, 1, 0}, 0.7},
 	{"all in one region", [largeCount]float64{1, 1, 1, 1}, 1},
 }
 
@@ -187,12 +167,7 @@
 		if rng.Float64() >= part {
 			g = c.regions[1]
 		}
-		var routers []*router
-		for _, r := range c.routers {
-			if g.has(r.zone) {
-				routers = append(routers, r)
-			}
-		}
+		routers := g.routers()
 		return routers[rng.IntN(len(routers))]
 	}
 }
--- a/internal/measure/regiontable.go
+++ b/internal/measure/regiontable.go
@@ -7,36 +7,58 @@
 	"slices"
 )
 
-// Regions prints the gap and the use of capacity of two regions.
+// Regions prints the gap and the use of capacity of two regions, under several
+// loads and through failures.
 func (o Options) Regions(w io.Writer) {
 	for _, d := range o.Deployments {
-		t := newTable(w, fmt.Sprintf("%s: two regions, %d seeds", d.Name, o.Seeds),
-			"load", "schedulers", "gap of large, s", "gap of any, s", "gap, % of bound", "busy slots while work waits, %", "longest starvation, s", "refused")
+		t := newTable(w, fmt.Sprintf("%s: two regions, %v, %d seeds", d.Name, o.Duration, o.Seeds), append([]string{"load"}, regionColumns...)...)
 		for _, load := range regionalLoads {
-			for _, exchange := range []bool{false, true} {
-				runs := o.runs(d, scenario{policy: Fair, prepare: func(c *cluster, l *workload) {
-					c.splitRegions(exchange)
-					l.pick = load.pick(c, rand.New(rand.NewPCG(c.seed, 3)))
-				}})
-				name := "without exchange"
-				if exchange {
-					name = "with exchange"
-				}
-				var ofBound samples
-				for _, r := range runs {
-					ofBound = append(ofBound, r.gaps.ofBound(r.bound)*percent)
-				}
-				t.row(load.name, name,
-					column(runs, "%.2f", func(r figures) float64 { return r.gapLarge }),
-					column(runs, "%.2f", func(r figures) float64 { return r.gapAny }),
-					ofBound.spread("%.1f"),
-					column(runs, "%.2f", func(r figures) float64 { return r.utilisation }),
-					column(runs, "%.1f", func(r figures) float64 { return r.starvation }),
-					column(runs, "%.0f", func(r figures) float64 { return float64(r.refused) }))
-			}
+			o.regionRows(t, load.name, d, load, regionFaults[0])
 		}
 		t.flush()
 	}
+	o.Warmup = faultAt - beforeFault
+	o.Duration = faultAt + observation
+	for _, d := range o.Deployments {
+		t := newTable(w, fmt.Sprintf("%s: two regions, load %q, from %v before a fault to %v after it, %d seeds",
+			d.Name, regionalLoads[0].name, beforeFault, observation, o.Seeds), append([]string{"fault"}, regionColumns...)...)
+		for _, f := range regionFaults {
+			o.regionRows(t, f.name, d, regionalLoads[0], f)
+		}
+		t.flush()
+	}
+}
+
+var regionColumns = []string{"exchange", "gap of large, s", "gap of any, s", "gap, % of bound", "busy slots while work waits, %", "longest starvation, s", "sent to a full target", "lost", "refused"}
+
+// regionRows prints a run without and one with the exchange. The bound is that
+// of the run without a fault.
+func (o Options) regionRows(t *table, name string, d *Deployment, load regionalLoad, f fault) {
+	for _, exchange := range []bool{false, true} {
+		bounds := boundsOf(o.regionRuns(d, load, regionFaults[0], exchange))
+		runs := o.regionRuns(d, load, f, exchange)
+		var ofBound samples
+		for i, r := range runs {
+			ofBound = append(ofBound, r.gaps.ofBound(bounds[i])*percent)
+		}
+		t.row(name, fmt.Sprint(exchange),
+			column(runs, "%.2f", func(r figures) float64 { return r.gapLarge }),
+			column(runs, "%.2f", func(r figures) float64 { return r.gapAny }),
+			ofBound.spread("%.1f"),
+			column(runs, "%.2f", func(r figures) float64 { return r.utilisation }),
+			column(runs, "%.1f", func(r figures) float64 { return r.starvation }),
+			column(runs, "%.0f", func(r figures) float64 { return float64(r.over) }),
+			column(runs, "%.0f", func(r figures) float64 { return float64(r.lost) }),
+			column(runs, "%.0f", func(r figures) float64 { return float64(r.refused) }))
+	}
+}
+
+func (o Options) regionRuns(d *Deployment, load regionalLoad, f fault, exchange bool) []figures {
+	return o.runs(d, scenario{policy: Fair, prepare: func(c *cluster, l *workload) {
+		c.splitRegions(exchange)
+		l.pick = load.pick(c, rand.New(rand.NewPCG(c.seed, 3)))
+		c.after(faultAt, func() { f.inject(c) })
+	}})
 }
 
 // regionBound returns the bound over regions in cost units at share 1.
--- a/pool/regions_property_test.go
+++ b/pool/regions_property_test.go
@@ -203,7 +203,7 @@
 		b := newBacklog(t, m)
 		b.run(2 * time.Second)
 		m.setCut(true)
-		b.run(time.Duration(rapid.IntRange(1, 20).Draw(t, "cut")) * time.Second)
+		b.run(time.Duration(rapid.IntRange(1, 90).Draw(t, "cut")) * time.Second)
 		if rapid.Bool().Draw(t, "lost") {
 			m.startScheduler(rapid.SampledFrom(m.regions).Draw(t, "region"))
 		}
--- a/router/internal/scheduling/regions_test.go
+++ b/router/internal/scheduling/regions_test.go
@@ -65,10 +65,10 @@
 }
 
 // ask sends demands of a workspace and drops what is granted.
-func (f *fixture) ask(workspace string, seqs ...uint64) {
+func (f *fixture) ask(workspace string, waitMs uint32, seqs ...uint64) {
 	for _, seq := range seqs {
 		f.receive(f.session, &v1.EntryBatch{Demands: []*v1.Demand{{
-			Seq: seq, Pool: uint32(poolID), Workspace: uint32(config.IDOf(workspace)), WaitMs: minute,
+			Seq: seq, Pool: uint32(poolID), Workspace: uint32(config.IDOf(workspace)), WaitMs: waitMs,
 		}}}, f.now)
 	}
 	f.session.out.Grants = nil
@@ -101,14 +101,14 @@
 	is := is.New(t)
 	f := newFixture(t)
 	f.setReachable(false)
-	f.ask("small", 1, 2, 3) // demand 1 runs here
+	f.ask("small", minute, 1, 2, 3) // demand 1 runs here
 	is.Equal(len(f.copied()), 0)
 	f.setReachable(true)
 	is.Equal(f.copied(), []uint64{2, 3})
-	f.ask("small", 4)
+	f.ask("small", minute, 4)
 	is.Equal(f.copied(), []uint64{4})
 	f.setReachable(false)
-	f.ask("small", 5)
+	f.ask("small", minute, 5)
 	is.Equal(len(f.copied()), 0)
 	f.setReachable(true)
 	is.Equal(f.copied(), []uint64{2, 3, 4, 5})
@@ -118,7 +118,7 @@
 	is := is.New(t)
 	f := newFixture(t)
 	f.setReachable(true)
-	f.ask("small", 1, 2, 3, 4, 5, 6, 7)
+	f.ask("small", minute, 1, 2, 3, 4, 5, 6, 7)
 	is.Equal(f.copied(), []uint64{2, 3, 4, 5})
 	f.receive(f.session, &v1.EntryBatch{Cancels: []uint64{3}}, f.now) // granted in the other region
 	is.Equal(f.copied(), []uint64{6})
@@ -130,15 +130,15 @@
 	is := is.New(t)
 	f := newFixture(t)
 	f.setReachable(true)
-	f.ask("large", 1, 2)
-	f.ask("small", 3)
+	f.ask("large", minute, 1, 2)
+	f.ask("small", minute, 3)
 	is.Equal(f.copied(), []uint64{3})
 }
 
 func TestSharesGoToTheSchedulersOfOtherRegions(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	f.ask("small", 1)
+	f.ask("small", minute, 1)
 	shares := f.setReachable(true)
 	is.Equal(len(shares), 1)
 	message := shares[remoteAddress].Pools[0]
@@ -156,7 +156,7 @@
 	is := is.New(t)
 	f := newFixture(t)
 	f.setReachable(true)
-	f.ask("small", 1)
+	f.ask("small", minute, 1)
 	for _, version := range []uint64{2, 1} {
 		f.peerCounters([]*v1.PoolCounters{{Pool: uint32(poolID), Region: remoteRegion, Version: version, SpareSlots: 10 - uint32(version)}}, f.now)
 	}
