scheduling: forget no router that greets before the configuration

Cause: a router that has just started and has no configuration took a hello without starting the pool, but noted the router as joined. All later demands of that router were lost until the stream ended, after 30 s at least: its callers got UNKNOWN_POOL, then DEADLINE_EXCEEDED. The same holds for a pool that is new to one router before the other.

Change: a hello for a pool that is not configured joins nobody, and the first demand afterwards does. A router without a configuration refuses streams. A demand of a pool that only the other router knows gets NO_TARGET, which may be sent again, in place of UNKNOWN_POOL.

Conclusion: a scheduler that starts serves all routers that ask it.

--- a/router/internal/peer/scheduling.go
+++ b/router/internal/peer/scheduling.go
@@ -155,8 +155,12 @@
 
 func (w *silenceWatch) stop() { w.timer.Stop() }
 
-// Connect implements the scheduler's side of the Scheduling service.
+// Connect implements the scheduler's side of the Scheduling service. A router that
+// has no configuration yet refuses, so that the demands go to another one.
 func (s *Server) Connect(stream v1.DRPCScheduling_ConnectStream) error {
+	if !s.opts.Host.Configured() {
+		return errors.New("no configuration is in force")
+	}
 	first, err := stream.Recv()
 	if err != nil {
 		return err
--- a/router/internal/scheduling/events.go
+++ b/router/internal/scheduling/events.go
@@ -64,10 +64,14 @@
 	h.step(id, now, pool.Done{ID: s.demandID(seq), Outcome: v1.Outcome_NOT_RUN})
 }
 
-// hello joins the router to each pool named with the state that it holds.
+// hello joins the router to each pool named with the state that it holds. A pool
+// that is not configured here yet is joined by the first demand after it is.
 func (h *Host) hello(s *Session, hello *v1.Hello, now time.Time) {
 	for _, c := range hello.Counters {
 		id := config.ID(c.Pool)
+		if _, ok := h.scheduler(id, now); !ok {
+			continue
+		}
 		joined := pool.RouterJoined{Router: s.router, Zone: s.zone, Counters: counterEvents(c.Counters)}
 		for _, f := range hello.InFlight {
 			if f.Pool != c.Pool {
@@ -99,11 +103,13 @@
 	return true
 }
 
+// unknownPool refuses a demand of a pool that the router which asks has in its
+// configuration, which is newer or older than the one here.
 func (h *Host) unknownPool(s *Session, seq uint64) {
 	delete(s.poolOf, seq)
 	s.out.Refusals = append(s.out.Refusals, &v1.Refusal{
 		Seq:          seq,
-		Code:         v1.Code_UNKNOWN_POOL,
+		Code:         v1.Code_NO_TARGET,
 		RetryAfterMs: uint32(counterInterval.Milliseconds()),
 	})
 }
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -143,6 +143,10 @@
 	}
 }
 
+// Configured reports whether a configuration is in force, without which no pool
+// is known.
+func (h *Host) Configured() bool { return h.store.Config() != nil }
+
 // Receive handles a batch of the entry router. It blocks while the host's
 // input is full.
 func (s *Session) Receive(batch *v1.EntryBatch) {
--- a/router/internal/scheduling/regions_test.go
+++ b/router/internal/scheduling/regions_test.go
@@ -64,6 +64,26 @@
 	return f
 }
 
+// A router that greets a scheduler before its pool is configured there is refused
+// for the time being, and served afterwards.
+func TestHelloBeforeTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	accepted := f.store.Config()
+	f.store.SetConfig(nil)
+	is.True(!f.Configured())
+	hello := &v1.Hello{Router: "r", Counters: []*v1.PoolCounters{{Pool: uint32(poolID)}}}
+	f.receive(f.session, &v1.EntryBatch{Hello: hello}, f.now)
+	f.ask("small", minute, 1)
+	is.Equal(f.session.out.Refusals[0].Code, v1.Code_NO_TARGET)
+	f.store.SetConfig(accepted)
+	f.now = f.now.Add(settleTime)
+	f.receive(f.session, &v1.EntryBatch{Demands: []*v1.Demand{{
+		Seq: 2, Pool: uint32(poolID), Workspace: uint32(config.IDOf("small")), WaitMs: minute,
+	}}}, f.now)
+	is.Equal(len(f.session.out.Grants), 1)
+}
+
 // ask sends demands of a workspace and drops what is granted.
 func (f *fixture) ask(workspace string, waitMs uint32, seqs ...uint64) {
 	for _, seq := range seqs {
