--- a/internal/e2e/relay_test.go
+++ b/internal/e2e/relay_test.go
@@ -108,8 +108,21 @@
 	}
 }
 
+// setCut begins or ends a cut, in which both directions are silent, as in a
+// network partition. Connections that may have lost data are closed at its end.
+func (r *relay) setCut(cut bool) {
+	r.silence(cut, cut)
+	if !cut {
+		r.closeLinks()
+	}
+}
+
 func (r *relay) close() {
 	r.listener.Close()
+	r.closeLinks()
+}
+
+func (r *relay) closeLinks() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, l := range r.links {
--- a/internal/e2e/scheduler_test.go
+++ b/internal/e2e/scheduler_test.go
@@ -36,19 +36,30 @@
 }
 
 func (l *schedulerLoad) run(t *testing.T, r *router) {
-	for {
-		select {
-		case <-l.done:
-			return
-		default:
-		}
-		p := newPrompt(t, streamTokens)
-		l.count(t, l.send(r, p.call(true)), func(a answer) { p.expectWhole(t, a) })
-		o := newOperation(t)
-		l.count(t, l.send(r, job(o)), func(answer) {})
+	for !l.stopped() {
+		l.stream(t, r)
+		l.job(t, r)
+	}
+}
+
+func (l *schedulerLoad) stopped() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
 	}
 }
 
+func (l *schedulerLoad) stream(t *testing.T, r *router) {
+	p := newPrompt(t, streamTokens)
+	l.count(t, l.send(r, p.call(true)), func(a answer) { p.expectWhole(t, a) })
+}
+
+func (l *schedulerLoad) job(t *testing.T, r *router) {
+	l.count(t, l.send(r, job(newOperation(t))), func(answer) {})
+}
+
 func (l *schedulerLoad) send(r *router, c call) answer {
 	return send(r.entry, c.with("Authorization", "Bearer token-"+l.workspace))
 }
--- a/internal/measure/charge.go
+++ b/internal/measure/charge.go
@@ -22,6 +22,18 @@
 	prediction pool.Prediction
 	grantedAt  time.Duration
 	request    *request
+	// seq is the number of the demand that was granted, of the request or of its
+	// copy in another region.
+	seq uint64
+}
+
+// delivered returns the cost that was served by the grant. A grant to a request
+// that has taken another one serves nothing.
+func (o *openCharge) delivered(now time.Duration) int64 {
+	if o.request.seq != o.seq {
+		return 0
+	}
+	return o.request.delivered(now)
 }
 
 func newChargeMeter(c *cluster) *chargeMeter {
@@ -40,6 +52,9 @@
 // granted charges the estimate.
 func (m *chargeMeter) granted(r *router, g pool.Grant) {
 	q := r.requests[g.ID.Seq]
+	if q == nil {
+		q = r.copies[g.ID.Seq]
+	}
 	if q == nil {
 		return
 	}
@@ -52,6 +67,7 @@
 		prediction: prediction,
 		grantedAt:  m.cluster.now,
 		request:    q,
+		seq:        g.ID.Seq,
 	}
 	t := &m.terms[q.workspace]
 	t.held++
@@ -91,7 +107,7 @@
 // more.
 func (m *chargeMeter) measure(open *openCharge) {
 	t := &m.terms[open.workspace]
-	delivered := open.request.delivered(m.cluster.now)
+	delivered := open.delivered(m.cluster.now)
 	first := open.first()
 	t.ahead = max(t.ahead, delivered-open.charge.Cost())
 	t.over = max(t.over, open.charge.Cost()-delivered)
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -51,8 +51,13 @@
 	// rateSpread is the standard deviation of the logarithm of a request's rate.
 	rateSpread float64
 	rateRNG    *rand.Rand
-	// cutZone is cut off from the other zones unless it is empty.
-	cutZone string
+	// cutZones are cut off from the other zones.
+	cutZones map[string]bool
+	// exchange is set if regions swap counters and copies of demands. split is
+	// set while schedulers know that the regions are cut off.
+	exchange, split bool
+	// regions is empty if one scheduler serves all targets.
+	regions []*region
 }
 
 func newCluster(d *Deployment, s scenario, seed uint64, latency time.Duration) *cluster {
@@ -117,7 +122,7 @@
 
 // reachable tells whether messages pass between two zones.
 func (c *cluster) reachable(a, b string) bool {
-	return c.cutZone == "" || (a == c.cutZone) == (b == c.cutZone)
+	return c.cutZones[a] == c.cutZones[b]
 }
 
 // host runs a scheduler on a router.
@@ -127,6 +132,8 @@
 	zone    string
 	latency time.Duration
 	alive   bool
+	// region is nil if one scheduler serves all targets.
+	region *region
 	// charges follows what the scheduler charged, for the bound.
 	charges *chargeMeter
 	// replicated holds the counters as last sent.
@@ -169,7 +176,8 @@
 		return
 	}
 	counters := h.changed(core)
-	for _, r := range h.cluster.routers[1 : 1+successors] {
+	local := h.local()
+	for _, r := range local[1:min(1+successors, len(local))] {
 		h.send(r, func() { r.counters = counters })
 	}
 	h.cluster.after(counterInterval, h.replicateCounters)
@@ -190,9 +198,25 @@
 	return counters
 }
 
+// local returns the routers of the scheduler's region.
+func (h *host) local() []*router {
+	if h.region == nil {
+		return h.cluster.routers
+	}
+	return h.region.routers()
+}
+
+// delay is the time that a message from or to a router takes.
+func (h *host) delay(r *router) time.Duration {
+	if h.region != nil && !h.region.has(r.zone) {
+		return regionLatency
+	}
+	return h.latency
+}
+
 // post delivers an event of a router after the latency.
 func (h *host) post(r *router, event pool.Event) {
-	h.cluster.after(h.latency, func() {
+	h.cluster.after(h.delay(r), func() {
 		if h.alive && h.cluster.reachable(r.zone, h.zone) {
 			h.step(event)
 		}
@@ -201,7 +225,7 @@
 
 // send delivers something to a router after the latency.
 func (h *host) send(r *router, fn func()) {
-	h.cluster.after(h.latency, func() {
+	h.cluster.after(h.delay(r), func() {
 		if h.cluster.reachable(r.zone, h.zone) {
 			fn()
 		}
@@ -224,6 +248,9 @@
 	case pool.Refuse:
 		r := h.cluster.routerOf(a.ID)
 		h.send(r, func() { r.refused(h, a) })
+	case pool.Copy:
+		r := h.cluster.routerOf(a.ID)
+		h.send(r, func() { r.copyDemand(h, a) })
 	case pool.HandSpare:
 		r := h.cluster.routerNamed(a.Router.Name)
 		h.post(r, pool.SpareReturned{Router: a.Router, Spare: a.Spare})
--- /dev/null
+++ b/internal/measure/regions.go
@@ -0,0 +1,173 @@
+package measure
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/chiveseam/chiveseam/pool"
+)
+
+const (
+	// shareInterval is the time between two exchanges of a region.
+	shareInterval = time.Second
+	// regionLatency is the time that a message between regions takes.
+	regionLatency = 5 * time.Millisecond
+)
+
+// region is a part of the zones with a scheduler of its own.
+type region struct {
+	cluster     *cluster
+	name        string
+	zones       []string
+	targets     []pool.Target
+	dataCentres []string
+	host        *host
+}
+
+// splitRegions gives the first half of the zones and the rest to a region each.
+func (c *cluster) splitRegions(exchange bool) {
+	zones := c.deployment.Zones
+	half := len(zones) / 2
+	for i, part := range [][]string{zones[:half], zones[half:]} {
+		c.regions = append(c.regions, newRegion(c, []string{"first", "second"}[i], part))
+	}
+	c.hosts = nil
+	for _, g := range c.regions {
+		g.host = c.newHost(g.targets, g.zones[0], c.latency)
+		g.host.region = g
+	}
+	for _, r := range c.routers {
+		r.host = nil
+		for _, g := range c.regions {
+			if g.has(r.zone) {
+				r.host = g.host
+			}
+			r.replace(nil, g.host, nil)
+		}
+	}
+	c.exchange = exchange
+	c.setSplit(false)
+	if exchange {
+		for i, g := range c.regions {
+			c.after(shareInterval*time.Duration(i+1)/time.Duration(len(c.regions)), g.share)
+		}
+	}
+}
+
+func newRegion(c *cluster, name string, zones []string) *region {
+	g := &region{cluster: c, name: name, zones: zones}
+	for _, t := range c.deployment.Targets {
+		if g.has(t.Zone) {
+			g.targets = append(g.targets, t)
+			g.dataCentres = append(g.dataCentres, t.DataCentre)
+		}
+	}
+	return g
+}
+
+func (g *region) has(zone string) bool {
+	return slices.Contains(g.zones, zone)
+}
+
+func (g *region) routers() []*router {
+	var list []*router
+	for _, r := range g.cluster.routers {
+		if g.has(r.zone) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+func (g *region) others() []*region {
+	var list []*region
+	for _, o := range g.cluster.regions {
+		if o != g {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+func (g *region) scheduler() *pool.Scheduler { return g.host.core.(*pool.Scheduler) }
+
+// share swaps counters with the other regions.
+func (g *region) share() {
+	g.setReachable(!g.cluster.split)
+	for _, o := range g.others() {
+		g.tell(o, func() { o.tell(g, func() {}) })
+	}
+	g.cluster.after(shareInterval, g.share)
+}
+
+// tell sends the counters to another region and runs then on their arrival.
+func (g *region) tell(to *region, then func()) {
+	if !g.host.alive {
+		return
+	}
+	message := g.scheduler().PeerCounters(g.name)
+	g.cluster.after(regionLatency, func() {
+		if to.host.alive && g.cluster.reachable(g.zones[0], to.zones[0]) {
+			to.host.step(message)
+			then()
+		}
+	})
+}
+
+// setSplit lets the schedulers know whether the regions reach each other.
+func (c *cluster) setSplit(split bool) {
+	c.split = split
+	if !c.exchange {
+		return
+	}
+	for _, g := range c.regions {
+		g.setReachable(!split)
+	}
+}
+
+// setReachable tells the scheduler whether copies reach the other regions.
+func (g *region) setReachable(reachable bool) {
+	var regions []pool.Region
+	for _, o := range g.others() {
+		if reachable {
+			regions = append(regions, pool.Region{Name: o.name, DataCentres: o.dataCentres})
+		}
+	}
+	g.host.step(pool.RegionsChanged{Regions: regions})
+}
+
+func (c *cluster) regionNamed(name string) *region {
+	i := slices.IndexFunc(c.regions, func(g *region) bool { return g.name == name })
+	return c.regions[i]
+}
+
+// regionalLoad draws the region of a request.
+type regionalLoad struct {
+	name string
+	// first is the part of the requests in the first region: of each large
+	// workspace, and of the light ones.
+	large [largeCount]float64
+	light float64
+}
+
+var regionalLoads = []regionalLoad{
+	{"uneven", [largeCount]float64{1, 0, 0.8, 0.5}, 0.7},
+	{"large ones apart", [largeCount]float64{1, 0, 1, 0}, 0.7},
+	{"all in one region", [largeCount]float64{1, 1, 1, 1}, 1},
+}
+
+func (d regionalLoad) pick(c *cluster, rng *rand.Rand) func(int) *router {
+	return func(workspace int) *router {
+		part := d.light
+		if workspace < largeCount {
+			part = d.large[workspace]
+		}
+		g := c.regions[0]
+		if rng.Float64() >= part {
+			g = c.regions[1]
+		}
+		routers := g.routers()
+		return routers[rng.IntN(len(routers))]
+	}
+}
--- a/internal/measure/sharded.go
+++ b/internal/measure/sharded.go
@@ -262,7 +262,7 @@
 		}
 		s.stepShard(sh.index, joined)
 		for _, q := range waiting {
-			s.stepShard(sh.index, r.demandOf(q))
+			s.stepShard(sh.index, r.demandOf(q, q.seq, false))
 		}
 	}
 }
--- a/pool/copies_test.go
+++ b/pool/copies_test.go
@@ -58,6 +58,32 @@
 	is.Equal(grants(f.step(Tick{})), 1)
 }
 
+// A demand of another region that is held is withdrawn like a waiting one.
+func TestHeldDemandOfAnotherRegionIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{}, Target{ID: 10, Zone: "z1", Slots: 9, Speed: 1})
+	f.copy(1)
+	d := f.demandOf(2, time.Minute)
+	d.Digest, d.Moved = 7, true
+	f.step(d)
+	f.step(Cancel{id(2)})
+	is.Equal(len(f.contents[7].held), 0)
+	is.Equal(f.workspaces[d.Workspace].held, 0)
+}
+
+// A held demand has no place at home that another region could take.
+func TestHeldDemandIsNotSentToAnotherRegion(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Options{}, Target{ID: 10, Zone: "z1", DataCentre: "north", Slots: 1, Speed: 1})
+	f.copy(1)
+	f.reach(west)
+	is.Equal(copied(f.copy(2)), nil)
+	lost := Done{ID: id(1), Outcome: v1.Outcome_LOST, Unresolved: unresolvedTime}
+	f.step(f.demandOf(3, time.Minute)) // waits for the slot of 1
+	f.step(lost)
+	is.Equal(copied(f.step(Tick{})), nil)
+}
+
 func TestHeldCopyIsRefusedAtItsDeadline(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(Options{}, Target{ID: 10, Zone: "z1", Slots: 9, Speed: 1})
--- /dev/null
+++ b/pool/regions_service_test.go
@@ -0,0 +1,124 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// regionTerms are the terms of the bound for one workspace: the slots held now
+// and at most, and the largest charge at a grant, upward and downward
+// correction, delivered cost that is not charged, and charged cost that is not
+// delivered.
+type regionTerms struct {
+	held, slots                     int
+	estimate, up, down, ahead, over int64
+}
+
+// hold counts a grant with its first charge.
+func (t *regionTerms) hold(first int64) {
+	t.held++
+	t.slots = max(t.slots, t.held)
+	t.estimate = max(t.estimate, first)
+	t.over = max(t.over, first)
+}
+
+// inFlight is what the router of a running demand tells a scheduler that joins.
+func (d *regionDemand) inFlight(now time.Time) InFlight {
+	return InFlight{
+		ID:        DemandID{d.home.router, d.seq},
+		Workspace: d.workspace,
+		Target:    d.at.target.ID,
+		Charged:   d.prediction.Charged(now.Sub(d.start)),
+		Rate:      d.prediction.Rate,
+	}
+}
+
+// lookAt takes in the terms of a running demand.
+func (m *regionsModel) lookAt(d *regionDemand) {
+	held := d.at.sched.find(DemandID{d.home.router, d.seq})
+	if held == nil || !held.granted() {
+		return
+	}
+	t := m.terms[d.workspace]
+	delivered := int64(d.delivered(m.now))
+	first := Prediction{Estimate: d.prediction.Estimate, Rate: d.prediction.Rate}
+	// What is predicted may be charged before Done arrives or the next look.
+	later := m.now.Add(stream(d.home, d.at) + regionTick)
+	charged := max(held.charge.Cost(), held.prediction.Charged(later.Sub(held.grantedAt)))
+	t.up = max(t.up, max(d.cost, charged)-first.Charged(0))
+	t.down = max(t.down, charged-d.cost)
+	t.ahead = max(t.ahead, delivered+1-held.charge.Cost())
+	t.over = max(t.over, charged-delivered)
+}
+
+// serve delivers the service of a tick.
+func (m *regionsModel) serve() {
+	for _, d := range m.running {
+		before := d.delivered(m.now.Add(-regionTick))
+		m.served[d.workspace] += d.delivered(m.now) - before
+		m.lookAt(d)
+		switch {
+		case d.delivered(m.now) >= float64(d.cost):
+			d.done = true
+			d.end(m.t)
+			delete(d.home.demands, d.seq)
+			m.terms[d.workspace].held--
+			id := DemandID{d.home.router, d.seq}
+			m.post(d.home, d.at, Done{ID: id, Cost: d.cost, Outcome: v1.Outcome_SERVED, ServiceTime: m.now.Sub(d.start)})
+		case m.now.Sub(d.reported) >= regionReport:
+			m.report(d)
+		}
+	}
+	m.running = slices.DeleteFunc(m.running, func(d *regionDemand) bool { return d.done })
+}
+
+// report tells the scheduler of cost beyond what it charges.
+func (m *regionsModel) report(d *regionDemand) {
+	d.reported = m.now
+	elapsed, cost := m.now.Sub(d.start), int64(d.delivered(m.now))
+	if !d.prediction.ReportDue(elapsed, cost) {
+		return
+	}
+	d.prediction.Observe(elapsed, cost)
+	m.post(d.home, d.at, Progress{DemandID{d.home.router, d.seq}, cost})
+}
+
+func (d *regionDemand) delivered(now time.Time) float64 {
+	return min(max(now.Sub(d.start).Seconds(), 0)*regionRate, float64(d.cost))
+}
+
+// bound is the bound over regions of docs/DESIGN.md in cost units at share 1.
+func (m *regionsModel) bound(f, g Workspace) float64 {
+	return m.drift(f, g) + m.drift(g, f) + m.outstanding(f)/float64(f.Share) + m.outstanding(g)/float64(g.Share)
+}
+
+func (m *regionsModel) outstanding(w Workspace) float64 {
+	t := m.terms[w.ID]
+	return float64(t.slots) * float64(t.over+t.ahead)
+}
+
+func (m *regionsModel) drift(f, g Workspace) float64 {
+	tf, tg := m.terms[f.ID], m.terms[g.ID]
+	others := float64(len(m.regions) - 1)
+	untold := m.capacity(false)*(m.untold+regionTick).Seconds() + m.outstanding(f) + others
+	up := float64(tf.estimate) + float64(tf.slots)*float64(tf.up) + untold + others*float64(tf.slots)*float64(tf.down)
+	down := (1 + others) * float64(tg.slots) * float64(tg.down)
+	return up/float64(f.Share) + down/float64(g.Share)
+}
+
+// capacity returns the cost units a second of all regions, or of all but the
+// smallest.
+func (m *regionsModel) capacity(all bool) float64 {
+	slots := 0
+	for _, g := range m.regions {
+		slots += g.target.Slots
+	}
+	if !all {
+		smallest := slices.MinFunc(m.regions, func(a, b *modelRegion) int { return cmp.Compare(a.target.Slots, b.target.Slots) })
+		slots -= smallest.target.Slots
+	}
+	return float64(slots) * regionRate
+}
--- a/router/internal/broker/answer.go
+++ b/router/internal/broker/answer.go
@@ -31,6 +31,9 @@
 	for _, seq := range batch.FirstByteAsks {
 		b.firstByteAsked(l, seq)
 	}
+	for _, c := range batch.Copies {
+		b.copyTo(l, c)
+	}
 	for _, c := range batch.Counters {
 		b.mergeCounters(c)
 	}
@@ -77,6 +80,7 @@
 
 // start hands the slot to the waiting caller.
 func (b *Broker) start(r *request, target config.ID, prediction pool.Prediction, now time.Time) {
+	b.take(r)
 	r.granted = true
 	r.grantedAt = now
 	r.target = target
@@ -89,8 +93,8 @@
 	if !ok || r.granted || r.link != l {
 		return
 	}
-	if refusal.Region != "" && !r.demand.moved {
-		b.moveToRegion(r, refusal.Region)
+	if r.original != nil {
+		b.dropCopy(r)
 		return
 	}
 	if r.away() && refusal.Code != v1.Code_DEADLINE_EXCEEDED {
@@ -99,6 +103,7 @@
 	}
 	if refusal.Code == v1.Code_NO_TARGET && !r.demand.moved {
 		if region, ok := b.otherRegionOf(r); ok {
+			b.withdrawCopies(r)
 			b.moveToRegion(r, region)
 			return
 		}
--- a/router/internal/broker/place.go
+++ b/router/internal/broker/place.go
@@ -12,6 +12,10 @@
 // place sends a waiting demand to the scheduler of its shard, or starts it on a
 // spare slot.
 func (b *Broker) place(r *request, now time.Time) {
+	if r.original != nil && !b.takesCopies(r, now) {
+		b.dropCopy(r)
+		return
+	}
 	r.key = b.keyOf(r.demand)
 	l := b.linkFor(r.key, now)
 	if l == nil && r.away() {
@@ -50,7 +54,7 @@
 	return d
 }
 
-// moveToRegion places a demand in a region with free slots, or again in its
+// moveToRegion places a demand in a region with targets for it, or again in its
 // own if no router of that region can be reached.
 func (b *Broker) moveToRegion(r *request, region string) {
 	r.demand.moved = true
@@ -91,15 +95,3 @@
 
 // away reports whether the demand is in another region than its own.
 func (r *request) away() bool { return r.demand.Region != r.home }
-
-// tellFreed tells the scheduler that moved the demand that its slot is free.
-func (b *Broker) tellFreed(r *request) {
-	home := b.linkFor(shardKey{r.key.shard, r.home}, time.Now())
-	if home == nil {
-		return
-	}
-	home.batch.Freed = append(home.batch.Freed, &v1.FreedSlot{
-		Pool:   uint32(r.key.shard.ID()),
-		Region: r.demand.Region,
-	})
-}
--- a/router/internal/broker/sweep.go
+++ b/router/internal/broker/sweep.go
@@ -11,7 +11,7 @@
 // returns spare slots that expired, and closes idle links.
 func (b *Broker) sweep(now time.Time) {
 	for _, r := range b.requests {
-		if !r.granted && now.After(r.demand.Deadline.Add(answerGrace)) {
+		if !r.granted && r.original == nil && now.After(r.demand.Deadline.Add(answerGrace)) {
 			r.link.batch.Cancels = append(r.link.batch.Cancels, r.seq)
 			b.refuse(r, result.New(v1.Code_DEADLINE_EXCEEDED, v1.Ran_NO, "no slot was granted in time"))
 		}
--- a/router/internal/broker/waiting.go
+++ b/router/internal/broker/waiting.go
@@ -25,7 +25,7 @@
 func (b *Broker) countWaiting() map[WaitKey]int {
 	counts := map[WaitKey]int{}
 	for _, r := range b.requests {
-		if !r.granted {
+		if !r.granted && r.original == nil {
 			counts[WaitKey{r.demand.Pool, r.demand.Workspace}]++
 		}
 	}
--- a/router/internal/scheduling/deals_test.go
+++ b/router/internal/scheduling/deals_test.go
@@ -69,7 +69,7 @@
 	is.Equal(report.Backlogs[0].Need, 1)
 	f.allot(shard, report, 1, 3)
 	is.Equal(len(f.session.out.Grants), 1)
-	is.Equal(len(f.collectShares()[remoteAddress].Pools), 2) // one of each shard
+	is.Equal(len(f.collectShares(f.now)[remoteAddress].Pools), 2) // one of each shard
 	for _, p := range f.status() {
 		want := uint32(0)
 		if int(p.Shard) == shard.Index {
