fairshare: groups without capacity bound no lead

Cause: a workspace of the empty group was limited to MaxLead above the greatest lift of all named groups. In a region without targets of one data centre, that group's lift is the workspace's own counter, so that foreign service put it ahead without limit: after a cut it waited in each region until its competitors had caught up. Found while making the test of cuts strict: the model kept demands waiting at one home only, and its limit was loose.

Ruled out: leaving out groups without backlog (lets a workspace of the empty group earn credit where a group is idle).

Change: Counters.Serve names the groups with capacity; pool calls it with the data centres that have slots. TestNobodyStarvesAfterACut checks the lead of each workspace in each region after a cut of up to 90 s.

Conclusion: a merge puts a workspace at most MaxLead ahead also where its other data centres are out of reach.

--- a/fairshare/counters.go
+++ b/fairshare/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 
 	"github.com/chiveseam/chiveseam/config"
 )
@@ -39,6 +40,8 @@
 	// all is the group of the workspaces that may use all capacity.
 	all    *group
 	groups map[string]*group
+	// served is nil before the first call of Serve.
+	served []string
 	// idle lists unconfigured idle accounts, longest idle first.
 	idle    *list.List
 	regions map[string]*regionView
@@ -101,6 +104,18 @@
 	c.enlist(a)
 }
 
+// Serve names the groups that have capacity of their own; all have until the
+// first call. Members of the empty group find no competitors in others.
+func (c *Counters) Serve(groups []string) {
+	c.served = groups
+	if groups == nil {
+		c.served = []string{}
+	}
+	for _, g := range c.groups {
+		g.unserved = !slices.Contains(c.served, g.name)
+	}
+}
+
 // Backlog marks a workspace as having waiting requests. It is lifted to the
 // least counter of its backlogged competitors.
 func (c *Counters) Backlog(id config.ID) {
@@ -193,7 +208,7 @@
 	level := uint64(0)
 	found := false
 	for _, named := range c.groups {
-		if named.configured == 0 && len(named.heap) == 0 {
+		if named.unserved || named.configured == 0 && len(named.heap) == 0 {
 			continue
 		}
 		level = max(level, c.namedLevel(named))
@@ -235,7 +250,7 @@
 	}
 	g := c.groups[name]
 	if g == nil {
-		g = &group{name: name}
+		g = &group{name: name, unserved: c.served != nil && !slices.Contains(c.served, name)}
 		c.groups[name] = g
 	}
 	return g
--- a/fairshare/counters_test.go
+++ b/fairshare/counters_test.go
@@ -157,6 +157,21 @@
 	is.Equal(c.Value(a), uint64(40*Scale))
 }
 
+// TestForeignLeadIsBoundedWhereGroupsHaveNoCapacity has a workspace of the empty
+// group that is alone in a group without capacity.
+func TestForeignLeadIsBoundedWhereGroupsHaveNoCapacity(t *testing.T) {
+	is := is.New(t)
+	c := twoWorkspaces()
+	c.Configure(b, 1, "east")
+	c.Configure(3, 1, "west")
+	c.Serve([]string{"east"})
+	c.Backlog(a)
+	c.Backlog(b)
+	c.MergeRegion(told(1, 1, 0))
+	c.MergeRegion(told(1, 2, 99000))
+	is.Equal(c.Value(a), uint64(500*Scale)) // MaxLead
+}
+
 func TestForeignServiceOfAnIdleWorkspaceIsNotCharged(t *testing.T) {
 	is := is.New(t)
 	c := twoWorkspaces()
--- a/fairshare/group.go
+++ b/fairshare/group.go
@@ -12,6 +12,8 @@
 	shares int64
 	// configured counts the configured accounts.
 	configured int
+	// unserved is set while the group has no capacity of its own.
+	unserved bool
 }
 
 func (g *group) push(a *account) {
--- a/pool/regions_model_test.go
+++ b/pool/regions_model_test.go
@@ -99,14 +99,7 @@
 		t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), now: start, faults: faults, served: map[config.ID]float64{},
 		terms: map[config.ID]*regionTerms{}, granted: map[config.ID]time.Time{},
 	}
-	for i := range rapid.IntRange(2, 5).Draw(t, "workspaces") {
-		w := Workspace{ID: config.ID(i + 1), Share: uint32(rapid.IntRange(1, 4).Draw(t, "share"))}
-		if side := rapid.IntRange(0, 2*count-1).Draw(t, "side"); side < count {
-			w.DataCentre = regionName(side)
-		}
-		m.workspaces = append(m.workspaces, w)
-		m.terms[w.ID] = &regionTerms{}
-	}
+	m.drawWorkspaces(count)
 	for i := range count {
 		name := regionName(i)
 		m.regions = append(m.regions, &modelRegion{
@@ -124,6 +117,28 @@
 	return m
 }
 
+// drawWorkspaces draws workspaces of any data centre, or one of all and one of
+// each.
+func (m *regionsModel) drawWorkspaces(regions int) {
+	ofEach := rapid.Bool().Draw(m.t, "one of each")
+	count := regions + 1
+	if !ofEach {
+		count = rapid.IntRange(2, 5).Draw(m.t, "workspaces")
+	}
+	for i := range count {
+		w := Workspace{ID: config.ID(i + 1), Share: uint32(rapid.IntRange(1, 4).Draw(m.t, "share"))}
+		side := i - 1
+		if !ofEach {
+			side = rapid.IntRange(-regions, regions-1).Draw(m.t, "side")
+		}
+		if side >= 0 {
+			w.DataCentre = regionName(side)
+		}
+		m.workspaces = append(m.workspaces, w)
+		m.terms[w.ID] = &regionTerms{}
+	}
+}
+
 func regionName(i int) string { return string(rune('a' + i)) }
 
 func (m *regionsModel) after(d time.Duration, run func()) {
@@ -153,9 +168,13 @@
 	m.tellRegions(g)
 }
 
-// join opens the stream of a router with what it holds there.
+// join opens the stream of a router with what it holds there. Only the routers
+// of the scheduler's own region hold its counters.
 func (m *regionsModel) join(from, g *modelRegion) {
-	joined := RouterJoined{Router: from.router, Counters: g.saved}
+	joined := RouterJoined{Router: from.router}
+	if from == g {
+		joined.Counters = g.saved
+	}
 	for _, d := range m.running {
 		if d.home == from && d.at == g {
 			joined.InFlight = append(joined.InFlight, InFlight{DemandID{from.router, d.seq}, d.workspace, g.target.ID, d.charged})
--- a/pool/regions_property_test.go
+++ b/pool/regions_property_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/fairshare"
 )
 
 // regionLead is MaxLead in the model of regions.
@@ -40,19 +41,26 @@
 	return b
 }
 
-// fill submits demands until backlogDepth of each workspace wait.
+// queue is the backlog of a workspace at the router of a region.
+type queue struct {
+	workspace config.ID
+	home      *modelRegion
+}
+
+// fill submits demands until backlogDepth wait in each queue.
 func (b *backlog) fill() {
-	waiting := map[int]int{}
+	waiting := map[queue]int{}
 	for _, d := range b.all {
 		if d.at == nil && d.ends == 0 {
-			waiting[int(d.workspace)-1]++
+			waiting[queue{d.workspace, d.home}]++
 		}
 	}
 	for i, w := range b.workspaces {
-		for n := waiting[i]; n < backlogDepth; n++ {
-			home := b.homes[i][n%len(b.homes[i])]
-			cost := b.costs[i] * int64(1+(len(b.all)*7)%5) / 3
-			b.submit(home, w.ID, cost, time.Hour)
+		for _, home := range b.homes[i] {
+			for range backlogDepth - waiting[queue{w.ID, home}] {
+				cost := b.costs[i] * int64(1+b.rng.IntN(5)) / 3
+				b.submit(home, w.ID, cost, time.Hour)
+			}
 		}
 	}
 }
@@ -165,6 +173,41 @@
 	return bound
 }
 
+// checkLead fails if foreign service puts a workspace more than MaxLead ahead of
+// its competitors in a region.
+func (b *backlog) checkLead() {
+	for _, g := range b.regions {
+		var leader, last Workspace
+		highest, least := uint64(0), uint64(math.MaxUint64)
+		for _, w := range b.workspaces {
+			c := g.sched.Counter(w.ID)
+			if !c.Backlogged {
+				continue
+			}
+			if c.Value > highest {
+				highest, leader = c.Value, w
+			}
+			if c.Value < least {
+				least, last = c.Value, w
+			}
+		}
+		if highest == 0 {
+			continue
+		}
+		lead, own := float64(highest-least)/fairshare.Scale, b.charged(leader)+b.charged(last)
+		if lead > regionLead+own {
+			b.t.Fatalf("workspace %d is %.0f ahead of %d in region %s; MaxLead and the charges are %.0f", leader.ID, lead, last.ID, g.name, regionLead+own)
+		}
+	}
+}
+
+// charged is the most that the charges of a workspace's requests in flight can
+// change its counter.
+func (b *backlog) charged(w Workspace) float64 {
+	t := b.terms[w.ID]
+	return float64(int64(t.slots)*(t.estimate+t.up+t.down)) / float64(w.Share)
+}
+
 func drawRegionFaults(t *rapid.T) regionFaults {
 	return regionFaults{
 		loss:   rapid.Float64Range(0, 0.3).Draw(t, "loss"),
@@ -209,6 +252,7 @@
 		}
 		m.setCut(false)
 		b.run(2 * time.Second)
+		b.checkLead()
 		part := b.run(20 * time.Second)
 		limit := b.starvationLimit(b.largestBound() + regionLead)
 		if b.starved > limit {
--- a/pool/target.go
+++ b/pool/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -138,6 +139,7 @@
 			s.slots[t.DataCentre] += t.Slots
 		}
 	}
+	s.counters.Serve(slices.Collect(maps.Keys(s.slots)))
 }
 
 // forgetTarget drops a target that is neither listed nor in use.
