--- /dev/null
+++ b/pool/regions_router_test.go
@@ -0,0 +1,101 @@
+package pool
+
+import (
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chiveseam/chiveseam/config"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// handle is what a router does with an action of a scheduler.
+func (m *regionsModel) handle(from, g *modelRegion, action Action) {
+	switch a := action.(type) {
+	case Copy:
+		d, other := from.demands[a.ID.Seq], m.regions[a.Region[0]-'a']
+		if d != nil && d.waitsAt(g, a.ID.Seq) && d.places[other] == 0 && m.reachable(from, other) {
+			m.place(d, other)
+		}
+	case Refuse:
+		d := from.demands[a.ID.Seq]
+		if d != nil && d.waitsAt(g, a.ID.Seq) && g == from {
+			m.withdraw(d, nil)
+			d.refused = true
+			d.end(m.t)
+		}
+	case Grant:
+		m.grant(from, g, a)
+	}
+}
+
+func (d *regionDemand) waitsAt(g *modelRegion, seq uint64) bool { return d.places[g] == seq }
+
+func (d *regionDemand) end(t *rapid.T) {
+	d.ends++
+	if d.ends > 1 {
+		t.Fatalf("a demand ended %d times", d.ends)
+	}
+}
+
+func (m *regionsModel) grant(from, g *modelRegion, a Grant) {
+	d := from.demands[a.ID.Seq]
+	if d == nil || !d.waitsAt(g, a.ID.Seq) {
+		if d == nil || d.at != g || d.seq != a.ID.Seq {
+			m.post(from, g, Done{ID: a.ID, Outcome: v1.Outcome_NOT_RUN})
+		}
+		return
+	}
+	if d.at != nil {
+		m.t.Fatalf("a demand runs twice")
+	}
+	m.withdraw(d, g)
+	d.at, d.seq, d.charged, d.start, d.reported = g, a.ID.Seq, a.Estimate, m.now, m.now
+	m.running = append(m.running, d)
+	terms := m.terms[d.workspace]
+	terms.held++
+	terms.slots = max(terms.slots, terms.held)
+	terms.estimate = max(terms.estimate, a.Estimate)
+	terms.up = max(terms.up, d.cost-a.Estimate)
+	terms.down = max(terms.down, a.Estimate-d.cost)
+	m.noteGrant(d.workspace)
+}
+
+func (m *regionsModel) noteGrant(id config.ID) {
+	m.starved = max(m.starved, m.now.Sub(m.granted[id]))
+	m.granted[id] = m.now
+}
+
+// withdraw ends the waiting of a demand everywhere but at one scheduler.
+func (m *regionsModel) withdraw(d *regionDemand, but *modelRegion) {
+	for _, g := range m.regions {
+		seq, waits := d.places[g]
+		if !waits || g == but {
+			continue
+		}
+		delete(d.home.demands, seq)
+		id := DemandID{d.home.router, seq}
+		m.post(d.home, g, Cancel{id})
+		m.post(d.home, g, Done{ID: id, Outcome: v1.Outcome_NOT_RUN})
+	}
+	d.places = nil
+}
+
+func (m *regionsModel) submit(home *modelRegion, workspace config.ID, cost int64, wait time.Duration) {
+	d := &regionDemand{
+		workspace: workspace, cost: cost, home: home, deadline: m.now.Add(wait), places: map[*modelRegion]uint64{},
+	}
+	m.all = append(m.all, d)
+	m.place(d, home)
+}
+
+func (m *regionsModel) place(d *regionDemand, g *modelRegion) {
+	d.home.seq++
+	d.places[g] = d.home.seq
+	d.home.demands[d.home.seq] = d
+	m.post(d.home, g, m.event(d, d.home.seq, g != d.home))
+}
+
+func (m *regionsModel) event(d *regionDemand, seq uint64, moved bool) Demand {
+	return Demand{ID: DemandID{d.home.router, seq}, Workspace: d.workspace, Deadline: d.deadline, Moved: moved}
+}
