fairshare: name the groups that a lift looks at

Cause: the package comment did not say that groups without capacity are left out. Change: it does. go test ./fairshare ./pool ./router/... ./internal/pages passes.

--- a/fairshare/doc.go
+++ b/fairshare/doc.go
@@ -21,7 +21,7 @@
 //   - Workspaces form groups. Those of a named group compete for the capacity
 //     of that group, those of the empty group for all capacity. A lift looks at
 //     the competitors only; for the empty group it is the greatest of the lifts
-//     of the named groups.
+//     of the named groups that have capacity (Serve).
 //   - Counters of several holders merge by maximum. A merge, and service in
 //     other regions, move a workspace at most MaxLead from its competitors, so
 //     that clocks which ran apart starve nobody.
