--- a/pool/regions_model_test.go
+++ b/pool/regions_model_test.go
@@ -9,7 +9,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/chiveseam/chiveseam/config"
-	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
 const (
@@ -94,14 +93,7 @@
 		t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), now: start, faults: faults, served: map[config.ID]float64{},
 		terms: map[config.ID]*regionTerms{}, granted: map[config.ID]time.Time{},
 	}
-	for i := range rapid.IntRange(2, 5).Draw(t, "workspaces") {
-		w := Workspace{ID: config.ID(i + 1), Share: uint32(rapid.IntRange(1, 4).Draw(t, "share"))}
-		if side := rapid.IntRange(0, 2*count-1).Draw(t, "side"); side < count {
-			w.DataCentre = regionName(side)
-		}
-		m.workspaces = append(m.workspaces, w)
-		m.terms[w.ID] = &regionTerms{}
-	}
+	m.drawWorkspaces(count)
 	for i := range count {
 		name := regionName(i)
 		m.regions = append(m.regions, &modelRegion{
@@ -119,6 +111,28 @@
 	return m
 }
 
+// drawWorkspaces draws workspaces of any data centre, or one of all and one of
+// each.
+func (m *regionsModel) drawWorkspaces(regions int) {
+	ofEach := rapid.Bool().Draw(m.t, "one of each")
+	count := regions + 1
+	if !ofEach {
+		count = rapid.IntRange(2, 5).Draw(m.t, "workspaces")
+	}
+	for i := range count {
+		w := Workspace{ID: config.ID(i + 1), Share: uint32(rapid.IntRange(1, 4).Draw(m.t, "share"))}
+		side := i - 1
+		if !ofEach {
+			side = rapid.IntRange(-regions, regions-1).Draw(m.t, "side")
+		}
+		if side >= 0 {
+			w.DataCentre = regionName(side)
+		}
+		m.workspaces = append(m.workspaces, w)
+		m.terms[w.ID] = &regionTerms{}
+	}
+}
+
 func regionName(i int) string { return string(rune('a' + i)) }
 
 func (m *regionsModel) after(d time.Duration, run func()) {
@@ -148,9 +162,13 @@
 	m.tellRegions(g)
 }
 
-// join opens the stream of a router with what it holds there.
+// join opens the stream of a router with what it holds there. Only the routers
+// of the scheduler's own region hold its counters.
 func (m *regionsModel) join(from, g *modelRegion) {
-	joined := RouterJoined{Router: from.router, Counters: g.saved}
+	joined := RouterJoined{Router: from.router}
+	if from == g {
+		joined.Counters = g.saved
+	}
 	for _, d := range m.running {
 		if d.home == from && d.at == g {
 			joined.InFlight = append(joined.InFlight, d.inFlight(m.now))
@@ -201,93 +219,6 @@
 	return m.regions[slices.IndexFunc(m.regions, func(g *modelRegion) bool { return g.router == r })]
 }
 
-// handle is what a router does with an action of a scheduler.
-func (m *regionsModel) handle(from, g *modelRegion, action Action) {
-	switch a := action.(type) {
-	case Copy:
-		d, other := from.demands[a.ID.Seq], m.regions[a.Region[0]-'a']
-		if d != nil && d.waitsAt(g, a.ID.Seq) && d.places[other] == 0 && m.reachable(from, other) {
-			m.place(d, other)
-		}
-	case Refuse:
-		d := from.demands[a.ID.Seq]
-		if d != nil && d.waitsAt(g, a.ID.Seq) && g == from {
-			m.withdraw(d, nil)
-			d.refused = true
-			d.end(m.t)
-		}
-	case Grant:
-		m.grant(from, g, a)
-	}
-}
-
-func (d *regionDemand) waitsAt(g *modelRegion, seq uint64) bool { return d.places[g] == seq }
-
-func (d *regionDemand) end(t *rapid.T) {
-	d.ends++
-	if d.ends > 1 {
-		t.Fatalf("a demand ended %d times", d.ends)
-	}
-}
-
-func (m *regionsModel) grant(from, g *modelRegion, a Grant) {
-	d := from.demands[a.ID.Seq]
-	if d == nil || !d.waitsAt(g, a.ID.Seq) {
-		if d == nil || d.at != g || d.seq != a.ID.Seq {
-			m.post(from, g, Done{ID: a.ID, Outcome: v1.Outcome_NOT_RUN})
-		}
-		return
-	}
-	if d.at != nil {
-		m.t.Fatalf("a demand runs twice")
-	}
-	m.withdraw(d, g)
-	d.at, d.seq, d.start, d.reported = g, a.ID.Seq, m.now, m.now
-	d.prediction = Prediction{Estimate: a.Estimate, Rate: a.Rate}
-	m.running = append(m.running, d)
-	m.terms[d.workspace].hold(d.prediction.Charged(0))
-	m.noteGrant(d.workspace)
-}
-
-func (m *regionsModel) noteGrant(id config.ID) {
-	m.starved = max(m.starved, m.now.Sub(m.granted[id]))
-	m.granted[id] = m.now
-}
-
-// withdraw ends the waiting of a demand everywhere but at one scheduler.
-func (m *regionsModel) withdraw(d *regionDemand, but *modelRegion) {
-	for _, g := range m.regions {
-		seq, waits := d.places[g]
-		if !waits || g == but {
-			continue
-		}
-		delete(d.home.demands, seq)
-		id := DemandID{d.home.router, seq}
-		m.post(d.home, g, Cancel{id})
-		m.post(d.home, g, Done{ID: id, Outcome: v1.Outcome_NOT_RUN})
-	}
-	d.places = nil
-}
-
-func (m *regionsModel) submit(home *modelRegion, workspace config.ID, cost int64, wait time.Duration) {
-	d := &regionDemand{
-		workspace: workspace, cost: cost, home: home, deadline: m.now.Add(wait), places: map[*modelRegion]uint64{},
-	}
-	m.all = append(m.all, d)
-	m.place(d, home)
-}
-
-func (m *regionsModel) place(d *regionDemand, g *modelRegion) {
-	d.home.seq++
-	d.places[g] = d.home.seq
-	d.home.demands[d.home.seq] = d
-	m.post(d.home, g, m.event(d, d.home.seq, g != d.home))
-}
-
-func (m *regionsModel) event(d *regionDemand, seq uint64, moved bool) Demand {
-	return Demand{ID: DemandID{d.home.router, seq}, Workspace: d.workspace, Deadline: d.deadline, Moved: moved}
-}
-
 // exchange sends the counters of a region to the others.
 func (m *regionsModel) exchange(g *modelRegion) {
 	for _, o := range m.regions {
