--- a/internal/e2e/one_way_test.go
+++ b/internal/e2e/one_way_test.go
@@ -25,7 +25,7 @@
 			t.Parallel()
 			c, holder := scheduledCluster(t)
 			relay := newRelay(t, holder.peer)
-			holder.advertised = relay.address()
+			holder.relay = relay
 			holder.kill()
 			holder.restart()
 			c.awaitFleet()
--- a/internal/measure/fairness.go
+++ b/internal/measure/fairness.go
@@ -99,6 +99,9 @@
 	if core, ok := c.hosts[0].core.(*sharded); ok {
 		f.deal, f.shards = core.traffic, len(core.shards)
 	}
+	if len(c.regions) > 0 {
+		f.bound = c.regionBound()
+	}
 	f.idlePerGrant = seconds((m.slotSeconds - m.busySeconds) / float64(max(m.grants, 1)))
 	for _, n := range m.refusals {
 		f.refused += n
--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -28,6 +28,9 @@
 	ended   func(retryAfter time.Duration)
 	exclude []config.ID
 
+	// host schedules the request. Copies wait at others.
+	host       *host
+	copies     []placed
 	granted    bool
 	target     config.ID
 	engine     *engine
@@ -51,6 +54,8 @@
 	host     *host
 	seq      uint64
 	requests map[uint64]*request
+	// copies holds the requests by the numbers of their copies.
+	copies map[uint64]*request
 	// counters were replicated to this router last.
 	counters []pool.Counter
 }
@@ -62,6 +67,7 @@
 		id:       pool.Router{Name: fmt.Sprintf("router-%d", i), Incarnation: 1},
 		zone:     zones[i%len(zones)],
 		requests: map[uint64]*request{},
+		copies:   map[uint64]*request{},
 	}
 }
 
@@ -69,12 +75,18 @@
 func (r *router) join(h *host) {
 	previous := r.host
 	r.host = h
-	joined := pool.RouterJoined{Router: r.id, Zone: r.zone, Counters: r.counters}
-	outstanding := r.outstanding()
+	r.replace(previous, h, r.counters)
+}
+
+// replace brings a scheduler what the router holds at the previous one.
+func (r *router) replace(previous, h *host, counters []pool.Counter) {
+	joined := pool.RouterJoined{Router: r.id, Zone: r.zone, Counters: counters}
+	outstanding := slices.DeleteFunc(r.outstanding(), func(q *request) bool { return q.host != previous })
 	for _, q := range outstanding {
-		if previous != nil {
+		if previous != h {
 			r.withdraw(previous, q)
 		}
+		q.host = h
 		if q.granted {
 			joined.InFlight = append(joined.InFlight, r.inFlight(q))
 		}
@@ -131,31 +143,34 @@
 func (r *router) enqueue(q *request) {
 	r.seq++
 	q.seq = r.seq
+	q.host = r.host
 	r.requests[q.seq] = q
 	r.demand(q)
 }
 
 func (r *router) demand(q *request) {
-	r.host.post(r, r.demandOf(q))
+	q.host.post(r, r.demandOf(q, q.seq, false))
 }
 
-func (r *router) demandOf(q *request) pool.Demand {
+func (r *router) demandOf(q *request, seq uint64, moved bool) pool.Demand {
 	return pool.Demand{
-		ID:        r.demandID(q),
+		ID:        pool.DemandID{Router: r.id, Seq: seq},
 		Workspace: r.cluster.deployment.Workspaces[q.workspace].ID,
 		Estimate:  q.hint,
 		Deadline:  epoch.Add(q.arrivedAt + q.deadline),
 		Exclude:   q.exclude,
+		Moved:     moved,
 	}
 }
 
 // granted starts the request, or gives back a slot that nothing waits for.
 func (r *router) granted(h *host, g pool.Grant) {
-	q := r.requests[g.ID.Seq]
-	if q == nil || q.granted || r.host != h {
-		h.post(r, pool.Done{ID: g.ID, Outcome: v1.Outcome_NOT_RUN})
+	q := r.waitingAt(h, g.ID.Seq)
+	if q == nil {
+		h.post(r, pool.Done{ID: g.ID, Outcome: v1.Outcome_UNUSED})
 		return
 	}
+	r.take(h, q, g.ID.Seq)
 	m := r.cluster.meter
 	m.advance(r.cluster.now)
 	e := r.cluster.engines[g.Target]
@@ -171,6 +186,18 @@
 	e.admit(q)
 }
 
+// waitingAt returns the request that waits at a scheduler under a number, or
+// nil.
+func (r *router) waitingAt(h *host, seq uint64) *request {
+	if q := r.requests[seq]; q != nil && !q.granted && q.host == h {
+		return q
+	}
+	if q := r.copies[seq]; q != nil && q.copyAt(h) >= 0 {
+		return q
+	}
+	return nil
+}
+
 // unreached ends an attempt whose target could not be dialled and tries again.
 func (r *router) unreached(q *request) {
 	r.done(q, v1.Outcome_NOT_RUN, 0)
@@ -180,10 +207,11 @@
 }
 
 func (r *router) refused(h *host, refusal pool.Refuse) {
-	q := r.requests[refusal.ID.Seq]
-	if q == nil || q.granted || r.host != h {
+	q := r.waitingAt(h, refusal.ID.Seq)
+	if q == nil || q.host != h {
 		return
 	}
+	r.take(h, q, q.seq)
 	delete(r.requests, q.seq)
 	m := r.cluster.meter
 	m.advance(r.cluster.now)
@@ -211,7 +239,7 @@
 	}
 	q.prediction.Observe(elapsed, cost)
 	r.cluster.meter.reports++
-	r.host.post(r, pool.Progress{ID: r.demandID(q), Cost: cost})
+	q.host.post(r, pool.Progress{ID: r.demandID(q), Cost: cost})
 }
 
 // finished ends a request that was served in full.
@@ -238,5 +266,5 @@
 	if q.engine != nil {
 		done.ServiceTime = r.cluster.now - q.startedAt
 	}
-	r.host.post(r, done)
+	q.host.post(r, done)
 }
--- /dev/null
+++ b/pool/regions_model_test.go
@@ -0,0 +1,330 @@
+package pool
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chiveseam/chiveseam/config"
+)
+
+const (
+	regionTick     = 10 * time.Millisecond
+	regionExchange = 500 * time.Millisecond
+	// regionRate is the number of cost units that a slot serves in a second.
+	regionRate = 400.0
+	// regionReport is the time between two reports of progress.
+	regionReport = 50 * time.Millisecond
+	silence      = 300 * time.Millisecond
+)
+
+// regionFaults are probabilities of each exchange message, and its largest
+// delay.
+type regionFaults struct {
+	loss, double float64
+	delay        time.Duration
+}
+
+// regionsModel joins the schedulers of several regions. Each has a router whose
+// streams to all schedulers delay and keep the order.
+type regionsModel struct {
+	t          *rapid.T
+	rng        *rand.Rand
+	now        time.Time
+	pending    []delayed
+	regions    []*modelRegion
+	workspaces []Workspace
+	faults     regionFaults
+	running    []*regionDemand
+	all        []*regionDemand
+	served     map[config.ID]float64
+	terms      map[config.ID]*regionTerms
+	// cut separates the first region from the others.
+	cut bool
+	// untold is the longest time between the sending of two messages that a
+	// region took, and the delay of the second.
+	untold  time.Duration
+	granted map[config.ID]time.Time
+	// starved is the longest time without a grant.
+	starved time.Duration
+}
+
+type delayed struct {
+	at  time.Time
+	run func()
+}
+
+type modelRegion struct {
+	name    string
+	sched   *Scheduler
+	target  Target
+	router  Router
+	seq     uint64
+	demands map[uint64]*regionDemand
+	saved   []Counter
+	// taken holds the times at which the last accepted messages were sent.
+	taken map[string]time.Time
+	index int
+}
+
+// regionDemand is a demand and the schedulers that know it.
+type regionDemand struct {
+	workspace config.ID
+	cost      int64
+	home      *modelRegion
+	deadline  time.Time
+	places    map[*modelRegion]uint64
+	at        *modelRegion
+	seq       uint64
+	// prediction is what the router expects the scheduler to charge.
+	prediction Prediction
+	start      time.Time
+	reported   time.Time
+	done       bool
+	ends       int
+	refused    bool
+}
+
+func newRegionsModel(t *rapid.T, count int, faults regionFaults) *regionsModel {
+	m := &regionsModel{
+		t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), now: start, faults: faults, served: map[config.ID]float64{},
+		terms: map[config.ID]*regionTerms{}, granted: map[config.ID]time.Time{},
+	}
+	m.drawWorkspaces(count)
+	for i := range count {
+		name := regionName(i)
+		m.regions = append(m.regions, &modelRegion{
+			name: name, router: Router{Name: name, Incarnation: 1}, index: i,
+			target:  Target{ID: config.ID(100 + i), DataCentre: name, Slots: rapid.IntRange(1, 5).Draw(t, "slots"), Speed: 1},
+			demands: map[uint64]*regionDemand{}, taken: map[string]time.Time{},
+		})
+	}
+	for _, g := range m.regions {
+		m.startScheduler(g)
+	}
+	for i, g := range m.regions {
+		m.after(time.Duration(i+1)*regionExchange/time.Duration(count), func() { m.exchange(g) })
+	}
+	return m
+}
+
+// drawWorkspaces draws workspaces of any data centre, or one of all and one of
+// each.
+func (m *regionsModel) drawWorkspaces(regions int) {
+	ofEach := rapid.Bool().Draw(m.t, "one of each")
+	count := regions + 1
+	if !ofEach {
+		count = rapid.IntRange(2, 5).Draw(m.t, "workspaces")
+	}
+	for i := range count {
+		w := Workspace{ID: config.ID(i + 1), Share: uint32(rapid.IntRange(1, 4).Draw(m.t, "share"))}
+		side := i - 1
+		if !ofEach {
+			side = rapid.IntRange(-regions, regions-1).Draw(m.t, "side")
+		}
+		if side >= 0 {
+			w.DataCentre = regionName(side)
+		}
+		m.workspaces = append(m.workspaces, w)
+		m.terms[w.ID] = &regionTerms{}
+	}
+}
+
+func regionName(i int) string { return string(rune('a' + i)) }
+
+func (m *regionsModel) after(d time.Duration, run func()) {
+	m.pending = append(m.pending, delayed{m.now.Add(d), run})
+}
+
+func (m *regionsModel) chance(p float64) bool { return m.rng.Float64() < p }
+
+func (m *regionsModel) reachable(a, b *modelRegion) bool {
+	return !m.cut || (a.index == 0) == (b.index == 0)
+}
+
+// stream returns the delay of the stream between a router and a scheduler.
+func stream(a, b *modelRegion) time.Duration {
+	return time.Duration(1+3*max(a.index-b.index, b.index-a.index)) * time.Millisecond
+}
+
+// startScheduler starts an empty scheduler and joins the routers in reach.
+func (m *regionsModel) startScheduler(g *modelRegion) {
+	g.sched = New(Options{InitialCost: 100, MaxLead: regionLead, HoldTime: time.Second, SettleTime: regionTick})
+	g.sched.Step(m.now, ConfigurationChanged{Targets: []Target{g.target}, Workspaces: m.workspaces})
+	for _, from := range m.regions {
+		if m.reachable(from, g) {
+			m.join(from, g)
+		}
+	}
+	m.tellRegions(g)
+}
+
+// join opens the stream of a router with what it holds there. Only the routers
+// of the scheduler's own region hold its counters.
+func (m *regionsModel) join(from, g *modelRegion) {
+	joined := RouterJoined{Router: from.router}
+	if from == g {
+		joined.Counters = g.saved
+	}
+	for _, d := range m.running {
+		if d.home == from && d.at == g {
+			joined.InFlight = append(joined.InFlight, d.inFlight(m.now))
+		}
+	}
+	m.post(from, g, joined)
+	for _, d := range m.all {
+		if seq, waits := d.places[g]; waits && d.home == from {
+			m.post(from, g, m.event(d, seq, g != from))
+		}
+	}
+}
+
+func (m *regionsModel) tellRegions(g *modelRegion) {
+	var others []Region
+	for _, o := range m.regions {
+		if o != g && m.reachable(g, o) {
+			others = append(others, Region{Name: o.name, DataCentres: []string{o.name}})
+		}
+	}
+	m.step(g, RegionsChanged{others})
+}
+
+// post sends an event of a router. It is lost if the scheduler it is sent to is
+// gone or cut off.
+func (m *regionsModel) post(from, g *modelRegion, e Event) {
+	sched := g.sched
+	m.after(stream(from, g), func() {
+		if g.sched == sched && m.reachable(from, g) {
+			m.step(g, e)
+		}
+	})
+}
+
+func (m *regionsModel) step(g *modelRegion, e Event) {
+	sched := g.sched
+	for _, action := range slices.Clone(sched.Step(m.now, e)) {
+		from := m.regionOf(recipient(action))
+		m.after(stream(from, g), func() {
+			if g.sched == sched && m.reachable(from, g) {
+				m.handle(from, g, action)
+			}
+		})
+	}
+}
+
+func (m *regionsModel) regionOf(r Router) *modelRegion {
+	return m.regions[slices.IndexFunc(m.regions, func(g *modelRegion) bool { return g.router == r })]
+}
+
+// exchange sends the counters of a region to the others.
+func (m *regionsModel) exchange(g *modelRegion) {
+	for _, o := range m.regions {
+		if o == g {
+			continue
+		}
+		message, sent := g.sched.PeerCounters(g.name), m.now
+		copies := 1
+		if m.chance(m.faults.double) {
+			copies = 2
+		}
+		for range copies {
+			if m.chance(m.faults.loss) {
+				continue
+			}
+			delay := time.Duration(m.rng.Int64N(int64(m.faults.delay)) + 1)
+			m.after(delay, func() { m.takeCounters(g, o, message, sent) })
+		}
+	}
+	g.saved = g.sched.Counters()
+	m.tellRegions(g)
+	m.after(regionExchange, func() { m.exchange(g) })
+}
+
+func (m *regionsModel) takeCounters(from, to *modelRegion, message PeerCounters, sent time.Time) {
+	if !m.reachable(from, to) {
+		return
+	}
+	if last, ok := to.taken[from.name]; ok && sent.After(last) {
+		m.untold = max(m.untold, m.now.Sub(last))
+	}
+	if sent.After(to.taken[from.name]) {
+		to.taken[from.name] = sent
+	}
+	m.step(to, message)
+}
+
+// advance lets one tick pass.
+func (m *regionsModel) advance() {
+	end := m.now.Add(regionTick)
+	for len(m.pending) > 0 {
+		next := 0
+		for i, d := range m.pending {
+			if d.at.Before(m.pending[next].at) {
+				next = i
+			}
+		}
+		d := m.pending[next]
+		if d.at.After(end) {
+			break
+		}
+		m.pending = slices.Delete(m.pending, next, next+1)
+		m.now = d.at
+		d.run()
+	}
+	m.now = end
+	for _, g := range m.regions {
+		m.step(g, Tick{})
+	}
+	m.serve()
+}
+
+// setCut separates the first region, or joins it again. Routers notice lost
+// streams after a silence.
+func (m *regionsModel) setCut(cut bool) {
+	m.cut = cut
+	m.after(silence, func() {
+		for _, g := range m.regions {
+			m.tellRegions(g)
+			for _, from := range m.regions {
+				m.reconnect(from, g)
+			}
+		}
+	})
+}
+
+func (m *regionsModel) reconnect(from, g *modelRegion) {
+	if (from.index == 0) == (g.index == 0) {
+		return
+	}
+	if !m.cut {
+		m.join(from, g)
+		return
+	}
+	m.step(g, RouterLost{from.router})
+	for _, d := range m.all {
+		if seq, waits := d.places[g]; waits && d.home == from && g != from {
+			delete(d.places, g)
+			delete(from.demands, seq)
+		}
+	}
+}
+
+// drain ends all demands and checks that each ended once and all slots are free.
+func (m *regionsModel) drain(limit time.Duration) {
+	for end := m.now.Add(limit); m.now.Before(end); {
+		m.advance()
+	}
+	for _, d := range m.all {
+		if d.ends != 1 {
+			m.t.Fatalf("a demand ended %d times; it waits at %d schedulers", d.ends, len(slices.Collect(maps.Keys(d.places))))
+		}
+	}
+	for _, g := range m.regions {
+		if status := g.sched.Status(); status.FreeSlots != g.target.Slots || status.Queued != 0 {
+			m.t.Fatalf("region %s has %d of %d slots free and %d demands waiting", g.name, status.FreeSlots, g.target.Slots, status.Queued)
+		}
+	}
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -41,10 +41,15 @@
 	settling     settling
 	service      serviceRate
 	predictor    predictor
-	peerSpares   map[string]int
 	contents     map[uint32]*content
 	// freed holds the contents that may admit a held copy in this step.
-	freed []*content
+	freed   []*content
+	remotes []*remoteRegion
+	// uncopied holds the workspaces whose waiting demands may need copies.
+	uncopied []*workspace
+	// startedAt is the time of the first step; versions counts PeerCounters.
+	startedAt time.Time
+	versions  uint64
 
 	// allotted holds the slots that may be used by target; nil allows all.
 	allotted map[config.ID]int
@@ -86,7 +91,6 @@
 		routers:      map[Router]*router{},
 		incarnations: map[string]*router{},
 		spares:       newSpareSet(o.Seed),
-		peerSpares:   map[string]int{},
 		contents:     map[uint32]*content{},
 		slots:        map[string]int{},
 		yielded:      map[config.ID]int{},
@@ -104,11 +108,15 @@
 	if now.After(s.now) {
 		s.now = now
 	}
+	if s.startedAt.IsZero() {
+		s.startedAt = s.now
+	}
 	s.fire()
 	s.handle(event)
 	s.admitHeld()
 	s.dispatch()
 	s.balanceSpares()
+	s.copyWaiting()
 	return s.actions
 }
 
@@ -146,10 +154,10 @@
 		s.refuseUnservable()
 	case PeerCounters:
 		s.peerCounters(e)
-	case Overflow:
-		s.overflow(e)
 	case SlotsAllotted:
 		s.allot(e)
+	case RegionsChanged:
+		s.setRegions(e.Regions)
 	case Tick:
 	}
 }
@@ -264,6 +272,7 @@
 		return
 	}
 	w.push(d, c)
+	s.changed(w)
 	s.waiting++
 	s.counters.Backlog(w.ID)
 	s.timers.set(&d.timer, d.deadline)
@@ -283,6 +292,9 @@
 	if d.granted() {
 		return
 	}
+	if len(d.copies) > 0 {
+		d.workspace.taken++
+	}
 	s.unqueue(d)
 	s.forget(d)
 }
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -79,7 +79,8 @@
 	DataCentre string
 	// Trace is the encoded context of a sampled span; nil for others.
 	Trace []byte
-	// moved is set once the demand went to another region for its free slots.
+	// moved is set for a copy, and for a demand that went to another region for
+	// want of a target.
 	moved bool
 }
 
@@ -120,6 +121,12 @@
 	// to know of that.
 	answering bool
 	asked     bool
+	// original is set for a copy in another region.
+	original *request
+	// copies wait in other regions.
+	copies []*request
+	// taken is the copy that was granted.
+	taken *request
 	// The fields below are set once the demand is granted.
 	grantedAt  time.Time
 	target     config.ID
@@ -280,15 +287,18 @@
 }
 
 func (b *Broker) cancel(r *request) {
+	if r.taken != nil {
+		r = r.taken
+	}
 	if b.requests[r.seq] != r {
 		return
 	}
 	if r.granted {
-		b.finish(r, &v1.Done{Seq: r.seq, Outcome: v1.Outcome_NOT_RUN})
+		b.finish(r, &v1.Done{Seq: r.seq, Outcome: v1.Outcome_UNUSED})
 		return
 	}
-	delete(b.requests, r.seq)
-	r.link.batch.Cancels = append(r.link.batch.Cancels, r.seq)
+	b.withdraw(r)
+	b.withdrawCopies(r)
 }
 
 func (b *Broker) progress(in progressInput) {
@@ -310,13 +320,11 @@
 func (b *Broker) finish(r *request, done *v1.Done) {
 	delete(b.requests, r.seq)
 	r.link.batch.Done = append(r.link.batch.Done, done)
-	if r.away() {
-		b.tellFreed(r)
-	}
 }
 
 func (b *Broker) refuse(r *request, why *result.Result) {
 	delete(b.requests, r.seq)
+	b.withdrawCopies(r)
 	if why.RetryAfter == 0 {
 		why.RetryAfter = rejoinRetryAfter
 	}
--- a/router/internal/broker/copies.go
+++ b/router/internal/broker/copies.go
@@ -41,13 +41,14 @@
 
 // maySpare reports whether a demand may start without asking the scheduler,
 // which bounds the copies of a request. Only one router may start a digest so, and
-// only if it has no other copy of it.
+// only if it has no other request of it; the waiting of the same request in
+// another region does not count.
 func (b *Broker) maySpare(r *request) bool {
 	if r.demand.Digest == 0 {
 		return true
 	}
 	for _, other := range b.requests {
-		if other != r && other.demand.Digest == r.demand.Digest {
+		if other.root() != r.root() && other.demand.Digest == r.demand.Digest {
 			return false
 		}
 	}
--- a/router/internal/scheduling/pools.go
+++ b/router/internal/scheduling/pools.go
@@ -63,6 +63,7 @@
 		Targets:    targets,
 		Workspaces: workspacesOf(p, accepted, sched.shard),
 	})
+	h.setRegions(id, sched, p, accepted, now)
 }
 
 // workspacesOf returns the workspaces of the shard that may use the pool.
