--- a/internal/e2e/scheduler_test.go
+++ b/internal/e2e/scheduler_test.go
@@ -1,6 +1,8 @@
 package e2e
 
 import (
+	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -100,8 +102,19 @@
 	}
 }
 
-// testSchedulerLoss lets the router that schedules the engines fail under load.
-func testSchedulerLoss(t *testing.T, fail func(*router)) {
+// expectAllServed ends the load and fails the test unless each request got its
+// slot within its deadline, once.
+func (l *schedulerLoad) expectAllServed(t *testing.T) {
+	t.Helper()
+	l.stop(t)
+	if _, refused := l.counts(); len(refused) > 0 {
+		t.Errorf("refused: %v", refused)
+	}
+}
+
+// scheduledCluster is a deployment whose requests wait for the scheduler, and
+// the router that schedules the engines.
+func scheduledCluster(t *testing.T) (*cluster, *router) {
 	t.Helper()
 	c := newCluster(t, size{routers: 4, zones: 2, engines: 2, services: 2}, func(c *v1.Configuration) {
 		for _, target := range c.Targets {
@@ -112,18 +125,23 @@
 		p := newPrompt(t, 2)
 		p.expectWhole(t, send(r.entry, p.call(true)))
 	}
-	holder := c.schedulerOf(configtest.EnginePool)
-	var others []*router
-	for _, r := range c.routers {
-		if r != holder {
-			others = append(others, r)
-		}
-	}
-	l := startSchedulerLoad(t, others, "small", loadCallers)
+	return c, c.schedulerOf(configtest.EnginePool)
+}
+
+// others returns the routers but one.
+func (c *cluster) others(left *router) []*router {
+	return slices.DeleteFunc(slices.Clone(c.routers), func(r *router) bool { return r == left })
+}
+
+// testSchedulerLoss lets the router that schedules the engines fail under load.
+func testSchedulerLoss(t *testing.T, fail func(*router)) {
+	t.Helper()
+	c, holder := scheduledCluster(t)
+	l := startSchedulerLoad(t, c.others(holder), "small", loadCallers)
 	l.awaitMore(t, 4*loadCallers)
 	fail(holder)
 	l.awaitMore(t, 4*loadCallers)
-	l.stop(t)
+	l.expectAllServed(t)
 	if doubles := c.ledger.Report().Doubles; len(doubles) > 0 {
 		t.Errorf("ran more than once: %v", doubles)
 	}
@@ -134,6 +152,50 @@
 	testSchedulerLoss(t, func(holder *router) { holder.kill() })
 }
 
+// queuedCalls wait at a scheduler whose targets have two slots in all.
+const queuedCalls = 24
+
+// The requests that wait at a scheduler when it ends are all served by the next
+// one, within deadlines that leave time for it.
+func TestQueuedRequestsOutliveTheirScheduler(t *testing.T) {
+	t.Parallel()
+	for _, end := range []struct {
+		name string
+		run  func(*testing.T, *router)
+	}{
+		{"killed", func(_ *testing.T, r *router) { r.kill() }},
+		{"stopped", func(t *testing.T, r *router) { r.signal(t, syscall.SIGTERM) }},
+	} {
+		t.Run(end.name, func(t *testing.T) {
+			t.Parallel()
+			c, holder := scheduledCluster(t)
+			var wg sync.WaitGroup
+			for i := range queuedCalls {
+				r := c.others(holder)[i%(len(c.routers)-1)]
+				p := newPrompt(t, streamTokens)
+				request := p.call(true).with(entryDeadline, strconv.FormatInt(waitLimit.Milliseconds(), 10))
+				wg.Go(func() { p.expectWhole(t, send(r.entry, request)) })
+			}
+			awaitQueued(t, holder, queuedCalls/2)
+			end.run(t, holder)
+			wg.Wait()
+		})
+	}
+}
+
+// awaitQueued waits until more than so many requests wait at the scheduler.
+func awaitQueued(t *testing.T, holder *router, requests uint32) {
+	t.Helper()
+	var queued uint32
+	await(t, "requests wait at the scheduler", func() bool {
+		queued = 0
+		for _, p := range holder.status().GetPools() {
+			queued += p.Queued
+		}
+		return queued > requests
+	}, func() any { return queued })
+}
+
 func TestSchedulerIsPausedUnderLoad(t *testing.T) {
 	t.Parallel()
 	testSchedulerLoss(t, func(holder *router) {
--- a/router/internal/broker/answer.go
+++ b/router/internal/broker/answer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/result"
 )
@@ -13,6 +14,7 @@
 	if b.links[l.member.Name] != l {
 		return
 	}
+	l.heard = true
 	now := time.Now()
 	for _, s := range batch.Spares {
 		b.addSpare(l, s, now)
@@ -26,6 +28,9 @@
 	for _, refusal := range batch.Refusals {
 		b.refused(l, refusal)
 	}
+	for _, seq := range batch.FirstByteAsks {
+		b.firstByteAsked(l, seq)
+	}
 	for _, c := range batch.Counters {
 		b.mergeCounters(c)
 	}
@@ -67,15 +72,16 @@
 		l.batch.Done = append(l.batch.Done, &v1.Done{Seq: g.Seq, Outcome: v1.Outcome_NOT_RUN})
 		return
 	}
-	b.start(r, config.ID(g.Target), g.Estimate)
+	b.start(r, config.ID(g.Target), pool.Prediction{Estimate: int64(g.Estimate), Rate: int64(g.Rate)}, time.Now())
 }
 
 // start hands the slot to the waiting caller.
-func (b *Broker) start(r *request, target config.ID, estimate uint32) {
+func (b *Broker) start(r *request, target config.ID, prediction pool.Prediction, now time.Time) {
 	r.granted = true
+	r.grantedAt = now
 	r.target = target
-	r.charged = estimate
-	r.reply <- reply{grant: &Grant{broker: b, seq: r.seq, Target: target, Estimate: estimate}}
+	r.prediction = prediction
+	r.reply <- reply{grant: &Grant{broker: b, seq: r.seq, Target: target, Prediction: prediction}}
 }
 
 func (b *Broker) refused(l *link, refusal *v1.Refusal) {
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/go-kit/log"
@@ -16,6 +17,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/result"
 	"github.com/chiveseam/chiveseam/router/internal/state"
@@ -28,8 +30,6 @@
 	// answerGrace is how long a scheduler's refusal may come after the
 	// deadline before the broker refuses by itself.
 	answerGrace = 50 * time.Millisecond
-	// avoidTime is how long a scheduler that could not be reached is passed over.
-	avoidTime = time.Second
 	// idleLinkTime is how long a link without requests stays open.
 	idleLinkTime = 30 * time.Second
 	// rejoinRetryAfter is told to callers when no scheduler can be reached.
@@ -68,8 +68,11 @@
 	// Estimate is the expected cost in cost units; zero means unknown.
 	Estimate uint32
 	// Deadline is the latest time of a grant.
-	Deadline  time.Time
-	Prefix    uint32
+	Deadline time.Time
+	Prefix   uint32
+	// Digest identifies the request's content; zero lets copies run side by
+	// side.
+	Digest    uint32
 	BodyBytes uint32
 	Exclude   []config.ID
 	// DataCentre restricts the targets; empty allows all.
@@ -92,7 +95,7 @@
 	seq      uint64
 	requests map[uint64]*request
 	links    map[string]*link
-	avoid    map[string]time.Time
+	avoid    avoidances
 	spares   map[shardKey][]spare
 	// counters holds the last counters seen, by the ID of the pool and by
 	// workspace.
@@ -113,8 +116,19 @@
 	reply   chan reply
 	link    *link
 	granted bool
-	target  config.ID
-	charged uint32
+	// answering is set once the answer has begun, asked once the scheduler wants
+	// to know of that.
+	answering bool
+	asked     bool
+	// The fields below are set once the demand is granted.
+	grantedAt  time.Time
+	target     config.ID
+	prediction pool.Prediction
+}
+
+// charged returns the cost in cost units that the scheduler has charged.
+func (r *request) charged(now time.Time) uint32 {
+	return uint32(min(r.prediction.Charged(now.Sub(r.grantedAt)), math.MaxUint32))
 }
 
 type reply struct {
@@ -132,7 +146,7 @@
 		in:       make(chan any, inputLimit),
 		requests: map[uint64]*request{},
 		links:    map[string]*link{},
-		avoid:    map[string]time.Time{},
+		avoid:    avoidances{},
 		spares:   map[shardKey][]spare{},
 		counters: map[config.ID]map[config.ID]*v1.Counter{},
 	}
@@ -147,7 +161,8 @@
 		seq  uint64
 		cost uint32
 	}
-	doneInput struct {
+	firstByteInput struct{ seq uint64 }
+	doneInput      struct {
 		seq  uint64
 		done *v1.Done
 	}
@@ -238,6 +253,8 @@
 		b.cancel(in.request)
 	case progressInput:
 		b.progress(in)
+	case firstByteInput:
+		b.firstByte(in)
 	case doneInput:
 		b.done(in)
 	case receivedInput:
@@ -279,7 +296,7 @@
 	if !ok {
 		return
 	}
-	r.charged = max(r.charged, in.cost)
+	r.prediction.Observe(time.Since(r.grantedAt), int64(in.cost))
 	r.link.batch.Progress = append(r.link.batch.Progress, &v1.Progress{Seq: in.seq, Cost: in.cost})
 }
 
--- a/router/internal/broker/link.go
+++ b/router/internal/broker/link.go
@@ -17,6 +17,8 @@
 	conn     Link
 	batch    *v1.EntryBatch
 	lastUsed time.Time
+	// heard is set once anything has arrived.
+	heard bool
 	// greeted holds the shards whose hello was sent, by ID.
 	greeted map[config.ID]config.Shard
 }
@@ -75,7 +77,7 @@
 		return state.Member{}, false
 	}
 	for _, m := range ranked {
-		if now.After(b.avoid[m.Name]) {
+		if !b.avoid.avoids(m, now) {
 			return m, true
 		}
 	}
@@ -91,6 +93,7 @@
 		l.batch.Hello = &v1.Hello{Router: self.Name, Incarnation: self.Incarnation, Zone: self.Zone}
 	}
 	hello, id := l.batch.Hello, key.shard.ID()
+	now := time.Now()
 	for _, r := range b.requestsIn(key) {
 		if !r.granted {
 			continue
@@ -101,7 +104,9 @@
 			Pool:      uint32(id),
 			Workspace: uint32(r.demand.Workspace),
 			Target:    uint32(r.target),
-			Charged:   r.charged,
+			Charged:   r.charged(now),
+			Rate:      uint32(r.prediction.Rate),
+			Digest:    r.openDigest(),
 		})
 	}
 	hello.Counters = append(hello.Counters, &v1.PoolCounters{Pool: uint32(id), Counters: b.countersFor(key)})
@@ -137,7 +142,7 @@
 	}
 	now := time.Now()
 	b.logLink(l, "scheduler_lost", err)
-	b.avoid[l.member.Name] = now.Add(avoidTime)
+	b.avoid.lost(l.member, l.heard, now)
 	b.dropLink(l)
 	b.moveFrom(l, now)
 }
--- a/router/internal/broker/property_test.go
+++ b/router/internal/broker/property_test.go
@@ -295,7 +295,7 @@
 		return
 	}
 	if m.chance(50, "again") {
-		m.moveShard(m.keyOf(Demand{Pool: pool, Region: home, Workspace: config.IDOf(workspaces[0])}), time.Now())
+		m.moveShard(m.keyOf(Demand{Pool: poolName, Region: home, Workspace: config.IDOf(workspaces[0])}), time.Now())
 		m.flush()
 		return
 	}
--- a/router/internal/broker/shard.go
+++ b/router/internal/broker/shard.go
@@ -78,7 +78,7 @@
 // withdrawFrom ends a request at a scheduler that no longer schedules it.
 func (b *Broker) withdrawFrom(l *link, r *request) {
 	if r.granted {
-		l.batch.Done = append(l.batch.Done, &v1.Done{Seq: r.seq, Cost: r.charged, Outcome: v1.Outcome_ABANDONED})
+		l.batch.Done = append(l.batch.Done, &v1.Done{Seq: r.seq, Cost: r.charged(time.Now()), Outcome: v1.Outcome_ABANDONED})
 		return
 	}
 	l.batch.Cancels = append(l.batch.Cancels, r.seq)
--- a/router/internal/broker/spare.go
+++ b/router/internal/broker/spare.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chiveseam/chiveseam/config"
+	"github.com/chiveseam/chiveseam/pool"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
@@ -14,6 +15,7 @@
 	link    *link
 	target  config.ID
 	expires time.Time
+	rate    int64
 }
 
 func (b *Broker) addSpare(l *link, s *v1.Spare, now time.Time) {
@@ -23,7 +25,7 @@
 		return
 	}
 	expires := now.Add(time.Duration(s.ExpiresMs) * time.Millisecond)
-	b.spares[key] = append(b.spares[key], spare{id: s.Id, link: l, target: config.ID(s.Target), expires: expires})
+	b.spares[key] = append(b.spares[key], spare{id: s.Id, link: l, target: config.ID(s.Target), expires: expires, rate: int64(s.Rate)})
 }
 
 // spareKey finds the shard of a spare slot that came over the link.
@@ -36,13 +38,16 @@
 // it may use.
 func (b *Broker) useSpare(r *request, l *link, now time.Time) bool {
 	list := b.spares[r.key]
+	if len(list) == 0 || !b.maySpare(r) {
+		return false
+	}
 	for i, s := range list {
 		if s.link != l || now.After(s.expires) || !b.spareAllowed(r, s.target) {
 			continue
 		}
 		b.spares[r.key] = slices.Delete(list, i, i+1)
 		l.batch.SpareUses = append(l.batch.SpareUses, &v1.SpareUse{Spare: s.id, Demand: b.demandMessage(r, now)})
-		b.start(r, s.target, 0)
+		b.start(r, s.target, pool.Prediction{Rate: s.rate}, now)
 		return true
 	}
 	return false
--- a/router/internal/broker/sweep.go
+++ b/router/internal/broker/sweep.go
@@ -37,14 +37,7 @@
 
 // endAvoidance lets roles move back to routers that were passed over.
 func (b *Broker) endAvoidance(now time.Time) {
-	ended := false
-	for name, until := range b.avoid {
-		if now.After(until) {
-			delete(b.avoid, name)
-			ended = true
-		}
-	}
-	if ended {
+	if b.avoid.end(now) {
 		b.replace(now)
 	}
 }
--- a/router/internal/scheduling/events.go
+++ b/router/internal/scheduling/events.go
@@ -43,6 +43,11 @@
 			h.step(id, now, pool.Progress{ID: s.demandID(p.Seq), Cost: int64(p.Cost)})
 		}
 	}
+	for _, seq := range batch.FirstBytes {
+		if id, ok := s.poolOf[seq]; ok {
+			h.step(id, now, pool.FirstByte{ID: s.demandID(seq)})
+		}
+	}
 	for _, d := range batch.Done {
 		if id, ok := s.forget(d.Seq); ok {
 			h.step(id, now, pool.Done{
@@ -50,6 +55,7 @@
 				Cost:        int64(d.Cost),
 				Outcome:     d.Outcome,
 				ServiceTime: time.Duration(d.ServiceMs) * time.Millisecond,
+				Unresolved:  time.Duration(d.UnresolvedMs) * time.Millisecond,
 			})
 		}
 	}
@@ -72,7 +78,9 @@
 	h.step(id, now, pool.Done{ID: s.demandID(seq), Outcome: v1.Outcome_NOT_RUN})
 }
 
-// hello joins the router to each shard named with the state that it holds.
+// hello joins the router to each shard named with the state that it holds. A
+// shard that is not configured here yet is joined by the first demand after it
+// is.
 func (h *Host) hello(s *Session, hello *v1.Hello, now time.Time) {
 	h.name(hello.Shards)
 	for _, c := range hello.Counters {
@@ -91,7 +99,9 @@
 				ID:        s.demandID(f.Seq),
 				Workspace: config.ID(f.Workspace),
 				Target:    config.ID(f.Target),
+				Digest:    f.Digest,
 				Charged:   int64(f.Charged),
+				Rate:      int64(f.Rate),
 			})
 		}
 		s.joined[id] = true
@@ -129,11 +139,13 @@
 	return true
 }
 
+// unknownPool refuses a demand of a pool that the router which asks has in its
+// configuration, which is newer or older than the one here.
 func (h *Host) unknownPool(s *Session, seq uint64) {
 	delete(s.poolOf, seq)
 	s.out.Refusals = append(s.out.Refusals, &v1.Refusal{
 		Seq:          seq,
-		Code:         v1.Code_UNKNOWN_POOL,
+		Code:         v1.Code_NO_TARGET,
 		RetryAfterMs: uint32(counterInterval.Milliseconds()),
 	})
 }
@@ -162,6 +174,7 @@
 		Estimate:  int64(d.Estimate),
 		Deadline:  now.Add(time.Duration(d.WaitMs) * time.Millisecond),
 		Prefix:    d.Prefix,
+		Digest:    d.Digest,
 		BodyBytes: int64(d.BodyBytes),
 		Moved:     d.Moved,
 	}
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -166,6 +166,10 @@
 	}
 }
 
+// Configured reports whether a configuration is in force, without which no pool
+// is known.
+func (h *Host) Configured() bool { return h.store.Config() != nil }
+
 // Receive handles a batch of the entry router. It blocks while the host's
 // input is full.
 func (s *Session) Receive(batch *v1.EntryBatch) {
@@ -291,8 +295,13 @@
 				Seq:      a.ID.Seq,
 				Target:   uint32(a.Target),
 				Estimate: uint32(min(a.Estimate, math.MaxUint32)),
+				Rate:     uint32(min(a.Rate, math.MaxUint32)),
 			})
 		}
+	case pool.AskFirstByte:
+		if s, ok := h.sessions[a.ID.Router]; ok {
+			s.out.FirstByteAsks = append(s.out.FirstByteAsks, a.ID.Seq)
+		}
 	case pool.Refuse:
 		if s, ok := h.sessions[a.ID.Router]; ok {
 			delete(s.poolOf, a.ID.Seq)
@@ -316,6 +325,7 @@
 				Pool:      uint32(id),
 				Target:    uint32(a.Target),
 				ExpiresMs: uint32(max(a.Expires.Sub(now), 0).Milliseconds()),
+				Rate:      uint32(min(a.Rate, math.MaxUint32)),
 			})
 		}
 	case pool.RevokeSpare:
