Slots that no attempt used tell nothing of their target

Cause: a grant that crosses a withdrawal was given back as NOT_RUN, which counts as a failure to reach the target from the router's zone. Two in a row opened the breaker for that zone.

Ruled out: ABANDONED (the charge is closed and not refunded); no change of the health by any NOT_RUN (a refused connection is told by it).

Change: outcome UNUSED, for grants to demands that are gone, cancels that cross a grant, and targets that are not in the configuration. The charge is refunded, the breakers are released.

The models give slots back as the programs do.

Conclusion: grants that are given back neither hold copies of a request up nor keep a zone from a target.

--- a/internal/compose/broker.go
+++ b/internal/compose/broker.go
@@ -210,7 +210,7 @@
 	d := b.demands[g.ID.Seq]
 	switch {
 	case d == nil || d.granted && d.target != g.Target:
-		b.post(pool.Done{ID: g.ID, Outcome: v1.Outcome_NOT_RUN})
+		b.post(pool.Done{ID: g.ID, Outcome: v1.Outcome_UNUSED})
 	case !d.granted:
 		d.granted, d.target = true, g.Target
 		d.done(g.Target, Final{})
--- a/internal/compose/host.go
+++ b/internal/compose/host.go
@@ -58,7 +58,7 @@
 		return
 	case pool.Cancel:
 		h.step(e)
-		h.step(pool.Done{ID: e.ID, Outcome: v1.Outcome_NOT_RUN})
+		h.step(pool.Done{ID: e.ID, Outcome: v1.Outcome_UNUSED})
 		return
 	}
 	h.step(event)
--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -167,7 +167,7 @@
 func (r *router) granted(h *host, g pool.Grant) {
 	q := r.waitingAt(h, g.ID.Seq)
 	if q == nil {
-		h.post(r, pool.Done{ID: g.ID, Outcome: v1.Outcome_NOT_RUN})
+		h.post(r, pool.Done{ID: g.ID, Outcome: v1.Outcome_UNUSED})
 		return
 	}
 	r.take(h, q, g.ID.Seq)
--- a/pool/done.go
+++ b/pool/done.go
@@ -22,7 +22,7 @@
 // settle ends the charge of d.
 func (s *Scheduler) settle(d *demand, e Done) {
 	switch e.Outcome {
-	case v1.Outcome_NOT_RUN:
+	case v1.Outcome_NOT_RUN, v1.Outcome_UNUSED:
 		s.counters.Refund(&d.charge)
 	case v1.Outcome_SERVED:
 		s.counters.Settle(&d.charge, e.Cost)
--- a/router/internal/broker/answer.go
+++ b/router/internal/broker/answer.go
@@ -72,7 +72,7 @@
 		if ok && r.granted && r.link == l && r.target == config.ID(g.Target) {
 			return
 		}
-		l.batch.Done = append(l.batch.Done, &v1.Done{Seq: g.Seq, Outcome: v1.Outcome_NOT_RUN})
+		l.batch.Done = append(l.batch.Done, &v1.Done{Seq: g.Seq, Outcome: v1.Outcome_UNUSED})
 		return
 	}
 	b.start(r, config.ID(g.Target), pool.Prediction{Estimate: int64(g.Estimate), Rate: int64(g.Rate)}, time.Now())
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -294,7 +294,7 @@
 		return
 	}
 	if r.granted {
-		b.finish(r, &v1.Done{Seq: r.seq, Outcome: v1.Outcome_NOT_RUN})
+		b.finish(r, &v1.Done{Seq: r.seq, Outcome: v1.Outcome_UNUSED})
 		return
 	}
 	b.withdraw(r)
--- a/router/internal/dispatch/dispatcher.go
+++ b/router/internal/dispatch/dispatcher.go
@@ -147,7 +147,7 @@
 		target, ok = d.Store.Config().Target(grant.Target)
 	}
 	if !ok {
-		grant.Done(broker.End{Outcome: v1.Outcome_NOT_RUN})
+		grant.Done(broker.End{Outcome: v1.Outcome_UNUSED})
 		d.Guard.End(req.Digest, 0, EndedNotRun)
 		return attemptEnd{result: result.New(v1.Code_NO_TARGET, v1.Ran_NO, "granted target is not configured")}, nil
 	}
--- a/router/internal/scheduling/events.go
+++ b/router/internal/scheduling/events.go
@@ -71,7 +71,7 @@
 		return
 	}
 	h.step(id, now, pool.Cancel{ID: s.demandID(seq)})
-	h.step(id, now, pool.Done{ID: s.demandID(seq), Outcome: v1.Outcome_NOT_RUN})
+	h.step(id, now, pool.Done{ID: s.demandID(seq), Outcome: v1.Outcome_UNUSED})
 }
 
 // hello joins the router to each shard named with the state that it holds. A
