Name demands that wait in several regions tied demands

Cause: copies meant two things, the same request sent many times and a demand that waits in several regions, in files side by side. Ruled out: another name for the first, which the users speak of so. Change: names only (pool.Tie, Options.Ties, SchedulerBatch.ties, files ties.go); tests keep their assertions, those of regions have new names. Tied request is the field's term (Dean and Barroso, 2013).

--- a/internal/measure/charge.go
+++ b/internal/measure/charge.go
@@ -53,7 +53,7 @@
 func (m *chargeMeter) granted(r *router, g pool.Grant) {
 	q := r.requests[g.ID.Seq]
 	if q == nil {
-		q = r.copies[g.ID.Seq]
+		q = r.ties[g.ID.Seq]
 	}
 	if q == nil {
 		return
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -53,7 +53,7 @@
 	rateRNG    *rand.Rand
 	// cutZones are cut off from the other zones.
 	cutZones map[string]bool
-	// exchange is set if regions swap counters and copies of demands. split is
+	// exchange is set if regions swap counters and tie demands. split is
 	// set while schedulers know that the regions are cut off.
 	exchange, split bool
 	// regions is empty if one scheduler serves all targets.
@@ -248,9 +248,9 @@
 	case pool.Refuse:
 		r := h.cluster.routerOf(a.ID)
 		h.send(r, func() { r.refused(h, a) })
-	case pool.Copy:
+	case pool.Tie:
 		r := h.cluster.routerOf(a.ID)
-		h.send(r, func() { r.copyDemand(h, a) })
+		h.send(r, func() { r.tieDemand(h, a) })
 	case pool.HandSpare:
 		r := h.cluster.routerNamed(a.Router.Name)
 		h.post(r, pool.SpareReturned{Router: a.Router, Spare: a.Spare})
--- a/internal/measure/regionfaults.go
+++ b/internal/measure/regionfaults.go
@@ -41,7 +41,7 @@
 
 func (g *region) loseRouter(r *router) {
 	g.host.step(pool.RouterLost{Router: r.id})
-	r.dropCopies(g.host)
+	r.dropTies(g.host)
 }
 
 // killRegionScheduler ends the scheduler of the first region without a word.
@@ -58,7 +58,7 @@
 				r.join(g.host)
 				continue
 			}
-			r.dropCopies(old)
+			r.dropTies(old)
 			r.replace(old, g.host, nil)
 		}
 		c.setSplit(c.split)
--- a/internal/measure/regions.go
+++ b/internal/measure/regions.go
@@ -126,7 +126,7 @@
 	}
 }
 
-// setReachable tells the scheduler whether copies reach the other regions.
+// setReachable tells the scheduler whether tied demands reach the other regions.
 func (g *region) setReachable(reachable bool) {
 	var regions []pool.Region
 	for _, o := range g.others() {
--- a/internal/measure/router.go
+++ b/internal/measure/router.go
@@ -30,7 +30,7 @@
 
 	// host schedules the request. Copies wait at others.
 	host       *host
-	copies     []placed
+	ties       []placed
 	granted    bool
 	target     config.ID
 	engine     *engine
@@ -54,8 +54,8 @@
 	host     *host
 	seq      uint64
 	requests map[uint64]*request
-	// copies holds the requests by the numbers of their copies.
-	copies map[uint64]*request
+	// ties holds the requests by the numbers of their tied demands.
+	ties map[uint64]*request
 	// counters were replicated to this router last.
 	counters []pool.Counter
 }
@@ -67,7 +67,7 @@
 		id:       pool.Router{Name: fmt.Sprintf("router-%d", i), Incarnation: 1},
 		zone:     zones[i%len(zones)],
 		requests: map[uint64]*request{},
-		copies:   map[uint64]*request{},
+		ties:     map[uint64]*request{},
 	}
 }
 
@@ -192,7 +192,7 @@
 	if q := r.requests[seq]; q != nil && !q.granted && q.host == h {
 		return q
 	}
-	if q := r.copies[seq]; q != nil && q.copyAt(h) >= 0 {
+	if q := r.ties[seq]; q != nil && q.tieAt(h) >= 0 {
 		return q
 	}
 	return nil
--- a/internal/measure/copies.go
+++ b/internal/measure/ties.go
@@ -12,21 +12,21 @@
 	seq  uint64
 }
 
-// copyDemand sends a waiting demand to another region as well.
-func (r *router) copyDemand(h *host, a pool.Copy) {
+// tieDemand sends a waiting demand to another region as well.
+func (r *router) tieDemand(h *host, a pool.Tie) {
 	q := r.requests[a.ID.Seq]
 	other := r.cluster.regionNamed(a.Region).host
-	if q == nil || q.granted || q.host != h || q.copyAt(other) >= 0 {
+	if q == nil || q.granted || q.host != h || q.tieAt(other) >= 0 {
 		return
 	}
 	r.seq++
-	q.copies = append(q.copies, placed{other, r.seq})
-	r.copies[r.seq] = q
+	q.ties = append(q.ties, placed{other, r.seq})
+	r.ties[r.seq] = q
 	other.post(r, r.demandOf(q, r.seq, true))
 }
 
-func (q *request) copyAt(h *host) int {
-	return slices.IndexFunc(q.copies, func(p placed) bool { return p.host == h })
+func (q *request) tieAt(h *host) int {
+	return slices.IndexFunc(q.ties, func(p placed) bool { return p.host == h })
 }
 
 // take makes the place that was granted the only one of the request.
@@ -34,24 +34,24 @@
 	if q.seq != seq {
 		q.host.post(r, pool.Cancel{ID: r.demandID(q)})
 	}
-	for _, p := range q.copies {
-		delete(r.copies, p.seq)
+	for _, p := range q.ties {
+		delete(r.ties, p.seq)
 		if p.seq != seq {
 			p.host.post(r, pool.Cancel{ID: pool.DemandID{Router: r.id, Seq: p.seq}})
 		}
 	}
 	delete(r.requests, q.seq)
-	q.copies = nil
+	q.ties = nil
 	q.seq, q.host = seq, h
 	r.requests[seq] = q
 }
 
-// dropCopies forgets the copies at a scheduler.
-func (r *router) dropCopies(h *host) {
+// dropTies forgets the tied demands at a scheduler.
+func (r *router) dropTies(h *host) {
 	for _, q := range r.requests {
-		if i := q.copyAt(h); i >= 0 {
-			delete(r.copies, q.copies[i].seq)
-			q.copies = slices.Delete(q.copies, i, i+1)
+		if i := q.tieAt(h); i >= 0 {
+			delete(r.ties, q.ties[i].seq)
+			q.ties = slices.Delete(q.ties, i, i+1)
 		}
 	}
 }
--- a/pool/copies_test.go
+++ b/pool/copies_test.go
@@ -113,11 +113,11 @@
 	f := newFixture(Options{}, Target{ID: 10, Zone: "z1", DataCentre: "north", Slots: 1, Speed: 1})
 	f.copy(1)
 	f.reach(west)
-	is.Equal(copied(f.copy(2)), nil)
+	is.Equal(tied(f.copy(2)), nil)
 	lost := Done{ID: id(1), Outcome: v1.Outcome_LOST, Unresolved: unresolvedTime}
 	f.step(f.demandOf(3, time.Minute)) // waits for the slot of 1
 	f.step(lost)
-	is.Equal(copied(f.step(Tick{})), nil)
+	is.Equal(tied(f.step(Tick{})), nil)
 }
 
 func TestHeldCopyIsRefusedAtItsDeadline(t *testing.T) {
--- a/pool/interface.go
+++ b/pool/interface.go
@@ -121,8 +121,8 @@
 	BodyBytes int64
 	// Exclude holds targets on which attempts of the request failed.
 	Exclude []config.ID
-	// Moved is set for a demand that came from another region, as a copy or for
-	// want of a target there. It is not copied.
+	// Moved is set for a demand that came from another region, as a tied demand or for
+	// want of a target there. It is not tied again.
 	Moved bool
 }
 
@@ -218,10 +218,10 @@
 	RetryAfter time.Duration
 }
 
-// Copy asks the router to send a waiting demand to the pool's scheduler in
+// Tie asks the router to send a waiting demand to the pool's scheduler in
 // another region as well. The demand goes on waiting here. The router takes the
 // first grant and withdraws the demand elsewhere.
-type Copy struct {
+type Tie struct {
 	ID     DemandID
 	Region string
 }
@@ -265,6 +265,6 @@
 func (Grant) action()        {}
 func (Refuse) action()       {}
 func (AskFirstByte) action() {}
-func (Copy) action()         {}
+func (Tie) action()          {}
 func (HandSpare) action()    {}
 func (RevokeSpare) action()  {}
--- a/pool/options.go
+++ b/pool/options.go
@@ -12,7 +12,7 @@
 	defaultSpareTTL        = 2 * time.Second
 	defaultSpareGrace      = 500 * time.Millisecond
 	defaultAffinityEntries = 4096
-	defaultCopies          = 4
+	defaultTies            = 4
 )
 
 // Options are the settings of a Scheduler. The zero value of a field selects
@@ -46,11 +46,11 @@
 	SpareGrace time.Duration
 	// AffinityEntries bounds the prompt prefixes in memory; the default is 4096.
 	AffinityEntries int
-	// Copies is the number of waiting demands of each workspace that have a copy
-	// in each other region, beside one for each slot that is free there and a
+	// Ties is the number of waiting demands of each workspace that wait in
+	// each other region as well, beside one for each slot that is free there and a
 	// tenth of those that were granted elsewhere within an exchange interval. The
 	// default is 4.
-	Copies int
+	Ties int
 	// Seed selects the jitter and the numbers of spare slots. Schedulers
 	// should differ in it.
 	Seed uint64
@@ -64,7 +64,7 @@
 	setDefault(&o.SpareTTL, defaultSpareTTL)
 	setDefault(&o.SpareGrace, defaultSpareGrace)
 	setDefault(&o.AffinityEntries, defaultAffinityEntries)
-	setDefault(&o.Copies, defaultCopies)
+	setDefault(&o.Ties, defaultTies)
 	return o
 }
 
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -31,8 +31,8 @@
 	held bool
 	// asked is set once the router was asked for the first byte.
 	asked bool
-	// copies names the regions that have a copy.
-	copies []string
+	// ties names the regions in which the demand waits as well.
+	ties []string
 	// class is set while the demand waits.
 	class *class
 
@@ -114,12 +114,12 @@
 	held int
 	// running counts the granted demands.
 	running int
-	// copied counts the waiting demands with a copy, by region.
-	copied map[string]int
-	// taken counts the demands with copies that were withdrawn since the last
+	// tied counts the waiting demands that wait in another region as well, by it.
+	tied map[string]int
+	// taken counts the tied demands that were withdrawn since the last
 	// RegionsChanged, takenBefore those between the two before.
 	taken, takenBefore int
-	// changed is set while the workspace is listed in Scheduler.uncopied.
+	// changed is set while the workspace is listed in Scheduler.untied.
 	changed bool
 }
 
@@ -149,8 +149,8 @@
 	d.class = nil
 	w.queued--
 	w.bytes -= d.bytes
-	for _, region := range d.copies {
-		w.copied[region]--
+	for _, region := range d.ties {
+		w.tied[region]--
 	}
 	if len(c.queue) > 0 {
 		return
--- a/pool/regions_router_test.go
+++ b/pool/regions_router_test.go
@@ -12,7 +12,7 @@
 // handle is what a router does with an action of a scheduler.
 func (m *regionsModel) handle(from, g *modelRegion, action Action) {
 	switch a := action.(type) {
-	case Copy:
+	case Tie:
 		d, other := from.demands[a.ID.Seq], m.regions[a.Region[0]-'a']
 		if d != nil && d.waitsAt(g, a.ID.Seq) && d.places[other] == 0 && m.reachable(from, other) {
 			m.place(d, other)
--- a/pool/router.go
+++ b/pool/router.go
@@ -91,7 +91,7 @@
 		return a.ID.Router
 	case AskFirstByte:
 		return a.ID.Router
-	case Copy:
+	case Tie:
 		return a.ID.Router
 	case HandSpare:
 		return a.Router
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -45,8 +45,8 @@
 	// freed holds the contents that may admit a held copy in this step.
 	freed   []*content
 	remotes []*remoteRegion
-	// uncopied holds the workspaces whose waiting demands may need copies.
-	uncopied []*workspace
+	// untied holds the workspaces whose waiting demands may need ties.
+	untied []*workspace
 	// startedAt is the time of the first step; versions counts PeerCounters.
 	startedAt time.Time
 	versions  uint64
@@ -116,7 +116,7 @@
 	s.admitHeld()
 	s.dispatch()
 	s.balanceSpares()
-	s.copyWaiting()
+	s.tieWaiting()
 	return s.actions
 }
 
@@ -292,7 +292,7 @@
 	if d.granted() {
 		return
 	}
-	if len(d.copies) > 0 {
+	if len(d.ties) > 0 {
 		d.workspace.taken++
 	}
 	s.unqueue(d)
--- a/pool/elsewhere.go
+++ b/pool/ties.go
@@ -2,13 +2,12 @@
 
 import "slices"
 
-// takenPart is the part of the copies withdrawn in an exchange interval that
-// wait in each region beside Options.Copies, so that a region does not run out
-// of them while a grant and the next copy are on their way.
+// takenPart is the part of the tied demands withdrawn in an exchange interval
+// that wait in each region beside Options.Ties, so that a region does not run
+// out of them while a grant and the next tied demand are on their way.
 const takenPart = 10
 
-// remoteRegion is another region whose scheduler of the same pool takes copies
-// of waiting demands.
+// remoteRegion is another region in which waiting demands may wait as well.
 type remoteRegion struct {
 	Region
 	// free is the number of free slots that the region told last.
@@ -23,8 +22,8 @@
 	return slices.Contains(r.DataCentres, w.DataCentre)
 }
 
-// setRegions replaces the regions that can be reached. The copies in regions
-// that are left out are lost.
+// setRegions replaces the regions that can be reached. The tied demands in
+// regions that are left out are lost.
 func (s *Scheduler) setRegions(regions []Region) {
 	previous := s.remotes
 	s.remotes = nil
@@ -38,7 +37,7 @@
 		s.remotes = append(s.remotes, r)
 	}
 	for _, lost := range previous {
-		s.forgetCopies(lost.Name)
+		s.forgetTies(lost.Name)
 	}
 	for _, w := range s.workspaces {
 		w.takenBefore, w.taken = w.taken, 0
@@ -46,22 +45,22 @@
 	s.changeAll()
 }
 
-func (s *Scheduler) forgetCopies(region string) {
+func (s *Scheduler) forgetTies(region string) {
 	for _, w := range s.workspaces {
-		delete(w.copied, region)
+		delete(w.tied, region)
 		for _, d := range w.waiting() {
-			d.copies = slices.DeleteFunc(d.copies, func(name string) bool { return name == region })
+			d.ties = slices.DeleteFunc(d.ties, func(name string) bool { return name == region })
 		}
 	}
 }
 
-// changed notes a workspace whose queue or copies changed in this step.
+// changed notes a workspace whose queue or tied demands changed in this step.
 func (s *Scheduler) changed(w *workspace) {
 	if len(s.remotes) == 0 || w.changed {
 		return
 	}
 	w.changed = true
-	s.uncopied = append(s.uncopied, w)
+	s.untied = append(s.untied, w)
 }
 
 func (s *Scheduler) changeAll() {
@@ -70,41 +69,41 @@
 	}
 }
 
-// copyWaiting sends copies of the first waiting demands of the workspaces that
-// changed.
-func (s *Scheduler) copyWaiting() {
-	for _, w := range s.uncopied {
+// tieWaiting lets the first waiting demands of the workspaces that changed wait
+// in other regions as well.
+func (s *Scheduler) tieWaiting() {
+	for _, w := range s.untied {
 		w.changed = false
 		for _, r := range s.remotes {
-			s.copyTo(w, r)
+			s.tieTo(w, r)
 		}
 	}
-	s.uncopied = s.uncopied[:0]
+	s.untied = s.untied[:0]
 }
 
-func (s *Scheduler) copyTo(w *workspace, r *remoteRegion) {
-	if w.queued == w.copied[r.Name] || !r.serves(w) {
+func (s *Scheduler) tieTo(w *workspace, r *remoteRegion) {
+	if w.queued == w.tied[r.Name] || !r.serves(w) {
 		return
 	}
-	limit := s.options.Copies + r.free + max(w.taken, w.takenBefore)/takenPart
-	for w.copied[r.Name] < limit {
-		d := w.firstUncopied(r.Name)
+	limit := s.options.Ties + r.free + max(w.taken, w.takenBefore)/takenPart
+	for w.tied[r.Name] < limit {
+		d := w.firstUntied(r.Name)
 		if d == nil {
 			return
 		}
-		d.copies = append(d.copies, r.Name)
-		w.copied[r.Name]++
-		s.emit(Copy{ID: d.id, Region: r.Name})
+		d.ties = append(d.ties, r.Name)
+		w.tied[r.Name]++
+		s.emit(Tie{ID: d.id, Region: r.Name})
 	}
 }
 
-// firstUncopied returns the first waiting demand of w that has no copy in the
-// region and is no copy itself, or nil.
-func (w *workspace) firstUncopied(region string) *demand {
+// firstUntied returns the first waiting demand of w that is not tied to one
+// in the region and did not come from another, or nil.
+func (w *workspace) firstUntied(region string) *demand {
 	var first *demand
 	for _, c := range w.classes {
 		i := slices.IndexFunc(c.queue, func(d *demand) bool {
-			return !d.moved && !slices.Contains(d.copies, region)
+			return !d.moved && !slices.Contains(d.ties, region)
 		})
 		if i >= 0 && (first == nil || c.queue[i].before(first)) {
 			first = c.queue[i]
--- a/pool/elsewhere_test.go
+++ b/pool/ties_test.go
@@ -14,8 +14,8 @@
 
 // sidesFixture has two full targets in two data centres and workspaces on
 // both: 1 on either side, 2 in north, 3 in south. West has targets in north.
-func sidesFixture(copies int) *fixture {
-	f := &fixture{New(Options{InitialCost: 100, Copies: copies}), start}
+func sidesFixture(ties int) *fixture {
+	f := &fixture{New(Options{InitialCost: 100, Ties: ties}), start}
 	f.step(TargetsChanged{Targets: []Target{
 		{ID: 10, Zone: "z1", DataCentre: "north", Slots: 1, Speed: 1},
 		{ID: 11, Zone: "z1", DataCentre: "south", Slots: 1, Speed: 1},
@@ -44,66 +44,66 @@
 func (f *fixture) wait(workspace config.ID, seqs ...uint64) []uint64 {
 	var list []uint64
 	for _, seq := range seqs {
-		list = append(list, copied(f.step(Demand{ID: id(seq), Workspace: workspace, Deadline: f.now.Add(time.Minute)}))...)
+		list = append(list, tied(f.step(Demand{ID: id(seq), Workspace: workspace, Deadline: f.now.Add(time.Minute)}))...)
 	}
 	return list
 }
 
-func copied(actions []Action) []uint64 {
+func tied(actions []Action) []uint64 {
 	var seqs []uint64
 	for _, a := range actions {
-		if c, ok := a.(Copy); ok {
+		if c, ok := a.(Tie); ok {
 			seqs = append(seqs, c.ID.Seq)
 		}
 	}
 	return seqs
 }
 
-func TestFirstDemandsOfEachWorkspaceAreCopied(t *testing.T) {
+func TestFirstDemandsOfEachWorkspaceAreTied(t *testing.T) {
 	is := is.New(t)
 	f := sidesFixture(2)
 	is.Equal(f.wait(1, 1, 2, 3, 4), []uint64{1, 2})
 	is.Equal(f.wait(2, 21), []uint64{21})
 	is.Equal(f.wait(3, 31), nil) // west has no target for it
 	is.Equal(f.Queued(), 6)
-	is.Equal(copied(f.step(Cancel{id(1)})), []uint64{3}) // granted in west
-	is.Equal(copied(f.step(Cancel{id(4)})), nil)
+	is.Equal(tied(f.step(Cancel{id(1)})), []uint64{3}) // granted in west
+	is.Equal(tied(f.step(Cancel{id(4)})), nil)
 }
 
-func TestGrantedDemandMakesRoomForACopy(t *testing.T) {
+func TestGrantedDemandMakesRoomForATie(t *testing.T) {
 	is := is.New(t)
 	f := sidesFixture(1)
 	is.Equal(f.wait(1, 1, 2), []uint64{1})
 	got := f.finish(901, v1.Outcome_SERVED)
 	is.Equal(granted(got), config.ID(10))
-	is.Equal(copied(got), []uint64{2})
+	is.Equal(tied(got), []uint64{2})
 }
 
-func TestEarlierDeadlineIsCopiedNext(t *testing.T) {
+func TestEarlierDeadlineIsTiedNext(t *testing.T) {
 	is := is.New(t)
 	f := sidesFixture(1)
 	f.wait(1, 1, 2)
 	f.step(Demand{ID: id(3), Workspace: 1, Deadline: f.now.Add(time.Second)})
-	is.Equal(copied(f.step(Cancel{id(1)})), []uint64{3})
+	is.Equal(tied(f.step(Cancel{id(1)})), []uint64{3})
 }
 
-func TestDemandOfAnotherRegionIsNotCopied(t *testing.T) {
+func TestDemandOfAnotherRegionIsNotTied(t *testing.T) {
 	is := is.New(t)
 	f := sidesFixture(2)
-	is.Equal(copied(f.step(Demand{ID: id(1), Workspace: 1, Deadline: f.now.Add(time.Minute), Moved: true})), nil)
+	is.Equal(tied(f.step(Demand{ID: id(1), Workspace: 1, Deadline: f.now.Add(time.Minute), Moved: true})), nil)
 }
 
-func TestFreeSlotsAttractMoreCopies(t *testing.T) {
+func TestFreeSlotsAttractMoreTies(t *testing.T) {
 	is := is.New(t)
 	f := sidesFixture(1)
 	is.Equal(f.wait(1, 1, 2, 3, 4), []uint64{1})
-	is.Equal(copied(f.step(PeerCounters{Region: west, Version: 1, SpareSlots: 2})), []uint64{2, 3})
-	is.Equal(copied(f.step(PeerCounters{Region: west, Version: 1, SpareSlots: 9})), nil) // doubled
+	is.Equal(tied(f.step(PeerCounters{Region: west, Version: 1, SpareSlots: 2})), []uint64{2, 3})
+	is.Equal(tied(f.step(PeerCounters{Region: west, Version: 1, SpareSlots: 9})), nil) // doubled
 }
 
-// TestManyGrantsElsewhereAttractMoreCopies lets more copies be granted in an
+// TestManyGrantsElsewhereAttractMoreTies lets more tied demands be granted in an
 // exchange interval than wait at a time.
-func TestManyGrantsElsewhereAttractMoreCopies(t *testing.T) {
+func TestManyGrantsElsewhereAttractMoreTies(t *testing.T) {
 	is := is.New(t)
 	f := sidesFixture(1)
 	for seq := range uint64(100) {
@@ -112,27 +112,27 @@
 	for seq := range uint64(3 * takenPart) {
 		f.step(Cancel{id(seq + 1)})
 	}
-	is.Equal(f.workspaces[1].copied[west], 1+3)
+	is.Equal(f.workspaces[1].tied[west], 1+3)
 	f.reach(west)
-	is.Equal(f.workspaces[1].copied[west], 1+3)
+	is.Equal(f.workspaces[1].tied[west], 1+3)
 }
 
-func TestCopiesAreLostWithTheirRegion(t *testing.T) {
+func TestTiesAreLostWithTheirRegion(t *testing.T) {
 	is := is.New(t)
 	f := sidesFixture(2)
 	f.wait(1, 1, 2, 3)
 	f.reach()
 	is.Equal(f.wait(1, 4), nil)
-	is.Equal(copied(f.reach(west)), []uint64{1, 2})
-	is.Equal(copied(f.reach(west, "east")), []uint64{1, 2}) // to east
+	is.Equal(tied(f.reach(west)), []uint64{1, 2})
+	is.Equal(tied(f.reach(west, "east")), []uint64{1, 2}) // to east
 }
 
-func TestCopiedDemandEndsAtItsDeadline(t *testing.T) {
+func TestTiedDemandEndsAtItsDeadline(t *testing.T) {
 	is := is.New(t)
 	f := sidesFixture(1)
 	f.wait(1, 1, 2)
 	f.now = f.now.Add(time.Hour)
 	f.step(Tick{})
 	is.Equal(f.Queued(), 0)
-	is.Equal(f.workspaces[1].copied[west], 0)
+	is.Equal(f.workspaces[1].tied[west], 0)
 }
--- a/pool/workspace.go
+++ b/pool/workspace.go
@@ -34,7 +34,7 @@
 	}
 	w := s.workspaces[settings.ID]
 	if w == nil {
-		w = &workspace{copied: map[string]int{}}
+		w = &workspace{tied: map[string]int{}}
 		s.workspaces[settings.ID] = w
 	}
 	w.Workspace = settings
--- a/router/internal/broker/answer.go
+++ b/router/internal/broker/answer.go
@@ -31,8 +31,8 @@
 	for _, seq := range batch.FirstByteAsks {
 		b.firstByteAsked(l, seq)
 	}
-	for _, c := range batch.Copies {
-		b.copyTo(l, c)
+	for _, c := range batch.Ties {
+		b.tieTo(l, c)
 	}
 	for _, c := range batch.Counters {
 		b.mergeCounters(c)
@@ -94,7 +94,7 @@
 		return
 	}
 	if r.original != nil {
-		b.dropCopy(r)
+		b.dropTie(r)
 		return
 	}
 	if r.away() && refusal.Code != v1.Code_DEADLINE_EXCEEDED {
@@ -103,7 +103,7 @@
 	}
 	if refusal.Code == v1.Code_NO_TARGET && !r.demand.moved {
 		if region, ok := b.otherRegionOf(r); ok {
-			b.withdrawCopies(r)
+			b.withdrawTies(r)
 			b.moveToRegion(r, region)
 			return
 		}
--- a/router/internal/broker/broker.go
+++ b/router/internal/broker/broker.go
@@ -79,7 +79,7 @@
 	DataCentre string
 	// Trace is the encoded context of a sampled span; nil for others.
 	Trace []byte
-	// moved is set for a copy, and for a demand that went to another region for
+	// moved is set for a tied demand, and for a demand that went to another region for
 	// want of a target.
 	moved bool
 }
@@ -121,11 +121,11 @@
 	// to know of that.
 	answering bool
 	asked     bool
-	// original is set for a copy in another region.
+	// original is set for a tied demand in another region.
 	original *request
-	// copies wait in other regions.
-	copies []*request
-	// taken is the copy that was granted.
+	// ties wait in other regions.
+	ties []*request
+	// taken is the tied demand that was granted.
 	taken *request
 	// The fields below are set once the demand is granted.
 	grantedAt  time.Time
@@ -298,7 +298,7 @@
 		return
 	}
 	b.withdraw(r)
-	b.withdrawCopies(r)
+	b.withdrawTies(r)
 }
 
 func (b *Broker) progress(in progressInput) {
@@ -324,7 +324,7 @@
 
 func (b *Broker) refuse(r *request, why *result.Result) {
 	delete(b.requests, r.seq)
-	b.withdrawCopies(r)
+	b.withdrawTies(r)
 	if why.RetryAfter == 0 {
 		why.RetryAfter = rejoinRetryAfter
 	}
--- a/router/internal/broker/link.go
+++ b/router/internal/broker/link.go
@@ -149,7 +149,7 @@
 
 // moveFrom moves the shards that a dropped link served.
 func (b *Broker) moveFrom(l *link, now time.Time) {
-	b.dropLostCopies(l, now)
+	b.dropLostTies(l, now)
 	keys := map[shardKey]bool{}
 	for _, r := range b.requests {
 		if r.link == l {
--- a/router/internal/broker/place.go
+++ b/router/internal/broker/place.go
@@ -12,8 +12,8 @@
 // place sends a waiting demand to the scheduler of its shard, or starts it on a
 // spare slot.
 func (b *Broker) place(r *request, now time.Time) {
-	if r.original != nil && !b.takesCopies(r, now) {
-		b.dropCopy(r)
+	if r.original != nil && !b.takesTies(r, now) {
+		b.dropTie(r)
 		return
 	}
 	r.key = b.keyOf(r.demand)
--- a/router/internal/broker/property_test.go
+++ b/router/internal/broker/property_test.go
@@ -164,7 +164,7 @@
 	shard := s.waiting[seq]
 	decision := rapid.IntRange(0, 5).Draw(m.t, "decision")
 	if decision == 1 || decision == 2 {
-		batch.Copies = []*v1.Copy{{Seq: seq, Region: remote}}
+		batch.Ties = []*v1.Tie{{Seq: seq, Region: remote}}
 		s.out = append(s.out, batch)
 		return
 	}
--- a/router/internal/broker/elsewhere_test.go
+++ b/router/internal/broker/ties_test.go
@@ -10,27 +10,27 @@
 	"github.com/chiveseam/chiveseam/router/internal/state"
 )
 
-func (f *fixture) copyDemand(name string, seq uint64, region string) {
-	f.receive(name, &v1.SchedulerBatch{Copies: []*v1.Copy{{Seq: seq, Region: region}}})
+func (f *fixture) tieDemand(name string, seq uint64, region string) {
+	f.receive(name, &v1.SchedulerBatch{Ties: []*v1.Tie{{Seq: seq, Region: region}}})
 }
 
-// copied returns a broker with a demand that waits in both regions, and the
-// number of its copy.
-func copied(t *testing.T) (*fixture, *request, uint64) {
+// tied returns a broker with a demand that waits in both regions, and the
+// number of the tied one.
+func tied(t *testing.T) (*fixture, *request, uint64) {
 	f := newFixture(t, member("a", home, 1), member("z", remote, 1))
 	r := f.acquire(time.Minute)
-	f.copyDemand("a", r.seq, remote)
+	f.tieDemand("a", r.seq, remote)
 	f.sent("a")
 	sent := f.sent("z").Demands
 	if len(sent) != 1 || !sent[0].Moved || sent[0].Seq == r.seq {
-		t.Fatalf("the copies are %v", sent)
+		t.Fatalf("the tied demands are %v", sent)
 	}
 	return f, r, sent[0].Seq
 }
 
-func TestCopyIsGranted(t *testing.T) {
+func TestTieIsGranted(t *testing.T) {
 	is := is.New(t)
-	f, r, seq := copied(t)
+	f, r, seq := tied(t)
 	f.grant("z", seq, target1)
 	answer := r.answer()
 	is.Equal(answer.target(), target1)
@@ -45,7 +45,7 @@
 
 func TestOriginalIsGranted(t *testing.T) {
 	is := is.New(t)
-	f, r, seq := copied(t)
+	f, r, seq := tied(t)
 	f.grant("a", r.seq, target1)
 	is.Equal(r.answer().target(), target1)
 	is.Equal(f.sent("z").Cancels, []uint64{seq})
@@ -54,10 +54,10 @@
 	is.Equal(f.sent("z").Done[0].Outcome, v1.Outcome_UNUSED)
 }
 
-func TestRefusedCopyGoesOnWaitingAtHome(t *testing.T) {
+func TestRefusedTieGoesOnWaitingAtHome(t *testing.T) {
 	for _, code := range []v1.Code{v1.Code_NO_TARGET, v1.Code_NOT_READY, v1.Code_QUEUE_FULL, v1.Code_DEADLINE_EXCEEDED} {
 		is := is.New(t)
-		f, r, seq := copied(t)
+		f, r, seq := tied(t)
 		f.refuse("z", &v1.Refusal{Seq: seq, Code: code})
 		is.Equal(r.answer(), reply{})
 		is.Equal(len(f.sent("a").Demands), 0) // it has not lost its place
@@ -66,9 +66,9 @@
 	}
 }
 
-func TestRefusalAtHomeWithdrawsTheCopy(t *testing.T) {
+func TestRefusalAtHomeWithdrawsTheTie(t *testing.T) {
 	is := is.New(t)
-	f, r, seq := copied(t)
+	f, r, seq := tied(t)
 	f.refuse("a", &v1.Refusal{Seq: r.seq, Code: v1.Code_DEADLINE_EXCEEDED})
 	is.Equal(r.answer().code(), v1.Code_DEADLINE_EXCEEDED)
 	is.Equal(f.sent("z").Cancels, []uint64{seq})
@@ -77,20 +77,20 @@
 
 func TestCallerGoesAway(t *testing.T) {
 	is := is.New(t)
-	f, r, seq := copied(t)
+	f, r, seq := tied(t)
 	f.input(cancelInput{r})
 	is.Equal(f.sent("a").Cancels, []uint64{r.seq})
 	is.Equal(f.sent("z").Cancels, []uint64{seq})
-	f, r, seq = copied(t)
+	f, r, seq = tied(t)
 	f.grant("z", seq, target1) // the caller left before it read the grant
 	f.input(cancelInput{r})
 	is.Equal(f.sent("z").Done[0].Outcome, v1.Outcome_UNUSED)
 	is.Equal(len(f.requests), 0)
 }
 
-func TestCopyIsLostWithItsRegion(t *testing.T) {
+func TestTieIsLostWithItsRegion(t *testing.T) {
 	is := is.New(t)
-	f, r, _ := copied(t)
+	f, r, _ := tied(t)
 	f.setFleet(member("a", home, 1))
 	f.input(closedInput{f.links["z"], nil})
 	is.Equal(len(f.sent("a").Demands), 0)
@@ -98,9 +98,9 @@
 	is.Equal(r.answer().target(), target1)
 }
 
-func TestCopyFollowsTheRoleOfItsRegion(t *testing.T) {
+func TestTieFollowsTheRoleOfItsRegion(t *testing.T) {
 	is := is.New(t)
-	f, r, _ := copied(t)
+	f, r, _ := tied(t)
 	f.setFleet(member("a", home, 1), member("y", remote, 1))
 	is.Equal(len(f.sent("z").Cancels), 1)
 	again := f.sent("y").Demands
@@ -109,13 +109,13 @@
 	is.Equal(r.answer().target(), target1)
 }
 
-// TestRoleMoveAtHomeLeavesTheCopyAlone checks that no hello is repeated on the
+// TestRoleMoveAtHomeLeavesTheTieAlone checks that no hello is repeated on the
 // open link of the other region: it would drop what waits there.
-func TestRoleMoveAtHomeLeavesTheCopyAlone(t *testing.T) {
+func TestRoleMoveAtHomeLeavesTheTieAlone(t *testing.T) {
 	is := is.New(t)
-	f, r, seq := copied(t)
+	f, r, seq := tied(t)
 	f.setFleet(member("b", home, 1), member("z", remote, 1))
-	f.copyDemand("b", r.seq, remote) // the new holder does not know of the copy
+	f.tieDemand("b", r.seq, remote) // the new holder does not know of the tie
 	sent := f.sent("z")
 	is.Equal(sent.Hello, nil)
 	is.Equal(len(sent.Demands), 0)
@@ -124,44 +124,44 @@
 	is.Equal(f.sent("b").Cancels, []uint64{r.seq})
 }
 
-func TestCopyToARegionWithoutSchedulerIsDropped(t *testing.T) {
+func TestTieToARegionWithoutSchedulerIsDropped(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, member("a", home, 1))
 	r := f.acquire(time.Minute)
-	f.copyDemand("a", r.seq, remote)
+	f.tieDemand("a", r.seq, remote)
 	is.Equal(len(f.requests), 1)
-	is.Equal(len(r.copies), 0)
+	is.Equal(len(r.ties), 0)
 }
 
-// TestLostSchedulerGetsNoCopies lets the only scheduler of the other region lose
+// TestLostSchedulerGetsNoTies lets the only scheduler of the other region lose
 // its link while the fleet still counts on it.
-func TestLostSchedulerGetsNoCopies(t *testing.T) {
+func TestLostSchedulerGetsNoTies(t *testing.T) {
 	is := is.New(t)
-	f, r, _ := copied(t)
+	f, r, _ := tied(t)
 	f.input(closedInput{f.links["z"], nil})
 	is.Equal(len(f.dialer.links), 2) // none is opened again
-	is.Equal(len(r.copies), 0)
+	is.Equal(len(r.ties), 0)
 	delete(f.avoid, "z")
-	f.copyDemand("a", r.seq, remote)
+	f.tieDemand("a", r.seq, remote)
 	is.Equal(len(f.sent("z").Demands), 1)
 }
 
-func TestCopyIsNotCopied(t *testing.T) {
+func TestTiedDemandIsNotTiedAgain(t *testing.T) {
 	is := is.New(t)
-	f, _, seq := copied(t)
-	f.copyDemand("z", seq, home)
+	f, _, seq := tied(t)
+	f.tieDemand("z", seq, home)
 	is.Equal(len(f.requests), 2)
 }
 
 // TestSpareOfAnotherRegion checks that a spare slot serves demands of its region
-// and copies there, and no others.
+// and tied demands there, and no others.
 func TestSpareOfAnotherRegion(t *testing.T) {
 	is := is.New(t)
-	f, _, _ := copied(t)
+	f, _, _ := tied(t)
 	f.receive("z", spareBatch(9, time.Minute))
 	r := f.acquire(time.Minute)
 	is.Equal(r.answer(), reply{})
-	f.copyDemand("a", r.seq, remote)
+	f.tieDemand("a", r.seq, remote)
 	is.Equal(r.answer().target(), target1)
 	is.Equal(f.sent("z").SpareUses[0].Spare, uint64(9))
 	is.Equal(f.sent("a").Cancels, []uint64{r.seq})
@@ -171,7 +171,7 @@
 // does not keep it from a spare slot in another region.
 func TestSpareOfAnotherRegionForADigest(t *testing.T) {
 	is := is.New(t)
-	f, _, _ := copied(t)
+	f, _, _ := tied(t)
 	f.store.SetFleet(&state.Fleet{Self: f.self, Reachable: []state.Member{f.self, member("a", home, 1), member("z", remote, 1)}})
 	f.receive("z", spareBatch(9, time.Minute))
 	digest := uint32(1)
@@ -179,7 +179,7 @@
 		digest++
 	}
 	r := f.acquireCopy(digest)
-	f.copyDemand("a", r.seq, remote)
+	f.tieDemand("a", r.seq, remote)
 	is.Equal(r.answer().target(), target1)
 }
 
@@ -187,7 +187,7 @@
 // a rate of its own.
 func TestPredictionIsThatOfTheSchedulerThatGranted(t *testing.T) {
 	is := is.New(t)
-	f, r, seq := copied(t)
+	f, r, seq := tied(t)
 	f.receive("z", &v1.SchedulerBatch{Grants: []*v1.Grant{{Seq: seq, Target: uint32(target1), Estimate: 40, Rate: 9}}})
 	grant := r.answer().grant
 	is.Equal(grant.Prediction.Rate, int64(9))
@@ -196,8 +196,8 @@
 	is.Equal(f.sent("a").Hello, nil) // the greeting at home was before
 }
 
-func TestCopiesAreNotCountedAsWaiting(t *testing.T) {
+func TestTiesAreNotCountedAsWaiting(t *testing.T) {
 	is := is.New(t)
-	f, r, _ := copied(t)
+	f, r, _ := tied(t)
 	is.Equal(f.countWaiting()[WaitKey{poolName, r.demand.Workspace}], 1)
 }
--- a/router/internal/scheduling/host.go
+++ b/router/internal/scheduling/host.go
@@ -309,9 +309,9 @@
 				RetryAfterMs: uint32(a.RetryAfter.Milliseconds()),
 			})
 		}
-	case pool.Copy:
+	case pool.Tie:
 		if s, ok := h.sessions[a.ID.Router]; ok {
-			s.out.Copies = append(s.out.Copies, &v1.Copy{Seq: a.ID.Seq, Region: a.Region})
+			s.out.Ties = append(s.out.Ties, &v1.Tie{Seq: a.ID.Seq, Region: a.Region})
 		}
 	case pool.HandSpare:
 		if s, ok := h.sessions[a.Router]; ok {
--- a/router/internal/scheduling/regions_test.go
+++ b/router/internal/scheduling/regions_test.go
@@ -110,54 +110,54 @@
 	return f.collectShares(f.now)
 }
 
-// copied returns the demands that were copied since the last call.
-func (f *fixture) copied() []uint64 {
+// tied returns the demands that were tied since the last call.
+func (f *fixture) tied() []uint64 {
 	var seqs []uint64
-	for _, c := range f.session.out.Copies {
+	for _, c := range f.session.out.Ties {
 		if c.Region == remoteRegion {
 			seqs = append(seqs, c.Seq)
 		}
 	}
-	f.session.out.Copies = nil
+	f.session.out.Ties = nil
 	return seqs
 }
 
-func TestWaitingDemandsAreCopiedToAReachableRegion(t *testing.T) {
+func TestWaitingDemandsAreTiedToAReachableRegion(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
 	f.setReachable(false)
 	f.ask("small", minute, 1, 2, 3) // demand 1 runs here
-	is.Equal(len(f.copied()), 0)
+	is.Equal(len(f.tied()), 0)
 	f.setReachable(true)
-	is.Equal(f.copied(), []uint64{2, 3})
+	is.Equal(f.tied(), []uint64{2, 3})
 	f.ask("small", minute, 4)
-	is.Equal(f.copied(), []uint64{4})
+	is.Equal(f.tied(), []uint64{4})
 	f.setReachable(false)
 	f.ask("small", minute, 5)
-	is.Equal(len(f.copied()), 0)
+	is.Equal(len(f.tied()), 0)
 	f.setReachable(true)
-	is.Equal(f.copied(), []uint64{2, 3, 4, 5})
+	is.Equal(f.tied(), []uint64{2, 3, 4, 5})
 }
 
-func TestWithdrawnDemandMakesRoomForACopy(t *testing.T) {
+func TestWithdrawnDemandMakesRoomForATie(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
 	f.setReachable(true)
 	f.ask("small", minute, 1, 2, 3, 4, 5, 6, 7)
-	is.Equal(f.copied(), []uint64{2, 3, 4, 5})
+	is.Equal(f.tied(), []uint64{2, 3, 4, 5})
 	f.receive(f.session, &v1.EntryBatch{Cancels: []uint64{3}}, f.now) // granted in the other region
-	is.Equal(f.copied(), []uint64{6})
+	is.Equal(f.tied(), []uint64{6})
 	f.receive(f.session, &v1.EntryBatch{Done: []*v1.Done{{Seq: 1}}}, f.now) // demand 2 runs here
-	is.Equal(f.copied(), []uint64{7})
+	is.Equal(f.tied(), []uint64{7})
 }
 
-func TestDemandsAreCopiedOnlyToUsableDataCentres(t *testing.T) {
+func TestDemandsAreTiedOnlyToUsableDataCentres(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
 	f.setReachable(true)
 	f.ask("large", minute, 1, 2)
 	f.ask("small", minute, 3)
-	is.Equal(f.copied(), []uint64{3})
+	is.Equal(f.tied(), []uint64{3})
 }
 
 func TestSharesGoToTheSchedulersOfOtherRegions(t *testing.T) {
