pool: wait for routers from the first join of any of them

A scheduler without memory waited for the routers' requests in flight only if the first router that joined had some.

For SettleTime after the first join it now grants one slot at a time and hands out no spare slots, and grants none once it was told of a request in flight. Such news also begins the time anew if nothing was granted.

No grant at all in that time: delays each first request, against TestFreshSchedulerGrantsAtOnce (not run). Counters of the first router as the sign of a rebuild: only two routers have them. One grant in all, also for shards (tried, reverted): TestWithdrawnDemandMakesRoomForACopy and TestPausedHolderLowersItsSlotsBeforeItGrants failed. One for each target: lets as many requests through as there are targets (not run).

TestRebuildByIdleRouter failed before: 4 actions in place of 1. No existing test was changed.

go test ./pool ./router/internal/scheduling ./internal/compose ./internal/measure and go test ./internal/e2e -run 'Scheduler|Queued|Shard' pass.

--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -18,10 +18,7 @@
 
 // fill grants the free slots of t to waiting demands.
 func (s *Scheduler) fill(t *target) {
-	if s.settling.active {
-		return
-	}
-	for t.admits() && t.free() > 0 && s.waiting > 0 {
+	for !s.withholds() && t.admits() && t.free() > 0 && s.waiting > 0 {
 		d := s.next(t)
 		if d == nil {
 			return
@@ -61,7 +58,7 @@
 
 // choose returns the best target with a free slot for the demand, or nil.
 func (s *Scheduler) choose(d *demand, c *class) *target {
-	if s.settling.active {
+	if s.withholds() {
 		return nil
 	}
 	entry := s.affinity.lookup(d.prefix)
--- a/pool/options.go
+++ b/pool/options.go
@@ -26,9 +26,9 @@
 	// HoldTime is how long the slots of a lost router stay busy; the default
 	// is 30 s.
 	HoldTime time.Duration
-	// SettleTime is how long a scheduler without grants waits for other routers
-	// once one with requests in flight has joined. Until then it takes slots for
-	// free that are in use. Zero waits for none.
+	// SettleTime is how long a scheduler grants one slot at a time after the first
+	// router has joined, and none after the first one with requests in flight.
+	// Until then it takes slots for free that are in use. Zero waits for none.
 	SettleTime time.Duration
 	// MaxService is the time without a sign of a granted demand after which
 	// its slot is free again; the default is 15 min.
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -16,9 +16,9 @@
 // Scheduler assigns the slots of a pool's targets to waiting demands.
 //
 // After each step, no free slot coexists with a waiting demand that may use
-// it, except for Options.SettleTime after a rebuild. Between workspaces the least counter of package fairshare goes first,
-// within a workspace the earliest deadline. All state is soft: an empty
-// Scheduler is rebuilt by TargetsChanged, WorkspacesChanged and RouterJoined,
+// it, except for Options.SettleTime after a start. Between workspaces the least
+// counter of package fairshare goes first, within a workspace the earliest
+// deadline. All state is soft: an empty Scheduler is rebuilt by TargetsChanged, WorkspacesChanged and RouterJoined,
 // in this order. Lost, doubled, reordered and late events do no harm beyond
 // the admission of more work than a target has slots, until the router joins
 // again.
--- a/pool/settle.go
+++ b/pool/settle.go
@@ -1,23 +1,50 @@
 package pool
 
-// settling delays the first grants of a scheduler that is rebuilt, until the
-// routers have told which slots are in use. Its timer is the end of the delay.
+// settling limits the first grants of a scheduler, which may be the successor of
+// a lost one, until the routers have told which slots are in use. Its timer is
+// the end of that time.
 type settling struct {
 	timer
 	begun  bool
 	active bool
+	// told is set once a router has named requests in flight.
+	told bool
 }
 
-// awaitRouters begins the delay when the first router with requests in flight joins
-// a scheduler that has granted nothing.
+// awaitRouters begins the time when the first router joins, and again when the
+// first one with requests in flight joins a scheduler that has granted nothing.
+// The slots of a shard are allotted when they are free, so that there the first
+// join alone begins nothing.
 func (s *Scheduler) awaitRouters(inFlight int) {
-	if s.settling.begun || s.granted > 0 || inFlight == 0 || s.options.SettleTime <= 0 {
+	d := &s.settling
+	if s.granted > 0 || d.told || s.options.SettleTime <= 0 {
 		return
 	}
-	s.settling.begun = true
-	s.settling.active = true
-	s.settling.owner = &s.settling
-	s.timers.set(&s.settling.timer, s.now.Add(s.options.SettleTime))
+	if inFlight == 0 && (d.begun || s.allotted != nil) {
+		return
+	}
+	d.begun = true
+	d.active = true
+	d.told = inFlight > 0
+	d.owner = d
+	s.timers.set(&d.timer, s.now.Add(s.options.SettleTime))
+}
+
+// withholds tells whether free slots may be in use and must not be granted. As
+// long as no router has named requests in flight, the scheduler may be a fresh
+// one, so that one request at a time is granted.
+func (s *Scheduler) withholds() bool {
+	return s.settling.active && (s.settling.told || s.serves())
+}
+
+// serves tells whether any request is in flight.
+func (s *Scheduler) serves() bool {
+	for _, t := range s.targets {
+		if t.busy > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // due implements timed: what waits may be granted.
--- a/pool/settle_test.go
+++ b/pool/settle_test.go
@@ -54,3 +54,52 @@
 	s.Step(start, pool.RouterJoined{Router: router})
 	is.Equal(len(s.Step(start, pool.Demand{ID: pool.DemandID{Router: router, Seq: 1}, Workspace: 1})), 1)
 }
+
+// TestRebuildByIdleRouter checks that a scheduler grants at most one slot and
+// hands out none ahead before all routers had the time to tell which are in use,
+// if the first one that joins has no request in flight.
+func TestRebuildByIdleRouter(t *testing.T) {
+	is := is.New(t)
+	const settle = 100 * time.Millisecond
+	start := time.Unix(1_800_000_000, 0)
+	idle, busy := pool.Router{Name: "idle", Incarnation: 1}, pool.Router{Name: "busy", Incarnation: 1}
+	s := pool.New(pool.Options{SettleTime: settle, MaxSpares: 4})
+	s.Step(start, pool.WorkspacesChanged{Workspaces: []pool.Workspace{{ID: 1, Share: 1}}})
+	s.Step(start, pool.TargetsChanged{Targets: []pool.Target{{ID: 1, Slots: 3, Speed: 1}}})
+	s.Step(start, pool.RouterJoined{Router: idle})
+	actions := 0
+	for seq := uint64(1); seq <= 3; seq++ {
+		actions += len(s.Step(start, pool.Demand{ID: pool.DemandID{Router: idle, Seq: seq}, Workspace: 1}))
+	}
+	is.Equal(actions, 1) // the first grant
+	s.Step(start.Add(settle/2), pool.RouterJoined{Router: busy, InFlight: []pool.InFlight{
+		{ID: pool.DemandID{Router: busy, Seq: 1}, Workspace: 1, Target: 1},
+	}})
+	due, ok := s.NextTick()
+	is.True(ok)
+	is.Equal(due, start.Add(settle))
+	is.Equal(len(s.Step(due.Add(-time.Nanosecond), pool.Tick{})), 0)
+	is.Equal(len(s.Step(due, pool.Tick{})), 1) // the one slot that is free
+	is.True(s.Settled())
+}
+
+// TestLateNewsOfRequestsInFlight checks that a scheduler which granted nothing
+// waits anew when it hears of requests in flight, also after its first wait.
+func TestLateNewsOfRequestsInFlight(t *testing.T) {
+	for _, at := range []time.Duration{50 * time.Millisecond, time.Second} {
+		is := is.New(t)
+		const settle = 100 * time.Millisecond
+		start := time.Unix(1_800_000_000, 0)
+		idle, busy := pool.Router{Name: "idle", Incarnation: 1}, pool.Router{Name: "busy", Incarnation: 1}
+		s := pool.New(pool.Options{SettleTime: settle})
+		s.Step(start, pool.WorkspacesChanged{Workspaces: []pool.Workspace{{ID: 1, Share: 1}}})
+		s.Step(start, pool.TargetsChanged{Targets: []pool.Target{{ID: 1, Slots: 2, Speed: 1}}})
+		s.Step(start, pool.RouterJoined{Router: idle})
+		s.Step(start.Add(at), pool.RouterJoined{Router: busy, InFlight: []pool.InFlight{
+			{ID: pool.DemandID{Router: busy, Seq: 1}, Workspace: 1, Target: 1},
+		}})
+		demand := pool.Demand{ID: pool.DemandID{Router: idle, Seq: 1}, Workspace: 1}
+		is.Equal(len(s.Step(start.Add(at+settle-time.Nanosecond), demand)), 0)
+		is.Equal(len(s.Step(start.Add(at+settle), pool.Tick{})), 1)
+	}
+}
--- a/pool/spare.go
+++ b/pool/spare.go
@@ -103,8 +103,12 @@
 	s.emit(HandSpare{Router: r.Router, Spare: sp.id, Target: t.ID, Expires: expires, Rate: t.service.rate()})
 }
 
-// chooseSpare returns the best target whose slots are at most half in use.
+// chooseSpare returns the best target whose slots are at most half in use. There
+// is none before the routers have told which are.
 func (s *Scheduler) chooseSpare(zone string) *target {
+	if s.settling.active {
+		return nil
+	}
 	var best *target
 	for _, t := range s.open {
 		if 2*t.free() <= t.usable || !t.healthy(zone, s.now) {
