--- a/router/internal/control/announce.go
+++ b/router/internal/control/announce.go
@@ -10,8 +10,8 @@
 // announcer swaps state with all routers that may serve requests. Requests that
 // come while a round runs share the next one.
 type announcer struct {
-	// running is held by the round that is running.
-	running sync.Mutex
+	// running holds an element while a round is running.
+	running chan struct{}
 
 	mu sync.Mutex
 	// waiting is the round that has not begun, nil if there is none.
@@ -52,8 +52,8 @@
 
 func (c *Control) runAnnouncement(round *announcement) {
 	a := &c.announcer
-	a.running.Lock()
-	defer a.running.Unlock()
+	a.running <- struct{}{}
+	defer func() { <-a.running }()
 	a.mu.Lock()
 	a.waiting = nil
 	a.mu.Unlock()
--- a/router/internal/control/control.go
+++ b/router/internal/control/control.go
@@ -94,11 +94,12 @@
 		State:        v1.InstanceState_LIVE,
 	}
 	return &Control{
-		opts:    opts,
-		logger:  log.With(opts.Logger, "duty", "control"),
-		view:    fleet.New(self, opts.Fleet),
-		tracker: rollout.New(rollout.DefaultOptions(), config.Accept, newRand()),
-		calls:   make(chan struct{}, maxExchanges),
+		opts:      opts,
+		logger:    log.With(opts.Logger, "duty", "control"),
+		view:      fleet.New(self, opts.Fleet),
+		tracker:   rollout.New(rollout.DefaultOptions(), config.Accept, newRand()),
+		calls:     make(chan struct{}, maxExchanges),
+		announcer: announcer{running: make(chan struct{}, 1)},
 	}
 }
 
