Test that failed dials hold no version back

Cause: no test covered the rule that a failed dial is no evidence against a version.

Ruled out: TestHoldsBackFailingVersion covers failed loads only.

Change: TestFailedDialsHoldNothingBack answers each load with NotSent and checks that all engines are tried and none is held back.

--- a/orders/sender_test.go
+++ b/orders/sender_test.go
@@ -354,6 +354,37 @@
 	is.Equal(w.routers[0].sender.Status().HeldBack, 6)
 }
 
+// TestFailedDialsHoldNothingBack checks that orders that reached no engine are
+// no evidence against their version: it is tried on all engines that can be
+// reached, however many were not.
+func TestFailedDialsHoldNothingBack(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{loads: 1}, 1, 8, 1)
+	sender := w.routers[0].sender
+	now := start
+	view := orders.Tick{Plan: w.plans[0], Routers: []orders.Router{{Name: "router-0", Region: configtest.Region}}}
+	state := orders.State{Version: version(0), Role: w.plans[0].Engines[0].Role}
+	dialed := map[string]bool{}
+	for now.Sub(start) < calmTime {
+		now = now.Add(time.Second)
+		actions := sender.Step(now, view)
+		for len(actions) > 0 {
+			var result orders.Event
+			switch a := actions[0].(type) {
+			case orders.QueryState:
+				result = orders.QueryEnded{Target: a.Target, Attempt: a.Attempt, Outcome: orders.Done, State: state}
+			case orders.SendOrder:
+				is.Equal(a.Order.Kind, orders.LoadModel)
+				dialed[a.Target] = true
+				result = orders.OrderEnded{Target: a.Target, Attempt: a.Attempt, Outcome: orders.NotSent}
+			}
+			actions = append(actions[1:], sender.Step(now, result)...)
+		}
+	}
+	is.Equal(len(dialed), len(w.engines))
+	is.Equal(sender.Status().HeldBack, 0)
+}
+
 // TestShardsDivideLimits checks that the parts of the shards add up to the
 // limits and that no shard is without a load.
 func TestShardsDivideLimits(t *testing.T) {
