Split the property test of the broker

Ruled out: a change of any function or assertion; they are moved as they were, only package clause and imports are added.

Change: the model of the scheduler's end of a link is in scheduler_model_test.go; the model of the broker, the checks and the test stay.

--- a/router/internal/broker/property_test.go
+++ b/router/internal/broker/property_test.go
@@ -14,82 +14,6 @@
 	"github.com/chiveseam/chiveseam/router/internal/state"
 )
 
-// modelScheduler is the scheduler's end of one link: it follows the protocol
-// and decides at random. Batches arrive in order and late. The keys of its maps
-// that are no sequence numbers are the IDs of shards.
-type modelScheduler struct {
-	link    *fakeLink
-	waiting map[uint64]uint32
-	busy    map[uint64]running
-	// spares holds the shards of the spare slots.
-	spares map[uint64]uint32
-	out    []*v1.SchedulerBatch
-	// greeted holds the shards that the router has joined.
-	greeted map[uint32]bool
-}
-
-// running is a slot in use.
-type running struct {
-	shard  uint32
-	target config.ID
-}
-
-func newModelScheduler(l *fakeLink) *modelScheduler {
-	return &modelScheduler{
-		link:    l,
-		waiting: map[uint64]uint32{},
-		busy:    map[uint64]running{},
-		spares:  map[uint64]uint32{},
-		greeted: map[uint32]bool{},
-	}
-}
-
-// read handles the oldest batch that the broker sent.
-func (s *modelScheduler) read() {
-	batch := s.link.sent[0]
-	s.link.sent = s.link.sent[1:]
-	if batch.Hello != nil {
-		s.hello(batch.Hello)
-	}
-	for _, use := range batch.SpareUses {
-		delete(s.spares, use.Spare)
-		if b, ok := s.busy[use.Demand.Seq]; !ok || b.shard == use.Demand.Pool {
-			// The target of a spare is part of its number.
-			s.busy[use.Demand.Seq] = running{use.Demand.Pool, config.ID(use.Spare >> 32)}
-		}
-	}
-	for _, d := range batch.Demands {
-		s.waiting[d.Seq] = d.Pool
-	}
-	for _, seq := range batch.Cancels {
-		s.end(seq)
-	}
-	for _, d := range batch.Done {
-		s.end(d.Seq)
-	}
-	for _, id := range batch.SpareReturns {
-		delete(s.spares, id)
-	}
-}
-
-// hello rebuilds the state of shards as pool.RouterJoined does.
-func (s *modelScheduler) hello(hello *v1.Hello) {
-	for _, c := range hello.Counters {
-		s.greeted[c.Pool] = true
-		maps.DeleteFunc(s.waiting, func(_ uint64, shard uint32) bool { return shard == c.Pool })
-		maps.DeleteFunc(s.busy, func(_ uint64, r running) bool { return r.shard == c.Pool })
-		maps.DeleteFunc(s.spares, func(_ uint64, shard uint32) bool { return shard == c.Pool })
-	}
-	for _, f := range hello.InFlight {
-		s.busy[f.Seq] = running{f.Pool, config.ID(f.Target)}
-	}
-}
-
-func (s *modelScheduler) end(seq uint64) {
-	delete(s.waiting, seq)
-	delete(s.busy, seq)
-}
-
 // brokerModel is a broker among schedulers, over connections that delay.
 type brokerModel struct {
 	*fixture
@@ -151,49 +75,6 @@
 	return list
 }
 
-// decide lets a scheduler answer one of its demands or hand out a spare.
-func (m *brokerModel) decide(s *modelScheduler) {
-	batch := &v1.SchedulerBatch{}
-	waiting := slices.Sorted(maps.Keys(s.waiting))
-	target := config.ID(100 + rapid.IntRange(0, 3).Draw(m.t, "target"))
-	if len(waiting) == 0 {
-		m.handSpare(s, target)
-		return
-	}
-	seq := rapid.SampledFrom(waiting).Draw(m.t, "seq")
-	shard := s.waiting[seq]
-	decision := rapid.IntRange(0, 5).Draw(m.t, "decision")
-	if decision == 1 || decision == 2 {
-		batch.Copies = []*v1.Copy{{Seq: seq, Region: remote}}
-		s.out = append(s.out, batch)
-		return
-	}
-	delete(s.waiting, seq)
-	switch decision {
-	case 0:
-		batch.Refusals = []*v1.Refusal{{Seq: seq, Code: v1.Code_QUEUE_FULL}}
-	default:
-		s.busy[seq] = running{shard, target}
-		batch.Grants = []*v1.Grant{{Seq: seq, Target: uint32(target)}}
-	}
-	s.out = append(s.out, batch)
-}
-
-// handSpare hands out a spare slot of a shard that the router has joined.
-func (m *brokerModel) handSpare(s *modelScheduler, target config.ID) {
-	greeted := slices.Sorted(maps.Keys(s.greeted))
-	if len(greeted) == 0 {
-		return
-	}
-	m.nextSpare++
-	id := uint64(target)<<32 | m.nextSpare
-	shard := rapid.SampledFrom(greeted).Draw(m.t, "shard")
-	s.spares[id] = shard
-	spare := spareBatch(id, time.Minute)
-	spare.Spares[0].Target, spare.Spares[0].Pool = uint32(target), shard
-	s.out = append(s.out, spare)
-}
-
 // deliver hands the oldest answer of a scheduler to the broker.
 func (m *brokerModel) deliver(s *modelScheduler) {
 	batch := s.out[0]
