Let a silent router hold up no announcement to the others

Cause: announcements ran in rounds, one at a time. A round waited for a silent router for up to announceTimeout (1 s), the next could not begin before, and the guard waits 100 ms: a loss or a suspect that was announced meanwhile reached no router in time, the live ones neither. This lasts until the silent router is no longer reachable.

Ruled out: the exchanges themselves (the first announcement reaches the live router); a shorter announceTimeout (it would have to be far below the guard's 100 ms and would fail slow routers); rounds that overlap (they pile up exchanges with the silent router).

Change: each router has its own sequence of contacts, with at most one running and one waiting; calls share the contact that waits. All contacts together stay within maxExchanges.

After: TestSilentRouterHoldsUpNoAnnouncement, three announcements, the live router heard each in time and the silent one was asked once. go test -count=20 ./router/internal/control and -count=5 -race pass; go test ./router/... ./orders passes. The e2e suite was not run.

Limit: 16 silent routers at a time still take all contacts until their exchanges time out.

--- a/router/internal/control/announce.go
+++ b/router/internal/control/announce.go
@@ -4,66 +4,106 @@
 	"context"
 	"sync"
 
-	"golang.org/x/sync/errgroup"
+	"github.com/chiveseam/chiveseam/fleet"
 )
 
-// announcer swaps state with all routers that may serve requests. Requests that
-// come while a round runs share the next one.
+// announcer swaps state with all routers that may serve requests. Each router
+// has its own sequence of contacts, so that a silent one does not hold up the
+// contacts of the others.
 type announcer struct {
-	// running holds an element while a round is running.
-	running chan struct{}
+	// slots bounds the contacts that are open at the same time.
+	slots chan struct{}
 
 	mu sync.Mutex
-	// waiting is the round that has not begun, nil if there is none.
-	waiting *announcement
+	// waiting has an entry for each router with a sequence that runs: the
+	// contact that has not begun, nil if there is none.
+	waiting map[string]*contact
 }
 
-// announcement is one round; done is closed when it ends.
-type announcement struct {
-	done chan struct{}
-	// answered is set before done is closed if all routers have answered.
-	answered bool
+// contact is an exchange with one router; done is closed when it ends.
+type contact struct {
+	member fleet.Member
+	done   chan struct{}
+	// err is set before done is closed.
+	err error
+}
+
+func newAnnouncer() announcer {
+	return announcer{
+		slots:   make(chan struct{}, maxExchanges),
+		waiting: map[string]*contact{},
+	}
 }
 
 // Announce swaps state with all routers that may serve requests, so that they
 // know what this router knew before the call. It returns when all have answered
 // or failed, or when the context ends, and reports whether all have answered.
+// Calls share the contacts that have not begun.
 func (c *Control) Announce(ctx context.Context) bool {
-	round := c.joinAnnouncement()
-	select {
-	case <-round.done:
-		return round.answered
-	case <-ctx.Done():
-		return false
+	var contacts []*contact
+	for _, m := range c.servingPeers() {
+		contacts = append(contacts, c.joinContact(m))
 	}
+	answered := true
+	for _, next := range contacts {
+		select {
+		case <-next.done:
+			answered = answered && next.err == nil
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return answered
 }
 
-// joinAnnouncement returns the round that begins next.
-func (c *Control) joinAnnouncement() *announcement {
+// joinContact returns the contact with the router that begins next.
+func (c *Control) joinContact(m fleet.Member) *contact {
 	a := &c.announcer
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.waiting == nil {
-		a.waiting = &announcement{done: make(chan struct{})}
-		go c.runAnnouncement(a.waiting)
+	next, running := a.waiting[m.Name]
+	if next == nil {
+		next = &contact{member: m, done: make(chan struct{})}
+		a.waiting[m.Name] = next
+	}
+	if !running {
+		go c.runContacts(m.Name)
 	}
-	return a.waiting
+	return next
 }
 
-func (c *Control) runAnnouncement(round *announcement) {
+// runContacts makes the contacts with one router until none waits.
+func (c *Control) runContacts(name string) {
 	a := &c.announcer
-	a.running <- struct{}{}
-	defer func() { <-a.running }()
+	for {
+		a.slots <- struct{}{}
+		next := a.begin(name)
+		if next != nil {
+			next.err = c.contact(next.member)
+			close(next.done)
+		}
+		<-a.slots
+		if next == nil {
+			return
+		}
+	}
+}
+
+// begin returns the contact that waits. It ends the sequence if there is none.
+func (a *announcer) begin(name string) *contact {
 	a.mu.Lock()
-	a.waiting = nil
-	a.mu.Unlock()
-	defer close(round.done)
+	defer a.mu.Unlock()
+	next := a.waiting[name]
+	if next == nil {
+		delete(a.waiting, name)
+		return nil
+	}
+	a.waiting[name] = nil
+	return next
+}
+
+func (c *Control) contact(m fleet.Member) error {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
-	var open errgroup.Group
-	open.SetLimit(maxExchanges)
-	for _, m := range c.servingPeers() {
-		open.Go(func() error { return c.exchange(ctx, m) })
-	}
-	round.answered = open.Wait() == nil
+	return c.exchange(ctx, m)
 }
--- a/router/internal/control/announce_test.go
+++ b/router/internal/control/announce_test.go
@@ -18,8 +18,8 @@
 func (n *news) Fill(out *v1.PeerState) { out.SuspectsSeq = n.Load() }
 func (n *news) Merge(*v1.PeerState)    {}
 
-// newAnnouncer returns the control "a", which knows the others from the list.
-func newAnnouncer(t *testing.T, others ...string) (*network, *Control, *news) {
+// newAnnouncingRouter returns the control "a", which knows the others from the list.
+func newAnnouncingRouter(t *testing.T, others ...string) (*network, *Control, *news) {
 	t.Helper()
 	n := newNetwork(t, append(others, "a")...)
 	for _, c := range n.routers {
@@ -36,7 +36,7 @@
 func TestAnnounceAsksServingRouters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n, a, told := newAnnouncer(t, "live", "stopping", "silent")
+		n, a, told := newAnnouncingRouter(t, "live", "stopping", "silent")
 		n.setSilent("silent", true)
 		n.run(is, time.Minute, "a", "live", "stopping")
 		n.routers["stopping"].Stop(t.Context())
@@ -55,7 +55,7 @@
 func TestAnnounceReportsMissingAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n, a, _ := newAnnouncer(t, "live", "silent")
+		n, a, _ := newAnnouncingRouter(t, "live", "silent")
 		n.setSilent("silent", true)
 		began := time.Now()
 		is.True(!a.Announce(t.Context()))
@@ -77,7 +77,7 @@
 func TestAnnouncementsShareExchanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n, a, told := newAnnouncer(t, "b", "c")
+		n, a, told := newAnnouncingRouter(t, "b", "c")
 		n.held = make(chan struct{})
 		const calls = 5
 		answers := make(chan bool, calls)
@@ -95,3 +95,21 @@
 		is.Equal(n.heard, map[string]uint64{"b": calls - 1, "c": calls - 1})
 	})
 }
+
+// A silent router does not keep later announcements from the others.
+func TestSilentRouterHoldsUpNoAnnouncement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, a, told := newAnnouncingRouter(t, "live", "silent")
+		n.setSilent("silent", true)
+		for call := range uint64(3) {
+			ctx, cancel := context.WithTimeout(t.Context(), announceTimeout/10)
+			defer cancel()
+			told.Store(call)
+			is.True(!a.Announce(ctx))
+			is.Equal(n.heard["live"], call)
+		}
+		is.Equal(n.counts(), map[string]int{"live": 3, "silent": 1})
+		a.Announce(t.Context()) // the contacts end
+	})
+}
--- a/router/internal/control/control.go
+++ b/router/internal/control/control.go
@@ -99,7 +99,7 @@
 		view:      fleet.New(self, opts.Fleet),
 		tracker:   rollout.New(rollout.DefaultOptions(), config.Accept, newRand()),
 		calls:     make(chan struct{}, maxExchanges),
-		announcer: announcer{running: make(chan struct{}, 1)},
+		announcer: newAnnouncer(),
 	}
 }
 
--- a/router/internal/control/exchange.go
+++ b/router/internal/control/exchange.go
@@ -15,7 +15,7 @@
 	exchangeTick = 100 * time.Millisecond
 	// maxExchanges bounds the contacts that are open at the same time.
 	maxExchanges = 16
-	// announceTimeout bounds a round of exchanges with all routers.
+	// announceTimeout bounds an exchange of an announcement.
 	announceTimeout = time.Second
 )
 
