pool: charge at the grant what is served until the next charge

Their calls of 100 to 300 ms are as short as the 250 ms between two charges, so that only a quarter of them was charged while a workspace took more slots. Ruled out: the estimate (costs of these calls are their time); a shorter interval (more work for each request in flight). Change: ahead of service is charged the larger of a quarter of the estimate and what the slot serves in 250 ms, at most the estimate.

--- a/pool/prediction.go
+++ b/pool/prediction.go
@@ -40,12 +40,16 @@
 // Resumed returns the prediction of a demand that was charged for before and
 // goes on at the rate.
 func Resumed(charged, rate int64) Prediction {
-	return Prediction{Estimate: charged, Rate: rate, lead: charged - partAhead(charged)}
+	p := Prediction{Estimate: charged, Rate: rate}
+	p.lead = charged - p.ahead()
+	return p
 }
 
-// partAhead returns the part of an estimate that is charged ahead of service.
-func partAhead(estimate int64) int64 {
-	return (estimate + lookAhead - 1) / lookAhead
+// ahead returns what is charged ahead of service: a part of the estimate, and as
+// much of it as is served until the next charge.
+func (p *Prediction) ahead() int64 {
+	untilNext := int64(float64(p.Rate) * predictInterval.Seconds())
+	return max((p.Estimate+lookAhead-1)/lookAhead, min(p.Estimate, untilNext))
 }
 
 // served returns the cost served in the time since the grant.
@@ -58,7 +62,7 @@
 	if p.Rate <= 0 {
 		return max(p.Estimate, p.reported)
 	}
-	charged := p.served(elapsed) + partAhead(p.Estimate)
+	charged := p.served(elapsed) + p.ahead()
 	return min(charged, max(maxEstimates*p.Estimate, p.reported))
 }
 
--- a/pool/prediction_test.go
+++ b/pool/prediction_test.go
@@ -50,6 +50,16 @@
 	})
 }
 
+// TestShortDemandIsChargedAtOnce checks that what is served before the next
+// charge is charged ahead, up to the estimate.
+func TestShortDemandIsChargedAtOnce(t *testing.T) {
+	is := is.New(t)
+	short := Prediction{Estimate: 200, Rate: 1000}
+	is.Equal(short.Charged(0), int64(200))
+	long := Prediction{Estimate: 100_000, Rate: 1000}
+	is.Equal(long.Charged(0), int64(100_000/lookAhead))
+}
+
 // TestServedCostIsChargedWithoutReports lets a demand run on a slot whose rate
 // is known: what is served is charged, and what is left is settled at the end.
 func TestServedCostIsChargedWithoutReports(t *testing.T) {
