--- /dev/null
+++ b/cmd/chiveseam-edge/main.go
@@ -0,0 +1,125 @@
+// Command chiveseam-edge runs one router of the fleet on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/jessevdk/go-flags"
+	"gopkg.in/tomb.v2"
+
+	"github.com/chiveseam/chiveseam/edge"
+	"github.com/chiveseam/chiveseam/internal/logqueue"
+	"github.com/chiveseam/chiveseam/platform"
+)
+
+// version is set when the program is linked.
+var version = "devel"
+
+// Exit codes of the program.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+type options struct {
+	Settings string `long:"settings" env:"CHIVESEAM_NODE_FILE" description:"Path of the settings file." required:"yes"`
+	Check    bool   `long:"check" description:"Check the settings file and exit."`
+	Version  bool   `long:"version" description:"Print the version and exit."`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var o options
+	if _, err := flags.ParseArgs(&o, args); err != nil {
+		if flags.WroteHelp(err) {
+			return exitOK
+		}
+		return exitUsage
+	}
+	if o.Version {
+		fmt.Println("chiveseam-edge", version)
+		return exitOK
+	}
+	s, err := edge.ReadSettings(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	return serve(s)
+}
+
+// memoryShare is the part of the process's memory that the collector may use;
+// the rest is for the program's text, stacks and the kernel's buffers.
+const memoryShare = 0.6
+
+func serve(s *edge.Settings) int {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	var logs tomb.Tomb
+	queue := logqueue.New(os.Stdout)
+	logs.Go(func() error { return queue.Run(&logs) })
+	defer func() {
+		logs.Kill(nil)
+		logs.Wait()
+	}()
+	logger := log.With(log.NewJSONLogger(queue), "time", log.DefaultTimestampUTC)
+	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
+	e, err := edge.New(edge.Options{
+		Settings: s, Headers: platform.Headers(), ReadyPath: platform.ReadyPath,
+		Source: platform.NewStore(s.Store, storeTransport()), Logger: logger, Version: version,
+	})
+	if err != nil {
+		level.Error(logger).Log("event", "start_failed", "error", err)
+		return exitFailure
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	reloadOnHangup(ctx, e)
+	if err := e.Run(ctx); err != nil {
+		level.Error(logger).Log("event", "failed", "error", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func reloadOnHangup(ctx context.Context, e *edge.Edge) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangup:
+				e.Reload()
+			}
+		}
+	}()
+}
+
+const (
+	// storeDial bounds a new connection to the store, which answers in 4 ms.
+	storeDial = 300 * time.Millisecond
+	// storeIdle is how long a connection to the store is kept between two calls.
+	storeIdle = 10 * time.Second
+)
+
+func storeTransport() *http.Transport {
+	dialer := net.Dialer{Timeout: storeDial}
+	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: storeIdle, DisableCompression: true}
+}
--- /dev/null
+++ b/edge/admin.go
@@ -0,0 +1,134 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uptrace/bunrouter"
+)
+
+// metrics are the counters and histograms of a router.
+type metrics struct {
+	registry           *prometheus.Registry
+	attempts           *prometheus.CounterVec
+	results            *prometheus.CounterVec
+	reports            *prometheus.CounterVec
+	aborted            prometheus.Counter
+	refusedConnections prometheus.Counter
+	callers            prometheus.Gauge
+	version            prometheus.Gauge
+	duration           prometheus.Histogram
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chiveseam_edge_attempts_total", Help: "Attempts at targets by how they ended.",
+		}, []string{"fate"}),
+		results: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chiveseam_edge_results_total", Help: "Answers made by the router by result code.",
+		}, []string{"code"}),
+		reports: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chiveseam_edge_reports_total", Help: "Load reports by what became of them.",
+		}, []string{"outcome"}),
+		aborted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chiveseam_edge_aborted_total", Help: "Answers broken off.",
+		}),
+		refusedConnections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chiveseam_edge_refused_connections_total", Help: "Connections of callers beyond the limit.",
+		}),
+		callers: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chiveseam_edge_callers", Help: "Open connections of callers.",
+		}),
+		version: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chiveseam_edge_configuration_version", Help: "Version of the configuration in force.",
+		}),
+		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "chiveseam_edge_request_duration_seconds", Help: "Time from a request's first byte to the end of its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
+		}),
+	}
+	m.registry.MustRegister(m.attempts, m.results, m.reports, m.aborted, m.refusedConnections, m.callers, m.version, m.duration)
+	return m
+}
+
+// adminTimeout bounds calls of the balancer and of metrics.
+const adminTimeout = 2 * time.Second
+
+// readyServer answers whether callers should come.
+func (e *Edge) readyServer() *http.Server {
+	router := bunrouter.New()
+	router.GET(e.readyPath, func(w http.ResponseWriter, _ bunrouter.Request) error {
+		if !e.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return nil
+	})
+	return &http.Server{Handler: router, ReadHeaderTimeout: adminTimeout}
+}
+
+func (e *Edge) isReady() bool {
+	return e.table.Load() != nil && e.targetsRead.Load() && !e.stopping.Load()
+}
+
+func (e *Edge) metricsServer() *http.Server {
+	router := bunrouter.New()
+	handler := promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{})
+	router.GET("/metrics", bunrouter.HTTPHandler(handler))
+	return &http.Server{Handler: router, ReadHeaderTimeout: adminTimeout}
+}
+
+// settingsPoll is how often the settings file is looked at: it may change
+// without a signal.
+const settingsPoll = 2 * time.Second
+
+// watchSettings reloads the settings file when it changes.
+func (e *Edge) watchSettings(ctx context.Context) error {
+	path := e.settings.SettingsFilePath
+	last, err := os.ReadFile(path)
+	if err != nil {
+		level.Warn(e.logger).Log("event", "settings_unreadable", "error", err)
+	}
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		current, err := os.ReadFile(path)
+		if err != nil || string(current) == string(last) {
+			continue
+		}
+		last = current
+		e.Reload()
+	}
+}
+
+// Reload reads the settings file again and takes what can change while the
+// router runs: seeds, limits of retries and windows. A file with mistakes changes
+// nothing.
+func (e *Edge) Reload() {
+	s, err := ReadSettings(e.settings.SettingsFilePath)
+	if err != nil {
+		level.Error(e.logger).Log("event", "reload_failed", "error", err)
+		return
+	}
+	seeds, err := s.SeedAddresses()
+	if err != nil {
+		level.Error(e.logger).Log("event", "reload_failed", "error", err)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.members.SetSeeds(seeds)
+	e.settings.RetryRatio, e.settings.RetryMin, e.settings.RetryWindow = s.RetryRatio, s.RetryMin, s.RetryWindow
+	level.Info(e.logger).Log("event", "reloaded", "seeds", s.Seeds, "retry_ratio", s.RetryRatio, "retry_min", s.RetryMin)
+}
--- /dev/null
+++ b/edge/attempt.go
@@ -0,0 +1,299 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/chiveseam/chiveseam/h1"
+	"github.com/chiveseam/chiveseam/placement"
+	"github.com/chiveseam/chiveseam/routing"
+)
+
+// fate says what is known of an attempt's execution.
+type fate int
+
+const (
+	// answered: the caller has the whole answer.
+	answered fate = iota
+	// notSent: no byte of the request reached the target.
+	notSent
+	// rejected: the target says that it did not run the request.
+	rejected
+	// lost: the request may have run, and its answer did not come whole.
+	lost
+	// failing: the target ran the request and answered with an error of its own.
+	failing
+	// abandoned: the caller left, or cannot be answered any more.
+	abandoned
+)
+
+func (f fate) String() string {
+	return [...]string{"answered", "not_sent", "rejected", "lost", "failing", "abandoned"}[f]
+}
+
+// attempt is one try of a call at one target.
+type attempt struct {
+	call   *call
+	target routing.Target
+	ticket *placement.Ticket
+	number int
+	began  time.Time
+	// answer is a whole answer that is not delivered yet; set with failing.
+	answer *answer
+	// crashed is set if the connection broke while the target had the request.
+	crashed bool
+	err     error
+}
+
+// answer is a whole plain answer of a target.
+type answer struct {
+	status int
+	header h1.Header
+	body   []byte
+}
+
+var (
+	errForeignAnswer = errors.New("answers of other requests came")
+	errUnsigned      = errors.New("answer without a signature")
+	errSilent        = errors.New("target is silent")
+)
+
+// maxForeign is the number of answers of other requests that are passed over.
+const maxForeign = 2
+
+// run sends the request and delivers the answer.
+func (a *attempt) run(ctx context.Context) fate {
+	e := a.call.edge
+	u, err := e.pool.get(ctx, a.target.Address)
+	if err != nil {
+		a.err = err
+		if ctx.Err() != nil {
+			return abandoned
+		}
+		return notSent
+	}
+	stop := context.AfterFunc(ctx, func() { u.Close() })
+	defer stop()
+	f := a.exchange(ctx, u)
+	if ctx.Err() != nil && f != answered {
+		return abandoned
+	}
+	return f
+}
+
+func (a *attempt) exchange(ctx context.Context, u *upstream) fate {
+	c := a.call
+	message := h1.AppendRequest(make([]byte, 0, len(c.req.Body)+messageHeadBytes), c.req.Method, c.req.Target, a.header(), c.req.Body)
+	written := make(chan error, 1)
+	if sent, err := a.send(u, message, written); err != nil {
+		u.Close()
+		a.err = fmt.Errorf("send: %w", err)
+		if sent < len(message)-len(c.req.Body) {
+			return notSent
+		}
+		return lost
+	}
+	u.SetReadDeadline(a.firstDeadline())
+	resp, err := a.readHead(u)
+	if err != nil {
+		u.Close()
+		return a.broken(err)
+	}
+	f, whole := a.deliver(ctx, u, resp)
+	a.release(u, resp, whole, written)
+	return f
+}
+
+const (
+	// messageHeadBytes is the usual size of a request's head.
+	messageHeadBytes = 1024
+	// inlineBytes is the size of a request that is written before the answer is
+	// read: it fits the window of a connection.
+	inlineBytes = 16 << 10
+	// sendTimeout bounds the writing of a request.
+	sendTimeout = 5 * time.Second
+)
+
+// send writes the request. Long ones are written while the answer is read, since
+// a target may answer before it has read all; written tells their end.
+func (a *attempt) send(u *upstream, message []byte, written chan<- error) (int, error) {
+	u.SetWriteDeadline(time.Now().Add(sendTimeout))
+	if len(message) <= inlineBytes {
+		n, err := u.Write(message)
+		written <- err
+		return n, err
+	}
+	n, err := u.Write(message[:inlineBytes])
+	if err != nil {
+		return n, err
+	}
+	go func() {
+		_, err := u.Write(message[inlineBytes:])
+		written <- err
+	}()
+	return n, nil
+}
+
+// release keeps the connection if the exchange is whole on both sides.
+func (a *attempt) release(u *upstream, resp *h1.Response, whole bool, written <-chan error) {
+	if !whole {
+		u.Close()
+		return
+	}
+	select {
+	case err := <-written:
+		if err != nil {
+			u.Close()
+			return
+		}
+		a.call.edge.pool.put(u, resp)
+	default:
+		// The rest of the request is still due to the target.
+		u.Close()
+	}
+}
+
+func (a *attempt) header() h1.Header {
+	c := a.call
+	names := &c.edge.headers
+	h := make(h1.Header, 0, len(c.forward)+4)
+	for _, f := range c.forward {
+		if c.lastEvent != "" && strings.EqualFold(f.Name, names.LastEventID) {
+			continue
+		}
+		h = append(h, f)
+	}
+	if c.lastEvent != "" {
+		h = append(h, h1.Field{Name: names.LastEventID, Value: c.lastEvent})
+	}
+	left := max(time.Until(c.giveUp).Milliseconds(), 1)
+	h = append(h,
+		h1.Field{Name: names.Deadline, Value: strconv.FormatInt(left, 10)},
+		h1.Field{Name: names.TargetID, Value: a.target.ID})
+	if c.workspace != "" {
+		h = append(h, h1.Field{Name: names.Workspace, Value: c.workspace})
+	}
+	return h
+}
+
+// firstDeadline is when the target must have begun to answer. Requests that run
+// once wait until the caller gives up.
+func (a *attempt) firstDeadline() time.Time {
+	c := a.call
+	if !c.mayRepeat() || a.number >= c.route.MaxAttempts {
+		return c.giveUp
+	}
+	patience := firstPatience * c.route.TargetLatency
+	if !c.route.Stream {
+		patience = c.route.TargetLatency * plainPatience / 100
+	}
+	if at := time.Now().Add(patience); at.Before(c.giveUp) {
+		return at
+	}
+	return c.giveUp
+}
+
+const (
+	// firstPatience is the multiple of the wanted time that a stream's target may
+	// take to the first event before another one is tried.
+	firstPatience = 3
+	// plainPatience is the same for idempotent calls, in percent: the rest of the
+	// wanted time is for a second target.
+	plainPatience = 70
+)
+
+// readHead reads the head of the answer to this request and passes over late
+// answers to others.
+func (a *attempt) readHead(u *upstream) (*h1.Response, error) {
+	c := a.call
+	for range maxForeign + 1 {
+		resp, err := h1.ReadResponse(u.br, c.req.Method, maxAnswerHead)
+		if err != nil {
+			return nil, err
+		}
+		id, echoed := resp.Header.Lookup(c.edge.headers.RequestID)
+		if id == c.id || (!echoed && a.saysNotRun(resp)) {
+			return resp, nil
+		}
+		if resp.Length() < 0 {
+			return nil, errForeignAnswer
+		}
+		if _, err := io.Copy(io.Discard, resp.Body(u.br)); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errForeignAnswer
+}
+
+// saysNotRun reports whether the target states that it did not run the request.
+func (a *attempt) saysNotRun(resp *h1.Response) bool {
+	if resp.Status == http.StatusMisdirectedRequest {
+		return true
+	}
+	_, marked := resp.Header.Lookup(a.call.edge.headers.NotRun)
+	return marked && resp.Status >= 400
+}
+
+// broken classifies an answer that did not come.
+func (a *attempt) broken(err error) fate {
+	a.err = err
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		a.err = errSilent
+		return lost
+	}
+	a.crashed = true
+	return lost
+}
+
+// deliver takes the answer's body. It reports whether the body was read to its
+// end.
+func (a *attempt) deliver(ctx context.Context, u *upstream, resp *h1.Response) (fate, bool) {
+	names := &a.call.edge.headers
+	if a.saysNotRun(resp) {
+		_, err := a.readBody(u, resp)
+		a.err = fmt.Errorf("target answered %d", resp.Status)
+		return rejected, err == nil
+	}
+	if _, signed := resp.Header.Lookup(names.Signature); !signed {
+		a.err = errUnsigned
+		return lost, false
+	}
+	if a.call.route.Stream && resp.Status < 300 {
+		return a.stream(ctx, u, resp)
+	}
+	body, err := a.readBody(u, resp)
+	if err != nil {
+		return a.broken(err), false
+	}
+	a.call.edge.first(a)
+	a.answer = &answer{status: resp.Status, header: resp.Header, body: body}
+	if resp.Status >= 500 {
+		a.err = fmt.Errorf("target answered %d", resp.Status)
+		return failing, true
+	}
+	if a.call.reply.whole(a.answer) != nil {
+		return abandoned, true
+	}
+	return answered, true
+}
+
+// maxPlainBytes bounds a plain answer, which is held until it is whole.
+const maxPlainBytes = 8 << 20
+
+func (a *attempt) readBody(u *upstream, resp *h1.Response) ([]byte, error) {
+	u.SetReadDeadline(a.call.giveUp)
+	var buf bytes.Buffer
+	n, err := io.Copy(&buf, io.LimitReader(resp.Body(u.br), maxPlainBytes+1))
+	if err == nil && n > maxPlainBytes {
+		return nil, h1.ErrBodyTooLarge
+	}
+	return buf.Bytes(), err
+}
--- /dev/null
+++ b/edge/call.go
@@ -0,0 +1,329 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/chiveseam/chiveseam/h1"
+	"github.com/chiveseam/chiveseam/placement"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/result"
+	"github.com/chiveseam/chiveseam/routing"
+)
+
+// call is one request of a caller on its way through the router.
+type call struct {
+	edge      *Edge
+	req       *h1.Request
+	reply     *reply
+	id        string
+	arrived   time.Time
+	table     *routing.Table
+	route     *routing.Route
+	workspace string
+	service   string
+	forward   h1.Header
+	digest    uint64
+	demand    placement.Demand
+	// giveUp is the earlier of the caller's deadline and the route's timeout.
+	giveUp time.Time
+	// lastEvent is the ID of the last event that was passed on.
+	lastEvent string
+	// tried are the targets that got the request, or could not be reached.
+	tried map[string]bool
+	// sent counts the targets that got the request.
+	sent int
+	// mayHaveRun is set once an attempt ended without proof that it did not run.
+	mayHaveRun bool
+	// failed is the last error answer of a target.
+	failed *answer
+	log    log.Logger
+}
+
+// Retry-After of refusals that no prediction backs.
+const (
+	// notReadyRetry: a router reads its configuration within some hundred ms.
+	notReadyRetry = 500 * time.Millisecond
+	// stoppingRetry: the balancer has taken a stopping router out.
+	stoppingRetry = 100 * time.Millisecond
+	// brokenRetry: a target that rejects or fails a request may take the next one.
+	brokenRetry = 200 * time.Millisecond
+	// suspectRetry: a request that crashed targets is not welcome soon.
+	suspectRetry = 10 * time.Second
+	// defaultWait is the time that a caller waits if neither it nor its route
+	// states one.
+	defaultWait = 30 * time.Second
+)
+
+// serve answers one request.
+func (e *Edge) serve(ctx context.Context, req *h1.Request, r *reply, arrived time.Time) {
+	c := &call{edge: e, req: req, reply: r, id: r.id, arrived: arrived}
+	c.log = log.With(e.logger, "id", c.id)
+	if !c.accept() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.giveUp)
+	defer cancel()
+	c.run(ctx)
+}
+
+// accept finds the route and the workspace. It answers requests that have none.
+func (c *call) accept() bool {
+	c.table = c.edge.table.Load()
+	if c.table == nil {
+		c.refuse(v1.Code_NOT_READY, http.StatusServiceUnavailable, notReadyRetry, "no configuration")
+		return false
+	}
+	if c.edge.late.Load() {
+		c.reply.close = true
+		c.refuse(v1.Code_STOPPING, http.StatusServiceUnavailable, stoppingRetry, "stopping")
+		return false
+	}
+	route, ok := c.table.Match(c.req.Header.Get("Host"), c.req.Path())
+	if !ok {
+		c.refuse(v1.Code_UNKNOWN_POOL, http.StatusNotFound, 0, "no route")
+		return false
+	}
+	c.route = route
+	key := c.req.Header.Get(c.edge.headers.APIKey)
+	if c.workspace, ok = c.table.Workspace(route, key); !ok {
+		c.refuse(v1.Code_UNKNOWN_TOKEN, http.StatusUnauthorized, 0, "unknown key")
+		return false
+	}
+	c.prepare()
+	return c.unsuspected()
+}
+
+func (c *call) prepare() {
+	names := &c.edge.headers
+	wait := names.wait(c.req.Header)
+	if wait == 0 {
+		wait = defaultWait
+	}
+	if c.route.Timeout > 0 {
+		wait = min(wait, c.route.Timeout)
+	}
+	c.giveUp = c.arrived.Add(wait)
+	c.forward = names.forwarded(c.req.Header)
+	c.digest = digestOf(c.workspace, c.req.Target, c.req.Body)
+	c.tried = make(map[string]bool)
+	c.demand = placement.Demand{
+		Workspace: c.workspace,
+		Zone:      c.edge.settings.Zone,
+		Parts:     names.parts(c.req.Header),
+		Output:    names.output(c.req.Header),
+		Want:      c.route.TargetLatency,
+		Excluded:  func(target string) bool { return c.tried[target] },
+	}
+}
+
+func (c *call) unsuspected() bool {
+	c.edge.mu.Lock()
+	refused := c.edge.suspects.refused(time.Now(), c.digest)
+	c.edge.mu.Unlock()
+	if refused {
+		c.refuse(v1.Code_QUARANTINED, http.StatusServiceUnavailable, suspectRetry, "targets were lost with this request in flight")
+	}
+	return !refused
+}
+
+// run tries targets until the request is answered or given up.
+func (c *call) run(ctx context.Context) {
+	e := c.edge
+	e.mu.Lock()
+	now := time.Now()
+	c.service = c.route.Pick(rand.Float64(), func(s string) bool { return e.book.Usable(s, now) })
+	c.demand.Service = c.service
+	e.book.Asked(now, &c.demand)
+	e.budget(c.service).Requested(now)
+	e.mu.Unlock()
+	for tries := 1; ; tries++ {
+		a, err := c.choose(tries)
+		if err != nil {
+			c.giveBack(err)
+			return
+		}
+		f := a.run(ctx)
+		e.ended(a, f)
+		if !c.again(ctx, a, f) {
+			return
+		}
+	}
+}
+
+// choose asks the book for a target and takes a place there.
+func (c *call) choose(tries int) (*attempt, error) {
+	e := c.edge
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	c.demand.Waited = now.Sub(c.arrived)
+	c.demand.Left = c.giveUp.Sub(now)
+	choice, err := e.book.Choose(now, &c.demand)
+	if err != nil {
+		return nil, err
+	}
+	a := &attempt{call: c, number: c.sent + 1, began: now}
+	a.ticket = e.book.Begin(now, &c.demand, choice)
+	a.target = e.directory.targets[choice.Target]
+	c.tried[choice.Target] = true
+	level.Info(c.log).Log("event", "target_chosen", "route", c.route.Name, "version", c.table.Version,
+		"workspace", c.workspace, "target", choice.Target, "try", tries, "unread", choice.Unread,
+		"backlog", choice.Backlog, "running", choice.Running,
+		"predicted_ms", choice.Predicted.Milliseconds(), "view_age_ms", choice.Age.Milliseconds())
+	return a, nil
+}
+
+// maxUnsent bounds the targets that could not be connected to, for one request.
+const maxUnsent = 4
+
+// again decides whether another target is tried after an attempt, and answers
+// the caller if not.
+func (c *call) again(ctx context.Context, a *attempt, f fate) bool {
+	c.logAttempt(a, f)
+	switch f {
+	case answered:
+		return false
+	case abandoned:
+		c.abandon(ctx)
+		return false
+	case notSent:
+		if len(c.tried)-c.sent <= maxUnsent {
+			return true
+		}
+	case rejected:
+		c.sent++
+	case lost, failing:
+		c.sent++
+		c.mayHaveRun = true
+		c.failed = a.answer
+	}
+	if ctx.Err() != nil {
+		c.abandon(ctx)
+		return false
+	}
+	if why := c.hindrance(); why != "" {
+		c.giveBack(errors.New(why))
+		return false
+	}
+	c.demand.Repeated = true
+	return true
+}
+
+// hindrance says why a request that was sent may not be sent again.
+func (c *call) hindrance() string {
+	switch {
+	case c.mayHaveRun && !c.mayRepeat():
+		return "may have run"
+	case c.sent >= c.route.MaxAttempts:
+		return "no attempts left"
+	case c.reply.begun && c.route.Repeat != routing.Resumable:
+		return "answer begun"
+	}
+	c.edge.mu.Lock()
+	defer c.edge.mu.Unlock()
+	now := time.Now()
+	if c.edge.suspects.refused(now, c.digest) {
+		return "targets were lost with this request in flight"
+	}
+	if !c.edge.budget(c.service).Take(now) {
+		return "retry budget used up"
+	}
+	return ""
+}
+
+func (c *call) mayRepeat() bool { return c.route.Repeat != routing.Once }
+
+// giveBack ends a request for which there is no further attempt.
+func (c *call) giveBack(err error) {
+	switch {
+	case c.reply.begun:
+		c.abort(err)
+	case c.failed != nil:
+		c.logEnd("target_error", err)
+		if err := c.reply.whole(c.failed); err != nil {
+			c.logEnd("caller_gone", err)
+		}
+	case c.mayHaveRun:
+		c.answer(result.New(v1.Code_TARGET_LOST, v1.Ran_UNKNOWN, "%v", err), http.StatusBadGateway, err)
+	default:
+		c.refuseFor(err)
+	}
+}
+
+// refuseFor answers a request that has not run.
+func (c *call) refuseFor(err error) {
+	var refusal *placement.Refusal
+	code, after := v1.Code_RETRY_BUDGET_EXHAUSTED, brokenRetry
+	if errors.As(err, &refusal) {
+		after = refusal.RetryAfter
+		code = v1.Code_WAIT_EXCEEDS_DEADLINE
+		switch refusal.Err {
+		case placement.ErrNoTarget:
+			code = v1.Code_NO_TARGET
+		case placement.ErrOverShare:
+			code = v1.Code_QUEUE_FULL
+		}
+		c.log = log.With(c.log, "predicted_ms", refusal.Predicted.Milliseconds(), "level", int(refusal.Level))
+	}
+	c.refuse(code, http.StatusServiceUnavailable, after, err.Error())
+}
+
+// refuse answers that the request has not run and says when to come back.
+func (c *call) refuse(code v1.Code, status int, after time.Duration, why string) {
+	res := result.New(code, v1.Ran_NO, "%s", why)
+	res.RetryAfter = after
+	c.answer(res, status, errors.New(why))
+}
+
+func (c *call) answer(res *result.Result, status int, cause error) {
+	c.edge.metrics.results.WithLabelValues(res.Code.String()).Inc()
+	c.log = log.With(c.log, "code", int32(res.Code), "status", status, "retry_after_ms", res.RetryAfter.Milliseconds())
+	c.logEnd("request_refused", cause)
+	if err := c.reply.result(res, status); err != nil {
+		c.logEnd("caller_gone", err)
+	}
+}
+
+// abandon ends a request whose caller left or whose time is over.
+func (c *call) abandon(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && !c.reply.begun {
+		ran := v1.Ran_UNKNOWN
+		c.answer(result.New(v1.Code_TARGET_TIMEOUT, ran, "no answer in time"), http.StatusGatewayTimeout, ctx.Err())
+		return
+	}
+	c.abort(fmt.Errorf("caller left or time over: %w", context.Cause(ctx)))
+}
+
+// abort breaks the caller's connection, so that the answer never looks whole.
+func (c *call) abort(err error) {
+	c.edge.metrics.aborted.Inc()
+	c.logEnd("answer_aborted", err)
+	c.reply.close = true
+	c.reply.ended = false
+}
+
+func (c *call) logEnd(event string, err error) {
+	level.Info(c.log).Log("event", event, "workspace", c.workspace, "sent", c.sent,
+		"took_ms", time.Since(c.arrived).Milliseconds(), "reason", err)
+}
+
+func (c *call) logAttempt(a *attempt, f fate) {
+	took := time.Since(a.began)
+	c.edge.metrics.attempts.WithLabelValues(f.String()).Inc()
+	if f == answered {
+		c.edge.metrics.duration.Observe(time.Since(c.arrived).Seconds())
+		level.Info(c.log).Log("event", "request_answered", "target", a.target.ID, "attempt", a.number,
+			"took_ms", time.Since(c.arrived).Milliseconds(), "bytes", c.reply.bytes)
+		return
+	}
+	level.Info(c.log).Log("event", "attempt_failed", "target", a.target.ID, "attempt", a.number,
+		"fate", f, "crashed", a.crashed, "took_ms", took.Milliseconds(), "error", a.err)
+}
--- /dev/null
+++ b/edge/caller.go
@@ -0,0 +1,249 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chiveseam/chiveseam/h1"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/result"
+)
+
+const (
+	// callerBuffer is the size of the read buffer of a caller's connection.
+	callerBuffer = 4096
+	// idleMarginFactor keeps idle connections longer than callers reuse them.
+	idleMarginFactor = 2
+	// bodyTimeout bounds the reading of one body.
+	bodyTimeout = 10 * time.Second
+	// Defaults before a configuration is read.
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 4 << 20
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+)
+
+// caller is one connection of a caller. Its requests are served one after the
+// other.
+type caller struct {
+	edge *Edge
+	conn net.Conn
+	br   *bufio.Reader
+	// state keeps a stop from closing the connection while a request is served.
+	state atomic.Int32
+}
+
+// States of a caller's connection.
+const (
+	idle int32 = iota
+	busy
+	closing
+)
+
+// callers are the open connections of callers. It is safe for concurrent use.
+type callers struct {
+	mu   sync.Mutex
+	open map[*caller]bool
+}
+
+func (s *callers) add(c *caller) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = true
+}
+
+func (s *callers) remove(c *caller) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// closeIdle closes connections on which no request is served.
+func (s *callers) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if c.state.CompareAndSwap(idle, closing) {
+			c.conn.Close()
+		}
+	}
+}
+
+func (s *callers) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// serveCallers accepts connections until the listener is closed.
+func (e *Edge) serveCallers(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			level.Warn(e.logger).Log("event", "accept_failed", "error", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		if e.callers.count() >= e.maxCallers {
+			e.metrics.refusedConnections.Inc()
+			conn.Close()
+			continue
+		}
+		c := &caller{edge: e, conn: conn, br: bufio.NewReaderSize(conn, callerBuffer)}
+		e.callers.add(c)
+		go c.serve()
+	}
+}
+
+// acceptPause follows a failure to accept, such as a lack of descriptors.
+const acceptPause = 20 * time.Millisecond
+
+type callerLimits struct {
+	headerBytes   int
+	bodyBytes     int64
+	headerTimeout time.Duration
+	idleTimeout   time.Duration
+}
+
+func (e *Edge) callerLimits() callerLimits {
+	l := callerLimits{defaultHeaderBytes, defaultBodyBytes, defaultHeaderTimeout, defaultIdleTimeout}
+	t := e.table.Load()
+	if t == nil {
+		return l
+	}
+	if t.Limits.HeaderBytes > 0 {
+		l.headerBytes = t.Limits.HeaderBytes
+	}
+	if t.Limits.BodyBytes > 0 {
+		l.bodyBytes = t.Limits.BodyBytes
+	}
+	if t.Limits.HeaderTimeout > 0 {
+		l.headerTimeout = t.Limits.HeaderTimeout
+	}
+	if t.Limits.IdleTimeout > 0 {
+		l.idleTimeout = t.Limits.IdleTimeout
+	}
+	return l
+}
+
+func (c *caller) serve() {
+	defer c.edge.callers.remove(c)
+	defer c.conn.Close()
+	for c.next() {
+	}
+}
+
+// next serves one request and reports whether another one may follow.
+func (c *caller) next() bool {
+	limits := c.edge.callerLimits()
+	c.conn.SetReadDeadline(time.Now().Add(idleMarginFactor * limits.idleTimeout))
+	if _, err := c.br.Peek(1); err != nil {
+		return false
+	}
+	if !c.state.CompareAndSwap(idle, busy) {
+		return false
+	}
+	arrived := time.Now()
+	c.conn.SetReadDeadline(arrived.Add(limits.headerTimeout))
+	req, err := h1.ReadRequest(c.br, limits.headerBytes)
+	if err != nil {
+		c.unreadable(err)
+		return false
+	}
+	if !c.readBody(req, limits) {
+		return false
+	}
+	c.conn.SetReadDeadline(time.Time{})
+	return c.handle(req, arrived)
+}
+
+func (c *caller) readBody(req *h1.Request, limits callerLimits) bool {
+	if !req.HasBody() {
+		return true
+	}
+	if req.Header.HasToken("Expect", "100-continue") {
+		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return false
+		}
+	}
+	c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if err := req.ReadBody(c.br, limits.bodyBytes); err != nil {
+		c.unreadable(err)
+		return false
+	}
+	return true
+}
+
+// unreadable answers a request that cannot be read, and ends the connection.
+func (c *caller) unreadable(err error) {
+	status, code := 0, v1.Code_BAD_REQUEST
+	switch {
+	case errors.Is(err, h1.ErrBodyTooLarge):
+		status, code = 413, v1.Code_BODY_TOO_LARGE
+	case errors.Is(err, h1.ErrHeaderTooLarge):
+		status = 431
+	case errors.Is(err, h1.ErrSyntax), errors.Is(err, h1.ErrFraming):
+		status = 400
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return
+	}
+	level.Info(c.edge.logger).Log("event", "request_unreadable", "caller", c.conn.RemoteAddr(), "status", status, "error", err)
+	if status == 0 {
+		return
+	}
+	r := c.reply(nil)
+	r.close = true
+	if err := r.result(result.New(code, v1.Ran_NO, "%v", err), status); err != nil {
+		level.Debug(c.edge.logger).Log("event", "reply_failed", "error", err)
+	}
+}
+
+func (c *caller) reply(req *h1.Request) *reply {
+	r := &reply{conn: c.conn, idName: c.edge.headers.RequestID, minor: 1}
+	if req != nil {
+		r.id = req.Header.Get(r.idName)
+		r.minor = req.Minor
+		r.close = !req.KeepAlive() || c.edge.stopping.Load()
+	}
+	return r
+}
+
+// handle serves a request that was read. While it runs, the caller's connection
+// is watched, so that a caller that leaves is noticed at once.
+func (c *caller) handle(req *h1.Request, arrived time.Time) bool {
+	ctx, cancel := context.WithCancel(c.edge.requests)
+	defer cancel()
+	watched := make(chan error, 1)
+	go func() {
+		_, err := c.br.Peek(1)
+		if err != nil {
+			cancel()
+		}
+		watched <- err
+	}()
+	r := c.reply(req)
+	c.edge.serve(ctx, req, r, arrived)
+	if r.close || !r.ended {
+		return false
+	}
+	return c.awaitNext(watched)
+}
+
+// awaitNext waits for the next request's first byte, which the watch of this
+// request sees.
+func (c *caller) awaitNext(watched <-chan error) bool {
+	c.state.Store(idle)
+	c.conn.SetReadDeadline(time.Now().Add(idleMarginFactor * c.edge.callerLimits().idleTimeout))
+	return <-watched == nil
+}
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,271 @@
+// Package edge is the router in front of the targets: it takes requests of
+// callers, chooses a target for each and passes the answer on.
+//
+// Each router decides by itself, from the platform's publications, its own
+// requests and what the other routers report of theirs; no request waits for a
+// message between routers, and nothing outlives a process.
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"gopkg.in/tomb.v2"
+
+	"github.com/chiveseam/chiveseam/exchange"
+	"github.com/chiveseam/chiveseam/placement"
+	"github.com/chiveseam/chiveseam/retry"
+	"github.com/chiveseam/chiveseam/routing"
+)
+
+// Options join an Edge with its platform.
+type Options struct {
+	Settings *Settings
+	Headers  Headers
+	Source   Source
+	// ReadyPath is where the balancer asks for readiness.
+	ReadyPath string
+	Logger    log.Logger
+	Version   string
+}
+
+// Edge is one router. Its methods are safe for concurrent use.
+type Edge struct {
+	settings  *Settings
+	headers   Headers
+	source    Source
+	readyPath string
+	logger    log.Logger
+	version   string
+	tomb      *tomb.Tomb
+	metrics   *metrics
+	pool      *pool
+	callers   callers
+	// maxCallers bounds the connections of callers.
+	maxCallers int
+	table      atomic.Pointer[routing.Table]
+	// targetsRead is set once the registrations were read.
+	targetsRead atomic.Bool
+	// stopping is set from the stop signal on, late once new requests are refused.
+	stopping atomic.Bool
+	late     atomic.Bool
+	// requests is the context of all requests; its end aborts them.
+	requests context.Context
+	abort    context.CancelFunc
+	started  time.Time
+
+	mu        sync.Mutex
+	book      *placement.Book
+	directory *directory
+	budgets   map[string]*retry.Window
+	suspects  *suspects
+	members   *exchange.Members
+
+	listener net.Listener
+	ready    *http.Server
+	metricsS *http.Server
+	reports  *net.UDPConn
+}
+
+const (
+	// peerTimeout is the silence after which another router's loads are forgotten:
+	// longer than a second of lost reports in a large fleet.
+	peerTimeout = 3 * time.Second
+	// callerShare and reservedFiles divide the descriptors between callers,
+	// connections to targets and the rest.
+	callerShare   = 0.6
+	reservedFiles = 300
+)
+
+// New opens the listeners of a router. It serves nothing before Run.
+func New(o Options) (*Edge, error) {
+	s := o.Settings
+	e := &Edge{
+		settings: s, headers: o.Headers, source: o.Source, readyPath: o.ReadyPath,
+		logger:  log.With(o.Logger, "router", s.Name),
+		version: o.Version,
+		tomb:    &tomb.Tomb{},
+		metrics: newMetrics(),
+		pool:    newPool(),
+		callers: callers{open: make(map[*caller]bool)},
+		started: time.Now(),
+		book: placement.New(placement.Options{
+			Router: s.Name, Zone: s.Zone, ShareWindow: s.ShareWindow, PeerTimeout: peerTimeout,
+		}),
+		directory: newDirectory(s.LapsedGrace),
+		budgets:   make(map[string]*retry.Window),
+		suspects:  newSuspects(),
+	}
+	e.maxCallers = int(callerShare * float64(max(s.MaxOpenFiles-reservedFiles, reservedFiles)))
+	e.requests, e.abort = context.WithCancel(context.Background())
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+func (e *Edge) listen() error {
+	s := e.settings
+	peer, err := netip.ParseAddrPort(s.Peer)
+	if err != nil {
+		return fmt.Errorf("edge: peer: %w", err)
+	}
+	seeds, err := s.SeedAddresses()
+	if err != nil {
+		return err
+	}
+	e.members = exchange.New(peer, peerTimeout, uint64(e.started.UnixNano()))
+	e.members.SetSeeds(seeds)
+	if e.reports, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(peer)); err != nil {
+		return fmt.Errorf("edge: peer: %w", err)
+	}
+	if e.listener, err = net.Listen("tcp4", s.Listen); err != nil {
+		return fmt.Errorf("edge: listen: %w", err)
+	}
+	e.ready = e.readyServer()
+	e.metricsS = e.metricsServer()
+	return nil
+}
+
+// Run serves until ctx ends, then stops in the planned way.
+func (e *Edge) Run(ctx context.Context) error {
+	s := e.settings
+	level.Info(e.logger).Log("event", "started", "version", e.version, "zone", s.Zone, "listen", s.Listen,
+		"peer", s.Peer, "store", s.Store, "seeds", s.Seeds)
+	e.startDuties()
+	select {
+	case <-ctx.Done():
+		e.stop()
+	case <-e.tomb.Dying():
+	}
+	e.tomb.Kill(nil)
+	e.close()
+	err := e.tomb.Wait()
+	level.Info(e.logger).Log("event", "stopped", "error", err)
+	return err
+}
+
+func (e *Edge) startDuties() {
+	ctx := e.tomb.Context(context.Background())
+	duties := []func() error{
+		func() error { return e.serveCallers(e.listener) },
+		func() error { return serveHTTP(e.ready, e.settings.Ready) },
+		func() error { return serveHTTP(e.metricsS, e.settings.Metrics) },
+		func() error { return e.watchConfiguration(ctx) },
+		func() error { return e.watchTargets(ctx) },
+		func() error { return e.sendReports(ctx) },
+		e.receiveReports,
+		func() error { return e.watchSettings(ctx) },
+		func() error { return e.sweep(ctx) },
+	}
+	for _, duty := range duties {
+		e.tomb.Go(duty)
+	}
+}
+
+func serveHTTP(s *http.Server, address string) error {
+	if address == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return fmt.Errorf("edge: %w", err)
+	}
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+const sweepInterval = time.Second
+
+// sweep closes connections to targets that were idle for too long.
+func (e *Edge) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			e.pool.sweep(now)
+			e.metrics.callers.Set(float64(e.callers.count()))
+		}
+	}
+}
+
+func (e *Edge) close() {
+	e.abort()
+	e.listener.Close()
+	e.ready.Close()
+	e.metricsS.Close()
+	e.reports.Close()
+}
+
+// budget returns the retry budget of a service: the share of the requests that
+// this router took in, and its part of the fixed number. One more router than
+// was ever seen is counted, for those that cannot be seen now.
+func (e *Edge) budget(service string) *retry.Window {
+	s := e.settings
+	floor := float64(s.RetryMin) / float64(e.members.Most()+1)
+	w, ok := e.budgets[service]
+	if !ok {
+		w = retry.NewWindow(s.RetryWindow, s.RetryRatio, floor)
+		e.budgets[service] = w
+	}
+	w.SetLimits(s.RetryWindow, s.RetryRatio, floor)
+	return w
+}
+
+// first records the first bytes of an answer's body.
+func (e *Edge) first(a *attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.book.First(time.Now(), a.ticket)
+}
+
+// ended records the end of an attempt.
+func (e *Edge) ended(a *attempt, f fate) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.book.End(now, a.ticket, outcomeOf(a, f))
+	switch {
+	case f == answered:
+		e.suspects.cleared(a.call.digest)
+	case a.crashed:
+		e.suspects.lost(now, a.call.digest, placement.Hash(a.target.ID))
+		e.book.Lost(a.target.ID)
+	}
+	if f == notSent || a.crashed {
+		e.pool.drop(a.target.Address)
+	}
+}
+
+func outcomeOf(a *attempt, f fate) placement.Outcome {
+	switch f {
+	case answered:
+		return placement.Succeeded
+	case rejected:
+		return placement.Rejected
+	case failing:
+		return placement.Failed
+	case notSent:
+		return placement.Unreachable
+	case lost:
+		if a.crashed {
+			return placement.Unreachable
+		}
+		return placement.Failed
+	}
+	return placement.Unknown
+}
--- /dev/null
+++ b/edge/reports.go
@@ -0,0 +1,160 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chiveseam/chiveseam/exchange"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// maxReportBytes is the size of a UDP datagram.
+const maxReportBytes = 64 << 10
+
+// reporter makes this router's reports.
+type reporter struct {
+	edge     *Edge
+	sequence uint64
+}
+
+// sendReports tells the other routers of this one's loads.
+func (e *Edge) sendReports(ctx context.Context) error {
+	r := &reporter{edge: e}
+	for {
+		interval := r.send(time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(interval):
+		}
+	}
+}
+
+// send sends one report to all and returns the time until the next.
+func (r *reporter) send(now time.Time) time.Duration {
+	e := r.edge
+	e.mu.Lock()
+	report := r.report(now)
+	recipients := e.members.Recipients(now)
+	interval := e.members.Interval(now)
+	lost := e.book.Expire(now)
+	e.mu.Unlock()
+	for _, name := range lost {
+		level.Warn(e.logger).Log("event", "peer_lost", "peer", name)
+	}
+	e.sendTo(report, recipients)
+	return interval
+}
+
+func (r *reporter) report(now time.Time) *v1.LoadReport {
+	e := r.edge
+	r.sequence++
+	report := &v1.LoadReport{
+		Router: e.settings.Name, Address: e.settings.Peer,
+		Incarnation: uint64(e.started.UnixMilli()), Sequence: r.sequence,
+		Members: e.members.Named(now, false),
+	}
+	e.book.Report(now, report)
+	e.suspects.report(report)
+	return report
+}
+
+// sendTo sends a report. Those who were silent are asked for an answer.
+func (e *Edge) sendTo(report *v1.LoadReport, recipients []exchange.Recipient) {
+	usual, err := proto.Marshal(report)
+	if err != nil {
+		level.Error(e.logger).Log("event", "report_failed", "error", err)
+		return
+	}
+	report.Answer = true
+	asking, err := proto.Marshal(report)
+	if err != nil {
+		level.Error(e.logger).Log("event", "report_failed", "error", err)
+		return
+	}
+	for _, to := range recipients {
+		message := usual
+		if to.Answer {
+			message = asking
+		}
+		e.writeReport(message, to.Address)
+	}
+}
+
+// writeReport sends a datagram. A failure is like a lost datagram: the next
+// report tells the same.
+func (e *Edge) writeReport(message []byte, to netip.AddrPort) {
+	if _, err := e.reports.WriteToUDPAddrPort(message, to); err != nil {
+		e.metrics.reports.WithLabelValues("unsent").Inc()
+		level.Debug(e.logger).Log("event", "report_unsent", "to", to, "error", err)
+		return
+	}
+	e.metrics.reports.WithLabelValues("sent").Inc()
+}
+
+// sendLeaving tells the others that this router stops. Its requests in progress
+// are still counted by those who miss it, until they forget it.
+func (e *Edge) sendLeaving() {
+	e.mu.Lock()
+	recipients := e.members.Recipients(time.Now())
+	e.mu.Unlock()
+	level.Info(e.logger).Log("event", "leaving", "peers", len(recipients))
+}
+
+// receiveReports takes in the reports of other routers.
+func (e *Edge) receiveReports() error {
+	buf := make([]byte, maxReportBytes)
+	for {
+		n, from, err := e.reports.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			level.Debug(e.logger).Log("event", "report_unreadable", "error", err)
+			continue
+		}
+		var report v1.LoadReport
+		if err := proto.Unmarshal(buf[:n], &report); err != nil {
+			e.metrics.reports.WithLabelValues("unreadable").Inc()
+			level.Warn(e.logger).Log("event", "report_unreadable", "from", from, "error", err)
+			continue
+		}
+		e.metrics.reports.WithLabelValues("received").Inc()
+		e.merge(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), &report)
+	}
+}
+
+func (e *Edge) merge(from netip.AddrPort, report *v1.LoadReport) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	joined := e.members.Heard(now, from, report)
+	e.book.Merge(now, report)
+	e.suspects.merge(now, report)
+	if joined {
+		level.Info(e.logger).Log("event", "peer_found", "peer", report.Router, "incarnation", report.Incarnation)
+	}
+	if report.Answer {
+		e.answerReport(now, from)
+	}
+}
+
+// answerReport names the other routers to one that does not know them.
+func (e *Edge) answerReport(now time.Time, to netip.AddrPort) {
+	message, err := proto.Marshal(&v1.LoadReport{
+		Router: e.settings.Name, Address: e.settings.Peer,
+		Incarnation: uint64(e.started.UnixMilli()),
+		Members:     e.members.Named(now, true),
+	})
+	if err != nil {
+		level.Error(e.logger).Log("event", "report_failed", "error", err)
+		return
+	}
+	e.writeReport(message, to)
+}
--- /dev/null
+++ b/edge/upstream.go
@@ -0,0 +1,201 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/chiveseam/chiveseam/h1"
+)
+
+const (
+	// dialTimeout bounds a new connection to a target: two zones are a few
+	// milliseconds apart, and a lost packet is sent again after 200 ms.
+	dialTimeout = 300 * time.Millisecond
+	// unackedTimeout ends a connection whose peer does not acknowledge what was
+	// sent; open connections can lose their peer without a sign.
+	unackedTimeout = 2 * time.Second
+	// probeIdle, probeInterval and probeCount end a silent connection after 2 s.
+	probeIdle     = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 2
+	// idleUnstated is how long a connection is kept idle if the target does not
+	// state its own time.
+	idleUnstated = 4 * time.Second
+	// idleMargin is subtracted from the time that a target states.
+	idleMargin = time.Second
+	// maxIdle bounds the idle connections to one target.
+	maxIdle = 64
+	// upstreamBuffer is the size of the read buffer of a connection.
+	upstreamBuffer = 4096
+	// maxAnswerHead bounds the head of a target's answer.
+	maxAnswerHead = 32 << 10
+)
+
+// upstream is one connection to a target.
+type upstream struct {
+	net.Conn
+	br      *bufio.Reader
+	address string
+	// expires is when the target may close the connection if it stays idle.
+	expires time.Time
+	reused  bool
+}
+
+// pool keeps idle connections to targets, the last used first. It is safe for
+// concurrent use.
+type pool struct {
+	dialer net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*upstream
+}
+
+func newPool() *pool {
+	return &pool{dialer: newDialer(dialTimeout), idle: make(map[string][]*upstream)}
+}
+
+// newDialer returns a dialer whose connections end when their peer is silent.
+func newDialer(timeout time.Duration) net.Dialer {
+	return net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c) },
+	}
+}
+
+func setUserTimeout(c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+// get returns an idle connection or a new one.
+func (p *pool) get(ctx context.Context, address string) (*upstream, error) {
+	for {
+		u := p.take(address)
+		if u == nil {
+			return p.dial(ctx, address)
+		}
+		if time.Now().Before(u.expires) && u.quiet() {
+			u.reused = true
+			return u, nil
+		}
+		u.Close()
+	}
+}
+
+func (p *pool) take(address string) *upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	u := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return u
+}
+
+func (p *pool) dial(ctx context.Context, address string) (*upstream, error) {
+	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("connect: %w", err)
+	}
+	return &upstream{Conn: conn, br: bufio.NewReaderSize(conn, upstreamBuffer), address: address}, nil
+}
+
+// put keeps a connection after a whole answer.
+func (p *pool) put(u *upstream, resp *h1.Response) {
+	idle := statedIdle(resp.Header)
+	if !resp.Reusable() || idle <= 0 || u.br.Buffered() > 0 {
+		u.Close()
+		return
+	}
+	u.SetDeadline(time.Time{})
+	u.expires = time.Now().Add(idle)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[u.address]) >= maxIdle {
+		u.Close()
+		return
+	}
+	p.idle[u.address] = append(p.idle[u.address], u)
+}
+
+// statedIdle returns how long a connection may stay idle.
+func statedIdle(h h1.Header) time.Duration {
+	for param := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(param), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil {
+			return time.Duration(seconds)*time.Second - idleMargin
+		}
+	}
+	return idleUnstated
+}
+
+// drop closes the idle connections to an address.
+func (p *pool) drop(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, u := range list {
+		u.Close()
+	}
+}
+
+// sweep closes connections that were idle for too long.
+func (p *pool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, u := range list {
+			if now.Before(u.expires) {
+				kept = append(kept, u)
+				continue
+			}
+			u.Close()
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+}
+
+// quiet reports whether nothing has come on an idle connection: neither its end
+// nor bytes that belong to no request.
+func (u *upstream) quiet() bool {
+	if u.br.Buffered() > 0 {
+		return false
+	}
+	raw, err := u.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN || err == unix.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/h1/write.go
@@ -0,0 +1,57 @@
+package h1
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// AppendRequest appends a request with a stated length to dst. The header must
+// hold end-to-end fields only.
+func AppendRequest(dst []byte, method, target string, h Header, body []byte) []byte {
+	dst = append(dst, method...)
+	dst = append(dst, ' ')
+	dst = append(dst, target...)
+	dst = append(dst, " HTTP/1.1\r\n"...)
+	dst = appendFields(dst, h)
+	if len(body) > 0 || method == "POST" || method == "PUT" || method == "PATCH" {
+		dst = appendField(dst, "Content-Length", strconv.Itoa(len(body)))
+	}
+	dst = append(dst, "\r\n"...)
+	return append(dst, body...)
+}
+
+// AppendResponseHead appends a status line, the fields and the empty line.
+func AppendResponseHead(dst []byte, status int, h Header) []byte {
+	dst = append(dst, "HTTP/1.1 "...)
+	dst = strconv.AppendInt(dst, int64(status), 10)
+	dst = append(dst, ' ')
+	dst = append(dst, http.StatusText(status)...)
+	dst = append(dst, "\r\n"...)
+	dst = appendFields(dst, h)
+	return append(dst, "\r\n"...)
+}
+
+// AppendChunk appends one chunk of a body. Data must not be empty.
+func AppendChunk(dst, data []byte) []byte {
+	dst = strconv.AppendInt(dst, int64(len(data)), 16)
+	dst = append(dst, "\r\n"...)
+	dst = append(dst, data...)
+	return append(dst, "\r\n"...)
+}
+
+// LastChunk ends a chunked body.
+const LastChunk = "0\r\n\r\n"
+
+func appendFields(dst []byte, h Header) []byte {
+	for _, f := range h {
+		dst = appendField(dst, f.Name, f.Value)
+	}
+	return dst
+}
+
+func appendField(dst []byte, name, value string) []byte {
+	dst = append(dst, name...)
+	dst = append(dst, ": "...)
+	dst = append(dst, value...)
+	return append(dst, "\r\n"...)
+}
--- a/internal/cmd/stats/count.go
+++ b/internal/cmd/stats/count.go
@@ -39,7 +39,7 @@
 	"router": coordination,
 
 	"cmd": operation, "config": operation, "settings": operation,
-	"questionnaire": operation, "platform": operation,
+	"questionnaire": operation, "publisher": operation,
 }
 
 // count is a number of lines.
--- a/internal/e2e/silent_platform_test.go
+++ b/internal/e2e/silent_platform_test.go
@@ -10,7 +10,7 @@
 	// inForceLimit is the promised time until a configuration is in force.
 	inForceLimit = 5 * time.Second
 	// silentReadLimit is the time until a read on a silent connection is given
-	// up: the wait that routerFlags ask for, and the margin of package platform.
+	// up: the wait that routerFlags ask for, and the margin of package publisher.
 	silentReadLimit = time.Second + 2*time.Second
 	// rereadLimit bounds the pauses of a watcher before the read that fails and
 	// after it: 0.2 and 0.6 s, each with the interval at which it is asked.
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"github.com/chiveseam/chiveseam/platform"
+	"github.com/chiveseam/chiveseam/publisher"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 )
 
@@ -68,7 +68,7 @@
 func (c *Client) Discover(ctx context.Context, platformURL string) ([]Router, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	list, err := platform.NewHTTP(platformURL, c.HTTP).Instances(ctx, 0, 0)
+	list, err := publisher.NewHTTP(platformURL, c.HTTP).Instances(ctx, 0, 0)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/placement/book.go
@@ -0,0 +1,218 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chiveseam/chiveseam/breaker"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/routing"
+)
+
+// Options are the settings of a Book.
+type Options struct {
+	// Router is the name of the router that owns the book.
+	Router string
+	// Zone is its availability zone.
+	Zone string
+	// ShareWindow is the time over which workspaces get their shares.
+	ShareWindow time.Duration
+	// PeerTimeout is the silence after which a router's loads are forgotten.
+	PeerTimeout time.Duration
+}
+
+// Book is one router's view of targets and their load.
+type Book struct {
+	options  Options
+	targets  map[string]*target
+	services map[string]*service
+	peers    map[string]*peerState
+	// remote sums what the other routers have at each target, by hash.
+	remote map[uint32]*remoteLoad
+	shares *shares
+	// news are prompt parts to be told to other routers.
+	news []partNews
+}
+
+// service is what the targets of one service have in common.
+type service struct {
+	targets []*target
+	model   speedModel
+	slots   int
+	kvTotal int
+}
+
+type target struct {
+	routing.Target
+	hash    uint32
+	service *service
+	running int
+	unread  int
+	pace    pace
+	kept    *keptParts
+	health  *breaker.Breaker
+	faults  faultRate
+	// stay is the mean time in ms that a request holds a slot.
+	stay float64
+	// dirty counts the reports that still have to tell this target's load.
+	dirty int
+}
+
+type remoteLoad struct {
+	running, unread     int
+	observed, predicted float64
+}
+
+// Hash is the name of a target or workspace in reports.
+func Hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// New returns an empty book.
+func New(o Options) *Book {
+	return &Book{
+		options:  o,
+		targets:  make(map[string]*target),
+		services: make(map[string]*service),
+		peers:    make(map[string]*peerState),
+		remote:   make(map[uint32]*remoteLoad),
+		shares:   newShares(o.ShareWindow),
+	}
+}
+
+// SetServices takes the services of a configuration and the engines' total
+// throughput in tokens a second, 0 if it is not stated.
+func (b *Book) SetServices(list map[string]routing.Service, tokensPerSecond float64) {
+	b.shares.capacity = tokensPerSecond
+	for name, s := range list {
+		if s.Engine == nil {
+			continue
+		}
+		known := b.service(name)
+		known.slots = s.Engine.Slots
+		known.kvTotal = s.Engine.KVTokens
+		for _, t := range known.targets {
+			t.kept.capacity = keptCapacity(known)
+		}
+	}
+}
+
+// keptShare is the part of an engine's KV cache that is taken as holding parts of
+// earlier prompts; running requests have the rest.
+const keptShare = 0.6
+
+// keptUnknown is the capacity in tokens that is assumed of an engine that states
+// none.
+const keptUnknown = 200_000
+
+func keptCapacity(s *service) int {
+	if s.kvTotal == 0 {
+		return keptUnknown
+	}
+	return int(keptShare * float64(s.kvTotal))
+}
+
+func (b *Book) service(name string) *service {
+	s, ok := b.services[name]
+	if !ok {
+		s = &service{}
+		b.services[name] = s
+	}
+	return s
+}
+
+// SetTarget adds a target or takes what changed of it. What was learnt of it is
+// kept unless it has started anew or serves another service.
+func (b *Book) SetTarget(t routing.Target) {
+	old, ok := b.targets[t.ID]
+	if ok && old.Started == t.Started && old.Service == t.Service {
+		old.Target = t
+		return
+	}
+	if ok {
+		b.RemoveTarget(t.ID)
+	}
+	s := b.service(t.Service)
+	added := &target{
+		Target:  t,
+		hash:    Hash(t.ID),
+		service: s,
+		kept:    newKeptParts(keptCapacity(s)),
+		health:  newHealth(t.ID),
+	}
+	b.targets[t.ID] = added
+	s.targets = append(s.targets, added)
+}
+
+// RemoveTarget forgets a target.
+func (b *Book) RemoveTarget(id string) {
+	old, ok := b.targets[id]
+	if !ok {
+		return
+	}
+	delete(b.targets, id)
+	list := old.service.targets
+	for i, t := range list {
+		if t == old {
+			old.service.targets = append(list[:i:i], list[i+1:]...)
+			return
+		}
+	}
+}
+
+// Usable reports whether a service has a target that takes requests.
+func (b *Book) Usable(serviceName string, now time.Time) bool {
+	s, ok := b.services[serviceName]
+	if !ok {
+		return false
+	}
+	for _, t := range s.targets {
+		if !t.Draining && t.health.Ready(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Book) load(t *target) (running, unread int) {
+	running, unread = t.running, t.unread
+	if r, ok := b.remote[t.hash]; ok {
+		running += r.running
+		unread += r.unread
+	}
+	return running, unread
+}
+
+// factor is how much slower than the others a target is.
+func (b *Book) factor(now time.Time, t *target) float64 {
+	t.pace.age(now)
+	observed, predicted := t.pace.observed, t.pace.predicted
+	if r, ok := b.remote[t.hash]; ok {
+		observed += r.observed
+		predicted += r.predicted
+	}
+	return min(max((observed+pacePrior)/(predicted+pacePrior), minFactor), maxFactor)
+}
+
+// Bounds of a target's slowness against the others of its service.
+const (
+	minFactor = 0.25
+	maxFactor = 10
+)
+
+// Age returns the age of the oldest report that the view rests on.
+func (b *Book) Age(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, p := range b.peers {
+		oldest = max(oldest, now.Sub(p.received))
+	}
+	return oldest
+}
+
+// Peers returns the number of other routers whose reports are in the view.
+func (b *Book) Peers() int { return len(b.peers) }
+
+// partNews is a part that other routers have to be told of.
+type partNews struct {
+	message *v1.PartRead
+	left    int
+}
--- /dev/null
+++ b/placement/choose.go
@@ -0,0 +1,174 @@
+package placement
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/chiveseam/chiveseam/rendezvous"
+)
+
+const (
+	// rereadWeight is the weight of reading a shared part that another target keeps,
+	// beside its own time: it delays the requests behind it by as much.
+	rereadWeight = 1.0
+	// overShare is the part of the wanted time up to which workspaces above their
+	// share are admitted; what is left is for the others.
+	overShare = 0.5
+	// lateLimit is the multiple of the wanted time up to which workspaces below
+	// their share are admitted late.
+	lateLimit = 2.0
+	// minRetryAfter and maxRetryShare bound what a refused caller is told: requests
+	// end at a rate of several in 100 ms, and callers wait for up to a third of the
+	// time that they have left.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryShare = 0.3
+	// faultWeight is the penalty in multiples of the wanted time for a target that
+	// fails all its requests.
+	faultWeight = 4.0
+	// initialStay is the mean time in ms that a stream holds a slot, before there are
+	// samples.
+	initialStay = 1500.0
+)
+
+// candidate is a target with its prediction in ms.
+type candidate struct {
+	target    *target
+	miss      int
+	unread    int
+	running   int
+	predicted float64
+	cost      float64
+	tie       uint64
+}
+
+// Choose returns the best target for a demand. The error is a *Refusal. The
+// caller must call Begin if it sends the request.
+func (b *Book) Choose(now time.Time, d *Demand) (Choice, error) {
+	best, ok := b.best(now, d)
+	if !ok {
+		return Choice{}, &Refusal{Err: ErrNoTarget, RetryAfter: b.bounded(noTargetRetry, d)}
+	}
+	predicted := time.Duration(best.predicted * float64(time.Millisecond))
+	if refusal := b.admit(now, d, predicted); refusal != nil {
+		return Choice{}, refusal
+	}
+	return Choice{
+		Target: best.target.ID, Unread: best.miss, Backlog: best.unread, Running: best.running,
+		Predicted: predicted, Age: b.Age(now),
+	}, nil
+}
+
+// noTargetRetry is when a caller without any target should come back: targets
+// that crashed are back after some seconds, breakers try again sooner.
+const noTargetRetry = time.Second
+
+func (b *Book) best(now time.Time, d *Demand) (candidate, bool) {
+	s, ok := b.services[d.Service]
+	if !ok {
+		return candidate{}, false
+	}
+	var best candidate
+	found := false
+	for _, t := range s.targets {
+		if t.Draining || !t.health.Ready(now) || (d.Excluded != nil && d.Excluded(t.ID)) {
+			continue
+		}
+		c := b.assess(now, s, t, d)
+		if !found || compare(c, best) < 0 {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+func compare(a, b candidate) int {
+	if order := cmp.Compare(a.cost, b.cost); order != 0 {
+		return order
+	}
+	return cmp.Compare(b.tie, a.tie)
+}
+
+func (b *Book) assess(now time.Time, s *service, t *target, d *Demand) candidate {
+	c := candidate{target: t}
+	c.running, c.unread = b.load(t)
+	penalty := faultWeight * t.faults.rate(now) * milliseconds(d.Want)
+	if d.Parts == nil {
+		c.predicted = b.plainWait(now, s, t, c.running)
+		c.cost = c.predicted + penalty
+		c.tie = rendezvous.Score(b.options.Router, t.ID)
+		return c
+	}
+	c.miss = t.kept.missing(d.Parts)
+	base, slope := s.model.line()
+	factor := b.factor(now, t)
+	c.predicted = factor*(base+slope*float64(c.unread+c.miss)) + slotWait(s, t, c.running)
+	reread := float64(max(c.miss-d.Parts[len(d.Parts)-1].Tokens, 0))
+	c.cost = c.predicted + rereadWeight*factor*slope*reread + penalty
+	c.tie = rendezvous.Score(partName(d.Parts), t.ID)
+	return c
+}
+
+func partName(parts []Part) string {
+	id := parts[0].ID
+	var name [8]byte
+	for i := range name {
+		name[i] = byte(id >> (8 * i))
+	}
+	return string(name[:])
+}
+
+// plainWait predicts the time at a target of a plain service from its requests
+// for each slot.
+func (b *Book) plainWait(now time.Time, s *service, t *target, running int) float64 {
+	base, _ := s.model.line()
+	slots := max(t.Slots, 1)
+	return b.factor(now, t) * base * (1 + float64(running)/float64(slots))
+}
+
+// slotWait is the time until a slot of a full engine comes free for one more
+// request.
+func slotWait(s *service, t *target, running int) float64 {
+	slots := t.Slots
+	if slots == 0 {
+		slots = max(s.slots, 1)
+	}
+	ahead := running - slots + 1
+	if ahead <= 0 {
+		return 0
+	}
+	stay := t.stay
+	if stay == 0 {
+		stay = initialStay
+	}
+	return float64(ahead) * stay / float64(slots)
+}
+
+// admit returns nil if the request may be sent although the best target is
+// predicted to answer in that time.
+func (b *Book) admit(now time.Time, d *Demand, predicted time.Duration) *Refusal {
+	if d.Parts == nil {
+		return nil
+	}
+	total := d.Waited + predicted
+	if total <= time.Duration(overShare*float64(d.Want)) || d.Repeated {
+		return nil
+	}
+	over, level := b.shares.over(now, d.Workspace)
+	cause := ErrSaturated
+	limit := time.Duration(lateLimit * float64(d.Want))
+	if over {
+		cause = ErrOverShare
+		limit = time.Duration(overShare * float64(d.Want))
+	}
+	if total <= limit && predicted < d.Left {
+		return nil
+	}
+	return &Refusal{Err: cause, RetryAfter: b.bounded(total-limit, d), Predicted: predicted, Level: level}
+}
+
+func (b *Book) bounded(after time.Duration, d *Demand) time.Duration {
+	longest := time.Duration(maxRetryShare * float64(d.Left))
+	return max(min(after, longest), minRetryAfter)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/placement/report.go
@@ -0,0 +1,166 @@
+package placement
+
+import (
+	"time"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	// reportRepeats is the number of reports that tell a change, since datagrams
+	// are lost now and then.
+	reportRepeats = 2
+	// refreshReports is the number of reports within which all loads are told.
+	refreshReports = 10
+	// maxParts bounds the parts in one report, so that it fits a datagram.
+	maxParts = 60
+)
+
+// peerState is what another router told last.
+type peerState struct {
+	incarnation uint64
+	sequence    uint64
+	received    time.Time
+	loads       map[uint32]*v1.TargetLoad
+	uses        map[uint32]*v1.WorkspaceUse
+}
+
+// Report fills in what this router tells the others.
+func (b *Book) Report(now time.Time, r *v1.LoadReport) {
+	refresh := r.Sequence % refreshReports
+	for _, t := range b.targets {
+		if t.dirty == 0 && uint64(t.hash)%refreshReports != refresh {
+			continue
+		}
+		t.dirty = max(t.dirty-1, 0)
+		t.pace.age(now)
+		r.Targets = append(r.Targets, &v1.TargetLoad{
+			Target: t.hash, Running: uint32(t.running), Unread: uint32(max(t.unread, 0)),
+			Observed: float32(t.pace.observed), Predicted: float32(t.pace.predicted),
+		})
+	}
+	for hash, u := range b.shares.byHash {
+		if u.dirty == 0 {
+			continue
+		}
+		u.dirty--
+		r.Workspaces = append(r.Workspaces, &v1.WorkspaceUse{Workspace: hash, Asked: u.ownAsked, Begun: u.ownBegun})
+	}
+	b.reportParts(r)
+}
+
+func (b *Book) reportParts(r *v1.LoadReport) {
+	n := min(len(b.news), maxParts)
+	kept := b.news[n:]
+	for i := range b.news[:n] {
+		news := b.news[i]
+		r.Parts = append(r.Parts, news.message)
+		if news.left--; news.left > 0 {
+			kept = append(kept, news)
+		}
+	}
+	b.news = kept
+}
+
+// Merge takes in another router's report. Old ones change nothing.
+func (b *Book) Merge(now time.Time, r *v1.LoadReport) {
+	p, ok := b.peers[r.Router]
+	if ok && (r.Incarnation < p.incarnation || (r.Incarnation == p.incarnation && r.Sequence <= p.sequence)) {
+		return
+	}
+	if ok && r.Incarnation > p.incarnation {
+		b.Forget(r.Router)
+		ok = false
+	}
+	if !ok {
+		p = &peerState{
+			incarnation: r.Incarnation,
+			loads:       make(map[uint32]*v1.TargetLoad),
+			uses:        make(map[uint32]*v1.WorkspaceUse),
+		}
+		b.peers[r.Router] = p
+	}
+	known := p.sequence > 0
+	p.sequence = r.Sequence
+	p.received = now
+	b.mergeLoads(p, r.Targets)
+	b.mergeUses(now, p, r.Workspaces, known)
+	b.mergeParts(now, r.Parts)
+}
+
+func (b *Book) mergeLoads(p *peerState, loads []*v1.TargetLoad) {
+	for _, load := range loads {
+		b.addRemote(p.loads[load.Target], -1)
+		b.addRemote(load, 1)
+		p.loads[load.Target] = load
+	}
+}
+
+func (b *Book) addRemote(load *v1.TargetLoad, sign int) {
+	if load == nil {
+		return
+	}
+	r, ok := b.remote[load.Target]
+	if !ok {
+		r = &remoteLoad{}
+		b.remote[load.Target] = r
+	}
+	r.running += sign * int(load.Running)
+	r.unread += sign * int(load.Unread)
+	r.observed += float64(sign) * float64(load.Observed)
+	r.predicted += float64(sign) * float64(load.Predicted)
+}
+
+// mergeUses counts what was added to the totals. Those of a router that was not
+// known before are older than the window.
+func (b *Book) mergeUses(now time.Time, p *peerState, uses []*v1.WorkspaceUse, known bool) {
+	for _, use := range uses {
+		old := p.uses[use.Workspace]
+		p.uses[use.Workspace] = use
+		if known {
+			b.shares.add(now, use.Workspace, float64(use.Asked-old.GetAsked()), float64(use.Begun-old.GetBegun()))
+		}
+	}
+}
+
+func (b *Book) mergeParts(now time.Time, parts []*v1.PartRead) {
+	if len(parts) == 0 {
+		return
+	}
+	byHash := make(map[uint32]*target, len(b.targets))
+	for _, t := range b.targets {
+		byHash[t.hash] = t
+	}
+	for _, part := range parts {
+		if t, ok := byHash[part.Target]; ok {
+			t.kept.use(now, Part{ID: part.Part, Tokens: int(part.Tokens)})
+		}
+	}
+}
+
+// Forget drops the loads of another router.
+func (b *Book) Forget(router string) {
+	p, ok := b.peers[router]
+	if !ok {
+		return
+	}
+	for _, load := range p.loads {
+		b.addRemote(load, -1)
+	}
+	delete(b.peers, router)
+}
+
+// Expire forgets routers that have been silent for the timeout and returns their
+// names.
+func (b *Book) Expire(now time.Time) []string {
+	var gone []string
+	for name, p := range b.peers {
+		if now.Sub(p.received) > b.options.PeerTimeout {
+			gone = append(gone, name)
+		}
+	}
+	for _, name := range gone {
+		b.Forget(name)
+	}
+	return gone
+}
--- /dev/null
+++ b/placement/shares.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/chiveseam/chiveseam/fairshare"
+)
+
+// shareBuckets divide the window; the oldest one leaves at a time.
+const shareBuckets = 16
+
+// levelInterval is how long a computed level is used.
+const levelInterval = 100 * time.Millisecond
+
+// shares counts the tokens that workspaces asked for and began at targets, in the
+// whole fleet, over a sliding window.
+type shares struct {
+	window   time.Duration
+	capacity float64
+	byHash   map[uint32]*usage
+	current  int64
+
+	level      float64
+	scarce     bool
+	computedAt time.Time
+}
+
+type usage struct {
+	asked, begun [shareBuckets]float64
+	// ownAsked and ownBegun are this router's totals, for its reports.
+	ownAsked, ownBegun uint64
+	dirty              int
+}
+
+func newShares(window time.Duration) *shares {
+	return &shares{window: window, byHash: make(map[uint32]*usage)}
+}
+
+func (s *shares) advance(now time.Time) int {
+	bucket := now.UnixNano() / int64(s.window/shareBuckets)
+	steps := min(bucket-s.current, shareBuckets)
+	for i := range steps {
+		at := int((bucket - i) % shareBuckets)
+		for _, u := range s.byHash {
+			u.asked[at] = 0
+			u.begun[at] = 0
+		}
+	}
+	if steps > 0 {
+		s.current = bucket
+	}
+	return int(s.current % shareBuckets)
+}
+
+func (s *shares) usage(hash uint32) *usage {
+	u, ok := s.byHash[hash]
+	if !ok {
+		u = &usage{}
+		s.byHash[hash] = u
+	}
+	return u
+}
+
+// add counts tokens in the fleet's view.
+func (s *shares) add(now time.Time, hash uint32, asked, begun float64) {
+	at := s.advance(now)
+	u := s.usage(hash)
+	u.asked[at] += asked
+	u.begun[at] += begun
+}
+
+// addOwn counts tokens of this router's requests.
+func (s *shares) addOwn(now time.Time, workspace string, asked, begun float64) {
+	hash := Hash(workspace)
+	s.add(now, hash, asked, begun)
+	u := s.usage(hash)
+	u.ownAsked += uint64(asked)
+	u.ownBegun += uint64(begun)
+	u.dirty = reportRepeats
+}
+
+func sum(buckets *[shareBuckets]float64) float64 {
+	total := 0.0
+	for _, v := range buckets {
+		total += v
+	}
+	return total
+}
+
+// over reports whether a workspace has begun more than its share of the window,
+// and the share in tokens a second. Without a stated capacity all workspaces are
+// compared by what was begun in all.
+func (s *shares) over(now time.Time, workspace string) (bool, float64) {
+	s.advance(now)
+	s.compute(now)
+	if !s.scarce {
+		return false, 0
+	}
+	u, ok := s.byHash[Hash(workspace)]
+	if !ok {
+		return false, s.level
+	}
+	seconds := s.window.Seconds()
+	return sum(&u.begun) > s.level*seconds, s.level
+}
+
+func (s *shares) compute(now time.Time) {
+	if now.Sub(s.computedAt) < levelInterval {
+		return
+	}
+	s.computedAt = now
+	seconds := s.window.Seconds()
+	demands := make([]float64, 0, len(s.byHash))
+	begun := 0.0
+	for _, u := range s.byHash {
+		demands = append(demands, sum(&u.asked)/seconds)
+		begun += sum(&u.begun) / seconds
+	}
+	capacity := s.capacity
+	if capacity == 0 || begun < capacity {
+		// What is begun while demand waits is all that the targets can do.
+		capacity = begun
+	}
+	s.level, s.scarce = fairshare.Level(capacity, demands)
+}
--- /dev/null
+++ b/placement/ticket.go
@@ -0,0 +1,158 @@
+package placement
+
+import (
+	"time"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+// Outcome is how a request ended at its target.
+type Outcome int
+
+const (
+	// Succeeded: the target answered in full.
+	Succeeded Outcome = iota
+	// Unknown: the request ended without showing the target's health, such as when
+	// the caller left.
+	Unknown
+	// Rejected: the target is alive and did not run the request.
+	Rejected
+	// Failed: the target answered with an error or a broken answer.
+	Failed
+	// Unreachable: no connection, or it was lost.
+	Unreachable
+)
+
+// Ticket is one request under way at a target. It is not safe for concurrent use
+// with its book.
+type Ticket struct {
+	target *target
+	choice Choice
+	// line is the pooled prediction without the target's own slowness, in ms.
+	line  float64
+	begun time.Time
+	first bool
+	ended bool
+	plain bool
+}
+
+// Asked counts a request that came from a caller; it is called once for each.
+func (b *Book) Asked(now time.Time, d *Demand) {
+	if d.Parts != nil {
+		b.shares.addOwn(now, d.Workspace, d.Cost(), 0)
+	}
+}
+
+// Begin records that a request is sent to the chosen target. It returns nil if
+// the target is gone.
+func (b *Book) Begin(now time.Time, d *Demand, c Choice) *Ticket {
+	t, ok := b.targets[c.Target]
+	if !ok {
+		return nil
+	}
+	ticket := &Ticket{target: t, choice: c, begun: now, plain: d.Parts == nil}
+	base, slope := t.service.model.line()
+	ticket.line = base + slope*float64(c.Backlog+c.Unread)
+	t.running++
+	t.unread += c.Unread
+	t.dirty = reportRepeats
+	t.health.Admit(now)
+	if d.Parts != nil {
+		b.shares.addOwn(now, d.Workspace, 0, d.Cost())
+		b.keep(now, t, d.Parts)
+	}
+	return ticket
+}
+
+func (b *Book) keep(now time.Time, t *target, parts []Part) {
+	for _, p := range parts {
+		if !t.kept.has(p.ID) {
+			b.news = append(b.news, partNews{
+				message: &v1.PartRead{Target: t.hash, Part: p.ID, Tokens: uint32(p.Tokens)},
+				left:    reportRepeats,
+			})
+		}
+		t.kept.use(now, p)
+	}
+}
+
+// First records the first token, or the answer of a plain service.
+func (b *Book) First(now time.Time, k *Ticket) {
+	if k == nil || k.first {
+		return
+	}
+	k.first = true
+	t := k.target
+	t.unread -= k.choice.Unread
+	t.dirty = reportRepeats
+	observed := milliseconds(now.Sub(k.begun))
+	if k.plain {
+		b.observePlain(now, k, observed)
+		return
+	}
+	if k.choice.Running >= max(t.Slots, 1) {
+		// The time of a full engine holds the wait for a slot.
+		return
+	}
+	t.pace.observe(now, observed, k.line)
+	t.service.model.observe(now, float64(k.choice.Backlog+k.choice.Unread), observed)
+}
+
+func (b *Book) observePlain(now time.Time, k *Ticket, observed float64) {
+	t := k.target
+	if k.choice.Running >= max(t.Slots, 1) {
+		return
+	}
+	t.pace.observe(now, observed, k.line)
+	t.service.model.observe(now, 0, observed)
+}
+
+// stayGain is the weight of one more sample in the mean time in a slot.
+const stayGain = 0.1
+
+// End records how a request ended.
+func (b *Book) End(now time.Time, k *Ticket, outcome Outcome) {
+	if k == nil || k.ended {
+		return
+	}
+	k.ended = true
+	t := k.target
+	t.running--
+	t.dirty = reportRepeats
+	if !k.first {
+		t.unread -= k.choice.Unread
+	}
+	b.judge(now, k, outcome)
+}
+
+func (b *Book) judge(now time.Time, k *Ticket, outcome Outcome) {
+	t := k.target
+	switch outcome {
+	case Succeeded:
+		t.health.Success(now)
+		t.faults.observe(now, false)
+		stay := milliseconds(now.Sub(k.begun))
+		if t.stay == 0 {
+			t.stay = stay
+		}
+		t.stay += stayGain * (stay - t.stay)
+	case Rejected:
+		t.health.Success(now)
+		t.faults.observe(now, true)
+	case Failed:
+		t.health.Failure(now)
+		t.faults.observe(now, true)
+	case Unreachable:
+		t.health.Trip(now)
+		t.faults.observe(now, true)
+	case Unknown:
+		t.health.Release(now)
+	}
+}
+
+// Lost forgets what a target kept: it has crashed or was replaced.
+func (b *Book) Lost(id string) {
+	if t, ok := b.targets[id]; ok {
+		t.kept = newKeptParts(keptCapacity(t.service))
+	}
+}
--- a/platform/http.go
+++ b/publisher/http.go
@@ -1,4 +1,4 @@
-package platform
+package publisher
 
 import (
 	"context"
@@ -83,7 +83,7 @@
 	resp, err := h.client.Do(req)
 	if err != nil {
 		h.client.CloseIdleConnections()
-		return fmt.Errorf("platform: %w", err)
+		return fmt.Errorf("publisher: %w", err)
 	}
 	defer resp.Body.Close()
 	switch resp.StatusCode {
@@ -93,15 +93,15 @@
 	case http.StatusTooManyRequests:
 		return ErrRateLimited
 	default:
-		return fmt.Errorf("platform: %s answered %s", path, resp.Status)
+		return fmt.Errorf("publisher: %s answered %s", path, resp.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		h.client.CloseIdleConnections()
-		return fmt.Errorf("platform: read answer: %w", err)
+		return fmt.Errorf("publisher: read answer: %w", err)
 	}
 	if err := proto.Unmarshal(body, into); err != nil {
-		return fmt.Errorf("platform: decode answer: %w", err)
+		return fmt.Errorf("publisher: decode answer: %w", err)
 	}
 	return nil
 }
--- a/platform/http_test.go
+++ b/publisher/http_test.go
@@ -1,4 +1,4 @@
-package platform
+package publisher
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/publisher/platform.go
@@ -1,6 +1,6 @@
-// Package platform reads what the platform publishes: the configuration and
+// Package publisher reads what the platform publishes: the configuration and
 // the list of live and leaving instances. Nothing is ever written to it.
-package platform
+package publisher
 
 import (
 	"context"
@@ -13,9 +13,9 @@
 // Errors of a Source. Other errors are failures of the connection.
 var (
 	// ErrUnchanged is returned when nothing newer appeared within the wait.
-	ErrUnchanged = errors.New("platform: nothing newer than the revision asked for")
+	ErrUnchanged = errors.New("publisher: nothing newer than the revision asked for")
 	// ErrRateLimited is returned when the platform refused the call for its rate.
-	ErrRateLimited = errors.New("platform: rate limit reached")
+	ErrRateLimited = errors.New("publisher: rate limit reached")
 )
 
 // Source is read by routers. Each call, a waiting one too, counts against the
--- a/router/internal/control/control.go
+++ b/router/internal/control/control.go
@@ -14,7 +14,7 @@
 
 	"github.com/chiveseam/chiveseam/config"
 	"github.com/chiveseam/chiveseam/fleet"
-	"github.com/chiveseam/chiveseam/platform"
+	"github.com/chiveseam/chiveseam/publisher"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/requestkey"
 	"github.com/chiveseam/chiveseam/rollout"
@@ -51,7 +51,7 @@
 type Options struct {
 	Self     state.Member
 	Store    *state.Store
-	Platform platform.Source
+	Platform publisher.Source
 	Caller   Caller
 	Keys     KeyObserver
 	Gossip   []Gossip
--- a/router/internal/control/instances.go
+++ b/router/internal/control/instances.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/chiveseam/chiveseam/platform"
+	"github.com/chiveseam/chiveseam/publisher"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/requestkey"
 )
@@ -42,7 +42,7 @@
 	return err
 }
 
-func isUnchanged(err error) bool { return errors.Is(err, platform.ErrUnchanged) }
+func isUnchanged(err error) bool { return errors.Is(err, publisher.ErrUnchanged) }
 
 func outcome(err error) string {
 	switch {
@@ -50,7 +50,7 @@
 		return "changed"
 	case isUnchanged(err):
 		return "unchanged"
-	case errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, publisher.ErrRateLimited):
 		return "rate_limited"
 	}
 	return "failed"
--- a/router/router.go
+++ b/router/router.go
@@ -15,7 +15,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/fleet"
-	"github.com/chiveseam/chiveseam/platform"
+	"github.com/chiveseam/chiveseam/publisher"
 	"github.com/chiveseam/chiveseam/requestkey"
 	"github.com/chiveseam/chiveseam/router/internal/broker"
 	"github.com/chiveseam/chiveseam/router/internal/control"
@@ -195,7 +195,7 @@
 	r.control = control.New(control.Options{
 		Self:         r.self(),
 		Store:        r.store,
-		Platform:     platform.NewHTTP(s.PlatformURL, platform.NewClient(s.DialTimeout)),
+		Platform:     publisher.NewHTTP(s.PlatformURL, publisher.NewClient(s.DialTimeout)),
 		Caller:       r.client,
 		Keys:         r.keys,
 		Gossip:       []control.Gossip{r.guard},
