Read the store beside long watches, shared between routers

Routers now take turns reading the store and tell each other the versions seen; one that is behind reads at once.

--- a/cmd/chiveseam-edge/main.go
+++ b/cmd/chiveseam-edge/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -18,6 +17,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/edge"
+	"github.com/chiveseam/chiveseam/internal/deadpeer"
 	"github.com/chiveseam/chiveseam/internal/logqueue"
 	"github.com/chiveseam/chiveseam/platform"
 )
@@ -120,6 +120,6 @@
 )
 
 func storeTransport() *http.Transport {
-	dialer := net.Dialer{Timeout: storeDial}
+	dialer := deadpeer.Dialer(storeDial)
 	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: storeIdle, DisableCompression: true}
 }
--- a/edge/call.go
+++ b/edge/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -176,7 +177,7 @@
 	c.tried[choice.Target] = true
 	level.Info(c.log).Log("event", "target_chosen", "route", c.route.Name, "version", c.table.Version,
 		"workspace", c.workspace, "target", choice.Target, "try", tries, "unread", choice.Unread,
-		"backlog", choice.Backlog, "running", choice.Running,
+		"backlog", choice.Backlog, "running", choice.Running, "slowness", math.Round(choice.Slowness*100)/100,
 		"predicted_ms", choice.Predicted.Milliseconds(), "view_age_ms", choice.Age.Milliseconds())
 	return a, nil
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -53,6 +53,13 @@
 	// maxCallers bounds the connections of callers.
 	maxCallers int
 	table      atomic.Pointer[routing.Table]
+	// newest is the newest revision of a target's registration that was seen.
+	newest atomic.Uint64
+	// told is the newest one that another router has seen, checked the newest of
+	// these that was told before the last read of all targets.
+	told, checked atomic.Uint64
+	// ahead wakes the probe when another router has seen something newer.
+	ahead chan struct{}
 	// targetsRead is set once the registrations were read.
 	targetsRead atomic.Bool
 	// stopping is set from the stop signal on, late once new requests are refused.
@@ -104,6 +111,7 @@
 		directory: newDirectory(s.LapsedGrace),
 		budgets:   make(map[string]*retry.Window),
 		suspects:  newSuspects(),
+		ahead:     make(chan struct{}, 1),
 	}
 	e.maxCallers = int(callerShare * float64(max(s.MaxOpenFiles-reservedFiles, reservedFiles)))
 	e.requests, e.abort = context.WithCancel(context.Background())
@@ -162,6 +170,7 @@
 		func() error { return serveHTTP(e.metricsS, e.settings.Metrics) },
 		func() error { return e.watchConfiguration(ctx) },
 		func() error { return e.watchTargets(ctx) },
+		func() error { return e.probeStore(ctx) },
 		func() error { return e.sendReports(ctx) },
 		e.receiveReports,
 		func() error { return e.watchSettings(ctx) },
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -58,7 +58,11 @@
 	report := &v1.LoadReport{
 		Router: e.settings.Name, Address: e.settings.Peer,
 		Incarnation: uint64(e.started.UnixMilli()), Sequence: r.sequence,
-		Members: e.members.Named(now, false),
+		Members:         e.members.Named(now, false),
+		TargetsRevision: e.newest.Load(),
+	}
+	if t := e.table.Load(); t != nil {
+		report.ConfigurationVersion = t.Version
 	}
 	e.book.Report(now, report)
 	e.suspects.report(report)
@@ -137,6 +141,7 @@
 	joined := e.members.Heard(now, from, report)
 	e.book.Merge(now, report)
 	e.suspects.merge(now, report)
+	e.compareViews(report)
 	if joined {
 		level.Info(e.logger).Log("event", "peer_found", "peer", report.Router, "incarnation", report.Incarnation)
 	}
--- a/edge/upstream.go
+++ b/edge/upstream.go
@@ -3,31 +3,23 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/chiveseam/chiveseam/h1"
+	"github.com/chiveseam/chiveseam/internal/deadpeer"
 )
 
 const (
 	// dialTimeout bounds a new connection to a target: two zones are a few
 	// milliseconds apart, and a lost packet is sent again after 200 ms.
 	dialTimeout = 300 * time.Millisecond
-	// unackedTimeout ends a connection whose peer does not acknowledge what was
-	// sent; open connections can lose their peer without a sign.
-	unackedTimeout = 2 * time.Second
-	// probeIdle, probeInterval and probeCount end a silent connection after 2 s.
-	probeIdle     = time.Second
-	probeInterval = 500 * time.Millisecond
-	probeCount    = 2
 	// idleUnstated is how long a connection is kept idle if the target does not
 	// state its own time.
 	idleUnstated = 4 * time.Second
@@ -54,33 +46,14 @@
 // pool keeps idle connections to targets, the last used first. It is safe for
 // concurrent use.
 type pool struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 
 	mu   sync.Mutex
 	idle map[string][]*upstream
 }
 
 func newPool() *pool {
-	return &pool{dialer: newDialer(dialTimeout), idle: make(map[string][]*upstream)}
-}
-
-// newDialer returns a dialer whose connections end when their peer is silent.
-func newDialer(timeout time.Duration) net.Dialer {
-	return net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
-		},
-		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c) },
-	}
-}
-
-func setUserTimeout(c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
+	return &pool{dialer: deadpeer.Dialer(dialTimeout), idle: make(map[string][]*upstream)}
 }
 
 // get returns an idle connection or a new one.
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. It is short, so that a
-	// connection that went silent is noticed in time.
-	watchWait = time.Second
+	// watchWait is how long a watch waits for a change. The store allows 30 s;
+	// keep-alive probes end a watch whose connection went silent, and reads find
+	// what a watch does not hear.
+	watchWait = 25 * time.Second
+	// watchPause lets changes gather between two watches. Changes must be in force
+	// within two seconds.
+	watchPause = 200 * time.Millisecond
 	// minPause and maxPause bound the pause after a failed call. Changes must be in
 	// force within two seconds, and all routers share the store's rate.
 	minPause = 50 * time.Millisecond
@@ -44,11 +48,16 @@
 		l.pause = minPause
 		level.Warn(l.edge.logger).Log("event", "store_lost", "watch", l.what, "error", err)
 	}
+	pause(ctx, l.pause/2+rand.N(l.pause))
+	l.pause = min(2*l.pause, maxPause)
+}
+
+// pause waits, or until the duty ends.
+func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(l.pause/2 + rand.N(l.pause)):
+	case <-time.After(d):
 	}
-	l.pause = min(2*l.pause, maxPause)
 }
 
 // worked logs the return of the store and tells for how long it was away.
@@ -81,6 +90,7 @@
 		after = revision
 		if table != nil {
 			e.apply(table, revision)
+			pause(ctx, watchPause)
 		}
 	}
 	return nil
@@ -126,6 +136,9 @@
 		}
 		e.updateTargets(changes, after == 0, l.worked())
 		after = revision
+		if len(changes) > 0 {
+			pause(ctx, watchPause)
+		}
 	}
 	return nil
 }
@@ -157,6 +170,11 @@
 			events = append(events, e.directory.change(now, c)...)
 		}
 	}
+	for _, c := range changes {
+		if c.Revision > e.newest.Load() {
+			e.newest.Store(c.Revision)
+		}
+	}
 	e.useTargets(append(events, e.directory.expire(now)...))
 	e.targetsRead.Store(true)
 }
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"github.com/chiveseam/chiveseam/publisher"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/publisher"
 )
 
 const (
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -11,8 +11,8 @@
 	"github.com/matryer/is"
 
 	"github.com/chiveseam/chiveseam/internal/standin/platform"
-	reader "github.com/chiveseam/chiveseam/publisher"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	reader "github.com/chiveseam/chiveseam/publisher"
 )
 
 const (
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -36,6 +36,7 @@
 	miss      int
 	unread    int
 	running   int
+	slowness  float64
 	predicted float64
 	cost      float64
 	tie       uint64
@@ -54,7 +55,7 @@
 	}
 	return Choice{
 		Target: best.target.ID, Unread: best.miss, Backlog: best.unread, Running: best.running,
-		Predicted: predicted, Age: b.Age(now),
+		Slowness: best.slowness, Predicted: predicted, Age: b.Age(now),
 	}, nil
 }
 
@@ -101,6 +102,7 @@
 	c.miss = t.kept.missing(d.Parts)
 	base, slope := s.model.line()
 	factor := b.factor(now, t)
+	c.slowness = factor
 	c.predicted = factor*(base+slope*float64(c.unread+c.miss)) + slotWait(s, t, c.running)
 	reread := float64(max(c.miss-d.Parts[len(d.Parts)-1].Tokens, 0))
 	c.cost = c.predicted + rereadWeight*factor*slope*reread + penalty
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -82,6 +82,8 @@
 	Backlog int
 	// Running is the number of requests at the target in the whole fleet.
 	Running int
+	// Slowness is the target's time against that of the others of its service.
+	Slowness float64
 	// Predicted is the time to the first token.
 	Predicted time.Duration
 	// Age is the age of the oldest report of another router in the view.
--- a/router/internal/control/control.go
+++ b/router/internal/control/control.go
@@ -14,8 +14,8 @@
 
 	"github.com/chiveseam/chiveseam/config"
 	"github.com/chiveseam/chiveseam/fleet"
-	"github.com/chiveseam/chiveseam/publisher"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/publisher"
 	"github.com/chiveseam/chiveseam/requestkey"
 	"github.com/chiveseam/chiveseam/rollout"
 	"github.com/chiveseam/chiveseam/router/internal/state"
--- a/router/internal/control/instances.go
+++ b/router/internal/control/instances.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
-	"github.com/chiveseam/chiveseam/publisher"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/publisher"
 	"github.com/chiveseam/chiveseam/requestkey"
 )
 
