Take prompt parts from another engine's KV cache; tell uses of kept parts

Changes: a reread weighs four times its time, Kv-Fetch takes what another engine keeps, routers tell uses of kept parts at most each 2 s.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -44,8 +44,10 @@
 	call   *call
 	target routing.Target
 	ticket *placement.Ticket
-	number int
-	began  time.Time
+	// fetchFrom is the address of the target that keeps parts of the prompt.
+	fetchFrom string
+	number    int
+	began     time.Time
 	// answer is a whole answer that is not delivered yet; set with failing.
 	answer *answer
 	// crashed is set if the connection broke while the target had the request.
@@ -178,6 +180,9 @@
 	h = append(h,
 		h1.Field{Name: names.Deadline, Value: strconv.FormatInt(left, 10)},
 		h1.Field{Name: names.TargetID, Value: a.target.ID})
+	if a.fetchFrom != "" {
+		h = append(h, h1.Field{Name: names.FetchFrom, Value: a.fetchFrom})
+	}
 	if c.workspace != "" {
 		h = append(h, h1.Field{Name: names.Workspace, Value: c.workspace})
 	}
--- a/edge/call.go
+++ b/edge/call.go
@@ -174,9 +174,10 @@
 	a := &attempt{call: c, number: c.sent + 1, began: now}
 	a.ticket = e.book.Begin(now, &c.demand, choice)
 	a.target = e.directory.targets[choice.Target]
+	a.fetchFrom = e.directory.targets[choice.Donor].Address
 	c.tried[choice.Target] = true
 	level.Info(c.log).Log("event", "target_chosen", "route", c.route.Name, "version", c.table.Version,
-		"workspace", c.workspace, "target", choice.Target, "try", tries, "unread", choice.Unread,
+		"workspace", c.workspace, "target", choice.Target, "try", tries, "unread", choice.Unread, "fetched", choice.Fetched,
 		"backlog", choice.Backlog, "running", choice.Running, "slowness", math.Round(choice.Slowness*100)/100,
 		"predicted_ms", choice.Predicted.Milliseconds(), "view_age_ms", choice.Age.Milliseconds())
 	return a, nil
--- a/edge/headers.go
+++ b/edge/headers.go
@@ -34,6 +34,9 @@
 	Workspace string
 	// TargetID names the target that is meant; others refuse the request.
 	TargetID string
+	// FetchFrom tells a model engine the address of another one, from whose KV cache
+	// it takes what it lacks of the prompt.
+	FetchFrom string
 	// Load holds running requests, waiting requests and slots of a target.
 	Load string
 	// NotRun marks answers of targets that did not run the request.
@@ -68,7 +71,7 @@
 }
 
 func (h *Headers) ownedByRouter(name string) bool {
-	for _, own := range []string{h.Deadline, h.Workspace, h.TargetID, h.APIKey} {
+	for _, own := range []string{h.Deadline, h.Workspace, h.TargetID, h.APIKey, h.FetchFrom} {
 		if strings.EqualFold(name, own) {
 			return true
 		}
--- a/placement/book.go
+++ b/placement/book.go
@@ -41,6 +41,9 @@
 	model   speedModel
 	slots   int
 	kvTotal int
+	// fetch is the time in ms to take one token from another engine's KV cache; 0
+	// if that is not possible.
+	fetch float64
 }
 
 type target struct {
@@ -90,6 +93,7 @@
 		known := b.service(name)
 		known.slots = s.Engine.Slots
 		known.kvTotal = s.Engine.KVTokens
+		known.fetch = milliseconds(s.Engine.FetchPerToken)
 		for _, t := range known.targets {
 			t.kept.capacity = keptCapacity(known)
 		}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -10,7 +10,11 @@
 const (
 	// rereadWeight is the weight of reading a shared part that another target keeps,
 	// beside its own time: it delays the requests behind it by as much.
-	rereadWeight = 1.0
+	rereadWeight = 4.0
+	// fetchSetup is the time in ms that a fetch takes beside its tokens, and
+	// fetchWeight the weight of its time, since fetches share the links of both ends.
+	fetchSetup  = 10.0
+	fetchWeight = 20.0
 	// overShare is the part of the wanted time up to which workspaces above their
 	// share are admitted; what is left is for the others.
 	overShare = 0.5
@@ -32,7 +36,11 @@
 
 // candidate is a target with its prediction in ms.
 type candidate struct {
-	target    *target
+	target *target
+	// kept is the length of the prompt's beginning that the target keeps.
+	kept      int
+	donor     *target
+	fetched   int
 	miss      int
 	unread    int
 	running   int
@@ -53,10 +61,14 @@
 	if refusal := b.admit(now, d, predicted); refusal != nil {
 		return Choice{}, refusal
 	}
-	return Choice{
+	choice := Choice{
 		Target: best.target.ID, Unread: best.miss, Backlog: best.unread, Running: best.running,
 		Slowness: best.slowness, Predicted: predicted, Age: b.Age(now),
-	}, nil
+	}
+	if best.donor != nil {
+		choice.Donor, choice.Fetched = best.donor.ID, best.fetched
+	}
+	return choice, nil
 }
 
 // noTargetRetry is when a caller without any target should come back: targets
@@ -68,13 +80,14 @@
 	if !ok {
 		return candidate{}, false
 	}
+	donor, donated := b.donor(s, d)
 	var best candidate
 	found := false
 	for _, t := range s.targets {
 		if t.Draining || !t.health.Ready(now) || (d.Excluded != nil && d.Excluded(t.ID)) {
 			continue
 		}
-		c := b.assess(now, s, t, d)
+		c := b.assess(now, s, t, d, donor, donated)
 		if !found || compare(c, best) < 0 {
 			best, found = c, true
 		}
@@ -82,6 +95,27 @@
 	return best, found
 }
 
+// donor returns the target that keeps the most of a prompt's beginning, and how
+// much. Of several the one with the least to read is taken.
+func (b *Book) donor(s *service, d *Demand) (*target, int) {
+	if s.fetch == 0 || d.Parts == nil {
+		return nil, 0
+	}
+	var donor *target
+	donated, backlog := 0, 0
+	for _, t := range s.targets {
+		kept := t.kept.prefix(d.Parts)
+		if kept == 0 || kept < donated {
+			continue
+		}
+		_, unread := b.load(t)
+		if kept > donated || unread < backlog {
+			donor, donated, backlog = t, kept, unread
+		}
+	}
+	return donor, donated
+}
+
 func compare(a, b candidate) int {
 	if order := cmp.Compare(a.cost, b.cost); order != 0 {
 		return order
@@ -89,7 +123,7 @@
 	return cmp.Compare(b.tie, a.tie)
 }
 
-func (b *Book) assess(now time.Time, s *service, t *target, d *Demand) candidate {
+func (b *Book) assess(now time.Time, s *service, t *target, d *Demand, donor *target, donated int) candidate {
 	c := candidate{target: t}
 	c.running, c.unread = b.load(t)
 	penalty := faultWeight * t.faults.rate(now) * milliseconds(d.Want)
@@ -99,17 +133,31 @@
 		c.tie = rendezvous.Score(b.options.Router, t.ID)
 		return c
 	}
-	c.miss = t.kept.missing(d.Parts)
+	c.kept = t.kept.prefix(d.Parts)
+	fetchTime := c.fetch(s, donor, donated)
+	c.miss = d.Prompt() - c.kept - c.fetched
 	base, slope := s.model.line()
-	factor := b.factor(now, t)
-	c.slowness = factor
-	c.predicted = factor*(base+slope*float64(c.unread+c.miss)) + slotWait(s, t, c.running)
+	c.slowness = b.factor(now, t)
+	c.predicted = c.slowness*(base+slope*float64(c.unread+c.miss)) + fetchTime + slotWait(s, t, c.running)
 	reread := float64(max(c.miss-d.Parts[len(d.Parts)-1].Tokens, 0))
-	c.cost = c.predicted + rereadWeight*factor*slope*reread + penalty
+	c.cost = c.predicted + rereadWeight*c.slowness*slope*reread + (fetchWeight-1)*fetchTime + penalty
 	c.tie = rendezvous.Score(partName(d.Parts), t.ID)
 	return c
 }
 
+// minFetch is the number of tokens from which a fetch is faster than reading.
+const minFetch = 1024
+
+// fetch takes what the target lacks from the donor, and returns the time in ms.
+func (c *candidate) fetch(s *service, donor *target, donated int) float64 {
+	tokens := donated - c.kept
+	if donor == nil || donor == c.target || tokens < minFetch {
+		return 0
+	}
+	c.donor, c.fetched = donor, tokens
+	return fetchSetup + float64(tokens)*s.fetch
+}
+
 func partName(parts []Part) string {
 	id := parts[0].ID
 	var name [8]byte
--- a/placement/parts.go
+++ b/placement/parts.go
@@ -17,7 +17,8 @@
 type keptPart struct {
 	id     uint64
 	tokens int
-	used   time.Time
+	// told is when the routers last told each other of a use.
+	told time.Time
 }
 
 func newKeptParts(capacity int) *keptParts {
@@ -25,17 +26,18 @@
 }
 
 // use records that the target reads or has read a part.
-func (k *keptParts) use(now time.Time, p Part) {
+func (k *keptParts) use(p Part) *keptPart {
 	if e, ok := k.byID[p.ID]; ok {
-		e.Value.(*keptPart).used = now
 		k.order.MoveToFront(e)
-		return
+		return e.Value.(*keptPart)
 	}
-	k.byID[p.ID] = k.order.PushFront(&keptPart{id: p.ID, tokens: p.Tokens, used: now})
+	part := &keptPart{id: p.ID, tokens: p.Tokens}
+	k.byID[p.ID] = k.order.PushFront(part)
 	k.tokens += p.Tokens
 	for k.tokens > k.capacity && k.order.Len() > 1 {
 		k.drop(k.order.Back())
 	}
+	return part
 }
 
 func (k *keptParts) drop(e *list.Element) {
@@ -50,16 +52,15 @@
 	return ok
 }
 
-// missing returns the tokens of parts that the target has to read. A part is kept
-// only if all before it are.
-func (k *keptParts) missing(parts []Part) int {
+// prefix returns the tokens of the leading parts that the target keeps. A part is
+// of use only if all before it are kept.
+func (k *keptParts) prefix(parts []Part) int {
 	total := 0
-	kept := true
 	for _, p := range parts {
-		kept = kept && k.has(p.ID)
-		if !kept {
-			total += p.Tokens
+		if !k.has(p.ID) {
+			break
 		}
+		total += p.Tokens
 	}
 	return total
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -7,9 +7,9 @@
 //
 // For model engines the time to the first token is predicted from the prompt
 // tokens that the target has still to read, less the prompt parts that it is
-// believed to keep. The target with the least predicted time wins, where reading
-// a kept part again counts more than its own time, since it delays all others on
-// that target. When even the best prediction misses what the caller wants, the
+// believed to keep or can take from the KV cache of another one. The target with
+// the least predicted time wins, where reading a kept part again counts more than
+// its own time, since it delays all others on that target. When even the best prediction misses what the caller wants, the
 // capacity is short: workspaces above their max-min share are refused first.
 //
 // For other services the target with the fewest requests for its slots wins.
@@ -78,6 +78,10 @@
 	Target string
 	// Unread is the number of prompt tokens that the target has to read for it.
 	Unread int
+	// Donor is the target from whose KV cache Fetched prompt tokens are taken; ""
+	// if none are.
+	Donor   string
+	Fetched int
 	// Backlog is the number of prompt tokens that the target has to read before.
 	Backlog int
 	// Running is the number of requests at the target in the whole fleet.
--- a/placement/report.go
+++ b/placement/report.go
@@ -12,6 +12,9 @@
 	reportRepeats = 2
 	// refreshReports is the number of reports within which all loads are told.
 	refreshReports = 10
+	// tellUses is the time after which another use of a kept part is told: routers
+	// must agree on what an engine has used least lately.
+	tellUses = 2 * time.Second
 	// maxParts bounds the parts in one report, so that it fits a datagram.
 	maxParts = 60
 )
@@ -133,7 +136,7 @@
 	}
 	for _, part := range parts {
 		if t, ok := byHash[part.Target]; ok {
-			t.kept.use(now, Part{ID: part.Part, Tokens: int(part.Tokens)})
+			t.kept.use(Part{ID: part.Part, Tokens: int(part.Tokens)}).told = now
 		}
 	}
 }
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -64,15 +64,21 @@
 	return ticket
 }
 
+// keep records that a target reads or uses prompt parts, for this router and the
+// others.
 func (b *Book) keep(now time.Time, t *target, parts []Part) {
 	for _, p := range parts {
-		if !t.kept.has(p.ID) {
-			b.news = append(b.news, partNews{
-				message: &v1.PartRead{Target: t.hash, Part: p.ID, Tokens: uint32(p.Tokens)},
-				left:    reportRepeats,
-			})
+		known := t.kept.has(p.ID)
+		part := t.kept.use(p)
+		if now.Sub(part.told) < tellUses {
+			continue
 		}
-		t.kept.use(now, p)
+		part.told = now
+		news := partNews{message: &v1.PartRead{Target: t.hash, Part: p.ID, Tokens: uint32(p.Tokens)}, left: 1}
+		if !known {
+			news.left = reportRepeats
+		}
+		b.news = append(b.news, news)
 	}
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -67,6 +67,9 @@
 	Slots int
 	// KVTokens is the capacity of the KV cache in tokens.
 	KVTokens int
+	// FetchPerToken is the time in which one engine takes a token's KV cache from
+	// another one; 0 if engines cannot.
+	FetchPerToken time.Duration
 }
 
 // Limits bound what callers may send. A zero field sets no limit.
