Admit by the wait at the target and by how far a workspace is above its share

Cause: a workspace above its share was refused when its own long prompt alone took half of the wanted time, also at an idle target, while small requests of the same workspace filled the targets up to that time. Now the time that the request waits for others counts, and the limit falls with the workspace's use of its share.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -253,6 +254,9 @@
 		e.suspects.cleared(a.call.digest)
 	case a.crashed:
 		e.suspects.lost(now, a.call.digest, placement.Hash(a.target.ID))
+	}
+	if errors.Is(a.err, syscall.ECONNREFUSED) {
+		// Nothing listens: the target has crashed, and its memory is gone.
 		e.book.Lost(a.target.ID)
 	}
 	if f == notSent || a.crashed {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -115,7 +115,8 @@
 	e.mu.Unlock()
 	e.table.Store(t)
 	e.metrics.version.Set(float64(t.Version))
-	level.Info(e.logger).Log("event", "configuration_applied", "version", t.Version, "revision", revision)
+	level.Info(e.logger).Log("event", "configuration_applied", "version", t.Version, "revision", revision,
+		"tokens_per_second", t.Limits.TokensPerSecond)
 }
 
 // watchTargets keeps the targets current.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -15,11 +15,12 @@
 	// fetchWeight the weight of its time, since fetches share the links of both ends.
 	fetchSetup  = 10.0
 	fetchWeight = 20.0
-	// overShare is the part of the wanted time up to which workspaces above their
-	// share are admitted; what is left is for the others.
-	overShare = 0.5
-	// lateLimit is the multiple of the wanted time up to which workspaces below
-	// their share are admitted late.
+	// overShare is the part of the wanted time that workspaces at their share may
+	// wait for others at a target; those above it wait less in proportion, so that
+	// the rest of the time is left for workspaces below their share.
+	overShare = 0.25
+	// lateLimit is the multiple of the wanted time that workspaces below their share
+	// may wait: a late answer is worth less, but more than none.
 	lateLimit = 2.0
 	// minRetryAfter and maxRetryShare bound what a refused caller is told: requests
 	// end at a rate of several in 100 ms, and callers wait for up to a third of the
@@ -38,13 +39,15 @@
 type candidate struct {
 	target *target
 	// kept is the length of the prompt's beginning that the target keeps.
-	kept      int
-	donor     *target
-	fetched   int
-	miss      int
-	unread    int
-	running   int
-	slowness  float64
+	kept     int
+	donor    *target
+	fetched  int
+	miss     int
+	unread   int
+	running  int
+	slowness float64
+	// wait is the time until the target begins to read the prompt, in ms.
+	wait      float64
 	predicted float64
 	cost      float64
 	tie       uint64
@@ -57,13 +60,12 @@
 	if !ok {
 		return Choice{}, &Refusal{Err: ErrNoTarget, RetryAfter: b.bounded(noTargetRetry, d)}
 	}
-	predicted := time.Duration(best.predicted * float64(time.Millisecond))
-	if refusal := b.admit(now, d, predicted); refusal != nil {
+	if refusal := b.admit(now, d, best); refusal != nil {
 		return Choice{}, refusal
 	}
 	choice := Choice{
 		Target: best.target.ID, Unread: best.miss, Backlog: best.unread, Running: best.running,
-		Slowness: best.slowness, Predicted: predicted, Age: b.Age(now),
+		Slowness: best.slowness, Predicted: duration(best.predicted), Age: b.Age(now),
 	}
 	if best.donor != nil {
 		choice.Donor, choice.Fetched = best.donor.ID, best.fetched
@@ -138,7 +140,8 @@
 	c.miss = d.Prompt() - c.kept - c.fetched
 	base, slope := s.model.line()
 	c.slowness = b.factor(now, t)
-	c.predicted = c.slowness*(base+slope*float64(c.unread+c.miss)) + fetchTime + slotWait(s, t, c.running)
+	c.wait = c.slowness*slope*float64(c.unread) + slotWait(s, t, c.running)
+	c.predicted = c.wait + c.slowness*(base+slope*float64(c.miss)) + fetchTime
 	reread := float64(max(c.miss-d.Parts[len(d.Parts)-1].Tokens, 0))
 	c.cost = c.predicted + rereadWeight*c.slowness*slope*reread + (fetchWeight-1)*fetchTime + penalty
 	c.tie = rendezvous.Score(partName(d.Parts), t.ID)
@@ -193,29 +196,27 @@
 	return float64(ahead) * stay / float64(slots)
 }
 
-// admit returns nil if the request may be sent although the best target is
-// predicted to answer in that time.
-func (b *Book) admit(now time.Time, d *Demand, predicted time.Duration) *Refusal {
-	if d.Parts == nil {
-		return nil
-	}
-	total := d.Waited + predicted
-	if total <= time.Duration(overShare*float64(d.Want)) || d.Repeated {
+// admit returns nil if the request may be sent to the best target.
+func (b *Book) admit(now time.Time, d *Demand, best candidate) *Refusal {
+	if d.Parts == nil || d.Repeated {
 		return nil
 	}
-	over, level := b.shares.over(now, d.Workspace)
+	wait := d.Waited + duration(best.wait)
 	cause := ErrSaturated
-	limit := time.Duration(lateLimit * float64(d.Want))
-	if over {
+	limit := min(time.Duration(lateLimit*float64(d.Want)), d.Left)
+	use, level := b.shares.use(now, d.Workspace)
+	if use > 1 {
 		cause = ErrOverShare
-		limit = time.Duration(overShare * float64(d.Want))
+		limit = time.Duration(overShare * float64(d.Want) / use)
 	}
-	if total <= limit && predicted < d.Left {
+	if wait <= limit {
 		return nil
 	}
-	return &Refusal{Err: cause, RetryAfter: b.bounded(total-limit, d), Predicted: predicted, Level: level}
+	return &Refusal{Err: cause, RetryAfter: b.bounded(wait-limit, d), Predicted: duration(best.predicted), Level: level, Use: use}
 }
 
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 func (b *Book) bounded(after time.Duration, d *Demand) time.Duration {
 	longest := time.Duration(maxRetryShare * float64(d.Left))
 	return max(min(after, longest), minRetryAfter)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -115,6 +115,8 @@
 	Predicted time.Duration
 	// Level is the share of a workspace in tokens a second; 0 if none is known.
 	Level float64
+	// Use is what the workspace has begun, in multiples of its share.
+	Use float64
 }
 
 // Error names the cause.
--- a/placement/shares.go
+++ b/placement/shares.go
@@ -87,21 +87,17 @@
 	return total
 }
 
-// over reports whether a workspace has begun more than its share of the window,
-// and the share in tokens a second. Without a stated capacity all workspaces are
-// compared by what was begun in all.
-func (s *shares) over(now time.Time, workspace string) (bool, float64) {
+// use returns what a workspace has begun within the window in multiples of its
+// share, and the share in tokens a second. It returns 0 while the capacity meets
+// all demands.
+func (s *shares) use(now time.Time, workspace string) (multiple, level float64) {
 	s.advance(now)
 	s.compute(now)
-	if !s.scarce {
-		return false, 0
-	}
 	u, ok := s.byHash[Hash(workspace)]
-	if !ok {
-		return false, s.level
+	if !s.scarce || !ok || s.level <= 0 {
+		return 0, s.level
 	}
-	seconds := s.window.Seconds()
-	return sum(&u.begun) > s.level*seconds, s.level
+	return sum(&u.begun) / (s.level * s.window.Seconds()), s.level
 }
 
 func (s *shares) compute(now time.Time) {
