Test the edge router by rule; answer 504 when a target is silent to the end

Found by them: a target that was silent until the route's timeout gave 502 in place of 504; a reset answer took its target out at once, though only a failed connect shows that it is gone; a mistake in the settings file was told without its name.

--- a/edge/call.go
+++ b/edge/call.go
@@ -207,7 +207,7 @@
 		c.mayHaveRun = true
 		c.failed = a.answer
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || c.timeOver() {
 		c.abandon(ctx)
 		return false
 	}
@@ -297,14 +297,15 @@
 
 // abandon ends a request whose caller left or whose time is over.
 func (c *call) abandon(ctx context.Context) {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) && !c.reply.begun {
-		ran := v1.Ran_UNKNOWN
-		c.answer(result.New(v1.Code_TARGET_TIMEOUT, ran, "no answer in time"), http.StatusGatewayTimeout, ctx.Err())
+	if c.timeOver() && !errors.Is(ctx.Err(), context.Canceled) && !c.reply.begun {
+		c.answer(result.New(v1.Code_TARGET_TIMEOUT, v1.Ran_UNKNOWN, "no answer in time"), http.StatusGatewayTimeout, context.DeadlineExceeded)
 		return
 	}
 	c.abort(fmt.Errorf("caller left or time over: %w", context.Cause(ctx)))
 }
 
+func (c *call) timeOver() bool { return !time.Now().Before(c.giveUp) }
+
 // abort breaks the caller's connection, so that the answer never looks whole.
 func (c *call) abort(err error) {
 	c.edge.metrics.aborted.Inc()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -275,9 +275,6 @@
 	case notSent:
 		return placement.Unreachable
 	case lost:
-		if a.crashed {
-			return placement.Unreachable
-		}
 		return placement.Failed
 	}
 	return placement.Unknown
--- /dev/null
+++ b/edge/fixture_test.go
@@ -0,0 +1,349 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/h1"
+	"github.com/chiveseam/chiveseam/routing"
+)
+
+// testHeaders are names of a platform for tests.
+func testHeaders() Headers {
+	return Headers{
+		RequestID: "T-Id", Deadline: "T-Deadline", PromptParts: "T-Parts", TokenUsage: "T-Usage", Model: "T-Model",
+		LengthHint: "T-Hint", LastEventID: "T-Last", Signature: "T-Signed", Workspace: "T-Workspace", TargetID: "T-Target",
+		FetchFrom: "T-Fetch", Load: "T-Load", NotRun: "T-Not-Run", APIKey: "T-Key", Reserved: []string{"T-Hold"},
+	}
+}
+
+// fakeSource publishes what a test sets.
+type fakeSource struct {
+	mu      sync.Mutex
+	table   *routing.Table
+	targets []TargetChange
+	down    error
+	changed chan struct{}
+}
+
+func (s *fakeSource) publish(table *routing.Table, targets ...routing.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table = table
+	s.targets = nil
+	for _, t := range targets {
+		s.targets = append(s.targets, TargetChange{ID: t.ID, Target: t, Revision: 1})
+	}
+}
+
+func (s *fakeSource) Configuration(context.Context) (*routing.Table, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down != nil {
+		return nil, 0, s.down
+	}
+	if s.table == nil {
+		return nil, 0, ErrNoConfiguration
+	}
+	return s.table, 1, nil
+}
+
+func (s *fakeSource) WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (*routing.Table, uint64, error) {
+	pause(ctx, wait)
+	return nil, after, nil
+}
+
+func (s *fakeSource) Targets(context.Context) ([]TargetChange, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets, 1, s.down
+}
+
+func (s *fakeSource) WatchTargets(ctx context.Context, after uint64, wait time.Duration) ([]TargetChange, uint64, error) {
+	pause(ctx, wait)
+	return nil, after, nil
+}
+
+// standIn is a target whose answers a test writes byte by byte.
+type standIn struct {
+	t        *testing.T
+	id       string
+	listener net.Listener
+	handle   func(s *served)
+
+	mu   sync.Mutex
+	seen []*served
+	open int
+}
+
+// served is one request at a stand-in.
+type served struct {
+	*h1.Request
+	conn net.Conn
+	br   *bufio.Reader
+	// number counts the requests on the connection.
+	number int
+	id     string
+	target *standIn
+}
+
+// write sends raw bytes, in which %ID stands for the request's ID.
+func (s *served) write(text string) {
+	io.WriteString(s.conn, strings.ReplaceAll(text, "%ID", s.id))
+}
+
+// answer sends a whole signed answer.
+func (s *served) answer(status int, body string) {
+	s.write(fmt.Sprintf("HTTP/1.1 %d X\r\nT-Id: %%ID\r\nT-Signed: yes\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body))
+}
+
+// notRun says that the request was not run.
+func (s *served) notRun(status int) {
+	s.write(fmt.Sprintf("HTTP/1.1 %d X\r\nT-Id: %%ID\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", status))
+}
+
+// reset ends the connection without an answer.
+func (s *served) reset() {
+	s.conn.(*net.TCPConn).SetLinger(0)
+	s.conn.Close()
+}
+
+// gone waits for the router to close the connection and returns how long it took.
+func (s *served) gone(limit time.Duration) bool {
+	s.conn.SetReadDeadline(time.Now().Add(limit))
+	_, err := s.br.Peek(1)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+func newStandIn(t *testing.T, id string, handle func(s *served)) *standIn {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := &standIn{t: t, id: id, listener: listener, handle: handle}
+	t.Cleanup(func() { listener.Close() })
+	go target.accept()
+	return target
+}
+
+func (target *standIn) accept() {
+	for {
+		conn, err := target.listener.Accept()
+		if err != nil {
+			return
+		}
+		target.mu.Lock()
+		target.open++
+		target.mu.Unlock()
+		go target.serve(conn)
+	}
+}
+
+func (target *standIn) serve(conn net.Conn) {
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	for number := 1; ; number++ {
+		req, err := h1.ReadRequest(br, 1<<16)
+		if err != nil || req.ReadBody(br, 1<<22) != nil {
+			return
+		}
+		s := &served{Request: req, conn: conn, br: br, number: number, id: req.Header.Get("T-Id"), target: target}
+		target.mu.Lock()
+		target.seen = append(target.seen, s)
+		target.mu.Unlock()
+		target.handle(s)
+	}
+}
+
+func (target *standIn) requests() []*served {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	return append([]*served(nil), target.seen...)
+}
+
+func (target *standIn) registration() routing.Target {
+	return routing.Target{ID: target.id, Service: "s", Address: target.listener.Addr().String(), Slots: 4, Started: 1}
+}
+
+// fixture is a router between callers and stand-ins.
+type fixture struct {
+	t      *testing.T
+	is     *is.I
+	edge   *Edge
+	source *fakeSource
+	stop   context.CancelFunc
+	done   chan error
+	logs   *logs
+}
+
+// logs collects log lines.
+type logs struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *logs) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, string(p))
+	return len(p), nil
+}
+
+func (l *logs) has(parts ...string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range l.lines {
+		found := true
+		for _, part := range parts {
+			found = found && strings.Contains(line, part)
+		}
+		if found {
+			return true
+		}
+	}
+	return false
+}
+
+// routes of the fixture's table, by path.
+func testRoutes() []*routing.Route {
+	service := []routing.Weighted{{Service: "s", Weight: 1}}
+	base := routing.Route{Host: "h.example", Services: service, Timeout: 3 * time.Second, TargetLatency: 500 * time.Millisecond, MaxAttempts: 2}
+	idempotent, once, stream, resumable, short := base, base, base, base, base
+	idempotent.Prefix, idempotent.Repeat = "/idempotent/", routing.Idempotent
+	once.Prefix = "/once/"
+	stream.Prefix, stream.Stream = "/stream/", true
+	resumable.Prefix, resumable.Stream, resumable.Repeat = "/resumable/", true, routing.Resumable
+	resumable.TargetGap = 100 * time.Millisecond
+	short.Prefix, short.Timeout = "/short/", 200*time.Millisecond
+	return []*routing.Route{&idempotent, &once, &stream, &resumable, &short}
+}
+
+func testTable(version uint64) *routing.Table {
+	return routing.NewTable(version, testRoutes(), nil, routing.Limits{IdleTimeout: 10 * time.Second}, map[string]string{"key": "shop"})
+}
+
+func freeAddress(t *testing.T, network string) string {
+	if network == "udp4" {
+		conn, err := net.ListenPacket(network, "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		return conn.LocalAddr().String()
+	}
+	l, err := net.Listen(network, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newFixture(t *testing.T, targets ...*standIn) *fixture {
+	f := &fixture{t: t, is: is.New(t), source: &fakeSource{}, done: make(chan error, 1), logs: &logs{}}
+	var registered []routing.Target
+	for _, target := range targets {
+		registered = append(registered, target.registration())
+	}
+	f.source.publish(testTable(1), registered...)
+	f.start(f.settings())
+	f.await(f.edge.isReady)
+	return f
+}
+
+func (f *fixture) settings() *Settings {
+	path := filepath.Join(f.t.TempDir(), "edge.ini")
+	text := fmt.Sprintf("name = r1\nzone = a\nlisten = %s\nready = %s\npeer = %s\nstore = 127.0.0.1:1\ngrace = 4s\n",
+		freeAddress(f.t, "tcp4"), freeAddress(f.t, "tcp4"), freeAddress(f.t, "udp4"))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	s, err := ReadSettings(path)
+	f.is.NoErr(err)
+	return s
+}
+
+func (f *fixture) start(s *Settings) {
+	var err error
+	f.edge, err = New(Options{
+		Settings: s, Headers: testHeaders(), Source: f.source, ReadyPath: "/ready",
+		Logger: log.NewJSONLogger(log.NewSyncWriter(f.logs)),
+	})
+	f.is.NoErr(err)
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	go func() { f.done <- f.edge.Run(ctx) }()
+	f.t.Cleanup(func() {
+		f.edge.tomb.Kill(nil)
+		stop()
+	})
+}
+
+// await waits until cond holds.
+func (f *fixture) await(cond func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(10 * time.Second); !cond(); {
+		if time.Now().After(end) {
+			f.t.Fatal("condition does not hold in time")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// client is one connection of a caller.
+type client struct {
+	f    *fixture
+	conn net.Conn
+	br   *bufio.Reader
+	id   int
+}
+
+func (f *fixture) client() *client {
+	conn, err := net.Dial("tcp4", f.edge.settings.Listen)
+	f.is.NoErr(err)
+	f.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(20 * time.Second))
+	return &client{f: f, conn: conn, br: bufio.NewReader(conn)}
+}
+
+// send writes a request with a key and an ID of its own, which it returns.
+func (c *client) send(method, target, extra, body string) string {
+	c.id++
+	id := fmt.Sprintf("%p-%d", c, c.id)
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nT-Id: %s\r\nT-Key: key\r\nT-Deadline: 3000\r\n%s", method, target, id, extra)
+	if body != "" {
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	_, err := io.WriteString(c.conn, text+"\r\n"+body)
+	c.f.is.NoErr(err)
+	return id
+}
+
+// receive reads an answer and its body; the error is that of the body.
+func (c *client) receive(method string) (*h1.Response, string, error) {
+	resp, err := h1.ReadResponse(c.br, method, 1<<16)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(resp.Body(c.br))
+	return resp, string(body), err
+}
+
+// call sends a request and reads its answer.
+func (c *client) call(method, target string) (*h1.Response, string, error) {
+	c.send(method, target, "", "")
+	return c.receive(method)
+}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"os"
 	"strings"
 	"time"
 
@@ -45,12 +46,26 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if err := flags.NewIniParser(parser).ParseFile(path); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, fmt.Errorf("settings: %w%s", err, lineOf(path, err))
 	}
 	s.SettingsFilePath = path
 	return &s, s.check()
 }
 
+// lineOf returns the text of the line that an error names.
+func lineOf(path string, err error) string {
+	var where *flags.IniError
+	if !errors.As(err, &where) {
+		return ""
+	}
+	text, err := os.ReadFile(path)
+	lines := strings.Split(string(text), "\n")
+	if err != nil || where.LineNumber == 0 || int(where.LineNumber) > len(lines) {
+		return ""
+	}
+	return fmt.Sprintf(" in %q", lines[where.LineNumber-1])
+}
+
 func isRequired(err error) bool {
 	var flagErr *flags.Error
 	return errors.As(err, &flagErr) && flagErr.Type == flags.ErrRequired
