Read the store whole when it is back, so that its return is noticed then

After an absence of the store the watch of targets went on with a wait of 25 s, so that the router took the next change, a target's removal 3 s after the return, for the return itself, and kept the target for the grace of lapsed entries; what had expired was given up only with the next change. Ruled out: a late event (the other routers saw it within 30 ms).

Reports of targets that change nothing but their sequence are no longer logged or passed on.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -45,9 +45,19 @@
 		return nil
 	}
 	d.targets[c.ID] = c.Target
+	if known && sameUse(old, c.Target) {
+		return nil
+	}
 	return []event{{target: c.Target}}
 }
 
+// sameUse reports whether two reports of a target differ in nothing that its use
+// depends on.
+func sameUse(a, b routing.Target) bool {
+	a.Sequence, a.Cold = b.Sequence, b.Cold
+	return a == b
+}
+
 func (d *directory) remove(now time.Time, id string) []event {
 	old, known := d.targets[id]
 	if !known {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -196,9 +196,11 @@
 	return nil
 }
 
-const sweepInterval = time.Second
+// sweepInterval bounds how late what has expired is given up.
+const sweepInterval = 250 * time.Millisecond
 
-// sweep closes connections to targets that were idle for too long.
+// sweep closes connections to targets that were idle for too long, and gives up
+// targets that are missing for too long.
 func (e *Edge) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -208,6 +210,7 @@
 			return nil
 		case now := <-ticker.C:
 			e.pool.sweep(now)
+			e.expireTargets()
 			e.metrics.callers.Set(float64(e.callers.count()))
 		}
 	}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -84,6 +84,8 @@
 				continue
 			}
 			l.failed(ctx, err)
+			// A long watch would not tell when the store is back; reading it whole does.
+			after = 0
 			continue
 		}
 		l.worked()
@@ -131,8 +133,8 @@
 			continue
 		}
 		if err != nil {
-			e.expireTargets()
 			l.failed(ctx, err)
+			after = 0
 			continue
 		}
 		e.updateTargets(changes, after == 0, l.worked())
@@ -176,10 +178,11 @@
 			e.newest.Store(c.Revision)
 		}
 	}
-	e.useTargets(append(events, e.directory.expire(now)...))
+	e.useTargets(events)
 	e.targetsRead.Store(true)
 }
 
+// expireTargets gives up targets that did not come back after the store's absence.
 func (e *Edge) expireTargets() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
