--- a/edge/caller.go
+++ b/edge/caller.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,8 +22,14 @@
 const (
 	// callerBuffer is the size of the read buffer of a caller's connection.
 	callerBuffer = 4096
-	// idleMarginFactor keeps idle connections longer than callers reuse them.
-	idleMarginFactor = 2
+	// maxKeepAlive is the longest time for which callers are told to keep an idle
+	// connection: callers that come again do so within seconds.
+	maxKeepAlive = 6 * time.Second
+	// keepAliveMargin is how much longer the router keeps it.
+	keepAliveMargin = 2 * time.Second
+	// evictShare is the part of the longest idle connections that is closed when
+	// there is no room for another.
+	evictShare = 0.05
 	// bodyTimeout bounds the reading of one body.
 	bodyTimeout = 10 * time.Second
 	// Defaults before a configuration is read.
@@ -37,8 +45,10 @@
 	edge *Edge
 	conn net.Conn
 	br   *bufio.Reader
-	// state keeps a stop from closing the connection while a request is served.
+	// state keeps the connection from being closed while a request is served.
 	state atomic.Int32
+	// idleSince is the Unix time in nanoseconds at which it was last idle.
+	idleSince atomic.Int64
 }
 
 // States of a caller's connection.
@@ -77,6 +87,28 @@
 	}
 }
 
+// evict closes the connections that are idle for longest, so that there is room
+// for new ones.
+func (s *callers) evict() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var waiting []*caller
+	for c := range s.open {
+		if c.state.Load() == idle {
+			waiting = append(waiting, c)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *caller) int { return cmp.Compare(a.idleSince.Load(), b.idleSince.Load()) })
+	waiting = waiting[:min(len(waiting), 1+int(evictShare*float64(len(s.open))))]
+	for _, c := range waiting {
+		if c.state.CompareAndSwap(idle, closing) {
+			c.conn.Close()
+			delete(s.open, c)
+		}
+	}
+	return len(waiting)
+}
+
 func (s *callers) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -95,12 +127,14 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		if e.callers.count() >= e.maxCallers {
+		if e.callers.count() >= e.maxCallers && e.callers.evict() == 0 {
 			e.metrics.refusedConnections.Inc()
+			level.Warn(e.logger).Log("event", "connection_refused", "caller", conn.RemoteAddr(), "limit", e.maxCallers)
 			conn.Close()
 			continue
 		}
 		c := &caller{edge: e, conn: conn, br: bufio.NewReaderSize(conn, callerBuffer)}
+		c.idleSince.Store(time.Now().UnixNano())
 		e.callers.add(c)
 		go c.serve()
 	}
@@ -116,6 +150,9 @@
 	idleTimeout   time.Duration
 }
 
+// keepAlive is how long callers are told to keep an idle connection.
+func (l callerLimits) keepAlive() time.Duration { return min(l.idleTimeout, maxKeepAlive) }
+
 func (e *Edge) callerLimits() callerLimits {
 	l := callerLimits{defaultHeaderBytes, defaultBodyBytes, defaultHeaderTimeout, defaultIdleTimeout}
 	t := e.table.Load()
@@ -147,7 +184,7 @@
 // next serves one request and reports whether another one may follow.
 func (c *caller) next() bool {
 	limits := c.edge.callerLimits()
-	c.conn.SetReadDeadline(time.Now().Add(idleMarginFactor * limits.idleTimeout))
+	c.conn.SetReadDeadline(time.Now().Add(limits.idleTimeout + keepAliveMargin))
 	if _, err := c.br.Peek(1); err != nil {
 		return false
 	}
@@ -210,7 +247,7 @@
 }
 
 func (c *caller) reply(req *h1.Request) *reply {
-	r := &reply{conn: c.conn, idName: c.edge.headers.RequestID, minor: 1}
+	r := &reply{conn: c.conn, idName: c.edge.headers.RequestID, minor: 1, keepAlive: c.edge.callerLimits().keepAlive()}
 	if req != nil {
 		r.id = req.Header.Get(r.idName)
 		r.minor = req.Minor
@@ -243,7 +280,8 @@
 // awaitNext waits for the next request's first byte, which the watch of this
 // request sees.
 func (c *caller) awaitNext(watched <-chan error) bool {
+	c.idleSince.Store(time.Now().UnixNano())
 	c.state.Store(idle)
-	c.conn.SetReadDeadline(time.Now().Add(idleMarginFactor * c.edge.callerLimits().idleTimeout))
+	c.conn.SetReadDeadline(time.Now().Add(c.edge.callerLimits().keepAlive() + keepAliveMargin))
 	return <-watched == nil
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -59,6 +59,8 @@
 	// told is the newest one that another router has seen, checked the newest of
 	// these that was told before the last read of all targets.
 	told, checked atomic.Uint64
+	// toldVersion is the newest configuration that another router has in force.
+	toldVersion atomic.Uint64
 	// ahead wakes the probe when another router has seen something newer.
 	ahead chan struct{}
 	// targetsRead is set once the registrations were read.
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -19,6 +19,9 @@
 	maxProbeInterval = 30 * time.Second
 	// minProbeInterval bounds the reads that other routers' reports cause.
 	minProbeInterval = 300 * time.Millisecond
+	// watchDelay is how long a router's own watch may take to hear what another one
+	// has heard: the pause between two watches, and a slow store.
+	watchDelay = 500 * time.Millisecond
 )
 
 // probeStore reads the store beside the watches: a watch may hear nothing while
@@ -34,6 +37,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-e.ahead:
+			pause(ctx, watchDelay)
+			if !e.behind() {
+				continue
+			}
 		case <-due.C:
 			due.Reset(e.probeInterval())
 		}
@@ -77,13 +84,9 @@
 
 // compareViews wakes the probe if another router has seen something newer.
 func (e *Edge) compareViews(r *v1.LoadReport) {
-	if r.TargetsRevision > e.told.Load() {
-		e.told.Store(r.TargetsRevision)
-	}
-	table := e.table.Load()
-	behind := table != nil && r.ConfigurationVersion > table.Version
-	behind = behind || r.TargetsRevision > max(e.newest.Load(), e.checked.Load())
-	if !behind {
+	e.told.Store(max(e.told.Load(), r.TargetsRevision))
+	e.toldVersion.Store(max(e.toldVersion.Load(), r.ConfigurationVersion))
+	if !e.behind() {
 		return
 	}
 	select {
@@ -91,3 +94,13 @@
 	default:
 	}
 }
+
+// behind reports whether another router has seen something newer. A router that
+// has no configuration yet reads it anyway.
+func (e *Edge) behind() bool {
+	table := e.table.Load()
+	if table != nil && e.toldVersion.Load() > table.Version {
+		return true
+	}
+	return e.told.Load() > max(e.newest.Load(), e.checked.Load())
+}
--- a/edge/reply.go
+++ b/edge/reply.go
@@ -19,6 +19,8 @@
 	idName, id string
 	// close says that the connection ends with this answer.
 	close bool
+	// keepAlive is how long the caller is told to keep the connection.
+	keepAlive time.Duration
 	// minor is the caller's HTTP version.
 	minor int
 	begun bool
@@ -41,7 +43,8 @@
 	if r.close {
 		return append(h, h1.Field{Name: "Connection", Value: "close"})
 	}
-	return h
+	seconds := int(r.keepAlive / time.Second)
+	return append(h, h1.Field{Name: "Keep-Alive", Value: "timeout=" + strconv.Itoa(seconds)})
 }
 
 func all(string) bool { return true }
