--- a/cmd/chiveseam-edge/main.go
+++ b/cmd/chiveseam-edge/main.go
@@ -79,9 +79,10 @@
 	}()
 	logger := log.With(log.NewJSONLogger(queue), "time", log.DefaultTimestampUTC)
 	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
+	transport := newTransport()
 	e, err := edge.New(edge.Options{
 		Settings: s, Headers: platform.Headers(), ReadyPath: platform.ReadyPath,
-		Source: platform.NewStore(s.Store, storeTransport()), Logger: logger, Version: version,
+		Source: platform.NewStore(s.Store, transport), Inspector: platform.NewEngines(transport), Logger: logger, Version: version,
 	})
 	if err != nil {
 		level.Error(logger).Log("event", "start_failed", "error", err)
@@ -113,13 +114,15 @@
 }
 
 const (
-	// storeDial bounds a new connection to the store, which answers in 4 ms.
-	storeDial = 300 * time.Millisecond
-	// storeIdle is how long a connection to the store is kept between two calls.
-	storeIdle = 10 * time.Second
+	// platformDial bounds a new connection to the store, which answers in 4 ms.
+	platformDial = 300 * time.Millisecond
+	// platformIdle is how long a connection to the store is kept between two calls.
+	platformIdle = 10 * time.Second
 )
 
-func storeTransport() *http.Transport {
-	dialer := deadpeer.Dialer(storeDial)
-	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: storeIdle, DisableCompression: true}
+// newTransport returns the transport of calls to the platform's pages; requests
+// of callers do not use it.
+func newTransport() *http.Transport {
+	dialer := deadpeer.Dialer(platformDial)
+	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: platformIdle, DisableCompression: true}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -33,6 +33,8 @@
 	Settings *Settings
 	Headers  Headers
 	Source   Source
+	// Inspector may be nil if engines tell nothing of themselves.
+	Inspector Inspector
 	// ReadyPath is where the balancer asks for readiness.
 	ReadyPath string
 	Logger    log.Logger
@@ -44,6 +46,7 @@
 	settings  *Settings
 	headers   Headers
 	source    Source
+	inspector Inspector
 	readyPath string
 	logger    log.Logger
 	version   string
@@ -59,6 +62,8 @@
 	// told is the newest one that another router has seen, checked the newest of
 	// these that was told before the last read of all targets.
 	told, checked atomic.Uint64
+	// elder is set once a router was heard of that ran before this one.
+	elder atomic.Bool
 	// toldVersion is the newest configuration that another router has in force.
 	toldVersion atomic.Uint64
 	// ahead wakes the probe when another router has seen something newer.
@@ -100,7 +105,7 @@
 func New(o Options) (*Edge, error) {
 	s := o.Settings
 	e := &Edge{
-		settings: s, headers: o.Headers, source: o.Source, readyPath: o.ReadyPath,
+		settings: s, headers: o.Headers, source: o.Source, inspector: o.Inspector, readyPath: o.ReadyPath,
 		logger:  log.With(o.Logger, "router", s.Name),
 		version: o.Version,
 		tomb:    &tomb.Tomb{},
@@ -179,6 +184,9 @@
 		func() error { return e.watchSettings(ctx) },
 		func() error { return e.sweep(ctx) },
 	}
+	if e.inspector != nil {
+		duties = append(duties, func() error { return e.recoverKept(ctx) })
+	}
 	for _, duty := range duties {
 		e.tomb.Go(duty)
 	}
--- a/edge/headers.go
+++ b/edge/headers.go
@@ -91,7 +91,7 @@
 	if text == "" {
 		return nil
 	}
-	chain := xxhash.Sum64String(fields.Get(h.Model))
+	model := fields.Get(h.Model)
 	var parts []placement.Part
 	for entry := range strings.SplitSeq(text, ",") {
 		id, size, ok := strings.Cut(strings.TrimSpace(entry), ":")
@@ -99,12 +99,14 @@
 		if !ok || err != nil || tokens < 0 {
 			return parts
 		}
-		chain = xxhash.Sum64String(strconv.FormatUint(chain, 16) + id)
-		parts = append(parts, placement.Part{ID: chain, Tokens: tokens})
+		parts = append(parts, placement.Part{ID: PartID(model, id), Tokens: tokens})
 	}
 	return parts
 }
 
+// PartID names a part of prompts for a model within the fleet.
+func PartID(model, id string) uint64 { return xxhash.Sum64String(model + "\x00" + id) }
+
 // output returns the most tokens that the request may generate.
 func (h *Headers) output(fields h1.Header) int {
 	_, output, ok := strings.Cut(fields.Get(h.TokenUsage), ",")
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -55,12 +55,10 @@
 func (r *reporter) report(now time.Time) *v1.LoadReport {
 	e := r.edge
 	r.sequence++
-	report := &v1.LoadReport{
-		Router: e.settings.Name, Address: e.settings.Peer,
-		Incarnation: uint64(e.started.UnixMilli()), Sequence: r.sequence,
-		Members:         e.members.Named(now, false),
-		TargetsRevision: e.newest.Load(),
-	}
+	report := e.plainReport()
+	report.Sequence = r.sequence
+	report.Members = e.members.Named(now, false)
+	report.TargetsRevision = e.newest.Load()
 	if t := e.table.Load(); t != nil {
 		report.ConfigurationVersion = t.Version
 	}
@@ -142,6 +140,9 @@
 	e.book.Merge(now, report)
 	e.suspects.merge(now, report)
 	e.compareViews(report)
+	if report.Incarnation+uint64(elderMargin.Milliseconds()) < uint64(e.started.UnixMilli()) {
+		e.elder.Store(true)
+	}
 	if joined {
 		level.Info(e.logger).Log("event", "peer_found", "peer", report.Router, "incarnation", report.Incarnation)
 	}
@@ -150,16 +151,29 @@
 	}
 }
 
-// answerReport names the other routers to one that does not know them.
+// answerReport names the other routers to one that does not know them, and tells
+// it what targets keep.
 func (e *Edge) answerReport(now time.Time, to netip.AddrPort) {
-	message, err := proto.Marshal(&v1.LoadReport{
-		Router: e.settings.Name, Address: e.settings.Peer,
-		Incarnation: uint64(e.started.UnixMilli()),
-		Members:     e.members.Named(now, true),
-	})
-	if err != nil {
-		level.Error(e.logger).Log("event", "report_failed", "error", err)
-		return
+	answer := e.plainReport()
+	answer.Members = e.members.Named(now, true)
+	answers := []*v1.LoadReport{answer}
+	for _, parts := range e.book.Kept(now) {
+		more := e.plainReport()
+		more.Parts = parts
+		answers = append(answers, more)
 	}
-	e.writeReport(message, to)
+	for _, answer := range answers {
+		message, err := proto.Marshal(answer)
+		if err != nil {
+			level.Error(e.logger).Log("event", "report_failed", "error", err)
+			return
+		}
+		e.writeReport(message, to)
+	}
+}
+
+// plainReport is a report without loads. Its sequence of 0 leaves them as they
+// are.
+func (e *Edge) plainReport() *v1.LoadReport {
+	return &v1.LoadReport{Router: e.settings.Name, Address: e.settings.Peer, Incarnation: uint64(e.started.UnixMilli())}
 }
--- a/placement/book.go
+++ b/placement/book.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -218,6 +220,9 @@
 // Peers returns the number of other routers whose reports are in the view.
 func (b *Book) Peers() int { return len(b.peers) }
 
+// PeerNames returns the names of the other routers in the view.
+func (b *Book) PeerNames() []string { return slices.Collect(maps.Keys(b.peers)) }
+
 // partNews is a part that other routers have to be told of.
 type partNews struct {
 	message *v1.PartRead
--- a/placement/parts.go
+++ b/placement/parts.go
@@ -17,8 +17,10 @@
 type keptPart struct {
 	id     uint64
 	tokens int
-	// told is when the routers last told each other of a use.
+	// told is when the routers last told each other of a use, and mine is set if it
+	// was this one.
 	told time.Time
+	mine bool
 }
 
 func newKeptParts(capacity int) *keptParts {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,7 +25,7 @@
 
 // Part is a part of a prompt. Requests share parts.
 type Part struct {
-	// ID digests the part, the model and all parts before it.
+	// ID digests the part's name and the model.
 	ID uint64
 	// Tokens is the length of the part.
 	Tokens int
--- a/placement/report.go
+++ b/placement/report.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -65,8 +66,41 @@
 	b.news = kept
 }
 
-// Merge takes in another router's report. Old ones change nothing.
+// snapshotAge is the age up to which kept parts are told to a router that starts:
+// prompts that were not used for longer are rarely asked for again.
+const snapshotAge = 20 * time.Second
+
+// Kept returns the parts that this router told of lately, in groups that fit a
+// report. Together the routers tell one that starts what all targets keep.
+func (b *Book) Kept(now time.Time) [][]*v1.PartRead {
+	var parts []*v1.PartRead
+	for _, t := range b.targets {
+		for e := t.kept.order.Back(); e != nil; e = e.Prev() {
+			if p := e.Value.(*keptPart); p.mine && now.Sub(p.told) < snapshotAge {
+				parts = append(parts, &v1.PartRead{Target: t.hash, Part: p.id, Tokens: uint32(p.tokens)})
+			}
+		}
+	}
+	return slices.Collect(slices.Chunk(parts, maxParts))
+}
+
+// SetKept takes what a target says that it keeps, the least recently used first.
+func (b *Book) SetKept(now time.Time, id string, parts []Part) {
+	t, ok := b.targets[id]
+	if !ok {
+		return
+	}
+	for _, p := range parts {
+		if !t.kept.has(p.ID) {
+			b.keep(now, t, []Part{p})
+		}
+	}
+}
+
+// Merge takes in another router's report. Old ones change nothing, but for the
+// parts that they name.
 func (b *Book) Merge(now time.Time, r *v1.LoadReport) {
+	b.mergeParts(now, r.Parts)
 	p, ok := b.peers[r.Router]
 	if ok && (r.Incarnation < p.incarnation || (r.Incarnation == p.incarnation && r.Sequence <= p.sequence)) {
 		return
@@ -88,7 +122,6 @@
 	p.received = now
 	b.mergeLoads(p, r.Targets)
 	b.mergeUses(now, p, r.Workspaces, known)
-	b.mergeParts(now, r.Parts)
 }
 
 func (b *Book) mergeLoads(p *peerState, loads []*v1.TargetLoad) {
@@ -136,7 +169,8 @@
 	}
 	for _, part := range parts {
 		if t, ok := byHash[part.Target]; ok {
-			t.kept.use(Part{ID: part.Part, Tokens: int(part.Tokens)}).told = now
+			kept := t.kept.use(Part{ID: part.Part, Tokens: int(part.Tokens)})
+			kept.told, kept.mine = now, false
 		}
 	}
 }
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -72,7 +72,7 @@
 		if now.Sub(part.told) < tellUses {
 			continue
 		}
-		part.told = now
+		part.told, part.mine = now, true
 		news := partNews{message: &v1.PartRead{Target: t.hash, Part: p.ID, Tokens: uint32(p.Tokens)}, left: 1}
 		if !known {
 			news.left = reportRepeats
