--- a/edge/reports.go
+++ b/edge/reports.go
@@ -43,6 +43,7 @@
 	report := r.report(now)
 	recipients := e.members.Recipients(now)
 	interval := e.members.Interval(now)
+	e.book.SetReportInterval(interval)
 	lost := e.book.Expire(now)
 	e.mu.Unlock()
 	for _, name := range lost {
@@ -175,5 +176,6 @@
 // plainReport is a report without loads. Its sequence of 0 leaves them as they
 // are.
 func (e *Edge) plainReport() *v1.LoadReport {
-	return &v1.LoadReport{Router: e.settings.Name, Address: e.settings.Peer, Incarnation: uint64(e.started.UnixMilli())}
+	s := e.settings
+	return &v1.LoadReport{Router: s.Name, Zone: s.Zone, Address: s.Peer, Incarnation: uint64(e.started.UnixMilli())}
 }
--- a/placement/book.go
+++ b/placement/book.go
@@ -33,6 +33,7 @@
 	// remote sums what the other routers have at each target, by hash.
 	remote map[uint32]*remoteLoad
 	shares *shares
+	zones  *zones
 	// news are prompt parts to be told to other routers.
 	news []partNews
 	turn uint64
@@ -84,9 +85,13 @@
 		peers:    make(map[string]*peerState),
 		remote:   make(map[uint32]*remoteLoad),
 		shares:   newShares(o.ShareWindow),
+		zones:    newZones(o.Zone),
 	}
 }
 
+// SetReportInterval sets the time between two reports of a router.
+func (b *Book) SetReportInterval(d time.Duration) { b.zones.interval = d }
+
 // SetServices takes the services of a configuration and the engines' total
 // throughput in tokens a second, 0 if it is not stated.
 func (b *Book) SetServices(list map[string]routing.Service, tokensPerSecond float64) {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -170,6 +170,9 @@
 	c := candidate{target: t}
 	c.running, c.unread = b.load(t)
 	penalty := faultWeight * t.faults.rate(now) * milliseconds(d.Want)
+	if b.zones.silent(now, t.Zone) {
+		penalty += zonePenalty
+	}
 	if d.Parts == nil {
 		c.slowness = math.Round(b.factor(now, t)*plainSteps) / plainSteps
 		c.predicted = c.slowness * plainTime(s, t, c.running)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -256,3 +256,35 @@
 	is.True(got["p0"] < 60)
 	is.True(got["p1"] > 60 && got["p2"] > 60)
 }
+
+// Pattern: a zone is cut off (zone_cut). Its targets are passed over once all its
+// routers are silent, before a connection fails, and come back with them.
+func TestTargetsOfASilentZoneArePassedOver(t *testing.T) {
+	is := is.New(t)
+	b := placement.New(placement.Options{Router: "r", Zone: "a", ShareWindow: time.Second, PeerTimeout: 3 * time.Second})
+	b.SetReportInterval(100 * time.Millisecond)
+	b.SetTarget(routing.Target{ID: "near", Service: "orders", Zone: "a", Slots: 6})
+	b.SetTarget(routing.Target{ID: "far", Service: "orders", Zone: "b", Slots: 6})
+	now := time.Unix(1000, 0)
+	sequence := uint64(0)
+	hear := func() {
+		sequence++
+		b.Merge(now, &v1.LoadReport{Router: "q", Zone: "b", Incarnation: 1, Sequence: sequence})
+	}
+	chosen := func() map[string]int {
+		got := map[string]int{}
+		for range 10 {
+			d := placement.Demand{Service: "orders", Want: 150 * time.Millisecond, Left: time.Second}
+			c, err := b.Choose(now, &d)
+			is.NoErr(err)
+			got[c.Target]++
+		}
+		return got
+	}
+	hear()
+	is.Equal(chosen()["far"], 5)
+	now = now.Add(700 * time.Millisecond)
+	is.Equal(chosen()["far"], 0)
+	hear()
+	is.Equal(chosen()["far"], 5)
+}
--- a/placement/report.go
+++ b/placement/report.go
@@ -101,6 +101,7 @@
 // parts that they name.
 func (b *Book) Merge(now time.Time, r *v1.LoadReport) {
 	b.mergeParts(now, r.Parts)
+	b.zones.hear(now, r.Zone)
 	p, ok := b.peers[r.Router]
 	if ok && (r.Incarnation < p.incarnation || (r.Incarnation == p.incarnation && r.Sequence <= p.sequence)) {
 		return
