--- a/edge/admin.go
+++ b/edge/admin.go
@@ -74,7 +74,8 @@
 }
 
 func (e *Edge) isReady() bool {
-	return e.table.Load() != nil && e.targetsRead.Load() && !e.stopping.Load()
+	_, unready, _ := e.overload.state()
+	return e.table.Load() != nil && e.targetsRead.Load() && !e.stopping.Load() && !unready
 }
 
 func (e *Edge) metricsServer() *http.Server {
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -93,12 +94,12 @@
 
 func (a *attempt) exchange(ctx context.Context, u *upstream) fate {
 	c := a.call
-	message := h1.AppendRequest(make([]byte, 0, len(c.req.Body)+messageHeadBytes), c.req.Method, c.req.Target, a.header(), c.req.Body)
+	head := h1.AppendRequestHead(make([]byte, 0, headBytes), c.req.Method, c.req.Target, a.header(), len(c.req.Body))
 	written := make(chan error, 1)
-	if sent, err := a.send(u, message, written); err != nil {
+	if sent, err := send(u, head, c.req.Body, written); err != nil {
 		u.Close()
 		a.err = fmt.Errorf("send: %w", err)
-		if sent < len(message)-len(c.req.Body) {
+		if sent < int64(len(head)) {
 			return notSent
 		}
 		return lost
@@ -115,33 +116,35 @@
 }
 
 const (
-	// messageHeadBytes is the usual size of a request's head.
-	messageHeadBytes = 1024
-	// inlineBytes is the size of a request that is written before the answer is
-	// read: it fits the window of a connection.
+	// headBytes is the usual size of a request's head.
+	headBytes = 1024
+	// inlineBytes is the size of a body that is written before the answer is read: it
+	// fits the window of a connection.
 	inlineBytes = 16 << 10
 	// sendTimeout bounds the writing of a request.
 	sendTimeout = 5 * time.Second
 )
 
-// send writes the request. Long ones are written while the answer is read, since
-// a target may answer before it has read all; written tells their end.
-func (a *attempt) send(u *upstream, message []byte, written chan<- error) (int, error) {
+// send writes the request and returns the number of bytes that the connection
+// took. Long bodies are written while the answer is read, since a target may answer
+// before it has read all; written tells their end.
+func send(u *upstream, head, body []byte, written chan<- error) (int64, error) {
 	u.SetWriteDeadline(time.Now().Add(sendTimeout))
-	if len(message) <= inlineBytes {
-		n, err := u.Write(message)
+	if len(body) <= inlineBytes {
+		message := net.Buffers{head, body}
+		n, err := message.WriteTo(u.Conn)
 		written <- err
 		return n, err
 	}
-	n, err := u.Write(message[:inlineBytes])
+	n, err := u.Write(head)
 	if err != nil {
-		return n, err
+		return int64(n), err
 	}
 	go func() {
-		_, err := u.Write(message[inlineBytes:])
+		_, err := u.Write(body)
 		written <- err
 	}()
-	return n, nil
+	return int64(n), nil
 }
 
 // release keeps the connection if the exchange is whole on both sides.
--- a/edge/call.go
+++ b/edge/call.go
@@ -52,6 +52,8 @@
 const (
 	// notReadyRetry: a router reads its configuration within some hundred ms.
 	notReadyRetry = 500 * time.Millisecond
+	// busyRetry: a caller that comes back reaches another router.
+	busyRetry = 100 * time.Millisecond
 	// stoppingRetry: the balancer has taken a stopping router out.
 	stoppingRetry = 100 * time.Millisecond
 	// brokenRetry: a target that rejects or fails a request may take the next one.
@@ -63,11 +65,22 @@
 	defaultWait = 30 * time.Second
 )
 
-// serve answers one request.
-func (e *Edge) serve(ctx context.Context, req *h1.Request, r *reply, arrived time.Time) {
+// newCall takes the head of a request. It answers the request and returns false
+// if no target gets it, before the body is read.
+func (e *Edge) newCall(req *h1.Request, r *reply, arrived time.Time) (*call, bool) {
 	c := &call{edge: e, req: req, reply: r, id: r.id, arrived: arrived}
 	c.log = log.With(e.logger, "id", c.id)
 	if !c.accept() {
+		return c, false
+	}
+	c.prepare()
+	return c, c.foreseen()
+}
+
+// serve answers a request whose body was read.
+func (c *call) serve(ctx context.Context) {
+	c.digest = digestOf(c.workspace, c.req.Target, c.req.Body)
+	if !c.unsuspected() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.giveUp)
@@ -78,14 +91,17 @@
 // accept finds the route and the workspace. It answers requests that have none.
 func (c *call) accept() bool {
 	c.table = c.edge.table.Load()
-	if c.table == nil {
+	switch {
+	case c.table == nil:
 		c.refuse(v1.Code_NOT_READY, http.StatusServiceUnavailable, notReadyRetry, "no configuration")
 		return false
-	}
-	if c.edge.late.Load() {
+	case c.edge.late.Load():
 		c.reply.close = true
 		c.refuse(v1.Code_STOPPING, http.StatusServiceUnavailable, stoppingRetry, "stopping")
 		return false
+	case c.edge.busy():
+		c.refuse(v1.Code_ROUTER_BUSY, http.StatusServiceUnavailable, busyRetry, "router overloaded")
+		return false
 	}
 	route, ok := c.table.Match(c.req.Header.Get("Host"), c.req.Path())
 	if !ok {
@@ -98,8 +114,7 @@
 		c.refuse(v1.Code_UNKNOWN_TOKEN, http.StatusUnauthorized, 0, "unknown key")
 		return false
 	}
-	c.prepare()
-	return c.unsuspected()
+	return true
 }
 
 func (c *call) prepare() {
@@ -113,7 +128,6 @@
 	}
 	c.giveUp = c.arrived.Add(wait)
 	c.forward = names.forwarded(c.req.Header)
-	c.digest = digestOf(c.workspace, c.req.Target, c.req.Body)
 	c.tried = make(map[string]bool)
 	c.demand = placement.Demand{
 		Workspace: c.workspace,
@@ -125,6 +139,24 @@
 	}
 }
 
+// foreseen counts the request, and refuses it if no target would take it now.
+func (c *call) foreseen() bool {
+	e := c.edge
+	e.mu.Lock()
+	now := time.Now()
+	c.service = c.route.Pick(rand.Float64(), func(s string) bool { return e.book.Usable(s, now) })
+	c.demand.Service = c.service
+	c.demand.Left = c.giveUp.Sub(now)
+	e.book.Asked(now, &c.demand)
+	e.budget(c.service).Requested(now)
+	_, err := e.book.Choose(now, &c.demand)
+	e.mu.Unlock()
+	if err != nil {
+		c.giveBack(err)
+	}
+	return err == nil
+}
+
 func (c *call) unsuspected() bool {
 	c.edge.mu.Lock()
 	refused := c.edge.suspects.refused(time.Now(), c.digest)
@@ -138,13 +170,6 @@
 // run tries targets until the request is answered or given up.
 func (c *call) run(ctx context.Context) {
 	e := c.edge
-	e.mu.Lock()
-	now := time.Now()
-	c.service = c.route.Pick(rand.Float64(), func(s string) bool { return e.book.Usable(s, now) })
-	c.demand.Service = c.service
-	e.book.Asked(now, &c.demand)
-	e.budget(c.service).Requested(now)
-	e.mu.Unlock()
 	for tries := 1; ; tries++ {
 		a, err := c.choose(tries)
 		if err != nil {
@@ -289,7 +314,9 @@
 func (c *call) answer(res *result.Result, status int, cause error) {
 	c.edge.metrics.results.WithLabelValues(res.Code.String()).Inc()
 	c.log = log.With(c.log, "code", int32(res.Code), "status", status, "retry_after_ms", res.RetryAfter.Milliseconds())
-	c.logEnd("request_refused", cause)
+	if c.edge.refusals.allow(time.Now()) {
+		c.logEnd("request_refused", cause)
+	}
 	if err := c.reply.result(res, status); err != nil {
 		c.logEnd("caller_gone", err)
 	}
--- a/edge/caller.go
+++ b/edge/caller.go
@@ -198,11 +198,30 @@
 		c.unreadable(err)
 		return false
 	}
+	r := c.reply(req)
+	call, accepted := c.edge.newCall(req, r, arrived)
+	if !accepted {
+		return c.passOver(req, r, limits)
+	}
 	if !c.readBody(req, limits) {
 		return false
 	}
 	c.conn.SetReadDeadline(time.Time{})
-	return c.handle(req, arrived)
+	return c.handle(call, r)
+}
+
+// passOver reads on past the body of a request that was refused.
+func (c *caller) passOver(req *h1.Request, r *reply, limits callerLimits) bool {
+	if !r.ended {
+		return false
+	}
+	c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if err := req.SkipBody(c.br, limits.bodyBytes); err != nil {
+		return false
+	}
+	c.state.Store(idle)
+	c.idleSince.Store(time.Now().UnixNano())
+	return !r.close
 }
 
 func (c *caller) readBody(req *h1.Request, limits callerLimits) bool {
@@ -258,7 +277,7 @@
 
 // handle serves a request that was read. While it runs, the caller's connection
 // is watched, so that a caller that leaves is noticed at once.
-func (c *caller) handle(req *h1.Request, arrived time.Time) bool {
+func (c *caller) handle(call *call, r *reply) bool {
 	ctx, cancel := context.WithCancel(c.edge.requests)
 	defer cancel()
 	watched := make(chan error, 1)
@@ -269,8 +288,7 @@
 		}
 		watched <- err
 	}()
-	r := c.reply(req)
-	c.edge.serve(ctx, req, r, arrived)
+	call.serve(ctx)
 	if r.close || !r.ended {
 		return false
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -77,6 +77,8 @@
 	requests context.Context
 	abort    context.CancelFunc
 	started  time.Time
+	overload overload
+	refusals *lineBudget
 
 	mu        sync.Mutex
 	book      *placement.Book
@@ -99,6 +101,10 @@
 	// connections to targets and the rest.
 	callerShare   = 0.6
 	reservedFiles = 300
+	// callerMemoryShare is the part of the memory for connections of callers, and
+	// callerMemory what one takes in bytes: buffers, stacks and bytes not yet read.
+	callerMemoryShare = 0.4
+	callerMemory      = 40 << 10
 )
 
 // New opens the listeners of a router. It serves nothing before Run.
@@ -121,7 +127,10 @@
 		suspects:  newSuspects(),
 		ahead:     make(chan struct{}, 1),
 	}
-	e.maxCallers = int(callerShare * float64(max(s.MaxOpenFiles-reservedFiles, reservedFiles)))
+	e.refusals = &lineBudget{logger: e.logger}
+	e.maxCallers = min(
+		int(callerShare*float64(max(s.MaxOpenFiles-reservedFiles, reservedFiles))),
+		int(callerMemoryShare*float64(s.MemoryMB<<20)/callerMemory))
 	e.requests, e.abort = context.WithCancel(context.Background())
 	if err := e.listen(); err != nil {
 		return nil, err
@@ -183,6 +192,7 @@
 		e.receiveReports,
 		func() error { return e.watchSettings(ctx) },
 		func() error { return e.sweep(ctx) },
+		func() error { return e.watchLag(ctx) },
 	}
 	if e.inspector != nil {
 		duties = append(duties, func() error { return e.recoverKept(ctx) })
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -17,6 +17,9 @@
 // maxReportBytes is the size of a UDP datagram.
 const maxReportBytes = 64 << 10
 
+// namingReports is the number of reports of which one names other members.
+const namingReports = 8
+
 // reporter makes this router's reports.
 type reporter struct {
 	edge     *Edge
@@ -58,7 +61,9 @@
 	r.sequence++
 	report := e.plainReport()
 	report.Sequence = r.sequence
-	report.Members = e.members.Named(now, false)
+	if r.sequence%namingReports == 0 {
+		report.Members = e.members.Named(now, false)
+	}
 	report.TargetsRevision = e.newest.Load()
 	if t := e.table.Load(); t != nil {
 		report.ConfigurationVersion = t.Version
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -16,9 +16,13 @@
 	// keep-alive probes end a watch whose connection went silent, and reads find
 	// what a watch does not hear.
 	watchWait = 25 * time.Second
-	// watchPause lets changes gather between two watches. Changes must be in force
-	// within two seconds.
-	watchPause = 200 * time.Millisecond
+	// watchPause lets changes gather between two watches; it doubles up to
+	// maxWatchPause while each watch brings changes. Changes must be in force within
+	// two seconds.
+	watchPause    = 200 * time.Millisecond
+	maxWatchPause = 800 * time.Millisecond
+	// calmAfter is the time without changes after which they are taken at once again.
+	calmAfter = 2 * time.Second
 	// minPause and maxPause bound the pause after a failed call. Changes must be in
 	// force within two seconds, and all routers share the store's rate.
 	minPause = 50 * time.Millisecond
@@ -125,7 +129,9 @@
 func (e *Edge) watchTargets(ctx context.Context) error {
 	l := &link{edge: e, what: "targets"}
 	var after uint64
+	gather := watchPause
 	for ctx.Err() == nil {
+		asked := time.Now()
 		changes, revision, err := e.readTargets(ctx, after)
 		if errors.Is(err, ErrHistoryLost) {
 			level.Info(e.logger).Log("event", "history_lost", "watch", l.what, "revision", after)
@@ -140,12 +146,21 @@
 		e.updateTargets(changes, after == 0, l.worked())
 		after = revision
 		if len(changes) > 0 {
-			pause(ctx, watchPause)
+			gather = nextGather(gather, time.Since(asked))
+			pause(ctx, gather)
 		}
 	}
 	return nil
 }
 
+// nextGather returns the pause after a watch that brought changes after a wait.
+func nextGather(last, waited time.Duration) time.Duration {
+	if waited > calmAfter {
+		return watchPause
+	}
+	return min(2*last, maxWatchPause)
+}
+
 func (e *Edge) readTargets(ctx context.Context, after uint64) ([]TargetChange, uint64, error) {
 	if after == 0 {
 		return e.source.Targets(ctx)
--- a/h1/read.go
+++ b/h1/read.go
@@ -191,6 +191,15 @@
 	return nil
 }
 
+// SkipBody reads past the body, of at most maxBytes bytes.
+func (r *Request) SkipBody(br *bufio.Reader, maxBytes int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(newBody(br, r.framing), maxBytes+1))
+	if err == nil && n > maxBytes {
+		return ErrBodyTooLarge
+	}
+	return err
+}
+
 // ReadResponse reads the head of a response to a request with the given method.
 // Interim responses (1xx) are passed over.
 func ReadResponse(br *bufio.Reader, method string, maxBytes int) (*Response, error) {
--- a/h1/read_test.go
+++ b/h1/read_test.go
@@ -150,7 +150,8 @@
 		value := rapid.StringMatching(`[!-~]([ -~]{0,20}[!-~])?`).Draw(t, "value")
 		target := "/" + rapid.StringMatching(`[!-~]{0,30}`).Draw(t, "target")
 		h := h1.Header{{Name: "Host", Value: "h"}, {Name: "X-Value", Value: value}}
-		br := bufio.NewReader(strings.NewReader(string(h1.AppendRequest(nil, "POST", target, h, body)) + "next"))
+		head := h1.AppendRequestHead(nil, "POST", target, h, len(body))
+		br := bufio.NewReader(strings.NewReader(string(head) + string(body) + "next"))
 		req, err := h1.ReadRequest(br, testHeaderBytes)
 		is.NoErr(err)
 		is.NoErr(req.ReadBody(br, testBodyBytes))
--- a/h1/write.go
+++ b/h1/write.go
@@ -5,19 +5,18 @@
 	"strconv"
 )
 
-// AppendRequest appends a request with a stated length to dst. The header must
-// hold end-to-end fields only.
-func AppendRequest(dst []byte, method, target string, h Header, body []byte) []byte {
+// AppendRequestHead appends the head of a request with a body of the given length
+// to dst. The header must hold end-to-end fields only.
+func AppendRequestHead(dst []byte, method, target string, h Header, length int) []byte {
 	dst = append(dst, method...)
 	dst = append(dst, ' ')
 	dst = append(dst, target...)
 	dst = append(dst, " HTTP/1.1\r\n"...)
 	dst = appendFields(dst, h)
-	if len(body) > 0 || method == "POST" || method == "PUT" || method == "PATCH" {
-		dst = appendField(dst, "Content-Length", strconv.Itoa(len(body)))
+	if length > 0 || method == "POST" || method == "PUT" || method == "PATCH" {
+		dst = appendField(dst, "Content-Length", strconv.Itoa(length))
 	}
-	dst = append(dst, "\r\n"...)
-	return append(dst, body...)
+	return append(dst, "\r\n"...)
 }
 
 // AppendResponseHead appends a status line, the fields and the empty line.
--- a/placement/book.go
+++ b/placement/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/chiveseam/chiveseam/breaker"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/rendezvous"
 	"github.com/chiveseam/chiveseam/routing"
 )
 
@@ -47,7 +49,8 @@
 	kvTotal int
 	// fetch is the time in ms to take one token from another engine's KV cache; 0
 	// if that is not possible.
-	fetch float64
+	fetch   float64
+	holders holders
 }
 
 type target struct {
@@ -62,6 +65,14 @@
 	faults  faultRate
 	// stay is the mean time in ms that a request holds a slot.
 	stay float64
+	// remote is what the other routers have at this target.
+	remote *remoteLoad
+	// preference is this router's own order of targets that are equal, from 0 to 1.
+	preference float64
+	// measured is when slowness and faultShare were last worked out.
+	measured   time.Time
+	slowness   float64
+	faultShare float64
 	// turn is that of the last choice of this target.
 	turn uint64
 	// dirty counts the reports that still have to tell this target's load.
@@ -128,7 +139,7 @@
 func (b *Book) service(name string) *service {
 	s, ok := b.services[name]
 	if !ok {
-		s = &service{}
+		s = &service{holders: make(holders)}
 		b.services[name] = s
 	}
 	return s
@@ -147,12 +158,14 @@
 	}
 	s := b.service(t.Service)
 	added := &target{
-		Target:  t,
-		hash:    Hash(t.ID),
-		service: s,
-		kept:    newKeptParts(keptCapacity(s)),
-		health:  newHealth(t.ID),
+		Target:     t,
+		hash:       Hash(t.ID),
+		service:    s,
+		remote:     b.remoteLoad(Hash(t.ID)),
+		health:     newHealth(t.ID),
+		preference: float64(uint32(rendezvous.Score(b.options.Router, t.ID))) / math.MaxUint32,
 	}
+	added.kept = newKeptParts(added, s.holders, keptCapacity(s))
 	b.targets[t.ID] = added
 	s.targets = append(s.targets, added)
 }
@@ -164,6 +177,7 @@
 		return
 	}
 	delete(b.targets, id)
+	old.kept.clear()
 	list := old.service.targets
 	for i, t := range list {
 		if t == old {
@@ -187,24 +201,35 @@
 	return false
 }
 
-func (b *Book) load(t *target) (running, unread int) {
-	running, unread = t.running, t.unread
-	if r, ok := b.remote[t.hash]; ok {
-		running += r.running
-		unread += r.unread
+func (t *target) load() (running, unread int) {
+	return t.running + t.remote.running, t.unread + t.remote.unread
+}
+
+func (b *Book) remoteLoad(hash uint32) *remoteLoad {
+	r, ok := b.remote[hash]
+	if !ok {
+		r = &remoteLoad{}
+		b.remote[hash] = r
 	}
-	return running, unread
+	return r
 }
 
-// factor is how much slower than the others a target is.
-func (b *Book) factor(now time.Time, t *target) float64 {
-	t.pace.age(now)
-	observed, predicted := t.pace.observed, t.pace.predicted
-	if r, ok := b.remote[t.hash]; ok {
-		observed += r.observed
-		predicted += r.predicted
+// measureInterval is how long the slowness and faults of a target are used before
+// they are worked out again.
+const measureInterval = 50 * time.Millisecond
+
+// measure works out how much slower than the others a target is, and the share of
+// its requests that fail.
+func (t *target) measure(now time.Time) {
+	if now.Sub(t.measured) < measureInterval {
+		return
 	}
-	return min(max((observed+pacePrior)/(predicted+pacePrior), minFactor), maxFactor)
+	t.measured = now
+	t.pace.age(now)
+	observed := t.pace.observed + t.remote.observed
+	predicted := t.pace.predicted + t.remote.predicted
+	t.slowness = min(max((observed+pacePrior)/(predicted+pacePrior), minFactor), maxFactor)
+	t.faultShare = t.faults.rate(now)
 }
 
 // Bounds of a target's slowness against the others of its service.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/chiveseam/chiveseam/rendezvous"
 )
 
 const (
@@ -50,7 +48,6 @@
 	wait      float64
 	predicted float64
 	cost      float64
-	tie       uint64
 }
 
 // Choose returns the best target for a demand. The error is a *Refusal. The
@@ -97,12 +94,12 @@
 		return found
 	}
 	found.limit = b.limit(now, d)
-	donor, donated := b.donor(s, d)
+	p := newPrompt(s, d)
 	for _, t := range s.targets {
 		if t.Draining || !t.health.Ready(now) || (d.Excluded != nil && d.Excluded(t.ID)) {
 			continue
 		}
-		c := b.assess(now, s, t, d, donor, donated)
+		c := b.assess(now, s, t, d, p)
 		if found.best.target == nil || c.better(found.best) {
 			found.best = c
 		}
@@ -128,36 +125,70 @@
 	return c.unread == 0 && float64(c.running) <= roomShare*float64(c.target.slotsIn(s))
 }
 
-// donor returns the target that keeps the most of a prompt's beginning, and how
-// much. Of several the one with the least to read is taken.
-func (b *Book) donor(s *service, d *Demand) (*target, int) {
-	if s.fetch == 0 || d.Parts == nil {
-		return nil, 0
+// prompt is what a search needs to know of a demand's prompt.
+type prompt struct {
+	tokens int
+	// own is the length of the last part, which belongs to the request itself.
+	own int
+	// base and slope are the line of the service's times.
+	base, slope float64
+	kept        []keptPrefix
+	// donor keeps the most of the prompt's beginning.
+	donor   *target
+	donated int
+}
+
+// keptPrefix is a target that keeps a prompt's beginning.
+type keptPrefix struct {
+	target *target
+	tokens int
+}
+
+func newPrompt(s *service, d *Demand) *prompt {
+	p := &prompt{}
+	p.base, p.slope = s.model.line()
+	if len(d.Parts) == 0 {
+		return p
 	}
-	var donor *target
-	donated, backlog := 0, 0
-	for _, t := range s.targets {
-		kept := t.kept.prefix(d.Parts)
-		if kept == 0 || kept < donated {
-			continue
+	p.tokens = d.Prompt()
+	p.own = d.Parts[len(d.Parts)-1].Tokens
+	for _, t := range s.holders[d.Parts[0].ID] {
+		p.kept = append(p.kept, keptPrefix{t, t.kept.prefix(d.Parts)})
+	}
+	if s.fetch > 0 {
+		p.chooseDonor()
+	}
+	return p
+}
+
+// chooseDonor takes the target that keeps the most, of several the one with the
+// least to read.
+func (p *prompt) chooseDonor() {
+	backlog := 0
+	for _, k := range p.kept {
+		_, unread := k.target.load()
+		if k.tokens > p.donated || (k.tokens == p.donated && unread < backlog) {
+			p.donor, p.donated, backlog = k.target, k.tokens, unread
 		}
-		_, unread := b.load(t)
-		if kept > donated || unread < backlog {
-			donor, donated, backlog = t, kept, unread
+	}
+}
+
+// keptAt returns how much of the prompt's beginning a target keeps.
+func (p *prompt) keptAt(t *target) int {
+	for _, k := range p.kept {
+		if k.target == t {
+			return k.tokens
 		}
 	}
-	return donor, donated
+	return 0
 }
 
-// better compares two candidates. Of equals the one that suits the prompt, or was
-// chosen longest ago, is taken.
+// better compares two candidates. Of equals the one that was chosen longest ago is
+// taken.
 func (c candidate) better(than candidate) bool {
 	if c.cost != than.cost {
 		return c.cost < than.cost
 	}
-	if c.tie != than.tie {
-		return c.tie > than.tie
-	}
 	return c.target.turn < than.target.turn
 }
 
@@ -166,64 +197,56 @@
 	return b.turn
 }
 
-func (b *Book) assess(now time.Time, s *service, t *target, d *Demand, donor *target, donated int) candidate {
-	c := candidate{target: t}
-	c.running, c.unread = b.load(t)
-	penalty := faultWeight * t.faults.rate(now) * milliseconds(d.Want)
+func (b *Book) assess(now time.Time, s *service, t *target, d *Demand, p *prompt) candidate {
+	t.measure(now)
+	c := candidate{target: t, slowness: t.slowness}
+	c.running, c.unread = t.load()
+	penalty := faultWeight * t.faultShare * milliseconds(d.Want)
 	if b.zones.silent(now, t.Zone) {
 		penalty += zonePenalty
 	}
 	if d.Parts == nil {
-		c.slowness = math.Round(b.factor(now, t)*plainSteps) / plainSteps
-		c.predicted = c.slowness * plainTime(s, t, c.running)
+		c.slowness = math.Round(t.slowness*plainSteps) / plainSteps
+		c.predicted = c.slowness * p.base * (1 + float64(c.running)/float64(t.slotsIn(s)))
 		c.cost = c.predicted + penalty
 		return c
 	}
-	c.kept = t.kept.prefix(d.Parts)
-	fetchTime := c.fetch(s, donor, donated)
-	c.miss = d.Prompt() - c.kept - c.fetched
-	base, slope := s.model.line()
-	c.slowness = b.factor(now, t)
-	c.wait = c.slowness*slope*float64(c.unread) + slotWait(s, t, c.running)
-	c.predicted = c.wait + c.slowness*(base+slope*float64(c.miss)) + fetchTime
-	reread := float64(max(c.miss-d.Parts[len(d.Parts)-1].Tokens, 0))
-	c.cost = c.predicted + rereadWeight*c.slowness*slope*reread + (fetchWeight-1)*fetchTime + penalty
-	c.tie = rendezvous.Score(partName(d.Parts), t.ID)
+	c.kept = p.keptAt(t)
+	fetchTime := c.fetch(s, p)
+	c.miss = p.tokens - c.kept - c.fetched
+	c.wait = c.slowness*p.slope*float64(c.unread) + slotWait(s, t, c.running)
+	c.predicted = c.wait + c.slowness*(p.base+p.slope*float64(c.miss)) + fetchTime
+	reread := float64(max(c.miss-p.own, 0))
+	c.cost = c.predicted + b.spread(t) + rereadWeight*c.slowness*p.slope*reread + (fetchWeight-1)*fetchTime + penalty
 	return c
 }
 
+// spreadWeight is the most that one router's preference counts, in reports: what
+// others have sent since their last report is not in the view.
+const spreadWeight = 0.5
+
+// spread is this router's own preference among targets in ms. Without it, routers
+// with the same view would all choose the same target between two reports.
+func (b *Book) spread(t *target) float64 {
+	return t.preference * spreadWeight * milliseconds(b.zones.interval)
+}
+
 // minFetch is the number of tokens from which a fetch is faster than reading.
 const minFetch = 1024
 
 // fetch takes what the target lacks from the donor, and returns the time in ms.
-func (c *candidate) fetch(s *service, donor *target, donated int) float64 {
-	tokens := donated - c.kept
-	if donor == nil || donor == c.target || tokens < minFetch {
+func (c *candidate) fetch(s *service, p *prompt) float64 {
+	tokens := p.donated - c.kept
+	if p.donor == nil || p.donor == c.target || tokens < minFetch {
 		return 0
 	}
-	c.donor, c.fetched = donor, tokens
+	c.donor, c.fetched = p.donor, tokens
 	return fetchSetup + float64(tokens)*s.fetch
 }
 
-func partName(parts []Part) string {
-	id := parts[0].ID
-	var name [8]byte
-	for i := range name {
-		name[i] = byte(id >> (8 * i))
-	}
-	return string(name[:])
-}
-
 // plainSteps rounds the slowness of plain targets, so that equals take turns.
 const plainSteps = 4
 
-// plainTime predicts the time at a target of a plain service in ms, from the
-// requests for each of its slots.
-func plainTime(s *service, t *target, running int) float64 {
-	base, _ := s.model.line()
-	return base * (1 + float64(running)/float64(max(t.Slots, 1)))
-}
-
 // slotsIn returns the slots of a target, which its service states if it does not.
 func (t *target) slotsIn(s *service) int {
 	if t.Slots > 0 {
--- a/placement/parts.go
+++ b/placement/parts.go
@@ -2,12 +2,29 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 )
 
+// holders names the targets that keep each part.
+type holders map[uint64][]*target
+
+func (h holders) add(id uint64, t *target) { h[id] = append(h[id], t) }
+
+func (h holders) remove(id uint64, t *target) {
+	list := slices.DeleteFunc(h[id], func(other *target) bool { return other == t })
+	if len(list) == 0 {
+		delete(h, id)
+		return
+	}
+	h[id] = list
+}
+
 // keptParts is what one target is believed to keep of prompts, the least recently
 // used part last.
 type keptParts struct {
+	target   *target
+	holders  holders
 	capacity int
 	tokens   int
 	order    *list.List
@@ -23,8 +40,15 @@
 	mine bool
 }
 
-func newKeptParts(capacity int) *keptParts {
-	return &keptParts{capacity: capacity, order: list.New(), byID: make(map[uint64]*list.Element)}
+func newKeptParts(t *target, h holders, capacity int) *keptParts {
+	return &keptParts{target: t, holders: h, capacity: capacity, order: list.New(), byID: make(map[uint64]*list.Element)}
+}
+
+// clear forgets all parts.
+func (k *keptParts) clear() {
+	for k.order.Len() > 0 {
+		k.drop(k.order.Back())
+	}
 }
 
 // use records that the target reads or has read a part.
@@ -35,6 +59,7 @@
 	}
 	part := &keptPart{id: p.ID, tokens: p.Tokens}
 	k.byID[p.ID] = k.order.PushFront(part)
+	k.holders.add(p.ID, k.target)
 	k.tokens += p.Tokens
 	for k.tokens > k.capacity && k.order.Len() > 1 {
 		k.drop(k.order.Back())
@@ -46,6 +71,7 @@
 	part := e.Value.(*keptPart)
 	k.order.Remove(e)
 	delete(k.byID, part.id)
+	k.holders.remove(part.id, k.target)
 	k.tokens -= part.tokens
 }
 
--- a/placement/report.go
+++ b/placement/report.go
@@ -33,7 +33,8 @@
 func (b *Book) Report(now time.Time, r *v1.LoadReport) {
 	refresh := r.Sequence % refreshReports
 	for _, t := range b.targets {
-		if t.dirty == 0 && uint64(t.hash)%refreshReports != refresh {
+		idle := t.running == 0 && t.unread == 0
+		if t.dirty == 0 && (idle || uint64(t.hash)%refreshReports != refresh) {
 			continue
 		}
 		t.dirty = max(t.dirty-1, 0)
@@ -137,11 +138,7 @@
 	if load == nil {
 		return
 	}
-	r, ok := b.remote[load.Target]
-	if !ok {
-		r = &remoteLoad{}
-		b.remote[load.Target] = r
-	}
+	r := b.remoteLoad(load.Target)
 	r.running += sign * int(load.Running)
 	r.unread += sign * int(load.Unread)
 	r.observed += float64(sign) * float64(load.Observed)
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -147,6 +147,6 @@
 // Lost forgets what a target kept: it has crashed or was replaced.
 func (b *Book) Lost(id string) {
 	if t, ok := b.targets[id]; ok {
-		t.kept = newKeptParts(keptCapacity(t.service))
+		t.kept.clear()
 	}
 }
