Tell overload from the time that goroutines wait for their turn

Cause: the timers of a saturated instance were not late (one change of state in 34 s while it refused 1,400 requests a second at 0.1 of 0.144 cores), so that it stayed in the rotation.

--- a/edge/admin.go
+++ b/edge/admin.go
@@ -12,8 +12,8 @@
 	"github.com/uptrace/bunrouter"
 )
 
-// metrics are the counters and histograms of a router.
-type metrics struct {
+// counters are the counters and histograms of a router.
+type counters struct {
 	registry           *prometheus.Registry
 	attempts           *prometheus.CounterVec
 	results            *prometheus.CounterVec
@@ -22,11 +22,12 @@
 	refusedConnections prometheus.Counter
 	callers            prometheus.Gauge
 	version            prometheus.Gauge
+	lag                prometheus.Gauge
 	duration           prometheus.Histogram
 }
 
-func newMetrics() *metrics {
-	m := &metrics{
+func newMetrics() *counters {
+	m := &counters{
 		registry: prometheus.NewRegistry(),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chiveseam_edge_attempts_total", Help: "Attempts at targets by how they ended.",
@@ -49,12 +50,15 @@
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chiveseam_edge_configuration_version", Help: "Version of the configuration in force.",
 		}),
+		lag: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chiveseam_edge_processor_lag_seconds", Help: "Mean time that work waits for the processor.",
+		}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "chiveseam_edge_request_duration_seconds", Help: "Time from a request's first byte to the end of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
 		}),
 	}
-	m.registry.MustRegister(m.attempts, m.results, m.reports, m.aborted, m.refusedConnections, m.callers, m.version, m.duration)
+	m.registry.MustRegister(m.attempts, m.results, m.reports, m.aborted, m.refusedConnections, m.callers, m.version, m.lag, m.duration)
 	return m
 }
 
--- a/edge/call.go
+++ b/edge/call.go
@@ -37,6 +37,8 @@
 	giveUp time.Time
 	// lastEvent is the ID of the last event that was passed on.
 	lastEvent string
+	// firstAfter is the time from the request's arrival to the answer's first bytes.
+	firstAfter time.Duration
 	// tried are the targets that got the request, or could not be reached.
 	tried map[string]bool
 	// sent counts the targets that got the request.
@@ -352,7 +354,7 @@
 	if f == answered {
 		c.edge.metrics.duration.Observe(time.Since(c.arrived).Seconds())
 		level.Info(c.log).Log("event", "request_answered", "target", a.target.ID, "attempt", a.number,
-			"took_ms", time.Since(c.arrived).Milliseconds(), "bytes", c.reply.bytes)
+			"first_ms", c.firstAfter.Milliseconds(), "took_ms", time.Since(c.arrived).Milliseconds(), "bytes", c.reply.bytes)
 		return
 	}
 	level.Info(c.log).Log("event", "attempt_failed", "target", a.target.ID, "attempt", a.number,
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -51,7 +51,7 @@
 	logger    log.Logger
 	version   string
 	tomb      *tomb.Tomb
-	metrics   *metrics
+	metrics   *counters
 	pool      *pool
 	callers   callers
 	// maxCallers bounds the connections of callers.
@@ -261,6 +261,9 @@
 
 // first records the first bytes of an answer's body.
 func (e *Edge) first(a *attempt) {
+	if a.call.firstAfter == 0 {
+		a.call.firstAfter = time.Since(a.call.arrived)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.book.First(time.Now(), a.ticket)
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/metrics"
 	"sync"
 	"time"
 
@@ -11,21 +12,23 @@
 
 const (
 	// lagTick is how often the processor's lag is measured.
-	lagTick = 50 * time.Millisecond
+	lagTick = 100 * time.Millisecond
 	// unreadyLag is the lag from which the balancer is told to send new callers
-	// elsewhere: a share of the wanted time of the quickest calls. A core under a
-	// quota stands still for up to a tenth of a second.
-	unreadyLag = 150 * time.Millisecond
+	// elsewhere: an answer takes some dozens of turns of a goroutine.
+	unreadyLag = 20 * time.Millisecond
 	// busyLag is the lag from which requests are refused at once.
-	busyLag = 400 * time.Millisecond
+	busyLag = 150 * time.Millisecond
 	// calmLag and calmTime end both.
-	calmLag  = 30 * time.Millisecond
+	calmLag  = 4 * time.Millisecond
 	calmTime = 2 * time.Second
 	// lagGain is the weight of one more measurement.
-	lagGain = 0.3
+	lagGain = 0.15
+	// turnsMetric is the time that goroutines waited for their turn.
+	turnsMetric = "/sched/latencies:seconds"
 )
 
-// overload tells from the lateness of timers whether the processor keeps up.
+// overload tells from the time that goroutines wait for their turn whether the
+// processor keeps up.
 type overload struct {
 	mu        sync.Mutex
 	lag       time.Duration
@@ -34,11 +37,11 @@
 	calmSince time.Time
 }
 
-// observe takes the lateness of a timer and reports whether the state changed.
-func (o *overload) observe(now time.Time, late time.Duration) bool {
+// observe takes the mean wait for a turn and reports whether the state changed.
+func (o *overload) observe(now time.Time, wait time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lag += time.Duration(lagGain * float64(late-o.lag))
+	o.lag += time.Duration(lagGain * float64(wait-o.lag))
 	before := o.unready
 	if o.lag > calmLag {
 		o.calmSince = now
@@ -53,6 +56,42 @@
 	return before != o.unready
 }
 
+// turns reads how long goroutines waited for their turn.
+type turns struct {
+	sample []metrics.Sample
+	counts []uint64
+}
+
+func newTurns() *turns {
+	t := &turns{sample: []metrics.Sample{{Name: turnsMetric}}}
+	t.mean()
+	return t
+}
+
+// mean returns the mean wait since the last call.
+func (t *turns) mean() time.Duration {
+	metrics.Read(t.sample)
+	if t.sample[0].Value.Kind() != metrics.KindFloat64Histogram {
+		return 0
+	}
+	h := t.sample[0].Value.Float64Histogram()
+	if len(t.counts) != len(h.Counts) {
+		t.counts = make([]uint64, len(h.Counts))
+	}
+	total, seconds := 0.0, 0.0
+	for i, count := range h.Counts {
+		added := float64(count - t.counts[i])
+		t.counts[i] = count
+		// The lower end of a bucket; the first begins below zero.
+		total += added
+		seconds += added * max(h.Buckets[i], 0)
+	}
+	if total == 0 {
+		return 0
+	}
+	return time.Duration(seconds / total * float64(time.Second))
+}
+
 func (o *overload) state() (lag time.Duration, unready, refusing bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -61,12 +100,13 @@
 
 // watchLag measures the processor's lag.
 func (e *Edge) watchLag(ctx context.Context) error {
+	waits := newTurns()
 	for ctx.Err() == nil {
-		due := time.Now().Add(lagTick)
 		pause(ctx, lagTick)
-		now := time.Now()
-		if e.overload.observe(now, now.Sub(due)) {
-			lag, unready, _ := e.overload.state()
+		changed := e.overload.observe(time.Now(), waits.mean())
+		lag, unready, _ := e.overload.state()
+		e.metrics.lag.Set(lag.Seconds())
+		if changed {
 			level.Warn(e.logger).Log("event", "overload_changed", "unready", unready, "lag_ms", lag.Milliseconds())
 		}
 	}
--- /dev/null
+++ b/edge/parts_test.go
@@ -0,0 +1,107 @@
+package edge
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/h1"
+	"github.com/chiveseam/chiveseam/placement"
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+func TestPromptPartsAreParsed(t *testing.T) {
+	is := is.New(t)
+	names := testHeaders()
+	h := h1.Header{{Name: "T-Parts", Value: "5c1e07a2:800, 91bd3f06:410,e4402b7d:250"}, {Name: "T-Model", Value: "m"}, {Name: "T-Usage", Value: "1460,80"}}
+	parts := names.parts(h)
+	is.Equal(len(parts), 3)
+	is.Equal(parts[1], placement.Part{ID: PartID("m", "91bd3f06"), Tokens: 410})
+	is.True(PartID("m", "1") != PartID("n", "1"))
+	is.Equal(names.output(h), 80)
+	for text, want := range map[string]int{"": 0, "a": 0, "a:1,b": 1, "a:1,b:-2": 1, "a:x": 0, "a:1,,b:2": 1} {
+		is.Equal(len(names.parts(h1.Header{{Name: "T-Parts", Value: text}})), want)
+	}
+	for text, want := range map[string]time.Duration{"": 0, "x": 0, "-1": 0, "1e99": 0, "1500": 1500 * time.Millisecond} {
+		is.Equal(names.wait(h1.Header{{Name: "T-Deadline", Value: text}}), want)
+	}
+}
+
+// A loss that another router tells of counts like an own one; a whole answer
+// clears the request.
+func TestSuspectsAreSharedAndCleared(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a, b := newSuspects(), newSuspects()
+	a.lost(now, 7, 1)
+	var report v1.LoadReport
+	a.report(&report)
+	b.merge(now, &report)
+	b.merge(now, &report)
+	is.True(!b.refused(now, 7))
+	is.Equal(b.lost(now, 7, 2), lossLimit)
+	is.True(b.refused(now, 7))
+	is.True(!b.refused(now.Add(suspectLifetime+time.Second), 7))
+	b.cleared(7)
+	is.True(!b.refused(now, 7))
+	is.True(digestOf("shop", "/a", []byte("x")) != digestOf("shop", "/ax", nil))
+}
+
+// Pattern: an instance gets more callers than its processor serves. It leaves the
+// rotation, refuses when it is far behind, and comes back after a calm time.
+func TestLaggingRouterLeavesTheRotation(t *testing.T) {
+	is := is.New(t)
+	var o overload
+	now := time.Unix(1000, 0)
+	tick := func(late time.Duration, n int) {
+		for range n {
+			now = now.Add(lagTick)
+			o.observe(now, late)
+		}
+	}
+	tick(10*time.Millisecond, 40)
+	_, unready, refusing := o.state()
+	is.True(!unready && !refusing)
+	tick(100*time.Millisecond, 20)
+	_, unready, refusing = o.state()
+	is.True(unready && !refusing)
+	tick(500*time.Millisecond, 20)
+	_, unready, refusing = o.state()
+	is.True(unready && refusing)
+	tick(0, 25)
+	_, unready, refusing = o.state()
+	is.True(unready && !refusing)
+	tick(0, 60)
+	_, unready, _ = o.state()
+	is.True(!unready)
+}
+
+func TestRefusalsAreLoggedWithinABudget(t *testing.T) {
+	is := is.New(t)
+	l := &logs{}
+	b := &lineBudget{logger: log.NewJSONLogger(l)}
+	now := time.Unix(1000, 0)
+	allowed := 0
+	for range 1000 {
+		if b.allow(now) {
+			allowed++
+		}
+	}
+	is.Equal(allowed, maxRefusalLines)
+	is.True(b.allow(now.Add(time.Second)))
+	is.True(l.has("refusals_not_logged", `"count":900`))
+}
+
+// A request that no target would take is refused before its body is sent.
+func TestHopelessRequestIsRefusedFromItsHead(t *testing.T) {
+	f := newFixture(t)
+	c := f.client()
+	c.send("POST", "/once/", "Content-Length: 1000000\r\n", "")
+	resp, _, err := c.receive("POST")
+	f.is.NoErr(err)
+	f.is.Equal(resp.Status, http.StatusServiceUnavailable)
+	f.is.True(resp.Header.Get("Retry-After") != "")
+}
