Remove orders to engines

Reason: the users' platform speaks no orders. Engines load nothing on command there, no machine is set aside for control and nothing of the system's is accepted as a writer.

The fields weight_store, role and checks_fencing of the questionnaire stay readable, so that existing questionnaires keep their meaning; nothing acts on them.

--- a/placement/book.go
+++ b/placement/book.go
@@ -65,6 +65,8 @@
 	faults  faultRate
 	// stay is the mean time in ms that a request holds a slot.
 	stay float64
+	// seed is the same at all routers.
+	seed uint64
 	// remote is what the other routers have at this target.
 	remote *remoteLoad
 	// preference is this router's own order of targets that are equal, from 0 to 1.
@@ -161,6 +163,7 @@
 		Target:     t,
 		hash:       Hash(t.ID),
 		service:    s,
+		seed:       xxhash.Sum64String(t.ID),
 		remote:     b.remoteLoad(Hash(t.ID)),
 		health:     newHealth(t.ID),
 		preference: float64(uint32(rendezvous.Score(b.options.Router, t.ID))) / math.MaxUint32,
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -130,6 +130,8 @@
 	tokens int
 	// own is the length of the last part, which belongs to the request itself.
 	own int
+	// first is the ID of the first part.
+	first uint64
 	// base and slope are the line of the service's times.
 	base, slope float64
 	kept        []keptPrefix
@@ -152,6 +154,7 @@
 	}
 	p.tokens = d.Prompt()
 	p.own = d.Parts[len(d.Parts)-1].Tokens
+	p.first = d.Parts[0].ID
 	for _, t := range s.holders[d.Parts[0].ID] {
 		p.kept = append(p.kept, keptPrefix{t, t.kept.prefix(d.Parts)})
 	}
@@ -217,7 +220,7 @@
 	c.wait = c.slowness*p.slope*float64(c.unread) + slotWait(s, t, c.running)
 	c.predicted = c.wait + c.slowness*(p.base+p.slope*float64(c.miss)) + fetchTime
 	reread := float64(max(c.miss-p.own, 0))
-	c.cost = c.predicted + b.spread(t) + rereadWeight*c.slowness*p.slope*reread + (fetchWeight-1)*fetchTime + penalty
+	c.cost = c.predicted + b.spread(t, p) + steepness(c.wait, d) + rereadWeight*c.slowness*p.slope*reread + (fetchWeight-1)*fetchTime + penalty
 	return c
 }
 
@@ -225,10 +228,36 @@
 // others have sent since their last report is not in the view.
 const spreadWeight = 0.5
 
-// spread is this router's own preference among targets in ms. Without it, routers
-// with the same view would all choose the same target between two reports.
-func (b *Book) spread(t *target) float64 {
-	return t.preference * spreadWeight * milliseconds(b.zones.interval)
+// spread is a preference among targets in ms. Without it, routers with the same view
+// would all choose the same target between two reports. For a prompt that no target
+// keeps all routers have the same preference, so that it is read once.
+func (b *Book) spread(t *target, p *prompt) float64 {
+	preference := t.preference
+	if len(p.kept) == 0 {
+		preference = float64(mix(p.first^t.seed)) / math.MaxUint64
+	}
+	return preference * spreadWeight * milliseconds(b.zones.interval)
+}
+
+// mix spreads the bits of x evenly (the finaliser of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+const (
+	// steepFrom is the part of the wanted time from which waiting weighs more: less
+	// and less of it is left for what cannot be foreseen.
+	steepFrom = 0.25
+	// steepWeight is the weight of what waits longer, beside its own time.
+	steepWeight = 3.0
+)
+
+// steepness is the additional cost of a long wait, in ms. It moves prompts to other
+// targets before their answers are late.
+func steepness(wait float64, d *Demand) float64 {
+	return steepWeight * max(wait-steepFrom*milliseconds(d.Want), 0)
 }
 
 // minFetch is the number of tokens from which a fetch is faster than reading.
--- a/router/internal/telemetry/metrics.go
+++ b/router/internal/telemetry/metrics.go
@@ -25,8 +25,6 @@
 	controlCount  *prometheus.CounterVec
 	connBytes     *prometheus.CounterVec
 	platformCalls *prometheus.CounterVec
-	orders        *prometheus.CounterVec
-	engines       *prometheus.GaugeVec
 	rejected      prometheus.Counter
 	revision      prometheus.Gauge
 
@@ -62,8 +60,6 @@
 		controlCount:  counterVec("control_messages_total", "Messages between routers by type.", "message", "direction"),
 		connBytes:     counterVec("connection_bytes_total", "Bytes on connections between routers: control (connection), or requests that are passed on (forwarding).", "kind", "direction"),
 		platformCalls: counterVec("platform_calls_total", "Calls of the platform by outcome.", "resource", "outcome"),
-		orders:        counterVec("orders_total", "Orders to engines by outcome.", "kind", "outcome"),
-		engines:       gaugeVec("engines", "Engines that this router gives orders to, by condition.", "condition"),
 		rejected: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "rejected_configurations_total", Help: "Published configurations that were not accepted.",
 		}),
@@ -76,7 +72,7 @@
 	}
 	m.registry.MustRegister(
 		m.results, m.durations, m.delivered, m.controlBytes, m.controlCount, m.connBytes,
-		m.platformCalls, m.orders, m.engines, m.rejected, m.revision,
+		m.platformCalls, m.rejected, m.revision,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -87,10 +83,6 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
-func gaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
-	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
-}
-
 func newDurations(name, help string) prometheus.Histogram {
 	return prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace, Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.001, 2, 18),
@@ -185,11 +177,3 @@
 
 // Rejected counts a configuration that was not accepted.
 func (m *Metrics) Rejected() { m.rejected.Inc() }
-
-// OrderEnded counts an order to an engine.
-func (m *Metrics) OrderEnded(kind, outcome string) { m.orders.WithLabelValues(kind, outcome).Inc() }
-
-// Engines sets the number of engines in a condition.
-func (m *Metrics) Engines(condition string, count int) {
-	m.engines.WithLabelValues(condition).Set(float64(count))
-}
--- a/router/router.go
+++ b/router/router.go
@@ -24,7 +24,6 @@
 	"github.com/chiveseam/chiveseam/router/internal/entry"
 	"github.com/chiveseam/chiveseam/router/internal/guard"
 	"github.com/chiveseam/chiveseam/router/internal/keys"
-	"github.com/chiveseam/chiveseam/router/internal/orders"
 	"github.com/chiveseam/chiveseam/router/internal/peer"
 	"github.com/chiveseam/chiveseam/router/internal/scheduling"
 	"github.com/chiveseam/chiveseam/router/internal/state"
@@ -53,7 +52,6 @@
 	keys       *keys.Executor
 	entry      *entry.Server
 	control    *control.Control
-	orders     *orders.Duty
 
 	entryServer *http.Server
 	adminServer *http.Server
@@ -149,9 +147,6 @@
 	}
 	r.buildEntry()
 	r.buildControl()
-	r.orders = orders.New(r.store, orders.NewHTTP(s.DialTimeout), r.metrics, r.logger, orders.Settings{
-		SuspectAfter: s.PeerSuspectAfter, Seed: s.Incarnation,
-	})
 	r.peers = peer.NewServer(peer.ServerOptions{
 		Host: r.host, Exchanger: r.control, Keys: r.keys, Entry: r.entry, Dealer: r.dealing,
 		Timing: r.timing(), Traffic: r.metrics, Logger: r.logger,
@@ -277,7 +272,6 @@
 		func() error { return r.host.RunRegions(ctx, r.client) },
 		func() error { return r.control.RunRenewal(ctx) },
 		func() error { return r.control.RunKeyViews(ctx) },
-		func() error { return r.orders.Run(ctx) },
 		func() error { return r.peers.Serve(ctx, r.listeners.peer) },
 		func() error { return serveHTTP(r.entryServer, limited) },
 		func() error { return serveHTTP(r.adminServer, r.listeners.admin) },
