--- a/cmd/chiveseam-edge/main.go
+++ b/cmd/chiveseam-edge/main.go
@@ -33,8 +33,9 @@
 )
 
 type options struct {
-	Settings string `long:"settings" env:"CHIVESEAM_NODE_FILE" description:"Path of the settings file." required:"yes"`
+	Settings string `long:"settings" env:"CHIVESEAM_NODE_FILE" description:"Path of the settings file."`
 	Check    bool   `long:"check" description:"Check the settings file and exit."`
+	Help     bool   `long:"help-settings" description:"Print the settings and exit."`
 	Version  bool   `long:"version" description:"Print the version and exit."`
 }
 
@@ -52,6 +53,10 @@
 		fmt.Println("chiveseam-edge", version)
 		return exitOK
 	}
+	if o.Help {
+		edge.WriteSettingsHelp(os.Stdout)
+		return exitOK
+	}
 	s, err := edge.ReadSettings(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/chiveseam/chiveseam/h1"
@@ -255,9 +256,9 @@
 	a.err = err
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		a.err = errSilent
-		return lost
 	}
-	a.crashed = true
+	// A connection that timed out says nothing of its target.
+	a.crashed = !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.ETIMEDOUT)
 	return lost
 }
 
--- a/edge/call.go
+++ b/edge/call.go
@@ -300,7 +300,7 @@
 		case placement.ErrOverShare:
 			code = v1.Code_QUEUE_FULL
 		}
-		c.log = log.With(c.log, "predicted_ms", refusal.Predicted.Milliseconds(), "level", int(refusal.Level),
+		c.log = log.With(c.log, "predicted_ms", refusal.Predicted.Milliseconds(), "share", int(refusal.Level),
 			"use", math.Round(refusal.Use*100)/100)
 	}
 	c.refuse(code, http.StatusServiceUnavailable, after, err.Error())
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -170,6 +170,7 @@
 	select {
 	case <-ctx.Done():
 		e.stop()
+		e.sendLeaving()
 	case <-e.tomb.Dying():
 	}
 	e.tomb.Kill(nil)
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -106,13 +106,15 @@
 	e.metrics.reports.WithLabelValues("sent").Inc()
 }
 
-// sendLeaving tells the others that this router stops. Its requests in progress
-// are still counted by those who miss it, until they forget it.
+// sendLeaving tells the others that this router has stopped, so that they do not
+// wait for its reports.
 func (e *Edge) sendLeaving() {
 	e.mu.Lock()
 	recipients := e.members.Recipients(time.Now())
+	report := e.plainReport()
 	e.mu.Unlock()
-	level.Info(e.logger).Log("event", "leaving", "peers", len(recipients))
+	report.Leaving = true
+	e.sendTo(report, recipients)
 }
 
 // receiveReports takes in the reports of other routers.
@@ -143,6 +145,11 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	joined := e.members.Heard(now, from, report)
+	if report.Leaving {
+		e.book.Forget(report.Router)
+		level.Info(e.logger).Log("event", "peer_left", "peer", report.Router)
+		return
+	}
 	e.book.Merge(now, report)
 	e.suspects.merge(now, report)
 	e.compareViews(report)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"strings"
@@ -52,6 +53,13 @@
 	return &s, s.check()
 }
 
+// WriteSettingsHelp lists all settings with their defaults.
+func WriteSettingsHelp(w io.Writer) {
+	var s Settings
+	parser := flags.NewParser(&s, flags.None)
+	parser.WriteHelp(w)
+}
+
 // lineOf returns the text of the line that an error names.
 func lineOf(path string, err error) string {
 	var where *flags.IniError
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -21,7 +21,6 @@
 	deadline := time.Now().Add(e.settings.Grace - stopMargin)
 	e.stopping.Store(true)
 	level.Info(e.logger).Log("event", "stopping", "open", e.callers.count())
-	e.sendLeaving()
 	time.Sleep(min(balancerNotice, time.Until(deadline)))
 	e.late.Store(true)
 	e.listener.Close()
--- a/internal/pages/pages_test.go
+++ b/internal/pages/pages_test.go
@@ -105,11 +105,13 @@
 }
 
 // TestOperatorsPageIsComplete checks that the page for operators explains each
-// log event and each metric of the router.
+// log event and each metric of the routers.
 func TestOperatorsPageIsComplete(t *testing.T) {
 	page := readPage(t, operations)
-	sources := readGo(t, root+"/router", func(path string) bool { return !isTest(path) })
-	sources = append(sources, readGo(t, root+"/cmd/chiveseam-router", func(path string) bool { return !isTest(path) })...)
+	var sources []string
+	for _, dir := range []string{"/router", "/cmd/chiveseam-router", "/edge", "/cmd/chiveseam-edge"} {
+		sources = append(sources, readGo(t, root+dir, func(path string) bool { return !isTest(path) })...)
+	}
 	found := map[*regexp.Regexp]int{}
 	for _, source := range sources {
 		for _, pattern := range []*regexp.Regexp{logEvent, metricName} {
