--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -251,6 +251,16 @@
 	return marked && resp.Status >= 400
 }
 
+// promisesNotRun reports statuses that tell a caller that its request has not run.
+// They are passed on only with the target's word.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // broken classifies an answer that did not come.
 func (a *attempt) broken(err error) fate {
 	a.err = err
@@ -282,6 +292,10 @@
 	if err != nil {
 		return a.broken(err), false
 	}
+	if promisesNotRun(resp.Status) {
+		a.err = fmt.Errorf("target answered %d without saying that it did not run the request", resp.Status)
+		return lost, true
+	}
 	a.call.edge.first(a)
 	a.answer = &answer{status: resp.Status, header: resp.Header, body: body}
 	if resp.Status >= 500 {
