--- a/placement/choose.go
+++ b/placement/choose.go
@@ -220,7 +220,7 @@
 	c.wait = c.slowness*p.slope*float64(c.unread) + slotWait(s, t, c.running)
 	c.predicted = c.wait + c.slowness*(p.base+p.slope*float64(c.miss)) + fetchTime
 	reread := float64(max(c.miss-p.own, 0))
-	c.cost = c.predicted + b.spread(t, p) + steepness(c.wait, d) + rereadWeight*c.slowness*p.slope*reread + (fetchWeight-1)*fetchTime + penalty
+	c.cost = c.predicted + b.spread(t, p) + rereadWeight*c.slowness*p.slope*reread + (fetchWeight-1)*fetchTime + penalty
 	return c
 }
 
@@ -246,20 +246,6 @@
 	return x ^ x>>31
 }
 
-const (
-	// steepFrom is the part of the wanted time from which waiting weighs more: less
-	// and less of it is left for what cannot be foreseen.
-	steepFrom = 0.25
-	// steepWeight is the weight of what waits longer, beside its own time.
-	steepWeight = 3.0
-)
-
-// steepness is the additional cost of a long wait, in ms. It moves prompts to other
-// targets before their answers are late.
-func steepness(wait float64, d *Demand) float64 {
-	return steepWeight * max(wait-steepFrom*milliseconds(d.Want), 0)
-}
-
 // minFetch is the number of tokens from which a fetch is faster than reading.
 const minFetch = 1024
 
