Count targets as full at three quarters of their slots; look at the caller last

Cause: in the time of one report other routers send two or three requests to an engine of 16 slots, and those that find it full wait for seconds.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -68,6 +68,7 @@
 	errForeignAnswer = errors.New("answers of other requests came")
 	errUnsigned      = errors.New("answer without a signature")
 	errSilent        = errors.New("target is silent")
+	errCallerLeft    = errors.New("caller left before the request was sent")
 )
 
 // maxForeign is the number of answers of other requests that are passed over.
@@ -84,6 +85,13 @@
 		}
 		return notSent
 	}
+	// The watch of a caller's connection may not have had its turn on a busy
+	// processor.
+	if ended(a.call.reply.conn) {
+		u.Close()
+		a.err = errCallerLeft
+		return abandoned
+	}
 	stop := context.AfterFunc(ctx, func() { u.Close() })
 	defer stop()
 	f := a.exchange(ctx, u)
--- a/edge/rules_test.go
+++ b/edge/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"strconv"
@@ -474,3 +475,26 @@
 	conn.Read(make([]byte, 64))
 	is.Equal(s.evict(), 1)
 }
+
+// A caller that left before its request is sent on, and whose connection was not
+// looked at since, causes no work.
+func TestRequestOfACallerThatLeftIsNotSent(t *testing.T) {
+	target := newStandIn(t, "t1", echo)
+	f := newFixture(t, target)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	f.is.NoErr(err)
+	defer l.Close()
+	peer, err := net.Dial("tcp4", l.Addr().String())
+	f.is.NoErr(err)
+	conn, err := l.Accept()
+	f.is.NoErr(err)
+	defer conn.Close()
+	req, err := h1.ReadRequest(bufio.NewReader(strings.NewReader("GET /once/ HTTP/1.1\r\nHost: h.example\r\nT-Id: x\r\nT-Key: key\r\n\r\n")), 1<<12)
+	f.is.NoErr(err)
+	c, ok := f.edge.newCall(req, &reply{conn: conn, id: "x", idName: "T-Id", minor: 1}, time.Now())
+	f.is.True(ok)
+	peer.Close()
+	f.await(func() bool { return ended(conn) })
+	c.serve(context.Background())
+	f.is.Equal(len(target.requests()), 0)
+}
--- a/edge/upstream.go
+++ b/edge/upstream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -159,20 +160,37 @@
 
 // quiet reports whether an open TCP connection has neither ended nor bytes to be
 // read.
-func quiet(conn net.Conn) bool {
+func quiet(conn net.Conn) bool { return peek(conn) == unix.EAGAIN }
+
+// ended reports whether the peer of a TCP connection has closed or reset it. Bytes
+// that come before the end hide it.
+func ended(conn net.Conn) bool {
+	err := peek(conn)
+	return err != nil && err != unix.EAGAIN
+}
+
+// peek looks at what a TCP connection has received, without waiting. It returns nil
+// if there are bytes, EAGAIN if there are none, and io.EOF or another error if the
+// connection has ended.
+func peek(conn net.Conn) error {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
-		return false
+		return net.ErrClosed
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
-	empty := false
+	var found error
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = err == unix.EAGAIN || err == unix.EWOULDBLOCK
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if found = err; err == nil && n == 0 {
+			found = io.EOF
+		}
 	})
-	return err == nil && empty
+	if err != nil {
+		return err
+	}
+	return found
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -270,11 +270,15 @@
 	return max(s.slots, 1)
 }
 
+// fullShare is the part of its slots from which a target counts as full: what others
+// have sent since their last report takes the rest.
+const fullShare = 0.75
+
 // slotWait is the time until a slot of a full engine comes free for one more
 // request.
 func slotWait(s *service, t *target, running int) float64 {
 	slots := t.slotsIn(s)
-	ahead := running - slots + 1
+	ahead := running - int(fullShare*float64(slots)) + 1
 	if ahead <= 0 {
 		return 0
 	}
