--- a/edge/answer.go
+++ b/edge/answer.go
@@ -8,11 +8,12 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"github.com/chiveseam/chiveseam/placement"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/result"
-	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 )
 
 // giveBack ends a request for which there is no further attempt.
--- a/edge/call.go
+++ b/edge/call.go
@@ -8,12 +8,13 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"github.com/chiveseam/chiveseam/h1"
 	"github.com/chiveseam/chiveseam/placement"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/routing"
-	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 )
 
 // call is one request of a caller on its way through the router.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -288,3 +288,47 @@
 	hear()
 	is.Equal(chosen()["far"], 5)
 }
+
+// Pattern: a router, or all of them, start anew (node_kill, power loss). What the
+// others know, or the engines tell, spares reading prompts again.
+func TestRouterThatStartsLearnsWhatTargetsKeep(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(12, 2, 310_000, 50, 50, 50)
+	for i := range uint64(40) {
+		w.send(int(i%2), "shop", i, 13_000, 10)
+		w.run(300*time.Millisecond, func() {})
+	}
+	misses := func(b *placement.Book) int {
+		total := 0
+		for i := range uint64(40) {
+			d := placement.Demand{
+				Service: serviceName, Want: wanted, Left: wanted, Repeated: true,
+				Parts: []placement.Part{{ID: i, Tokens: 13_000}, {ID: 1 << 40, Tokens: 10}},
+			}
+			c, err := b.Choose(w.now, &d)
+			is.NoErr(err)
+			if c.Unread > 10 {
+				total++
+			}
+		}
+		return total
+	}
+	started := w.newBook(2, 310_000)
+	is.Equal(misses(started), 40)
+	for _, b := range w.routers {
+		for _, parts := range b.Kept(w.now) {
+			started.Merge(w.now, &v1.LoadReport{Router: "told", Incarnation: 1, Parts: parts})
+		}
+	}
+	is.Equal(misses(started), 0)
+
+	alone := w.newBook(3, 310_000)
+	for _, e := range w.engines {
+		var parts []placement.Part
+		for id := range e.kept {
+			parts = append(parts, placement.Part{ID: id, Tokens: 100})
+		}
+		alone.SetKept(w.now, e.id, parts)
+	}
+	is.Equal(misses(alone), 0)
+}
