--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -50,6 +50,9 @@
 	fetchFrom string
 	number    int
 	began     time.Time
+	// detach keeps the end of the request from closing the connection. It returns
+	// false if that has happened.
+	detach func() bool
 	// answer is a whole answer that is not delivered yet; set with failing.
 	answer *answer
 	// crashed is set if the connection broke while the target had the request.
@@ -92,8 +95,8 @@
 		a.err = errCallerLeft
 		return abandoned
 	}
-	stop := context.AfterFunc(ctx, func() { u.Close() })
-	defer stop()
+	a.detach = context.AfterFunc(ctx, func() { u.Close() })
+	defer a.detach()
 	f := a.exchange(ctx, u)
 	if ctx.Err() != nil && f != answered {
 		return abandoned
@@ -158,7 +161,7 @@
 
 // release keeps the connection if the exchange is whole on both sides.
 func (a *attempt) release(u *upstream, resp *h1.Response, whole bool, written <-chan error) {
-	if !whole {
+	if !whole || !a.detach() {
 		u.Close()
 		return
 	}
