--- a/edge/recover.go
+++ b/edge/recover.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -24,6 +26,9 @@
 	// elderMargin is the age difference from which another router is taken as having
 	// run before this one's start, beyond the spread of a common start.
 	elderMargin = 3 * time.Second
+	// maxAsked bounds the engines that one router asks: the call delays an engine's
+	// work, and in a large fleet a router that starts knows few of the others yet.
+	maxAsked = 8
 )
 
 // recoverKept learns what engines keep after a start. A router that finds older
@@ -53,9 +58,19 @@
 
 type engineAddress struct{ id, address string }
 
-// ownEngines returns the engines that this router asks: those that it ranks first
-// for among the routers it has found.
+// ownEngines returns the engines that this router asks: of those that it ranks first
+// for among the routers it has found, the ones that it ranks highest for.
 func (e *Edge) ownEngines() []engineAddress {
+	own := e.rankedEngines()
+	self := e.settings.Name
+	slices.SortFunc(own, func(a, b engineAddress) int {
+		return cmp.Compare(rendezvous.Score(b.id, self), rendezvous.Score(a.id, self))
+	})
+	return own[:min(len(own), maxAsked)]
+}
+
+// rankedEngines returns the engines that this router ranks first for.
+func (e *Edge) rankedEngines() []engineAddress {
 	table := e.table.Load()
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"strings"
@@ -146,3 +147,18 @@
 	f.source.tell(TargetChange{ID: "t1", Removed: true, Revision: 2})
 	f.await(func() bool { return f.logs.has("target_gone", "t1") })
 }
+
+// Pattern: all routers of a large fleet start at once (power loss), and each knows
+// few of the others yet. None asks more than a few engines.
+func TestRouterAsksFewEngines(t *testing.T) {
+	f := newFixture(t)
+	f.edge.apply(routing.NewTable(2, nil, []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 16}}}, routing.Limits{}, nil), 1)
+	var changes []TargetChange
+	for i := range 140 {
+		id := fmt.Sprint("e", i)
+		changes = append(changes, TargetChange{ID: id, Target: routing.Target{ID: id, Service: "llm", Address: "a:1"}})
+	}
+	f.edge.updateTargets(changes, false, 0)
+	f.is.Equal(len(f.edge.rankedEngines()), 140)
+	f.is.Equal(len(f.edge.ownEngines()), maxAsked)
+}
