--- a/edge/headers.go
+++ b/edge/headers.go
@@ -37,8 +37,6 @@
 	// FetchFrom tells a model engine the address of another one, from whose KV cache
 	// it takes what it lacks of the prompt.
 	FetchFrom string
-	// Load holds running requests, waiting requests and slots of a target.
-	Load string
 	// NotRun marks answers of targets that did not run the request.
 	NotRun string
 	// APIKey holds the caller's key.
