Hold back a workspace that is far ahead of a refused one

Ruled out: more room to spare for the refused one (targets had 5 to 8 requests, none was nearly idle). Change: a workspace above its share gets nothing while it has 1.6 times of what another one has that is refused a quarter of its share or more.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -13,7 +13,7 @@
 	}
 	best := found.best
 	if !found.limit.admits(best) {
-		if found.limit.use > spareUse || found.spare.target == nil {
+		if found.limit.ahead || found.limit.use > spareUse || found.spare.target == nil {
 			return Choice{}, b.refusal(d, found)
 		}
 		best = found.spare
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -11,6 +11,9 @@
 	// lateLimit is the multiple of the wanted time that workspaces below their share
 	// may wait: a late answer is worth less, but more than none.
 	lateLimit = 2.0
+	// evenUse is how many times the use of a workspace that is refused another one
+	// above its share may have: less than twice, which the deployment's rules allow.
+	evenUse = 1.6
 	// minRetryAfter and maxRetryShare bound what a refused caller is told: requests
 	// end at a rate of several in 100 ms, and callers wait for up to a third of the
 	// time that they have left.
@@ -27,6 +30,10 @@
 	unlimited bool
 	use       float64
 	level     float64
+	// ahead is set if the workspace has so much more than another one that is refused
+	// that it gets nothing now, and evenAfter is when the two are closer.
+	ahead     bool
+	evenAfter time.Duration
 }
 
 func (b *Book) limit(now time.Time, d *Demand) limit {
@@ -34,15 +41,20 @@
 		return limit{unlimited: true}
 	}
 	l := limit{waited: d.Waited, most: min(time.Duration(lateLimit*float64(d.Want)), d.Left)}
-	l.use, l.level = b.shares.use(now, d.Workspace)
-	if l.use > 1 {
-		l.most = time.Duration(overShare * float64(d.Want) / l.use)
+	l.use, l.level = b.shares.use(now, d.Workspace), b.shares.level
+	if l.use <= 1 {
+		return l
+	}
+	l.most = time.Duration(overShare * float64(d.Want) / l.use)
+	if even := evenUse * b.shares.least; even > 0 && l.use > even {
+		l.ahead = true
+		l.evenAfter = time.Duration((1 - even/l.use) * float64(b.options.ShareWindow))
 	}
 	return l
 }
 
 func (l limit) admits(c candidate) bool {
-	return l.unlimited || l.waited+duration(c.wait) <= l.most
+	return l.unlimited || (!l.ahead && l.waited+duration(c.wait) <= l.most)
 }
 
 // refusal says why no target is admitted, and when the best one will be.
@@ -52,7 +64,7 @@
 	if l.use > 1 {
 		r.Err = ErrOverShare
 	}
-	r.RetryAfter = b.bounded(l.waited+duration(found.best.wait)-l.most, d)
+	r.RetryAfter = b.bounded(max(l.waited+duration(found.best.wait)-l.most, l.evenAfter), d)
 	return r
 }
 
--- a/placement/shares.go
+++ b/placement/shares.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/chiveseam/chiveseam/fairshare"
@@ -20,8 +21,11 @@
 	byHash   map[uint32]*usage
 	current  int64
 
-	level      float64
-	scarce     bool
+	level  float64
+	scarce bool
+	// least is the least use of a workspace that is refused much, in multiples of its
+	// share; 0 if there is none.
+	least      float64
 	computedAt time.Time
 }
 
@@ -87,17 +91,20 @@
 	return total
 }
 
+// refusedShare is the part of its share from which a workspace counts as refused
+// much: a few refused requests say nothing of its place among the others.
+const refusedShare = 0.25
+
 // use returns what a workspace has begun within the window in multiples of its
-// share, and the share in tokens a second. It returns 0 while the capacity meets
-// all demands.
-func (s *shares) use(now time.Time, workspace string) (multiple, level float64) {
+// share. It returns 0 while the capacity meets all demands.
+func (s *shares) use(now time.Time, workspace string) float64 {
 	s.advance(now)
 	s.compute(now)
 	u, ok := s.byHash[Hash(workspace)]
 	if !s.scarce || !ok || s.level <= 0 {
-		return 0, s.level
+		return 0
 	}
-	return sum(&u.begun) / (s.level * s.window.Seconds()), s.level
+	return sum(&u.begun) / (s.level * s.window.Seconds())
 }
 
 func (s *shares) compute(now time.Time) {
@@ -118,4 +125,23 @@
 		capacity = begun
 	}
 	s.level, s.scarce = fairshare.Level(capacity, demands)
+	s.least = s.leastRefused()
+}
+
+func (s *shares) leastRefused() float64 {
+	if !s.scarce || s.level <= 0 {
+		return 0
+	}
+	share := s.level * s.window.Seconds()
+	least := math.Inf(1)
+	for _, u := range s.byHash {
+		begun := sum(&u.begun)
+		if sum(&u.asked)-begun > refusedShare*share {
+			least = min(least, begun/share)
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return least
 }
