Call the store less: one duty tries while it is away, gathering is not deafness

Change: a watch counts as deaf after its longest pause, only what is behind is read, one duty tries an absent store for all, at most each 1.5 s, and a store without a configuration is watched, not polled. The two watches share one loop.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -78,6 +78,7 @@
 	abort    context.CancelFunc
 	started  time.Time
 	overload overload
+	outage   outage
 	refusals *lineBudget
 
 	mu        sync.Mutex
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -20,8 +20,9 @@
 	// minProbeInterval bounds the reads that other routers' reports cause.
 	minProbeInterval = 300 * time.Millisecond
 	// watchDelay is how long a router's own watch may take to hear what another one
-	// has heard: the pause between two watches, and a slow store.
-	watchDelay = 500 * time.Millisecond
+	// has heard: the longest pause between two watches, and a slow store. The rest of
+	// the two seconds is for the report and the read.
+	watchDelay = maxWatchPause + 300*time.Millisecond
 )
 
 // probeStore reads the store beside the watches: a watch may hear nothing while
@@ -33,19 +34,21 @@
 	// the routers stay spread.
 	due := time.NewTimer(e.probeInterval())
 	for {
+		read := e.readStore
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-e.ahead:
-			pause(ctx, watchDelay)
-			if !e.behind() {
+			if !e.stillBehind(ctx) {
 				continue
 			}
+			read = e.readNewer
 		case <-due.C:
 			due.Reset(e.probeInterval())
 		}
-		if err := e.readStore(ctx); err != nil {
-			l.failed(ctx, err)
+		if err := read(ctx); err != nil {
+			l.note(ctx, err)
+			pause(ctx, maxPause)
 			continue
 		}
 		l.worked()
@@ -63,14 +66,38 @@
 
 // readStore reads the configuration and all targets.
 func (e *Edge) readStore(ctx context.Context) error {
+	if err := e.probeConfiguration(ctx); err != nil {
+		return err
+	}
+	return e.probeTargets(ctx)
+}
+
+// readNewer reads that of which another router has seen something newer.
+func (e *Edge) readNewer(ctx context.Context) error {
+	if e.configurationBehind() {
+		if err := e.probeConfiguration(ctx); err != nil {
+			return err
+		}
+	}
+	if e.targetsBehind() {
+		return e.probeTargets(ctx)
+	}
+	return nil
+}
+
+func (e *Edge) probeConfiguration(ctx context.Context) error {
 	table, revision, err := e.source.Configuration(ctx)
-	if err != nil {
+	if err != nil || table == nil {
 		return err
 	}
 	if old := e.table.Load(); old == nil || table.Version > old.Version {
 		level.Warn(e.logger).Log("event", "watch_behind", "watch", "configuration", "version", table.Version)
 		e.apply(table, revision)
 	}
+	return nil
+}
+
+func (e *Edge) probeTargets(ctx context.Context) error {
 	// What is listed is not older than what was told before the read.
 	told := e.told.Load()
 	targets, _, err := e.source.Targets(ctx)
@@ -86,7 +113,7 @@
 func (e *Edge) compareViews(r *v1.LoadReport) {
 	e.told.Store(max(e.told.Load(), r.TargetsRevision))
 	e.toldVersion.Store(max(e.toldVersion.Load(), r.ConfigurationVersion))
-	if !e.behind() {
+	if !e.configurationBehind() && !e.targetsBehind() {
 		return
 	}
 	select {
@@ -95,12 +122,21 @@
 	}
 }
 
-// behind reports whether another router has seen something newer. A router that
-// has no configuration yet reads it anyway.
-func (e *Edge) behind() bool {
+// stillBehind gives the router's own watches their time to hear what another router
+// has seen, and reports whether they did not.
+func (e *Edge) stillBehind(ctx context.Context) bool {
+	pause(ctx, watchDelay)
+	return e.configurationBehind() || e.targetsBehind()
+}
+
+// configurationBehind reports whether another router has a newer configuration. A
+// router that has none yet reads it anyway.
+func (e *Edge) configurationBehind() bool {
 	table := e.table.Load()
-	if table != nil && e.toldVersion.Load() > table.Version {
-		return true
-	}
+	return table != nil && e.toldVersion.Load() > table.Version
+}
+
+// targetsBehind reports whether another router has seen a later registration.
+func (e *Edge) targetsBehind() bool {
 	return e.told.Load() > max(e.newest.Load(), e.checked.Load())
 }
--- a/edge/source.go
+++ b/edge/source.go
@@ -10,8 +10,6 @@
 
 // Errors of a Source. Others are failures of the connection or unreadable values.
 var (
-	// ErrNoConfiguration says that none was published yet.
-	ErrNoConfiguration = errors.New("edge: no configuration is published")
 	// ErrHistoryLost says that the changes since a revision are not available: the
 	// whole has to be read again.
 	ErrHistoryLost = errors.New("edge: the history since the revision is lost")
@@ -22,7 +20,8 @@
 // Source reads what the platform publishes. Revisions are of one counter and
 // only rise. Implementations are safe for concurrent use.
 type Source interface {
-	// Configuration returns the newest table and the revision to watch from.
+	// Configuration returns the newest table and the revision to watch from. The table
+	// is nil if none was published yet.
 	Configuration(ctx context.Context) (*routing.Table, uint64, error)
 	// WatchConfiguration waits for a table later than a revision. The table is nil
 	// if none came within the wait.
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -23,16 +24,53 @@
 	maxWatchPause = 800 * time.Millisecond
 	// calmAfter is the time without changes after which they are taken at once again.
 	calmAfter = 2 * time.Second
-	// minPause and maxPause bound the pause after a failed call. Changes must be in
-	// force within two seconds, and all routers share the store's rate.
+	// minPause and maxPause bound the pause after a failed call. The store is read
+	// again within three seconds of its return, from when on its changes must be in
+	// force in time; all routers share its rate, and refused calls count.
 	minPause = 50 * time.Millisecond
-	maxPause = 400 * time.Millisecond
+	maxPause = 1500 * time.Millisecond
 	// longAbsence is the time without an answer from which the store counts as
 	// having been away.
 	longAbsence = time.Second
+	// outagePatience is how long a duty waits for another one to find the store back,
+	// before it tries by itself: only the other one's connection may be bad.
+	outagePatience = 3 * time.Second
 )
 
-// link is the state of one watch of the store.
+// outage lets one of the duties try the store while it is away, and the others wait.
+// It is safe for concurrent use.
+type outage struct {
+	mu    sync.Mutex
+	owner *link
+	over  chan struct{}
+}
+
+// join returns nil for the duty that has to try, and for others a channel that is
+// closed when the store is back.
+func (o *outage) join(l *link) <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.owner == nil {
+		o.owner = l
+		o.over = make(chan struct{})
+	}
+	if o.owner == l {
+		return nil
+	}
+	return o.over
+}
+
+// end is called by each duty that has reached the store.
+func (o *outage) end() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.owner != nil {
+		close(o.over)
+		o.owner = nil
+	}
+}
+
+// link is what one duty knows of its connection to the store.
 type link struct {
 	edge  *Edge
 	what  string
@@ -41,18 +79,29 @@
 	pause time.Duration
 }
 
-// failed logs the loss of the store once, and waits.
-func (l *link) failed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
+// note logs the loss of the store once.
+func (l *link) note(ctx context.Context, err error) {
+	if l.lost || ctx.Err() != nil {
 		return
 	}
-	if !l.lost {
-		l.lost = true
-		l.since = time.Now()
-		l.pause = minPause
-		level.Warn(l.edge.logger).Log("event", "store_lost", "watch", l.what, "error", err)
+	l.lost = true
+	l.since = time.Now()
+	l.pause = minPause
+	level.Warn(l.edge.logger).Log("event", "store_lost", "watch", l.what, "error", err)
+}
+
+// failed notes the loss of the store and waits until the next try.
+func (l *link) failed(ctx context.Context, err error) {
+	l.note(ctx, err)
+	if over := l.edge.outage.join(l); over != nil {
+		select {
+		case <-ctx.Done():
+		case <-over:
+		case <-time.After(outagePatience):
+		}
+		return
 	}
-	pause(ctx, l.pause/2+rand.N(l.pause))
+	pause(ctx, l.pause/2+rand.N(max(l.pause, minPause)))
 	l.pause = min(2*l.pause, maxPause)
 }
 
@@ -66,6 +115,7 @@
 
 // worked logs the return of the store and tells for how long it was away.
 func (l *link) worked() time.Duration {
+	l.edge.outage.end()
 	if !l.lost {
 		return 0
 	}
@@ -75,64 +125,25 @@
 	return away
 }
 
-// watchConfiguration keeps the table current.
-func (e *Edge) watchConfiguration(ctx context.Context) error {
-	l := &link{edge: e, what: "configuration"}
-	var after uint64
-	for ctx.Err() == nil {
-		table, revision, err := e.readConfiguration(ctx, after)
-		if err != nil {
-			if errors.Is(err, ErrHistoryLost) {
-				level.Info(e.logger).Log("event", "history_lost", "watch", l.what, "revision", after)
-				after = 0
-				continue
-			}
-			l.failed(ctx, err)
-			// A long watch would not tell when the store is back; reading it whole does.
-			after = 0
-			continue
-		}
-		l.worked()
-		after = revision
-		if table != nil {
-			e.apply(table, revision)
-			pause(ctx, watchPause)
-		}
-	}
-	return nil
-}
-
-func (e *Edge) readConfiguration(ctx context.Context, after uint64) (*routing.Table, uint64, error) {
-	if after == 0 {
-		return e.source.Configuration(ctx)
-	}
-	return e.source.WatchConfiguration(ctx, after, watchWait)
+// feed is one kind of what the store publishes.
+type feed[T any] struct {
+	name  string
+	read  func(context.Context) (T, uint64, error)
+	watch func(ctx context.Context, after uint64, wait time.Duration) (T, uint64, error)
+	// apply takes what was read or what has changed, and reports whether that was
+	// anything. The store was away for that long before.
+	apply func(value T, revision uint64, whole bool, away time.Duration) bool
 }
 
-// apply puts a table in force unless it is older than the one in force.
-func (e *Edge) apply(t *routing.Table, revision uint64) {
-	old := e.table.Load()
-	if old != nil && t.Version <= old.Version {
-		level.Info(e.logger).Log("event", "configuration_ignored", "version", t.Version, "in_force", old.Version)
-		return
-	}
-	e.mu.Lock()
-	e.book.SetServices(t.Services, t.Limits.TokensPerSecond)
-	e.mu.Unlock()
-	e.table.Store(t)
-	e.metrics.version.Set(float64(t.Version))
-	level.Info(e.logger).Log("event", "configuration_applied", "version", t.Version, "revision", revision,
-		"tokens_per_second", t.Limits.TokensPerSecond)
-}
-
-// watchTargets keeps the targets current.
-func (e *Edge) watchTargets(ctx context.Context) error {
-	l := &link{edge: e, what: "targets"}
+// follow reads a feed and then watches it. When the history is lost or the store was
+// away, it is read anew: a long watch would not tell when the store is back.
+func follow[T any](ctx context.Context, e *Edge, f feed[T]) error {
+	l := &link{edge: e, what: f.name}
 	var after uint64
 	gather := watchPause
 	for ctx.Err() == nil {
 		asked := time.Now()
-		changes, revision, err := e.readTargets(ctx, after)
+		value, revision, err := f.next(ctx, after)
 		if errors.Is(err, ErrHistoryLost) {
 			level.Info(e.logger).Log("event", "history_lost", "watch", l.what, "revision", after)
 			after = 0
@@ -143,16 +154,22 @@
 			after = 0
 			continue
 		}
-		e.updateTargets(changes, after == 0, l.worked())
-		after = revision
-		if len(changes) > 0 {
+		if f.apply(value, revision, after == 0, l.worked()) {
 			gather = nextGather(gather, time.Since(asked))
 			pause(ctx, gather)
 		}
+		after = revision
 	}
 	return nil
 }
 
+func (f feed[T]) next(ctx context.Context, after uint64) (T, uint64, error) {
+	if after == 0 {
+		return f.read(ctx)
+	}
+	return f.watch(ctx, after, watchWait)
+}
+
 // nextGather returns the pause after a watch that brought changes after a wait.
 func nextGather(last, waited time.Duration) time.Duration {
 	if waited > calmAfter {
@@ -161,11 +178,45 @@
 	return min(2*last, maxWatchPause)
 }
 
-func (e *Edge) readTargets(ctx context.Context, after uint64) ([]TargetChange, uint64, error) {
-	if after == 0 {
-		return e.source.Targets(ctx)
+// watchConfiguration keeps the table current.
+func (e *Edge) watchConfiguration(ctx context.Context) error {
+	return follow(ctx, e, feed[*routing.Table]{
+		name: "configuration", read: e.source.Configuration, watch: e.source.WatchConfiguration,
+		apply: func(t *routing.Table, revision uint64, _ bool, _ time.Duration) bool {
+			if t == nil {
+				return false
+			}
+			e.apply(t, revision)
+			return true
+		},
+	})
+}
+
+// watchTargets keeps the targets current.
+func (e *Edge) watchTargets(ctx context.Context) error {
+	return follow(ctx, e, feed[[]TargetChange]{
+		name: "targets", read: e.source.Targets, watch: e.source.WatchTargets,
+		apply: func(changes []TargetChange, _ uint64, whole bool, away time.Duration) bool {
+			e.updateTargets(changes, whole, away)
+			return len(changes) > 0
+		},
+	})
+}
+
+// apply puts a table in force unless it is older than the one in force.
+func (e *Edge) apply(t *routing.Table, revision uint64) {
+	old := e.table.Load()
+	if old != nil && t.Version <= old.Version {
+		level.Info(e.logger).Log("event", "configuration_ignored", "version", t.Version, "in_force", old.Version)
+		return
 	}
-	return e.source.WatchTargets(ctx, after, watchWait)
+	e.mu.Lock()
+	e.book.SetServices(t.Services, t.Limits.TokensPerSecond)
+	e.mu.Unlock()
+	e.table.Store(t)
+	e.metrics.version.Set(float64(t.Version))
+	level.Info(e.logger).Log("event", "configuration_applied", "version", t.Version, "revision", revision,
+		"tokens_per_second", t.Limits.TokensPerSecond)
 }
 
 func (e *Edge) updateTargets(changes []TargetChange, complete bool, away time.Duration) {
