Add a fault soak of the router processes on the platform's interface

Change: chiveseam-soak starts chiveseam-edge processes, a stand-in store and targets behind loopback relays, draws a schedule of 24 kinds of fault from a seed, and judges what callers and targets see while it runs. Each promise has a planted fault that its check must find. platform/standin holds the stand-ins of the platform, also for the tests of platform/.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build generate test lint demo stats bench
+.PHONY: all build generate test lint demo stats bench soak
 
 all: build
 
-# build compiles the three programs into bin/.
+# build compiles the programs into bin/.
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
@@ -29,6 +29,12 @@
 demo: build
 	./demo/run.sh
 
+# soak plays fresh seeds of random faults against router processes for some minutes.
+SEED ?= $(shell date +%s)
+RUNS ?= 6
+soak: build
+	$(BIN)/chiveseam-soak --program $(BIN)/chiveseam-edge --seed $(SEED) --runs $(RUNS)
+
 bench:
 	$(GO) test -count=1 ./... -run '^$$' -bench . -benchmem
 
--- a/internal/e2e/process_other_test.go
+++ /dev/null
@@ -1,7 +0,0 @@
-//go:build !linux
-
-package e2e
-
-import "syscall"
-
-func endWithParent() *syscall.SysProcAttr { return nil }
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/chiveseam/chiveseam/internal/child"
 )
 
 const (
@@ -53,7 +55,7 @@
 	p.cmd = exec.Command(programPath(program), args...)
 	p.cmd.Stdout = logFile
 	p.cmd.Stderr = logFile
-	p.cmd.SysProcAttr = endWithParent()
+	p.cmd.SysProcAttr = child.EndWithParent()
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
