Tell other routers of the shared parts of prompts only

Cause: routers told each other of each part that an engine reads; the last part of a prompt belongs to its request, is asked for by nobody else, and pushed shared parts out of reports (60 parts each) and out of the lists of kept parts. Change: the last part is recorded by its own router only.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -332,3 +332,26 @@
 	}
 	is.Equal(misses(alone), 0)
 }
+
+// Most of what routers tell each other would be parts that nobody else asks for.
+func TestOwnPartOfAPromptIsNotTold(t *testing.T) {
+	is := is.New(t)
+	b := newWorld(1, 1, 0, 50).routers[0]
+	d := placement.Demand{
+		Service: serviceName, Want: wanted, Left: time.Second,
+		Parts: []placement.Part{{ID: 1, Tokens: 9_000}, {ID: 2, Tokens: 800}, {ID: 3, Tokens: 100}},
+	}
+	choice, err := b.Choose(time.Unix(1000, 0), &d)
+	is.NoErr(err)
+	b.Begin(time.Unix(1000, 0), &d, choice)
+	r := &v1.LoadReport{Sequence: 1}
+	b.Report(time.Unix(1000, 0), r)
+	var told []uint64
+	for _, p := range r.Parts {
+		told = append(told, p.Part)
+	}
+	is.Equal(told, []uint64{1, 2})
+	again, err := b.Choose(time.Unix(1001, 0), &d)
+	is.NoErr(err)
+	is.Equal(again.Unread, 0) // this router knows
+}
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -56,13 +56,21 @@
 	t.unread += c.Unread
 	t.dirty = reportRepeats
 	t.health.Admit(now)
-	if d.Parts != nil {
+	if len(d.Parts) > 0 {
 		b.shares.addOwn(now, d.Workspace, 0, d.Cost())
-		b.keep(now, t, d.Parts)
+		b.keepPrompt(now, t, d.Parts)
 	}
 	return ticket
 }
 
+// keepPrompt records that a target reads a prompt. The last part belongs to the
+// request itself: others do not ask for it, and need not know.
+func (b *Book) keepPrompt(now time.Time, t *target, parts []Part) {
+	own := len(parts) - 1
+	b.keep(now, t, parts[:own])
+	t.kept.use(parts[own])
+}
+
 // keep records that a target reads or uses prompt parts, for this router and the
 // others.
 func (b *Book) keep(now time.Time, t *target, parts []Part) {
