--- a/cmd/chiveseam-edge/main.go
+++ b/cmd/chiveseam-edge/main.go
@@ -33,7 +33,7 @@
 )
 
 type options struct {
-	Settings string `long:"settings" env:"CHIVESEAM_NODE_FILE" description:"Path of the settings file."`
+	Settings string `long:"settings" description:"Path of the settings file; the platform names it otherwise."`
 	Check    bool   `long:"check" description:"Check the settings file and exit."`
 	Help     bool   `long:"help-settings" description:"Print the settings and exit."`
 	Version  bool   `long:"version" description:"Print the version and exit."`
@@ -57,6 +57,9 @@
 		edge.WriteSettingsHelp(os.Stdout)
 		return exitOK
 	}
+	if o.Settings == "" {
+		o.Settings = os.Getenv(platform.SettingsVariable)
+	}
 	s, err := edge.ReadSettings(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -54,7 +54,7 @@
 // sameUse reports whether two reports of a target differ in nothing that its use
 // depends on.
 func sameUse(a, b routing.Target) bool {
-	a.Sequence, a.Cold = b.Sequence, b.Cold
+	a.Sequence = b.Sequence
 	return a == b
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -54,9 +54,7 @@
 
 // Service is a group of targets that run the same requests.
 type Service struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int
+	Name string
 	// Engine is nil for services that are no model engines.
 	Engine *Engine
 }
@@ -195,8 +193,6 @@
 	Started int64
 	// Sequence grows with each report of one start.
 	Sequence uint64
-	// Cold is how much longer the target stays slow after its start.
-	Cold time.Duration
 }
 
 // Supersedes reports whether t is a later report of the same target than old.
