Hold nobody back for a few refused requests; let the soak's routers meet

The routers of the soak had never met: seeds name addresses, the port is a router's own, and the soak gave each another port. So each router shared alone, with shares of some requests; two refused ones of a workspace, or requests that had found no target, held back all others. Change: a workspace counts as refused much from eight requests in the window, and requests without any target are not counted as asked. The test fails without it.

--- a/edge/call.go
+++ b/edge/call.go
@@ -146,9 +146,11 @@
 	c.service = c.route.Pick(rand.Float64(), func(s string) bool { return e.book.Usable(s, now) })
 	c.demand.Service = c.service
 	c.demand.Left = c.giveUp.Sub(now)
-	e.book.Asked(now, &c.demand)
 	e.budget(c.service).Requested(now)
 	_, err := e.book.Choose(now, &c.demand)
+	if !errors.Is(err, placement.ErrNoTarget) {
+		e.book.Asked(now, &c.demand)
+	}
 	e.mu.Unlock()
 	if err != nil {
 		c.giveBack(err)
--- a/internal/soak/place.go
+++ b/internal/soak/place.go
@@ -24,14 +24,11 @@
 }
 
 func newPlace(number int, r *run) (*place, error) {
-	p := &place{number: number, run: r, service: plainService}
+	p := &place{number: number, run: r, service: plainService, address: targetAddress(number)}
 	if number%2 == 0 {
 		p.service = streamService
 	}
 	var err error
-	if p.address, err = freeTCP(); err != nil {
-		return nil, err
-	}
 	if p.relay, err = newRelay(p.address); err != nil {
 		return nil, err
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -22,7 +23,6 @@
 	number  int
 	program string
 	dir     string
-	ready   string
 	callers *relay
 	store   *relay
 	judge   *judge
@@ -44,29 +44,30 @@
 // readyPath is where the platform asks whether an instance takes callers.
 const readyPath = "/api/ready"
 
-func newRouter(number int, c Config, dir, store string, addresses addresses, j *judge) (*router, error) {
+func newRouter(number int, c Config, store string, j *judge) (*router, error) {
 	r := &router{
-		number: number, program: c.Program, dir: dir, ready: addresses.ready[number], judge: j,
+		number: number, program: c.Program, dir: c.Dir, judge: j,
 		client: &http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	var err error
-	if r.callers, err = newRelay(addresses.listen[number]); err != nil {
+	if r.callers, err = newRelay(r.address(listenPort)); err != nil {
 		return nil, err
 	}
 	if r.store, err = newRelay(store); err != nil {
 		r.callers.close()
 		return nil, err
 	}
-	return r, r.writeSettings(c, addresses)
+	return r, r.writeSettings()
 }
 
 func (r *router) settingsPath() string { return filepath.Join(r.dir, fmt.Sprintf("r%d.ini", r.number)) }
 
 func (r *router) logPath() string { return filepath.Join(r.dir, fmt.Sprintf("r%d.log", r.number)) }
 
-func (r *router) writeSettings(c Config, a addresses) error {
+func (r *router) writeSettings() error {
 	text := fmt.Sprintf("name = r%d\nzone = z%d\nlisten = %s\nready = %s\npeer = %s\nseeds = %s\nstore = %s\ngrace = %s\n",
-		r.number, r.number%zones, a.listen[r.number], a.ready[r.number], a.peer[r.number], a.peer[0], r.store.address(), grace)
+		r.number, r.number%zones, r.address(listenPort), r.address(readyPort), r.address(peerPort),
+		loopback(1, peerPort), r.store.address(), grace)
 	text += fmt.Sprintf("memory-mb = %d\nmax-open-files = 2000\n", memoryMB)
 	return os.WriteFile(r.settingsPath(), []byte(text), 0o600)
 }
@@ -185,7 +186,7 @@
 }
 
 func (r *router) isReady() bool {
-	resp, err := r.client.Get("http://" + r.ready + readyPath)
+	resp, err := r.client.Get("http://" + r.address(readyPort) + readyPath)
 	if err != nil {
 		return false
 	}
@@ -193,45 +194,26 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// addresses are the loopback addresses of the routers.
-type addresses struct{ listen, ready, peer []string }
-
-func newAddresses(routers int) (addresses, error) {
-	var a addresses
-	for range routers {
-		listen, err := freeTCP()
-		if err != nil {
-			return a, err
-		}
-		ready, err := freeTCP()
-		if err != nil {
-			return a, err
-		}
-		peer, err := net.ListenPacket("udp4", net.JoinHostPort(loopback(), "0"))
-		if err != nil {
-			return a, err
-		}
-		peer.Close()
-		a.listen = append(a.listen, listen)
-		a.ready = append(a.ready, ready)
-		a.peer = append(a.peer, peer.LocalAddr().String())
-	}
-	return a, nil
-}
+// Ports of a router, at its own address, and the first of the targets.
+const (
+	listenPort = 8001
+	readyPort  = 8002
+	peerPort   = 8003
+	targetPort = 20000
+)
 
-// loopback is an address of this process's own, so that no other connection of the
-// machine takes a port that a restarted process comes back to.
-func loopback() string {
+// loopback returns an address of the run's own, so that no other connection of the
+// machine takes a port to which a restarted process comes back. Each router has an
+// address, as an instance has.
+func loopback(host, port int) string {
 	pid := os.Getpid()
-	return net.IPv4(127, byte(64+(pid>>16)%64), byte(pid>>8), byte(pid)).String()
+	ip := net.IPv4(127, byte(64+(pid>>8)%64), byte(pid), byte(host))
+	return net.JoinHostPort(ip.String(), strconv.Itoa(port))
 }
 
-// freeTCP returns an address that nothing listens at.
-func freeTCP() (string, error) {
-	l, err := net.Listen("tcp4", net.JoinHostPort(loopback(), "0"))
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
+func (r *router) address(port int) string { return loopback(r.number+1, port) }
+
+// targetHost is the host number of all targets.
+const targetHost = 254
+
+func targetAddress(number int) string { return loopback(targetHost, targetPort+number) }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -153,12 +153,8 @@
 		}
 		r.targets = append(r.targets, t)
 	}
-	a, err := newAddresses(r.config.Routers)
-	if err != nil {
-		return err
-	}
 	for i := range r.config.Routers {
-		router, err := newRouter(i, r.config, r.config.Dir, l.Addr().String(), a, r.judge)
+		router, err := newRouter(i, r.config, l.Addr().String(), r.judge)
 		if err != nil {
 			return err
 		}
--- a/placement/even_test.go
+++ b/placement/even_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/placement"
 )
 
 // Two workspaces ask for more than their share. The prompts of one are kept by the
@@ -46,3 +48,31 @@
 	is.Equal(small.refused, 0)
 	is.True(large.refused < large.asked/20)
 }
+
+// A router that serves little is alone or has lost sight of the others. A few refused
+// requests of one workspace are no reason to refuse another one.
+func TestFewRefusedRequestsHoldNobodyBack(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(7, 1, 0, 50, 50)
+	b := w.routers[0]
+	ask := func(workspace string, begin bool) error {
+		d := placement.Demand{
+			Service: serviceName, Workspace: workspace, Want: wanted, Left: time.Second,
+			Parts: []placement.Part{{ID: 1, Tokens: 100}, {ID: w.random.Uint64(), Tokens: 50}},
+		}
+		b.Asked(w.now, &d)
+		choice, err := b.Choose(w.now, &d)
+		if err == nil && begin {
+			b.End(w.now, b.Begin(w.now, &d, choice), placement.Succeeded)
+		}
+		return err
+	}
+	for range 3 {
+		is.NoErr(ask("unlucky", true))
+		is.NoErr(ask("unlucky", false))
+	}
+	for range 30 {
+		w.now = w.now.Add(100 * time.Millisecond)
+		is.NoErr(ask("busy", true)) // targets are idle
+	}
+}
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -46,7 +46,7 @@
 		return l
 	}
 	l.most = time.Duration(overShare * float64(d.Want) / l.use)
-	if even := evenUse * b.shares.least; even > 0 && l.use > even {
+	if even := evenUse * b.shares.least; l.use > even {
 		l.ahead = true
 		l.evenAfter = time.Duration((1 - even/l.use) * float64(b.options.ShareWindow))
 	}
--- a/placement/shares.go
+++ b/placement/shares.go
@@ -24,8 +24,10 @@
 	level  float64
 	scarce bool
 	// least is the least use of a workspace that is refused much, in multiples of its
-	// share; 0 if there is none.
-	least      float64
+	// share; infinite if there is none.
+	least float64
+	// size is the mean of the tokens that a request asks for.
+	size       float64
 	computedAt time.Time
 }
 
@@ -37,7 +39,7 @@
 }
 
 func newShares(window time.Duration) *shares {
-	return &shares{window: window, byHash: make(map[uint32]*usage)}
+	return &shares{window: window, byHash: make(map[uint32]*usage), least: math.Inf(1)}
 }
 
 func (s *shares) advance(now time.Time) int {
@@ -77,6 +79,9 @@
 func (s *shares) addOwn(now time.Time, workspace string, asked, begun float64) {
 	hash := Hash(workspace)
 	s.add(now, hash, asked, begun)
+	if asked > 0 {
+		s.size += sizeGain * (asked - s.size)
+	}
 	u := s.usage(hash)
 	u.ownAsked += uint64(asked)
 	u.ownBegun += uint64(begun)
@@ -91,9 +96,15 @@
 	return total
 }
 
-// refusedShare is the part of its share from which a workspace counts as refused
-// much: a few refused requests say nothing of its place among the others.
-const refusedShare = 0.25
+const (
+	// refusedShare is the part of its share from which a workspace counts as refused
+	// much, and refusedRequests the number of requests: two in each second of the
+	// window. Fewer say nothing of its place among the others.
+	refusedShare    = 0.25
+	refusedRequests = 8
+	// sizeGain is the weight of one more request in their mean size.
+	sizeGain = 0.1
+)
 
 // use returns what a workspace has begun within the window in multiples of its
 // share. It returns 0 while the capacity meets all demands.
@@ -129,19 +140,16 @@
 }
 
 func (s *shares) leastRefused() float64 {
+	least := math.Inf(1)
 	if !s.scarce || s.level <= 0 {
-		return 0
+		return least
 	}
 	share := s.level * s.window.Seconds()
-	least := math.Inf(1)
 	for _, u := range s.byHash {
 		begun := sum(&u.begun)
-		if sum(&u.asked)-begun > refusedShare*share {
+		if sum(&u.asked)-begun > max(refusedShare*share, refusedRequests*s.size) {
 			least = min(least, begun/share)
 		}
 	}
-	if math.IsInf(least, 1) {
-		return 0
-	}
 	return least
 }
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -35,7 +35,8 @@
 	ended bool
 }
 
-// Asked counts a request that came from a caller; it is called once for each.
+// Asked counts a request that came from a caller and for which there are targets; it
+// is called once for each. Without targets shares mean nothing.
 func (b *Book) Asked(now time.Time, d *Demand) {
 	if d.Parts != nil {
 		b.shares.addOwn(now, d.Workspace, d.Cost(), 0)
