--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -89,6 +89,7 @@
 	if err == nil && r.probe == 0 && c.random.Float64() < leaveShare {
 		time.Sleep(leaveAfter)
 		c.drop()
+		c.run.judge.left(r)
 		return
 	}
 	a := answer{err: err}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -18,9 +18,11 @@
 	applyTime = 2 * time.Second
 	drainTime = 2 * time.Second
 	// regressSlack is the time after which a router must not go back to an older
-	// version, timeoutSlack how late a final answer may be.
+	// version, and timeoutSlack how late a final answer may be.
 	regressSlack = 250 * time.Millisecond
 	timeoutSlack = 500 * time.Millisecond
+	// leaveSlack is how long after its caller left a request may still reach a target.
+	leaveSlack = 500 * time.Millisecond
 	// measureSlack is for the scheduling of the soak itself and its relays.
 	measureSlack = 500 * time.Millisecond
 )
@@ -137,6 +139,13 @@
 	j.counts["requests"]++
 }
 
+// left takes a request whose caller has closed its connection.
+func (j *judge) left(r *request) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r.left = time.Now()
+}
+
 // leaving takes the publication of a target's leaving.
 func (j *judge) leaving(target string) {
 	j.mu.Lock()
@@ -180,6 +189,7 @@
 	j.checkAsked(r, run)
 	j.checkRuns(r, run)
 	j.checkDrain(r, run)
+	j.checkLeft(r, run)
 	if !r.ended.IsZero() && r.answer.promisesNotRun() {
 		j.fail(promiseNotRun, r.id, "runs at %s after status %d", run.Target, r.answer.status)
 	}
@@ -198,6 +208,7 @@
 	promiseVersion = "the configuration is in force in time and never goes back"
 	promiseNoLoss  = "planned work loses no answer"
 	promiseStream  = "streams go on without a gap or a repeat"
+	promiseLeft    = "a caller that leaves frees its target"
 	promiseTimeout = "the final answer comes by the route's timeout"
 	promiseRecover = "the fleet serves again after the faults"
 )
@@ -238,6 +249,15 @@
 	}
 }
 
+// checkLeft takes a run whose caller may have left.
+func (j *judge) checkLeft(r *request, run standin.Run) {
+	late := run.At.Sub(r.left)
+	if !r.left.IsZero() && late > leaveSlack+measureSlack && j.steady(r.router, r.sent, run.At) &&
+		j.soundTarget(j.addressed[run.Target], r.sent, run.At) {
+		j.fail(promiseLeft, r.id, "target %s begins to run it %v after its caller left", run.Target, late)
+	}
+}
+
 // endedAt takes a run whose answer a target has sent whole.
 func (j *judge) endedAt(run standin.Run) {
 	j.mu.Lock()
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -45,8 +45,10 @@
 	unknownKey bool
 	// sent is when the first byte was sent, ended when the answer or the end came.
 	sent, ended time.Time
-	answer      answer
-	runs        []standin.Run
+	// left is when the caller closed its connection before the answer.
+	left   time.Time
+	answer answer
+	runs   []standin.Run
 	// whole is set once a target has sent its whole answer.
 	whole bool
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -124,6 +124,7 @@
 			p.request.route.timeout = -2 * time.Second
 			p.runs, p.answer.status = nil, 504
 		}},
+		{promiseLeft, idemRoute, func(p *play) { p.request.left = time.Now().Add(-2 * time.Second) }},
 		{promiseRecover, idemRoute, func(p *play) { p.judge.recovered(1, 2) }},
 	} {
 		is := is.New(t)
