Trace requests and attempts in chiveseam-edge

The set-up of the tracer moves to internal/tracing, which both routers use. A request's span lies in its caller's trace, each attempt has one, and the target is told of it. Without a collector nothing is made.

--- a/cmd/chiveseam-edge/main.go
+++ b/cmd/chiveseam-edge/main.go
@@ -14,11 +14,13 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/jessevdk/go-flags"
+	"go.opentelemetry.io/otel/trace"
 	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/edge"
 	"github.com/chiveseam/chiveseam/internal/deadpeer"
 	"github.com/chiveseam/chiveseam/internal/logqueue"
+	"github.com/chiveseam/chiveseam/internal/tracing"
 	"github.com/chiveseam/chiveseam/platform"
 )
 
@@ -87,10 +89,17 @@
 	}()
 	logger := log.With(log.NewJSONLogger(queue), "time", log.DefaultTimestampUTC)
 	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
+	spans, err := tracing.New(context.Background(), s.OTLPURL, "chiveseam-edge", s.Name, s.Zone)
+	if err != nil {
+		level.Error(logger).Log("event", "start_failed", "error", err)
+		return exitFailure
+	}
+	defer closeSpans(spans, logger)
 	transport := newTransport()
 	e, err := edge.New(edge.Options{
 		Settings: s, Headers: platform.Headers(), ReadyPath: platform.ReadyPath,
 		Source: platform.NewStore(s.Store, transport), Inspector: platform.NewEngines(transport), Logger: logger, Version: version,
+		Tracer: tracer(s, spans),
 	})
 	if err != nil {
 		level.Error(logger).Log("event", "start_failed", "error", err)
@@ -106,6 +115,25 @@
 	return exitOK
 }
 
+// tracer returns nil if no spans are wanted: requests then pass without their cost.
+func tracer(s *edge.Settings, spans *tracing.Tracing) trace.Tracer {
+	if s.OTLPURL == "" {
+		return nil
+	}
+	return spans.Tracer()
+}
+
+// closeSpansTime bounds the sending of the last spans.
+const closeSpansTime = 2 * time.Second
+
+func closeSpans(spans *tracing.Tracing, logger log.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeSpansTime)
+	defer cancel()
+	if err := spans.Close(ctx); err != nil {
+		level.Warn(logger).Log("event", "traces_lost", "error", err)
+	}
+}
+
 func reloadOnHangup(ctx context.Context, e *edge.Edge) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"github.com/chiveseam/chiveseam/h1"
 	"github.com/chiveseam/chiveseam/placement"
 	"github.com/chiveseam/chiveseam/routing"
@@ -50,6 +52,8 @@
 	fetchFrom string
 	number    int
 	began     time.Time
+	// traceParent names the attempt's span to the target; "" if there is none.
+	traceParent string
 	// detach keeps the end of the request from closing the connection. It returns
 	// false if that has happened.
 	detach func() bool
@@ -79,6 +83,14 @@
 
 // run sends the request and delivers the answer.
 func (a *attempt) run(ctx context.Context) fate {
+	ctx, span := a.span(ctx)
+	f := a.perform(ctx)
+	span.SetAttributes(attribute.Stringer("fate", f))
+	span.End()
+	return f
+}
+
+func (a *attempt) perform(ctx context.Context) fate {
 	e := a.call.edge
 	u, err := e.pool.get(ctx, a.target.Address)
 	if err != nil {
@@ -186,6 +198,9 @@
 		if c.lastEvent != "" && strings.EqualFold(f.Name, names.LastEventID) {
 			continue
 		}
+		if a.traceParent != "" && strings.EqualFold(f.Name, traceParent) {
+			continue
+		}
 		h = append(h, f)
 	}
 	if c.lastEvent != "" {
@@ -198,6 +213,9 @@
 	if a.fetchFrom != "" {
 		h = append(h, h1.Field{Name: names.FetchFrom, Value: a.fetchFrom})
 	}
+	if a.traceParent != "" {
+		h = append(h, h1.Field{Name: traceParent, Value: a.traceParent})
+	}
 	if c.workspace != "" {
 		h = append(h, h1.Field{Name: names.Workspace, Value: c.workspace})
 	}
--- a/edge/call.go
+++ b/edge/call.go
@@ -85,6 +85,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.giveUp)
 	defer cancel()
+	ctx, span := c.span(ctx)
+	defer span.End()
 	c.run(ctx)
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -20,6 +20,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"go.opentelemetry.io/otel/trace"
 	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/exchange"
@@ -38,7 +39,9 @@
 	// ReadyPath is where the balancer asks for readiness.
 	ReadyPath string
 	Logger    log.Logger
-	Version   string
+	// Tracer makes the spans of requests and attempts; nil makes none.
+	Tracer  trace.Tracer
+	Version string
 }
 
 // Edge is one router. Its methods are safe for concurrent use.
@@ -49,6 +52,7 @@
 	inspector Inspector
 	readyPath string
 	logger    log.Logger
+	tracer    trace.Tracer
 	version   string
 	tomb      *tomb.Tomb
 	metrics   *counters
@@ -114,6 +118,7 @@
 	e := &Edge{
 		settings: s, headers: o.Headers, source: o.Source, inspector: o.Inspector, readyPath: o.ReadyPath,
 		logger:  log.With(o.Logger, "router", s.Name),
+		tracer:  o.Tracer,
 		version: o.Version,
 		tomb:    &tomb.Tomb{},
 		metrics: newMetrics(),
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -22,6 +22,7 @@
 	Peer   string `long:"peer" description:"Address for reports of other routers (UDP), as IP:port." required:"yes"`
 	// Metrics is empty on routers that serve none.
 	Metrics string `long:"metrics" description:"Address of metrics, as IP:port; empty serves none."`
+	OTLPURL string `long:"otlp-url" description:"Base URL of the OTLP collector for traces; empty sends none."`
 	Seeds   string `long:"seeds" description:"Addresses of other routers, as IP:port, separated by commas; ports are replaced by that of peer."`
 	Store   string `long:"store" description:"Address of the platform's store, as IP:port." required:"yes"`
 
--- /dev/null
+++ b/edge/spans_test.go
@@ -0,0 +1,32 @@
+package edge
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+)
+
+// A request has a span within its caller's trace, each attempt one below it, and the
+// target is told of its attempt's.
+func TestSpansOfARequest(t *testing.T) {
+	is := is.New(t)
+	target := newStandIn(t, "t1", echo)
+	f := newFixture(t, target)
+	recorder := tracetest.NewSpanRecorder()
+	f.edge.tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(recorder)).Tracer("test")
+	const caller = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	c := f.client()
+	c.send("GET", "/idempotent/", "traceparent: "+caller+"\r\n", "")
+	_, _, err := c.receive("GET")
+	is.NoErr(err)
+	f.await(func() bool { return len(recorder.Ended()) == 2 })
+	attempt, request := recorder.Ended()[0], recorder.Ended()[1]
+	is.Equal(attempt.Name(), "attempt")
+	is.Equal(request.Name(), "request")
+	is.Equal(request.SpanContext().TraceID().String(), caller[3:35])
+	is.Equal(attempt.Parent().SpanID(), request.SpanContext().SpanID())
+	told := target.requests()[0].Header.Get("Traceparent")
+	is.Equal(told[36:52], attempt.SpanContext().SpanID().String())
+}
--- a/router/internal/telemetry/trace.go
+++ b/internal/tracing/tracing.go
@@ -1,4 +1,5 @@
-package telemetry
+// Package tracing makes spans and sends them to a collector.
+package tracing
 
 import (
 	"context"
@@ -18,21 +19,23 @@
 // tracesPath is the path of the collector's OTLP endpoint for traces.
 const tracesPath = "v1/traces"
 
-// Tracing makes spans and sends them by OTLP over HTTP.
+// Tracing makes spans and sends them by OTLP over HTTP. It is safe for concurrent use.
 type Tracing struct {
+	service  string
 	provider trace.TracerProvider
 	// close is nil if no spans are sent.
 	close func(context.Context) error
 }
 
-// NewTracing sets the process's tracer provider and W3C propagation. base is
-// the collector's base URL. With an empty one no spans are made, and a caller's
-// trace context is passed on unchanged.
-func NewTracing(ctx context.Context, base, router, zone string) (*Tracing, error) {
+// New sets the process's tracer provider and W3C propagation. base is the
+// collector's base URL. With an empty one no spans are made, and a caller's trace
+// context is passed on unchanged. service names the program, instance and zone the
+// process.
+func New(ctx context.Context, base, service, instance, zone string) (*Tracing, error) {
 	otel.SetTextMapPropagator(propagation.TraceContext{})
-	t := &Tracing{provider: noop.NewTracerProvider()}
+	t := &Tracing{service: service, provider: noop.NewTracerProvider()}
 	if base != "" {
-		provider, err := newProvider(ctx, base, router, zone)
+		provider, err := newProvider(ctx, base, service, instance, zone)
 		if err != nil {
 			return nil, err
 		}
@@ -43,7 +46,7 @@
 	return t, nil
 }
 
-func newProvider(ctx context.Context, base, router, zone string) (*sdktrace.TracerProvider, error) {
+func newProvider(ctx context.Context, base, service, instance, zone string) (*sdktrace.TracerProvider, error) {
 	endpoint, err := url.JoinPath(base, tracesPath)
 	if err != nil {
 		return nil, fmt.Errorf("trace collector: %w", err)
@@ -54,8 +57,8 @@
 	}
 	return sdktrace.NewTracerProvider(
 		sdktrace.WithResource(resource.NewSchemaless(
-			attribute.String("service.name", "chiveseam-router"),
-			attribute.String("service.instance.id", router),
+			attribute.String("service.name", service),
+			attribute.String("service.instance.id", instance),
 			attribute.String("chiveseam.zone", zone),
 		)),
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.AlwaysSample())),
@@ -63,9 +66,9 @@
 	), nil
 }
 
-// Tracer returns the router's tracer.
+// Tracer returns the program's tracer.
 func (t *Tracing) Tracer() trace.Tracer {
-	return t.provider.Tracer("github.com/chiveseam/chiveseam/router")
+	return t.provider.Tracer("github.com/chiveseam/chiveseam/" + t.service)
 }
 
 // Close sends the spans that are left.
--- a/router/internal/telemetry/trace_test.go
+++ b/internal/tracing/tracing_test.go
@@ -1,4 +1,4 @@
-package telemetry_test
+package tracing_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 
-	"github.com/chiveseam/chiveseam/router/internal/telemetry"
+	"github.com/chiveseam/chiveseam/internal/tracing"
 )
 
 func TestSpansReachTheCollector(t *testing.T) {
@@ -24,23 +24,23 @@
 	}))
 	defer collector.Close()
 	ctx := context.Background()
-	tracing, err := telemetry.NewTracing(ctx, collector.URL, "router-1", "zone-a")
+	spans, err := tracing.New(ctx, collector.URL, "router", "router-1", "zone-a")
 	is.NoErr(err)
-	_, span := tracing.Tracer().Start(ctx, "wait")
+	_, span := spans.Tracer().Start(ctx, "wait")
 	span.End()
-	is.NoErr(tracing.Close(ctx))
+	is.NoErr(spans.Close(ctx))
 	is.Equal(<-paths, "/v1/traces")
 }
 
 func TestCallersTraceContextIsPassedOn(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	tracing, err := telemetry.NewTracing(ctx, "", "router-1", "zone-a")
+	spans, err := tracing.New(ctx, "", "router", "router-1", "zone-a")
 	is.NoErr(err)
 	const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 	caller := propagation.MapCarrier{"traceparent": parent}
 	ctx = otel.GetTextMapPropagator().Extract(ctx, caller)
-	ctx, span := tracing.Tracer().Start(ctx, "attempt")
+	ctx, span := spans.Tracer().Start(ctx, "attempt")
 	defer span.End()
 	target := propagation.MapCarrier{}
 	otel.GetTextMapPropagator().Inject(ctx, target)
--- a/router/internal/telemetry/metrics.go
+++ b/router/internal/telemetry/metrics.go
@@ -1,5 +1,5 @@
 // Package telemetry counts what a router does, for metrics and for the status
-// that operators ask for, and sets up its traces.
+// that operators ask for.
 package telemetry
 
 import (
--- a/router/router.go
+++ b/router/router.go
@@ -15,6 +15,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/fleet"
+	"github.com/chiveseam/chiveseam/internal/tracing"
 	"github.com/chiveseam/chiveseam/publisher"
 	"github.com/chiveseam/chiveseam/requestkey"
 	"github.com/chiveseam/chiveseam/router/internal/broker"
@@ -41,7 +42,7 @@
 
 	store      *state.Store
 	metrics    *telemetry.Metrics
-	tracing    *telemetry.Tracing
+	tracing    *tracing.Tracing
 	host       *scheduling.Host
 	broker     *broker.Broker
 	dealing    *dealing.Duty
@@ -114,17 +115,16 @@
 
 func (r *Router) build() error {
 	s := r.settings
-	tracing, err := telemetry.NewTracing(context.Background(), s.OTLPURL, s.Name, s.Zone)
-	if err != nil {
+	var err error
+	if r.tracing, err = tracing.New(context.Background(), s.OTLPURL, "chiveseam-router", s.Name, s.Zone); err != nil {
 		return err
 	}
-	r.tracing = tracing
 	r.store = state.NewStore(r.self())
 	r.host = scheduling.New(r.tomb, r.store, scheduling.Options{
 		HoldTime:  s.GrantHold,
 		MaxSpares: maxSpares,
 		Seed:      s.Incarnation,
-		Tracer:    tracing.Tracer(),
+		Tracer:    r.tracing.Tracer(),
 	})
 	r.broker = broker.New(r.tomb, r.store, &peer.Dialer{
 		Self: r.self(), Tomb: r.tomb, Host: r.host, Timing: r.timing(), Traffic: r.metrics,
@@ -137,7 +137,7 @@
 		Acquirer:      r.broker,
 		Guard:         r.guard,
 		Usage:         r.metrics,
-		Tracer:        tracing.Tracer(),
+		Tracer:        r.tracing.Tracer(),
 		DialTimeout:   s.DialTimeout,
 		FirstByte:     s.FirstByteTimeout,
 		BetweenTokens: s.BetweenTokensTimeout,
