--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -26,6 +26,8 @@
 	cut map[int]bool
 
 	tenants map[string]*tally
+	// streams send requests at each tick.
+	streams []func()
 	read    int
 	again   int
 	seen    map[uint64]bool
@@ -226,3 +228,31 @@
 }
 
 func (w *world) anyRouter() int { return w.random.IntN(len(w.routers)) }
+
+// prompts adds a load whose shared prompts are numbered from first, and records what
+// becomes of its requests by the second in which they come.
+func (w *world) prompts(l load, first uint64, got []second) {
+	start := w.now
+	w.streams = append(w.streams, func() {
+		if !w.poisson(l.rate) {
+			return
+		}
+		s := &got[min(int(w.now.Sub(start)/time.Second), len(got)-1)]
+		tokens := float64(l.shared + l.own + 200)
+		s.asked += tokens
+		choice, err := w.send(w.anyRouter(), l.name, first+uint64(w.random.IntN(l.prompts)), l.shared, l.own)
+		if err != nil {
+			s.waited = true
+			return
+		}
+		s.begun += tokens
+		s.waited = s.waited || choice.Predicted > wanted
+	})
+}
+
+// sendAll sends the requests of all streams for one tick.
+func (w *world) sendAll() {
+	for _, send := range w.streams {
+		send()
+	}
+}
