Tell a load once at once and once in its turn, a prompt part once

Change: a load is told in the next report and once more in its turn within ten, also when it has become idle, which repairs a lost report (test).

--- a/placement/book.go
+++ b/placement/book.go
@@ -38,7 +38,7 @@
 	shares *shares
 	zones  *zones
 	// news are prompt parts to be told to other routers.
-	news []partNews
+	news []*v1.PartRead
 	turn uint64
 }
 
@@ -78,8 +78,9 @@
 	faultShare float64
 	// turn is that of the last choice of this target.
 	turn uint64
-	// dirty counts the reports that still have to tell this target's load.
-	dirty int
+	// dirty is set if the next report has to tell this target's load, and unsettled if
+	// it is to be told once more, since datagrams are lost now and then.
+	dirty, unsettled bool
 }
 
 type remoteLoad struct {
@@ -256,9 +257,3 @@
 
 // PeerNames returns the names of the other routers in the view.
 func (b *Book) PeerNames() []string { return slices.Collect(maps.Keys(b.peers)) }
-
-// partNews is a part that other routers have to be told of.
-type partNews struct {
-	message *v1.PartRead
-	left    int
-}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -355,3 +355,34 @@
 	is.NoErr(err)
 	is.Equal(again.Unread, 0) // this router knows
 }
+
+// A lost report must not leave a load behind at a target that nobody uses any more.
+func TestLostReportIsRepaired(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 2, 0, 50)
+	from, to := w.routers[0], w.routers[1]
+	d := placement.Demand{Service: serviceName, Want: wanted, Left: time.Second, Parts: []placement.Part{{ID: 1, Tokens: 500}}}
+	choice, err := from.Choose(w.now, &d)
+	is.NoErr(err)
+	ticket := from.Begin(w.now, &d, choice)
+	tell := func(lost bool) {
+		w.reports[0]++
+		r := &v1.LoadReport{Router: "r0", Incarnation: 1, Sequence: w.reports[0]}
+		from.Report(w.now, r)
+		if !lost {
+			to.Merge(w.now, r)
+		}
+	}
+	tell(false)
+	from.End(w.now, ticket, placement.Succeeded)
+	tell(true)
+	seen, err := to.Choose(w.now, &d)
+	is.NoErr(err)
+	is.Equal(seen.Running, 1)
+	for range 10 {
+		tell(false)
+	}
+	seen, err = to.Choose(w.now, &d)
+	is.NoErr(err)
+	is.Equal(seen.Running, 0)
+}
--- a/placement/report.go
+++ b/placement/report.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// reportRepeats is the number of reports that tell a change, since datagrams
+	// useRepeats is the number of reports that tell a workspace's use, since datagrams
 	// are lost now and then.
-	reportRepeats = 2
-	// refreshReports is the number of reports within which all loads are told.
+	useRepeats = 2
+	// refreshReports is the number of reports within which all loads are told once
+	// more: that repairs what was lost.
 	refreshReports = 10
 	// tellUses is the time after which another use of a kept part is told: routers
 	// must agree on what an engine has used least lately.
@@ -33,11 +34,9 @@
 func (b *Book) Report(now time.Time, r *v1.LoadReport) {
 	refresh := r.Sequence % refreshReports
 	for _, t := range b.targets {
-		idle := t.running == 0 && t.unread == 0
-		if t.dirty == 0 && (idle || uint64(t.hash)%refreshReports != refresh) {
+		if !t.due(uint64(t.hash)%refreshReports == refresh) {
 			continue
 		}
-		t.dirty = max(t.dirty-1, 0)
 		t.pace.age(now)
 		r.Targets = append(r.Targets, &v1.TargetLoad{
 			Target: t.hash, Running: uint32(t.running), Unread: uint32(max(t.unread, 0)),
@@ -54,17 +53,23 @@
 	b.reportParts(r)
 }
 
+// due reports whether the target's load is told now: after a change, and in its turn
+// once more, or while it has any.
+func (t *target) due(turn bool) bool {
+	idle := t.running == 0 && t.unread == 0
+	due := t.dirty || (turn && (t.unsettled || !idle))
+	t.unsettled = t.unsettled && (t.dirty || !turn)
+	t.dirty = false
+	return due
+}
+
+// changed has the target's load told.
+func (t *target) changed() { t.dirty, t.unsettled = true, true }
+
 func (b *Book) reportParts(r *v1.LoadReport) {
 	n := min(len(b.news), maxParts)
-	kept := b.news[n:]
-	for i := range b.news[:n] {
-		news := b.news[i]
-		r.Parts = append(r.Parts, news.message)
-		if news.left--; news.left > 0 {
-			kept = append(kept, news)
-		}
-	}
-	b.news = kept
+	r.Parts = append(r.Parts, b.news[:n]...)
+	b.news = b.news[n:]
 }
 
 // snapshotAge is the age up to which kept parts are told to a router that starts:
--- a/placement/shares.go
+++ b/placement/shares.go
@@ -85,7 +85,7 @@
 	u := s.usage(hash)
 	u.ownAsked += uint64(asked)
 	u.ownBegun += uint64(begun)
-	u.dirty = reportRepeats
+	u.dirty = useRepeats
 }
 
 func sum(buckets *[shareBuckets]float64) float64 {
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -55,7 +55,7 @@
 	ticket.line = base + slope*float64(c.Backlog+c.Unread)
 	t.running++
 	t.unread += c.Unread
-	t.dirty = reportRepeats
+	t.changed()
 	t.health.Admit(now)
 	if len(d.Parts) > 0 {
 		b.shares.addOwn(now, d.Workspace, 0, d.Cost())
@@ -76,17 +76,12 @@
 // others.
 func (b *Book) keep(now time.Time, t *target, parts []Part) {
 	for _, p := range parts {
-		known := t.kept.has(p.ID)
 		part := t.kept.use(p)
 		if now.Sub(part.told) < tellUses {
 			continue
 		}
 		part.told, part.mine = now, true
-		news := partNews{message: &v1.PartRead{Target: t.hash, Part: p.ID, Tokens: uint32(p.Tokens)}, left: 1}
-		if !known {
-			news.left = reportRepeats
-		}
-		b.news = append(b.news, news)
+		b.news = append(b.news, &v1.PartRead{Target: t.hash, Part: p.ID, Tokens: uint32(p.Tokens)})
 	}
 }
 
@@ -98,7 +93,7 @@
 	k.first = true
 	t := k.target
 	t.unread -= k.choice.Unread
-	t.dirty = reportRepeats
+	t.changed()
 	if k.choice.Running >= max(t.Slots, 1) {
 		// The time at a full target holds the wait for a slot.
 		return
@@ -121,7 +116,7 @@
 	k.ended = true
 	t := k.target
 	t.running--
-	t.dirty = reportRepeats
+	t.changed()
 	if !k.first {
 		t.unread -= k.choice.Unread
 	}
