--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/chiveseam/chiveseam/h1"
+	"github.com/chiveseam/chiveseam/platform/standin"
 )
 
 const (
@@ -106,14 +107,14 @@
 	c.sent++
 	r := &request{
 		id: fmt.Sprintf("c%d-%d", c.name, c.sent), route: routes[c.random.IntN(len(routes))], router: c.router.number,
-		boot: c.boot, method: "POST", workspace: fmt.Sprintf("shop%d", c.random.IntN(workspaces)),
+		boot: c.boot, method: "POST", workspace: workspaceName(c.random.IntN(workspaces)),
 	}
 	r.path = r.route.path + r.id + "?q=%20x"
 	r.body = fmt.Sprintf("body of %s", r.id)
 	switch p := c.random.Float64(); {
 	case p < probeShare:
 		r.probe = c.run.version(c.random)
-		r.route = routes[1]
+		r.route = routes[idemRoute]
 		r.path = versionPath(r.probe) + r.id
 	case p < probeShare+unknownShare:
 		r.unknownKey = true
@@ -122,22 +123,26 @@
 }
 
 func (c *caller) text(r *request) string {
-	key := "key-" + r.workspace
+	sent := standin.Request{
+		ID: r.id, Method: r.method, Path: r.path, Host: host, Key: keyOf(r.workspace), Wait: r.route.timeout, Body: r.body,
+	}
 	if r.unknownKey {
-		key = "key-of-nobody"
+		sent.Key = "of-nobody"
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Chiveseam-Request-Id: %s\r\nApi-Key: %s\r\n"+
-		"X-Chiveseam-Deadline-Ms: %d\r\nX-Chiveseam-Hold: forged\r\nX-Chiveseam-Tenant: forged\r\nContent-Length: %d\r\n",
-		r.method, r.path, host, r.id, key, r.route.timeout.Milliseconds(), len(r.body))
 	if r.route.stream {
-		head += fmt.Sprintf("X-Chiveseam-Model: m\r\nX-Chiveseam-Token-Usage: 150,20\r\nX-Chiveseam-Prompt-Prefix: %x:100,%x:50\r\n",
-			c.random.IntN(sharedParts), c.random.Uint64())
+		sent.Parts = fmt.Sprintf("%x:%d,%x:%d", c.random.IntN(sharedParts), sharedTokens, c.random.Uint64(), ownTokens)
+		sent.Prompt, sent.Output = sharedTokens+ownTokens, standin.Events
 	}
-	return head + "\r\n" + r.body
+	return sent.Text()
 }
 
-// sharedParts is the number of prompt parts that requests share.
-const sharedParts = 8
+// sharedParts is the number of prompt parts that requests share. Prompts are short:
+// the stand-ins do not read them.
+const (
+	sharedParts  = 8
+	sharedTokens = 100
+	ownTokens    = 50
+)
 
 func (c *caller) receive(r *request) answer {
 	resp, err := h1.ReadResponse(c.br, r.method, maxHeadBytes)
@@ -145,8 +150,8 @@
 		return answer{err: err}
 	}
 	a := answer{
-		status: resp.Status, requestID: resp.Header.Get("X-Chiveseam-Request-Id"),
-		signature: resp.Header.Get("X-Chiveseam-Server-Signature"),
+		status: resp.Status, requestID: resp.Header.Get(standin.RequestID),
+		signature: resp.Header.Get(standin.Signature),
 	}
 	body, err := io.ReadAll(resp.Body(c.br))
 	a.body, a.err = string(body), err
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/chiveseam/chiveseam/internal/child"
+	"github.com/chiveseam/chiveseam/platform"
 )
 
 // router is one router process with the relays of its callers and of its store. A new
@@ -41,9 +42,6 @@
 	closed   bool
 }
 
-// readyPath is where the platform asks whether an instance takes callers.
-const readyPath = "/api/ready"
-
 func newRouter(number int, c Config, store string, j *judge) (*router, error) {
 	r := &router{
 		number: number, program: c.Program, dir: c.Dir, judge: j,
@@ -186,7 +184,7 @@
 }
 
 func (r *router) isReady() bool {
-	resp, err := r.client.Get("http://" + r.address(readyPort) + readyPath)
+	resp, err := r.client.Get("http://" + r.address(readyPort) + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -17,6 +17,13 @@
 	attempts   int
 }
 
+// Places in routes.
+const (
+	onceRoute = iota
+	idemRoute
+	chatRoute
+)
+
 var routes = []route{
 	{name: "once", path: "/once/", service: plainService, once: true, timeout: 1500 * time.Millisecond, attempts: 2},
 	{name: "idem", path: "/idem/", service: plainService, timeout: 1500 * time.Millisecond, attempts: 2},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,13 +8,13 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -363,43 +363,35 @@
 // in place of that of the version before.
 func (r *run) publish() error {
 	version := r.newest.Add(1)
-	value, err := json.Marshal(configuration(version))
-	if err != nil {
+	if err := r.store.PutConfiguration(configuration(version)); err != nil {
 		return err
 	}
-	r.store.PutConfiguration(value)
 	r.judge.publishedVersion(version)
 	return nil
 }
 
-func configuration(version uint64) map[string]any {
-	list := []map[string]any{}
-	own := routes[1]
+func configuration(version uint64) standin.Configuration {
+	own := routes[idemRoute]
 	own.name, own.path = "own", versionPath(version)
-	for _, r := range append(routes[:len(routes):len(routes)], own) {
-		kind := "idempotent"
-		switch {
-		case r.stream:
-			kind = "streaming"
-		case r.once:
-			kind = "non_idempotent"
-		}
-		list = append(list, map[string]any{
-			"name": r.name, "hostname": host, "prefix": r.path, "kind": kind, "service": r.service, "resumable": r.resumable,
-			"timeout_ms": r.timeout.Milliseconds(), "target_latency_ms": r.timeout.Milliseconds() / 2, "max_attempts": r.attempts,
+	c := standin.Configuration{
+		Version: version, Keys: make(map[string]string), Services: []string{plainService},
+		Engines: map[string]int{streamService: engineSlots},
+	}
+	for _, r := range append(slices.Clone(routes), own) {
+		c.Routes = append(c.Routes, standin.Route{
+			Name: r.name, Host: host, Prefix: r.path, Service: r.service, Once: r.once, Stream: r.stream,
+			Resumable: r.resumable, Timeout: r.timeout, Wanted: r.timeout / 2, Attempts: r.attempts,
 		})
 	}
-	tenants := []map[string]any{}
 	for i := range workspaces {
-		name := fmt.Sprintf("shop%d", i)
-		tenants = append(tenants, map[string]any{"name": name, "api_keys": []string{"key-" + name}})
-	}
-	return map[string]any{
-		"version": version, "routes": list, "tenants": tenants,
-		"services": []map[string]any{
-			{"name": plainService},
-			{"name": streamService, "engine": map[string]any{"slots": 16, "kv_capacity_tokens": 100_000}},
-		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		c.Keys[workspaceName(i)] = keyOf(workspaceName(i))
 	}
+	return c
 }
+
+// engineSlots is the batch of a model engine.
+const engineSlots = 16
+
+func workspaceName(i int) string { return fmt.Sprintf("shop%d", i) }
+
+func keyOf(workspace string) string { return "key-" + workspace }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -43,12 +43,6 @@
 	whole   bool
 }
 
-const (
-	onceRoute = 0
-	idemRoute = 1
-	chatRoute = 2
-)
-
 func newPlay(route int) *play {
 	j := newJudge(time.Now().Add(-time.Minute), nil)
 	j.publishedVersion(1)
