--- a/internal/soak/relay.go
+++ b/internal/soak/relay.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/chiveseam/chiveseam/internal/standin/fault"
 )
 
 // relayMode is what a relay does to the bytes that pass it.
@@ -66,18 +68,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for conn := range r.conns {
-		resetConn(conn)
+		fault.ResetConn(conn)
 	}
 }
 
-func resetConn(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		// With linger 0 the kernel sends a reset. The connection may be closed already.
-		_ = tcp.SetLinger(0)
-	}
-	conn.Close()
-}
-
 func (r *relay) close() {
 	r.listener.Close()
 	r.reset()
@@ -113,7 +107,7 @@
 	back, err := net.DialTimeout("tcp4", r.target, relayDial)
 	if err != nil {
 		// The caller of a process that is gone sees a reset, as it would without a relay.
-		resetConn(front)
+		fault.ResetConn(front)
 		return
 	}
 	r.keep(back, true)
@@ -132,7 +126,7 @@
 		r.hold(backwards)
 		if n > 0 {
 			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
-				resetConn(from)
+				fault.ResetConn(from)
 				return
 			}
 		}
@@ -147,7 +141,7 @@
 func closeLike(conn net.Conn, err error) {
 	var op *net.OpError
 	if errors.As(err, &op) {
-		resetConn(conn)
+		fault.ResetConn(conn)
 		return
 	}
 	conn.Close()
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -120,13 +120,14 @@
 func Reset(w http.ResponseWriter) {
 	if hijacker, ok := w.(http.Hijacker); ok {
 		if conn, _, err := hijacker.Hijack(); err == nil {
-			resetConn(conn)
+			ResetConn(conn)
 		}
 	}
 	panic(http.ErrAbortHandler)
 }
 
-func resetConn(conn net.Conn) {
+// ResetConn closes a connection with a reset. One that is closed already stays so.
+func ResetConn(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		// With linger 0 the kernel sends RST in place of FIN.
 		_ = tcp.SetLinger(0)
