--- a/placement/shares.go
+++ b/placement/shares.go
@@ -139,6 +139,7 @@
 	s.least = s.leastRefused()
 }
 
+// leastRefused returns the least use of the workspaces that are refused much.
 func (s *shares) leastRefused() float64 {
 	least := math.Inf(1)
 	if !s.scarce || s.level <= 0 {
