One router reads the store in each second; deaf watches are given up sooner

Change: reports tell the age of the newest read of the store by any router; the next one follows a second after it by whichever router's turn comes first. A watch that lets changes gather gets its pause and 0.3 s, any other 0.3 s. While the store is away the reads wait for the duty that tries it. Tests: TestDeafWatchIsGivenUpSoon fails before (1.1 s).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -72,6 +72,9 @@
 	toldVersion atomic.Uint64
 	// ahead wakes the probe when another router has seen something newer.
 	ahead chan struct{}
+	// configurationRests and targetsRest are the Unix times in nanoseconds until which
+	// the watches let changes gather.
+	configurationRests, targetsRest atomic.Int64
 	// targetsRead is set once the registrations were read.
 	targetsRead atomic.Bool
 	// stopping is set from the stop signal on, late once new requests are refused.
@@ -91,6 +94,8 @@
 	budgets   map[string]*retry.Window
 	suspects  *suspects
 	members   *exchange.Members
+	// lastRead is when some router last read the whole store.
+	lastRead time.Time
 
 	listener net.Listener
 	ready    *http.Server
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -11,18 +12,15 @@
 )
 
 const (
-	// probePeriod is the time within which one of the routers reads the store, so
-	// that a change that no watch hears is found in half of the time in which it
-	// must be in force.
+	// probePeriod is the time after which one of the routers reads the store again, so
+	// that a change that no watch hears is in force everywhere within two seconds: this
+	// period, the wait for the first router, a report, and hearTime.
 	probePeriod = time.Second
-	// maxProbeInterval bounds the time between two reads of one router.
-	maxProbeInterval = 30 * time.Second
 	// minProbeInterval bounds the reads that other routers' reports cause.
 	minProbeInterval = 300 * time.Millisecond
-	// watchDelay is how long a router's own watch may take to hear what another one
-	// has heard: the longest pause between two watches, and a slow store. The rest of
-	// the two seconds is for the report and the read.
-	watchDelay = maxWatchPause + 300*time.Millisecond
+	// hearTime is how long a router's own watch may take to hear what another one has
+	// heard: a slow store, and a lost packet.
+	hearTime = 300 * time.Millisecond
 )
 
 // probeStore reads the store beside the watches: a watch may hear nothing while
@@ -30,9 +28,6 @@
 // have seen; one that is behind reads at once.
 func (e *Edge) probeStore(ctx context.Context) error {
 	l := &link{edge: e, what: "probe"}
-	// Reads that reports cause do not move the next one of the router's own, so that
-	// the routers stay spread.
-	due := time.NewTimer(e.probeInterval())
 	for {
 		read := e.readStore
 		select {
@@ -43,8 +38,14 @@
 				continue
 			}
 			read = e.readNewer
-		case <-due.C:
-			due.Reset(e.probeInterval())
+		case <-time.After(e.untilProbe()):
+			if !e.probeDue() {
+				continue
+			}
+		}
+		if over := e.outage.lasting(); over != nil {
+			await(ctx, over, outagePatience)
+			continue
 		}
 		if err := read(ctx); err != nil {
 			l.note(ctx, err)
@@ -56,20 +57,43 @@
 	}
 }
 
-func (e *Edge) probeInterval() time.Duration {
+// untilProbe returns when this router reads the store unless another one does before.
+// The routers are spread so far that the others are told of the first one's read.
+func (e *Edge) untilProbe() time.Duration {
 	e.mu.Lock()
-	routers := e.members.Live(time.Now()) + 1
-	e.mu.Unlock()
-	interval := min(time.Duration(routers)*probePeriod, maxProbeInterval)
-	return interval/2 + rand.N(interval)
+	defer e.mu.Unlock()
+	now := time.Now()
+	spread := time.Duration(e.members.Live(now)+1) * e.members.Interval(now)
+	return max(time.Until(e.lastRead.Add(probePeriod)), 0) + rand.N(spread)
+}
+
+// probeDue reports whether no router has read the store for the period.
+func (e *Edge) probeDue() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.lastRead) >= probePeriod
+}
+
+// readAt notes a read of the whole store. The lock is held.
+func (e *Edge) readAt(at time.Time) {
+	if at.After(e.lastRead) {
+		e.lastRead = at
+	}
 }
 
 // readStore reads the configuration and all targets.
 func (e *Edge) readStore(ctx context.Context) error {
+	began := time.Now()
 	if err := e.probeConfiguration(ctx); err != nil {
 		return err
 	}
-	return e.probeTargets(ctx)
+	if err := e.probeTargets(ctx); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.readAt(began)
+	return nil
 }
 
 // readNewer reads that of which another router has seen something newer.
@@ -125,8 +149,20 @@
 // stillBehind gives the router's own watches their time to hear what another router
 // has seen, and reports whether they did not.
 func (e *Edge) stillBehind(ctx context.Context) bool {
-	pause(ctx, watchDelay)
-	return e.configurationBehind() || e.targetsBehind()
+	pause(ctx, hearTime)
+	if e.configurationBehind() && e.stays(ctx, &e.configurationRests, e.configurationBehind) {
+		return true
+	}
+	return e.targetsBehind() && e.stays(ctx, &e.targetsRest, e.targetsBehind)
+}
+
+// stays waits for a watch that lets changes gather, and reports whether it is behind
+// after that.
+func (e *Edge) stays(ctx context.Context, rests *atomic.Int64, behind func() bool) bool {
+	if left := time.Until(time.Unix(0, rests.Load())); left > 0 {
+		pause(ctx, left+hearTime)
+	}
+	return behind()
 }
 
 // configurationBehind reports whether another router has a newer configuration. A
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -68,6 +68,9 @@
 	if t := e.table.Load(); t != nil {
 		report.ConfigurationVersion = t.Version
 	}
+	if !e.lastRead.IsZero() {
+		report.StoreReadMs = uint32(max(now.Sub(e.lastRead).Milliseconds(), 1))
+	}
 	e.book.Report(now, report)
 	e.suspects.report(report)
 	return report
@@ -153,6 +156,9 @@
 	e.book.Merge(now, report)
 	e.suspects.merge(now, report)
 	e.compareViews(report)
+	if report.StoreReadMs > 0 {
+		e.readAt(now.Add(-time.Duration(report.StoreReadMs) * time.Millisecond))
+	}
 	if report.Incarnation+uint64(elderMargin.Milliseconds()) < uint64(e.started.UnixMilli()) {
 		e.elder.Store(true)
 	}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -60,6 +61,17 @@
 	return o.over
 }
 
+// lasting returns a channel that is closed when the store is back, nil if it is not
+// away.
+func (o *outage) lasting() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.owner == nil {
+		return nil
+	}
+	return o.over
+}
+
 // end is called by each duty that has reached the store.
 func (o *outage) end() {
 	o.mu.Lock()
@@ -94,17 +106,22 @@
 func (l *link) failed(ctx context.Context, err error) {
 	l.note(ctx, err)
 	if over := l.edge.outage.join(l); over != nil {
-		select {
-		case <-ctx.Done():
-		case <-over:
-		case <-time.After(outagePatience):
-		}
+		await(ctx, over, outagePatience)
 		return
 	}
 	pause(ctx, l.pause/2+rand.N(max(l.pause, minPause)))
 	l.pause = min(2*l.pause, maxPause)
 }
 
+// await waits for an event, for a time at most.
+func await(ctx context.Context, event <-chan struct{}, most time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-event:
+	case <-time.After(most):
+	}
+}
+
 // pause waits, or until the duty ends.
 func pause(ctx context.Context, d time.Duration) {
 	select {
@@ -133,6 +150,8 @@
 	// apply takes what was read or what has changed, and reports whether that was
 	// anything. The store was away for that long before.
 	apply func(value T, revision uint64, whole bool, away time.Duration) bool
+	// rests takes the Unix time in nanoseconds until which changes gather.
+	rests *atomic.Int64
 }
 
 // follow reads a feed and then watches it. When the history is lost or the store was
@@ -156,6 +175,7 @@
 		}
 		if f.apply(value, revision, after == 0, l.worked()) {
 			gather = nextGather(gather, time.Since(asked))
+			f.rests.Store(time.Now().Add(gather).UnixNano())
 			pause(ctx, gather)
 		}
 		after = revision
@@ -181,7 +201,7 @@
 // watchConfiguration keeps the table current.
 func (e *Edge) watchConfiguration(ctx context.Context) error {
 	return follow(ctx, e, feed[*routing.Table]{
-		name: "configuration", read: e.source.Configuration, watch: e.source.WatchConfiguration,
+		name: "configuration", read: e.source.Configuration, watch: e.source.WatchConfiguration, rests: &e.configurationRests,
 		apply: func(t *routing.Table, revision uint64, _ bool, _ time.Duration) bool {
 			if t == nil {
 				return false
@@ -195,7 +215,7 @@
 // watchTargets keeps the targets current.
 func (e *Edge) watchTargets(ctx context.Context) error {
 	return follow(ctx, e, feed[[]TargetChange]{
-		name: "targets", read: e.source.Targets, watch: e.source.WatchTargets,
+		name: "targets", read: e.source.Targets, watch: e.source.WatchTargets, rests: &e.targetsRest,
 		apply: func(changes []TargetChange, _ uint64, whole bool, away time.Duration) bool {
 			e.updateTargets(changes, whole, away)
 			return len(changes) > 0
--- a/edge/watch_test.go
+++ b/edge/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,7 +42,7 @@
 		return 1, 7, nil
 	}
 	return feed[int]{
-		name: name,
+		name: name, rests: &atomic.Int64{},
 		read: func(context.Context) (int, uint64, error) { return call() },
 		watch: func(ctx context.Context, _ uint64, _ time.Duration) (int, uint64, error) {
 			pause(ctx, 100*time.Millisecond)
@@ -106,6 +107,7 @@
 		source := newSource()
 		e := &Edge{logger: log.NewNopLogger(), source: source, directory: newDirectory(0)}
 		e.told.Store(9)
+		e.targetsRest.Store(time.Now().Add(maxWatchPause).UnixNano())
 		time.AfterFunc(maxWatchPause, func() { e.newest.Store(9) })
 		is.True(!e.stillBehind(t.Context()))
 		e.told.Store(10)
@@ -114,3 +116,30 @@
 		is.Equal(source.reads.Load(), int64(1)) // only what is behind
 	})
 }
+
+// When no watch of the fleet hears anything, the first router that reads the store
+// tells the others, who must have the change in force within two seconds: a watch that
+// is not gathering changes has had its chance after hearTime.
+func TestDeafWatchIsGivenUpSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &Edge{logger: log.NewNopLogger(), source: newSource()}
+		e.table.Store(testTable(1))
+		e.toldVersion.Store(2)
+		told := time.Now()
+		is.True(e.stillBehind(t.Context()))
+		is.True(time.Since(told) <= 300*time.Millisecond)
+	})
+}
+
+// One router reads the store in each period: the others are told of it.
+func TestReadOfAnotherRouterCounts(t *testing.T) {
+	f := newFixture(t)
+	e := f.edge
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.readAt(now)
+	e.readAt(now.Add(-time.Second))
+	f.is.Equal(e.lastRead, now) // the newest counts
+}
