The first own read of the store comes a second after the start

A router without a known read probed the store at once, and two tests gave it targets that their store did not list; the probe removed them.

--- a/edge/probe.go
+++ b/edge/probe.go
@@ -64,7 +64,12 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	spread := time.Duration(e.members.Live(now)+1) * e.members.Interval(now)
-	return max(time.Until(e.lastRead.Add(probePeriod)), 0) + rand.N(spread)
+	last := e.lastRead
+	if last.Before(e.started) {
+		// The watches read the store at the start.
+		last = e.started
+	}
+	return max(time.Until(last.Add(probePeriod)), 0) + rand.N(spread)
 }
 
 // probeDue reports whether no router has read the store for the period.
--- a/edge/rules_test.go
+++ b/edge/rules_test.go
@@ -197,12 +197,14 @@
 	good := newStandIn(t, "good", echo)
 	f := newFixture(t, good)
 	dead := routing.Target{ID: "dead", Service: "s", Address: freeAddress(t, "tcp4"), Slots: 4}
+	f.source.publish(testTable(1), good.registration(), dead)
 	f.edge.updateTargets([]TargetChange{{ID: "dead", Target: dead}}, false, 0)
 	for range 4 {
 		resp, _, err := f.client().call("POST", "/once/")
 		f.is.NoErr(err)
 		f.is.Equal(resp.Status, 200)
 	}
+	f.source.publish(testTable(1), dead)
 	f.edge.updateTargets([]TargetChange{{ID: "good", Removed: true}}, false, 0)
 	resp, _, err := f.client().call("POST", "/once/")
 	f.is.NoErr(err)
@@ -326,7 +328,9 @@
 		}
 	}()
 	f := newFixture(t)
-	f.edge.updateTargets([]TargetChange{{ID: "t1", Target: routing.Target{ID: "t1", Service: "s", Address: listener.Addr().String(), Slots: 4}}}, false, 0)
+	early := routing.Target{ID: "t1", Service: "s", Address: listener.Addr().String(), Slots: 4}
+	f.source.publish(testTable(1), early)
+	f.edge.updateTargets([]TargetChange{{ID: "t1", Target: early}}, false, 0)
 	c := f.client()
 	long := strings.Repeat("b", 1<<20)
 	for range 2 {
