h1: read the framing fields and a part of a body in one place

Requests and responses checked a length beside a transfer coding, and the coding, each by themselves; two body readers had the same bounded read. Behaviour is as before.

--- a/h1/body.go
+++ b/h1/body.go
@@ -22,9 +22,22 @@
 	untilClose
 )
 
-func sizedFraming(h Header, sizes int) (framing, error) {
-	if sizes > 1 {
+// statedFraming returns the framing that the fields of a message state, noBody if they
+// state none.
+func statedFraming(h Header) (framing, error) {
+	coded := h.Count("Transfer-Encoding")
+	sizes := h.Count("Content-Length")
+	switch {
+	case coded > 0 && sizes > 0:
+		return framing{}, fmt.Errorf("%w: length beside a transfer coding", ErrFraming)
+	case coded > 1 || (coded == 1 && !strings.EqualFold(h.Get("Transfer-Encoding"), "chunked")):
+		return framing{}, fmt.Errorf("%w: transfer coding", ErrFraming)
+	case coded == 1:
+		return framing{kind: chunked}, nil
+	case sizes > 1:
 		return framing{}, fmt.Errorf("%w: several lengths", ErrFraming)
+	case sizes == 0:
+		return framing{kind: noBody}, nil
 	}
 	length, err := parseLength(h.Get("Content-Length"))
 	if err != nil {
@@ -68,11 +81,13 @@
 	if b.left == 0 {
 		return 0, io.EOF
 	}
-	if int64(len(p)) > b.left {
-		p = p[:b.left]
-	}
-	n, err := b.br.Read(p)
-	b.left -= int64(n)
+	return readPart(b.br, p, &b.left)
+}
+
+// readPart reads from a part of a message of which left bytes remain.
+func readPart(br *bufio.Reader, p []byte, left *int64) (int, error) {
+	n, err := br.Read(p[:min(int64(len(p)), *left)])
+	*left -= int64(n)
 	return n, midMessage(err)
 }
 
@@ -99,12 +114,7 @@
 			return 0, io.EOF
 		}
 	}
-	if int64(len(p)) > b.left {
-		p = p[:b.left]
-	}
-	n, err := b.br.Read(p)
-	b.left -= int64(n)
-	return n, midMessage(err)
+	return readPart(b.br, p, &b.left)
 }
 
 func (b *chunkedBody) nextChunk() error {
--- a/h1/request.go
+++ b/h1/request.go
@@ -93,20 +93,11 @@
 }
 
 func requestFraming(req *Request) (framing, error) {
-	coded := req.Header.Count("Transfer-Encoding")
-	sizes := req.Header.Count("Content-Length")
-	switch {
-	case coded == 0 && sizes == 0:
-		return framing{kind: noBody}, nil
-	case coded > 0 && sizes > 0:
-		return framing{}, fmt.Errorf("%w: length beside a transfer coding", ErrFraming)
-	case coded > 0:
-		if req.Minor == 0 || coded > 1 || !strings.EqualFold(req.Header.Get("Transfer-Encoding"), "chunked") {
-			return framing{}, fmt.Errorf("%w: transfer coding", ErrFraming)
-		}
-		return framing{kind: chunked}, nil
+	f, err := statedFraming(req.Header)
+	if err == nil && f.kind == chunked && req.Minor == 0 {
+		return framing{}, fmt.Errorf("%w: transfer coding", ErrFraming)
 	}
-	return sizedFraming(req.Header, sizes)
+	return f, err
 }
 
 // ReadBody reads the whole body into r.Body. It returns ErrBodyTooLarge without
--- a/h1/response.go
+++ b/h1/response.go
@@ -70,20 +70,11 @@
 	if method == "HEAD" || resp.Status == 204 || resp.Status == 304 {
 		return framing{kind: noBody}, nil
 	}
-	coded := resp.Header.Count("Transfer-Encoding")
-	sizes := resp.Header.Count("Content-Length")
-	switch {
-	case coded > 0 && sizes > 0:
-		return framing{}, fmt.Errorf("%w: length beside a transfer coding", ErrFraming)
-	case coded > 0:
-		if coded > 1 || !strings.EqualFold(resp.Header.Get("Transfer-Encoding"), "chunked") {
-			return framing{}, fmt.Errorf("%w: transfer coding", ErrFraming)
-		}
-		return framing{kind: chunked}, nil
-	case sizes > 0:
-		return sizedFraming(resp.Header, sizes)
+	f, err := statedFraming(resp.Header)
+	if err == nil && f.kind == noBody {
+		return framing{kind: untilClose}, nil
 	}
-	return framing{kind: untilClose}, nil
+	return f, err
 }
 
 // Length returns the stated length of the body, or -1 if none is stated.
