--- a/edge/probe.go
+++ b/edge/probe.go
@@ -155,16 +155,14 @@
 // has seen, and reports whether they did not.
 func (e *Edge) stillBehind(ctx context.Context) bool {
 	pause(ctx, hearTime)
-	if e.configurationBehind() && e.stays(ctx, &e.configurationRests, e.configurationBehind) {
-		return true
-	}
-	return e.targetsBehind() && e.stays(ctx, &e.targetsRest, e.targetsBehind)
+	return staysBehind(ctx, &e.configurationRests, e.configurationBehind) ||
+		staysBehind(ctx, &e.targetsRest, e.targetsBehind)
 }
 
-// stays waits for a watch that lets changes gather, and reports whether it is behind
-// after that.
-func (e *Edge) stays(ctx context.Context, rests *atomic.Int64, behind func() bool) bool {
-	if left := time.Until(time.Unix(0, rests.Load())); left > 0 {
+// staysBehind reports whether a watch is behind, also once it has let changes gather.
+func staysBehind(ctx context.Context, rests *atomic.Int64, behind func() bool) bool {
+	left := time.Until(time.Unix(0, rests.Load()))
+	if left > 0 && behind() {
 		pause(ctx, left+hearTime)
 	}
 	return behind()
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -250,6 +250,7 @@
 		if c.Err != nil {
 			level.Warn(e.logger).Log("event", "registration_unreadable", "target", c.ID, "revision", c.Revision, "error", c.Err)
 		}
+		e.newest.Store(max(e.newest.Load(), c.Revision))
 	}
 	var events []event
 	if complete {
@@ -259,11 +260,6 @@
 			events = append(events, e.directory.change(now, c)...)
 		}
 	}
-	for _, c := range changes {
-		if c.Revision > e.newest.Load() {
-			e.newest.Store(c.Revision)
-		}
-	}
 	e.useTargets(events)
 	e.targetsRead.Store(true)
 }
