soak: count versions once, in their order; checks apart from what is recorded

Two changes of the configuration at a time could be written in the other order than they were numbered, and a router could serve a version before the judge knew of it. The number is drawn and recorded under one lock before the write; the judge keeps the newest version's time only. The checks stay as they were. placement: one predicate for requests without a prompt.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,15 +10,14 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"slices"
-	"sort"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -75,12 +74,7 @@
 	for _, f := range r.Faults {
 		fmt.Fprintf(&b, "  %s\n", f)
 	}
-	names := make([]string, 0, len(r.Counts))
-	for name := range r.Counts {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(r.Counts)) {
 		fmt.Fprintf(&b, "  %s: %d\n", name, r.Counts[name])
 	}
 	if r.Violation == nil {
@@ -104,10 +98,10 @@
 	done    chan struct{}
 	faults  sync.WaitGroup
 	callers sync.WaitGroup
-	// newest is the version that was published last.
-	newest atomic.Uint64
-	server *http.Server
-	errors chan error
+	// publishing is held while a version is published.
+	publishing sync.Mutex
+	server     *http.Server
+	errors     chan error
 }
 
 // Run plays one run. The error is one of the soak itself; a broken promise is in the
@@ -352,7 +346,7 @@
 
 // version returns a version to ask for: mostly the newest, or the one before.
 func (r *run) version(random *rand.Rand) uint64 {
-	newest := r.newest.Load()
+	newest := r.judge.version()
 	if newest > 1 && random.IntN(2) == 0 {
 		return newest - 1
 	}
@@ -362,12 +356,10 @@
 // publish writes the next version of the configuration, which has a route of its own
 // in place of that of the version before.
 func (r *run) publish() error {
-	version := r.newest.Add(1)
-	if err := r.store.PutConfiguration(configuration(version)); err != nil {
-		return err
-	}
-	r.judge.publishedVersion(version)
-	return nil
+	r.publishing.Lock()
+	defer r.publishing.Unlock()
+	version := r.judge.publishes()
+	return r.store.PutConfiguration(configuration(version))
 }
 
 func configuration(version uint64) standin.Configuration {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,8 +45,8 @@
 
 func newPlay(route int) *play {
 	j := newJudge(time.Now().Add(-time.Minute), nil)
-	j.publishedVersion(1)
-	j.published[1] = time.Now().Add(-time.Minute)
+	j.publishes()
+	j.published = time.Now().Add(-time.Minute)
 	j.added("t1", 1)
 	r := &request{id: "r", route: routes[route], method: "POST", path: "/p", body: "b", workspace: "shop0"}
 	run := standin.Run{
@@ -109,7 +109,6 @@
 		{promiseVersion, idemRoute, func(p *play) {
 			p.request.probe = 1
 			p.judge.newest = 2
-			p.judge.published[2] = time.Now().Add(-time.Minute)
 		}},
 		{promiseNoLoss, idemRoute, func(p *play) { p.answer = answer{} }},
 		{promiseNoLoss, onceRoute, func(p *play) { p.answer = answer{status: 502, requestID: "r", complete: true} }},
--- a/placement/assess.go
+++ b/placement/assess.go
@@ -63,7 +63,7 @@
 func newPrompt(s *service, d *Demand) *prompt {
 	p := &prompt{}
 	p.base, p.slope = s.model.line()
-	if len(d.Parts) == 0 {
+	if d.plain() {
 		return p
 	}
 	p.tokens = d.Prompt()
@@ -108,7 +108,7 @@
 	if b.zones.silent(now, t.Zone) {
 		penalty += zonePenalty
 	}
-	if d.Parts == nil {
+	if d.plain() {
 		c.slowness = math.Round(t.slowness*plainSteps) / plainSteps
 		c.predicted = c.slowness * p.base * (1 + float64(c.running)/float64(t.slotsIn(s)))
 		c.cost = c.predicted + penalty
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -37,7 +37,7 @@
 }
 
 func (b *Book) limit(now time.Time, d *Demand) limit {
-	if d.Parts == nil || d.Repeated {
+	if d.plain() || d.Repeated {
 		return limit{unlimited: true}
 	}
 	l := limit{waited: d.Waited, most: min(time.Duration(lateLimit*float64(d.Want)), d.Left)}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -53,6 +53,9 @@
 	Repeated bool
 }
 
+// plain reports whether the request has no prompt: it is for a plain service.
+func (d *Demand) plain() bool { return len(d.Parts) == 0 }
+
 // Prompt returns the number of prompt tokens.
 func (d *Demand) Prompt() int {
 	total := 0
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -38,7 +38,7 @@
 // Asked counts a request that came from a caller and for which there are targets; it
 // is called once for each. Without targets shares mean nothing.
 func (b *Book) Asked(now time.Time, d *Demand) {
-	if d.Parts != nil {
+	if !d.plain() {
 		b.shares.addOwn(now, d.Workspace, d.Cost(), 0)
 	}
 }
@@ -57,7 +57,7 @@
 	t.unread += c.Unread
 	t.changed()
 	t.health.Admit(now)
-	if len(d.Parts) > 0 {
+	if !d.plain() {
 		b.shares.addOwn(now, d.Workspace, 0, d.Cost())
 		b.keepPrompt(now, t, d.Parts)
 	}
