--- a/edge/parts_test.go
+++ b/edge/parts_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -105,3 +107,34 @@
 	f.is.Equal(resp.Status, http.StatusServiceUnavailable)
 	f.is.True(resp.Header.Get("Retry-After") != "")
 }
+
+// A request that crashes its targets is refused after the second one, under any
+// ID and at any router that has heard of it.
+func TestRequestThatCrashesTargetsIsRefused(t *testing.T) {
+	crash := func(s *served) {
+		if strings.HasSuffix(s.Target, "bad") {
+			s.reset()
+			return
+		}
+		s.answer(200, "x")
+	}
+	var targets []*standIn
+	for i := range 4 {
+		targets = append(targets, newStandIn(t, fmt.Sprint("t", i), crash))
+	}
+	f := newFixture(t, targets...)
+	for range 4 {
+		f.client().call("POST", "/once/bad")
+	}
+	total := 0
+	for _, target := range targets {
+		total += len(target.requests())
+	}
+	f.is.Equal(total, lossLimit)
+	resp, _, err := f.client().call("POST", "/once/bad")
+	f.is.NoErr(err)
+	f.is.Equal(resp.Status, 503)
+	resp, _, err = f.client().call("POST", "/once/good")
+	f.is.NoErr(err)
+	f.is.True(resp.Status == 200 || ran(resp) == "NO")
+}
--- a/edge/watch_test.go
+++ b/edge/watch_test.go
@@ -143,3 +143,10 @@
 	e.readAt(now.Add(-time.Second))
 	f.is.Equal(e.lastRead, now) // the newest counts
 }
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	f := newFixture(t)
+	f.edge.apply(testTable(7), 2)
+	f.edge.apply(testTable(5), 3)
+	f.is.Equal(f.edge.table.Load().Version, uint64(7))
+}
