--- a/settings/settings_gen.go
+++ b/settings/settings_gen.go
@@ -66,7 +66,7 @@
 	BetweenTokensTimeout time.Duration
 	// Time for which a request key is remembered.
 	KeyLifetime time.Duration
-	// Time after the platform's last confirmation of this instance in which it may begin keys chosen by callers.
+	// Time after the platform's last acknowledgement of this instance in which it may begin keys chosen by callers.
 	KeyRight time.Duration
 	// Greatest difference between the clocks of callers and routers that is tolerated.
 	ClockMargin time.Duration
@@ -113,7 +113,7 @@
 	FirstByteTimeout      string `long:"first-byte-timeout" env:"CHIVESEAM_FIRST_BYTE_TIMEOUT" default:"30s" description:"Time from sending a request to the first byte of the answer."`
 	BetweenTokensTimeout  string `long:"between-tokens-timeout" env:"CHIVESEAM_BETWEEN_TOKENS_TIMEOUT" default:"10s" description:"Silence inside a streamed answer after which the target counts as lost."`
 	KeyLifetime           string `long:"key-lifetime" env:"CHIVESEAM_KEY_LIFETIME" default:"10m" description:"Time for which a request key is remembered."`
-	KeyRight              string `long:"key-right" env:"CHIVESEAM_KEY_RIGHT" default:"1m" description:"Time after the platform's last confirmation of this instance in which it may begin keys chosen by callers."`
+	KeyRight              string `long:"key-right" env:"CHIVESEAM_KEY_RIGHT" default:"1m" description:"Time after the platform's last acknowledgement of this instance in which it may begin keys chosen by callers."`
 	ClockMargin           string `long:"clock-margin" env:"CHIVESEAM_CLOCK_MARGIN" default:"2s" description:"Greatest difference between the clocks of callers and routers that is tolerated."`
 	CoalesceInterval      string `long:"coalesce-interval" env:"CHIVESEAM_COALESCE_INTERVAL" default:"0s" description:"Longest time that a message to another router waits for others to share its write."`
 	GrantHold             string `long:"grant-hold" env:"CHIVESEAM_GRANT_HOLD" default:"1s" description:"Time for which the slots of a lost router stay busy."`
