edge, placement: say what decided a share

A refusal for the share did not say whether the lead over another workspace or the wait of others decided, nor the least use that the lead is measured against, and a chosen target did not say what the request cost.

Both lines now carry the request's cost, its workspace's use and share and the least use of a refused workspace; a refusal also its cause, the wait and the limit, and the age of the view. One line a second tells what a router believes of all shares while capacity is short. Two metrics beside. No decision changes: placement and edge tests pass as before.

--- a/edge/admin.go
+++ b/edge/admin.go
@@ -17,12 +17,14 @@
 	registry           *prometheus.Registry
 	attempts           *prometheus.CounterVec
 	results            *prometheus.CounterVec
+	refusals           *prometheus.CounterVec
 	reports            *prometheus.CounterVec
 	aborted            prometheus.Counter
 	refusedConnections prometheus.Counter
 	callers            prometheus.Gauge
 	version            prometheus.Gauge
 	lag                prometheus.Gauge
+	share              prometheus.Gauge
 	duration           prometheus.Histogram
 }
 
@@ -35,6 +37,9 @@
 		results: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chiveseam_edge_results_total", Help: "Answers made by the router by result code.",
 		}, []string{"code"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chiveseam_edge_share_refusals_total", Help: "Requests refused for others' sake by the limit that decided.",
+		}, []string{"cause"}),
 		reports: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chiveseam_edge_reports_total", Help: "Load reports by what became of them.",
 		}, []string{"outcome"}),
@@ -53,12 +58,16 @@
 		lag: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chiveseam_edge_processor_lag_seconds", Help: "Mean time that work waits for the processor.",
 		}),
+		share: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chiveseam_edge_share_tokens_per_second", Help: "Share of a workspace; 0 while the capacity meets all demands.",
+		}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "chiveseam_edge_request_duration_seconds", Help: "Time from a request's first byte to the end of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
 		}),
 	}
-	m.registry.MustRegister(m.attempts, m.results, m.reports, m.aborted, m.refusedConnections, m.callers, m.version, m.lag, m.duration)
+	m.registry.MustRegister(m.attempts, m.results, m.refusals, m.reports, m.aborted, m.refusedConnections, m.callers,
+		m.version, m.lag, m.share, m.duration)
 	return m
 }
 
--- a/edge/answer.go
+++ b/edge/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"net/http"
 	"time"
 
@@ -46,8 +45,13 @@
 		case placement.ErrOverShare:
 			code = v1.Code_QUEUE_FULL
 		}
-		c.log = log.With(c.log, "predicted_ms", refusal.Predicted.Milliseconds(), "share", int(refusal.Level),
-			"use", math.Round(refusal.Use*100)/100)
+		if refusal.Cause != "" {
+			c.edge.metrics.refusals.WithLabelValues(string(refusal.Cause)).Inc()
+		}
+		c.log = log.With(c.log, "predicted_ms", refusal.Predicted.Milliseconds(), "cause", refusal.Cause,
+			"wait_ms", refusal.Wait.Milliseconds(), "limit_ms", refusal.Limit.Milliseconds(), "cost", c.demand.Cost(),
+			"view_age_ms", refusal.Age.Milliseconds())
+		c.log = log.With(c.log, standingFields(refusal.Standing)...)
 	}
 	c.refuse(code, http.StatusServiceUnavailable, after, err.Error())
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -205,6 +205,7 @@
 		func() error { return e.watchSettings(ctx) },
 		func() error { return e.sweep(ctx) },
 		func() error { return e.watchLag(ctx) },
+		func() error { return e.watchShares(ctx) },
 	}
 	if e.inspector != nil {
 		duties = append(duties, func() error { return e.recoverKept(ctx) })
--- a/internal/pages/pages_test.go
+++ b/internal/pages/pages_test.go
@@ -55,7 +55,7 @@
 func pagePaths(t *testing.T) []string {
 	t.Helper()
 	var paths []string
-	for _, pattern := range []string{root + "/*.md", root + "/docs/*.md"} {
+	for _, pattern := range []string{root + "/*.md", root + "/docs/*.md", root + "/docs/*/*.md"} {
 		matches, err := filepath.Glob(pattern)
 		if err != nil {
 			t.Fatal(err)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -13,14 +13,15 @@
 	}
 	best := found.best
 	if !found.limit.admits(best) {
-		if found.limit.ahead || found.limit.use > spareUse || found.spare.target == nil {
-			return Choice{}, b.refusal(d, found)
+		if found.limit.ahead || found.limit.standing.Use > spareUse || found.spare.target == nil {
+			return Choice{}, b.refusal(now, d, found)
 		}
 		best = found.spare
 	}
 	best.target.turn = b.nextTurn()
 	choice := Choice{
-		Target: best.target.ID, Unread: best.miss, Backlog: best.unread, Running: best.running,
+		Standing: found.limit.standing,
+		Target:   best.target.ID, Unread: best.miss, Backlog: best.unread, Running: best.running,
 		Slowness: best.slowness, Predicted: duration(best.predicted), Age: b.Age(now),
 	}
 	if best.donor != nil {
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -28,8 +28,7 @@
 	// unlimited requests are not refused: those that were sent before, and calls of
 	// plain services, which refuse themselves when they are full.
 	unlimited bool
-	use       float64
-	level     float64
+	standing  Standing
 	// ahead is set if the workspace has so much more than another one that is refused
 	// that it gets nothing now, and evenAfter is when the two are closer.
 	ahead     bool
@@ -41,14 +40,15 @@
 		return limit{unlimited: true}
 	}
 	l := limit{waited: d.Waited, most: min(time.Duration(lateLimit*float64(d.Want)), d.Left)}
-	l.use, l.level = b.shares.use(now, d.Workspace), b.shares.level
-	if l.use <= 1 {
+	l.standing = b.shares.standing(now, d.Workspace)
+	use := l.standing.Use
+	if use <= 1 {
 		return l
 	}
-	l.most = time.Duration(overShare * float64(d.Want) / l.use)
-	if even := evenUse * b.shares.least; l.use > even {
+	l.most = time.Duration(overShare * float64(d.Want) / use)
+	if even := evenUse * l.standing.Least; use > even {
 		l.ahead = true
-		l.evenAfter = time.Duration((1 - even/l.use) * float64(b.options.ShareWindow))
+		l.evenAfter = time.Duration((1 - even/use) * float64(b.options.ShareWindow))
 	}
 	return l
 }
@@ -58,12 +58,18 @@
 }
 
 // refusal says why no target is admitted, and when the best one will be.
-func (b *Book) refusal(d *Demand, found search) *Refusal {
+func (b *Book) refusal(now time.Time, d *Demand, found search) *Refusal {
 	l := found.limit
-	r := &Refusal{Err: ErrSaturated, Predicted: duration(found.best.predicted), Level: l.level, Use: l.use}
-	if l.use > 1 {
+	r := &Refusal{
+		Err: ErrSaturated, Cause: CauseWait, Predicted: duration(found.best.predicted),
+		Wait: duration(found.best.wait), Limit: l.most, Age: b.Age(now), Standing: l.standing,
+	}
+	if l.standing.Use > 1 {
 		r.Err = ErrOverShare
 	}
+	if l.ahead {
+		r.Cause = CauseLead
+	}
 	r.RetryAfter = b.bounded(max(l.waited+duration(found.best.wait)-l.most, l.evenAfter), d)
 	return r
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -75,8 +75,30 @@
 // workspaces share, as the configuration states it.
 const generatedWeight = 2
 
+// Standing is a workspace's place among the others, as its router sees it.
+type Standing struct {
+	// Level is the share of a workspace in tokens a second; 0 if the capacity meets all
+	// demands.
+	Level float64
+	// Use is what the workspace has begun, in multiples of its share.
+	Use float64
+	// Least is the least use of a workspace that is refused much; infinite if none is.
+	Least float64
+}
+
+// Cause is which limit refused a request.
+type Cause string
+
+const (
+	// CauseWait: others would have to wait too long.
+	CauseWait Cause = "wait"
+	// CauseLead: the workspace has much more than another one that is refused.
+	CauseLead Cause = "lead"
+)
+
 // Choice is a target for a request, with what decided.
 type Choice struct {
+	Standing
 	Target string
 	// Unread is the number of prompt tokens that the target has to read for it.
 	Unread int
@@ -113,12 +135,15 @@
 	Err error
 	// RetryAfter is when capacity is expected.
 	RetryAfter time.Duration
+	// Cause is the limit that refused; "" without targets.
+	Cause Cause
 	// Predicted is the least predicted time to the first token; 0 without targets.
 	Predicted time.Duration
-	// Level is the share of a workspace in tokens a second; 0 if none is known.
-	Level float64
-	// Use is what the workspace has begun, in multiples of its share.
-	Use float64
+	// Wait is the part of Predicted in which others are served, Limit what is allowed.
+	Wait, Limit time.Duration
+	// Age is the age of the oldest report of another router in the view.
+	Age time.Duration
+	Standing
 }
 
 // Error names the cause.
--- a/placement/shares.go
+++ b/placement/shares.go
@@ -32,6 +32,8 @@
 }
 
 type usage struct {
+	// name is known once this router had a request of the workspace.
+	name         string
 	asked, begun [shareBuckets]float64
 	// ownAsked and ownBegun are this router's totals, for its reports.
 	ownAsked, ownBegun uint64
@@ -83,6 +85,7 @@
 		s.size += sizeGain * (asked - s.size)
 	}
 	u := s.usage(hash)
+	u.name = workspace
 	u.ownAsked += uint64(asked)
 	u.ownBegun += uint64(begun)
 	u.dirty = useRepeats
@@ -106,16 +109,16 @@
 	sizeGain = 0.1
 )
 
-// use returns what a workspace has begun within the window in multiples of its
-// share. It returns 0 while the capacity meets all demands.
-func (s *shares) use(now time.Time, workspace string) float64 {
+// standing returns a workspace's place. Its use is what it has begun within the window;
+// it is 0 while the capacity meets all demands.
+func (s *shares) standing(now time.Time, workspace string) Standing {
 	s.advance(now)
 	s.compute(now)
-	u, ok := s.byHash[Hash(workspace)]
-	if !s.scarce || !ok || s.level <= 0 {
-		return 0
+	place := Standing{Level: s.level, Least: s.least}
+	if u, ok := s.byHash[Hash(workspace)]; ok && s.scarce && s.level > 0 {
+		place.Use = sum(&u.begun) / (s.level * s.window.Seconds())
 	}
-	return sum(&u.begun) / (s.level * s.window.Seconds())
+	return place
 }
 
 func (s *shares) compute(now time.Time) {
