placement: measure a lead by workspaces that are refused now only

Cause: the lead over others was measured against the least use of a workspace that was refused within the window. One that asks for nothing any more stays in the window for 4 s while its use falls to nothing, and the others were held to 1.6 times that.

Now only what is refused in the newest half of the window counts; the number of refused requests that says something is that of half of the window. The mean size of a request, which that number is multiplied by, no longer starts from zero.

Ruled out: a quarter of the window (TestKeptPromptsAreNoLead fails).

--- a/placement/shares.go
+++ b/placement/shares.go
@@ -81,6 +81,9 @@
 func (s *shares) addOwn(now time.Time, workspace string, asked, begun float64) {
 	hash := Hash(workspace)
 	s.add(now, hash, asked, begun)
+	if s.size == 0 {
+		s.size = asked
+	}
 	if asked > 0 {
 		s.size += sizeGain * (asked - s.size)
 	}
@@ -100,11 +103,13 @@
 }
 
 const (
+	// recentBuckets are those that tell what is refused now: half of the window.
+	recentBuckets = shareBuckets / 2
 	// refusedShare is the part of its share from which a workspace counts as refused
-	// much, and refusedRequests the number of requests: two in each second of the
+	// much, and refusedRequests the number of requests: two in each second of the usual
 	// window. Fewer say nothing of its place among the others.
 	refusedShare    = 0.25
-	refusedRequests = 8
+	refusedRequests = 4
 	// sizeGain is the weight of one more request in their mean size.
 	sizeGain = 0.1
 )
@@ -142,18 +147,28 @@
 	s.least = s.leastRefused()
 }
 
-// leastRefused returns the least use of the workspaces that are refused much.
+// leastRefused returns the least use of the workspaces that are refused much now. One
+// that was, and asks for nothing any more, is no measure of what others may have.
 func (s *shares) leastRefused() float64 {
 	least := math.Inf(1)
 	if !s.scarce || s.level <= 0 {
 		return least
 	}
 	share := s.level * s.window.Seconds()
+	much := max(refusedShare*share*recentBuckets/shareBuckets, refusedRequests*s.size)
 	for _, u := range s.byHash {
-		begun := sum(&u.begun)
-		if sum(&u.asked)-begun > max(refusedShare*share, refusedRequests*s.size) {
-			least = min(least, begun/share)
+		if s.recent(&u.asked)-s.recent(&u.begun) > much {
+			least = min(least, sum(&u.begun)/share)
 		}
 	}
 	return least
 }
+
+// recent sums the newest buckets.
+func (s *shares) recent(buckets *[shareBuckets]float64) float64 {
+	total := 0.0
+	for i := range int64(recentBuckets) {
+		total += buckets[(s.current+shareBuckets-i)%shareBuckets]
+	}
+	return total
+}
