--- /dev/null
+++ b/placement/overview_test.go
@@ -0,0 +1,47 @@
+package placement_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/placement"
+)
+
+// What logs tell of a share: which limit refused a request, and what a router believes of
+// all workspaces.
+func TestRefusalsAndOverviewSayWhatDecided(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(5, 4, 100_000, 50, 50, 50, 50)
+	causes := map[placement.Cause]int{}
+	send := func(workspace string, prompt uint64, shared, own int) {
+		_, err := w.send(w.anyRouter(), workspace, prompt, shared, own)
+		var refusal *placement.Refusal
+		if !errors.As(err, &refusal) {
+			return
+		}
+		causes[refusal.Cause]++
+		if refusal.Cause == placement.CauseLead {
+			is.True(refusal.Use > refusal.Least) // it leads a refused one
+		} else {
+			is.True(refusal.Wait > refusal.Limit) // others would wait
+		}
+	}
+	w.run(8*time.Second, func() {
+		if w.poisson(150) {
+			send("kept", uint64(w.random.IntN(16)), 9_900, 100)
+		}
+		if w.poisson(60) {
+			send("read", uint64(100+w.random.IntN(8)), 1_000, 9_000)
+		}
+	})
+	t.Logf("%v", causes)
+	is.True(causes[placement.CauseLead] > 0 && causes[placement.CauseWait] > 0)
+
+	o := w.routers[0].Overview(w.now)
+	is.True(o.Scarce && o.Level > 0 && o.Asked > o.Begun)
+	is.Equal(len(o.Workspaces), 2)
+	is.Equal(o.Workspaces[0].Name, "kept") // it asks for most
+}
