--- a/edge/edge.go
+++ b/edge/edge.go
@@ -193,7 +193,7 @@
 func (e *Edge) Run(ctx context.Context) error {
 	s := e.settings
 	level.Info(e.logger).Log("event", "started", "version", e.version, "zone", s.Zone, "listen", s.Listen,
-		"peer", s.Peer, "store", s.Store, "seeds", s.Seeds)
+		"peer", s.Peer, "store", s.Store, "seeds", s.Seeds, "defaulted", s.Defaulted)
 	e.startTasks()
 	select {
 	case <-ctx.Done():
@@ -283,7 +283,7 @@
 // unreachable now. The caller holds e.mu.
 func (e *Edge) retryBudget(service string) *retry.Window {
 	s := e.settings
-	floor := float64(s.RetryMin) / float64(e.members.PeakRouters()+1)
+	floor := s.RetryMin / float64(e.members.PeakRouters()+1)
 	w, ok := e.retryBudgets[service]
 	if !ok {
 		w = retry.NewWindow(s.RetryWindow, s.RetryRatio, floor)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -12,67 +12,126 @@
 	"github.com/jessevdk/go-flags"
 )
 
-// Settings are the settings of one router, read from a file of "name = value" lines. The names are
-// those of the long tags.
+// Settings are the settings of one router.
 type Settings struct {
-	Name   string `long:"name" description:"Name of the instance, unique in the deployment." required:"yes"`
-	Zone   string `long:"zone" description:"Availability zone of the instance." required:"yes"`
-	Listen string `long:"listen" description:"Address for callers, as IP:port." required:"yes"`
-	Ready  string `long:"ready" description:"Address at which the balancer asks for readiness, as IP:port." required:"yes"`
-	Peer   string `long:"peer" description:"Address for reports of other routers (UDP), as IP:port." required:"yes"`
-	// Metrics is empty if the router serves no metrics.
+	// Name is the name of the instance and Zone its availability zone.
+	Name, Zone string
+	// Listen, Ready, Peer and Store are addresses as IP:port; Metrics is one too, or empty if the
+	// router serves no metrics.
+	Listen, Ready, Peer, Metrics, Store string
+	// OTLPURL is the base URL of the collector for traces; empty if none are sent.
+	OTLPURL string
+	// Seeds are addresses of other routers as IP:port, separated by commas.
+	Seeds string
+
+	// Grace is the time from the stop signal until the process is killed.
+	Grace time.Duration
+	// RetryRatio, RetryMin and RetryWindow are the limits of the retry budget: in each window the
+	// fleet may repeat RetryRatio attempts for each request of a service, and RetryMin more.
+	RetryRatio, RetryMin float64
+	RetryWindow          time.Duration
+	// ShareWindow is the window in which workspaces get their shares.
+	ShareWindow time.Duration
+	// LapsedGrace is the time after the store's return in which registrations that lapsed may come
+	// back.
+	LapsedGrace time.Duration
+	// MemoryMB and MaxOpenFiles are the limits of the process.
+	MemoryMB, MaxOpenFiles int
+	LogLevel               string
+
+	// Defaulted names the settings for which the file has a line without a value.
+	Defaulted []string
+	// SettingsFilePath is the file that the settings were read from. Reload reads it again.
+	SettingsFilePath string
+}
+
+// settingsFile holds the lines of a settings file. The names are those of the long tags.
+type settingsFile struct {
+	Name    string `long:"name" description:"Name of the instance, unique in the deployment." required:"yes"`
+	Zone    string `long:"zone" description:"Availability zone of the instance." required:"yes"`
+	Listen  string `long:"listen" description:"Address for callers, as IP:port." required:"yes"`
+	Ready   string `long:"ready" description:"Address at which the balancer asks for readiness, as IP:port." required:"yes"`
+	Peer    string `long:"peer" description:"Address for reports of other routers (UDP), as IP:port." required:"yes"`
 	Metrics string `long:"metrics" description:"Address of metrics, as IP:port; empty serves none."`
 	OTLPURL string `long:"otlp-url" description:"Base URL of the OTLP collector for traces; empty sends none."`
 	Seeds   string `long:"seeds" description:"Addresses of other routers, as IP:port, separated by commas; ports are replaced by that of peer."`
 	Store   string `long:"store" description:"Address of the platform's store, as IP:port." required:"yes"`
 
-	Grace        time.Duration `long:"grace" description:"Time from the stop signal until the process is killed." default:"8s"`
-	RetryRatio   float64       `long:"retry-ratio" description:"Repeated attempts for each request of a service in the whole fleet." default:"0.2"`
-	RetryMin     int           `long:"retry-min" description:"Repeated attempts in a window that need no requests, in the whole fleet." default:"50"`
-	RetryWindow  time.Duration `long:"retry-window" description:"Window of the retry budget." default:"10s"`
-	ShareWindow  time.Duration `long:"share-window" description:"Window in which workspaces get their shares." default:"4s"`
-	LapsedGrace  time.Duration `long:"lapsed-grace" description:"Time after the store's return in which registrations that lapsed may come back." default:"2s"`
-	MemoryMB     int           `long:"memory-mb" description:"Memory of the process in MB." default:"256"`
-	MaxOpenFiles int           `long:"max-open-files" description:"File descriptors of the process." default:"4096"`
-	LogLevel     string        `long:"log-level" description:"Least severity that is logged: debug, info, warn or error." default:"info"`
-	// SettingsFilePath is the file that the settings were read from. Reload reads it again.
-	SettingsFilePath string `no-ini:"true"`
+	Grace        string `long:"grace" description:"Time from the stop signal until the process is killed." default:"8s"`
+	RetryRatio   string `long:"retry-ratio" description:"Repeated attempts for each request of a service in the whole fleet." default:"0.2"`
+	RetryMin     string `long:"retry-min" description:"Repeated attempts in a window that need no requests, in the whole fleet." default:"50"`
+	RetryWindow  string `long:"retry-window" description:"Window of the retry budget." default:"10s"`
+	ShareWindow  string `long:"share-window" description:"Window in which workspaces get their shares." default:"4s"`
+	LapsedGrace  string `long:"lapsed-grace" description:"Time after the store's return in which registrations that lapsed may come back." default:"2s"`
+	MemoryMB     string `long:"memory-mb" description:"Memory of the process in MB." default:"256"`
+	MaxOpenFiles string `long:"max-open-files" description:"File descriptors of the process." default:"4096"`
+	LogLevel     string `long:"log-level" description:"Least severity that is logged: debug, info, warn or error." default:"info"`
 }
 
-// ReadSettings reads and validates a settings file. Unknown names are ignored. The error lists all
-// invalid values; a line that cannot be parsed ends the reading and is reported alone. The program
-// calls it at its start, and Reload calls it later.
+// ReadSettings reads and validates a settings file of "name = value" lines. Unknown names are
+// ignored, and a figure without a value takes its default. The error lists all invalid values; a
+// line that cannot be parsed ends the reading and is reported alone. The program calls it at its
+// start, and Reload calls it later.
 func ReadSettings(path string) (*Settings, error) {
-	var s Settings
-	parser := flags.NewParser(&s, flags.IgnoreUnknown)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := parseSettings(string(text))
+	if err != nil {
+		return nil, err
+	}
+	s.SettingsFilePath = path
+	return s, nil
+}
+
+// parseSettings parses and validates the text of a settings file.
+func parseSettings(text string) (*Settings, error) {
+	var f settingsFile
+	parser := flags.NewParser(&f, flags.IgnoreUnknown)
 	// Parsing no arguments sets the defaults. Required values come from the file.
 	if _, err := parser.ParseArgs(nil); err != nil && !isRequired(err) {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	if err := flags.NewIniParser(parser).ParseFile(path); err != nil {
-		return nil, fmt.Errorf("settings: %w%s", err, offendingLine(path, err))
+	if err := flags.NewIniParser(parser).Parse(strings.NewReader(text)); err != nil {
+		return nil, fmt.Errorf("settings: %w%s", err, offendingLine(text, err))
 	}
-	s.SettingsFilePath = path
-	return &s, s.validate()
+	s := &Settings{
+		Name: f.Name, Zone: f.Zone, Listen: f.Listen, Ready: f.Ready, Peer: f.Peer, Store: f.Store,
+		Metrics: f.Metrics, OTLPURL: f.OTLPURL, Seeds: f.Seeds, LogLevel: f.LogLevel,
+	}
+	figures := &figureReader{parser: parser, text: text}
+	s.Grace = figures.duration("grace", f.Grace, minDuration)
+	s.RetryRatio = figures.number("retry-ratio", f.RetryRatio)
+	s.RetryMin = figures.number("retry-min", f.RetryMin)
+	s.RetryWindow = figures.duration("retry-window", f.RetryWindow, minDuration)
+	s.ShareWindow = figures.duration("share-window", f.ShareWindow, minDuration)
+	s.LapsedGrace = figures.duration("lapsed-grace", f.LapsedGrace, 0)
+	s.MemoryMB = figures.whole("memory-mb", f.MemoryMB)
+	s.MaxOpenFiles = figures.whole("max-open-files", f.MaxOpenFiles)
+	s.Defaulted = figures.defaulted
+	if err := errors.Join(append(figures.errs, s.validate())...); err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
 // WriteSettingsHelp writes all settings with their descriptions and defaults to w.
 func WriteSettingsHelp(w io.Writer) {
-	var s Settings
-	parser := flags.NewParser(&s, flags.None)
+	var f settingsFile
+	parser := flags.NewParser(&f, flags.None)
 	parser.WriteHelp(w)
 }
 
-// offendingLine returns the text of the line in the file at path that a parse error refers to,
-// formatted for the error message; "" if there is none.
-func offendingLine(path string, err error) string {
+// offendingLine returns the line of a settings file that a parse error refers to, formatted for the
+// error message; "" if there is none.
+func offendingLine(text string, err error) string {
 	var iniErr *flags.IniError
 	if !errors.As(err, &iniErr) {
 		return ""
 	}
-	text, err := os.ReadFile(path)
-	lines := strings.Split(string(text), "\n")
-	if err != nil || iniErr.LineNumber == 0 || int(iniErr.LineNumber) > len(lines) {
+	lines := strings.Split(text, "\n")
+	if iniErr.LineNumber == 0 || int(iniErr.LineNumber) > len(lines) {
 		return ""
 	}
 	return fmt.Sprintf(" in %q", lines[iniErr.LineNumber-1])
@@ -99,14 +158,6 @@
 			errs = append(errs, fmt.Errorf("settings: %s = %q: want IP:port", address.name, address.value))
 		}
 	}
-	for _, positive := range []struct {
-		name  string
-		value time.Duration
-	}{{"grace", s.Grace}, {"retry-window", s.RetryWindow}, {"share-window", s.ShareWindow}} {
-		if positive.value <= 0 {
-			errs = append(errs, fmt.Errorf("settings: %s = %v: want a positive time", positive.name, positive.value))
-		}
-	}
 	if _, err := s.SeedAddresses(); err != nil {
 		errs = append(errs, err)
 	}
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -59,10 +59,10 @@
 	f.is.NoErr(err)
 	f.is.NoErr(os.WriteFile(path, append(text, "retry-min = 7\nseeds = 127.0.0.9:1\n"...), 0o600))
 	f.edge.Reload()
-	f.is.Equal(f.edge.settings.RetryMin, 7)
+	f.is.Equal(f.edge.settings.RetryMin, 7.0)
 	f.is.NoErr(os.WriteFile(path, append(text, "retry-min = many\n"...), 0o600))
 	f.edge.Reload()
-	f.is.Equal(f.edge.settings.RetryMin, 7)
+	f.is.Equal(f.edge.settings.RetryMin, 7.0)
 	f.is.True(f.logs.contains("reload_failed"))
 }
 
