linkbudget, edge: a router takes in what its network link carries

The processors are idle.

Cause: nothing bounds what a router takes in by its link, and a timeout at its own full link opens the circuit breaker of the target.

Change: package linkbudget decides by what is still to pass in each direction; above it requests are refused with 503 at once (code 304), the router is not ready and lets go of callers' connections. Timeouts while the link is full say nothing of targets. New setting link-mbps.

--- a/edge/admin.go
+++ b/edge/admin.go
@@ -24,6 +24,7 @@
 	callers            prometheus.Gauge
 	version            prometheus.Gauge
 	lag                prometheus.Gauge
+	linkLoad           prometheus.Gauge
 	share              prometheus.Gauge
 	duration           prometheus.Histogram
 }
@@ -58,6 +59,9 @@
 		lag: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chiveseam_edge_processor_lag_seconds", Help: "Mean time that work waits for the processor.",
 		}),
+		linkLoad: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chiveseam_edge_link_load", Help: "Load of the network link within the last second, in parts of its usable rate.",
+		}),
 		share: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chiveseam_edge_share_tokens_per_second", Help: "Share of a workspace; 0 while the capacity meets all demands.",
 		}),
@@ -67,7 +71,7 @@
 		}),
 	}
 	m.registry.MustRegister(m.attempts, m.results, m.refusals, m.reports, m.aborted, m.refusedConnections, m.callers,
-		m.version, m.lag, m.share, m.duration)
+		m.version, m.lag, m.linkLoad, m.share, m.duration)
 	return m
 }
 
@@ -87,11 +91,11 @@
 	return &http.Server{Handler: router, ReadHeaderTimeout: adminTimeout}
 }
 
-// isReady reports whether the router has read the configuration and the targets, is not stopping
-// and keeps up with its load.
+// isReady reports whether the router has read the configuration and the targets, is not stopping,
+// and its processor and its link keep up with the load.
 func (e *Edge) isReady() bool {
 	_, unready, _ := e.overload.state()
-	return e.table.Load() != nil && e.targetsRead.Load() && !e.stopping.Load() && !unready
+	return e.table.Load() != nil && e.targetsRead.Load() && !e.stopping.Load() && !unready && !e.linkBusy.Load()
 }
 
 // metricsServer returns the server of the Prometheus metrics.
--- a/edge/call.go
+++ b/edge/call.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/chiveseam/chiveseam/h1"
+	"github.com/chiveseam/chiveseam/linkbudget"
 	"github.com/chiveseam/chiveseam/placement"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/routing"
@@ -39,6 +40,9 @@
 	demand placement.Demand
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
+	// linkExpected are the bytes that the link budget counts for forwarding the request and its
+	// answer, beyond those of the request's arrival.
+	linkExpected linkbudget.Bytes
 	// lastEventID is the ID of the last event of a resumable stream that the caller received.
 	lastEventID string
 	// firstByteLatency is the time from the request's arrival to the first bytes of the answer's
@@ -62,6 +66,9 @@
 	notReadyRetryAfter = 500 * time.Millisecond
 	// busyRetryAfter: a retry reaches another router.
 	busyRetryAfter = 100 * time.Millisecond
+	// linkRetryAfter: the callers of a full link must come back later, since each request takes from
+	// what the link carries.
+	linkRetryAfter = time.Second
 	// stoppingRetryAfter: the load balancer has removed a stopping router from its rotation.
 	stoppingRetryAfter = 100 * time.Millisecond
 	// targetFailureRetryAfter: a target that rejects or fails one request may accept the next.
@@ -79,6 +86,7 @@
 	c := &call{edge: e, req: req, reply: r, id: r.id, arrived: arrived}
 	c.log = log.With(e.logger, "id", c.id)
 	if !c.resolveRoute() {
+		c.countRefused()
 		return c, false
 	}
 	c.parseHeader()
@@ -87,6 +95,7 @@
 
 // serve answers a request whose body has been read.
 func (c *call) serve(ctx context.Context) {
+	defer c.settleLink()
 	c.digest = digestOf(c.workspace, c.req.Target, c.req.Body)
 	if !c.checkSuspects() {
 		return
@@ -157,6 +166,11 @@
 	e := c.edge
 	e.mu.Lock()
 	now := time.Now()
+	if wait, ok := c.admitToLink(now); !ok {
+		e.mu.Unlock()
+		c.refuse(v1.Code_ROUTER_BUSY, http.StatusServiceUnavailable, max(wait, linkRetryAfter), "network link full")
+		return false
+	}
 	c.service = c.route.Pick(rand.Float64(), func(s string) bool { return e.balancer.HasUsableTarget(s, now) })
 	c.demand.Service = c.service
 	c.demand.Remaining = c.deadline.Sub(now)
@@ -165,6 +179,9 @@
 	if !errors.Is(err, placement.ErrNoTarget) {
 		e.balancer.CountRequest(now, &c.demand)
 	}
+	if err != nil {
+		c.releaseLink(now)
+	}
 	e.mu.Unlock()
 	if err != nil {
 		c.finishWithError(err)
@@ -213,6 +230,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if tries > 1 {
+		c.countResend(now)
+	}
 	a := &attempt{call: c, number: c.sentCount + 1, began: now}
 	a.ticket = e.balancer.Begin(now, &c.demand, choice)
 	a.target = e.directory.targets[choice.Target]
--- a/edge/caller.go
+++ b/edge/caller.go
@@ -291,7 +291,7 @@
 	if req != nil {
 		r.id = req.Header.Get(r.idHeader)
 		r.minorVersion = req.Minor
-		r.close = !req.KeepAlive() || c.edge.stopping.Load()
+		r.close = !req.KeepAlive() || c.edge.stopping.Load() || c.edge.linkBusy.Load()
 	}
 	return r
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -25,6 +25,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/chiveseam/chiveseam/exchange"
+	"github.com/chiveseam/chiveseam/linkbudget"
 	"github.com/chiveseam/chiveseam/placement"
 	"github.com/chiveseam/chiveseam/retry"
 	"github.com/chiveseam/chiveseam/routing"
@@ -92,11 +93,16 @@
 	abortRequests context.CancelFunc
 	started       time.Time
 	overload      overload
+	linkBusy      atomic.Bool
 	outage        outage
 	refusalLog    *logLimiter
 
 	// mu guards the fields up to lastStoreRead.
 	mu sync.Mutex
+	// link bounds what this router takes in by its network link, answers holds the usual sizes of
+	// answers.
+	link    *linkbudget.Budget
+	answers answerSizes
 	// balancer chooses targets from the load of the whole fleet as this router sees it. It is not the
 	// load balancer in front of the routers.
 	balancer     *placement.Balancer
@@ -150,6 +156,8 @@
 		directory:    newDirectory(s.LapsedGrace),
 		retryBudgets: make(map[string]*retry.Window),
 		suspects:     newSuspects(),
+		link:         linkbudget.New(s.LinkMbps),
+		answers:      make(answerSizes),
 		wakeProbe:    make(chan struct{}, 1),
 	}
 	e.refusalLog = &logLimiter{logger: e.logger}
@@ -310,7 +318,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	e.balancer.End(now, a.ticket, placementOutcome(a, outcome))
+	e.balancer.End(now, a.ticket, e.placementOutcome(now, a, outcome))
 	switch {
 	case outcome == answered:
 		e.suspects.remove(a.call.digest)
@@ -326,7 +334,12 @@
 	}
 }
 
-func placementOutcome(a *attempt, outcome attemptOutcome) placement.Outcome {
+// placementOutcome returns what an attempt shows of its target. The caller holds e.mu.
+func (e *Edge) placementOutcome(now time.Time, a *attempt, outcome attemptOutcome) placement.Outcome {
+	if outcome == notSent && isTimeout(a.err) && e.link.Busy(now) {
+		// The packets may wait at this router's own link.
+		return placement.Unknown
+	}
 	switch outcome {
 	case answered:
 		return placement.Succeeded
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -114,6 +114,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, lagInterval)
 		changed := e.overload.observe(time.Now(), latency.mean())
+		e.updateLinkBusy(time.Now())
 		lag, unready, _ := e.overload.state()
 		e.metrics.lag.Set(lag.Seconds())
 		if changed {
--- a/edge/reply.go
+++ b/edge/reply.go
@@ -26,9 +26,9 @@
 	// begun is set before the first byte of the answer is written, ended before the last part.
 	begun bool
 	ended bool
-	// bytes counts the bytes written, heads included.
-	bytes int
-	buf   []byte
+	// bytes counts the bytes written, heads included, and writes the number of writes.
+	bytes, writes int
+	buf           []byte
 }
 
 // writeTimeout limits one write to a caller that does not read.
@@ -38,6 +38,7 @@
 	r.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n, err := r.conn.Write(p)
 	r.bytes += n
+	r.writes++
 	return err
 }
 
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -93,6 +93,7 @@
 		level.Error(e.logger).Log("event", "report_failed", "error", err)
 		return
 	}
+	e.countReports(len(plainMessage), len(recipients))
 	for _, to := range recipients {
 		message := plainMessage
 		if to.Answer {
@@ -143,15 +144,16 @@
 			continue
 		}
 		e.metrics.reports.WithLabelValues("received").Inc()
-		e.mergeReport(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), &report)
+		e.mergeReport(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), &report, n)
 	}
 }
 
-// mergeReport applies one report that came from the address from.
-func (e *Edge) mergeReport(from netip.AddrPort, report *v1.LoadReport) {
+// mergeReport applies one report of a number of bytes that came from the address from.
+func (e *Edge) mergeReport(from netip.AddrPort, report *v1.LoadReport, bytes int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
+	e.link.AddRequest(now, "", float64(bytes+packetBytes))
 	joined := e.members.HandleReport(now, from, report)
 	if report.Leaving {
 		e.balancer.RemoveRouter(report.Router)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -35,6 +35,9 @@
 	// LapsedGrace is the time after the store's return in which registrations that lapsed may come
 	// back.
 	LapsedGrace time.Duration
+	// LinkMbps is the rate of the network link in each direction in 10^6 bits per second; 0 if it is
+	// not known.
+	LinkMbps float64
 	// MemoryMB and MaxOpenFiles are the limits of the process.
 	MemoryMB, MaxOpenFiles int
 	LogLevel               string
@@ -63,6 +66,7 @@
 	RetryWindow  string `long:"retry-window" description:"Window of the retry budget." default:"10s"`
 	ShareWindow  string `long:"share-window" description:"Window in which workspaces get their shares." default:"4s"`
 	LapsedGrace  string `long:"lapsed-grace" description:"Time after the store's return in which registrations that lapsed may come back." default:"2s"`
+	LinkMbps     string `long:"link-mbps" description:"Rate of the network link in each direction in 10^6 bits per second; 0 if it is not known." default:"0"`
 	MemoryMB     string `long:"memory-mb" description:"Memory of the process in MB." default:"256"`
 	MaxOpenFiles string `long:"max-open-files" description:"File descriptors of the process." default:"4096"`
 	LogLevel     string `long:"log-level" description:"Least severity that is logged: debug, info, warn or error." default:"info"`
@@ -107,6 +111,7 @@
 	s.RetryWindow = figures.duration("retry-window", f.RetryWindow, minDuration)
 	s.ShareWindow = figures.duration("share-window", f.ShareWindow, minDuration)
 	s.LapsedGrace = figures.duration("lapsed-grace", f.LapsedGrace, 0)
+	s.LinkMbps = figures.number("link-mbps", f.LinkMbps)
 	s.MemoryMB = figures.whole("memory-mb", f.MemoryMB)
 	s.MaxOpenFiles = figures.whole("max-open-files", f.MaxOpenFiles)
 	s.Defaulted = figures.defaulted
--- a/h1/request.go
+++ b/h1/request.go
@@ -43,6 +43,10 @@
 	return r.framing.kind == chunked || r.framing.length > 0
 }
 
+// BodyLength returns the length of the body in bytes as the header states it, and 0 if the body is
+// chunked and its length not known before it ends.
+func (r *Request) BodyLength() int64 { return r.framing.length }
+
 // ReadRequest reads a request line and header of at most maxBytes bytes. It skips empty
 // lines before the request line. It returns io.EOF if the connection ended before the
 // first byte of the request line, and errors that wrap ErrSyntax, ErrFraming or
