edge, h1: answers without end are cut off

A target in trouble may send bytes that are no answer until its connection is closed. What was not bounded: interim answers (each of them had the whole limit of a head), the bodies of answers to other requests and of rejections (until the deadline, so that a request that had not run waited for its next target), the memory of all buffered answers together (8 MB each), events of streams that are not resumable, and the gap of a resumable stream, which a byte now and then prolonged up to the deadline.

Now heads have one limit together; discarded bodies end at 256 kB, those of rejections also after 100 ms; buffered answers hold at most 0.15 of the memory; an event at most 256 kB; the gap runs from the end of the last event.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,6 +63,8 @@
 	stopCancel func() bool
 	// answer is a complete answer that is held in memory; set for non-stream answers.
 	answer *answer
+	// sent is set once the target may have received the head of the request.
+	sent bool
 	// crashed is set if the connection broke after the target had received the request.
 	crashed bool
 	err     error
@@ -124,6 +127,7 @@
 	c := a.call
 	head := h1.AppendRequestHead(make([]byte, 0, typicalHeadBytes), c.req.Method, c.req.Target, a.header(), len(c.req.Body))
 	written := make(chan error, 1)
+	a.sent = true
 	if sent, err := send(u, head, c.req.Body, written); err != nil {
 		u.Close()
 		a.err = fmt.Errorf("send: %w", err)
@@ -271,13 +275,30 @@
 		if resp.Length() < 0 {
 			return nil, errOtherAnswer
 		}
-		if _, err := io.Copy(io.Discard, resp.Body(u.br)); err != nil {
+		if err := discardAnswer(u, resp); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errOtherAnswer
 }
 
+// maxDiscardedBytes limits the body of an answer that is not forwarded: one to another request, or
+// one that rejects the request.
+const maxDiscardedBytes = 256 << 10
+
+// discardAnswer reads the body of an answer that is not forwarded, within the read deadline of u.
+func discardAnswer(u *upstream, resp *h1.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body(u.br), maxDiscardedBytes+1))
+	if err == nil && n > maxDiscardedBytes {
+		return h1.ErrBodyTooLarge
+	}
+	return err
+}
+
+// rejectionTimeout limits the time to read the body of an answer that rejects the request: its head
+// says all that is needed to try another target.
+const rejectionTimeout = 100 * time.Millisecond
+
 // saysNotRun reports whether the target states that it did not run the request.
 func (a *attempt) saysNotRun(resp *h1.Response) bool {
 	if resp.Status == http.StatusMisdirectedRequest {
@@ -313,7 +334,8 @@
 func (a *attempt) deliver(ctx context.Context, u *upstream, resp *h1.Response) (attemptOutcome, bool) {
 	names := &a.call.edge.headers
 	if a.saysNotRun(resp) {
-		_, err := a.readBody(u, resp)
+		u.SetReadDeadline(time.Now().Add(rejectionTimeout))
+		err := discardAnswer(u, resp)
 		a.err = fmt.Errorf("target answered %d", resp.Status)
 		return rejected, err == nil
 	}
@@ -347,13 +369,54 @@
 // maxBufferedAnswerBytes limits a non-stream answer, which is held in memory until it is complete.
 const maxBufferedAnswerBytes = 8 << 20
 
-// readBody reads a complete body of at most maxBufferedAnswerBytes, within the request's deadline.
+// errAnswerMemory is the error of an answer for which the router has no memory left.
+var errAnswerMemory = errors.New("no memory for the answer")
+
+// readBody reads a complete body of at most maxBufferedAnswerBytes, within the request's deadline
+// and the memory that the router has for answers.
 func (a *attempt) readBody(u *upstream, resp *h1.Response) ([]byte, error) {
 	u.SetReadDeadline(a.call.deadline)
-	var buf bytes.Buffer
-	n, err := io.Copy(&buf, io.LimitReader(resp.Body(u.br), maxBufferedAnswerBytes+1))
+	buf := &answerBuffer{memory: &a.call.edge.answerMemory}
+	defer buf.release()
+	n, err := io.Copy(buf, io.LimitReader(resp.Body(u.br), maxBufferedAnswerBytes+1))
 	if err == nil && n > maxBufferedAnswerBytes {
 		return nil, h1.ErrBodyTooLarge
 	}
-	return buf.Bytes(), err
+	return buf.data.Bytes(), err
+}
+
+// answerBuffer collects a body. Its size counts against memory until release.
+type answerBuffer struct {
+	data   bytes.Buffer
+	memory *memoryLimit
+	held   int64
+}
+
+// Write appends p, or fails if there is no memory for it.
+func (b *answerBuffer) Write(p []byte) (int, error) {
+	if !b.memory.take(int64(len(p))) {
+		return 0, errAnswerMemory
+	}
+	b.held += int64(len(p))
+	return b.data.Write(p)
+}
+
+func (b *answerBuffer) release() { b.memory.give(b.held) }
+
+// memoryLimit limits the bytes that answers of all requests hold at a time. It is safe for concurrent
+// use.
+type memoryLimit struct {
+	limit int64
+	used  atomic.Int64
 }
+
+// take reports whether n more bytes are within the limit, and counts them if so.
+func (m *memoryLimit) take(n int64) bool {
+	if m.used.Add(n) > m.limit {
+		m.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (m *memoryLimit) give(n int64) { m.used.Add(-n) }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -84,6 +84,8 @@
 	configurationPausedUntil, targetsPausedUntil atomic.Int64
 	// targetsRead is set after the first read of the target registrations.
 	targetsRead atomic.Bool
+	// answerMemory limits the answers that are held until they are complete.
+	answerMemory memoryLimit
 	// stopping is set at the stop signal; refuseNew is set later, when the load balancer has had
 	// time to react, and makes the router refuse new requests.
 	stopping  atomic.Bool
@@ -133,6 +135,9 @@
 	// use. callerMemoryBytes is the memory of one connection: buffers, stacks and unread bytes.
 	callerMemoryShare = 0.4
 	callerMemoryBytes = 40 << 10
+	// answerMemoryShare is the fraction of the process's memory that answers may use that are held
+	// until they are complete.
+	answerMemoryShare = 0.15
 )
 
 // New creates a router and opens its listener for callers and its UDP socket for reports. Nothing
@@ -164,6 +169,7 @@
 	e.maxCallerConns = min(
 		int(callerFileShare*float64(max(s.MaxOpenFiles-reservedFiles, reservedFiles))),
 		int(callerMemoryShare*float64(s.MemoryMB<<20)/callerMemoryBytes))
+	e.answerMemory.limit = int64(answerMemoryShare * float64(s.MemoryMB<<20))
 	e.requestCtx, e.abortRequests = context.WithCancel(context.Background())
 	if err := e.listen(); err != nil {
 		return nil, err
@@ -340,6 +346,9 @@
 		// The packets may wait at this router's own link.
 		return placement.Unknown
 	}
+	if outcome == abandoned && !a.sent {
+		return placement.Unknown
+	}
 	switch outcome {
 	case answered:
 		return placement.Succeeded
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -17,8 +17,9 @@
 	// gapTimeoutFactor times the route's EventGapObjective is the time without bytes after which a
 	// resumable stream continues at another target.
 	gapTimeoutFactor = 3
-	// maxEventBytes is the largest event of a resumable stream.
-	maxEventBytes = 1 << 20
+	// maxEventBytes is the largest event of a stream. More bytes without the end of an event are no
+	// stream of events.
+	maxEventBytes = 256 << 10
 )
 
 var eventEnd = []byte("\n\n")
@@ -33,11 +34,21 @@
 	body := resp.Body(u.br)
 	buf := make([]byte, streamBufferBytes)
 	var pending []byte
+	// eventAt is when the last event ended.
+	eventAt := time.Now()
+	var events eventTracker
 	for {
-		u.SetReadDeadline(a.nextReadDeadline())
+		u.SetReadDeadline(a.nextReadDeadline(eventAt))
 		n, err := body.Read(buf)
 		if n > 0 {
 			c.edge.recordFirstBytes(a)
+			if events.add(buf[:n]) {
+				eventAt = time.Now()
+			}
+			if events.bytes > maxEventBytes {
+				a.err = errEventTooLarge
+				return lost, false
+			}
 			var writeErr error
 			if pending, writeErr = a.forwardData(pending, buf[:n]); writeErr != nil {
 				return abandoned, false
@@ -56,6 +67,31 @@
 	}
 }
 
+// errEventTooLarge is the error of a stream that sends maxEventBytes without the end of an event.
+var errEventTooLarge = errors.New("event too large")
+
+// eventTracker finds the ends of events in a stream: empty lines.
+type eventTracker struct {
+	// bytes is the number of bytes since the last event ended, and last the last one of them.
+	bytes int
+	last  byte
+}
+
+// add tracks the next bytes and reports whether an event ended in them.
+func (t *eventTracker) add(data []byte) (ended bool) {
+	for _, b := range data {
+		t.bytes++
+		if b == '\r' {
+			continue
+		}
+		if b == '\n' && t.last == '\n' {
+			t.bytes, ended = 0, true
+		}
+		t.last = b
+	}
+	return ended
+}
+
 // finishStream sends the last bytes of a stream that the target has ended.
 func (a *attempt) finishStream(pending []byte) (attemptOutcome, bool) {
 	if a.call.reply.sendData(pending) != nil || a.call.reply.endStream() != nil {
@@ -75,9 +111,6 @@
 	pending = append(pending, data...)
 	cut := bytes.LastIndex(pending, eventEnd)
 	if cut < 0 {
-		if len(pending) > maxEventBytes {
-			return nil, h1.ErrBodyTooLarge
-		}
 		return pending, nil
 	}
 	cut += len(eventEnd)
@@ -107,9 +140,10 @@
 	return string(bytes.TrimSpace(line))
 }
 
-// nextReadDeadline returns the time by which the next bytes of a stream must come. For a stream
-// that cannot be resumed or sent to another target, it is the request's deadline.
-func (a *attempt) nextReadDeadline() time.Time {
+// nextReadDeadline returns the time by which the next event of a stream must end, if the last one
+// ended at eventAt: bytes that end no event do not extend it. For a stream that cannot be resumed or
+// sent to another target, it is the request's deadline.
+func (a *attempt) nextReadDeadline(eventAt time.Time) time.Time {
 	c := a.call
 	if c.route.RetryPolicy != routing.Resumable || a.number >= c.route.MaxAttempts {
 		return c.deadline
@@ -118,7 +152,7 @@
 	if c.lastEventID == "" {
 		timeout = firstEventTimeoutFactor * c.route.LatencyObjective
 	}
-	if deadline := time.Now().Add(timeout); timeout > 0 && deadline.Before(c.deadline) {
+	if deadline := eventAt.Add(timeout); timeout > 0 && deadline.Before(c.deadline) {
 		return deadline
 	}
 	return c.deadline
--- a/h1/response.go
+++ b/h1/response.go
@@ -21,12 +21,13 @@
 }
 
 // ReadResponse reads the status line and header of a response to a request with the given
-// method, of at most maxBytes bytes. It skips interim responses (1xx), each of which may
-// have maxBytes bytes too, and refuses 101, since the package sends no Upgrade. It
+// method. It skips interim responses (1xx) and refuses 101, since the package sends no
+// Upgrade. All heads together may have maxBytes bytes. It
 // returns io.EOF if the connection ended before the first byte of a response.
 func ReadResponse(br *bufio.Reader, method string, maxBytes int) (*Response, error) {
+	remaining := maxBytes
 	for {
-		resp, err := readResponseHead(br, maxBytes)
+		resp, err := readResponseHead(br, &remaining)
 		if err != nil {
 			return nil, err
 		}
@@ -40,9 +41,8 @@
 	}
 }
 
-func readResponseHead(br *bufio.Reader, maxBytes int) (*Response, error) {
-	remaining := maxBytes
-	line, err := readLine(br, &remaining)
+func readResponseHead(br *bufio.Reader, remaining *int) (*Response, error) {
+	line, err := readLine(br, remaining)
 	if err != nil {
 		return nil, err
 	}
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if resp.Header, err = readFields(br, &remaining); err != nil {
+	if resp.Header, err = readFields(br, remaining); err != nil {
 		return nil, unexpectedEOF(err)
 	}
 	return resp, nil
