placement, edge: shares as rates; a router sheds in proportion to its lag

Cause, from logs of all routers: dara181 begins nothing or 400 requests a second by turns, since all routers stop and start it by the same sums of four seconds; in each burst it gets five shares. deye420's callers press one router of 0.144 cores at a time with up to 2,000 requests a second; it is late for all of them until its lag passes 150 ms. Requests that never ran count as served.

Change: each workspace has 0.9 of its share guaranteed and is held to 1.4 times of what the least served refused one got in the last two seconds, both as token buckets whose rates the routers divide by the workspace's requests at each; the least served one is held to nothing. Demands are taken over two seconds, what the targets can serve from a peak that decays. Requests that were not sent or rejected are given back, and an attempt that ended before it was sent says nothing of its target. From a lag of 30 ms on a router refuses a growing part.

The test of refusals' figures asserted that a held workspace uses more than the least refused one; rates are compared with what is asked now, so it asserts that it asks for more than it is held to, and that this is above the least use.

--- a/edge/admission_test.go
+++ b/edge/admission_test.go
@@ -83,6 +83,17 @@
 	is.True(!unready)
 }
 
+// Failure: a router whose processor hardly keeps up takes all requests, so that all of them are late.
+// It refuses a part that grows with the lag.
+func TestRefusedShareGrowsWithTheLag(t *testing.T) {
+	is := is.New(t)
+	is.Equal(refusedShare(0), 0.0)
+	is.Equal(refusedShare(shedLag), 0.0)
+	is.Equal(refusedShare((shedLag+refuseLag)/2), 0.5)
+	is.Equal(refusedShare(refuseLag), 1.0)
+	is.Equal(refusedShare(time.Minute), 1.0)
+}
+
 // Failure: an overloaded router logs each refused request and loads itself further.
 func TestRefusalLogIsRateLimited(t *testing.T) {
 	is := is.New(t)
--- a/edge/call.go
+++ b/edge/call.go
@@ -119,7 +119,7 @@
 		c.reply.close = true
 		c.refuse(v1.Code_STOPPING, http.StatusServiceUnavailable, stoppingRetryAfter, "stopping")
 		return false
-	case c.edge.overloaded():
+	case c.edge.overloaded(rand.Float64()):
 		c.refuse(v1.Code_ROUTER_BUSY, http.StatusServiceUnavailable, busyRetryAfter, "router overloaded")
 		return false
 	}
@@ -175,10 +175,7 @@
 	c.demand.Service = c.service
 	c.demand.Remaining = c.deadline.Sub(now)
 	e.retryBudget(c.service).RecordRequest(now)
-	_, err := e.balancer.Choose(now, &c.demand)
-	if !errors.Is(err, placement.ErrNoTarget) {
-		e.balancer.CountRequest(now, &c.demand)
-	}
+	err := e.balancer.Admit(now, &c.demand)
 	if err != nil {
 		c.releaseLink(now)
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -344,10 +344,10 @@
 func (e *Edge) placementOutcome(now time.Time, a *attempt, outcome attemptOutcome) placement.Outcome {
 	if outcome == notSent && isTimeout(a.err) && e.link.Busy(now) {
 		// The packets may wait at this router's own link.
-		return placement.Unknown
+		return placement.Unsent
 	}
 	if outcome == abandoned && !a.sent {
-		return placement.Unknown
+		return placement.Unsent
 	}
 	switch outcome {
 	case answered:
--- a/edge/link_test.go
+++ b/edge/link_test.go
@@ -53,6 +53,6 @@
 	fillLink(e)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	is.Equal(e.placementOutcome(time.Now(), timeout, notSent), placement.Unknown)
+	is.Equal(e.placementOutcome(time.Now(), timeout, notSent), placement.Unsent)
 	is.Equal(e.placementOutcome(time.Now(), refused, notSent), placement.Unreachable)
 }
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -17,7 +17,9 @@
 	// balancer sends new callers elsewhere. It is low because goroutines are scheduled a few dozen
 	// times for one answer and wait this long each time.
 	unreadyLag = 20 * time.Millisecond
-	// refuseLag is the lag above which the router refuses all new requests.
+	// shedLag is the lag above which the router refuses a part of the new requests, which grows in
+	// proportion to the lag, and refuseLag that from which it refuses all.
+	shedLag   = 30 * time.Millisecond
 	refuseLag = 150 * time.Millisecond
 	// A router becomes ready again once the lag has not exceeded recoveredLag for recoveryTime.
 	recoveredLag = 4 * time.Millisecond
@@ -124,10 +126,16 @@
 	return nil
 }
 
-// overloaded reports whether new requests are refused because the processor does not keep up.
-func (e *Edge) overloaded() bool {
-	_, _, refusing := e.overload.state()
-	return refusing
+// refusedShare returns the part of new requests, from 0 to 1, that is refused at a lag.
+func refusedShare(lag time.Duration) float64 {
+	return min(max(float64(lag-shedLag)/float64(refuseLag-shedLag), 0), 1)
+}
+
+// overloaded reports whether a new request is refused because the processor does not keep up. draw is
+// a random number from 0 to below 1.
+func (e *Edge) overloaded(draw float64) bool {
+	lag, _, _ := e.overload.state()
+	return draw < refusedShare(lag)
 }
 
 // maxRefusalLinesPerSecond limits the log lines for refused requests. The number of lines left out
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -50,7 +50,7 @@
 	for _, w := range o.Workspaces[:min(len(o.Workspaces), maxLoggedWorkspaces)] {
 		entries = append(entries, shareEntry{w.Name, int(w.Asked), int(w.Begun)})
 	}
-	level.Info(e.logger).Log("event", "shares", "scarce", o.Scarce, "share", int(o.Share), "least_use", leastUse(o.LeastRefusedUse),
+	level.Info(e.logger).Log("event", "shares", "scarce", o.Scarce, "share", int(o.Share), "least_use", finite(o.LeastRefusedUse),
 		"asked", int(o.Asked), "begun", int(o.Begun), "view_age_ms", age.Milliseconds(), "workspaces", entries)
 	return o.Scarce
 }
@@ -66,16 +66,16 @@
 // shareUsageFields returns the log fields that compare a workspace's use with its share and with the
 // other workspaces.
 func shareUsageFields(s placement.ShareUsage) []any {
-	return []any{"share", int(s.Share), "use", roundHundredths(s.Use), "least_use", leastUse(s.LeastRefusedUse)}
+	return []any{"share", int(s.Share), "use", roundHundredths(s.Use), "asked", roundHundredths(s.Asked),
+		"held_to", finite(s.HeldTo), "least_use", finite(s.LeastRefusedUse)}
 }
 
-// leastUse returns the value of the log field least_use: nil (null in JSON) if no workspace has
-// many refused requests.
-func leastUse(least float64) any {
-	if math.IsInf(least, 1) {
+// finite returns the value of a log field that has one unless x is infinite: nil (null in JSON) then.
+func finite(x float64) any {
+	if math.IsInf(x, 1) {
 		return nil
 	}
-	return roundHundredths(least)
+	return roundHundredths(x)
 }
 
 func roundHundredths(x float64) float64 { return math.Round(x*100) / 100 }
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -34,7 +34,7 @@
 	for i := range b.N {
 		now = now.Add(time.Millisecond)
 		d.Parts = []placement.Part{{ID: uint64(i % (engines * cachedParts / 4)), Tokens: 5000}, {ID: uint64(1<<40 + i), Tokens: 3000}}
-		balancer.CountRequest(now, &d)
+		balancer.Admit(now, &d)
 		if c, err := balancer.Choose(now, &d); err == nil {
 			balancer.End(now, balancer.Begin(now, &d, c), placement.Succeeded)
 		}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -8,15 +8,9 @@
 // sends the request to the target it must call Begin, so that the load is counted.
 func (b *Balancer) Choose(now time.Time, d *Demand) (Choice, error) {
 	found := b.search(now, d)
-	if found.best.target == nil {
-		return Choice{}, &Refusal{Err: ErrNoTarget, RetryAfter: b.clampRetryAfter(noTargetRetryAfter, d)}
-	}
-	best := found.best
-	if !found.limit.admits(best) {
-		if found.limit.overUseLimit || found.limit.shareUsage.Use > maxIdleTargetUse || found.bestIdle.target == nil {
-			return Choice{}, b.refusal(now, d, found)
-		}
-		best = found.bestIdle
+	best, err := b.pick(now, d, found)
+	if err != nil {
+		return Choice{}, err
 	}
 	best.target.lastChoice = b.nextChoice()
 	choice := Choice{
@@ -30,6 +24,21 @@
 	return choice, nil
 }
 
+// pick returns the candidate that gets a request, or a *Refusal as its error.
+func (b *Balancer) pick(now time.Time, d *Demand, found search) (candidate, error) {
+	if found.best.target == nil {
+		return candidate{}, &Refusal{Err: ErrNoTarget, RetryAfter: b.clampRetryAfter(noTargetRetryAfter, d)}
+	}
+	best := found.best
+	if !found.limit.admits(best) {
+		if found.limit.shareUsage.Use > maxIdleTargetUse || found.bestIdle.target == nil {
+			return candidate{}, b.refusal(now, d, found)
+		}
+		best = found.bestIdle
+	}
+	return best, nil
+}
+
 // noTargetRetryAfter is the time after which a caller is told to retry if its service has no
 // usable target: crashed targets are back after some seconds, and circuit breakers admit a
 // probe sooner.
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -8,13 +8,16 @@
 	// multiples of the share, which leaves the rest of the time for workspaces below
 	// their share (figures: docs/DESIGN.md, choosing a target).
 	overShareWait = 0.12
-	// underShareWait is the longest wait of a workspace below its share, as a multiple of
-	// Demand.LatencyObjective: a late answer is worth less than one in time, but more than none.
+	// withinShareWait is the longest wait of a request that is within the share of a workspace that
+	// asks for more, as a part of Demand.LatencyObjective: it is answered in time.
+	withinShareWait = 2.0
+	// underShareWait is the longest wait of a workspace that asks for less than its share, as a
+	// multiple of Demand.LatencyObjective: a late answer is worth less than one in time, but more
+	// than none.
 	underShareWait = 2.0
 	// maxUseRatio limits the use of a workspace above its share to this multiple of
-	// ShareUsage.LeastRefusedUse: above the limit, all its requests are refused. The
-	// deployments' rule of fairness allows a ratio of 2.
-	maxUseRatio = 1.6
+	// ShareUsage.LeastRefusedUse. The deployments' rule of fairness allows a ratio of 2.
+	maxUseRatio = 1.4
 	// minRetryAfter and maxRetryAfterShare bound the time after which a refused caller is
 	// told to retry. In 100 ms several requests end at the targets. The upper bound is a part
 	// of the time until the caller gives up; callers wait up to a third of that time.
@@ -32,36 +35,29 @@
 	// plain services, whose targets reject requests themselves when they are full.
 	unlimited  bool
 	shareUsage ShareUsage
-	// overUseLimit is set if the workspace uses more than maxUseRatio times as much as some
-	// refused workspace: no target may get its requests. withinLimitAfter is the estimated
-	// time until its use is within this limit.
-	overUseLimit     bool
-	withinLimitAfter time.Duration
 }
 
-// waitLimit returns how long a request may wait and whether its workspace is above the limit of
-// its use.
+// waitLimit returns how long a request may wait.
 func (b *Balancer) waitLimit(now time.Time, d *Demand) waitLimit {
 	if d.plain() || d.Repeated {
 		return waitLimit{unlimited: true}
 	}
 	l := waitLimit{waited: d.Waited, maxWait: min(time.Duration(underShareWait*float64(d.LatencyObjective)), d.Remaining)}
 	l.shareUsage = b.shares.shareUsage(now, d.Workspace)
-	use := l.shareUsage.Use
-	if use <= 1 {
+	if l.shareUsage.Share == 0 || b.shares.belowShare(d.Workspace) {
 		return l
 	}
-	l.maxWait = time.Duration(overShareWait * float64(d.LatencyObjective) / use)
-	if maxUse := maxUseRatio * l.shareUsage.LeastRefusedUse; use > maxUse {
-		l.overUseLimit = true
-		l.withinLimitAfter = time.Duration((1 - maxUse/use) * float64(b.options.ShareWindow))
+	if d.WithinShare {
+		l.maxWait = min(time.Duration(withinShareWait*float64(d.LatencyObjective)), d.Remaining)
+		return l
 	}
+	l.maxWait = time.Duration(overShareWait * float64(d.LatencyObjective) / max(l.shareUsage.Use, 1))
 	return l
 }
 
 // admits reports whether the limit allows the request to be sent to a candidate.
 func (l waitLimit) admits(c candidate) bool {
-	return l.unlimited || (!l.overUseLimit && l.waited+duration(c.wait) <= l.maxWait)
+	return l.unlimited || l.waited+duration(c.wait) <= l.maxWait
 }
 
 // refusal returns the error for a request that is sent to no target, with the time after
@@ -75,10 +71,7 @@
 	if l.shareUsage.Use > 1 {
 		r.Err = ErrOverShare
 	}
-	if l.overUseLimit {
-		r.Cause = CauseLead
-	}
-	r.RetryAfter = b.clampRetryAfter(max(l.waited+duration(found.best.wait)-l.maxWait, l.withinLimitAfter), d)
+	r.RetryAfter = b.clampRetryAfter(l.waited+duration(found.best.wait)-l.maxWait, d)
 	return r
 }
 
--- a/placement/overview_test.go
+++ b/placement/overview_test.go
@@ -24,7 +24,8 @@
 		}
 		causeCounts[refusal.Cause]++
 		if refusal.Cause == placement.CauseLead {
-			is.True(refusal.Use > refusal.LeastRefusedUse) // it uses more than a refused workspace
+			is.True(refusal.Asked > refusal.HeldTo)           // it asks for more than it is held to
+			is.True(refusal.HeldTo > refusal.LeastRefusedUse) // because of a refused workspace that gets less
 		} else {
 			is.True(refusal.Wait > refusal.Limit) // it would wait too long
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,6 +58,8 @@
 	// Excluded reports whether the target with an ID must not get the request; nil excludes
 	// none.
 	Excluded func(target string) bool
+	// WithinShare is set by Admit if the workspace gets no more than its share with this request.
+	WithinShare bool
 	// Repeated is set if the request was sent to a target before: it is never refused because
 	// of its wait or the share of its workspace.
 	Repeated bool
@@ -97,6 +99,10 @@
 	// LeastRefusedUse is the least use, in multiples of the share, among workspaces of which
 	// many requests are refused; infinite if there is none.
 	LeastRefusedUse float64
+	// Asked is the cost of the workspace's requests that came to all routers lately, and HeldTo
+	// the most that is sent to targets, both in multiples of its share; 0 and infinite while the
+	// capacity meets all demands.
+	Asked, HeldTo float64
 }
 
 // Cause names the limit by which a request was refused. Logs and metrics show its value.
@@ -105,7 +111,8 @@
 const (
 	// CauseWait: the request would wait too long at the best target.
 	CauseWait Cause = "wait"
-	// CauseLead: the workspace uses much more than another one whose requests are refused.
+	// CauseLead: the workspace asks for more than ShareUsage.HeldTo. With it, it would get much
+	// more than another one whose requests are refused.
 	CauseLead Cause = "lead"
 )
 
--- a/placement/report.go
+++ b/placement/report.go
@@ -169,7 +169,7 @@
 		old := p.usages[use.Workspace]
 		p.usages[use.Workspace] = use
 		if known {
-			b.shares.add(now, use.Workspace, float64(use.Asked-old.GetAsked()), float64(use.Begun-old.GetBegun()))
+			b.shares.add(now, use.Workspace, float64(use.Asked-old.GetAsked()), float64(int64(use.Begun-old.GetBegun())))
 		}
 	}
 }
--- a/placement/shares.go
+++ b/placement/shares.go
@@ -27,6 +27,9 @@
 	// current is the number of the newest bucket, counted since the Unix epoch.
 	current int64
 
+	// served is the throughput in tokens per second that the targets have shown lately: the highest
+	// one, decayed with servedHalfLife.
+	served float64
 	// share is the share of each workspace in tokens per second, and scarce is set if the
 	// workspaces ask for more than the capacity. Both are computed at computedAt.
 	share  float64
@@ -34,6 +37,8 @@
 	// leastRefusedUse is the least use, in multiples of the share, among workspaces of which
 	// many requests are refused; infinite if there is none.
 	leastRefusedUse float64
+	// leastRefused is the workspace with that use; nil if there is none.
+	leastRefused *usage
 	// meanRequestTokens is the moving mean of the cost of this router's requests in tokens.
 	meanRequestTokens float64
 	computedAt        time.Time
@@ -46,9 +51,14 @@
 	// asked and begun are the cost in tokens of the requests that came to all routers, and of
 	// those that were sent to targets, by bucket of the window.
 	asked, begun [windowBuckets]float64
+	// ownAskedBy is the cost of this router's requests alone, by bucket of the window.
+	ownAskedBy [windowBuckets]float64
 	// ownAsked and ownBegun are the same costs of this router's requests alone, summed since
-	// its start. Its load reports state them.
+	// its start. Its load reports state them. ownBegun falls when a request turns out not to have run.
 	ownAsked, ownBegun uint64
+	// guaranteed and limited are the credits at this router of the workspace's share and limit; see
+	// admit.
+	guaranteed, limited credit
 	// reportsDue is the number of coming load reports that must state ownAsked and ownBegun.
 	reportsDue int
 }
@@ -67,6 +77,7 @@
 		for _, u := range s.byHash {
 			u.asked[at] = 0
 			u.begun[at] = 0
+			u.ownAskedBy[at] = 0
 		}
 	}
 	if steps > 0 {
@@ -107,8 +118,9 @@
 	}
 	u := s.usage(hash)
 	u.name = workspace
-	u.ownAsked += uint64(asked)
-	u.ownBegun += uint64(begun)
+	u.ownAskedBy[s.current%windowBuckets] += asked
+	u.ownAsked += uint64(int64(asked))
+	u.ownBegun += uint64(int64(begun))
 	u.reportsDue = usageReports
 }
 
@@ -121,8 +133,8 @@
 }
 
 const (
-	// recentBuckets is the number of buckets, half of the window, from which leastRefused
-	// determines the workspaces that are refused now.
+	// recentBuckets is the number of buckets, half of the window, over which demands are measured and
+	// from which leastRefused determines the workspaces that are refused now.
 	recentBuckets = windowBuckets / 2
 	// A workspace counts as refused if more than minRefusedShare of its share in the recent
 	// buckets is refused, and more than minRefusedRequests requests of mean size: two per
@@ -139,9 +151,12 @@
 func (s *shares) shareUsage(now time.Time, workspace string) ShareUsage {
 	s.advance(now)
 	s.compute(now)
-	result := ShareUsage{Share: s.share, LeastRefusedUse: s.leastRefusedUse}
+	result := ShareUsage{Share: s.share, LeastRefusedUse: s.leastRefusedUse, HeldTo: math.Inf(1)}
 	if u, ok := s.byHash[Hash(workspace)]; ok && s.scarce && s.share > 0 {
-		result.Use = sumBuckets(&u.begun) / (s.share * s.window.Seconds())
+		windowShare := s.share * s.window.Seconds()
+		result.Use = sumBuckets(&u.begun) / windowShare
+		result.Asked = s.sumNewest(&u.asked, recentBuckets) / (windowShare * recentBuckets / windowBuckets)
+		result.HeldTo = s.limit(u) / s.share
 	}
 	return result
 }
@@ -151,46 +166,153 @@
 	if now.Sub(s.computedAt) < shareInterval {
 		return
 	}
-	s.computedAt = now
+	elapsed := now.Sub(s.computedAt)
 	seconds := s.window.Seconds()
 	demands := make([]float64, 0, len(s.byHash))
 	begun := 0.0
 	for _, u := range s.byHash {
-		demands = append(demands, sumBuckets(&u.asked)/seconds)
+		demands = append(demands, s.sumNewest(&u.asked, recentBuckets)/(seconds*recentBuckets/windowBuckets))
 		begun += sumBuckets(&u.begun) / seconds
 	}
+	s.computedAt = now
+	s.served = max(begun, s.served*decay(elapsed, servedHalfLife))
 	capacity := s.capacity
-	if capacity == 0 || begun < capacity {
+	if capacity == 0 || s.served < capacity {
 		// If requests are refused, the targets can serve no more than what was sent to them,
 		// whatever capacity the configuration states.
-		capacity = begun
+		capacity = s.served
 	}
 	s.share, s.scarce = fairshare.MaxMinLevel(capacity, demands)
-	s.leastRefusedUse = s.leastRefused()
+	s.leastRefused, s.leastRefusedUse = s.findLeastRefused()
+}
+
+const (
+	// servedHalfLife is the time in which shares.served loses half of its value. It spans several
+	// share windows: what the targets can serve changes seldom, what is sent to them at any time.
+	servedHalfLife = 10 * time.Second
+	// creditTime is the time for which a workspace may save credit, and minCreditRequests the
+	// number of requests of mean size for which it may in any case.
+	creditTime        = 500 * time.Millisecond
+	minCreditRequests = 0
+	// guaranteedShare is the part of its share that a workspace gets before all requests above
+	// shares.
+	guaranteedShare = 0.9
+	// maxCreditWait bounds the time until there is credit again.
+	maxCreditWait = 10 * time.Second
+	// rateBuckets is the number of buckets over which the demand of a workspace is measured to
+	// divide its limit between the routers: its callers may move within seconds.
+	rateBuckets = windowBuckets / 4
+)
+
+// limit returns the rate in tokens per second to which a workspace is held while requests of another
+// one are refused: maxUseRatio times that of the least served one of them, but at least the share.
+// It is infinite if there is none.
+func (s *shares) limit(u *usage) float64 {
+	if s.leastRefused == nil || s.leastRefused == u {
+		return math.Inf(1)
+	}
+	return s.share * max(1, maxUseRatio*s.leastRefusedUse)
+}
+
+// grant is the decision of admit.
+type grant struct {
+	// admitted is set if the request keeps its workspace within the limit, and guaranteed if it
+	// keeps it within its share.
+	admitted, guaranteed bool
+	// after is the time until the workspace is within its limit again; 0 if it is.
+	after time.Duration
+}
+
+// admit decides whether a request of a workspace keeps it within its share and within its limit, and
+// takes the cost of the request from the credits of the workspace if so. Each router has the part of
+// both rates that it has of the workspace's requests, so that the parts sum to the rate wherever its
+// callers are (flow proportional share; Raghavan et al., Cloud Control with Distributed Rate
+// Limiting, 2007).
+func (s *shares) admit(now time.Time, workspace string, cost float64) grant {
+	s.advance(now)
+	s.compute(now)
+	u := s.usage(Hash(workspace))
+	if !s.scarce {
+		return grant{admitted: true, guaranteed: true}
+	}
+	part, least := s.ownPart(u), minCreditRequests*s.meanRequestTokens
+	u.guaranteed.refill(now, guaranteedShare*s.share*part, least)
+	u.limited.refill(now, s.limit(u)*part, least)
+	g := grant{admitted: u.limited.tokens > 0, guaranteed: u.guaranteed.tokens > 0}
+	switch {
+	case g.guaranteed:
+		g.admitted = true
+		u.guaranteed.tokens -= cost
+		u.limited.tokens -= cost
+	case g.admitted:
+		u.limited.tokens -= cost
+	default:
+		g.after = u.limited.untilPositive()
+	}
+	return g
+}
+
+// credit is a token bucket that may be overdrawn by one request, so that large requests find room as
+// often as small ones.
+type credit struct {
+	// tokens is the credit in tokens at updatedAt, and rate that in tokens per second at which it
+	// grew then.
+	tokens, rate float64
+	updatedAt    time.Time
+}
+
+// refill adds what came since the last call, at a rate in tokens per second. The credit is limited to
+// that of creditTime, but not below least tokens.
+func (c *credit) refill(now time.Time, rate, least float64) {
+	most := max(creditTime.Seconds()*rate, least)
+	c.tokens = min(c.tokens+rate*min(now.Sub(c.updatedAt), time.Minute).Seconds(), most)
+	c.rate, c.updatedAt = rate, now
+}
+
+// untilPositive returns the time until there is credit.
+func (c *credit) untilPositive() time.Duration {
+	return time.Duration(min(max(-c.tokens/c.rate, 0), maxCreditWait.Seconds()) * float64(time.Second))
+}
+
+// belowShare reports whether a workspace asks for no more than its share, as of the last computation
+// of the share.
+func (s *shares) belowShare(workspace string) bool {
+	u, ok := s.byHash[Hash(workspace)]
+	return !ok || sumBuckets(&u.asked) <= s.share*s.window.Seconds()
+}
+
+// ownPart returns the part of a workspace's demand that came to this router lately.
+func (s *shares) ownPart(u *usage) float64 {
+	own, all := s.sumNewest(&u.ownAskedBy, rateBuckets), s.sumNewest(&u.asked, rateBuckets)
+	if own >= all {
+		return 1
+	}
+	return own / all
 }
 
-// leastRefused returns the least use, in multiples of the share, among the workspaces of which
-// many requests are refused now; infinite if there is none. A workspace that was refused earlier
+// findLeastRefused returns the workspace with the least use, in multiples of the share, among those
+// of which many requests are refused now; nil and infinite if there is none. A workspace that was refused earlier
 // in the window but no longer sends requests does not count: it must not limit the others.
-func (s *shares) leastRefused() float64 {
-	least := math.Inf(1)
+func (s *shares) findLeastRefused() (workspace *usage, least float64) {
+	least = math.Inf(1)
 	if !s.scarce || s.share <= 0 {
-		return least
+		return nil, least
 	}
-	windowShare := s.share * s.window.Seconds()
-	threshold := max(minRefusedShare*windowShare*recentBuckets/windowBuckets, minRefusedRequests*s.meanRequestTokens)
+	recentShare := s.share * s.window.Seconds() * recentBuckets / windowBuckets
+	threshold := max(minRefusedShare*recentShare, minRefusedRequests*s.meanRequestTokens)
 	for _, u := range s.byHash {
-		if s.sumRecent(&u.asked)-s.sumRecent(&u.begun) > threshold {
-			least = min(least, sumBuckets(&u.begun)/windowShare)
+		begun := s.sumNewest(&u.begun, recentBuckets)
+		if s.sumNewest(&u.asked, recentBuckets)-begun > threshold && begun/recentShare < least {
+			workspace, least = u, begun/recentShare
 		}
 	}
-	return least
+	return workspace, least
 }
 
-// sumRecent returns the sum of the recentBuckets newest buckets.
-func (s *shares) sumRecent(buckets *[windowBuckets]float64) float64 {
+// sumNewest returns the sum of the n newest buckets.
+func (s *shares) sumNewest(buckets *[windowBuckets]float64, n int64) float64 {
 	total := 0.0
-	for i := range int64(recentBuckets) {
+	for i := range n {
 		total += buckets[(s.current+windowBuckets-i)%windowBuckets]
 	}
 	return total
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -15,6 +15,8 @@
 	// Unknown: the request ended without showing whether the target is healthy, such as when
 	// the caller left.
 	Unknown
+	// Unsent: the request was not sent, for a reason that says nothing of the target.
+	Unsent
 	// Rejected: the target answered that it did not run the request.
 	Rejected
 	// Failed: the target answered with an error, or its answer is malformed or did not come
@@ -32,19 +34,39 @@
 	choice Choice
 	// baseline is the time to the first token in ms that the model of the service predicts,
 	// without the target's slowness.
-	baseline  float64
+	baseline float64
+	// workspace and cost are those of the request's demand; cost is 0 for plain services.
+	workspace string
+	cost      float64
 	sentAt    time.Time
 	firstSeen bool
 	ended     bool
 }
 
-// CountRequest counts the cost of a request in the share of its workspace. Callers call it once for
-// each request from a caller, not for its retries, and only if the service has targets:
-// without targets there is no capacity to share.
-func (b *Balancer) CountRequest(now time.Time, d *Demand) {
-	if !d.plain() {
+// Admit counts a request in the share of its workspace and decides whether some target may get it
+// now; if not, its error is a *Refusal. Callers call it once for each request from a caller, not for
+// its retries. Requests of a service without usable targets do not count: there is no capacity to
+// share.
+func (b *Balancer) Admit(now time.Time, d *Demand) error {
+	found := b.search(now, d)
+	if found.best.target != nil && !d.plain() {
 		b.shares.addOwn(now, d.Workspace, d.Cost(), 0)
 	}
+	if found.best.target == nil || d.plain() {
+		_, err := b.pick(now, d, found)
+		return err
+	}
+	g := b.shares.admit(now, d.Workspace, d.Cost())
+	if !g.admitted {
+		r := b.refusal(now, d, found)
+		r.Err, r.Cause = ErrOverShare, CauseLead
+		r.RetryAfter = b.clampRetryAfter(g.after, d)
+		return r
+	}
+	d.WithinShare = g.guaranteed
+	found.limit = b.waitLimit(now, d)
+	_, err := b.pick(now, d, found)
+	return err
 }
 
 // Begin records that a request is sent to the chosen target. It returns nil if the target has
@@ -62,7 +84,8 @@
 	t.markChanged()
 	t.breaker.Admit(now)
 	if !d.plain() {
-		b.shares.addOwn(now, d.Workspace, 0, d.Cost())
+		ticket.workspace, ticket.cost = d.Workspace, d.Cost()
+		b.shares.addOwn(now, d.Workspace, 0, ticket.cost)
 		b.recordPrompt(now, t, d.Parts)
 	}
 	return ticket
@@ -127,6 +150,10 @@
 	if !k.firstSeen {
 		t.unread -= k.choice.Unread
 	}
+	if k.cost > 0 && (outcome == Unsent || outcome == Unreachable || outcome == Rejected) {
+		// The request has not run, so it took no capacity from the other workspaces.
+		b.shares.addOwn(now, k.workspace, 0, -k.cost)
+	}
 	b.recordOutcome(now, k, outcome)
 }
 
@@ -151,7 +178,7 @@
 	case Unreachable:
 		t.breaker.Trip(now)
 		t.faults.observe(now, true)
-	case Unknown:
+	case Unknown, Unsent:
 		t.breaker.Release(now)
 	}
 }
--- a/placement/use_limit_test.go
+++ b/placement/use_limit_test.go
@@ -63,7 +63,9 @@
 			Service: serviceName, Workspace: workspace, LatencyObjective: wanted, Remaining: time.Second,
 			Parts: []placement.Part{{ID: 1, Tokens: 100}, {ID: w.random.Uint64(), Tokens: 50}},
 		}
-		b.CountRequest(w.now, &d)
+		if err := b.Admit(w.now, &d); err != nil {
+			return err
+		}
 		choice, err := b.Choose(w.now, &d)
 		if err == nil && begin {
 			b.End(w.now, b.Begin(w.now, &d, choice), placement.Succeeded)
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -194,8 +194,11 @@
 		Service: serviceName, Workspace: workspace, LatencyObjective: wanted, Remaining: 10 * time.Second, MaxOutputTokens: 100,
 		Parts: []placement.Part{{ID: sharedID, Tokens: sharedTokens}, {ID: w.random.Uint64(), Tokens: ownTokens}},
 	}
-	b.CountRequest(w.now, &d)
-	choice, err := b.Choose(w.now, &d)
+	err := b.Admit(w.now, &d)
+	var choice placement.Choice
+	if err == nil {
+		choice, err = b.Choose(w.now, &d)
+	}
 	if err != nil {
 		t.refused++
 		if errors.Is(err, placement.ErrOverShare) {
