--- a/edge/stream_test.go
+++ b/edge/stream_test.go
@@ -132,3 +132,32 @@
 	f.is.NoErr(err)
 	f.is.Equal(target.requests()[0].Header.Get("T-Last"), "8")
 }
+
+// Failure: a slow but sound stream is cut, since its pauses are longer than the route's objective. It
+// is delivered in full by the target that began it, as long as pauses stay below the time after which
+// a resumable stream continues elsewhere, or the request below its deadline if it cannot.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	for path, pause := range map[string]time.Duration{
+		"/resumable/": 2 * 100 * time.Millisecond, // twice the objective of the route
+		"/stream/":    4 * 100 * time.Millisecond,
+	} {
+		t.Run(path, func(t *testing.T) {
+			const events = 5
+			var runs atomic.Int32
+			handle := func(s *receivedRequest) {
+				runs.Add(1)
+				s.writeStreamHead()
+				for i := range events {
+					s.writeChunk("id: " + hex(i+1) + "\ndata: a\n\n")
+					time.Sleep(pause)
+				}
+				s.writeLastChunk()
+			}
+			f := newFixture(t, newTestTarget(t, "t1", handle), newTestTarget(t, "t2", handle))
+			_, body, err := f.client().call("POST", path)
+			f.is.NoErr(err)
+			f.is.Equal(strings.Count(body, "data: a"), events)
+			f.is.Equal(runs.Load(), int32(1))
+		})
+	}
+}
