placement: a credit without limit stays usable; one wait within the share

Seen in the second reading: the credit of a workspace that is held to nothing has an infinite rate, and a second request at the same moment made it 0 x infinity, not a number; no later request would have been admitted beyond the guarantee. TestCreditWithoutLimitStaysUsable failed before.

The least credit and a second constant for the same wait are gone.

--- a/placement/limit.go
+++ b/placement/limit.go
@@ -8,13 +8,10 @@
 	// multiples of the share, which leaves the rest of the time for workspaces below
 	// their share (figures: docs/DESIGN.md, choosing a target).
 	overShareWait = 0.12
-	// withinShareWait is the longest wait of a request that is within the share of a workspace that
-	// asks for more, as a part of Demand.LatencyObjective: it is answered in time.
-	withinShareWait = 2.0
-	// underShareWait is the longest wait of a workspace that asks for less than its share, as a
-	// multiple of Demand.LatencyObjective: a late answer is worth less than one in time, but more
+	// withinShareWait is the longest wait of a request that keeps its workspace within its share, as
+	// a multiple of Demand.LatencyObjective: a late answer is worth less than one in time, but more
 	// than none.
-	underShareWait = 2.0
+	withinShareWait = 2.0
 	// maxUseRatio limits the use of a workspace above its share to this multiple of
 	// ShareUsage.LeastRefusedUse. The deployments' rule of fairness allows a ratio of 2.
 	maxUseRatio = 1.4
@@ -42,13 +39,9 @@
 	if d.plain() || d.Repeated {
 		return waitLimit{unlimited: true}
 	}
-	l := waitLimit{waited: d.Waited, maxWait: min(time.Duration(underShareWait*float64(d.LatencyObjective)), d.Remaining)}
+	l := waitLimit{waited: d.Waited, maxWait: min(time.Duration(withinShareWait*float64(d.LatencyObjective)), d.Remaining)}
 	l.shareUsage = b.shares.shareUsage(now, d.Workspace)
-	if l.shareUsage.Share == 0 || b.shares.belowShare(d.Workspace) {
-		return l
-	}
-	if d.WithinShare {
-		l.maxWait = min(time.Duration(withinShareWait*float64(d.LatencyObjective)), d.Remaining)
+	if l.shareUsage.Share == 0 || d.WithinShare || b.shares.belowShare(d.Workspace) {
 		return l
 	}
 	l.maxWait = time.Duration(overShareWait * float64(d.LatencyObjective) / max(l.shareUsage.Use, 1))
--- a/placement/shares.go
+++ b/placement/shares.go
@@ -190,10 +190,8 @@
 	// servedHalfLife is the time in which shares.served loses half of its value. It spans several
 	// share windows: what the targets can serve changes seldom, what is sent to them at any time.
 	servedHalfLife = 10 * time.Second
-	// creditTime is the time for which a workspace may save credit, and minCreditRequests the
-	// number of requests of mean size for which it may in any case.
-	creditTime        = 500 * time.Millisecond
-	minCreditRequests = 0
+	// creditTime is the time for which a workspace may save credit.
+	creditTime = 500 * time.Millisecond
 	// guaranteedShare is the part of its share that a workspace gets before all requests above
 	// shares.
 	guaranteedShare = 0.9
@@ -235,9 +233,9 @@
 	if !s.scarce {
 		return grant{admitted: true, guaranteed: true}
 	}
-	part, least := s.ownPart(u), minCreditRequests*s.meanRequestTokens
-	u.guaranteed.refill(now, guaranteedShare*s.share*part, least)
-	u.limited.refill(now, s.limit(u)*part, least)
+	part := s.ownPart(u)
+	u.guaranteed.refill(now, guaranteedShare*s.share*part)
+	u.limited.refill(now, s.limit(u)*part)
 	g := grant{admitted: u.limited.tokens > 0, guaranteed: u.guaranteed.tokens > 0}
 	switch {
 	case g.guaranteed:
@@ -261,12 +259,16 @@
 	updatedAt    time.Time
 }
 
-// refill adds what came since the last call, at a rate in tokens per second. The credit is limited to
-// that of creditTime, but not below least tokens.
-func (c *credit) refill(now time.Time, rate, least float64) {
-	most := max(creditTime.Seconds()*rate, least)
-	c.tokens = min(c.tokens+rate*min(now.Sub(c.updatedAt), time.Minute).Seconds(), most)
+// refill adds what came since the last call, at a rate in tokens per second, which may be infinite.
+// The credit is limited to that of creditTime.
+func (c *credit) refill(now time.Time, rate float64) {
+	elapsed := min(now.Sub(c.updatedAt), time.Minute)
 	c.rate, c.updatedAt = rate, now
+	if math.IsInf(rate, 1) {
+		c.tokens = rate
+		return
+	}
+	c.tokens = min(c.tokens+rate*elapsed.Seconds(), creditTime.Seconds()*rate)
 }
 
 // untilPositive returns the time until there is credit.
@@ -291,8 +293,9 @@
 }
 
 // findLeastRefused returns the workspace with the least use, in multiples of the share, among those
-// of which many requests are refused now; nil and infinite if there is none. A workspace that was refused earlier
-// in the window but no longer sends requests does not count: it must not limit the others.
+// of which many requests are refused now; nil and infinite if there is none. A workspace that was
+// refused earlier in the window but no longer sends requests does not count: it must not limit the
+// others.
 func (s *shares) findLeastRefused() (workspace *usage, least float64) {
 	least = math.Inf(1)
 	if !s.scarce || s.share <= 0 {
