--- a/edge/edge.go
+++ b/edge/edge.go
@@ -95,9 +95,10 @@
 	abortRequests context.CancelFunc
 	started       time.Time
 	overload      overload
-	linkBusy      atomic.Bool
-	outage        outage
-	refusalLog    *logLimiter
+	// linkBusy is set while the network link is nearly full; see updateLinkBusy.
+	linkBusy   atomic.Bool
+	outage     outage
+	refusalLog *logLimiter
 
 	// mu guards the fields up to lastStoreRead.
 	mu sync.Mutex
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -17,8 +17,8 @@
 	// balancer sends new callers elsewhere. It is low because goroutines are scheduled a few dozen
 	// times for one answer and wait this long each time.
 	unreadyLag = 20 * time.Millisecond
-	// shedLag is the lag above which the router refuses a part of the new requests, which grows in
-	// proportion to the lag, and refuseLag that from which it refuses all.
+	// Between shedLag and refuseLag the router refuses a growing part of the new requests, from
+	// refuseLag on all of them.
 	shedLag   = 30 * time.Millisecond
 	refuseLag = 150 * time.Millisecond
 	// A router becomes ready again once the lag has not exceeded recoveredLag for recoveryTime.
--- a/h1/response.go
+++ b/h1/response.go
@@ -22,8 +22,7 @@
 
 // ReadResponse reads the status line and header of a response to a request with the given
 // method. It skips interim responses (1xx) and refuses 101, since the package sends no
-// Upgrade. All heads together may have maxBytes bytes. It
-// returns io.EOF if the connection ended before the first byte of a response.
+// Upgrade. All heads together may have maxBytes bytes. It returns io.EOF if the connection ended before the first byte of a response.
 func ReadResponse(br *bufio.Reader, method string, maxBytes int) (*Response, error) {
 	remaining := maxBytes
 	for {
--- a/linkbudget/linkbudget.go
+++ b/linkbudget/linkbudget.go
@@ -183,14 +183,13 @@
 }
 
 // Admit reports whether the link has room to forward a request of a workspace and its expected
-// answer, and adds these bytes if so. If not, it returns the time after which
-// there may be room.
+// answer, and adds these bytes if so. If not, it returns the time after which there may be room.
 func (b *Budget) Admit(now time.Time, workspace string, bytes Bytes) (time.Duration, bool) {
 	if math.IsInf(b.rate, 1) {
 		return 0, true
 	}
 	wait, limit := b.Wait(now), maxWait
-	if level := b.levelAtTime(now); b.workspaces[workspace].largest() > level {
+	if level := b.currentLevel(now); b.workspaces[workspace].largest() > level {
 		limit = maxWaitAboveShare
 	}
 	if wait > limit {
@@ -200,8 +199,8 @@
 	return 0, true
 }
 
-// levelAtTime returns the share of a workspace in bytes of load.
-func (b *Budget) levelAtTime(now time.Time) float64 {
+// currentLevel returns the share of a workspace in bytes of load, at most levelInterval old.
+func (b *Budget) currentLevel(now time.Time) float64 {
 	if now.Sub(b.levelAt) < levelInterval {
 		return b.level
 	}
