placement: one ordered list of checks decides whether a target may get a request

Cause: leaving, pauses, circuit breakers, versions, exclusions and rate limits were checked in three places, so that a new reason had to be added to each of them, and a refusal did not tell why no target could get the request.

Change: Balancer.eligibility names the first reason that applies and the time until it may end. Choice, refusals and Retry-After read it; the log line of a refusal counts the targets by reason.

--- a/edge/answer.go
+++ b/edge/answer.go
@@ -82,6 +82,9 @@
 		fields = append(fields, "predicted_ms", r.Predicted.Milliseconds(), "cause", r.Cause, "wait_ms", r.Wait.Milliseconds(),
 			"limit_ms", r.Limit.Milliseconds(), "cost", c.demand.Cost(), "view_age_ms", r.ViewAge.Milliseconds())
 		fields = append(fields, shareUsageFields(r.ShareUsage)...)
+		if ineligible := r.Ineligible.String(); ineligible != "" {
+			fields = append(fields, "ineligible", ineligible)
+		}
 	}
 	return fields
 }
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -248,7 +248,7 @@
 		return false
 	}
 	for _, t := range s.targets {
-		if t.usable(now) {
+		if b.availability(now, t).reason == Eligible {
 			return true
 		}
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -41,13 +41,19 @@
 
 // noTarget returns the error for a request of a service without a target that may get it now.
 func (b *Balancer) noTarget(now time.Time, d *Demand, found search) *Refusal {
-	if found.permitWait > 0 {
-		return &Refusal{
-			Err: ErrSaturated, Cause: CauseRate, RetryAfter: b.clampRetryAfter(found.permitWait, d), Wait: found.permitWait,
-			ViewAge: b.ViewAge(now), ShareUsage: found.limit.shareUsage,
-		}
+	r := &Refusal{Err: ErrNoTarget, Ineligible: found.ineligible}
+	limited, paused := found.ineligible[RateLimited].Wait, found.ineligible[Paused].Wait
+	switch {
+	case limited > 0:
+		r.Err, r.Cause, r.Wait = ErrSaturated, CauseRate, limited
+		r.RetryAfter = b.clampRetryAfter(limited, d)
+		r.ViewAge, r.ShareUsage = b.ViewAge(now), found.limit.shareUsage
+	case paused > 0:
+		r.RetryAfter = max(paused, minRetryAfter)
+	default:
+		r.RetryAfter = b.clampRetryAfter(noTargetRetryAfter, d)
 	}
-	return &Refusal{Err: ErrNoTarget, RetryAfter: b.noTargetRetryAfter(now, d)}
+	return r
 }
 
 // noTargetRetryAfter is the time after which a caller is told to retry if its service has no
@@ -61,9 +67,7 @@
 	// nearly idle targets. Their target fields are nil if there is no such candidate.
 	best, bestIdle candidate
 	limit          waitLimit
-	// permitWait is the shortest time until a target that is usable but for its rate limit may get a
-	// request; 0 if there is none.
-	permitWait time.Duration
+	ineligible     IneligibleTargets
 	// at is the time of the search, and changes the value of Balancer.changes then.
 	at      time.Time
 	changes uint64
@@ -83,7 +87,7 @@
 	return *found
 }
 
-// search assesses the targets of the request's service that are usable and not excluded.
+// search assesses the eligible targets of the request's service.
 func (b *Balancer) search(now time.Time, d *Demand) search {
 	found := search{at: now, changes: b.changes}
 	s, ok := b.services[d.Service]
@@ -93,13 +97,8 @@
 	found.limit = b.waitLimit(now, d)
 	p := newPromptInfo(s, d)
 	for _, t := range s.targets {
-		if !t.usable(now) || !t.hasVersion(d.Version) || (d.Excluded != nil && d.Excluded(t.ID)) {
-			continue
-		}
-		if wait := b.permitWait(now, t); wait > 0 {
-			if found.permitWait == 0 || wait < found.permitWait {
-				found.permitWait = wait
-			}
+		if e := b.eligibility(now, t, d); e.reason != Eligible {
+			found.ineligible.add(e)
 			continue
 		}
 		c := b.assess(now, s, t, d, p)
--- /dev/null
+++ b/placement/eligibility.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Ineligibility says why a target may not get a request now.
+type Ineligibility int
+
+// The checks run in the order of these constants; the first that applies is the reason. Those up to
+// Unhealthy are the same for all requests.
+const (
+	// Eligible targets may get the request.
+	Eligible Ineligibility = iota
+	// Draining: the registration says that the target takes no new requests.
+	Draining
+	// Leaving: the target has told a router that it leaves.
+	Leaving
+	// Paused: the target wants no requests from this router for a time.
+	Paused
+	// Unhealthy: the circuit breaker holds the target back.
+	Unhealthy
+	// OtherVersion: the request may only go to another software version.
+	OtherVersion
+	// Excluded: the caller of Choose has excluded the target.
+	Excluded
+	// RateLimited: the target has got as many requests as its rate limit allows.
+	RateLimited
+
+	ineligibilities
+)
+
+// String returns the name in logs.
+func (i Ineligibility) String() string {
+	return [ineligibilities]string{"eligible", "draining", "leaving", "paused", "unhealthy", "other_version", "excluded", "rate_limited"}[i]
+}
+
+// eligibility is the result of the checks of one target for one request. wait is the time until the
+// reason may end; 0 if that is not known.
+type eligibility struct {
+	reason Ineligibility
+	wait   time.Duration
+}
+
+// eligibility runs all checks of a target for a request.
+func (b *Balancer) eligibility(now time.Time, t *target, d *Demand) eligibility {
+	if e := b.availability(now, t); e.reason != Eligible {
+		return e
+	}
+	switch {
+	case !t.hasVersion(d.Version):
+		return eligibility{reason: OtherVersion}
+	case d.Excluded != nil && d.Excluded(t.ID):
+		return eligibility{reason: Excluded}
+	}
+	if wait := b.permitWait(now, t); wait > 0 {
+		return eligibility{RateLimited, wait}
+	}
+	return eligibility{}
+}
+
+// availability runs the checks that are the same for all requests.
+func (b *Balancer) availability(now time.Time, t *target) eligibility {
+	switch {
+	case t.Draining:
+		return eligibility{reason: Draining}
+	case t.leaving:
+		return eligibility{reason: Leaving}
+	case now.Before(t.pausedUntil):
+		return eligibility{Paused, t.pausedUntil.Sub(now)}
+	case !t.breaker.Ready(now):
+		return eligibility{reason: Unhealthy}
+	}
+	return eligibility{}
+}
+
+// IneligibleTargets counts the targets of a service that may not get a request, by reason.
+type IneligibleTargets [ineligibilities]struct {
+	Targets int
+	// Wait is the shortest time until the reason may end for one of them; 0 if that is not known.
+	Wait time.Duration
+}
+
+// add counts one target.
+func (c *IneligibleTargets) add(e eligibility) {
+	counted := &c[e.reason]
+	counted.Targets++
+	if e.wait > 0 && (counted.Wait == 0 || e.wait < counted.Wait) {
+		counted.Wait = e.wait
+	}
+}
+
+// String returns the counts in the form REASON:TARGETS, separated by commas, for logs.
+func (c IneligibleTargets) String() string {
+	var parts []string
+	for reason, counted := range c {
+		if counted.Targets > 0 {
+			parts = append(parts, Ineligibility(reason).String()+":"+strconv.Itoa(counted.Targets))
+		}
+	}
+	return strings.Join(parts, ",")
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -176,6 +176,8 @@
 	// Wait is the part of Predicted before the target begins to process the prompt. Limit is
 	// the longest wait that is allowed, including Demand.Waited.
 	Wait, Limit time.Duration
+	// Ineligible counts the targets that could not get the request, if none could.
+	Ineligible IneligibleTargets
 	// ViewAge is the time since the oldest of the other routers' latest reports; 0 with
 	// ErrNoTarget.
 	ViewAge time.Duration
--- a/placement/usable.go
+++ b/placement/usable.go
@@ -80,29 +80,6 @@
 
 func (t *target) incarnation() incarnation { return incarnation{t.hash, t.StartedUnixMs} }
 
-// usable reports whether a target may get a request: it is neither leaving nor paused, nor held back
-// by its circuit breaker.
-func (t *target) usable(now time.Time) bool {
-	return !t.Draining && !t.leaving && !now.Before(t.pausedUntil) && t.breaker.Ready(now)
-}
-
-// noTargetRetryAfter returns the time after which a caller is told to retry if its service has no
-// usable target: when the first pause ends, if targets only pause.
-func (b *Balancer) noTargetRetryAfter(now time.Time, d *Demand) time.Duration {
-	var first time.Duration
-	s := b.service(d.Service)
-	for _, t := range s.targets {
-		left := t.pausedUntil.Sub(now)
-		if left > 0 && !t.Draining && !t.leaving && (first == 0 || left < first) {
-			first = left
-		}
-	}
-	if first > 0 {
-		return max(first, minRetryAfter)
-	}
-	return b.clampRetryAfter(noTargetRetryAfter, d)
-}
-
 // reportLeaving adds the targets that leave to a report for other routers.
 func (b *Balancer) reportLeaving(r *v1.LoadReport) {
 	for i := range b.leaving.due {
