--- a/edge/restore_fleet_test.go
+++ b/edge/restore_fleet_test.go
@@ -68,7 +68,7 @@
 func (s *sharedStore) setTarget(t routing.Target) {
 	s.change(func(state *storeState) {
 		state.number++
-		c := TargetChange{ID: t.ID, Target: t, Revision: Revision{state.epoch, state.number}}
+		c := TargetChange{ID: t.ID, Target: t, Revision: Revision{Epoch: state.epoch, Number: state.number}}
 		state.targets[t.ID] = c
 		state.history = append(state.history, c)
 	})
@@ -78,7 +78,7 @@
 	s.change(func(state *storeState) {
 		state.number++
 		delete(state.targets, id)
-		state.history = append(state.history, TargetChange{ID: id, Removed: true, Revision: Revision{state.epoch, state.number}})
+		state.history = append(state.history, TargetChange{ID: id, Removed: true, Revision: Revision{Epoch: state.epoch, Number: state.number}})
 	})
 }
 
@@ -115,13 +115,13 @@
 func (s routerSource) Configuration(ctx context.Context) (*routing.Table, Revision, error) {
 	s.call(ctx)
 	state := s.store.copy()
-	return testTable(state.table), Revision{state.epoch, state.tableAt}, ctx.Err()
+	return testTable(state.table), Revision{Epoch: state.epoch, Number: state.tableAt}, ctx.Err()
 }
 
 func (s routerSource) Targets(ctx context.Context) ([]TargetChange, Revision, error) {
 	s.call(ctx)
 	state := s.store.copy()
-	return slices.Collect(maps.Values(state.targets)), Revision{state.epoch, state.number}, ctx.Err()
+	return slices.Collect(maps.Values(state.targets)), Revision{Epoch: state.epoch, Number: state.number}, ctx.Err()
 }
 
 func (s routerSource) WatchConfiguration(ctx context.Context, after Revision, wait time.Duration) (*routing.Table, Revision, error) {
@@ -158,7 +158,7 @@
 		state, changed := &s.store.state, s.store.changed
 		lost := after.Number > state.number || after.Epoch != state.epoch
 		hit := !lost && found(state)
-		revision := Revision{state.epoch, state.number}
+		revision := Revision{Epoch: state.epoch, Number: state.number}
 		s.store.mu.Unlock()
 		switch {
 		case lost:
--- a/edge/revision.go
+++ b/edge/revision.go
@@ -1,27 +1,17 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"github.com/chiveseam/chiveseam/evacuation"
 )
 
 // Revision is a position in the history of the store. The zero value is before all others.
-type Revision struct {
-	// Epoch grows each time the store is restored from an older copy. It loses its newest changes
-	// then and gives out their numbers again.
-	Epoch uint64
-	// Number grows with each change of an epoch.
-	Number uint64
-}
-
-// Compare returns -1 if r is before other, 0 if they are equal and 1 if r is after other.
-func (r Revision) Compare(other Revision) int {
-	return cmp.Or(cmp.Compare(r.Epoch, other.Epoch), cmp.Compare(r.Number, other.Number))
-}
+type Revision = evacuation.Revision
 
 // latestRevision holds the latest of the revisions that it was given. It is safe for concurrent use.
 type latestRevision struct {
