edge, placement, platform: obey evacuations of zones

Cause: targets of a zone went on getting requests after the operator had asked for none.

Change: the router reads and watches op/ in place of op/config, in as many calls, and takes the keys op/evacuate/ZONE from the same answers. Targets in such zones are not eligible (cause evacuated), give no cache entries to others and are not inspected at the start. A search from before the evacuation is not used, and the zone is checked again before a request is written. Routers tell each other (section evacuations). A configuration that cannot be decoded is logged and no longer counts as an outage of the store.

--- a/edge/answer.go
+++ b/edge/answer.go
@@ -41,10 +41,10 @@
 	if errors.As(err, &c.refusal) {
 		after = c.refusal.RetryAfter
 		code = v1.Code_WAIT_EXCEEDS_DEADLINE
-		switch c.refusal.Err {
-		case placement.ErrNoTarget:
+		switch {
+		case errors.Is(err, placement.ErrNoTarget):
 			code = v1.Code_NO_TARGET
-		case placement.ErrOverShare:
+		case errors.Is(err, placement.ErrOverShare):
 			code = v1.Code_QUEUE_FULL
 		}
 		if c.refusal.Cause != "" {
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -53,6 +53,8 @@
 	// fetchFrom is the address of the target whose KV cache holds parts of the prompt; "" if the
 	// target fetches none.
 	fetchFrom string
+	// fetchZone is the zone of that target.
+	fetchZone string
 	// number counts the attempts of the call that reached a target, from 1.
 	number int
 	began  time.Time
@@ -117,6 +119,14 @@
 		}
 		return notSent
 	}
+	if e.isEvacuated(a.target.Zone) {
+		u.Close()
+		a.err = errEvacuated
+		return notSent
+	}
+	if e.isEvacuated(a.fetchZone) {
+		a.fetchFrom = ""
+	}
 	// On a busy processor, the goroutine that watches the caller's connection may not have run yet.
 	if closedByPeer(a.call.reply.conn) {
 		u.Close()
--- a/edge/call.go
+++ b/edge/call.go
@@ -275,7 +275,8 @@
 	a := &attempt{call: c, number: c.sentCount + 1, began: now}
 	a.ticket = e.balancer.Begin(now, &c.demand, choice)
 	a.target = e.directory.targets[choice.Target]
-	a.fetchFrom = e.directory.targets[choice.Donor].Address
+	donor := e.directory.targets[choice.Donor]
+	a.fetchFrom, a.fetchZone = donor.Address, donor.Zone
 	c.tried[choice.Target] = true
 	logger := log.With(c.log, shareUsageFields(choice.ShareUsage)...)
 	if after := c.resumeAfter(); after != "" {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -25,6 +25,7 @@
 	"golang.org/x/sync/singleflight"
 	"gopkg.in/tomb.v2"
 
+	"github.com/chiveseam/chiveseam/evacuation"
 	"github.com/chiveseam/chiveseam/exchange"
 	"github.com/chiveseam/chiveseam/linkbudget"
 	"github.com/chiveseam/chiveseam/placement"
@@ -70,6 +71,8 @@
 	// maxCallerConns is the largest number of open connections from callers.
 	maxCallerConns int
 	table          atomic.Pointer[routing.Table]
+	// evacuatedZones holds the zones that are evacuated; nil before the first one.
+	evacuatedZones atomic.Pointer[map[string]bool]
 	// targetsRevision is the highest revision of a target registration that this router has read.
 	targetsRevision latestRevision
 	// peerTargetsRevision is the highest targets revision in the reports of other routers.
@@ -123,6 +126,7 @@
 	poison       *poison.Tracker
 	members      *exchange.Members
 	origins      *streams.Origins
+	evacuations  *evacuation.Zones
 	// originWaiters holds a channel for each stream whose origin other routers were asked for.
 	originWaiters map[streams.ID]chan struct{}
 	// lastStoreRead is when this or another router last read the complete store.
@@ -175,6 +179,7 @@
 		retryBudgets:  make(map[string]*retry.Window),
 		poison:        poison.New(time.Now()),
 		origins:       streams.New(time.Now()),
+		evacuations:   evacuation.New(),
 		originWaiters: make(map[streams.ID]chan struct{}),
 		link:          linkbudget.New(s.LinkMbps),
 		answers:       make(answerSizes),
@@ -360,7 +365,7 @@
 		// The packets may wait at this router's own link.
 		return placement.Unsent
 	}
-	if outcome == abandoned && !a.sent {
+	if errors.Is(a.err, errEvacuated) || outcome == abandoned && !a.sent {
 		return placement.Unsent
 	}
 	switch outcome {
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// readStore reads the configuration and all targets.
+// readStore reads all that the operator has published, and all targets.
 func (e *Edge) readStore(ctx context.Context) error {
 	began := time.Now()
 	if err := e.probeConfiguration(ctx); err != nil {
@@ -115,15 +115,21 @@
 	return nil
 }
 
-// probeConfiguration reads the configuration and applies it if the watch has not delivered it.
+// probeConfiguration reads the configuration and the evacuations, and applies what the watch has not
+// delivered.
 func (e *Edge) probeConfiguration(ctx context.Context) error {
-	table, revision, err := e.source.Configuration(ctx)
+	p, revision, err := e.readPublication(ctx)
 	if err == nil {
 		err = e.observeEpoch(revision.Epoch)
 	}
-	if err != nil || table == nil {
+	if err != nil {
 		return err
 	}
+	e.applyEvacuations(p, revision, true)
+	table := p.Table
+	if table == nil {
+		return nil
+	}
 	if old := e.table.Load(); old == nil || table.Version > old.Version {
 		level.Warn(e.logger).Log("event", "watch_behind", "watch", "configuration", "version", table.Version)
 		e.applyTable(table, revision)
--- a/edge/recover.go
+++ b/edge/recover.go
@@ -54,6 +54,9 @@
 		return nil
 	}
 	for _, t := range e.enginesToInspect() {
+		if e.isEvacuated(t.zone) {
+			continue
+		}
 		state, err := e.inspector.Inspect(ctx, t.address)
 		if err != nil {
 			level.Warn(e.logger).Log("event", "kept_parts_unknown", "target", t.id, "error", err)
@@ -71,7 +74,7 @@
 	return nil
 }
 
-type engineAddress struct{ id, address string }
+type engineAddress struct{ id, address, zone string }
 
 // enginesToInspect returns at most maxInspected of ownedEngines: those with the highest rendezvous
 // score for this router.
@@ -85,7 +88,7 @@
 }
 
 // ownedEngines returns the engines that rendezvous hashing assigns to this router among the routers
-// it knows.
+// it knows, but for those in evacuated zones.
 func (e *Edge) ownedEngines() []engineAddress {
 	table := e.table.Load()
 	e.mu.Lock()
@@ -94,8 +97,8 @@
 	var own []engineAddress
 	for id, t := range e.directory.targets {
 		owner, _ := rendezvous.Owner(id, routers)
-		if owner == e.settings.Name && table != nil && table.Services[t.Service].Engine != nil {
-			own = append(own, engineAddress{id, t.Address})
+		if owner == e.settings.Name && !e.isEvacuated(t.Zone) && table != nil && table.Services[t.Service].Engine != nil {
+			own = append(own, engineAddress{id, t.Address, t.Zone})
 		}
 	}
 	return own
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -82,6 +82,7 @@
 	e.balancer.FillReport(now, report)
 	e.poison.FillReport(now, report)
 	e.origins.FillReport(report)
+	e.evacuations.FillReport(report)
 	return report
 }
 
@@ -169,6 +170,7 @@
 	e.balancer.MergeReport(now, report)
 	e.poison.MergeReport(now, report)
 	e.origins.MergeReport(now, report)
+	e.mergeEvacuations(now, report)
 	e.wakeOriginWaiters(report)
 	if answer := e.answerOrigins(report.WantedStreams); answer != nil {
 		e.send(answer, from)
@@ -189,13 +191,14 @@
 }
 
 // answerReport sends a router that asked for it the addresses of the other routers, the targets that
-// leave or have rate limits, the prompt parts that the targets have in their KV caches, and the requests
+// leave or have rate limits, the evacuations, the prompt parts that the targets have in their KV caches, and the requests
 // that crash targets. The caller holds e.mu.
 func (e *Edge) answerReport(now time.Time, to netip.AddrPort) {
 	answer := e.baseReport()
 	answer.Members = e.members.SampleMembers(now, true)
 	answer.LeavingTargets = e.balancer.LeavingTargets()
 	answer.RateLimits = e.balancer.RateLimits(now)
+	answer.Evacuations = e.evacuations.Entries()
 	answers := []*v1.LoadReport{answer}
 	for _, parts := range e.balancer.RecentCachedParts(now) {
 		partsReport := e.baseReport()
--- a/edge/source.go
+++ b/edge/source.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/chiveseam/chiveseam/evacuation"
 	"github.com/chiveseam/chiveseam/routing"
 )
 
@@ -17,17 +18,30 @@
 	ErrStoreBusy = errors.New("edge: the store refused the call")
 )
 
-// Source reads what the platform's store publishes: the configuration and the registrations of
-// targets. Within an epoch, all revisions come from one counter that only increases. A watch from a
+// Publication is what the operator has published in the store, or a change of it.
+type Publication struct {
+	// Table is the newest configuration; nil if there is none or it cannot be decoded.
+	Table *routing.Table
+	// TableErr says why the newest configuration cannot be decoded.
+	TableErr error
+	// Evacuations are the zones that are evacuated, and of a watch the changes in their order. A Zone is
+	// "" if the key names none.
+	Evacuations []evacuation.Change
+	// Changes is the number of all keys in the answer, including those without a meaning for routers.
+	Changes int
+}
+
+// Source reads what the platform's store publishes: the operator's configuration and evacuations, and the
+// registrations of targets. Within an epoch, all revisions come from one counter that only increases. A watch from a
 // revision of an earlier epoch, and a read during which the epoch changes, fail with ErrHistoryLost.
 // Implementations are safe for concurrent use; the platform package has one.
 type Source interface {
-	// Configuration returns the newest table and the revision to watch from. The table is nil if
-	// none has been published yet.
-	Configuration(ctx context.Context) (*routing.Table, Revision, error)
-	// WatchConfiguration waits for a table after a revision, and returns the revision to watch
-	// from next. The table is nil if none came within the wait.
-	WatchConfiguration(ctx context.Context, after Revision, wait time.Duration) (*routing.Table, Revision, error)
+	// Configuration returns all that the operator has published, as of a revision or later, and that
+	// revision, from which to watch.
+	Configuration(ctx context.Context) (Publication, Revision, error)
+	// WatchConfiguration waits for changes after a revision, and returns the revision to watch from
+	// next. The Publication is empty if none came within the wait.
+	WatchConfiguration(ctx context.Context, after Revision, wait time.Duration) (Publication, Revision, error)
 	// Targets returns all registrations and the revision to watch from.
 	Targets(ctx context.Context) ([]TargetChange, Revision, error)
 	// WatchTargets waits for changes of registrations after a revision, and returns the revision
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -150,7 +150,7 @@
 	return away
 }
 
-// feed is one kind of data that the store publishes: the configuration or the targets.
+// feed is one kind of data that the store publishes: what the operator has published, or the targets.
 type feed[T any] struct {
 	name string
 	// read returns the complete data and the revision to watch from; watch waits for changes.
@@ -222,16 +222,19 @@
 	return min(2*last, maxBatchPause)
 }
 
-// watchConfiguration keeps the configuration table up to date until ctx ends.
+// watchConfiguration keeps the configuration table and the evacuations up to date until ctx ends.
 func (e *Edge) watchConfiguration(ctx context.Context) error {
-	return follow(ctx, e, feed[*routing.Table]{
-		name: "configuration", read: e.source.Configuration, watch: e.source.WatchConfiguration, pausedUntil: &e.configurationPausedUntil,
-		apply: func(t *routing.Table, revision Revision, _ bool, _ time.Duration) bool {
-			if t == nil {
-				return false
+	return follow(ctx, e, feed[operatorRead]{
+		name: "configuration", read: e.readPublication, watch: e.watchPublication, pausedUntil: &e.configurationPausedUntil,
+		apply: func(p operatorRead, revision Revision, complete bool, _ time.Duration) bool {
+			e.applyEvacuations(p, revision, complete)
+			if p.TableErr != nil {
+				level.Warn(e.logger).Log("event", "configuration_unreadable", "epoch", revision.Epoch, "revision", revision.Number, "error", p.TableErr)
 			}
-			e.applyTable(t, revision)
-			return true
+			if p.Table != nil {
+				e.applyTable(p.Table, revision)
+			}
+			return p.Changes > 0
 		},
 	})
 }
--- a/placement/assess.go
+++ b/placement/assess.go
@@ -73,7 +73,7 @@
 	tokens int
 }
 
-func newPromptInfo(s *service, d *Demand) *promptInfo {
+func (b *Balancer) newPromptInfo(s *service, d *Demand) *promptInfo {
 	p := &promptInfo{}
 	p.base, p.slope = s.model.line()
 	if d.plain() {
@@ -86,16 +86,19 @@
 		p.holders = append(p.holders, cachedPrefix{t, t.cache.prefix(d.Parts)})
 	}
 	if s.fetchPerToken > 0 {
-		p.chooseDonor()
+		b.chooseDonor(p, d)
 	}
 	return p
 }
 
-// chooseDonor sets donor to the target with the longest cached prefix; among equals, to the
-// one with the fewest tokens to process.
-func (p *promptInfo) chooseDonor() {
+// chooseDonor sets the donor to the target with the longest cached prefix among those that may be one; among
+// equals, to the one with the fewest tokens to process.
+func (b *Balancer) chooseDonor(p *promptInfo, d *Demand) {
 	backlog := 0
 	for _, k := range p.holders {
+		if !b.mayDonate(k.target, d) {
+			continue
+		}
 		_, unread := k.target.load()
 		if k.tokens > p.donorTokens || (k.tokens == p.donorTokens && unread < backlog) {
 			p.donor, p.donorTokens, backlog = k.target, k.tokens, unread
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -26,6 +26,8 @@
 	// PeerTimeout is the time without reports after which the load of another router is
 	// removed from the view.
 	PeerTimeout time.Duration
+	// ZoneRegions holds the region of each availability zone.
+	ZoneRegions map[string]string
 }
 
 // Balancer chooses targets for the requests of one router. It holds the router's view of the
@@ -46,12 +48,14 @@
 	// leaving holds the targets that told a router that they leave.
 	leaving leavingTargets
 	fleet   fleet
+	// evacuated holds the zones to whose targets nothing is sent.
+	evacuated evacuatedZones
 	// unreportedParts are the prompt parts that the next reports to other routers name.
 	unreportedParts []*v1.PartRead
 	// choices counts the chosen targets.
 	choices uint64
-	// changes counts the requests that were sent to targets and the targets that were removed: earlier
-	// searches no longer hold then.
+	// changes counts the requests that were sent to targets, the targets that were removed and the zones
+	// that were evacuated or taken back: earlier searches no longer hold then.
 	changes uint64
 }
 
@@ -140,6 +144,8 @@
 		zones:    newZones(o.Zone),
 		leaving:  newLeavingTargets(),
 		fleet:    newFleet(o.Router),
+
+		evacuated: newEvacuatedZones(),
 	}
 }
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -51,6 +51,7 @@
 	case paused > 0:
 		r.RetryAfter = max(paused, minRetryAfter)
 	default:
+		r.Err = found.ineligible.cause()
 		r.RetryAfter = b.clampRetryAfter(noTargetRetryAfter, d)
 	}
 	return r
@@ -95,7 +96,7 @@
 		return found
 	}
 	found.limit = b.waitLimit(now, d)
-	p := newPromptInfo(s, d)
+	p := b.newPromptInfo(s, d)
 	for _, t := range s.targets {
 		if e := b.eligibility(now, t, d); e.reason != Eligible {
 			found.ineligible.add(e)
--- a/placement/eligibility.go
+++ b/placement/eligibility.go
@@ -18,6 +18,8 @@
 	Draining
 	// Leaving: the target has told a router that it leaves.
 	Leaving
+	// Evacuated: the operator has evacuated the target's zone.
+	Evacuated
 	// Paused: the target wants no requests from this router for a time.
 	Paused
 	// Unhealthy: the circuit breaker holds the target back.
@@ -34,7 +36,7 @@
 
 // String returns the name in logs.
 func (i Ineligibility) String() string {
-	return [ineligibilities]string{"eligible", "draining", "leaving", "paused", "unhealthy", "other_version", "excluded", "rate_limited"}[i]
+	return [ineligibilities]string{"eligible", "draining", "leaving", "evacuated", "paused", "unhealthy", "other_version", "excluded", "rate_limited"}[i]
 }
 
 // eligibility is the result of the checks of one target for one request. wait is the time until the
@@ -68,6 +70,8 @@
 		return eligibility{reason: Draining}
 	case t.leaving:
 		return eligibility{reason: Leaving}
+	case b.evacuated.zones[t.Zone]:
+		return eligibility{reason: Evacuated}
 	case now.Before(t.pausedUntil):
 		return eligibility{Paused, t.pausedUntil.Sub(now)}
 	case !t.breaker.Ready(now):
@@ -92,6 +96,19 @@
 	}
 }
 
+// cause returns the error for a request of which no target is only not ready for a time.
+func (c IneligibleTargets) cause() error {
+	total := 0
+	for _, counted := range c {
+		total += counted.Targets
+	}
+	evacuated := c[Evacuated].Targets
+	if evacuated > 0 && evacuated+c[Draining].Targets+c[Leaving].Targets == total {
+		return ErrEvacuated
+	}
+	return ErrNoTarget
+}
+
 // String returns the counts in the form REASON:TARGETS, separated by commas, for logs.
 func (c IneligibleTargets) String() string {
 	var parts []string
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,6 +28,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -154,6 +155,8 @@
 	// ErrNoTarget means that all targets of the service leave, want no requests for now, are
 	// excluded or held back by their circuit breakers, or that it has none.
 	ErrNoTarget = errors.New("placement: no usable target")
+	// ErrEvacuated means the same, since the zones of the targets are evacuated.
+	ErrEvacuated = fmt.Errorf("%w: their zones are evacuated", ErrNoTarget)
 	// ErrOverShare means that the capacity does not meet all demands and the workspace uses
 	// more than its share.
 	ErrOverShare = errors.New("placement: workspace above its share")
@@ -164,7 +167,7 @@
 
 // Refusal is the error of Choose.
 type Refusal struct {
-	// Err is ErrNoTarget, ErrOverShare or ErrSaturated.
+	// Err is ErrNoTarget or an error that wraps it, ErrOverShare or ErrSaturated.
 	Err error
 	// RetryAfter is the time after which the request may be admitted.
 	RetryAfter time.Duration
