routing, placement, edge: routes and workspaces may name allowed regions

Cause: a request could be sent to a target in any region, although its route or workspace may only use some.

Change: routes and tenants of the configuration have allowed_regions, the settings have zone-regions, which the template fills from the platform's table of zones. Targets and donors in other regions, or in zones without a known region, are not eligible (cause region). Requests without a target for this reason are refused with 503 and that text.

Requests without regions skip the check.

--- a/edge/call.go
+++ b/edge/call.go
@@ -172,6 +172,7 @@
 		MaxOutputTokens:  names.maxOutputTokens(c.req.Header),
 		LatencyObjective: c.route.LatencyObjective,
 		Excluded:         func(target string) bool { return c.tried[target] },
+		Regions:          c.table.AllowedRegions(c.route, c.workspace),
 	}
 	c.sharedParts = sharedParts(c.demand.Parts)
 }
@@ -190,7 +191,7 @@
 	}
 	c.service = c.originService
 	if c.service == "" {
-		c.service = c.route.Pick(rand.Float64(), func(s string) bool { return e.balancer.HasUsableTarget(s, now) })
+		c.service = c.route.Pick(rand.Float64(), func(s string) bool { return e.balancer.HasUsableTargetIn(c.demand.Regions, s, now) })
 	}
 	c.demand.Service = c.service
 	c.demand.Waited = now.Sub(c.arrived)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -173,7 +173,7 @@
 		callers:     callerConns{open: make(map[*callerConn]bool)},
 		started:     time.Now(),
 		balancer: placement.New(placement.Options{
-			Router: s.Name, Zone: s.Zone, ShareWindow: s.ShareWindow, PeerTimeout: peerTimeout,
+			Router: s.Name, Zone: s.Zone, ShareWindow: s.ShareWindow, PeerTimeout: peerTimeout, ZoneRegions: s.ZoneRegions,
 		}),
 		directory:     newDirectory(s.LapsedGrace),
 		retryBudgets:  make(map[string]*retry.Window),
--- a/edge/figures_test.go
+++ b/edge/figures_test.go
@@ -18,6 +18,7 @@
 var templateTexts = map[string]string{
 	"node_name": "r1", "zone": "a", "listen.front": "10.0.0.1:80", "listen.ready": "10.0.0.1:81", "ip": "10.0.0.1",
 	"internal_ports.0": "7400", "seeds": "10.0.0.2:8785", "platform_config.address": "10.0.0.9:8781",
+	"#zones": "", "@": "a", ".": "north", ",": "", "/zones": "",
 }
 
 // fillTemplate returns the settings file that the platform makes of the template. Figures that
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -302,7 +302,7 @@
 		f.peer = freeAddress(f.t, "udp4")
 	}
 	path := filepath.Join(f.t.TempDir(), "edge.ini")
-	text := fmt.Sprintf("name = %s\nzone = a\nlisten = %s\nready = %s\npeer = %s\nstore = 127.0.0.1:1\ngrace = 4s\nseeds = %s\n",
+	text := fmt.Sprintf("name = %s\nzone = a\nlisten = %s\nready = %s\npeer = %s\nstore = 127.0.0.1:1\ngrace = 4s\nseeds = %s\nzone-regions = a=north,b=south\n",
 		f.name, freeAddress(f.t, "tcp4"), freeAddress(f.t, "tcp4"), f.peer, f.seeds)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -35,6 +35,8 @@
 	// LapsedGrace is the time after the store's return in which registrations that lapsed may come
 	// back.
 	LapsedGrace time.Duration
+	// ZoneRegions holds the region of each availability zone; "" if it is not known.
+	ZoneRegions map[string]string
 	// LinkMbps is the rate of the network link in each direction in 10^6 bits per second; 0 if it is
 	// not known.
 	LinkMbps float64
@@ -60,6 +62,8 @@
 	Seeds   string `long:"seeds" description:"Addresses of other routers, as IP:port, separated by commas; ports are replaced by that of peer."`
 	Store   string `long:"store" description:"Address of the platform's store, as IP:port." required:"yes"`
 
+	ZoneRegions string `long:"zone-regions" description:"Regions of the availability zones, as ZONE=REGION, separated by commas."`
+
 	Grace        string `long:"grace" description:"Time from the stop signal until the process is killed." default:"8s"`
 	RetryRatio   string `long:"retry-ratio" description:"Repeated attempts for each request of a service in the whole fleet." default:"0.2"`
 	RetryMin     string `long:"retry-min" description:"Repeated attempts in a window that need no requests, in the whole fleet." default:"50"`
@@ -115,7 +119,9 @@
 	s.MemoryMB = figures.whole("memory-mb", f.MemoryMB)
 	s.MaxOpenFiles = figures.whole("max-open-files", f.MaxOpenFiles)
 	s.Defaulted = figures.defaulted
-	if err := errors.Join(append(figures.errs, s.validate())...); err != nil {
+	var regionsErr error
+	s.ZoneRegions, regionsErr = parseZoneRegions(f.ZoneRegions)
+	if err := errors.Join(append(figures.errs, regionsErr, s.validate())...); err != nil {
 		return nil, err
 	}
 	return s, nil
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -249,12 +249,17 @@
 
 // HasUsableTarget reports whether a service has a target that may get requests.
 func (b *Balancer) HasUsableTarget(serviceName string, now time.Time) bool {
+	return b.HasUsableTargetIn(nil, serviceName, now)
+}
+
+// HasUsableTargetIn reports whether a service has a target in one of the regions that may get requests.
+func (b *Balancer) HasUsableTargetIn(regions routing.Regions, serviceName string, now time.Time) bool {
 	s, ok := b.services[serviceName]
 	if !ok {
 		return false
 	}
 	for _, t := range s.targets {
-		if b.availability(now, t).reason == Eligible {
+		if b.allows(regions, t) && b.availability(now, t).reason == Eligible {
 			return true
 		}
 	}
--- a/placement/eligibility.go
+++ b/placement/eligibility.go
@@ -4,16 +4,20 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/chiveseam/chiveseam/routing"
 )
 
 // Ineligibility says why a target may not get a request now.
 type Ineligibility int
 
-// The checks run in the order of these constants; the first that applies is the reason. Those up to
-// Unhealthy are the same for all requests.
+// The checks run in the order of these constants; the first that applies is the reason. Those from
+// Draining to Unhealthy are the same for all requests.
 const (
 	// Eligible targets may get the request.
 	Eligible Ineligibility = iota
+	// Region: the request may not be sent to the target's region.
+	Region
 	// Draining: the registration says that the target takes no new requests.
 	Draining
 	// Leaving: the target has told a router that it leaves.
@@ -36,7 +40,7 @@
 
 // String returns the name in logs.
 func (i Ineligibility) String() string {
-	return [ineligibilities]string{"eligible", "draining", "leaving", "evacuated", "paused", "unhealthy", "other_version", "excluded", "rate_limited"}[i]
+	return [ineligibilities]string{"eligible", "region", "draining", "leaving", "evacuated", "paused", "unhealthy", "other_version", "excluded", "rate_limited"}[i]
 }
 
 // eligibility is the result of the checks of one target for one request. wait is the time until the
@@ -48,6 +52,9 @@
 
 // eligibility runs all checks of a target for a request.
 func (b *Balancer) eligibility(now time.Time, t *target, d *Demand) eligibility {
+	if !b.allows(d.Regions, t) {
+		return eligibility{reason: Region}
+	}
 	if e := b.availability(now, t); e.reason != Eligible {
 		return e
 	}
@@ -63,6 +70,12 @@
 	return eligibility{}
 }
 
+// allows reports whether a target is in one of the regions. If any regions are given, a target in a zone
+// without a known region is not.
+func (b *Balancer) allows(regions routing.Regions, t *target) bool {
+	return regions == nil || regions.Allow(b.options.ZoneRegions[t.Zone])
+}
+
 // availability runs the checks that are the same for all requests.
 func (b *Balancer) availability(now time.Time, t *target) eligibility {
 	switch {
@@ -102,8 +115,11 @@
 	for _, counted := range c {
 		total += counted.Targets
 	}
-	evacuated := c[Evacuated].Targets
-	if evacuated > 0 && evacuated+c[Draining].Targets+c[Leaving].Targets == total {
+	region, evacuated := c[Region].Targets, c[Evacuated].Targets
+	switch {
+	case region > 0 && region == total:
+		return ErrRegion
+	case evacuated > 0 && region+evacuated+c[Draining].Targets+c[Leaving].Targets == total:
 		return ErrEvacuated
 	}
 	return ErrNoTarget
--- a/placement/evacuated.go
+++ b/placement/evacuated.go
@@ -45,4 +45,6 @@
 }
 
 // mayDonate reports whether other engines may fetch from the KV cache of a target for a request.
-func (b *Balancer) mayDonate(t *target, _ *Demand) bool { return !b.evacuated.zones[t.Zone] }
+func (b *Balancer) mayDonate(t *target, d *Demand) bool {
+	return !b.evacuated.zones[t.Zone] && b.allows(d.Regions, t)
+}
--- a/placement/evacuated_test.go
+++ b/placement/evacuated_test.go
@@ -126,3 +126,33 @@
 	is.True(short.late <= short.asked/50)
 	is.True(after.refused+after.late <= after.asked/50)
 }
+
+// Guards against requests, and fetches from caches, that leave the allowed regions, also towards a zone of no
+// known region, and against refusals that do not tell so.
+func TestRequestsStayInAllowedRegions(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := zonedBalancer(now, "abx", "bx")
+	d := engineDemand()
+	d.Regions = routing.Regions{"north"}
+	is.NoErr(b.Admit(now, d))
+	c, err := b.Choose(now, d)
+	is.NoErr(err)
+	is.Equal(c.Target, "ea")
+	is.Equal(c.Donor, "")
+	d.Excluded = func(id string) bool { return id == "ea" }
+	_, err = b.Choose(now, d)
+	is.Equal(err.(*placement.Refusal).Ineligible.String(), "region:2,excluded:1")
+
+	d = engineDemand()
+	d.Regions = routing.Regions{"east"}
+	is.True(!b.HasUsableTargetIn(d.Regions, serviceName, now))
+	var refusal *placement.Refusal
+	is.True(errors.As(b.Admit(now, d), &refusal))
+	is.Equal(refusal.Err, placement.ErrRegion)
+	is.True(errors.Is(refusal, placement.ErrNoTarget))
+	is.True(refusal.RetryAfter > 0)
+	c, err = b.Choose(now, engineDemand()) // a request without regions
+	is.NoErr(err)
+	is.True(c.Target == "eb" || c.Target == "ex")
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -30,6 +30,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/chiveseam/chiveseam/routing"
 )
 
 // Part is a part of a prompt. Prompts with a common beginning share their leading parts.
@@ -62,6 +64,8 @@
 	// Version is the VersionHash of the only version of targets that may get the request; 0 if all
 	// may.
 	Version uint32
+	// Regions are the regions of the targets that may get the request.
+	Regions routing.Regions
 	// WithinShare is set by Admit if the workspace gets no more than its share with this request.
 	WithinShare bool
 	// Repeated is set if the request was sent to a target before, or goes on with a stream: it is
@@ -157,6 +161,8 @@
 	ErrNoTarget = errors.New("placement: no usable target")
 	// ErrEvacuated means the same, since the zones of the targets are evacuated.
 	ErrEvacuated = fmt.Errorf("%w: their zones are evacuated", ErrNoTarget)
+	// ErrRegion means the same, since no target is in a region that the request may be sent to.
+	ErrRegion = fmt.Errorf("%w: none is in an allowed region", ErrNoTarget)
 	// ErrOverShare means that the capacity does not meet all demands and the workspace uses
 	// more than its share.
 	ErrOverShare = errors.New("placement: workspace above its share")
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -49,7 +49,7 @@
 // share.
 func (b *Balancer) Admit(now time.Time, d *Demand) error {
 	b.fleet.countRequest(now)
-	if d.plain() || !b.HasUsableTarget(d.Service, now) {
+	if d.plain() || !b.HasUsableTargetIn(d.Regions, d.Service, now) {
 		_, err := b.pick(now, d, b.search(now, d))
 		return err
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -52,6 +52,8 @@
 	MaxAttempts int
 	// Anonymous routes accept requests without an API key.
 	Anonymous bool
+	// AllowedRegions restrict the targets of the requests.
+	AllowedRegions Regions
 }
 
 // WeightedService is a service of a route and its share of the route's requests.
@@ -101,6 +103,8 @@
 	// Services holds the services by name.
 	Services map[string]Service
 	Limits   Limits
+	// WorkspaceRegions restrict the targets of the requests of a workspace, by its name.
+	WorkspaceRegions map[string]Regions
 
 	// byHost holds the routes by lower-case host name, those with the longest prefix
 	// first.
