--- a/edge/call.go
+++ b/edge/call.go
@@ -172,6 +172,7 @@
 		MaxOutputTokens:  names.maxOutputTokens(c.req.Header),
 		LatencyObjective: c.route.LatencyObjective,
 		Excluded:         func(target string) bool { return c.tried[target] },
+		Regions:          c.table.AllowedRegions(c.route, c.workspace),
 	}
 	c.sharedParts = sharedParts(c.demand.Parts)
 }
@@ -190,7 +191,7 @@
 	}
 	c.service = c.originService
 	if c.service == "" {
-		c.service = c.route.Pick(rand.Float64(), func(s string) bool { return e.balancer.HasUsableTarget(s, now) })
+		c.service = c.route.Pick(rand.Float64(), func(s string) bool { return e.balancer.HasUsableTargetIn(c.demand.Regions, s, now) })
 	}
 	c.demand.Service = c.service
 	c.demand.Waited = now.Sub(c.arrived)
@@ -275,7 +276,8 @@
 	a := &attempt{call: c, number: c.sentCount + 1, began: now}
 	a.ticket = e.balancer.Begin(now, &c.demand, choice)
 	a.target = e.directory.targets[choice.Target]
-	a.fetchFrom = e.directory.targets[choice.Donor].Address
+	donor := e.directory.targets[choice.Donor]
+	a.fetchFrom, a.fetchZone = donor.Address, donor.Zone
 	c.tried[choice.Target] = true
 	logger := log.With(c.log, shareUsageFields(choice.ShareUsage)...)
 	if after := c.resumeAfter(); after != "" {
