ratelimit: permits that keep a bound for each second

Cause: a rate limit of n requests a second admits up to 2n in a second, plus what overlaps while routers disagree on the division by demand. Cold targets crash above a bound that leaves less room: 18.2 at 8.8 requests a second.

--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -11,6 +11,10 @@
 // the limit allows in the period and in the lifetime of one permit. Clocks that differ between routers
 // by less than a lifetime add little.
 //
+// Parts overlap while routers disagree on the division. Candidates are the stricter way to own permits:
+// no two routers own a permit as long as each knows the other, whichever further routers either of them
+// knows. NewBounded keeps a bound for each second with them.
+//
 // The package has no goroutine, clock or random source: callers pass in the current time. A Limiter is
 // not safe for concurrent use.
 package ratelimit
@@ -55,15 +59,24 @@
 	return uint64(min(max(fraction, 0), 1-1.0/(1<<53)) * (1 << 64))
 }
 
-// owns reports whether the part has a position.
-func (p Part) owns(at uint64) bool { return p.First <= at && at <= p.Last }
+// Owns reports whether the part has a position.
+func (p Part) Owns(position uint64) bool { return p.First <= position && position <= p.Last }
+
+// Owner says which permits a router owns, by their positions. Its values are comparable, and another
+// value takes the place of one that owns other permits.
+type Owner interface {
+	Owns(position uint64) bool
+}
 
 // Limiter is one router's part of the limit of one target. Its zero value is not usable; see New.
 type Limiter struct {
 	// offset is the position of permit 0, which differs between targets.
 	offset uint64
 	rate   float64
-	part   Part
+	// life is the time for which a permit can be used; 0 selects minLifetime or the time between two
+	// permits, whichever is longer.
+	life  time.Duration
+	owner Owner
 	// next is the number of the next permit that the router owns, above that of dealt, the number of
 	// the newest permit issued so far.
 	next, dealt uint64
@@ -74,7 +87,7 @@
 // New returns a Limiter for the target that a hash identifies, with a rate in requests per second. All
 // routers must use the same hash. Permits issued before now cannot be used.
 func New(now time.Time, hash uint64, rate float64) *Limiter {
-	l := &Limiter{offset: hash, part: Whole()}
+	l := &Limiter{offset: hash, owner: Whole()}
 	l.SetRate(now, rate)
 	return l
 }
@@ -90,9 +103,10 @@
 	l.findNext()
 }
 
-// Wait returns the time until the router has a permit; 0 if it has one. part is the router's part now.
-func (l *Limiter) Wait(now time.Time, part Part) time.Duration {
-	l.advance(now, part)
+// Wait returns the time until the router has a permit; 0 if it has one. owner says which
+// permits the router owns now.
+func (l *Limiter) Wait(now time.Time, owner Owner) time.Duration {
+	l.advance(now, owner)
 	if len(l.unused) > 0 {
 		return 0
 	}
@@ -108,6 +122,9 @@
 
 // lifetime returns the time for which a permit can be used.
 func (l *Limiter) lifetime() time.Duration {
+	if l.life > 0 {
+		return l.life
+	}
 	return max(minLifetime, time.Duration(float64(time.Second)/l.rate))
 }
 
@@ -122,11 +139,11 @@
 }
 
 // advance collects the owned permits issued up to now and removes those that have expired.
-func (l *Limiter) advance(now time.Time, part Part) {
+func (l *Limiter) advance(now time.Time, owner Owner) {
 	newest := l.newest(now)
-	if newest < l.dealt || part != l.part {
-		// The time of day was set back, or the part has changed.
-		l.dealt, l.part = min(l.dealt, newest), part
+	if newest < l.dealt || owner != l.owner {
+		// The time of day was set back, or the router owns other permits.
+		l.dealt, l.owner = min(l.dealt, newest), owner
 		l.findNext()
 	}
 	if oldest := l.newest(now.Add(-l.lifetime())); l.dealt < oldest {
@@ -156,7 +173,7 @@
 func (l *Limiter) findNext() {
 	l.next = l.dealt + 1
 	at := l.offset + l.next*goldenRatio
-	for !l.part.owns(at) {
+	for !l.owner.Owns(at) {
 		l.next++
 		at += goldenRatio
 	}
