placement: cold targets get what they take from all routers together

Cause: idle cold targets attract bursts of all routers at once.

Change: Cold is a reason of eligibility, with the time until this router's next permit. Times at cold targets are learned apart from the service's model.

--- a/placement/assess.go
+++ b/placement/assess.go
@@ -116,14 +116,14 @@
 // assess predicts the times of a request at a target and computes its cost.
 func (b *Balancer) assess(now time.Time, s *service, t *target, d *Demand, p *promptInfo) candidate {
 	t.measure(now)
-	c := candidate{target: t, slowness: t.slowness}
+	c := candidate{target: t, slowness: t.slowness * b.coldSlowness(now, t)}
 	c.running, c.backlog = t.load()
 	penalty := faultCostWeight * t.faultShare * milliseconds(d.LatencyObjective)
 	if b.zones.silent(now, t.Zone) {
 		penalty += silentZonePenaltyMs
 	}
 	if d.plain() {
-		c.slowness = math.Round(t.slowness*plainSlownessSteps) / plainSlownessSteps
+		c.slowness = math.Round(c.slowness*plainSlownessSteps) / plainSlownessSteps
 		c.predicted = c.slowness * p.base * (1 + float64(c.running)/float64(t.slotsIn(s)))
 		c.cost = c.predicted + penalty
 		return c
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -26,6 +26,11 @@
 	// PeerTimeout is the time without reports after which the load of another router is
 	// removed from the view.
 	PeerTimeout time.Duration
+	// Started is when the router started.
+	Started time.Time
+	// ColdOverage and ColdSlack bound the requests that a cold target gets in any second, from all
+	// routers: ColdOverage times the rate of its service, and ColdSlack more.
+	ColdOverage, ColdSlack float64
 }
 
 // Balancer chooses targets for the requests of one router. It holds the router's view of the
@@ -45,7 +50,9 @@
 	zones  *zones
 	// leaving holds the targets that told a router that they leave.
 	leaving leavingTargets
-	fleet   fleet
+	// coldZones holds when the evacuation of a zone last ended.
+	coldZones map[string]time.Time
+	fleet     fleet
 	// unreportedParts are the prompt parts that the next reports to other routers name.
 	unreportedParts []*v1.PartRead
 	// choices counts the chosen targets.
@@ -71,6 +78,7 @@
 	fetchPerToken float64
 	// holders maps each prompt part to the targets that have it in their KV cache.
 	holders holders
+	cold    coldService
 }
 
 // target is a registered target with its load, cached parts and health as this router sees them.
@@ -94,6 +102,7 @@
 	// pausedUntil is the time until which the target wants no requests from this router.
 	pausedUntil time.Time
 	rateLimit   rateLimit
+	cold        coldTarget
 	// slotTime is the moving mean of the time in ms that a request holds a slot; 0 before
 	// the first request has succeeded.
 	slotTime float64
@@ -130,16 +139,17 @@
 // New returns a Balancer without services and targets.
 func New(o Options) *Balancer {
 	return &Balancer{
-		options:  o,
-		targets:  make(map[string]*target),
-		byHash:   make(map[uint32]*target),
-		services: make(map[string]*service),
-		peers:    make(map[string]*peerState),
-		remote:   make(map[uint32]*remoteLoad),
-		shares:   newShares(o.ShareWindow),
-		zones:    newZones(o.Zone),
-		leaving:  newLeavingTargets(),
-		fleet:    newFleet(o.Router),
+		options:   o,
+		targets:   make(map[string]*target),
+		byHash:    make(map[uint32]*target),
+		services:  make(map[string]*service),
+		peers:     make(map[string]*peerState),
+		remote:    make(map[uint32]*remoteLoad),
+		shares:    newShares(o.ShareWindow),
+		zones:     newZones(o.Zone),
+		leaving:   newLeavingTargets(),
+		coldZones: make(map[string]time.Time),
+		fleet:     newFleet(o.Router),
 	}
 }
 
@@ -150,6 +160,7 @@
 // throughput of all engines in tokens per second; 0 if the configuration does not state it.
 func (b *Balancer) SetServices(list map[string]routing.Service, tokensPerSecond float64) {
 	b.shares.capacity = tokensPerSecond
+	b.setColdLimits(list)
 	for name, s := range list {
 		if s.Engine == nil {
 			continue
@@ -214,8 +225,16 @@
 		rateLimit:   rateLimit{perSecond: math.Inf(1)},
 		preference:  float64(uint32(rendezvous.Score(b.options.Router, t.ID))) / math.MaxUint32,
 	}
+	added.cold.Hash = added.idHash
+	if at, ok := b.coldZones[t.Zone]; ok {
+		added.cold.Mark(at, s.cold.limits.MarkTime())
+	}
 	_, added.leaving = b.leaving.heard[added.incarnation()]
 	added.cache = newPartCache(added, s.holders, cacheCapacity(s))
+	if ok && s.cold.limits.Enabled() {
+		// The other routers must not take the load that the target had before its restart for its load now.
+		added.markChanged()
+	}
 	b.targets[t.ID] = added
 	b.byHash[added.hash] = added
 	s.targets = append(s.targets, added)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -16,7 +16,7 @@
 	choice := Choice{
 		ShareUsage: found.limit.shareUsage,
 		Target:     best.target.ID, Unread: best.unread, Backlog: best.backlog, Running: best.running,
-		Slowness: best.slowness, Predicted: duration(best.predicted), ViewAge: b.ViewAge(now),
+		Cold: b.isCold(now, best.target), Slowness: best.slowness, Predicted: duration(best.predicted), ViewAge: b.ViewAge(now),
 	}
 	if best.donor != nil {
 		choice.Donor, choice.Fetched = best.donor.ID, best.fetched
@@ -42,11 +42,14 @@
 // noTarget returns the error for a request of a service without a target that may get it now.
 func (b *Balancer) noTarget(now time.Time, d *Demand, found search) *Refusal {
 	r := &Refusal{Err: ErrNoTarget, Ineligible: found.ineligible}
-	limited, paused := found.ineligible[RateLimited].Wait, found.ineligible[Paused].Wait
+	limited, cold, paused := found.ineligible[RateLimited].Wait, found.ineligible[Cold].Wait, found.ineligible[Paused].Wait
 	switch {
-	case limited > 0:
+	case limited > 0 || cold > 0:
 		r.Err, r.Cause, r.Wait = ErrSaturated, CauseRate, limited
-		r.RetryAfter = b.clampRetryAfter(limited, d)
+		if limited == 0 || 0 < cold && cold < limited {
+			r.Cause, r.Wait = CauseCold, cold
+		}
+		r.RetryAfter = b.clampRetryAfter(r.Wait, d)
 		r.ViewAge, r.ShareUsage = b.ViewAge(now), found.limit.shareUsage
 	case paused > 0:
 		r.RetryAfter = max(paused, minRetryAfter)
@@ -96,6 +99,8 @@
 	}
 	found.limit = b.waitLimit(now, d)
 	p := newPromptInfo(s, d)
+	// reserve is the best of the cold targets, as long as this router is new.
+	var reserve candidate
 	for _, t := range s.targets {
 		if e := b.eligibility(now, t, d); e.reason != Eligible {
 			found.ineligible.add(e)
@@ -105,6 +110,12 @@
 		if t.rateLimit.unconfirmed(now) {
 			c.cost = 0
 		}
+		if b.isNew(now) && b.isCold(now, t) {
+			if reserve.target == nil || c.better(reserve) {
+				reserve = c
+			}
+			continue
+		}
 		if found.best.target == nil || c.better(found.best) {
 			found.best = c
 		}
@@ -112,6 +123,9 @@
 			found.bestIdle = c
 		}
 	}
+	if found.best.target == nil {
+		found.best = reserve
+	}
 	return found
 }
 
--- a/placement/eligibility.go
+++ b/placement/eligibility.go
@@ -28,13 +28,15 @@
 	Excluded
 	// RateLimited: the target has got as many requests as its rate limit allows.
 	RateLimited
+	// Cold: the target is cold and has got as many requests as it takes then.
+	Cold
 
 	ineligibilities
 )
 
 // String returns the name in logs.
 func (i Ineligibility) String() string {
-	return [ineligibilities]string{"eligible", "draining", "leaving", "paused", "unhealthy", "other_version", "excluded", "rate_limited"}[i]
+	return [ineligibilities]string{"eligible", "draining", "leaving", "paused", "unhealthy", "other_version", "excluded", "rate_limited", "cold"}[i]
 }
 
 // eligibility is the result of the checks of one target for one request. wait is the time until the
@@ -58,6 +60,9 @@
 	if wait := b.permitWait(now, t); wait > 0 {
 		return eligibility{RateLimited, wait}
 	}
+	if wait := b.coldWait(now, t); wait > 0 {
+		return eligibility{Cold, wait}
+	}
 	return eligibility{}
 }
 
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/chiveseam/chiveseam/ratelimit"
@@ -29,6 +31,10 @@
 	routers map[string]knownRouter
 	// part is this router's part of each limit.
 	part ratelimit.Part
+	// owner is this router's part of what cold targets take; nil if the routers have changed since it
+	// was computed. grownAt is when a router was last added.
+	owner   *ratelimit.Candidates
+	grownAt time.Time
 	// demand is the demand that this router reported last. recent is the decayed number of its
 	// requests as of countedAt.
 	demand    float64
@@ -75,22 +81,35 @@
 	}
 	f.routers[router] = r
 	if !known {
+		f.owner, f.grownAt = nil, now
 		f.divide()
 	}
 }
 
 // remove removes a router that has stopped.
-func (f *fleet) remove(router string) { delete(f.routers, router) }
+func (f *fleet) remove(router string) {
+	delete(f.routers, router)
+	f.owner = nil
+}
 
 // forgetSilent removes the routers that have been silent for rememberRouter.
 func (f *fleet) forgetSilent(now time.Time) {
 	for router, r := range f.routers {
 		if now.Sub(r.heard) > rememberRouter {
-			delete(f.routers, router)
+			f.remove(router)
 		}
 	}
 }
 
+// candidates returns this router's part of what cold targets take. It does not depend on demands, of which
+// routers have different views for a while.
+func (f *fleet) candidates() *ratelimit.Candidates {
+	if f.owner == nil {
+		f.owner = ratelimit.NewCandidates(f.self, slices.Collect(maps.Keys(f.routers)))
+	}
+	return f.owner
+}
+
 // divide computes the part of this router. Parts follow each other in the order of the routers' names.
 func (f *fleet) divide() {
 	total := f.demand
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -121,6 +121,8 @@
 	CauseLead Cause = "lead"
 	// CauseRate: all usable targets have got as many requests as their rate limits allow.
 	CauseRate Cause = "rate"
+	// CauseCold: all usable targets are cold and have got as many requests as they take then.
+	CauseCold Cause = "cold"
 )
 
 // Choice is a target for a request, with the figures on which the choice is based.
@@ -140,6 +142,8 @@
 	Backlog int
 	// Running is the number of requests of all routers at the target.
 	Running int
+	// Cold is set if the target is cold.
+	Cold bool
 	// Slowness is the ratio of the target's times to the first token to those that are usual
 	// for its service.
 	Slowness float64
--- a/placement/report.go
+++ b/placement/report.go
@@ -80,6 +80,7 @@
 	b.reportParts(r)
 	b.reportLeaving(r)
 	b.reportRateLimits(now, r)
+	b.reportCold(now, r)
 	r.Demand = float32(b.fleet.reportDemand(now))
 }
 
@@ -144,6 +145,7 @@
 	b.mergeParts(now, r.Parts)
 	b.mergeLeaving(now, r.LeavingTargets)
 	b.mergeRateLimits(now, r.RateLimits)
+	b.mergeCold(now, r.ColdTargets)
 	b.fleet.recordReport(now, r.Router, float64(r.Demand), r.Sequence > 0)
 	b.zones.recordReport(now, r.Zone)
 	p, ok := b.peers[r.Router]
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -77,6 +77,7 @@
 	base, slope := t.service.model.line()
 	ticket.baseline = base + slope*float64(c.Backlog+c.Unread)
 	t.takePermit()
+	t.cold.Take()
 	t.running++
 	t.unread += c.Unread
 	t.markChanged()
@@ -120,12 +121,17 @@
 	t := k.target
 	t.unread -= k.choice.Unread
 	t.markChanged()
+	k.recordReached(now)
 	if k.choice.Running >= max(t.Slots, 1) {
 		// The time includes the wait for a slot of a full target, so it is no sample for the
 		// model.
 		return
 	}
 	observed := milliseconds(now.Sub(k.sentAt))
+	if k.choice.Cold {
+		t.service.cold.observe(observed, k.baseline)
+		return
+	}
 	if t.service.model.ready() {
 		t.latencyRatio.observe(now, observed, k.baseline)
 	}
@@ -160,6 +166,7 @@
 	t := k.target
 	switch outcome {
 	case Succeeded:
+		k.recordReached(now)
 		t.breaker.Success(now)
 		t.faults.observe(now, false)
 		slotTime := milliseconds(now.Sub(k.sentAt))
@@ -168,6 +175,7 @@
 		}
 		t.slotTime += slotTimeGain * (slotTime - t.slotTime)
 	case Rejected:
+		k.recordReached(now)
 		t.breaker.Success(now)
 		t.faults.observe(now, true)
 	case Failed:
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -66,6 +66,10 @@
 	Name string
 	// Engine describes the targets if they are model engines, otherwise it is nil.
 	Engine *Engine
+	// ColdStart is the time for which a target is cold after its start. While it is, it takes
+	// ColdPerSecond requests per second; 0 if targets are never cold.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Engine describes each of the model engines of a service.
@@ -219,6 +223,8 @@
 	// StartedUnixMs is the Unix time in milliseconds at which the target started; 0 if it is
 	// not known.
 	StartedUnixMs int64
+	// ColdRemaining is the time for which the target was still cold when it registered.
+	ColdRemaining time.Duration
 	// Sequence grows with each registration since the target started.
 	Sequence uint64
 }
