platform, edge: read and keep to what cold targets take

Cause: the configuration, the settings and the registrations state what cold targets take and for how long they are cold, and nothing reads it.

Change: cold_start_s, cold_per_s and cold_remaining_ms are decoded; settings cold-overage and cold-slack. The directory passes heartbeats on apart from its updates, so that a time that counts down neither resets a target nor is logged. Cold engines are not inspected at a start. Log event target_cold, metric chiveseam_edge_cold_targets, cause cold of refusals.

--- a/edge/admin.go
+++ b/edge/admin.go
@@ -28,6 +28,7 @@
 	share              prometheus.Gauge
 	storeRestores      prometheus.Counter
 	signatures         prometheus.Gauge
+	coldTargets        prometheus.Gauge
 	duration           prometheus.Histogram
 }
 
@@ -73,13 +74,16 @@
 		signatures: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chiveseam_edge_quarantined_prompts", Help: "Sets of prompt parts that are refused since they crash targets.",
 		}),
+		coldTargets: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chiveseam_edge_cold_targets", Help: "Targets that take a limited rate of requests since they are cold.",
+		}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "chiveseam_edge_request_duration_seconds", Help: "Time from a request's first byte to the end of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
 		}),
 	}
 	m.registry.MustRegister(m.attempts, m.results, m.refusals, m.reports, m.aborted, m.refusedConnections, m.callers,
-		m.version, m.lag, m.linkLoad, m.share, m.storeRestores, m.signatures, m.duration)
+		m.version, m.lag, m.linkLoad, m.share, m.storeRestores, m.signatures, m.coldTargets, m.duration)
 	return m
 }
 
--- a/edge/call.go
+++ b/edge/call.go
@@ -283,7 +283,7 @@
 	}
 	level.Info(logger).Log("event", "target_chosen", "route", c.route.Name, "version", c.table.Version,
 		"workspace", c.workspace, "cost", c.demand.Cost(), "target", choice.Target, "target_version", a.target.Version, "try", tries, "unread", choice.Unread, "fetched", choice.Fetched,
-		"backlog", choice.Backlog, "running", choice.Running, "slowness", math.Round(choice.Slowness*100)/100,
+		"backlog", choice.Backlog, "running", choice.Running, "cold", choice.Cold, "slowness", math.Round(choice.Slowness*100)/100,
 		"predicted_ms", choice.Predicted.Milliseconds(), "view_age_ms", choice.ViewAge.Milliseconds(), "queued_ms", c.queued.Milliseconds())
 	return a, nil
 }
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -24,6 +24,8 @@
 	restoredAt time.Time
 	// gone holds the last registrations of removed targets, by ID.
 	gone map[string]goneTarget
+	// received holds the registrations for takeReceived.
+	received []routing.Target
 }
 
 // goneTarget is a target that was removed.
@@ -90,16 +92,27 @@
 	}
 	delete(d.gone, c.ID)
 	d.targets[c.ID] = c.Target
-	if known && equalExceptSequence(old, c.Target) {
+	if old != c.Target {
+		d.received = append(d.received, c.Target)
+	}
+	if known && equalExceptHeartbeat(old, c.Target) {
 		return nil
 	}
 	return []targetUpdate{{target: c.Target}}
 }
 
-// equalExceptSequence reports whether two registrations of a target have equal fields apart from
-// the sequence number.
-func equalExceptSequence(a, b routing.Target) bool {
-	a.Sequence = b.Sequence
+// takeReceived returns the new registrations since the last call, also those that change nothing but the
+// time for which a target is cold.
+func (d *directory) takeReceived() []routing.Target {
+	received := d.received
+	d.received = nil
+	return received
+}
+
+// equalExceptHeartbeat reports whether two registrations of a target have equal fields apart from
+// the sequence number and the time for which the target is cold.
+func equalExceptHeartbeat(a, b routing.Target) bool {
+	a.Sequence, a.ColdRemaining = b.Sequence, b.ColdRemaining
 	return a == b
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -170,6 +170,7 @@
 		started:     time.Now(),
 		balancer: placement.New(placement.Options{
 			Router: s.Name, Zone: s.Zone, ShareWindow: s.ShareWindow, PeerTimeout: peerTimeout,
+			Started: time.Now(), ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
 		}),
 		directory:     newDirectory(s.LapsedGrace),
 		retryBudgets:  make(map[string]*retry.Window),
@@ -348,6 +349,7 @@
 	if errors.Is(a.err, syscall.ECONNREFUSED) || a.targetGone {
 		// Nothing listens on the port: the target has crashed and lost its KV cache.
 		e.balancer.ClearCache(a.target.ID)
+		e.recordRefused(now, a.target.ID)
 	}
 	if outcome == notSent || a.crashed {
 		e.targetConns.drop(a.target.Address)
--- a/edge/recover.go
+++ b/edge/recover.go
@@ -85,16 +85,17 @@
 }
 
 // ownedEngines returns the engines that rendezvous hashing assigns to this router among the routers
-// it knows.
+// it knows. A cold engine has started lately and has nothing in its cache.
 func (e *Edge) ownedEngines() []engineAddress {
 	table := e.table.Load()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
 	routers := append(e.balancer.PeerNames(), e.settings.Name)
 	var own []engineAddress
 	for id, t := range e.directory.targets {
 		owner, _ := rendezvous.Owner(id, routers)
-		if owner == e.settings.Name && table != nil && table.Services[t.Service].Engine != nil {
+		if owner == e.settings.Name && table != nil && table.Services[t.Service].Engine != nil && !e.balancer.IsCold(now, id) {
 			own = append(own, engineAddress{id, t.Address})
 		}
 	}
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -51,6 +51,7 @@
 	recipients := e.members.Recipients(now)
 	interval := e.members.Interval(now)
 	e.balancer.SetReportInterval(interval)
+	e.metrics.coldTargets.Set(float64(e.balancer.ColdTargets(now)))
 	lostPeers := e.balancer.RemoveSilentRouters(now)
 	signatures := e.poison.Signatures()
 	e.mu.Unlock()
@@ -196,6 +197,7 @@
 	answer.Members = e.members.SampleMembers(now, true)
 	answer.LeavingTargets = e.balancer.LeavingTargets()
 	answer.RateLimits = e.balancer.RateLimits(now)
+	answer.ColdTargets = e.balancer.ColdTargetMessages(now)
 	answers := []*v1.LoadReport{answer}
 	for _, parts := range e.balancer.RecentCachedParts(now) {
 		partsReport := e.baseReport()
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -32,6 +32,9 @@
 	RetryWindow          time.Duration
 	// ShareWindow is the window in which workspaces get their shares.
 	ShareWindow time.Duration
+	// ColdOverage and ColdSlack bound the requests that a cold target gets in any second, from all
+	// routers: ColdOverage times the rate of its service, and ColdSlack more.
+	ColdOverage, ColdSlack float64
 	// LapsedGrace is the time after the store's return in which registrations that lapsed may come
 	// back.
 	LapsedGrace time.Duration
@@ -65,6 +68,8 @@
 	RetryMin     string `long:"retry-min" description:"Repeated attempts in a window that need no requests, in the whole fleet." default:"50"`
 	RetryWindow  string `long:"retry-window" description:"Window of the retry budget." default:"10s"`
 	ShareWindow  string `long:"share-window" description:"Window in which workspaces get their shares." default:"4s"`
+	ColdOverage  string `long:"cold-overage" description:"Requests that a cold target may get in any second, in multiples of the rate of its service." default:"1"`
+	ColdSlack    string `long:"cold-slack" description:"Requests that a cold target may get in any second beyond that." default:"0"`
 	LapsedGrace  string `long:"lapsed-grace" description:"Time after the store's return in which registrations that lapsed may come back." default:"2s"`
 	LinkMbps     string `long:"link-mbps" description:"Rate of the network link in each direction in 10^6 bits per second; 0 if it is not known." default:"0"`
 	MemoryMB     string `long:"memory-mb" description:"Memory of the process in MB." default:"256"`
@@ -110,6 +115,8 @@
 	s.RetryMin = figures.number("retry-min", f.RetryMin)
 	s.RetryWindow = figures.duration("retry-window", f.RetryWindow, minDuration)
 	s.ShareWindow = figures.duration("share-window", f.ShareWindow, minDuration)
+	s.ColdOverage = figures.number("cold-overage", f.ColdOverage)
+	s.ColdSlack = figures.number("cold-slack", f.ColdSlack)
 	s.LapsedGrace = figures.duration("lapsed-grace", f.LapsedGrace, 0)
 	s.LinkMbps = figures.number("link-mbps", f.LinkMbps)
 	s.MemoryMB = figures.whole("memory-mb", f.MemoryMB)
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -300,6 +300,7 @@
 // applyTargetUpdates applies changes of targets to the placement balancer and the connection pool.
 // The caller holds e.mu.
 func (e *Edge) applyTargetUpdates(updates []targetUpdate) {
+	now := time.Now()
 	for _, update := range updates {
 		t := update.target
 		if update.removed {
@@ -312,4 +313,7 @@
 		level.Info(e.logger).Log("event", "target_updated", "target", t.ID, "service", t.Service, "address", t.Address,
 			"draining", t.Draining, "sequence", t.Sequence, "zone", t.Zone, "target_version", t.Version)
 	}
+	for _, t := range e.directory.takeReceived() {
+		e.recordRegistration(now, t)
+	}
 }
