--- a/edge/admin.go
+++ b/edge/admin.go
@@ -29,6 +29,7 @@
 	storeRestores      prometheus.Counter
 	signatures         prometheus.Gauge
 	evacuatedZones     prometheus.Gauge
+	coldTargets        prometheus.Gauge
 	duration           prometheus.Histogram
 }
 
@@ -77,13 +78,16 @@
 		evacuatedZones: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chiveseam_edge_evacuated_zones", Help: "Availability zones that are evacuated.",
 		}),
+		coldTargets: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chiveseam_edge_cold_targets", Help: "Targets that take a limited rate of requests since they are cold.",
+		}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "chiveseam_edge_request_duration_seconds", Help: "Time from a request's first byte to the end of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
 		}),
 	}
 	m.registry.MustRegister(m.attempts, m.results, m.refusals, m.reports, m.aborted, m.refusedConnections, m.callers,
-		m.version, m.lag, m.linkLoad, m.share, m.storeRestores, m.signatures, m.evacuatedZones, m.duration)
+		m.version, m.lag, m.linkLoad, m.share, m.storeRestores, m.signatures, m.evacuatedZones, m.coldTargets, m.duration)
 	return m
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -174,6 +174,7 @@
 		started:     time.Now(),
 		balancer: placement.New(placement.Options{
 			Router: s.Name, Zone: s.Zone, ShareWindow: s.ShareWindow, PeerTimeout: peerTimeout, ZoneRegions: s.ZoneRegions,
+			Started: time.Now(), ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
 		}),
 		directory:     newDirectory(s.LapsedGrace),
 		retryBudgets:  make(map[string]*retry.Window),
@@ -353,6 +354,7 @@
 	if errors.Is(a.err, syscall.ECONNREFUSED) || a.targetGone {
 		// Nothing listens on the port: the target has crashed and lost its KV cache.
 		e.balancer.ClearCache(a.target.ID)
+		e.recordRefused(now, a.target.ID)
 	}
 	if outcome == notSent || a.crashed {
 		e.targetConns.drop(a.target.Address)
--- a/edge/recover.go
+++ b/edge/recover.go
@@ -88,16 +88,18 @@
 }
 
 // ownedEngines returns the engines that rendezvous hashing assigns to this router among the routers
-// it knows, but for those in evacuated zones.
+// it knows, but for those in evacuated zones, and for cold ones, which have started lately and have nothing
+// in their caches.
 func (e *Edge) ownedEngines() []engineAddress {
 	table := e.table.Load()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
 	routers := append(e.balancer.PeerNames(), e.settings.Name)
 	var own []engineAddress
 	for id, t := range e.directory.targets {
 		owner, _ := rendezvous.Owner(id, routers)
-		if owner == e.settings.Name && !e.isEvacuated(t.Zone) && table != nil && table.Services[t.Service].Engine != nil {
+		if owner == e.settings.Name && !e.isEvacuated(t.Zone) && !e.balancer.IsCold(now, id) && table != nil && table.Services[t.Service].Engine != nil {
 			own = append(own, engineAddress{id, t.Address, t.Zone})
 		}
 	}
--- a/placement/evacuated.go
+++ b/placement/evacuated.go
@@ -26,7 +26,7 @@
 		return
 	}
 	delete(b.evacuated.zones, zone)
-	b.evacuated.ended[zone] = now
+	b.MarkZoneCold(now, zone)
 }
 
 // EvacuationEndedAt returns when the latest evacuation of a zone ended; zero if none has since the start of
