placement: the share follows the part of the throughput that is available

Cause: when targets are held back, the capacity that workspaces share fell only as the throughput that the targets have shown was forgotten, with a half-life of 10 s, and rose again only as it was shown.

--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -42,6 +42,8 @@
 	// by the Hash of the target's ID.
 	remote map[uint32]*remoteLoad
 	shares *shares
+	// limits are the reasons for which targets provide less than their throughput.
+	limits []throughputLimit
 	zones  *zones
 	// leaving holds the targets that told a router that they leave.
 	leaving leavingTargets
@@ -58,6 +60,8 @@
 // service holds the state that the targets of one service share.
 type service struct {
 	targets []*target
+	// engines is set if the targets are model engines.
+	engines bool
 	// versions holds the VersionHash of each version that targets of the service have had.
 	versions map[uint32]bool
 	// model predicts the time to the first token from samples of all targets.
@@ -110,6 +114,8 @@
 	// of its service predicts, and faultShare the decayed share of its requests that fail.
 	slowness   float64
 	faultShare float64
+	// speed is the long-term mean of 1/slowness; 0 before there were enough requests.
+	speed float64
 	// lastChoice is the value of Balancer.choices when this target was last chosen.
 	lastChoice uint64
 	// reportDue is set if the target's load changed since the last report. reportAgain is set
@@ -129,7 +135,7 @@
 
 // New returns a Balancer without services and targets.
 func New(o Options) *Balancer {
-	return &Balancer{
+	b := &Balancer{
 		options:  o,
 		targets:  make(map[string]*target),
 		byHash:   make(map[uint32]*target),
@@ -141,6 +147,9 @@
 		leaving:  newLeavingTargets(),
 		fleet:    newFleet(o.Router),
 	}
+	b.limits = b.throughputLimits()
+	b.shares.availableThroughput = b.availableThroughput
+	return b
 }
 
 // SetReportInterval sets the time between two load reports of a router.
@@ -155,6 +164,7 @@
 			continue
 		}
 		known := b.service(name)
+		known.engines = true
 		known.slots = s.Engine.Slots
 		known.kvTokens = s.Engine.KVCacheTokens
 		known.fetchPerToken = milliseconds(s.Engine.FetchTimePerToken)
@@ -280,12 +290,14 @@
 	if now.Sub(t.measuredAt) < measureInterval {
 		return
 	}
+	elapsed := now.Sub(t.measuredAt)
 	t.measuredAt = now
 	t.latencyRatio.age(now)
 	observed := t.latencyRatio.observed + t.remote.observed
 	predicted := t.latencyRatio.predicted + t.remote.predicted
 	t.slowness = min(max((observed+latencyRatioPriorMs)/(predicted+latencyRatioPriorMs), minSlowness), maxSlowness)
 	t.faultShare = t.faults.rate(now)
+	t.learnSpeed(elapsed, predicted)
 }
 
 // Bounds of target.slowness.
--- a/placement/shares.go
+++ b/placement/shares.go
@@ -22,13 +22,19 @@
 	// capacity is the total throughput of the engines in tokens per second; 0 if the
 	// configuration does not state it.
 	capacity float64
+	// availableThroughput returns the part of the engines' throughput that is available now.
+	availableThroughput func(now time.Time) float64
+	// available is that part at computedAt, and availableBy that of each bucket of the window.
+	available   float64
+	availableBy [windowBuckets]float64
 	// byHash holds the sums of each workspace by the Hash of its name.
 	byHash map[uint32]*usage
 	// current is the number of the newest bucket, counted since the Unix epoch.
 	current int64
 
 	// served is the throughput in tokens per second that the targets have shown lately: the highest
-	// one, decayed with servedHalfLife.
+	// one, decayed with servedHalfLife. It is divided by the part of the throughput that was available,
+	// so that it does not change when targets are evacuated or come back.
 	served float64
 	// share is the share of each workspace in tokens per second, and scarce is set if the
 	// workspaces ask for more than the capacity. Both are computed at computedAt.
@@ -64,7 +70,11 @@
 }
 
 func newShares(window time.Duration) *shares {
-	return &shares{window: window, byHash: make(map[uint32]*usage), leastRefusedUse: math.Inf(1)}
+	s := &shares{window: window, byHash: make(map[uint32]*usage), leastRefusedUse: math.Inf(1), available: 1}
+	for i := range s.availableBy {
+		s.availableBy[i] = 1
+	}
+	return s
 }
 
 // advance moves the window to now, clears the buckets that it enters, and returns the index of
@@ -79,6 +89,7 @@
 			u.begun[at] = 0
 			u.ownAskedBy[at] = 0
 		}
+		s.availableBy[at] = s.available
 	}
 	if steps > 0 {
 		s.current = bucket
@@ -175,15 +186,31 @@
 		begun += sumBuckets(&u.begun) / seconds
 	}
 	s.computedAt = now
-	s.served = max(begun, s.served*decay(elapsed, servedHalfLife))
-	capacity := s.capacity
-	if capacity == 0 || s.served < capacity {
+	s.available = s.availableThroughput(now)
+	s.availableBy[s.current%windowBuckets] = s.available
+	s.served = max(begun/s.meanAvailable(), s.served*decay(elapsed, servedHalfLife))
+	s.share, s.scarce = fairshare.MaxMinLevel(s.fullCapacity()*s.available, demands)
+	s.leastRefused, s.leastRefusedUse = s.findLeastRefused()
+}
+
+// fullCapacity returns the throughput in tokens per second that the targets provide if none of them
+// is held back.
+func (s *shares) fullCapacity() float64 {
+	if s.capacity == 0 || s.served < s.capacity {
 		// If requests are refused, the targets can serve no more than what was sent to them,
 		// whatever capacity the configuration states.
-		capacity = s.served
+		return s.served
 	}
-	s.share, s.scarce = fairshare.MaxMinLevel(capacity, demands)
-	s.leastRefused, s.leastRefusedUse = s.findLeastRefused()
+	return s.capacity
+}
+
+// minMeanAvailable bounds the divisor of served: what is sent to the last few targets says little
+// about the throughput of all.
+const minMeanAvailable = 0.1
+
+// meanAvailable returns the mean part of the throughput that was available in the window.
+func (s *shares) meanAvailable() float64 {
+	return max(sumBuckets(&s.availableBy)/windowBuckets, minMeanAvailable)
 }
 
 const (
