--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -49,6 +49,8 @@
 	// by the Hash of the target's ID.
 	remote map[uint32]*remoteLoad
 	shares *shares
+	// limits are the reasons for which targets provide less than their throughput.
+	limits []throughputLimit
 	zones  *zones
 	// leaving holds the targets that told a router that they leave.
 	leaving leavingTargets
@@ -67,6 +69,8 @@
 // service holds the state that the targets of one service share.
 type service struct {
 	targets []*target
+	// engines is set if the targets are model engines.
+	engines bool
 	// versions holds the VersionHash of each version that targets of the service have had.
 	versions map[uint32]bool
 	// model predicts the time to the first token from samples of all targets.
@@ -121,6 +125,8 @@
 	// of its service predicts, and faultShare the decayed share of its requests that fail.
 	slowness   float64
 	faultShare float64
+	// speed is the long-term mean of 1/slowness; 0 before there were enough requests.
+	speed float64
 	// lastChoice is the value of Balancer.choices when this target was last chosen.
 	lastChoice uint64
 	// reportDue is set if the target's load changed since the last report. reportAgain is set
@@ -140,7 +146,7 @@
 
 // New returns a Balancer without services and targets.
 func New(o Options) *Balancer {
-	return &Balancer{
+	b := &Balancer{
 		options:   o,
 		targets:   make(map[string]*target),
 		byHash:    make(map[uint32]*target),
@@ -153,6 +159,9 @@
 		fleet:     newFleet(o.Router),
 		evacuated: newEvacuatedZones(),
 	}
+	b.limits = b.throughputLimits()
+	b.shares.availableThroughput = b.availableThroughput
+	return b
 }
 
 // SetReportInterval sets the time between two load reports of a router.
@@ -168,6 +177,7 @@
 			continue
 		}
 		known := b.service(name)
+		known.engines = true
 		known.slots = s.Engine.Slots
 		known.kvTokens = s.Engine.KVCacheTokens
 		known.fetchPerToken = milliseconds(s.Engine.FetchTimePerToken)
@@ -306,6 +316,7 @@
 	if now.Sub(t.measuredAt) < measureInterval {
 		return
 	}
+	elapsed := now.Sub(t.measuredAt)
 	t.measuredAt = now
 	t.latencyRatio.age(now)
 	observed := t.latencyRatio.observed + t.remote.observed
@@ -316,6 +327,7 @@
 	}
 	t.slowness = min(max((observed+prior)/(predicted+prior), minSlowness), maxSlowness)
 	t.faultShare = t.faults.rate(now)
+	t.learnSpeed(elapsed, predicted)
 }
 
 // Bounds of target.slowness.
