placement: predictions follow the paces that targets state

The ratio of observed to predicted times follows with a half-life of 3 s. Between two reports, all routers see the same target as the least loaded one of a plain service and send it their requests.

Change: where a target of the service states a pace, the predicted time is multiplied by the believed pace over the work, and samples of the model and of the latency ratio are divided by it, so that slowness counts once. For a plain service the number of requests that a target states in an answer younger than half a report interval replaces the sum of the reports, and the cost is multiplied by a random factor, so that a target is chosen with a probability proportional to cost^-2. Without a pace, all factors are 1.

--- a/placement/assess.go
+++ b/placement/assess.go
@@ -41,6 +41,8 @@
 	// running is the number of requests of all routers at the target.
 	running  int
 	slowness float64
+	// pace is the factor by which the machine of the target is believed to lengthen the work.
+	pace float64
 	// wait is the predicted time in ms until the target begins to process the prompt.
 	wait float64
 	// predicted is the predicted time to the first token in ms, including wait.
@@ -116,7 +118,7 @@
 // assess predicts the times of a request at a target and computes its cost.
 func (b *Balancer) assess(now time.Time, s *service, t *target, d *Demand, p *promptInfo) candidate {
 	t.measure(now)
-	c := candidate{target: t, slowness: t.slowness}
+	c := candidate{target: t, slowness: t.slowness, pace: 1}
 	c.running, c.backlog = t.load()
 	penalty := faultCostWeight * t.faultShare * milliseconds(d.LatencyObjective)
 	if b.zones.silent(now, t.Zone) {
@@ -124,17 +126,23 @@
 	}
 	if d.plain() {
 		c.slowness = math.Round(t.slowness*plainSlownessSteps) / plainSlownessSteps
-		c.predicted = c.slowness * p.base * (1 + float64(c.running)/float64(t.slotsIn(s)))
-		c.cost = c.predicted + penalty
+		c.pace = t.pace(now, p.base)
+		if s.paced(now) {
+			c.running = b.occupancy(now, t)
+		}
+		c.predicted = c.slowness * c.pace * p.base * (1 + float64(c.running)/float64(t.slotsIn(s)))
+		c.cost = c.predicted*b.spreadFactor(now, t) + penalty
 		return c
 	}
 	c.cached = p.cachedAt(t)
 	fetchTime := c.planFetch(s, p)
 	c.unread = p.tokens - c.cached - c.fetched
-	c.wait = c.slowness*p.slope*float64(c.backlog) + slotWait(s, t, c.running)
-	c.predicted = c.wait + c.slowness*(p.base+p.slope*float64(c.unread)) + fetchTime
+	c.pace = t.pace(now, c.slowness*(p.base+p.slope*float64(c.backlog+c.unread)))
+	slowness := c.slowness * c.pace
+	c.wait = slowness*p.slope*float64(c.backlog) + slotWait(s, t, c.running)
+	c.predicted = c.wait + slowness*(p.base+p.slope*float64(c.unread)) + fetchTime
 	sharedUnread := float64(max(c.unread-p.ownTokens, 0))
-	c.cost = c.predicted + b.spreadPenalty(t, p) + sharedPrefillWeight*c.slowness*p.slope*sharedUnread + (fetchCostWeight-1)*fetchTime + penalty
+	c.cost = c.predicted + b.spreadPenalty(t, p) + sharedPrefillWeight*slowness*p.slope*sharedUnread + (fetchCostWeight-1)*fetchTime + penalty
 	return c
 }
 
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -12,6 +12,7 @@
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/rendezvous"
 	"github.com/chiveseam/chiveseam/routing"
+	"github.com/chiveseam/chiveseam/targetload"
 )
 
 // Options are the settings of a Balancer.
@@ -53,6 +54,8 @@
 	// changes counts the requests that were sent to targets and the targets that were removed: earlier
 	// searches no longer hold then.
 	changes uint64
+	// routerHash is the Hash of this router's name.
+	routerHash uint32
 }
 
 // service holds the state that the targets of one service share.
@@ -71,6 +74,9 @@
 	fetchPerToken float64
 	// holders maps each prompt part to the targets that have it in their KV cache.
 	holders holders
+	// pacedUntil is the time until which the paces that targets of the service state count; zero if
+	// none has stated any.
+	pacedUntil time.Time
 }
 
 // target is a registered target with its load, cached parts and health as this router sees them.
@@ -94,6 +100,10 @@
 	// pausedUntil is the time until which the target wants no requests from this router.
 	pausedUntil time.Time
 	rateLimit   rateLimit
+	// statedLoad is what the target states of its load.
+	statedLoad targetload.Load
+	// runningAtAnswer is the value of running at the last answer that stated the load.
+	runningAtAnswer int
 	// slotTime is the moving mean of the time in ms that a request holds a slot; 0 before
 	// the first request has succeeded.
 	slotTime float64
@@ -140,6 +150,8 @@
 		zones:    newZones(o.Zone),
 		leaving:  newLeavingTargets(),
 		fleet:    newFleet(o.Router),
+
+		routerHash: Hash(o.Router),
 	}
 }
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -18,6 +18,9 @@
 		Target:     best.target.ID, Unread: best.unread, Backlog: best.backlog, Running: best.running,
 		Slowness: best.slowness, Predicted: duration(best.predicted), ViewAge: b.ViewAge(now),
 	}
+	if best.target.service.paced(now) {
+		choice.Pace = best.pace
+	}
 	if best.donor != nil {
 		choice.Donor, choice.Fetched = best.donor.ID, best.fetched
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -143,6 +143,9 @@
 	// Slowness is the ratio of the target's times to the first token to those that are usual
 	// for its service.
 	Slowness float64
+	// Pace is the factor by which the target's machine is believed to lengthen the work; 0 if the
+	// targets of the service state no pace.
+	Pace float64
 	// Predicted is the predicted time to the first token.
 	Predicted time.Duration
 	// ViewAge is the time since the oldest of the other routers' latest reports.
--- a/placement/report.go
+++ b/placement/report.go
@@ -80,6 +80,7 @@
 	b.reportParts(r)
 	b.reportLeaving(r)
 	b.reportRateLimits(now, r)
+	b.reportPaces(now, r)
 	r.Demand = float32(b.fleet.reportDemand(now))
 }
 
@@ -166,6 +167,7 @@
 	p.sequence = r.Sequence
 	p.received = now
 	b.mergeLoads(p, r.Loads)
+	b.mergePaces(now, r.States)
 	b.mergeUsages(now, p, r.Uses, known)
 }
 
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -126,6 +126,8 @@
 		return
 	}
 	observed := milliseconds(now.Sub(k.sentAt))
+	// The predictions multiply by the pace, so that it must not count as slowness as well.
+	observed /= t.pace(now, observed)
 	if t.service.model.ready() {
 		t.latencyRatio.observe(now, observed, k.baseline)
 	}
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/chiveseam/chiveseam/placement"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/routing"
@@ -28,6 +30,13 @@
 	// reports of a router.
 	reportLoss  float64
 	reportEvery time.Duration
+	// staggered routers report one after the other within reportEvery.
+	staggered bool
+	// reports counts the reports, and paceBytes the bytes of the paces in them.
+	reports, paceBytes int
+	// objective is the time to the first token above which an answer is late, and answerTime the time
+	// for which a request holds a slot of an engine after that.
+	objective, answerTime time.Duration
 	// isolated routers neither send nor receive reports.
 	isolated map[int]bool
 
@@ -46,6 +55,8 @@
 // refused ones that failed with ErrOverShare.
 type workspaceCounts struct {
 	asked, inTime, late, refused, overShare int
+	// latency is the sum of the times to the first token.
+	latency time.Duration
 }
 
 type engine struct {
@@ -60,6 +71,10 @@
 	// answered is called for each answer, with the balancer that it goes to.
 	limit    func() float64
 	answered func(b *placement.Balancer)
+	// paces draws the pace of the machine; it may be nil. work is the time in ms that a request takes at
+	// a target of a plain service; 0 for model engines. See pace_test.go.
+	paces *paces
+	work  float64
 }
 
 // job is a request at an engine. ends is the end of its answer, known from the first token on.
@@ -91,7 +106,7 @@
 	w := &world{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), isolated: map[int]bool{},
 		workspaces: map[string]*workspaceCounts{}, readParts: map[uint64]bool{}, sequences: make([]uint64, routers), incarnations: slices.Repeat([]uint64{1}, routers),
-		reportEvery: reportInterval,
+		reportEvery: reportInterval, objective: wanted, answerTime: answerDuration,
 	}
 	for i, speed := range speeds {
 		w.engines = append(w.engines, &engine{id: fmt.Sprintf("e%d", i), speed: speed, slots: slots, cached: map[uint64]bool{}})
@@ -123,17 +138,26 @@
 		w.now = w.now.Add(tick)
 		each()
 		for _, e := range w.engines {
+			if e.work > 0 {
+				w.stepPlain(e)
+				continue
+			}
 			w.stepEngine(e)
 		}
-		if w.now.UnixNano()%int64(w.reportEvery) == 0 {
+		if !w.staggered && w.now.UnixNano()%int64(w.reportEvery) == 0 {
 			w.exchangeReports()
 		}
+		for i := range w.routers {
+			if w.staggered && (i+int(w.now.UnixNano()/int64(tick)))%int(w.reportEvery/tick) == 0 {
+				w.sendReport(i)
+			}
+		}
 	}
 }
 
 // stepEngine processes prompts for one tick and ends the answers that are complete.
 func (w *world) stepEngine(e *engine) {
-	budget := e.speed * float64(tick/time.Millisecond)
+	budget := e.speed * float64(tick/time.Millisecond) / e.paces.at(w.now)
 	for len(e.queue) > 0 && len(e.running) < e.slots && budget > 0 {
 		j := e.queue[0]
 		done := min(budget, j.unread)
@@ -159,14 +183,16 @@
 
 // firstToken records that an engine has processed a prompt and sends the first token.
 func (w *world) firstToken(e *engine, j *job) {
+	e.paces.state(w.now, e, j.balancer)
 	j.balancer.FirstToken(w.now, j.ticket)
 	if e.limit != nil {
 		j.balancer.SetRateLimit(w.now, e.id, e.limit())
 		e.answered(j.balancer)
 	}
-	j.ends = w.now.Add(answerDuration)
+	j.ends = w.now.Add(w.answerTime)
 	t := w.workspaces[j.workspace]
-	if w.now.Sub(j.arrived) <= wanted {
+	t.latency += w.now.Sub(j.arrived)
+	if w.now.Sub(j.arrived) <= w.objective {
 		t.inTime++
 		return
 	}
@@ -185,22 +211,29 @@
 
 // exchangeReports sends one report of each router to all others.
 func (w *world) exchangeReports() {
-	for i, from := range w.routers {
-		w.sequences[i]++
-		r := &v1.LoadReport{Router: fmt.Sprintf("r%d", i), Incarnation: w.incarnations[i], Sequence: w.sequences[i]}
-		from.FillReport(w.now, r)
-		for k, to := range w.routers {
-			if k == i || w.isolated[i] || w.isolated[k] || w.random.Float64() < w.reportLoss {
-				continue
-			}
-			to.MergeReport(w.now, r)
-		}
+	for i := range w.routers {
+		w.sendReport(i)
 	}
 	for _, b := range w.routers {
 		b.RemoveSilentRouters(w.now)
 	}
 }
 
+// sendReport sends one report of a router to all others.
+func (w *world) sendReport(i int) {
+	w.sequences[i]++
+	r := &v1.LoadReport{Router: fmt.Sprintf("r%d", i), Incarnation: w.incarnations[i], Sequence: w.sequences[i]}
+	w.routers[i].FillReport(w.now, r)
+	w.reports++
+	w.paceBytes += proto.Size(&v1.LoadReport{States: r.States})
+	for k, to := range w.routers {
+		if k == i || w.isolated[i] || w.isolated[k] || w.random.Float64() < w.reportLoss {
+			continue
+		}
+		to.MergeReport(w.now, r)
+	}
+}
+
 // sendRequest lets a router place a request of a workspace. sharedID is the ID of the prompt
 // part that many requests have in common; the second part is unique to the request.
 func (w *world) sendRequest(router int, workspace string, sharedID uint64, sharedTokens, ownTokens int) (placement.Choice, error) {
@@ -236,6 +269,9 @@
 func (w *world) startRequest(b *placement.Balancer, workspace string, d *placement.Demand, c placement.Choice) {
 	e := w.engine(c.Target)
 	unread := d.PromptTokens()
+	if e.work > 0 {
+		unread = int(e.work)
+	}
 	donor := w.engine(c.Donor)
 	for _, p := range d.Parts {
 		if !e.cached[p.ID] && (donor == nil || !donor.cached[p.ID]) {
