edge: read the loads that targets state in their answers

Cause: the header X-Chiveseam-Instance-Load was not read, so that no target ever stated a pace to the balancer.

Change: signed answers of the target to the request itself, not with status 421, set the load. Figures that cannot be read or be true are ignored, counted and logged (at most 100 lines a second). target_chosen has the believed pace where targets state one; a histogram has the stated ones.

--- a/edge/admin.go
+++ b/edge/admin.go
@@ -29,6 +29,8 @@
 	storeRestores      prometheus.Counter
 	signatures         prometheus.Gauge
 	duration           prometheus.Histogram
+	pace               prometheus.Histogram
+	unreadableLoads    prometheus.Counter
 }
 
 func newMetrics() *routerMetrics {
@@ -77,9 +79,16 @@
 			Name: "chiveseam_edge_request_duration_seconds", Help: "Time from a request's first byte to the end of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
 		}),
+		pace: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "chiveseam_edge_target_pace", Help: "Time that work takes on the machines of targets by their answers, in multiples of the usual time.",
+			Buckets: []float64{0.5, 0.9, 1.1, 1.5, 2, 3, 5, 10},
+		}),
+		unreadableLoads: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chiveseam_edge_unreadable_loads_total", Help: "Answers that state a load of their target that cannot be read or be true.",
+		}),
 	}
 	m.registry.MustRegister(m.attempts, m.results, m.refusals, m.reports, m.aborted, m.refusedConnections, m.callers,
-		m.version, m.lag, m.linkLoad, m.share, m.storeRestores, m.signatures, m.duration)
+		m.version, m.lag, m.linkLoad, m.share, m.storeRestores, m.signatures, m.duration, m.pace, m.unreadableLoads)
 	return m
 }
 
--- a/edge/call.go
+++ b/edge/call.go
@@ -281,6 +281,9 @@
 	if after := c.resumeAfter(); after != "" {
 		logger = log.With(logger, "last_event_id", after, "resumes", c.req.Header.Get(e.headers.Resumes))
 	}
+	if choice.Pace > 0 {
+		logger = log.With(logger, "pace", math.Round(choice.Pace*100)/100)
+	}
 	level.Info(logger).Log("event", "target_chosen", "route", c.route.Name, "version", c.table.Version,
 		"workspace", c.workspace, "cost", c.demand.Cost(), "target", choice.Target, "target_version", a.target.Version, "try", tries, "unread", choice.Unread, "fetched", choice.Fetched,
 		"backlog", choice.Backlog, "running", choice.Running, "slowness", math.Round(choice.Slowness*100)/100,
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -106,8 +106,9 @@
 	// linkBusy is set while the network link is nearly full; see updateLinkBusy.
 	linkBusy atomic.Bool
 	outage   outage
-	// refusalLog and connectionLog limit the log lines of refused requests and connections.
-	refusalLog, connectionLog *logLimiter
+	// refusalLog and connectionLog limit the log lines of refused requests and connections, loadLog
+	// those of loads of targets that cannot be read.
+	refusalLog, connectionLog, loadLog *logLimiter
 
 	// mu guards the fields up to lastStoreRead.
 	mu sync.Mutex
@@ -182,6 +183,7 @@
 	}
 	e.refusalLog = &logLimiter{logger: e.logger, event: "refusals_not_logged"}
 	e.connectionLog = &logLimiter{logger: e.logger, event: "refused_connections_not_logged"}
+	e.loadLog = &logLimiter{logger: e.logger, event: "unreadable_loads_not_logged"}
 	e.maxCallerConns = min(
 		int(callerFileShare*float64(max(s.MaxOpenFiles-reservedFiles, reservedFiles))),
 		int(callerMemoryShare*float64(s.MemoryMB<<20)/callerMemoryBytes))
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -27,7 +27,7 @@
 	return Headers{
 		RequestID: "T-Id", Deadline: "T-Deadline", PromptParts: "T-Parts", TokenUsage: "T-Usage", Model: "T-Model",
 		LengthHint: "T-Hint", LastEventID: "T-Last", Resumes: "T-Resumes", Signature: "T-Signed", Workspace: "T-Workspace", TargetID: "T-Target",
-		FetchFrom: "T-Fetch", NotRun: "T-Not-Run", Leaving: "T-Leaving", RateLimit: "T-Limit", APIKey: "T-Key", Reserved: []string{"T-Hold"},
+		FetchFrom: "T-Fetch", NotRun: "T-Not-Run", Leaving: "T-Leaving", RateLimit: "T-Limit", Load: "T-Load", APIKey: "T-Key", Reserved: []string{"T-Hold"},
 	}
 }
 
--- a/edge/headers.go
+++ b/edge/headers.go
@@ -49,6 +49,10 @@
 	// RateLimit is present in answers of targets in need: the number of requests per second that they
 	// take from all routers together.
 	RateLimit string
+	// Load is present in answers of targets: the numbers of requests running and waiting, of slots,
+	// and on some deployments the time that work takes on the target's machine, where 100 is usual,
+	// separated by commas.
+	Load string
 	// APIKey is the API key of the caller.
 	APIKey string
 	// Reserved lists fields that are removed from callers' requests.
--- a/edge/heed.go
+++ b/edge/heed.go
@@ -13,6 +13,7 @@
 
 	"github.com/chiveseam/chiveseam/h1"
 	"github.com/chiveseam/chiveseam/placement"
+	"github.com/chiveseam/chiveseam/targetload"
 )
 
 // heed applies what an answer says of its target beside the request: that it leaves, wants no requests
@@ -30,6 +31,7 @@
 		}
 	}
 	a.heedRateLimit(resp)
+	a.heedLoad(resp)
 	if resp.Status != http.StatusServiceUnavailable {
 		return
 	}
@@ -59,6 +61,30 @@
 	e.setRateLimit(a.call.log, a.target.ID, limit)
 }
 
+// heedLoad records the load that the target states. Only its own signed answers to this request count.
+func (a *attempt) heedLoad(resp *h1.Response) {
+	e := a.call.edge
+	id, _ := resp.Header.Lookup(e.headers.RequestID)
+	if _, signed := resp.Header.Lookup(e.headers.Signature); id != a.call.id || !signed {
+		return
+	}
+	figures, ok, err := targetload.Parse(resp.Header.Values(e.headers.Load))
+	if err != nil {
+		e.metrics.unreadableLoads.Inc()
+		if e.loadLog.allow(time.Now()) {
+			level.Warn(a.call.log).Log("event", "target_load_unreadable", "target", a.target.ID, "error", err)
+		}
+		return
+	}
+	if !ok || figures.Pace == 0 {
+		return
+	}
+	e.metrics.pace.Observe(figures.Pace)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.balancer.SetLoad(time.Now(), a.target.ID, a.target.StartedUnixMs, figures)
+}
+
 // setRateLimit records the rate limit of a target, and logs it if it has changed.
 func (e *Edge) setRateLimit(logger log.Logger, id string, perSecond float64) {
 	e.mu.Lock()
--- a/edge/heed_test.go
+++ b/edge/heed_test.go
@@ -191,3 +191,31 @@
 	})
 	f.is.True(!f.logs.contains(`"event":"target_limited"`, `"per_second":null`))
 }
+
+// Guards against predictions by the figures of others: only the signed answer of the target itself to
+// this request, with four figures that can be true, says at which pace the target works.
+func TestOnlyTheTargetsOwnAnswerStatesItsPace(t *testing.T) {
+	const signed = "T-Signed: yes\r\nT-Load: %LOAD\r\nContent-Length: 1\r\n\r\nx"
+	for name, c := range map[string]struct {
+		answer, load string
+		counts       bool
+	}{
+		"answer":        {"HTTP/1.1 200 X\r\nT-Id: %ID\r\n" + signed, "1,0,4,250", true},
+		"three figures": {"HTTP/1.1 200 X\r\nT-Id: %ID\r\n" + signed, "1,0,4", false},
+		"absurd":        {"HTTP/1.1 200 X\r\nT-Id: %ID\r\n" + signed, "1,0,0,250", false},
+		"other request": {"HTTP/1.1 200 X\r\nT-Id: other\r\n" + signed, "1,0,4,250", false},
+		"misdirected":   {"HTTP/1.1 421 X\r\nT-Id: %ID\r\n" + signed, "1,0,4,250", false},
+		"unsigned":      {"HTTP/1.1 502 X\r\nT-Id: %ID\r\nT-Load: %LOAD\r\nContent-Length: 0\r\n\r\n", "1,0,4,250", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, newTestTarget(t, "t1", func(s *receivedRequest) {
+				s.write(strings.ReplaceAll(c.answer, "%LOAD", c.load))
+			}))
+			f.client().call("POST", "/idempotent/")
+			f.client().call("POST", "/idempotent/")
+			f.await(func() bool { return f.logs.contains(`"event":"target_chosen"`) })
+			f.is.Equal(f.logs.contains(`"event":"target_chosen"`, `"pace":`), c.counts)
+			f.is.Equal(f.logs.contains(`"event":"target_load_unreadable"`, `"target":"t1"`), name == "absurd")
+		})
+	}
+}
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -159,7 +159,7 @@
 	return draw < refusedShare(lag)
 }
 
-// maxRefusalLinesPerSecond limits the log lines for refused requests, and those for refused connections.
+// maxRefusalLinesPerSecond limits the log lines of each logLimiter, such as those for refused requests.
 // The number of lines left out is logged.
 const maxRefusalLinesPerSecond = 100
 
