--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -12,6 +12,7 @@
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/rendezvous"
 	"github.com/chiveseam/chiveseam/routing"
+	"github.com/chiveseam/chiveseam/targetload"
 )
 
 // Options are the settings of a Balancer.
@@ -64,6 +65,8 @@
 	// changes counts the requests that were sent to targets, the targets that were removed and the zones
 	// that were evacuated or taken back: earlier searches no longer hold then.
 	changes uint64
+	// routerHash is the Hash of this router's name.
+	routerHash uint32
 }
 
 // service holds the state that the targets of one service share.
@@ -85,6 +88,9 @@
 	// holders maps each prompt part to the targets that have it in their KV cache.
 	holders holders
 	cold    coldService
+	// pacedUntil is the time until which the paces that targets of the service state count; zero if
+	// none has stated any.
+	pacedUntil time.Time
 }
 
 // target is a registered target with its load, cached parts and health as this router sees them.
@@ -109,6 +115,10 @@
 	pausedUntil time.Time
 	rateLimit   rateLimit
 	cold        coldTarget
+	// statedLoad is what the target states of its load.
+	statedLoad targetload.Load
+	// runningAtAnswer is the value of running at the last answer that stated the load.
+	runningAtAnswer int
 	// slotTime is the moving mean of the time in ms that a request holds a slot; 0 before
 	// the first request has succeeded.
 	slotTime float64
@@ -147,17 +157,18 @@
 // New returns a Balancer without services and targets.
 func New(o Options) *Balancer {
 	b := &Balancer{
-		options:   o,
-		targets:   make(map[string]*target),
-		byHash:    make(map[uint32]*target),
-		services:  make(map[string]*service),
-		peers:     make(map[string]*peerState),
-		remote:    make(map[uint32]*remoteLoad),
-		shares:    newShares(o.ShareWindow),
-		zones:     newZones(o.Zone),
-		leaving:   newLeavingTargets(),
-		fleet:     newFleet(o.Router),
-		evacuated: newEvacuatedZones(),
+		options:    o,
+		targets:    make(map[string]*target),
+		byHash:     make(map[uint32]*target),
+		services:   make(map[string]*service),
+		peers:      make(map[string]*peerState),
+		remote:     make(map[uint32]*remoteLoad),
+		shares:     newShares(o.ShareWindow),
+		zones:      newZones(o.Zone),
+		leaving:    newLeavingTargets(),
+		fleet:      newFleet(o.Router),
+		evacuated:  newEvacuatedZones(),
+		routerHash: Hash(o.Router),
 	}
 	b.limits = b.throughputLimits()
 	b.shares.availableThroughput = b.availableThroughput
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -128,6 +128,8 @@
 		return
 	}
 	observed := milliseconds(now.Sub(k.sentAt))
+	// The predictions multiply by the pace, so that it must not count as slowness as well.
+	observed /= t.pace(now, observed)
 	if k.choice.Cold {
 		t.service.cold.observe(observed, k.baseline)
 		return
