edge: record a restore of the store before any answer of the new epoch is applied

Cause: one call noted the new epoch and, before it told the directory of the restore, another call of that epoch applied its registrations: targets that had registered since the copy was made were dropped at once, and targets that had left came back.

Change: observeEpoch does both under the router's lock.

Result: TestFleetSurvivesARestore failed in 2 of 15 runs on with "stays true, leaves true, comes false"; not in 50 runs after the change.

--- a/edge/revision.go
+++ b/edge/revision.go
@@ -86,6 +86,9 @@
 // an earlier epoch, which came late. At the first answer of a new epoch, the watches of the old one
 // end and read everything again; registrations may be older or missing for a while.
 func (e *Edge) observeEpoch(epoch uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	// Another call of the new epoch must not apply its answer before the directory knows of the restore.
 	stale, restored := e.storeEpoch.observe(epoch)
 	if stale {
 		return ErrHistoryLost
@@ -93,9 +96,7 @@
 	if restored {
 		e.metrics.storeRestores.Inc()
 		level.Warn(e.logger).Log("event", "store_restored", "epoch", epoch)
-		e.mu.Lock()
 		e.directory.storeRestored(time.Now())
-		e.mu.Unlock()
 	}
 	return nil
 }
