--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -131,7 +131,8 @@
 		out = z.apply(now, c, out)
 	}
 	for zone, known := range z.entries {
-		if !listed[zone] && !known.Ended && z.endsMissing(known, began, at) {
+		awaited := known.Revision.Epoch < at.Epoch && began.Before(z.epochSince.Add(RestoreGrace))
+		if !listed[zone] && !known.Ended && !awaited {
 			out = z.apply(now, Change{Zone: zone, Ended: true, Revision: at}, out)
 		}
 	}
@@ -155,14 +156,6 @@
 	return a
 }
 
-// endsMissing reports whether a complete read that does not list a zone ends its evacuation.
-func (z *Zones) endsMissing(known *entry, began time.Time, at Revision) bool {
-	if known.Revision.Epoch < at.Epoch {
-		return !began.Before(z.epochSince.Add(RestoreGrace))
-	}
-	return known.Revision.Compare(at) <= 0
-}
-
 // mayBeNew reports whether a change may say more than the latest complete read, which shows what has become
 // of all changes before it. An evacuation of an earlier epoch counts if it is in force here, and otherwise
 // within RestoreGrace only: after that, it may be a late statement on one that has ended since.
