coldstart: permits count from when a target turned cold

Cause: a router made its permits with its first request for a cold target, so that those of the time before were lost; and a router that starts could use permits that others had collected before they knew it. A target in use that turned cold got nothing for a second, a third of the cold time, which kept no bound that holds without it.

Change: permits count from when the router learned that the target is cold, or 700 ms after its start. There is no pause.

--- a/coldstart/coldstart.go
+++ b/coldstart/coldstart.go
@@ -26,9 +26,6 @@
 	// MaxRemaining is the longest time for which a target can say that it is cold: a longer one is
 	// taken for a mistake.
 	MaxRemaining = 10 * time.Minute
-	// holdTime is the time for which a target in use that turns cold gets no requests, so that no second
-	// has both requests that were sent before and permits.
-	holdTime = time.Second
 )
 
 // Limits are what the cold targets of a service take. The zero value means that they are never cold.
@@ -57,8 +54,8 @@
 	// refused is set from a refused connection until the target is reached again; its cold time
 	// begins then.
 	refused bool
-	// heldUntil is the time until which the target gets no requests.
-	heldUntil time.Time
+	// coldSince is when the target turned cold, as this router learned it.
+	coldSince time.Time
 	// permits are nil before the first use within a cold time. limits are those for which they were made.
 	permits *ratelimit.Limiter
 	limits  Limits
@@ -78,15 +75,15 @@
 	return t.until.Sub(t.observedAt), t.observedAt
 }
 
-// Registered applies a registration of the target that was received now. inUse says whether the target
-// runs requests. It returns whether the target has turned cold.
-func (t *Target) Registered(now time.Time, remaining time.Duration, inUse bool) bool {
-	return t.observe(now, now, remaining, inUse)
+// Registered applies a registration of the target that was received now. It returns whether the target
+// has turned cold.
+func (t *Target) Registered(now time.Time, remaining time.Duration) bool {
+	return t.observe(now, now, remaining)
 }
 
 // Reported applies a statement of another router, as of the time observedAt, in the same way.
-func (t *Target) Reported(now, observedAt time.Time, remaining time.Duration, inUse bool) bool {
-	turned := t.observe(now, observedAt, remaining, inUse)
+func (t *Target) Reported(now, observedAt time.Time, remaining time.Duration) bool {
+	turned := t.observe(now, observedAt, remaining)
 	// The other router may have learned it from an event.
 	if observedAt.After(t.eventAt) {
 		t.eventAt = observedAt
@@ -95,7 +92,7 @@
 }
 
 // observe applies a statement as of the time at.
-func (t *Target) observe(now, at time.Time, remaining time.Duration, inUse bool) bool {
+func (t *Target) observe(now, at time.Time, remaining time.Duration) bool {
 	until := at.Add(min(max(remaining, 0), MaxRemaining))
 	cold := t.Cold(now)
 	switch {
@@ -112,21 +109,21 @@
 	if cold || !t.Cold(now) {
 		return false
 	}
-	if inUse {
-		t.heldUntil = now.Add(holdTime)
-	}
-	t.permits = nil
+	t.turnCold(now)
 	return true
 }
 
-// Mark records an event after which the target is cold for a time.
-func (t *Target) Mark(now time.Time, d time.Duration) {
+// turnCold records that a warm target has turned cold: permits issued before cannot be used.
+func (t *Target) turnCold(now time.Time) { t.coldSince, t.permits = now, nil }
+
+// Mark records an event at the time at, after which the target is cold for the duration d.
+func (t *Target) Mark(now, at time.Time, d time.Duration) {
 	if !t.Cold(now) {
-		t.permits = nil
+		t.turnCold(now)
 	}
-	t.eventAt = now
-	if until := now.Add(d); until.After(t.until) {
-		t.until, t.observedAt = until, now
+	t.eventAt = at
+	if until := at.Add(d); until.After(t.until) {
+		t.until, t.observedAt = until, at
 	}
 }
 
@@ -134,7 +131,7 @@
 // that is news.
 func (t *Target) Refused(now time.Time) bool {
 	if !t.Cold(now) {
-		t.permits = nil
+		t.turnCold(now)
 	}
 	news := !t.refused
 	t.refused, t.eventAt = true, now
@@ -148,25 +145,28 @@
 		return false
 	}
 	t.refused = false
-	t.Mark(now, l.Start)
+	t.Mark(now, now, l.Start)
 	return true
 }
 
 // Wait returns the time until this router may send a request to the cold target; 0 if it may now. owner
-// says which permits the router owns.
-func (t *Target) Wait(now time.Time, owner ratelimit.Owner, l Limits) time.Duration {
+// says which permits the router owns; those issued before since cannot be used.
+func (t *Target) Wait(now time.Time, owner ratelimit.Owner, since time.Time, l Limits) time.Duration {
 	remaining := t.until.Sub(now)
 	if t.refused {
 		remaining = max(l.Start, time.Second)
 	}
-	if now.Before(t.heldUntil) {
-		return min(t.heldUntil.Sub(now), remaining)
-	}
 	if l.Most < 1 {
 		return remaining
 	}
-	if t.permits == nil || t.limits != l {
-		t.permits, t.limits = ratelimit.NewBounded(now, t.Hash, l.PerSecond, l.Most), l
+	if t.permits != nil && t.limits != l {
+		t.coldSince, t.permits = now, nil
+	}
+	if t.permits == nil {
+		if since.After(t.coldSince) {
+			t.coldSince = since
+		}
+		t.permits, t.limits = ratelimit.NewBounded(t.coldSince, t.Hash, l.PerSecond, l.Most), l
 	}
 	return min(t.permits.Wait(now, owner), remaining)
 }
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -226,9 +226,6 @@
 		preference:  float64(uint32(rendezvous.Score(b.options.Router, t.ID))) / math.MaxUint32,
 	}
 	added.cold.Hash = added.idHash
-	if at, ok := b.coldZones[t.Zone]; ok {
-		added.cold.Mark(at, s.cold.limits.MarkTime())
-	}
 	_, added.leaving = b.leaving.heard[added.incarnation()]
 	added.cache = newPartCache(added, s.holders, cacheCapacity(s))
 	if ok && s.cold.limits.Enabled() {
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -13,7 +13,8 @@
 	// target of the service can get the request: it may not know all routers yet.
 	newRouterTime = 2 * time.Second
 	// discoveryPause is the time without a new router after which a router that has just started takes
-	// its view of the fleet for complete. It is several report intervals, as reports are lost.
+	// its view of the fleet for complete, and for known to the others. It is several report intervals, as
+	// reports are lost. The router uses no permits that were issued before.
 	discoveryPause = 700 * time.Millisecond
 	// coldReports is the number of reports that state a target that has turned cold, in case some of
 	// them are dropped.
@@ -28,8 +29,7 @@
 // coldTarget is what a router knows of whether a target is cold, and what it still has to report.
 type coldTarget struct {
 	coldstart.Target
-	// registered is set after the first registration of this start: before, all load in the view is
-	// that of an earlier one.
+	// registered is set after the first registration of this start.
 	registered bool
 	reportsDue int
 	reportedAt time.Time
@@ -99,13 +99,7 @@
 			return discoveryPause - settled
 		}
 	}
-	return t.cold.Wait(now, b.fleet.candidates(), t.service.cold.limits)
-}
-
-// inUse reports whether the target runs requests of any router.
-func (t *target) inUse() bool {
-	running, _ := t.load()
-	return running > 0
+	return t.cold.Wait(now, b.fleet.candidates(), b.options.Started.Add(discoveryPause), t.service.cold.limits)
 }
 
 // coldSlowness returns the factor by which times at the target are longer since it is cold.
@@ -124,9 +118,11 @@
 	if !ok {
 		return false
 	}
-	inUse := t.cold.registered && t.inUse()
+	if at, marked := b.coldZones[t.Zone]; marked && !t.cold.registered {
+		t.cold.Mark(now, at, t.service.cold.limits.MarkTime())
+	}
 	t.cold.registered = true
-	if !t.cold.Registered(now, remaining, inUse) || !b.isCold(now, t) {
+	if !t.cold.Registered(now, remaining) || !b.isCold(now, t) {
 		return false
 	}
 	b.reportColdShared(t)
@@ -140,7 +136,7 @@
 	n := 0
 	for _, t := range b.targets {
 		if t.Zone == zone && t.service.cold.limits.Enabled() {
-			t.cold.Mark(now, t.service.cold.limits.MarkTime())
+			t.cold.Mark(now, now, t.service.cold.limits.MarkTime())
 			b.reportColdShared(t)
 			n++
 		}
@@ -237,6 +233,6 @@
 		if !ok || t.incarnation() != (incarnation{c.Target, int64(c.Incarnation)}) || remaining > coldstart.MaxRemaining || age >= remaining {
 			continue
 		}
-		t.cold.Reported(now, now.Add(-age), remaining, t.inUse())
+		t.cold.Reported(now, now.Add(-age), remaining)
 	}
 }
