--- a/ratelimit/bounded_test.go
+++ b/ratelimit/bounded_test.go
@@ -93,29 +93,23 @@
 		routers                      int
 		rate, most, perRouter, first float64
 	}{
-		{90, 6.1, 14.15, 10, 1}, {71, 8.8, 18.2, 10, 1}, {90, 6.1, 14.15, 2.5, 1}, {6, 6.1, 6.1, 10, 1}, {90, 6.1, 6.1, 10, 1},
-		{90, 6.1, 14.15, 10, 45}, {84, 2, 2, 10, 1},
+		{90, 6.1, 14.15, 10, 10}, {71, 8.8, 18.2, 10, 10}, {90, 6.1, 14.15, 2.5, 2.5}, {6, 6.1, 6.1, 10, 10}, {90, 6.1, 6.1, 10, 10},
+		{90, 6.1, 14.15, 10, 450}, {84, 2, 2, 10, 10},
 	} {
-		random := rand.New(rand.NewPCG(7, 7))
-		now := time.Unix(1_700_000_000, 0)
+		random, now, got := rand.New(rand.NewPCG(7, 7)), time.Unix(1_700_000_000, 0), 0.0
 		f := newBoundedFleet(random, now, c.routers, c.rate, c.most)
-		got := 0
 		const seconds, step = 60, 5 * time.Millisecond
-		for range int(seconds * time.Second / step) {
-			now = now.Add(step)
-			for i := range c.routers {
-				demand := c.perRouter
-				if i == 0 {
-					demand *= c.first
-				}
-				if random.Float64() < demand*step.Seconds() && f.send(now, i) {
-					got++
-				}
+		for n := range c.routers * int(seconds*time.Second/step) {
+			demand := c.perRouter
+			if n%c.routers == 0 {
+				now, demand = now.Add(step), c.first
+			}
+			if random.Float64() < demand*step.Seconds() && f.send(now, n%c.routers) {
+				got++
 			}
 		}
-		used := float64(got) / seconds / c.rate
-		t.Logf("%+v: %.2f of the rate", c, used)
-		if used < 0.5 {
+		t.Logf("%+v: %.2f of the rate", c, got/seconds/c.rate)
+		if got < 0.5*seconds*c.rate {
 			t.Errorf("%+v: less than half of the rate is used", c)
 		}
 	}
