placement, edge: log and export the throughput that is available

The line 'shares' has capacity and available_throughput, and the metric chiveseam_edge_available_throughput says which part of the engines' throughput targets that are held back leave.

--- a/edge/admin.go
+++ b/edge/admin.go
@@ -14,21 +14,22 @@
 
 // routerMetrics holds the Prometheus metrics of a router.
 type routerMetrics struct {
-	registry           *prometheus.Registry
-	attempts           *prometheus.CounterVec
-	results            *prometheus.CounterVec
-	refusals           *prometheus.CounterVec
-	reports            *prometheus.CounterVec
-	aborted            prometheus.Counter
-	refusedConnections prometheus.Counter
-	callers            prometheus.Gauge
-	version            prometheus.Gauge
-	lag                prometheus.Gauge
-	linkLoad           prometheus.Gauge
-	share              prometheus.Gauge
-	storeRestores      prometheus.Counter
-	signatures         prometheus.Gauge
-	duration           prometheus.Histogram
+	registry            *prometheus.Registry
+	attempts            *prometheus.CounterVec
+	results             *prometheus.CounterVec
+	refusals            *prometheus.CounterVec
+	reports             *prometheus.CounterVec
+	aborted             prometheus.Counter
+	refusedConnections  prometheus.Counter
+	callers             prometheus.Gauge
+	version             prometheus.Gauge
+	lag                 prometheus.Gauge
+	linkLoad            prometheus.Gauge
+	share               prometheus.Gauge
+	availableThroughput prometheus.Gauge
+	storeRestores       prometheus.Counter
+	signatures          prometheus.Gauge
+	duration            prometheus.Histogram
 }
 
 func newMetrics() *routerMetrics {
@@ -67,6 +68,9 @@
 		share: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chiveseam_edge_share_tokens_per_second", Help: "Share of a workspace; 0 while the capacity meets all demands.",
 		}),
+		availableThroughput: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chiveseam_edge_available_throughput", Help: "Part of the engines' throughput that their targets can provide now.",
+		}),
 		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chiveseam_edge_store_restores_total", Help: "Restores of the store from a copy that this router has seen.",
 		}),
@@ -79,7 +83,7 @@
 		}),
 	}
 	m.registry.MustRegister(m.attempts, m.results, m.refusals, m.reports, m.aborted, m.refusedConnections, m.callers,
-		m.version, m.lag, m.linkLoad, m.share, m.storeRestores, m.signatures, m.duration)
+		m.version, m.lag, m.linkLoad, m.share, m.availableThroughput, m.storeRestores, m.signatures, m.duration)
 	return m
 }
 
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -43,6 +43,7 @@
 	age := e.balancer.ViewAge(now)
 	e.mu.Unlock()
 	e.metrics.share.Set(o.Share)
+	e.metrics.availableThroughput.Set(o.AvailableThroughput)
 	if !o.Scarce && !wasScarce {
 		return false
 	}
@@ -51,7 +52,8 @@
 		entries = append(entries, shareEntry{w.Name, int(w.Asked), int(w.Begun)})
 	}
 	level.Info(e.logger).Log("event", "shares", "scarce", o.Scarce, "share", int(o.Share), "least_use", finite(o.LeastRefusedUse),
-		"asked", int(o.Asked), "begun", int(o.Begun), "view_age_ms", age.Milliseconds(), "workspaces", entries)
+		"available_throughput", roundHundredths(o.AvailableThroughput),
+		"capacity", int(o.Capacity), "asked", int(o.Asked), "begun", int(o.Begun), "view_age_ms", age.Milliseconds(), "workspaces", entries)
 	return o.Scarce
 }
 
--- a/placement/overview.go
+++ b/placement/overview.go
@@ -12,6 +12,9 @@
 type Overview struct {
 	// Scarce is set while the workspaces ask for more than the capacity of the targets.
 	Scarce bool
+	// AvailableThroughput is the part of the engines' throughput that is available, from 0 to 1, and
+	// Capacity what the workspaces share of it, in tokens per second.
+	AvailableThroughput, Capacity float64
 	// Share is the share of each workspace, Asked the cost of all requests that came from
 	// callers, and Begun the cost of those that were sent to targets. All are in tokens per
 	// second, averaged over the share window.
@@ -39,7 +42,10 @@
 	s := b.shares
 	s.advance(now)
 	s.compute(now)
-	o := Overview{Scarce: s.scarce, Share: s.share, LeastRefusedUse: math.Inf(1)}
+	o := Overview{
+		Scarce: s.scarce, AvailableThroughput: s.available, Capacity: s.available * s.fullCapacity(), Share: s.share,
+		LeastRefusedUse: math.Inf(1),
+	}
 	if s.scarce {
 		o.LeastRefusedUse = s.leastRefusedUse
 	}
