placement: weigh cached prompt prefixes by a model of engines' memory

Cause: a target was assumed to cache prompts up to 0.6 of kv_capacity_tokens, whatever runs there, and last prompt parts of other routers' requests did not count. Reading shared parts again weighed four times its time, at idle and at busy engines alike.

Change: a model of each engine's memory (running requests of all routers, cached parts in order of their last use), the wait until there is memory, and in place of the fixed weight the delay of others at that engine and the value of the parts that are evicted. Option PrefixWeighing, setting prefix-weighing. Without it, or without kv_capacity_tokens, targets are chosen as before.

--- a/edge/admin.go
+++ b/edge/admin.go
@@ -27,6 +27,7 @@
 	linkLoad           prometheus.Gauge
 	share              prometheus.Gauge
 	storeRestores      prometheus.Counter
+	sharedUnread       prometheus.Counter
 	signatures         prometheus.Gauge
 	duration           prometheus.Histogram
 }
@@ -70,6 +71,9 @@
 		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chiveseam_edge_store_restores_total", Help: "Restores of the store from a copy that this router has seen.",
 		}),
+		sharedUnread: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chiveseam_edge_shared_tokens_unread_total", Help: "Shared prompt tokens that engines had to process since they did not hold them.",
+		}),
 		signatures: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chiveseam_edge_quarantined_prompts", Help: "Sets of prompt parts that are refused since they crash targets.",
 		}),
@@ -79,7 +83,7 @@
 		}),
 	}
 	m.registry.MustRegister(m.attempts, m.results, m.refusals, m.reports, m.aborted, m.refusedConnections, m.callers,
-		m.version, m.lag, m.linkLoad, m.share, m.storeRestores, m.signatures, m.duration)
+		m.version, m.lag, m.linkLoad, m.share, m.storeRestores, m.sharedUnread, m.signatures, m.duration)
 	return m
 }
 
--- a/edge/call.go
+++ b/edge/call.go
@@ -274,6 +274,7 @@
 	}
 	a := &attempt{call: c, number: c.sentCount + 1, began: now}
 	a.ticket = e.balancer.Begin(now, &c.demand, choice)
+	e.metrics.sharedUnread.Add(float64(choice.SharedUnread))
 	a.target = e.directory.targets[choice.Target]
 	a.fetchFrom = e.directory.targets[choice.Donor].Address
 	c.tried[choice.Target] = true
@@ -282,7 +283,8 @@
 		logger = log.With(logger, "last_event_id", after, "resumes", c.req.Header.Get(e.headers.Resumes))
 	}
 	level.Info(logger).Log("event", "target_chosen", "route", c.route.Name, "version", c.table.Version,
-		"workspace", c.workspace, "cost", c.demand.Cost(), "target", choice.Target, "target_version", a.target.Version, "try", tries, "unread", choice.Unread, "fetched", choice.Fetched,
+		"workspace", c.workspace, "cost", c.demand.Cost(), "target", choice.Target, "target_version", a.target.Version, "try", tries, "unread", choice.Unread, "shared_unread", choice.SharedUnread,
+		"others_ms", choice.OthersCost.Milliseconds(), "memory_held", choice.MemoryHeld, "fetched", choice.Fetched,
 		"backlog", choice.Backlog, "running", choice.Running, "slowness", math.Round(choice.Slowness*100)/100,
 		"predicted_ms", choice.Predicted.Milliseconds(), "view_age_ms", choice.ViewAge.Milliseconds(), "queued_ms", c.queued.Milliseconds())
 	return a, nil
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -170,6 +170,7 @@
 		started:     time.Now(),
 		balancer: placement.New(placement.Options{
 			Router: s.Name, Zone: s.Zone, ShareWindow: s.ShareWindow, PeerTimeout: peerTimeout,
+			PrefixWeighing: s.PrefixWeighing,
 		}),
 		directory:     newDirectory(s.LapsedGrace),
 		retryBudgets:  make(map[string]*retry.Window),
--- a/edge/figures.go
+++ b/edge/figures.go
@@ -45,6 +45,17 @@
 	return n
 }
 
+// onOff converts a setting that is on or off.
+func (r *figureReader) onOff(name, value string) bool {
+	if value == "" {
+		value = r.defaultOf(name)
+	}
+	if value != "on" && value != "off" {
+		r.fail(name, value, "on or off")
+	}
+	return value == "on"
+}
+
 // whole converts a positive figure of which only whole numbers count; a fraction is cut off.
 func (r *figureReader) whole(name, value string) int {
 	failed := len(r.errs)
--- a/edge/figures_test.go
+++ b/edge/figures_test.go
@@ -135,3 +135,15 @@
 		}
 	})
 }
+
+// Failure: the weighing of prompt prefixes is on or off by a misspelt value, or off without one.
+func TestPrefixWeighingIsOnOrOff(t *testing.T) {
+	is := is.New(t)
+	for line, want := range map[string]bool{"": true, "prefix-weighing =": true, "prefix-weighing = on": true, "prefix-weighing = off": false} {
+		s, err := parseSettings(fillTemplate(t, nil) + line + "\n")
+		is.NoErr(err)
+		is.Equal(s.PrefixWeighing, want)
+	}
+	_, err := parseSettings(fillTemplate(t, nil) + "prefix-weighing = true\n")
+	is.True(err != nil && strings.Contains(err.Error(), "want on or off"))
+}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -41,6 +41,9 @@
 	// MemoryMB and MaxOpenFiles are the limits of the process.
 	MemoryMB, MaxOpenFiles int
 	LogLevel               string
+	// PrefixWeighing weighs cached prompt parts by a model of the engines' memory, where the
+	// configuration states its size.
+	PrefixWeighing bool
 
 	// Defaulted names the settings for which the file has a line without a value.
 	Defaulted []string
@@ -69,6 +72,7 @@
 	LinkMbps     string `long:"link-mbps" description:"Rate of the network link in each direction in 10^6 bits per second; 0 if it is not known." default:"0"`
 	MemoryMB     string `long:"memory-mb" description:"Memory of the process in MB." default:"256"`
 	MaxOpenFiles string `long:"max-open-files" description:"File descriptors of the process." default:"4096"`
+	Weighing     string `long:"prefix-weighing" description:"Weigh cached prompt parts by a model of the engines' memory, if the configuration states its size: on or off." default:"on"`
 	LogLevel     string `long:"log-level" description:"Least severity that is logged: debug, info, warn or error." default:"info"`
 }
 
@@ -114,6 +118,7 @@
 	s.LinkMbps = figures.number("link-mbps", f.LinkMbps)
 	s.MemoryMB = figures.whole("memory-mb", f.MemoryMB)
 	s.MaxOpenFiles = figures.whole("max-open-files", f.MaxOpenFiles)
+	s.PrefixWeighing = figures.onOff("prefix-weighing", f.Weighing)
 	s.Defaulted = figures.defaulted
 	if err := errors.Join(append(figures.errs, s.validate())...); err != nil {
 		return nil, err
--- a/placement/assess.go
+++ b/placement/assess.go
@@ -38,6 +38,8 @@
 	// backlog the number of prompt tokens of earlier requests that it must process first.
 	unread  int
 	backlog int
+	// sharedUnread is the part of unread that other requests have in common.
+	sharedUnread int
 	// running is the number of requests of all routers at the target.
 	running  int
 	slowness float64
@@ -45,6 +47,8 @@
 	wait float64
 	// predicted is the predicted time to the first token in ms, including wait.
 	predicted float64
+	// others is the cost in ms of what the request takes from others: see costToOthers.
+	others float64
 	// cost is predicted plus penalties, in ms. The candidate with the least cost is chosen.
 	cost float64
 }
@@ -129,12 +133,19 @@
 		return c
 	}
 	c.cached = p.cachedAt(t)
+	c.wait = c.slowness*p.slope*float64(c.backlog) + slotWait(s, t, c.running)
+	if s.weighing {
+		c.wait += c.memoryWait(p)
+	}
 	fetchTime := c.planFetch(s, p)
 	c.unread = p.tokens - c.cached - c.fetched
-	c.wait = c.slowness*p.slope*float64(c.backlog) + slotWait(s, t, c.running)
 	c.predicted = c.wait + c.slowness*(p.base+p.slope*float64(c.unread)) + fetchTime
-	sharedUnread := float64(max(c.unread-p.ownTokens, 0))
-	c.cost = c.predicted + b.spreadPenalty(t, p) + sharedPrefillWeight*c.slowness*p.slope*sharedUnread + (fetchCostWeight-1)*fetchTime + penalty
+	c.sharedUnread = max(c.unread-p.ownTokens, 0)
+	c.others = sharedPrefillWeight * c.slowness * p.slope * float64(c.sharedUnread)
+	if s.weighing {
+		c.others = c.costToOthers(s, d, p)
+	}
+	c.cost = c.predicted + b.spreadPenalty(t, p) + c.others + (fetchCostWeight-1)*fetchTime + penalty
 	return c
 }
 
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -26,6 +26,9 @@
 	// PeerTimeout is the time without reports after which the load of another router is
 	// removed from the view.
 	PeerTimeout time.Duration
+	// PrefixWeighing turns on the model of engines' memory, and the weighing of cached prompt parts by
+	// it, for services whose configuration states the size of the KV cache.
+	PrefixWeighing bool
 }
 
 // Balancer chooses targets for the requests of one router. It holds the router's view of the
@@ -69,6 +72,9 @@
 	// fetchPerToken is the time in ms to fetch one token from another engine's KV cache; 0
 	// if engines cannot fetch.
 	fetchPerToken float64
+	// weighing is set if cached parts are weighed by a model of the engines' memory.
+	weighing bool
+	means    requestMeans
 	// holders maps each prompt part to the targets that have it in their KV cache.
 	holders holders
 }
@@ -157,9 +163,11 @@
 		known := b.service(name)
 		known.slots = s.Engine.Slots
 		known.kvTokens = s.Engine.KVCacheTokens
+		known.weighing = b.options.PrefixWeighing && known.kvTokens > 0
 		known.fetchPerToken = milliseconds(s.Engine.FetchTimePerToken)
 		for _, t := range known.targets {
 			t.cache.capacity = cacheCapacity(known)
+			t.cache.setMemory(known)
 		}
 	}
 }
@@ -216,6 +224,7 @@
 	}
 	_, added.leaving = b.leaving.heard[added.incarnation()]
 	added.cache = newPartCache(added, s.holders, cacheCapacity(s))
+	added.cache.setMemory(s)
 	b.targets[t.ID] = added
 	b.byHash[added.hash] = added
 	s.targets = append(s.targets, added)
@@ -281,6 +290,9 @@
 		return
 	}
 	t.measuredAt = now
+	if t.cache.memory != nil {
+		t.cache.memory.settle(now)
+	}
 	t.latencyRatio.age(now)
 	observed := t.latencyRatio.observed + t.remote.observed
 	predicted := t.latencyRatio.predicted + t.remote.predicted
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -13,7 +13,7 @@
 // newBenchBalancer returns a balancer of a large deployment with 140 engines, each of which has the
 // prompts of many callers in its cache.
 func newBenchBalancer(now time.Time, tokensPerSecond float64) *placement.Balancer {
-	balancer := placement.New(placement.Options{Router: "r", ShareWindow: 4 * time.Second, PeerTimeout: 3 * time.Second})
+	balancer := placement.New(placement.Options{Router: "r", ShareWindow: 4 * time.Second, PeerTimeout: 3 * time.Second, PrefixWeighing: prefixWeighing})
 	balancer.SetServices(map[string]routing.Service{
 		"llm": {Name: "llm", Engine: &routing.Engine{Slots: 16, KVCacheTokens: 600_000, FetchTimePerToken: time.Microsecond}},
 	}, tokensPerSecond)
@@ -32,6 +32,9 @@
 	return balancer
 }
 
+// prefixWeighing is the option PrefixWeighing of newBenchBalancer.
+var prefixWeighing bool
+
 const benchEngines, benchCachedParts = 140, 60
 
 // benchParts returns the prompt of the i-th request.
@@ -82,3 +85,10 @@
 		}
 	}
 }
+
+// BenchmarkChooseWeighing is BenchmarkChoose with the option PrefixWeighing.
+func BenchmarkChooseWeighing(b *testing.B) {
+	prefixWeighing = true
+	defer func() { prefixWeighing = false }()
+	BenchmarkChoose(b)
+}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -17,6 +17,7 @@
 		ShareUsage: found.limit.shareUsage,
 		Target:     best.target.ID, Unread: best.unread, Backlog: best.backlog, Running: best.running,
 		Slowness: best.slowness, Predicted: duration(best.predicted), ViewAge: b.ViewAge(now),
+		SharedUnread: best.sharedUnread, OthersCost: duration(best.others), MemoryHeld: best.target.memoryHeld(),
 	}
 	if best.donor != nil {
 		choice.Donor, choice.Fetched = best.donor.ID, best.fetched
@@ -95,6 +96,9 @@
 		return found
 	}
 	found.limit = b.waitLimit(now, d)
+	if s.weighing {
+		s.settle(now)
+	}
 	p := newPromptInfo(s, d)
 	for _, t := range s.targets {
 		if e := b.eligibility(now, t, d); e.reason != Eligible {
--- a/placement/parts.go
+++ b/placement/parts.go
@@ -33,6 +33,8 @@
 	// elements by part ID.
 	lru  *list.List
 	byID map[uint64]*list.Element
+	// memory is the model of the engine's memory; nil if parts are kept up to capacity.
+	memory *memory
 }
 
 // cachedPart is a prompt part in a partCache.
@@ -43,6 +45,16 @@
 	// reportedHere is set if it was this router.
 	reportedAt   time.Time
 	reportedHere bool
+
+	// The following are used by memory only. users is the number of this router's running requests
+	// that hold the part, and last is set if it is the last part of a prompt.
+	users int
+	last  bool
+	// usedAt is the time of its last use, and unseenAtUse the value of memory.unseen then. uses is the
+	// decayed number of its uses as of usedAt.
+	usedAt      time.Time
+	unseenAtUse float64
+	uses        float64
 }
 
 func newPartCache(t *target, h holders, capacity int) *partCache {
@@ -58,15 +70,24 @@
 
 // use adds a part that the target processes, or marks it as most recently used, and evicts
 // parts above the capacity. It always keeps the part itself.
-func (k *partCache) use(p Part) *cachedPart {
+func (k *partCache) use(now time.Time, p Part) *cachedPart {
 	if e, ok := k.byID[p.ID]; ok {
 		k.lru.MoveToFront(e)
-		return e.Value.(*cachedPart)
+		part := e.Value.(*cachedPart)
+		if k.memory != nil {
+			k.memory.touch(now, part)
+		}
+		return part
 	}
 	part := &cachedPart{id: p.ID, tokens: p.Tokens}
 	k.byID[p.ID] = k.lru.PushFront(part)
 	k.holders.add(p.ID, k.target)
 	k.tokens += p.Tokens
+	if k.memory != nil {
+		k.memory.touch(now, part)
+		k.memory.evict()
+		return part
+	}
 	for k.tokens > k.capacity && k.lru.Len() > 1 {
 		k.remove(k.lru.Back())
 	}
@@ -79,6 +100,10 @@
 	delete(k.byID, part.id)
 	k.holders.remove(part.id, k.target)
 	k.tokens -= part.tokens
+	if k.memory != nil && part.users > 0 {
+		k.memory.pinned -= part.tokens
+		part.users = 0
+	}
 }
 
 func (k *partCache) has(id uint64) bool {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -131,6 +131,13 @@
 	// Unread is the number of prompt tokens of the request that the target must process
 	// itself.
 	Unread int
+	// SharedUnread is the part of Unread that other requests have in common. OthersCost is what the
+	// request takes from others there, in terms of its own time to the first token.
+	SharedUnread int
+	OthersCost   time.Duration
+	// MemoryHeld is the estimated number of tokens of KV cache that running requests of all routers hold
+	// at the target; 0 without Options.PrefixWeighing.
+	MemoryHeld int
 	// Donor is the ID of the target from whose KV cache Fetched prompt tokens are fetched; ""
 	// if none are.
 	Donor   string
--- a/placement/report.go
+++ b/placement/report.go
@@ -208,7 +208,7 @@
 func (b *Balancer) mergeParts(now time.Time, parts []*v1.PartRead) {
 	for _, part := range parts {
 		if t, ok := b.byHash[part.Target]; ok {
-			cached := t.cache.use(Part{ID: part.Part, Tokens: int(part.Tokens)})
+			cached := t.cache.use(now, Part{ID: part.Part, Tokens: int(part.Tokens)})
 			cached.reportedAt, cached.reportedHere = now, false
 		}
 	}
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -41,6 +41,8 @@
 	sentAt    time.Time
 	firstSeen bool
 	ended     bool
+	// held is the memory of the target that the request holds.
+	held heldMemory
 }
 
 // Admit counts a request in the share of its workspace and decides whether some target may get it
@@ -85,6 +87,7 @@
 		ticket.workspace, ticket.cost = d.Workspace, d.Cost()
 		b.shares.addOwn(now, d.Workspace, 0, ticket.cost)
 		b.recordPrompt(now, t, d.Parts)
+		ticket.held = t.hold(d, c)
 	}
 	return ticket
 }
@@ -94,14 +97,14 @@
 func (b *Balancer) recordPrompt(now time.Time, t *target, parts []Part) {
 	last := len(parts) - 1
 	b.recordParts(now, t, parts[:last])
-	t.cache.use(parts[last])
+	t.cache.use(now, parts[last]).last = true
 }
 
 // recordParts adds prompt parts to the cache of a target, or marks them as used, and queues
 // them for the reports to the other routers.
 func (b *Balancer) recordParts(now time.Time, t *target, parts []Part) {
 	for _, p := range parts {
-		part := t.cache.use(p)
+		part := t.cache.use(now, p)
 		if now.Sub(part.reportedAt) < partReportInterval {
 			continue
 		}
@@ -144,6 +147,7 @@
 	k.ended = true
 	t := k.target
 	t.running--
+	k.held.release(milliseconds(now.Sub(k.sentAt)), outcome)
 	t.markChanged()
 	if !k.firstSeen {
 		t.unread -= k.choice.Unread
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -40,6 +40,13 @@
 	readTokens   int
 	rereadTokens int
 	readParts    map[uint64]bool
+	// settings are those of the service's engines, weighing is the option PrefixWeighing, and maxOutput
+	// the number of tokens that each request generates.
+	settings  routing.Engine
+	weighing  bool
+	maxOutput int
+	// memory sums up what engines with a memory did.
+	memory *memoryCounts
 }
 
 // workspaceCounts counts the requests of a workspace: asked is all, overShare those among the
@@ -56,6 +63,8 @@
 	cached  map[uint64]bool
 	queue   []*job
 	running []*job
+	// memory is the engine's memory; nil if it is unlimited.
+	memory *engineMemory
 	// limit returns the rate limit that the engine names in its answers; nil if it never has one.
 	// answered is called for each answer, with the balancer that it goes to.
 	limit    func() float64
@@ -71,6 +80,7 @@
 	unread    float64
 	arrived   time.Time
 	ends      time.Time
+	memoryJob
 }
 
 const (
@@ -91,7 +101,8 @@
 	w := &world{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), isolated: map[int]bool{},
 		workspaces: map[string]*workspaceCounts{}, readParts: map[uint64]bool{}, sequences: make([]uint64, routers), incarnations: slices.Repeat([]uint64{1}, routers),
-		reportEvery: reportInterval,
+		reportEvery: reportInterval, maxOutput: 100,
+		settings: routing.Engine{Slots: slots, KVCacheTokens: 600_000, FetchTimePerToken: fetchPerToken},
 	}
 	for i, speed := range speeds {
 		w.engines = append(w.engines, &engine{id: fmt.Sprintf("e%d", i), speed: speed, slots: slots, cached: map[uint64]bool{}})
@@ -105,10 +116,10 @@
 // newBalancer returns the view of router i, without any load.
 func (w *world) newBalancer(i int, tokensPerSecond float64) *placement.Balancer {
 	b := placement.New(placement.Options{
-		Router: fmt.Sprintf("r%d", i), ShareWindow: 4 * time.Second, PeerTimeout: 3 * time.Second,
+		Router: fmt.Sprintf("r%d", i), ShareWindow: 4 * time.Second, PeerTimeout: 3 * time.Second, PrefixWeighing: w.weighing,
 	})
 	b.SetServices(map[string]routing.Service{
-		serviceName: {Name: serviceName, Engine: &routing.Engine{Slots: w.engines[0].slots, KVCacheTokens: 600_000, FetchTimePerToken: fetchPerToken}},
+		serviceName: {Name: serviceName, Engine: &w.settings},
 	}, tokensPerSecond)
 	for _, e := range w.engines {
 		b.SetTarget(routing.Target{ID: e.id, Service: serviceName, Slots: e.slots})
@@ -133,6 +144,10 @@
 
 // stepEngine processes prompts for one tick and ends the answers that are complete.
 func (w *world) stepEngine(e *engine) {
+	if e.memory != nil {
+		w.stepMemory(e)
+		return
+	}
 	budget := e.speed * float64(tick/time.Millisecond)
 	for len(e.queue) > 0 && len(e.running) < e.slots && budget > 0 {
 		j := e.queue[0]
@@ -212,7 +227,7 @@
 	}
 	t.asked++
 	d := placement.Demand{
-		Service: serviceName, Workspace: workspace, LatencyObjective: wanted, Remaining: 10 * time.Second, MaxOutputTokens: 100,
+		Service: serviceName, Workspace: workspace, LatencyObjective: wanted, Remaining: 10 * time.Second, MaxOutputTokens: w.maxOutput,
 		Parts: []placement.Part{{ID: sharedID, Tokens: sharedTokens}, {ID: w.random.Uint64(), Tokens: ownTokens}},
 	}
 	err := b.Admit(w.now, &d)
@@ -235,6 +250,13 @@
 // donor has in its cache need no processing.
 func (w *world) startRequest(b *placement.Balancer, workspace string, d *placement.Demand, c placement.Choice) {
 	e := w.engine(c.Target)
+	if e.memory != nil {
+		e.queue = append(e.queue, &job{
+			workspace: workspace, balancer: b, ticket: b.Begin(w.now, d, c), parts: d.Parts, arrived: w.now,
+			memoryJob: memoryJob{donor: w.engine(c.Donor), output: d.MaxOutputTokens},
+		})
+		return
+	}
 	unread := d.PromptTokens()
 	donor := w.engine(c.Donor)
 	for _, p := range d.Parts {
