placement: weigh evicted parts six times, value the parts that can be evicted

Parts that are evicted are read again at engines that evict others in turn. A part held by a long request made newer parts count as evicted.

Change: evictionWeight; the oldest part without a running request decides what is in use.

--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -75,6 +75,8 @@
 	// weighing is set if cached parts are weighed by a model of the engines' memory.
 	weighing bool
 	means    requestMeans
+	// settledAt is when the models of all engines were last brought up to date.
+	settledAt time.Time
 	// holders maps each prompt part to the targets that have it in their KV cache.
 	holders holders
 }
--- a/placement/memory.go
+++ b/placement/memory.go
@@ -78,18 +78,30 @@
 	m.updated = now
 }
 
-// used returns the number of tokens in use: all cached parts, what requests may generate, and the last
-// parts of other routers' requests that run or were read since the last use of the oldest part. Last
-// parts that were read before have been evicted before it.
-func (m *memory) used() float64 {
+// used returns the number of tokens in use.
+func (m *memory) used() float64 { return m.usedWith(m.oldest()) }
+
+// usedWith returns the number of tokens that are in use if a part is still cached: all parts of the list,
+// what requests have generated, and the last parts of other routers' requests that run or were read since
+// the last use of the part. Last parts that were read before are evicted before it.
+func (m *memory) usedWith(part *list.Element) float64 {
 	t := m.cache.target
 	unseen := float64(t.remote.running) * t.service.means.last
-	if oldest := m.cache.lru.Back(); oldest != nil {
-		unseen = max(unseen, m.unseen-oldest.Value.(*cachedPart).unseenAtUse)
+	if part != nil {
+		unseen = max(unseen, m.unseen-part.Value.(*cachedPart).unseenAtUse)
 	}
 	return float64(m.cache.tokens) + unseen + m.generating()
 }
 
+// oldest returns the least recently used part that no request of this router holds; nil if there is none.
+func (m *memory) oldest() *list.Element {
+	e := m.cache.lru.Back()
+	for e != nil && e.Value.(*cachedPart).users > 0 {
+		e = e.Prev()
+	}
+	return e
+}
+
 // generating is the estimated number of tokens that running requests have generated. Over all of them,
 // half of the tokens are there at any time.
 func (m *memory) generating() float64 {
@@ -106,23 +118,20 @@
 }
 
 // evict removes the least recently used parts that no request of this router holds while more tokens
-// are in use than there is memory.
+// are in use than there is memory. It keeps the part that was used last.
 func (m *memory) evict() {
-	for e := m.cache.lru.Back(); e != nil && e != m.cache.lru.Front() && m.used() > m.capacity; {
-		previous := e.Prev()
-		if e.Value.(*cachedPart).users == 0 {
-			m.cache.remove(e)
-		}
-		e = previous
+	for e := m.oldest(); e != nil && e != m.cache.lru.Front() && m.usedWith(e) > m.capacity; e = m.oldest() {
+		m.cache.remove(e)
 	}
 }
 
-// touch records a use of a part.
+// touch records a use of a part, which is the last part of a prompt only if the caller says so.
 func (m *memory) touch(now time.Time, p *cachedPart) {
 	m.advance(now)
 	p.uses = p.uses*decay(now.Sub(p.usedAt), usesHalfLife) + 1
 	p.usedAt = now
 	p.unseenAtUse = m.unseen
+	p.last = false
 }
 
 // usesHalfLife is the half-life of a part's uses in its measured rate of use.
@@ -163,6 +172,10 @@
 // settle brings the models of all engines of a service up to date, so that parts which were evicted
 // meanwhile do not count as cached.
 func (s *service) settle(now time.Time) {
+	if now.Sub(s.settledAt) < measureInterval {
+		return
+	}
+	s.settledAt = now
 	for _, t := range s.targets {
 		t.measure(now)
 	}
@@ -194,7 +207,7 @@
 func (m *memory) scanOldest(now time.Time) {
 	m.horizon, m.evictionCost = math.Inf(1), 0
 	t := m.cache.target
-	oldest := m.cache.lru.Back()
+	oldest := m.oldest()
 	if oldest == nil {
 		return
 	}
--- a/placement/prefix.go
+++ b/placement/prefix.go
@@ -7,6 +7,9 @@
 	delayWeight = 6.0
 	// streamDelayWeight is the weight of the delay of the next token of a running request.
 	streamDelayWeight = 0.3
+	// evictionWeight is the weight of reading evicted parts again: while they are read, other parts are
+	// evicted in turn.
+	evictionWeight = 6.0
 	// maxOthersWeight bounds the weight of all others: near full load their number grows without
 	// bound, and no engine but those that hold the prompt would be chosen, however long the wait.
 	maxOthersWeight = 24.0
@@ -35,7 +38,7 @@
 	m := c.target.cache.memory
 	added := float64(c.unread+c.fetched) + generatedSoFar*float64(d.MaxOutputTokens)
 	if evicted := min(m.inUse+added-m.capacity, added); evicted > 0 {
-		cost += evicted * m.evictionCost * c.slowness * (1 + weight)
+		cost += evictionWeight * evicted * m.evictionCost * c.slowness * (1 + weight)
 	}
 	return cost
 }
--- a/placement/prefix_test.go
+++ b/placement/prefix_test.go
@@ -164,7 +164,6 @@
 	unread, again = send(now, 2)
 	is.Equal(unread, 2_000) // part 2 was evicted
 	b.End(now, again, placement.Succeeded)
-	b.End(now, held, placement.Succeeded)
 
 	now = now.Add(time.Second)
 	b.MergeReport(now, &v1.LoadReport{Router: "q", Incarnation: 1, Sequence: 1, Loads: &v1.TargetLoads{Target: []uint32{placement.Hash("e0")}, Running: []uint32{2}}})
@@ -172,8 +171,13 @@
 	is.Equal(unread, 0)
 	b.End(now, again, placement.Succeeded)
 	// Two requests of another router at a time read 500 tokens each in a part of a second.
-	unread, _ = send(now.Add(30*time.Second), 2)
+	now = now.Add(30 * time.Second)
+	unread, again = send(now, 2)
 	is.Equal(unread, 2_000)
+	b.End(now, again, placement.Succeeded)
+	unread, _ = send(now.Add(time.Second), 2)
+	is.Equal(unread, 0) // the part that was held all the time takes no more memory than its own
+	b.End(now, held, placement.Succeeded)
 }
 
 // Guards against memory that counts as held for ever after an engine has lost its cache, or after the
