--- a/placement/assess.go
+++ b/placement/assess.go
@@ -133,16 +133,14 @@
 		return c
 	}
 	c.cached = p.cachedAt(t)
-	c.wait = c.slowness*p.slope*float64(c.backlog) + slotWait(s, t, c.running)
-	if s.weighing {
-		c.wait += c.memoryWait(p)
-	}
 	fetchTime := c.planFetch(s, p)
 	c.unread = p.tokens - c.cached - c.fetched
+	c.wait = c.slowness*p.slope*float64(c.backlog) + slotWait(s, t, c.running)
 	c.predicted = c.wait + c.slowness*(p.base+p.slope*float64(c.unread)) + fetchTime
 	c.sharedUnread = max(c.unread-p.ownTokens, 0)
 	c.others = sharedPrefillWeight * c.slowness * p.slope * float64(c.sharedUnread)
 	if s.weighing {
+		c.predicted += c.memoryWait(p)
 		c.others = c.costToOthers(s, d, p)
 	}
 	c.cost = c.predicted + b.spreadPenalty(t, p) + c.others + (fetchCostWeight-1)*fetchTime + penalty
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -12,7 +12,8 @@
 // KV cache or can be fetched from the KV cache of another engine, the donor. The target with
 // the least cost is chosen. The cost is the predicted time plus penalties, among them one for
 // shared prompt parts that are processed again, since that delays all other requests at the
-// engine.
+// engine. With Options.PrefixWeighing, a model of each engine's memory says which parts are cached and
+// what a choice costs others.
 //
 // A request is refused if even the best target would let it wait too long. Workspaces share
 // the capacity by max-min fairness: while the capacity does not meet all demands, the requests
--- a/placement/prefix.go
+++ b/placement/prefix.go
@@ -17,7 +17,8 @@
 	maxLoad = 0.9
 )
 
-// memoryWait returns the time in ms that a request waits until its target has memory for it.
+// memoryWait returns the time in ms that a request waits until its target has memory for it. It is not part
+// of candidate.wait: an estimate of what others hold must not decide whether a request is refused.
 func (c *candidate) memoryWait(p *promptInfo) float64 {
 	m := c.target.cache.memory
 	missing := m.held + float64(p.tokens-c.cached) - m.capacity
