--- a/placement/assess.go
+++ b/placement/assess.go
@@ -9,7 +9,8 @@
 	// sharedPrefillWeight is the extra cost of processing shared prompt tokens that are not
 	// in the target's KV cache, as a multiple of the time that it takes. The time itself is
 	// part of the prediction; the extra cost stands for the delay of the requests that
-	// queue behind (figures: docs/DESIGN.md, choosing a target).
+	// queue behind (figures: docs/DESIGN.md, choosing a target). Services whose cached prefixes are
+	// weighed have candidate.costToOthers in its place.
 	sharedPrefillWeight = 4.0
 	// fetchSetupMs is the time in ms of a fetch of KV cache entries from another engine, in
 	// addition to the time per token. fetchCostWeight is the cost of a fetch as a multiple
