--- a/edge/admin.go
+++ b/edge/admin.go
@@ -28,6 +28,7 @@
 	share               prometheus.Gauge
 	availableThroughput prometheus.Gauge
 	storeRestores       prometheus.Counter
+	sharedUnread        prometheus.Counter
 	signatures          prometheus.Gauge
 	evacuatedZones      prometheus.Gauge
 	coldTargets         prometheus.Gauge
@@ -78,6 +79,9 @@
 		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chiveseam_edge_store_restores_total", Help: "Restores of the store from a copy that this router has seen.",
 		}),
+		sharedUnread: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chiveseam_edge_shared_tokens_unread_total", Help: "Shared prompt tokens that engines had to process since they did not hold them.",
+		}),
 		signatures: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chiveseam_edge_quarantined_prompts", Help: "Sets of prompt parts that are refused since they crash targets.",
 		}),
@@ -100,7 +104,7 @@
 		}),
 	}
 	m.registry.MustRegister(m.attempts, m.results, m.refusals, m.reports, m.aborted, m.refusedConnections, m.callers,
-		m.version, m.lag, m.linkLoad, m.share, m.availableThroughput, m.storeRestores, m.signatures, m.evacuatedZones, m.coldTargets, m.duration, m.pace, m.unreadableLoads)
+		m.version, m.lag, m.linkLoad, m.share, m.availableThroughput, m.storeRestores, m.sharedUnread, m.signatures, m.evacuatedZones, m.coldTargets, m.duration, m.pace, m.unreadableLoads)
 	return m
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -176,6 +176,7 @@
 		balancer: placement.New(placement.Options{
 			Router: s.Name, Zone: s.Zone, ShareWindow: s.ShareWindow, PeerTimeout: peerTimeout, ZoneRegions: s.ZoneRegions,
 			Started: time.Now(), ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
+			PrefixWeighing: s.PrefixWeighing,
 		}),
 		directory:     newDirectory(s.LapsedGrace),
 		retryBudgets:  make(map[string]*retry.Window),
--- a/placement/assess.go
+++ b/placement/assess.go
@@ -9,7 +9,8 @@
 	// sharedPrefillWeight is the extra cost of processing shared prompt tokens that are not
 	// in the target's KV cache, as a multiple of the time that it takes. The time itself is
 	// part of the prediction; the extra cost stands for the delay of the requests that
-	// queue behind (figures: docs/DESIGN.md, choosing a target).
+	// queue behind (figures: docs/DESIGN.md, choosing a target). Services whose cached prefixes are
+	// weighed have candidate.costToOthers in its place.
 	sharedPrefillWeight = 4.0
 	// fetchSetupMs is the time in ms of a fetch of KV cache entries from another engine, in
 	// addition to the time per token. fetchCostWeight is the cost of a fetch as a multiple
@@ -38,6 +39,8 @@
 	// backlog the number of prompt tokens of earlier requests that it must process first.
 	unread  int
 	backlog int
+	// sharedUnread is the part of unread that other requests have in common.
+	sharedUnread int
 	// running is the number of requests of all routers at the target.
 	running  int
 	slowness float64
@@ -47,6 +50,8 @@
 	wait float64
 	// predicted is the predicted time to the first token in ms, including wait.
 	predicted float64
+	// others is the cost in ms of what the request takes from others: see costToOthers.
+	others float64
 	// cost is predicted plus penalties, in ms. The candidate with the least cost is chosen.
 	cost float64
 }
@@ -144,8 +149,13 @@
 	slowness := c.slowness * c.pace
 	c.wait = slowness*p.slope*float64(c.backlog) + slotWait(s, t, c.running)
 	c.predicted = c.wait + slowness*(p.base+p.slope*float64(c.unread)) + fetchTime
-	sharedUnread := float64(max(c.unread-p.ownTokens, 0))
-	c.cost = c.predicted + b.spreadPenalty(t, p) + sharedPrefillWeight*slowness*p.slope*sharedUnread + (fetchCostWeight-1)*fetchTime + penalty
+	c.sharedUnread = max(c.unread-p.ownTokens, 0)
+	c.others = sharedPrefillWeight * slowness * p.slope * float64(c.sharedUnread)
+	if s.weighing {
+		c.predicted += c.memoryWait(p)
+		c.others = c.costToOthers(s, d, p)
+	}
+	c.cost = c.predicted + b.spreadPenalty(t, p) + c.others + (fetchCostWeight-1)*fetchTime + penalty
 	return c
 }
 
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -34,6 +34,9 @@
 	// ColdOverage and ColdSlack bound the requests that a cold target gets in any second, from all
 	// routers: ColdOverage times the rate of its service, and ColdSlack more.
 	ColdOverage, ColdSlack float64
+	// PrefixWeighing turns on the model of engines' memory, and the weighing of cached prompt parts by
+	// it, for services whose configuration states the size of the KV cache.
+	PrefixWeighing bool
 }
 
 // Balancer chooses targets for the requests of one router. It holds the router's view of the
@@ -85,6 +88,11 @@
 	// fetchPerToken is the time in ms to fetch one token from another engine's KV cache; 0
 	// if engines cannot fetch.
 	fetchPerToken float64
+	// weighing is set if cached parts are weighed by a model of the engines' memory.
+	weighing bool
+	means    requestMeans
+	// settledAt is when the models of all engines were last brought up to date.
+	settledAt time.Time
 	// holders maps each prompt part to the targets that have it in their KV cache.
 	holders holders
 	cold    coldService
@@ -191,9 +199,11 @@
 		known.engines = true
 		known.slots = s.Engine.Slots
 		known.kvTokens = s.Engine.KVCacheTokens
+		known.weighing = b.options.PrefixWeighing && known.kvTokens > 0
 		known.fetchPerToken = milliseconds(s.Engine.FetchTimePerToken)
 		for _, t := range known.targets {
 			t.cache.capacity = cacheCapacity(known)
+			t.cache.setMemory(known)
 		}
 	}
 }
@@ -255,6 +265,7 @@
 		// The other routers must not take the load that the target had before its restart for its load now.
 		added.markChanged()
 	}
+	added.cache.setMemory(s)
 	b.targets[t.ID] = added
 	b.byHash[added.hash] = added
 	s.targets = append(s.targets, added)
@@ -326,6 +337,9 @@
 	}
 	elapsed := now.Sub(t.measuredAt)
 	t.measuredAt = now
+	if t.cache.memory != nil {
+		t.cache.memory.settle(now)
+	}
 	t.latencyRatio.age(now)
 	observed := t.latencyRatio.observed + t.remote.observed
 	predicted := t.latencyRatio.predicted + t.remote.predicted
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -17,6 +17,7 @@
 		ShareUsage: found.limit.shareUsage,
 		Target:     best.target.ID, Unread: best.unread, Backlog: best.backlog, Running: best.running,
 		Cold: b.isCold(now, best.target), Slowness: best.slowness, Predicted: duration(best.predicted), ViewAge: b.ViewAge(now),
+		SharedUnread: best.sharedUnread, OthersCost: duration(best.others), MemoryHeld: best.target.memoryHeld(),
 	}
 	if best.target.service.paced(now) {
 		choice.Pace = best.pace
@@ -102,6 +103,9 @@
 		return found
 	}
 	found.limit = b.waitLimit(now, d)
+	if s.weighing {
+		s.settle(now)
+	}
 	p := b.newPromptInfo(s, d)
 	// reserve is the best of the cold targets, as long as this router is new.
 	var reserve candidate
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -12,7 +12,8 @@
 // KV cache or can be fetched from the KV cache of another engine, the donor. The target with
 // the least cost is chosen. The cost is the predicted time plus penalties, among them one for
 // shared prompt parts that are processed again, since that delays all other requests at the
-// engine.
+// engine. With Options.PrefixWeighing, a model of each engine's memory says which parts are cached and
+// what a choice costs others.
 //
 // A request is refused if even the best target would let it wait too long. Workspaces share
 // the capacity by max-min fairness: while the capacity does not meet all demands, the requests
@@ -138,6 +139,13 @@
 	// Unread is the number of prompt tokens of the request that the target must process
 	// itself.
 	Unread int
+	// SharedUnread is the part of Unread that other requests have in common. OthersCost is what the
+	// request takes from others there, in terms of its own time to the first token.
+	SharedUnread int
+	OthersCost   time.Duration
+	// MemoryHeld is the estimated number of tokens of KV cache that running requests of all routers hold
+	// at the target; 0 without Options.PrefixWeighing.
+	MemoryHeld int
 	// Donor is the ID of the target from whose KV cache Fetched prompt tokens are fetched; ""
 	// if none are.
 	Donor   string
