--- a/placement/shares.go
+++ b/placement/shares.go
@@ -65,7 +65,6 @@
 	// guaranteed and limited are the credits at this router of the workspace's share and limit; see
 	// admit.
 	guaranteed, limited credit
-	turns               turns
 	// reportsDue is the number of coming load reports that must state ownAsked and ownBegun.
 	reportsDue int
 }
@@ -254,10 +253,7 @@
 // both rates that it has of the workspace's requests, so that the parts sum to the rate wherever its
 // callers are (flow proportional share; Raghavan et al., Cloud Control with Distributed Rate
 // Limiting, 2007).
-//
-// id is the ID of the part of the prompt that is unique to the request, and longest the longest time
-// until its caller may be told to come again.
-func (s *shares) admit(now time.Time, workspace string, cost float64, id uint64, longest time.Duration) grant {
+func (s *shares) admit(now time.Time, workspace string, cost float64) grant {
 	s.advance(now)
 	s.compute(now)
 	u := s.usage(Hash(workspace))
@@ -267,11 +263,7 @@
 	part := s.ownPart(u)
 	u.guaranteed.refill(now, guaranteedShare*s.share*part)
 	u.limited.refill(now, s.limit(u)*part)
-	reserved, wait := u.turns.reserve(now, id)
-	if math.IsInf(u.limited.rate, 1) {
-		reserved, wait = 0, 0
-	}
-	g := grant{admitted: wait == 0 && u.limited.exceeds(reserved), guaranteed: wait == 0 && u.guaranteed.exceeds(reserved)}
+	g := grant{admitted: u.limited.tokens > 0, guaranteed: u.guaranteed.tokens > 0}
 	switch {
 	case g.guaranteed:
 		g.admitted = true
@@ -280,40 +272,11 @@
 	case g.admitted:
 		u.limited.tokens -= cost
 	default:
-		wait = max(wait, u.limited.untilPositive())
-		g.after = u.turns.refuse(now, id, wait, u.limited.timeFor(cost), longest)
-		return g
+		g.after = u.limited.untilPositive()
 	}
 	return g
 }
 
-// giveBack gives back the credit that admit took for a request that no target can take now.
-func (s *shares) giveBack(workspace string, cost float64, g grant) {
-	u := s.usage(Hash(workspace))
-	if !s.scarce {
-		return
-	}
-	u.limited.tokens += cost
-	if g.guaranteed {
-		u.guaranteed.tokens += cost
-	}
-}
-
-// giveTurn gives a turn to a request that no target can take for a time of wait, and returns the time until
-// the turn, at most longest.
-func (s *shares) giveTurn(now time.Time, workspace string, cost float64, id uint64, wait, longest time.Duration) time.Duration {
-	if !s.scarce {
-		return wait
-	}
-	u := s.usage(Hash(workspace))
-	return u.turns.refuse(now, id, wait, u.limited.timeFor(cost), longest)
-}
-
-// forgetTurn removes the turn of a request that is admitted.
-func (s *shares) forgetTurn(workspace string, id uint64) {
-	delete(s.usage(Hash(workspace)).turns.byRequest, id)
-}
-
 // credit is a token bucket that may be overdrawn by one request, so that large requests find room as
 // often as small ones.
 type credit struct {
@@ -335,16 +298,6 @@
 	c.tokens = min(c.tokens+rate*elapsed.Seconds(), creditTime.Seconds()*rate)
 }
 
-// timeFor returns the time in which a credit of tokens comes.
-func (c *credit) timeFor(tokens float64) time.Duration {
-	return time.Duration(min(tokens/c.rate, maxCreditWait.Seconds()) * float64(time.Second))
-}
-
-// exceeds reports whether the credit is above a part of the largest one.
-func (c *credit) exceeds(part float64) bool {
-	return c.tokens > 0 && (part == 0 || math.IsInf(c.rate, 1) || c.tokens >= part*creditTime.Seconds()*c.rate)
-}
-
 // untilPositive returns the time until there is credit.
 func (c *credit) untilPositive() time.Duration {
 	return time.Duration(min(max(-c.tokens/c.rate, 0), maxCreditWait.Seconds()) * float64(time.Second))
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"errors"
 	"time"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -57,8 +56,7 @@
 		return err
 	}
 	b.shares.addOwn(now, d.Workspace, d.Cost(), 0)
-	id, longest := d.Parts[len(d.Parts)-1].ID, time.Duration(maxRetryAfterShare*float64(d.Remaining))
-	g := b.shares.admit(now, d.Workspace, d.Cost(), id, longest)
+	g := b.shares.admit(now, d.Workspace, d.Cost())
 	if !g.admitted && !d.Repeated {
 		return b.leadRefusal(now, d, g.after)
 	}
@@ -66,17 +64,6 @@
 	found := b.search(now, d)
 	d.found = &found
 	_, err := b.pick(now, d, found)
-	var refusal *Refusal
-	switch {
-	case err == nil:
-		b.shares.forgetTurn(d.Workspace, id)
-	case g.admitted && errors.As(err, &refusal):
-		b.shares.giveBack(d.Workspace, d.Cost(), g)
-		if refusal.Cause == CauseWait {
-			turn := b.shares.giveTurn(now, d.Workspace, d.Cost(), id, refusal.RetryAfter, longest)
-			refusal.RetryAfter = b.clampRetryAfter(turn, d)
-		}
-	}
 	return err
 }
 
