--- a/internal/cmd/stats/count.go
+++ b/internal/cmd/stats/count.go
@@ -38,7 +38,7 @@
 	"rollout": coordination, "quarantine": coordination, "retry": coordination,
 	"router": coordination,
 
-	"cmd": operation, "config": operation, "settings": operation,
+	"cmd": operation, "config": operation, "configcheck": operation, "settings": operation,
 	"questionnaire": operation, "publisher": operation,
 }
 
