chiveseamctl: config check

Checks a configuration before it is sent, in the platform's format or the project's own, and tells the differences from the one in force, as text or JSON. The exit status is 0 if there is no error, 1 if there is one, and 2 for wrong usage or a file that cannot be read or decoded.

--- a/cmd/chiveseamctl/commands.go
+++ b/cmd/chiveseamctl/commands.go
@@ -6,6 +6,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/chiveseam/chiveseam/edge"
 	"github.com/chiveseam/chiveseam/internal/operator"
 )
 
@@ -33,6 +34,7 @@
 		{"config", "Validate or compare configurations", []command{
 			{"validate", "Report all mistakes of a configuration", &validateCommand{env: env}},
 			{"diff", "Tell what changes from one configuration to another", &diffCommand{env: env}},
+			{"check", "Report mistakes, contradictions and differences of a configuration before it is sent", &configCheckCommand{env: env}},
 		}},
 	}
 	for _, g := range groups {
@@ -147,3 +149,34 @@
 	}
 	return operator.PrintDiff(c.env.stdout, from, to)
 }
+
+// configCheckCommand checks a configuration of the project or of the platform.
+type configCheckCommand struct {
+	env         *environment
+	InForce     string       `long:"in-force" value-name:"FILE" description:"Configuration in force, to compare with"`
+	ZoneRegions string       `long:"zone-regions" value-name:"ZONE=REGION,..." description:"Regions of the availability zones, for the check of allowed regions"`
+	JSON        bool         `long:"json" description:"Write the result as JSON"`
+	Args        fileArgument `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *configCheckCommand) Execute(rest []string) error {
+	if len(rest) > 0 {
+		return usageError("config check: want one FILE")
+	}
+	regions, err := edge.ParseZoneRegions(c.ZoneRegions)
+	if err != nil {
+		return usageError(err.Error())
+	}
+	if len(regions) == 0 {
+		regions = nil
+	}
+	result, err := operator.CheckConfiguration(c.Args.File, c.InForce, regions)
+	if err != nil {
+		return err
+	}
+	if err := operator.PrintCheck(c.env.stdout, result, c.JSON); err != nil {
+		return err
+	}
+	return result.Err()
+}
--- a/edge/regions.go
+++ b/edge/regions.go
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// parseZoneRegions parses pairs ZONE=REGION that are separated by commas. An empty region is not known.
-func parseZoneRegions(text string) (map[string]string, error) {
+// ParseZoneRegions parses pairs ZONE=REGION that are separated by commas. An empty region is not known.
+func ParseZoneRegions(text string) (map[string]string, error) {
 	regions := make(map[string]string)
 	var errs []error
 	for pair := range strings.SplitSeq(text, ",") {
--- a/edge/regions_test.go
+++ b/edge/regions_test.go
@@ -56,12 +56,12 @@
 	for text, want := range map[string]map[string]string{
 		"": {}, " a=north, b = south,": {"a": "north", "b": "south"}, "a=": {"a": ""}, "a=north,a=north": {"a": "north"},
 	} {
-		regions, err := parseZoneRegions(text)
+		regions, err := ParseZoneRegions(text)
 		is.NoErr(err)
 		is.Equal(regions, want)
 	}
 	for _, text := range []string{"a", "=north", "a=north,a=south"} {
-		_, err := parseZoneRegions(text)
+		_, err := ParseZoneRegions(text)
 		is.True(err != nil)
 	}
 	s, err := parseSettings(fillTemplate(t, nil))
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -127,7 +127,7 @@
 	s.MaxOpenFiles = figures.whole("max-open-files", f.MaxOpenFiles)
 	s.Defaulted = figures.defaulted
 	var regionsErr error
-	s.ZoneRegions, regionsErr = parseZoneRegions(f.ZoneRegions)
+	s.ZoneRegions, regionsErr = ParseZoneRegions(f.ZoneRegions)
 	if err := errors.Join(append(figures.errs, regionsErr, s.validate())...); err != nil {
 		return nil, err
 	}
--- a/internal/operator/files.go
+++ b/internal/operator/files.go
@@ -70,7 +70,13 @@
 	if err != nil {
 		return nil, err
 	}
+	return decodeConfiguration(file, content)
+}
+
+// decodeConfiguration decodes the content of a configuration file, serialized or as JSON.
+func decodeConfiguration(file string, content []byte) (*v1.Configuration, error) {
 	c := &v1.Configuration{}
+	var err error
 	if isJSON(content) {
 		err = protojson.Unmarshal(content, c)
 	} else {
