--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -96,6 +96,12 @@
 	if err != nil {
 		return nil, InputError{File: file, Err: err}
 	}
+	return decodeDocument(file, content)
+}
+
+// decodeDocument decodes the content of a file in one of the formats.
+func decodeDocument(file string, content []byte) (*document, error) {
+	var err error
 	d := &document{payload: content}
 	if len(content) == 0 {
 		return nil, InputError{File: file, Err: errEmpty}
