--- a/edge/regions_test.go
+++ b/edge/regions_test.go
@@ -28,11 +28,11 @@
 	f.is.Equal(len(north.requests()), 1)
 	f.is.Equal(len(south.requests())+len(unknown.requests()), 0)
 
-	regions, err := parseZoneRegions(" a=north, b = south,c=,")
+	regions, err := ParseZoneRegions(" a=north, b = south,c=,")
 	f.is.NoErr(err)
 	f.is.Equal(regions, map[string]string{"a": "north", "b": "south", "c": ""})
 	for _, text := range []string{"a", "=north", "a=north,a=south"} {
-		_, err := parseZoneRegions(text)
+		_, err := ParseZoneRegions(text)
 		f.is.True(err != nil)
 	}
 }
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -132,7 +132,7 @@
 	s.PrefixWeighing = figures.onOff("prefix-weighing", f.Weighing)
 	s.Defaulted = figures.defaulted
 	var regionsErr error
-	s.ZoneRegions, regionsErr = parseZoneRegions(f.ZoneRegions)
+	s.ZoneRegions, regionsErr = ParseZoneRegions(f.ZoneRegions)
 	if err := errors.Join(append(figures.errs, regionsErr, s.validate())...); err != nil {
 		return nil, err
 	}
