--- a/edge/settings.go
+++ b/edge/settings.go
@@ -81,7 +81,7 @@
 	LinkMbps     string `long:"link-mbps" description:"Rate of the network link in each direction in 10^6 bits per second; 0 if it is not known." default:"0"`
 	MemoryMB     string `long:"memory-mb" description:"Memory of the process in MB." default:"256"`
 	MaxOpenFiles string `long:"max-open-files" description:"File descriptors of the process." default:"4096"`
-	Weighing     string `long:"prefix-weighing" description:"Weigh cached prompt parts by a model of the engines' memory, if the configuration states its size: on or off." default:"on"`
+	Weighing     string `long:"prefix-weighing" description:"Weigh cached prompt parts by a model of the engines' memory, if the configuration states its size: on or off." default:"off"`
 	LogLevel     string `long:"log-level" description:"Least severity that is logged: debug, info, warn or error." default:"info"`
 }
 
