placement: capacity counts as short only while requests are refused

Cause: the capacity that workspaces share is the lesser of the configured one and of what the targets have shown lately.

Change: what the targets have shown counts only while more than 5 in 100 of the tokens asked for in the last half of the window were not sent.

--- a/placement/shares.go
+++ b/placement/shares.go
@@ -36,6 +36,8 @@
 	// one, decayed with servedHalfLife. It is divided by the part of the throughput that was available,
 	// so that it does not change when targets are evacuated or come back.
 	served float64
+	// refusing is set while more than refusingPart of what was asked lately was not sent to targets.
+	refusing bool
 	// share is the share of each workspace in tokens per second, and scarce is set if the
 	// workspaces ask for more than the capacity. Both are computed at computedAt.
 	share  float64
@@ -180,12 +182,15 @@
 	elapsed := now.Sub(s.computedAt)
 	seconds := s.window.Seconds()
 	demands := make([]float64, 0, len(s.byHash))
-	begun := 0.0
+	begun, recentAsked, recentBegun := 0.0, 0.0, 0.0
 	for _, u := range s.byHash {
+		recentAsked += s.sumNewest(&u.asked, recentBuckets)
+		recentBegun += s.sumNewest(&u.begun, recentBuckets)
 		demands = append(demands, s.sumNewest(&u.asked, recentBuckets)/(seconds*recentBuckets/windowBuckets))
 		begun += sumBuckets(&u.begun) / seconds
 	}
 	s.computedAt = now
+	s.refusing = recentAsked-recentBegun > refusingPart*recentAsked
 	s.available = s.availableThroughput(now)
 	s.availableBy[s.current%windowBuckets] = s.available
 	s.served = max(begun/s.meanAvailable(), s.served*decay(elapsed, servedHalfLife))
@@ -196,7 +201,7 @@
 // fullCapacity returns the throughput in tokens per second that the targets provide if none of them
 // is held back.
 func (s *shares) fullCapacity() float64 {
-	if s.capacity == 0 || s.served < s.capacity {
+	if s.capacity == 0 || s.served < s.capacity && s.refusing {
 		// If requests are refused, the targets can serve no more than what was sent to them,
 		// whatever capacity the configuration states.
 		return s.served
@@ -214,6 +219,9 @@
 }
 
 const (
+	// refusingPart is the part of the demand from which refusals show that the targets serve no more than
+	// what was sent to them. While less is refused, a demand above shares.served only rises.
+	refusingPart = 0.05
 	// servedHalfLife is the time in which shares.served loses half of its value. It spans several
 	// share windows: what the targets can serve changes seldom, what is sent to them at any time.
 	servedHalfLife = 10 * time.Second
