--- a/placement/memory.go
+++ b/placement/memory.go
@@ -49,7 +49,7 @@
 // about ten requests a second, so that the means follow in some seconds.
 const requestMeansGain = 0.02
 
-// observe adds a sample to a moving mean; 0 stands for no samples yet.
+// observe adds a sample to a moving mean of requestMeans; 0 stands for no samples yet.
 func observe(mean *float64, sample float64) {
 	if *mean == 0 {
 		*mean = sample
--- a/ratelimit/bounded.go
+++ b/ratelimit/bounded.go
@@ -17,8 +17,8 @@
 	spread = 150 * time.Millisecond
 )
 
-// NewBounded returns a Limiter with which a target gets at most most requests in any second, and rate in
-// the long run if the bound allows it. most is at least 1.
+// NewBounded returns a Limiter with two limits: no second has more requests at the target than the bound
+// most, which is at least 1, and in the long run there are rate requests per second if the bound allows it.
 //
 // The requests of a second use permits that were issued in that second, a lifetime before it or spread
 // after it. The lifetime is as long as the bound allows at the rate; if that is too short for the permits
