--- /dev/null
+++ b/review/rig/engine.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// engine is a stand-in of one engine. It registers itself, checks X-Chiveseam-Target-Instance, echoes the
+// request ID, signs its answers and works on a stream until its channel closes.
+type engine struct {
+	id, service, version, zone string
+	slots                      int
+	born                       int64
+	events                     int
+	eventPause                 time.Duration
+	// work is the time that a request of a plain service takes.
+	work   time.Duration
+	store  *store
+	record *record
+
+	mu       sync.Mutex
+	sequence uint64
+	address  string
+	server   *http.Server
+	beating  chan struct{}
+	// onRun is called with each request that begins to run.
+	onRun func(id string)
+}
+
+const heartbeat = 1200 * time.Millisecond
+
+// start opens the engine's port and registers it.
+func (e *engine) start(ip string) error {
+	l, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		return err
+	}
+	e.address, e.born = l.Addr().String(), time.Now().UnixMilli()
+	e.server = &http.Server{Handler: e}
+	go e.server.Serve(l)
+	e.register("ready")
+	e.record.log("engine %s (%s %s) at %s registered", e.id, e.service, e.version, e.address)
+	return nil
+}
+
+// register writes the entry of the engine. The stand-in store keeps entries until they are removed, so that
+// check-ins that change nothing but the sequence are left out.
+func (e *engine) register(state string) {
+	e.mu.Lock()
+	e.sequence++
+	sequence := e.sequence
+	e.mu.Unlock()
+	e.store.put("servers/"+e.id, map[string]any{
+		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, "state": state,
+		"cold_remaining_ms": 0, "sequence": sequence, "born": e.born, "stage": "colocated",
+		"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}},
+	})
+}
+
+// leave removes the entry without a word of draining; the engine goes on serving.
+func (e *engine) leave() {
+	e.store.remove("servers/" + e.id)
+	e.record.log("engine %s (%s): entry removed, goes on serving", e.id, e.version)
+}
+
+// exit ends the engine with all its channels.
+func (e *engine) exit() {
+	e.record.log("engine %s (%s): exits", e.id, e.version)
+	e.server.Close()
+}
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	id := r.Header.Get("X-Chiveseam-Request-Id")
+	if r.URL.Path == "/api/kv-list" {
+		fmt.Fprint(w, `{"epoch":1,"next":1,"held":[]}`)
+		return
+	}
+	if id != "" {
+		w.Header().Set("X-Chiveseam-Request-Id", id)
+	}
+	if r.Header.Get("X-Chiveseam-Target-Instance") != e.id {
+		e.record.log("engine %s: request %s is for another engine, 421", e.id, id)
+		w.Header().Set("X-Chiveseam-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.record.log("engine %s (%s %s): runs %s %s %s, last event %q", e.id, e.service, e.version, id, r.Method, r.URL.Path, r.Header.Get("Last-Event-Id"))
+	if e.onRun != nil {
+		e.onRun(id)
+	}
+	w.Header().Set("X-Chiveseam-Server-Signature", "signed."+e.id+"."+id)
+	w.Header().Set("Keep-Alive", "timeout=10")
+	if r.Header.Get("X-Chiveseam-Prompt-Prefix") != "" {
+		e.stream(w, r, id)
+		return
+	}
+	time.Sleep(e.work)
+	text := fmt.Sprintf("%s %s %d bytes %s", e.id, id, len(body), strings.Repeat("x", 700))
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	fmt.Fprint(w, text)
+}
+
+// stream answers with the events after Last-Event-Id.
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Chiveseam-Weight-Versions", "1")
+	first := 1
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	flush := http.NewResponseController(w).Flush
+	for n := first; n <= e.events; n++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(e.eventPause):
+		}
+		fmt.Fprintf(w, "id: %d\ndata: engine %s version %s\n\n", n, e.id, e.version)
+		if flush() != nil {
+			return
+		}
+	}
+	e.record.log("engine %s: %s complete", e.id, id)
+}
