--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -28,9 +28,12 @@
 	sequence uint64
 	address  string
 	server   *http.Server
-	beating  chan struct{}
 	// onRun is called with each request that begins to run.
 	onRun func(id string)
+	// crashOn is the path of a request that crashes the engine; onCrash is called then.
+	crashOn string
+	onCrash func(request string)
+	conns   connections
 }
 
 const heartbeat = 1200 * time.Millisecond
@@ -42,7 +45,7 @@
 		return err
 	}
 	e.address, e.born = l.Addr().String(), time.Now().UnixMilli()
-	e.server = &http.Server{Handler: e}
+	e.server = &http.Server{Handler: e, ConnState: e.conns.track}
 	go e.server.Serve(l)
 	e.register("ready")
 	e.record.log("engine %s (%s %s) at %s registered", e.id, e.service, e.version, e.address)
@@ -69,6 +72,12 @@
 	e.record.log("engine %s (%s): entry removed, goes on serving", e.id, e.version)
 }
 
+// reset ends the engine and resets all its channels.
+func (e *engine) reset() {
+	e.conns.reset()
+	e.server.Close()
+}
+
 // exit ends the engine with all its channels.
 func (e *engine) exit() {
 	e.record.log("engine %s (%s): exits", e.id, e.version)
@@ -98,6 +107,10 @@
 	if e.onRun != nil {
 		e.onRun(id)
 	}
+	if e.crashOn != "" && r.URL.Path == e.crashOn {
+		e.onCrash(id)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("X-Chiveseam-Server-Signature", "signed."+e.id+"."+id)
 	w.Header().Set("Keep-Alive", "timeout=10")
 	if r.Header.Get("X-Chiveseam-Prompt-Prefix") != "" {
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -42,6 +42,7 @@
 	cmd     *exec.Cmd
 	exited  chan struct{}
 	stopped bool // the rig has sent a signal that ends the process
+	began   time.Time
 	misses  int
 	ready   bool
 }
@@ -116,7 +117,7 @@
 		return err
 	}
 	m.mu.Lock()
-	m.cmd, m.exited, m.stopped = cmd, make(chan struct{}), false
+	m.cmd, m.exited, m.stopped, m.began = cmd, make(chan struct{}), false, time.Now()
 	exited := m.exited
 	m.mu.Unlock()
 	m.fleet.record.log("%s: process %d started", m.name, cmd.Process.Pid)
@@ -151,6 +152,13 @@
 	}
 }
 
+// startedAt returns when the process was started.
+func (m *machine) startedAt() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.began
+}
+
 func (m *machine) running() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
