--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -16,17 +16,18 @@
 type call struct {
 	id, method, path, host, key string
 	deadline                    time.Duration
-	prompt                      bool
-	lastEventID, resumes        string
-	body                        string
+	// prompt is the list of prompt parts; empty for requests without a prompt.
+	prompt               string
+	lastEventID, resumes string
+	body                 string
 }
 
 func (c call) text() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Chiveseam-Request-Id: %s\r\nX-Chiveseam-Deadline-Ms: %d\r\nApi-Key: %s\r\n",
 		c.method, c.path, c.host, c.id, c.deadline.Milliseconds(), c.key)
-	if c.prompt {
-		fmt.Fprintf(&b, "X-Chiveseam-Model: m\r\nX-Chiveseam-Token-Usage: 460,60\r\nX-Chiveseam-Prompt-Prefix: 5c1e07a2:210,91bd3f06:250\r\n")
+	if c.prompt != "" {
+		fmt.Fprintf(&b, "X-Chiveseam-Model: m\r\nX-Chiveseam-Token-Usage: 560,60\r\nX-Chiveseam-Prompt-Prefix: %s\r\n", c.prompt)
 	}
 	if c.lastEventID != "" {
 		fmt.Fprintf(&b, "Last-Event-Id: %s\r\nResumes: %s\r\n", c.lastEventID, c.resumes)
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,19 +29,24 @@
 	sequence uint64
 	address  string
 	server   *http.Server
-	// onRun is called with each request that begins to run.
-	onRun func(id string)
+	// crashPart is a prompt part that crashes the engine once it has begun to answer.
+	crashPart string
 	// crashOn is the path of a request that crashes the engine; onCrash is called then.
 	crashOn string
 	onCrash func(request string)
 	conns   connections
+	// left is set once the engine leaves: its answers say so.
+	left atomic.Bool
 }
 
 const heartbeat = 1200 * time.Millisecond
 
 // start opens the engine's port and registers it.
-func (e *engine) start(ip string) error {
-	l, err := net.Listen("tcp4", ip+":0")
+func (e *engine) start(ip string) error { return e.startAt(ip + ":0") }
+
+// startAt is start for an address.
+func (e *engine) startAt(address string) error {
+	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return err
 	}
@@ -68,6 +74,7 @@
 
 // leave removes the entry without a word of draining; the engine goes on serving.
 func (e *engine) leave() {
+	e.left.Store(true)
 	e.store.remove("servers/" + e.id)
 	e.record.log("engine %s (%s): entry removed, goes on serving", e.id, e.version)
 }
@@ -97,6 +104,9 @@
 	if id != "" {
 		w.Header().Set("X-Chiveseam-Request-Id", id)
 	}
+	if e.left.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if r.Header.Get("X-Chiveseam-Target-Instance") != e.id {
 		e.record.log("engine %s: request %s is for another engine, 421", e.id, id)
 		w.Header().Set("X-Chiveseam-Not-Executed", "1")
@@ -104,9 +114,6 @@
 		return
 	}
 	e.record.log("engine %s (%s %s): runs %s %s %s, last event %q", e.id, e.service, e.version, id, r.Method, r.URL.Path, r.Header.Get("Last-Event-Id"))
-	if e.onRun != nil {
-		e.onRun(id)
-	}
 	if e.crashOn != "" && r.URL.Path == e.crashOn {
 		e.onCrash(id)
 		panic(http.ErrAbortHandler)
@@ -142,6 +149,10 @@
 		if flush() != nil {
 			return
 		}
+		if e.crashPart != "" && strings.Contains(","+r.Header.Get("X-Chiveseam-Prompt-Prefix"), ","+e.crashPart+":") {
+			e.onCrash(id)
+			panic(http.ErrAbortHandler)
+		}
 	}
 	e.record.log("engine %s: %s complete", e.id, id)
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -81,10 +81,17 @@
 const (
 	host      = "shop.example"
 	consumerK = "asnmgkcuyj8pjbvk9m68"
+	revokedK  = "k7b2ex5wa5xwyhks8nbk"
 )
 
 // configuration is what the operator writes: the requests of a small deployment.
-func configuration(version int) map[string]any {
+func configuration(version int) map[string]any { return configurationWith(version, revokedK) }
+
+// configurationWith is configuration with the keys of the second tenant.
+func configurationWith(version int, revocable ...string) map[string]any {
+	if revocable == nil {
+		revocable = []string{}
+	}
 	return map[string]any{
 		"version": version,
 		"routes": []any{
@@ -100,7 +107,10 @@
 				"engine": map[string]any{"slots": 64, "kv_capacity_tokens": 671459, "kv_token_bytes": 18432, "link_mbps": 88000.0, "stride": 3, "models": []any{map[string]any{"name": "m"}}}},
 			map[string]any{"name": "order-desk", "health_path": "/health", "max_connections": 96, "protocol": "h1", "tls": false},
 		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tokens_per_s": 310000},
-		"tenants": []any{map[string]any{"name": "hule930", "api_keys": []string{consumerK}, "priority": 1}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tokens_per_s": 310000},
+		"tenants": []any{
+			map[string]any{"name": "hule930", "api_keys": []string{consumerK}, "priority": 1},
+			map[string]any{"name": "rema412", "api_keys": revocable, "priority": 1},
+		},
 	}
 }
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -31,14 +31,9 @@
 	revision uint64
 	changed  chan struct{}
 	// down makes every call fail with status 503.
-	down bool
-	// rangeDelay is an additional delay of answers to range calls; nil stands for none. onRange is
-	// called with the prefix when a range call has read its items.
-	rangeDelay func() time.Duration
-	onRange    func(prefix, caller string)
-	onEvents   func(prefix, caller string, events []item)
-	server     *http.Server
-	address    string
+	down    bool
+	server  *http.Server
+	address string
 }
 
 const (
@@ -50,6 +45,7 @@
 	return &store{items: map[string]item{}, revision: 1, changed: make(chan struct{})}
 }
 
+// start opens the store at a free port of an address.
 func (s *store) start(ip string) error {
 	l, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
@@ -119,7 +115,7 @@
 		}
 		answerJSON(w, it)
 	case "/api/kv-range":
-		s.serveRange(w, r, q.Get("prefix"), q.Get("after"))
+		s.serveRange(w, q.Get("prefix"), q.Get("after"))
 	case "/api/kv-watch":
 		after, err := strconv.ParseUint(q.Get("after"), 10, 64)
 		wait, waitErr := strconv.Atoi(q.Get("wait_ms"))
@@ -133,7 +129,7 @@
 	}
 }
 
-func (s *store) serveRange(w http.ResponseWriter, r *http.Request, prefix, after string) {
+func (s *store) serveRange(w http.ResponseWriter, prefix, after string) {
 	s.mu.Lock()
 	found := []item{}
 	for key, it := range s.items {
@@ -141,19 +137,13 @@
 			found = append(found, it)
 		}
 	}
-	revision, delay, hook := s.revision, s.rangeDelay, s.onRange
+	revision := s.revision
 	s.mu.Unlock()
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
 	more := len(found) > pageItems
 	if more {
 		found = found[:pageItems]
 	}
-	if hook != nil {
-		hook(prefix, r.RemoteAddr)
-	}
-	if delay != nil {
-		time.Sleep(delay())
-	}
 	answerJSON(w, map[string]any{"items": found, "has_more": more, "store_revision": revision})
 }
 
@@ -161,7 +151,7 @@
 	timeout := time.After(wait)
 	for {
 		s.mu.Lock()
-		revision, changed, down, hook := s.revision, s.changed, s.down, s.onEvents
+		revision, changed, down := s.revision, s.changed, s.down
 		found := []item{}
 		for _, it := range s.history {
 			if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
@@ -185,9 +175,6 @@
 			}
 		}
 		if len(found) > 0 || over {
-			if hook != nil && len(found) > 0 {
-				hook(prefix, r.RemoteAddr, found)
-			}
 			answerJSON(w, map[string]any{"events": found, "store_revision": revision})
 			return
 		}
--- a/review/rig/versions.go
+++ b/review/rig/versions.go
@@ -163,8 +163,8 @@
 	defer conn.Close()
 	e.record.log("consumer %d: %s to %s, last event %q, resumes %q", s.number, id, m.name, s.lastID, s.firstTry)
 	resp, err := send(conn, br, call{
-		id: id, method: "POST", path: "/chat/2f", host: host, key: consumerK, deadline: left, prompt: true,
-		lastEventID: s.lastID, resumes: s.firstTry, body: "{}",
+		id: id, method: "POST", path: "/chat/2f", host: host, key: consumerK, deadline: left, prompt: fmt.Sprintf("5c1e07a2:210,91bd3f06:250,e4402b%02x:100", s.number),
+		lastEventID: s.lastID, resumes: s.firstTry, body: fmt.Sprintf("prompt of consumer %d", s.number),
 	})
 	if err != nil {
 		e.record.log("consumer %d: %s ends without an answer: %v", s.number, id, err)
