--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -31,6 +31,10 @@
 	server   *http.Server
 	// crashPart is a prompt part that crashes the engine once it has begun to answer.
 	crashPart string
+	// crashing says whether it does so in runs that begin now; nil stands for always.
+	crashing func() bool
+	// quiet leaves runs out of the record.
+	quiet bool
 	// crashOn is the path of a request that crashes the engine; onCrash is called then.
 	crashOn string
 	onCrash func(request string)
@@ -113,7 +117,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.record.log("engine %s (%s %s): runs %s %s %s, last event %q", e.id, e.service, e.version, id, r.Method, r.URL.Path, r.Header.Get("Last-Event-Id"))
+	if !e.quiet {
+		e.record.log("engine %s (%s %s): runs %s %s %s, last event %q", e.id, e.service, e.version, id, r.Method, r.URL.Path, r.Header.Get("Last-Event-Id"))
+	}
 	if e.crashOn != "" && r.URL.Path == e.crashOn {
 		e.onCrash(id)
 		panic(http.ErrAbortHandler)
@@ -139,6 +145,8 @@
 		first = last + 1
 	}
 	flush := http.NewResponseController(w).Flush
+	crash := e.crashPart != "" && (e.crashing == nil || e.crashing()) &&
+		strings.Contains(","+r.Header.Get("X-Chiveseam-Prompt-Prefix"), ","+e.crashPart+":")
 	for n := first; n <= e.events; n++ {
 		select {
 		case <-r.Context().Done():
@@ -149,10 +157,12 @@
 		if flush() != nil {
 			return
 		}
-		if e.crashPart != "" && strings.Contains(","+r.Header.Get("X-Chiveseam-Prompt-Prefix"), ","+e.crashPart+":") {
+		if crash {
 			e.onCrash(id)
 			panic(http.ErrAbortHandler)
 		}
 	}
-	e.record.log("engine %s: %s complete", e.id, id)
+	if !e.quiet {
+		e.record.log("engine %s: %s complete", e.id, id)
+	}
 }
