--- a/review/rig/modelengines.go
+++ b/review/rig/modelengines.go
@@ -17,7 +17,9 @@
 	store *store
 	// back is the time after which a crashed engine is back.
 	back time.Duration
-	bad  atomic.Bool
+	// keepIDs is set if engines start again under the ids that they had.
+	keepIDs bool
+	bad     atomic.Bool
 
 	mu       sync.Mutex
 	boots    int
@@ -29,8 +31,12 @@
 func (d *modelEngines) boot(zone int) error {
 	d.mu.Lock()
 	d.boots++
+	id := fmt.Sprintf("i-%d", d.boots)
+	if d.keepIDs {
+		id = fmt.Sprintf("i-zone%d", zone)
+	}
 	x := &engine{
-		id: fmt.Sprintf("i-%d", d.boots), service: "assist-llm", version: "v1", zone: zoneNames[zone%4], slots: 64,
+		id: id, service: "assist-llm", version: "v1", zone: zoneNames[zone%4], slots: 64,
 		events: 50, eventPause: 20 * time.Millisecond, store: d.store, record: d.env.record, crashPart: poisonedPart, crashing: d.bad.Load, quiet: true,
 	}
 	d.mu.Unlock()
@@ -54,7 +60,9 @@
 	}
 	delete(d.engines, x)
 	x.reset()
-	time.AfterFunc(lapse, func() { d.store.remove("servers/" + x.id) })
+	if !d.keepIDs {
+		time.AfterFunc(lapse, func() { d.store.remove("servers/" + x.id) })
+	}
 	time.AfterFunc(d.back, func() {
 		d.mu.Lock()
 		closed := d.closed
