--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -51,11 +51,13 @@
 func newFleet(dir, root, store string, record *record, n int) (*fleet, error) {
 	f := &fleet{dir: dir, program: filepath.Join(root, "target", "chiveseam-edge"), store: store, record: record, ports: map[string]int{}}
 	for _, name := range []string{"listen", "ready", "peer", "metrics", "control"} {
-		port, err := freePort()
+		// Each port is held until all are chosen, so that none is chosen twice.
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
-		f.ports[name] = port
+		defer l.Close()
+		f.ports[name] = l.Addr().(*net.TCPAddr).Port
 	}
 	pid := os.Getpid()
 	for i := range n {
@@ -67,15 +69,6 @@
 	return f, nil
 }
 
-func freePort() (int, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
-
 func (m *machine) at(port string) string { return fmt.Sprintf("%s:%d", m.ip, m.fleet.ports[port]) }
 
 // writeSettings writes what deploy/edge.ini.template gives for this machine.
