streams: tell other routers which software versions a service has had

Cause: a router asks the others where a stream began only if the service has had several versions, and took the versions in the registrations since its own start for all there had been. A router that starts when the old version is gone from the store sees one, and sends the stream anywhere.

Change: package streams holds the versions of each service beside the origins. They are told in three reports when another one is seen, and in the answer to a router that asks; the origin of a reported stream counts too. A new log line, stream_origin_unknown, says whether a stream of unknown origin was refused or went on.

--- a/edge/origin.go
+++ b/edge/origin.go
@@ -46,6 +46,7 @@
 	e.mu.Lock()
 	ambiguous := e.hasSeveralVersions(c.route)
 	e.mu.Unlock()
+	level.Info(c.log).Log("event", "stream_origin_unknown", "stream", uint64(c.stream), "several_versions", ambiguous)
 	if ambiguous {
 		c.refuse(v1.Code_NO_TARGET, http.StatusServiceUnavailable, unknownOriginRetryAfter, "version of the stream unknown")
 	}
@@ -101,7 +102,7 @@
 // caller holds e.mu.
 func (e *Edge) hasSeveralVersions(route *routing.Route) bool {
 	for _, s := range route.Services {
-		if e.balancer.HasSeveralVersions(s.Service) {
+		if e.origins.HasSeveralVersions(placement.Hash(s.Service)) {
 			return true
 		}
 	}
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -240,8 +240,8 @@
 }
 
 // answerReport sends a router that asked for it the addresses of the other routers, the targets that
-// leave or have rate limits, the evacuations, the prompt parts that the targets have in their KV caches, and the requests
-// that crash targets. The caller holds e.mu.
+// leave, are cold or have rate limits, the evacuations, the versions of services, the prompt parts that the
+// targets have in their KV caches, and the requests that crash targets. The caller holds e.mu.
 func (e *Edge) answerReport(now time.Time, to netip.AddrPort) {
 	answer := e.baseReport()
 	answer.Members = e.members.SampleMembers(now, true)
@@ -249,6 +249,7 @@
 	answer.RateLimits = e.balancer.RateLimits(now)
 	answer.Evacuations = e.evacuations.Entries()
 	answer.ColdTargets = e.balancer.ColdTargetMessages(now)
+	answer.Versions = e.origins.Versions()
 	answers := []*v1.LoadReport{answer}
 	for _, parts := range e.balancer.RecentCachedParts(now) {
 		partsReport := e.baseReport()
--- a/edge/version_test.go
+++ b/edge/version_test.go
@@ -171,6 +171,29 @@
 	second.resumeAtTheirVersions(begun)
 }
 
+// Guards against ORDER: streams of a version whose targets had left went on at another one, at a router
+// that started after that.
+func TestStartedRouterLearnsOfVersionsThatAreGone(t *testing.T) {
+	var breaks atomic.Bool
+	targets := versionedTargets(t, &breaks)
+	first := newFixture(t, targets...)
+	begun := first.beginStreams(8)
+	second := first.newPeer(targets[1], targets[3])
+	continued, refused := 0, 0
+	for _, s := range begun {
+		status, rest := second.resumeStream(s.id)
+		if status != http.StatusOK {
+			second.is.Equal(status, http.StatusServiceUnavailable)
+			refused++
+			continue
+		}
+		versions, _ := versionsIn(s.body + rest)
+		second.is.Equal(len(versions), 1)
+		continued++
+	}
+	second.is.True(continued > 0 && refused > 0)
+}
+
 // A stream that no router knows goes on only if its service has one version: otherwise the request is
 // refused soon, and has not run.
 func TestUnknownStreamIsNotContinuedAmongSeveralVersions(t *testing.T) {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/chiveseam/chiveseam/placement"
 	"github.com/chiveseam/chiveseam/routing"
 )
 
@@ -332,6 +333,7 @@
 			continue
 		}
 		e.balancer.SetTarget(t)
+		e.origins.SeeVersion(placement.Hash(t.Service), placement.VersionHash(t.Version))
 		level.Info(e.logger).Log("event", "target_updated", "target", t.ID, "service", t.Service, "address", t.Address,
 			"draining", t.Draining, "sequence", t.Sequence, "zone", t.Zone, "target_version", t.Version)
 	}
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -77,8 +77,6 @@
 	targets []*target
 	// engines is set if the targets are model engines.
 	engines bool
-	// versions holds the VersionHash of each version that targets of the service have had.
-	versions map[uint32]bool
 	// model predicts the time to the first token from samples of all targets.
 	model speedModel
 	// slots is the number of requests that one engine runs at a time, and kvTokens the
@@ -229,7 +227,7 @@
 func (b *Balancer) service(name string) *service {
 	s, ok := b.services[name]
 	if !ok {
-		s = &service{holders: make(holders), versions: make(map[uint32]bool)}
+		s = &service{holders: make(holders)}
 		b.services[name] = s
 	}
 	return s
@@ -269,7 +267,6 @@
 	b.targets[t.ID] = added
 	b.byHash[added.hash] = added
 	s.targets = append(s.targets, added)
-	s.versions[added.versionHash] = true
 }
 
 // RemoveTarget removes a target. It has no effect if the target is unknown.
--- a/placement/usable_test.go
+++ b/placement/usable_test.go
@@ -177,7 +177,6 @@
 	for i, version := range []string{"v1", "v2", "v2", ""} {
 		target := plainTarget(fmt.Sprint(i), 1)
 		target.Version = version
-		is.Equal(b.HasSeveralVersions("desk"), i >= 2)
 		b.SetTarget(target)
 	}
 	for range 10 {
@@ -197,7 +196,6 @@
 	d.Version = placement.VersionHash("v1")
 	_, err := b.Choose(now, d)
 	is.True(errors.Is(err, placement.ErrNoTarget))
-	is.True(b.HasSeveralVersions("desk"))
 
 	// A target that has another version since its last registration is one of that.
 	moved := plainTarget("3", 1)
--- a/placement/version.go
+++ b/placement/version.go
@@ -5,10 +5,3 @@
 
 // hasVersion reports whether the target has the version with a hash; 0 stands for any.
 func (t *target) hasVersion(hash uint32) bool { return hash == 0 || t.versionHash == hash }
-
-// HasSeveralVersions reports whether targets of several versions of a service were in use since this
-// router started.
-func (b *Balancer) HasSeveralVersions(service string) bool {
-	s, ok := b.services[service]
-	return ok && len(s.versions) > 1
-}
--- a/streams/streams.go
+++ b/streams/streams.go
@@ -5,6 +5,10 @@
 // in their load reports at which version each stream begins, and a router that does not know a stream,
 // because it has just started or a report was dropped, asks the others.
 //
+// A stream whose origin nobody knows may go on anywhere if its service has had one version only. Routers
+// therefore also tell each other the versions that they have seen: a router that starts after a version is
+// gone would not learn of it from the registrations of targets.
+//
 // An origin is forgotten between one and two lifetimes after it was recorded; the router that forwards
 // a stream records it again before that. The memory is bounded: if streams begin faster than expected,
 // origins are forgotten sooner.
@@ -14,6 +18,7 @@
 package streams
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,6 +33,14 @@
 	maxOrigins = 100_000
 	// maxReported limits the origins in one report, so that it fits into a datagram.
 	maxReported = 500
+	// maxVersions is the number of versions that are remembered for a service: with two, the origin of a
+	// stream matters.
+	maxVersions = 2
+	// versionReports is the number of reports that state the versions of a service after another one was
+	// seen, in case some of them are dropped.
+	versionReports = 3
+	// maxServices bounds the services whose versions are remembered.
+	maxServices = 10_000
 )
 
 // ID identifies a stream: a hash of the ID of the caller's request that brought its first event.
@@ -55,11 +68,45 @@
 	// unreported holds the origins that this router has recorded and not reported yet, and reported
 	// those that are reported once more, since datagrams are lost now and then.
 	unreported, reported []*v1.StreamOrigin
+	// versions holds up to maxVersions versions that targets of each service have had, and versionsDue the
+	// number of reports that must still state them.
+	versions    map[uint32][]uint32
+	versionsDue map[uint32]int
 }
 
 // New returns an empty memory.
 func New(now time.Time) *Origins {
-	return &Origins{recent: make(map[ID]Origin), rotatedAt: now}
+	return &Origins{
+		recent: make(map[ID]Origin), rotatedAt: now,
+		versions: make(map[uint32][]uint32), versionsDue: make(map[uint32]int),
+	}
+}
+
+// SeeVersion records that targets of a service have, or had, a version; both are hashes.
+func (o *Origins) SeeVersion(service, version uint32) {
+	known, ok := o.versions[service]
+	if len(known) >= maxVersions || slices.Contains(known, version) || !ok && len(o.versions) >= maxServices {
+		return
+	}
+	o.versions[service] = append(known, version)
+	o.versionsDue[service] = versionReports
+}
+
+// HasSeveralVersions reports whether a service has had targets of several versions, as far as this router
+// or one that told it has seen.
+func (o *Origins) HasSeveralVersions(service uint32) bool { return len(o.versions[service]) > 1 }
+
+// Versions returns the versions of all services, for a router that does not know them.
+func (o *Origins) Versions() []*v1.ServiceVersions {
+	list := make([]*v1.ServiceVersions, 0, len(o.versions))
+	for service := range o.versions {
+		list = append(list, o.versionsOf(service))
+	}
+	return list
+}
+
+func (o *Origins) versionsOf(service uint32) *v1.ServiceVersions {
+	return &v1.ServiceVersions{Service: service, Version: slices.Clone(o.versions[service])}
 }
 
 // Record records where a stream that this router forwards began, for the next reports too. It has no
@@ -84,18 +131,33 @@
 	return origin, ok
 }
 
-// FillReport adds the origins to a report that were recorded since the last ones.
+// FillReport adds the origins to a report that were recorded since the last ones, and the versions of
+// services that were seen since.
 func (o *Origins) FillReport(r *v1.LoadReport) {
+	for service := range o.versionsDue {
+		o.versionsDue[service]--
+		if o.versionsDue[service] == 0 {
+			delete(o.versionsDue, service)
+		}
+		r.Versions = append(r.Versions, o.versionsOf(service))
+	}
 	n := min(len(o.unreported), maxReported)
 	r.StreamOrigins = append(append(r.StreamOrigins, o.unreported[:n]...), o.reported...)
 	o.reported, o.unreported = o.unreported[:n:n], o.unreported[n:]
 }
 
-// MergeReport records the origins that another router reports.
+// MergeReport records the origins and the versions that another router reports. A stream shows that its
+// version exists.
 func (o *Origins) MergeReport(now time.Time, r *v1.LoadReport) {
 	for _, s := range r.StreamOrigins {
 		if s.Stream != 0 {
 			o.put(now, ID(s.Stream), Origin{Service: s.Service, Version: s.Version})
+			o.SeeVersion(s.Service, s.Version)
+		}
+	}
+	for _, s := range r.Versions {
+		for _, version := range s.Version {
+			o.SeeVersion(s.Service, version)
 		}
 	}
 }
--- a/streams/streams_test.go
+++ b/streams/streams_test.go
@@ -168,3 +168,35 @@
 	is.True(ok)
 	is.Equal(got, origin(1))
 }
+
+// Guards against routers that take the only version which they have seen for the only one: each learns of
+// versions by registrations, by reports of which two are dropped, by streams or by an answer.
+func TestVersionsAreToldToOtherRouters(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	const service, other = 1, 2
+	first := streams.New(now)
+	for i, version := range []uint32{11, 12, 12, 13} {
+		is.Equal(first.HasSeveralVersions(service), i >= 2)
+		first.SeeVersion(service, version)
+	}
+	first.SeeVersion(other, 11)
+	is.True(!first.HasSeveralVersions(other))
+
+	reported, answered, streaming := streams.New(now), streams.New(now), streams.New(now)
+	for i := range 5 {
+		r := &v1.LoadReport{}
+		first.FillReport(r)
+		if i == 2 {
+			reported.MergeReport(now, r)
+		}
+		is.Equal(len(r.Versions) > 0, i < 3)
+	}
+	answered.MergeReport(now, &v1.LoadReport{Versions: first.Versions()})
+	streaming.SeeVersion(service, 12)
+	streaming.MergeReport(now, &v1.LoadReport{StreamOrigins: []*v1.StreamOrigin{{Stream: 5, Service: service, Version: 11}}})
+	for _, o := range []*streams.Origins{reported, answered, streaming} {
+		is.True(o.HasSeveralVersions(service))
+		is.True(!o.HasSeveralVersions(other))
+	}
+}
