exchange: ask for what was missed, not only routers that are silent

Cause: a router is told what happened before its start only in an answer, and asked only members that had been silent for 3 s. The running routers went on sending reports to those that were killed, which were therefore never silent; the seeds were asked and knew nothing.

Change: reports are numbered, and what must reach all routers is stated in three of them. A router that misses three or more in a row asks their sender until its answer has come in all its parts. That covers starts, alone or together, added routers, cuts and stops of any length, and all that an answer states. Answers do not count before the targets are known, as limits and cold targets named in them have no effect then. A router that nobody has informed yet refuses streams of unknown origin instead of taking them for ones that may go on anywhere; without an informed router in sight that ends 1.2 s after its start.

The change of exchange.New in existing tests is its new parameter.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -126,8 +126,12 @@
 	retryBudgets map[string]*retry.Window
 	poison       *poison.Tracker
 	members      *exchange.Members
-	origins      *streams.Origins
-	evacuations  *evacuation.Zones
+	// reportSequence is the sequence number of the latest report, answerCount the number of answers to routers
+	// that asked for one.
+	reportSequence uint64
+	answerCount    uint32
+	origins        *streams.Origins
+	evacuations    *evacuation.Zones
 	// originWaiters holds a channel for each stream whose origin other routers were asked for.
 	originWaiters map[streams.ID]chan struct{}
 	// readers says which routers of the zone watch the registrations of targets.
@@ -215,7 +219,7 @@
 	if err != nil {
 		return err
 	}
-	e.members = exchange.New(peer, s.Zone, peerTimeout, uint64(e.started.UnixNano()))
+	e.members = exchange.New(peer, s.Zone, e.started, peerTimeout, uint64(e.started.UnixNano()))
 	e.members.SetSeeds(seeds)
 	if e.reportConn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(peer)); err != nil {
 		return fmt.Errorf("edge: peer: %w", err)
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -26,7 +26,7 @@
 )
 
 // resolveOrigin restricts a request that takes a stream up to the targets of the service and of the
-// software version that began it. If these cannot be told, and the service has had several versions, it
+// software version that began it. If these cannot be told, and the service may have had several versions, it
 // answers the request and returns false.
 func (c *call) resolveOrigin() bool {
 	e := c.edge
@@ -44,9 +44,9 @@
 		return true
 	}
 	e.mu.Lock()
-	ambiguous := e.hasSeveralVersions(c.route)
+	ambiguous := e.mayHaveSeveralVersions(c.route)
 	e.mu.Unlock()
-	level.Info(c.log).Log("event", "stream_origin_unknown", "stream", uint64(c.stream), "several_versions", ambiguous)
+	level.Info(c.log).Log("event", "stream_origin_unknown", "stream", uint64(c.stream), "refused", ambiguous)
 	if ambiguous {
 		c.refuse(v1.Code_NO_TARGET, http.StatusServiceUnavailable, unknownOriginRetryAfter, "version of the stream unknown")
 	}
@@ -66,13 +66,13 @@
 }
 
 // findOrigin returns where a stream began, and whether that is known. If it is not and the services of
-// the route have had several versions, it asks the other routers and waits for an answer, for originWait
+// the route may have had several versions, it asks the other routers and waits for an answer, for originWait
 // at the longest.
 func (e *Edge) findOrigin(id streams.ID, route *routing.Route) (streams.Origin, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	origin, known := e.origins.Lookup(id)
-	if known || id == 0 || !e.hasSeveralVersions(route) {
+	if known || id == 0 || !e.mayHaveSeveralVersions(route) {
 		return origin, known
 	}
 	if told := e.originWaiter(id); told != nil {
@@ -98,9 +98,12 @@
 	return waiter
 }
 
-// hasSeveralVersions reports whether a service of the route has had targets of several versions. The
-// caller holds e.mu.
-func (e *Edge) hasSeveralVersions(route *routing.Route) bool {
+// mayHaveSeveralVersions reports whether a service of the route has had targets of several versions, as far
+// as this router knows: one that has just started may not have been told. The caller holds e.mu.
+func (e *Edge) mayHaveSeveralVersions(route *routing.Route) bool {
+	if !e.members.Informed(time.Now()) {
+		return true
+	}
 	for _, s := range route.Services {
 		if e.origins.HasSeveralVersions(placement.Hash(s.Service)) {
 			return true
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -223,7 +223,7 @@
 		source: zonedSource{routerSource{f.store, i}, f}, started: now, directory: newDirectory(lapsedTime), targetConns: newConnPool(),
 		balancer: placement.New(placement.Options{Router: name, Zone: zone, ShareWindow: 4 * time.Second, PeerTimeout: peerTimeout}),
 		poison:   poison.New(now), origins: streams.New(now), evacuations: evacuation.New(), originWaiters: map[streams.ID]chan struct{}{},
-		link: linkbudget.New(1000), members: exchange.New(fleetAddress(i), zone, peerTimeout, uint64(i+1)), wakeProbe: make(chan struct{}, 1),
+		link: linkbudget.New(1000), members: exchange.New(fleetAddress(i), zone, now, peerTimeout, uint64(i+1)), wakeProbe: make(chan struct{}, 1),
 		reportConn: readersConn{f, i, &decodedReport{}},
 	}
 	e.members.SetSeeds([]netip.AddrPort{fleetAddress(0), fleetAddress(1), fleetAddress(2), fleetAddress(3)})
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -26,8 +26,6 @@
 // reporter creates the periodic load reports of this router. Only sendReports uses it.
 type reporter struct {
 	edge *Edge
-	// sequence is the sequence number of the last report.
-	sequence uint64
 	// signatures holds the prompts that were refused at the last report.
 	signatures [][]uint64
 }
@@ -69,10 +67,10 @@
 // report creates the next report. The caller holds e.mu.
 func (r *reporter) report(now time.Time) *v1.LoadReport {
 	e := r.edge
-	r.sequence++
+	e.reportSequence++
 	report := e.baseReport()
-	report.Sequence = r.sequence
-	if r.sequence%memberListPeriod == 0 {
+	report.Sequence = e.reportSequence
+	if report.Sequence%memberListPeriod == 0 {
 		report.Members = e.members.SampleMembers(now, false)
 	}
 	revision := e.targetsRevision.load()
@@ -98,8 +96,7 @@
 	Close() error
 }
 
-// sendReport sends a report to the recipients. Those marked with Answer, which have been silent,
-// are asked to answer it.
+// sendReport sends a report to the recipients. Those marked with Answer are asked to answer it.
 func (e *Edge) sendReport(report *v1.LoadReport, recipients []exchange.Recipient) {
 	plainMessage, err := proto.Marshal(report)
 	if err != nil {
@@ -209,7 +206,11 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.link.AddRequest(now, "", float64(bytes+packetBytes))
-	joined := e.members.HandleReport(now, from, report)
+	if !e.targetsRead.Load() {
+		// What an answer says of targets has no effect yet: it must come again.
+		report.AnswerPart = nil
+	}
+	heard := e.members.HandleReport(now, from, report)
 	e.mergeStoreReading(now, report)
 	if report.Leaving {
 		e.balancer.RemoveRouter(report.Router)
@@ -231,14 +232,26 @@
 	if report.Incarnation+uint64(olderPeerMargin.Milliseconds()) < uint64(e.started.UnixMilli()) {
 		e.olderPeer.Store(true)
 	}
-	if joined {
-		level.Info(e.logger).Log("event", "peer_found", "peer", report.Router, "incarnation", report.Incarnation)
-	}
+	e.logHeard(report, heard)
 	if report.Answer {
 		e.answerReport(now, from)
 	}
 }
 
+// logHeard logs what a report has changed in this router's knowledge of its sender. The caller holds e.mu.
+func (e *Edge) logHeard(report *v1.LoadReport, heard exchange.Heard) {
+	if heard.Joined {
+		level.Info(e.logger).Log("event", "peer_found", "peer", report.Router, "incarnation", report.Incarnation)
+	}
+	if heard.Missed {
+		level.Info(e.logger).Log("event", "peer_reports_missed", "peer", report.Router, "sequence", report.Sequence)
+	}
+	if heard.CaughtUp {
+		level.Info(e.logger).Log("event", "peer_caught_up", "peer", report.Router, "informed", report.Informed,
+			"sequence", report.AnswerPart.Sequence, "parts", report.AnswerPart.Count)
+	}
+}
+
 // answerReport sends a router that asked for it the addresses of the other routers, the targets that
 // leave, are cold or have rate limits, the evacuations, the versions of services, the prompt parts that the
 // targets have in their KV caches, and the requests that crash targets. The caller holds e.mu.
@@ -261,8 +274,10 @@
 		lossReport.Lost = lost
 		answers = append(answers, lossReport)
 	}
-	for _, answer := range answers {
-		e.send(answer, to)
+	e.answerCount++
+	for i, part := range answers {
+		part.AnswerPart = &v1.AnswerPart{Answer: e.answerCount, Index: uint32(i), Count: uint32(len(answers)), Sequence: e.reportSequence}
+		e.send(part, to)
 	}
 }
 
@@ -277,8 +292,11 @@
 }
 
 // baseReport returns a report that only identifies this router. Its sequence number is 0, so that
-// receivers keep the loads that they know.
+// receivers keep the loads that they know. The caller holds e.mu.
 func (e *Edge) baseReport() *v1.LoadReport {
 	s := e.settings
-	return &v1.LoadReport{Router: s.Name, Zone: s.Zone, Address: s.Peer, Incarnation: uint64(e.started.UnixMilli()), Forwards: true}
+	return &v1.LoadReport{
+		Router: s.Name, Zone: s.Zone, Address: s.Peer, Incarnation: uint64(e.started.UnixMilli()), Forwards: true,
+		Informed: e.members.Informed(time.Now()),
+	}
 }
--- a/edge/restore_fleet_test.go
+++ b/edge/restore_fleet_test.go
@@ -208,7 +208,7 @@
 		source: routerSource{f.store, i}, started: now, directory: newDirectory(2 * time.Second), targetConns: newConnPool(),
 		balancer: placement.New(placement.Options{Router: fmt.Sprint("r", i), ShareWindow: 4 * time.Second, PeerTimeout: peerTimeout}),
 		poison:   poison.New(now), origins: streams.New(now), evacuations: evacuation.New(), originWaiters: map[streams.ID]chan struct{}{},
-		link: linkbudget.New(1000), members: exchange.New(fleetAddress(i), "", peerTimeout, uint64(i)), wakeProbe: make(chan struct{}, 1),
+		link: linkbudget.New(1000), members: exchange.New(fleetAddress(i), "", now, peerTimeout, uint64(i)), wakeProbe: make(chan struct{}, 1),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	f.routers[i], f.stop[i] = e, cancel
--- a/exchange/bench_test.go
+++ b/exchange/bench_test.go
@@ -15,7 +15,7 @@
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 9)
 	}
 	now := time.Unix(1000, 0)
-	m := New(address(0), "", 3*time.Second, 1)
+	m := New(address(0), "", now, 3*time.Second, 1)
 	report := &v1.LoadReport{}
 	for i := range b.N {
 		m.HandleReport(now, address(1+i%(routers-1)), report)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -7,6 +7,10 @@
 // longer live, but still gets a report about once a second, so that both sides of a
 // network partition find each other again even if all seeds are on one side.
 //
+// Each report states what is new, in a few successive reports. A router that misses more of them in a row,
+// because it has started, was cut off or was stopped, asks their sender for an answer that states all it
+// knows, until that has come in full.
+//
 // Traffic between availability zones is expensive: a report to the routers of another zone is
 // sent to one of them, which forwards it to the others. The forwarding router is drawn anew for
 // each report, so that one that has failed loses few reports until its silence is noticed.
@@ -61,26 +65,34 @@
 	random  *rand.Rand
 	// maxLive is the largest number of live members so far.
 	maxLive int
+	// started is when this router started, informed what Informed returned last.
+	started  time.Time
+	informed bool
 }
 
 // member is another router or a seed.
 type member struct {
 	// lastHeard is when the member's last report came; zero if none has come.
 	lastHeard time.Time
-	// lastTried is when a report was last sent to the member while it was silent. Its
-	// initial value makes the next report go to a new member.
+	// lastTried is when the member was last asked for an answer. Its initial value makes the next
+	// report go to a new member.
 	lastTried time.Time
+	// statements is what has come of the member's statements. informed is set if it knows what the others
+	// knew before it started.
+	statements statements
+	informed   bool
 	// zone is the member's availability zone; "" if it is not known. forwards is set if the member
 	// forwards reports.
 	zone     string
 	forwards bool
 }
 
-// New returns an empty list for the router with address self in an availability zone. A member is
-// live for timeout after its last report. seed seeds the random choice of the members that a
-// report names; routers should use different seeds.
-func New(self netip.AddrPort, zone string, timeout time.Duration, seed uint64) *Members {
+// New returns an empty list for the router with address self in an availability zone, which started at a
+// time. A member is live for timeout after its last report. seed seeds the random choice of the members that
+// a report names; routers should use different seeds.
+func New(self netip.AddrPort, zone string, started time.Time, timeout time.Duration, seed uint64) *Members {
 	return &Members{
+		started: started,
 		self:    self,
 		zone:    zone,
 		timeout: timeout,
@@ -99,12 +111,20 @@
 	}
 }
 
+// Heard says what a report has changed.
+type Heard struct {
+	// Joined is set if the router was not live before.
+	Joined bool
+	// Missed is set if earlier reports of the router are found to be missing, and CaughtUp if it has now
+	// told in full what it knows.
+	Missed, CaughtUp bool
+}
+
 // HandleReport processes a report that another router sent from address, and the members that
-// it names. It returns true if the router was not live before. A router whose report says
-// that it is leaving is removed from the list.
-func (m *Members) HandleReport(now time.Time, address netip.AddrPort, r *v1.LoadReport) bool {
+// it names. A router whose report says that it is leaving is removed from the list.
+func (m *Members) HandleReport(now time.Time, address netip.AddrPort, r *v1.LoadReport) Heard {
 	if address == m.self {
-		return false
+		return Heard{}
 	}
 	for _, text := range r.Members {
 		if named, err := netip.ParseAddrPort(text); err == nil {
@@ -113,16 +133,20 @@
 	}
 	if r.Leaving {
 		delete(m.members, address)
-		return false
+		return Heard{}
 	}
 	known := m.addMember(now, address)
-	joined := now.Sub(known.lastHeard) > m.timeout
+	heard := Heard{Joined: now.Sub(known.lastHeard) > m.timeout}
 	known.lastHeard = now
-	known.zone, known.forwards = r.Zone, r.Forwards
-	if joined {
+	known.zone, known.forwards, known.informed = r.Zone, r.Forwards, r.Informed
+	missed := known.statements.missed
+	heard.CaughtUp = known.statements.handle(r)
+	heard.Missed = known.statements.missed && !missed
+	m.informed = m.informed || heard.CaughtUp && r.Informed
+	if heard.Joined {
 		m.maxLive = max(m.maxLive, m.LiveCount(now))
 	}
-	return joined
+	return heard
 }
 
 // addMember returns the member with an address, and adds it if it is unknown. A new member
@@ -165,7 +189,8 @@
 // Recipient is a router to which a report is sent.
 type Recipient struct {
 	Address netip.AddrPort
-	// Answer is set for a silent router: the report asks it for a report in return.
+	// Answer is set for a router that is asked to tell in full what it knows: a silent one, or one of
+	// which statements were missed.
 	Answer bool
 	// Forward is set for a router that passes the report on to the other routers of its zone.
 	Forward bool
@@ -200,7 +225,7 @@
 	for _, zone := range remote {
 		out = append(out, m.zoneRecipients(now, zone)...)
 	}
-	return out
+	return m.addQuestions(now, out)
 }
 
 // zoneRecipients returns the recipients for the live members of another zone: the one that forwards
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -52,7 +52,7 @@
 		known = append(known, address(i))
 	}
 	for i := range n {
-		m := exchange.New(address(i), w.zone(i), timeout, uint64(i+1))
+		m := exchange.New(address(i), w.zone(i), w.now, timeout, uint64(i+1))
 		m.SetSeeds(known)
 		w.members = append(w.members, m)
 		w.index[address(i)] = i
@@ -181,7 +181,7 @@
 // its own address is a seed or is named in a report of another router.
 func TestOwnAddressGetsNoReports(t *testing.T) {
 	is := is.New(t)
-	m := exchange.New(address(0), "", timeout, 1)
+	m := exchange.New(address(0), "", time.Unix(1000, 0), timeout, 1)
 	m.SetSeeds([]netip.AddrPort{address(0)})
 	m.HandleReport(time.Unix(1000, 0), address(1), &v1.LoadReport{Members: []string{address(0).String(), "garbage"}})
 	for _, to := range m.Recipients(time.Unix(1000, 0)) {
@@ -237,7 +237,7 @@
 // in use: they get them directly.
 func TestRoutersThatDoNotForwardGetReportsDirectly(t *testing.T) {
 	is := is.New(t)
-	m := exchange.New(address(0), "a", timeout, 1)
+	m := exchange.New(address(0), "a", time.Unix(1000, 0), timeout, 1)
 	now := time.Unix(1000, 0)
 	for i := 1; i <= 20; i++ {
 		m.HandleReport(now, address(i), &v1.LoadReport{Zone: "b", Forwards: i > 10})
