poison: tell routers that start which parts targets answer

What callers would see (LOST): a router that starts is told of the requests with which targets were lost, but not that targets answer the parts of their prompts. After six targets that ended by themselves in some seconds, each with a request of the same popular part in flight, it refuses all prompts with that part until a proof comes with a later report.

Evidence: TestRouterThatStartsIsToldSoundParts fails without the proofs.

Change: an answer states the proofs of the parts of lost requests.

--- a/edge/reports.go
+++ b/edge/reports.go
@@ -254,7 +254,8 @@
 
 // answerReport sends a router that asked for it the addresses of the other routers, the targets that
 // leave, are cold or have rate limits, the evacuations, the versions of services, the prompt parts that the
-// targets have in their KV caches, and the requests that crash targets. The caller holds e.mu.
+// targets have in their KV caches, and the requests that crash targets, with the parts of their prompts that
+// targets can answer. The caller holds e.mu.
 func (e *Edge) answerReport(now time.Time, to netip.AddrPort) {
 	answer := e.baseReport()
 	answer.Members = e.members.SampleMembers(now, true)
@@ -274,6 +275,11 @@
 		lossReport.Lost = lost
 		answers = append(answers, lossReport)
 	}
+	for _, proven := range e.poison.Proofs(now) {
+		proofReport := e.baseReport()
+		proofReport.Proven = proven
+		answers = append(answers, proofReport)
+	}
 	e.answerCount++
 	for i, part := range answers {
 		part.AnswerPart = &v1.AnswerPart{Answer: e.answerCount, Index: uint32(i), Count: uint32(len(answers)), Sequence: e.reportSequence}
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -212,3 +212,33 @@
 	is.True(!tr.PromptRefused(now, []uint64{2}, noProbe))
 	is.True(tr.PromptRefused(now, []uint64{1}, noProbe))
 }
+
+// Guards against routers that start, are told which requests were lost, and refuse a sound part that was in
+// flight when targets ended by themselves, since they do not know that targets answer it.
+func TestRouterThatStartsIsToldSoundParts(t *testing.T) {
+	is := is.New(t)
+	const sound = 1
+	now := time.Unix(1000, 0)
+	never := func(uint64) bool { return false }
+	running := New(now)
+	now = now.Add(20 * time.Second)
+	for i := range uint64(6) {
+		now = now.Add(time.Second)
+		running.Lost(now, Loss{Request: i + 1, Parts: []uint64{sound}, Begun: true, Targets: []uint32{uint32(i)}})
+		now = now.Add(time.Second)
+		running.Proven(now, now, 1000+i, []uint64{sound})
+	}
+	is.True(!running.PromptRefused(now, []uint64{sound}, never))
+
+	started := New(now)
+	for _, lost := range running.Losses(now) {
+		started.MergeReport(now, &v1.LoadReport{Lost: lost})
+	}
+	for _, proven := range running.Proofs(now) {
+		started.MergeReport(now, &v1.LoadReport{Proven: proven})
+	}
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		is.True(!started.PromptRefused(now, []uint64{sound}, never))
+	}
+}
--- a/poison/report.go
+++ b/poison/report.go
@@ -69,6 +69,18 @@
 	return slices.Collect(slices.Chunk(all, maxReportLosses))
 }
 
+// Proofs returns the proofs of parts of lost requests, for a router that is told of the losses, in groups that
+// fit into a report.
+func (t *Tracker) Proofs(now time.Time) [][]*v1.ProvenPart {
+	var all []*v1.ProvenPart
+	for part := range t.lostWith {
+		if p, ok := t.proofs[part]; ok && now.Sub(p.at) < proofLifetime {
+			all = append(all, &v1.ProvenPart{Part: part, AgeMs: age(now, p.at)})
+		}
+	}
+	return slices.Collect(slices.Chunk(all, maxReportProofs))
+}
+
 // MergeReport records the losses and proofs in another router's report.
 func (t *Tracker) MergeReport(now time.Time, r *v1.LoadReport) {
 	for _, l := range r.Lost {
