edge: a refusal without an ID proves nothing on a kept connection

Cause: an answer without a request ID was taken for one to the request at hand if it says that it was not run.

Change: without an ID, only the first answer on a new connection counts. Others are skipped, logged as answer_skipped, and the request's own answer is awaited.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/chiveseam/chiveseam/h1"
@@ -283,19 +284,21 @@
 
 // readHead reads the head of the answer to this request. It skips late answers to other requests.
 // An answer without a request ID is only accepted if it states that the target did not run the
-// request.
+// request, and is the first one on the connection: on a kept one it may repeat an earlier refusal.
 func (a *attempt) readHead(u *upstream) (*h1.Response, error) {
 	c := a.call
-	for range maxOtherAnswers + 1 {
+	for skipped := range maxOtherAnswers + 1 {
 		resp, err := h1.ReadResponse(u.br, c.req.Method, maxAnswerHeadBytes)
 		if err != nil {
 			return nil, err
 		}
 		a.heed(resp)
 		id, echoed := resp.Header.Lookup(c.edge.headers.RequestID)
-		if id == c.id || (!echoed && a.saysNotRun(resp)) {
+		first := !u.reused && skipped == 0
+		if id == c.id || (!echoed && first && a.saysNotRun(resp)) {
 			return resp, nil
 		}
+		level.Info(c.log).Log("event", "answer_skipped", "target", a.target.ID, "status", resp.Status, "answers", id, "kept_connection", u.reused)
 		if resp.Length() < 0 {
 			return nil, errOtherAnswer
 		}
