edge: an answer behind an unframed stream is no part of it

What callers would see (ORDER, MIXED; a report of another operator): a faulty target writes an error answer behind a stream that has neither a length nor chunks. The caller found its head in the stream, which ended as complete.

Cause: all bytes up to the end of the connection are such a stream, and a head ends with an empty line like an event.

Change: an event of an unframed stream that begins with "HTTP/1." is another answer. The stream has broken off before it.

--- a/edge/events.go
+++ b/edge/events.go
@@ -13,10 +13,36 @@
 	inLine bool
 	// afterCR is set if the last byte was a carriage return.
 	afterCR bool
+	// unframed is set if nothing but the end of the connection ends the stream: an answer that the target
+	// writes behind it is then told apart by its status line, which begins no event.
+	unframed bool
+	// matched is the number of bytes of statusLineStart with which the current event begins, and answer is
+	// set once it begins with all of them.
+	matched int
+	answer  bool
+}
+
+// statusLineStart is the beginning of the head of an answer.
+const statusLineStart = "HTTP/1."
+
+// undecided returns the number of bytes at the end of a stream that may begin another answer.
+func (s *eventScanner) undecided() int {
+	if s.answer || s.matched < s.open {
+		return 0
+	}
+	return s.matched
+}
+
+// matchAnswer processes one byte of an event, of which s.open bytes came before.
+func (s *eventScanner) matchAnswer(b byte) {
+	if s.unframed && s.open == s.matched && b == statusLineStart[s.matched] {
+		s.matched++
+		s.answer = s.matched == len(statusLineStart)
+	}
 }
 
 // scan processes the next bytes. It returns the number of bytes up to the end of the last event in
-// them, including empty lines that follow it; 0 if no event ends in them.
+// them, including empty lines that follow it; 0 if no event ends in them. It stops where another answer begins.
 func (s *eventScanner) scan(data []byte) int {
 	end := 0
 	for i, b := range data {
@@ -26,6 +52,9 @@
 		case b == '\n' && s.afterCR:
 			s.open++
 		case b != '\n' && b != '\r':
+			if s.matchAnswer(b); s.answer {
+				return end
+			}
 			s.open++
 			s.inLine = true
 		case s.inLine:
@@ -35,7 +64,7 @@
 			if s.open > 0 {
 				s.ended++
 			}
-			s.open, end = 0, i+1
+			s.open, s.matched, end = 0, 0, i+1
 		}
 		s.afterCR = b == '\r'
 	}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -27,6 +27,8 @@
 	errEventTooLarge = errors.New("event too large")
 	// errStreamBrokenOff: a stream ends where a complete one cannot end.
 	errStreamBrokenOff = errors.New("stream broken off")
+	// errAnswerInStream: a stream without a length or chunks is followed by another answer.
+	errAnswerInStream = errors.New("another answer within the stream")
 )
 
 // stream forwards a stream to the caller as it comes. The second result is whether the stream was
@@ -37,6 +39,7 @@
 		return abandoned, false
 	}
 	body := resp.Body(u.br)
+	a.events.unframed = a.closeDelimited
 	buf := make([]byte, streamBufferBytes)
 	var pending []byte
 	// eventAt is when the last event ended.
@@ -55,10 +58,17 @@
 				a.err = errEventTooLarge
 				return lost, false
 			}
+			if a.events.answer {
+				n = eventsEnd
+			}
 			var writeErr error
 			if pending, writeErr = a.forwardData(pending, buf[:n], eventsEnd); writeErr != nil {
 				return abandoned, false
 			}
+			if a.events.answer {
+				a.err = errAnswerInStream
+				return lost, false
+			}
 		}
 		if err == nil {
 			continue
@@ -102,12 +112,12 @@
 
 // forwardData sends pending and data, two successive parts of a stream, to the caller. Of a
 // resumable stream only complete events are sent, so that another target can continue after them:
-// the last one ends at data[eventsEnd]; 0 means that none ends in data. The bytes after it are
-// returned, to be passed as pending in the next call.
+// the last one ends at data[eventsEnd]; 0 means that none ends in data. Of any other stream, all but the
+// bytes that may begin another answer is sent. The rest is returned, to be passed as pending in the next call.
 func (a *attempt) forwardData(pending, data []byte, eventsEnd int) ([]byte, error) {
 	c := a.call
 	if c.route.RetryPolicy != routing.Resumable {
-		return nil, c.reply.sendData(data)
+		return a.forwardBytes(pending, data)
 	}
 	cut := len(pending) + eventsEnd
 	pending = append(pending, data...)
@@ -125,6 +135,18 @@
 	return append(pending[:0], pending[cut:]...), nil
 }
 
+// forwardBytes is forwardData for a stream that is not resumable.
+func (a *attempt) forwardBytes(pending, data []byte) ([]byte, error) {
+	if a.events.answer && len(data) == 0 {
+		return nil, nil
+	}
+	if len(pending) > 0 {
+		data = append(pending, data...)
+	}
+	cut := len(data) - a.events.undecided()
+	return append([]byte(nil), data[cut:]...), a.call.reply.sendData(data[:cut])
+}
+
 // nextReadDeadline returns the time by which the next event of a stream must end, if the last one
 // ended at eventAt: bytes that end no event do not extend it. For a stream that cannot be resumed or
 // sent to another target, it is the request's deadline.
