--- a/storereaders/history.go
+++ b/storereaders/history.go
@@ -15,7 +15,9 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/chiveseam/chiveseam/evacuation"
@@ -208,6 +210,8 @@
 const (
 	// maxBatchBytes is the size of the changes in one datagram, which is then sent in one packet.
 	maxBatchBytes = 1200
+	// maxReasonBytes bounds the reason why a registration is unreadable.
+	maxReasonBytes = 400
 	// maxDifferenceBytes is the size of the changes in a datagram of several packets. No UDP datagram is
 	// larger than 64 KiB.
 	maxDifferenceBytes = 48 << 10
@@ -244,10 +248,11 @@
 	r := &v1.TargetRegistration{
 		Id: c.ID, Revision: c.Revision.Number, Removed: c.Removed, Service: t.Service, Address: t.Address, Zone: t.Zone, Version: t.Version,
 		Slots: uint32(t.Slots), Draining: t.Draining, StartedUnixMs: t.StartedUnixMs,
-		ColdRemainingMs: uint32(t.ColdRemaining.Milliseconds()), Sequence: t.Sequence,
+		ColdRemainingMs: uint32(min(t.ColdRemaining.Milliseconds(), math.MaxUint32)), Sequence: t.Sequence,
 	}
 	if c.Err != nil {
-		r.Unreadable = c.Err.Error()
+		text := c.Err.Error()
+		r.Unreadable = strings.ToValidUTF8(text[:min(len(text), maxReasonBytes)], "")
 	}
 	return r
 }
