poison: tell routers that start of lost requests without prompt parts

Cause: the answer to a router that starts left out losses without prompt parts.

Evidence: TestRouterThatStartsIsToldLostRequests fails without the change.

Change: they are told as long as they count against the request.

--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -242,3 +242,26 @@
 		is.True(!started.PromptRefused(now, []uint64{sound}, never))
 	}
 }
+
+// Guards against BUDGET: a request without prompt parts crashed targets and was refused, but not by routers that
+// started after that.
+func TestRouterThatStartsIsToldLostRequests(t *testing.T) {
+	is := is.New(t)
+	const request = 7
+	now := time.Unix(1000, 0)
+	running := New(now)
+	for target := range uint32(LossLimit) {
+		now = now.Add(10 * time.Millisecond)
+		running.Lost(now, Loss{Request: request, Targets: []uint32{target}})
+	}
+	tell := func(after time.Duration) *Tracker {
+		started := New(now.Add(after))
+		for _, lost := range running.Losses(now.Add(after)) {
+			started.MergeReport(now.Add(after), &v1.LoadReport{Lost: lost})
+		}
+		return started
+	}
+	is.True(tell(20*time.Second).RequestRefused(now.Add(20*time.Second), request))
+	is.True(tell(requestLifetime-time.Second).RequestRefused(now.Add(requestLifetime-time.Second), request))
+	is.True(!tell(requestLifetime).RequestRefused(now.Add(requestLifetime), request))
+}
--- a/poison/report.go
+++ b/poison/report.go
@@ -62,7 +62,11 @@
 func (t *Tracker) Losses(now time.Time) [][]*v1.LostRequest {
 	var all []*v1.LostRequest
 	for digest, l := range t.losses {
-		if len(l.parts) > 0 && now.Sub(l.last) < lossLifetime && (t.explainedBy(l.parts) || t.unexplained(l) > 0) {
+		lifetime := lossLifetime
+		if len(l.parts) == 0 {
+			lifetime = requestLifetime
+		}
+		if now.Sub(l.last) < lifetime && (t.explainedBy(l.parts) || t.unexplained(l) > 0) {
 			all = append(all, l.message(now, digest))
 		}
 	}
