edge: answers to HEAD end with their header

Cause: the router's own answers were written with their body whatever the method. Streams ended with the last chunk, also by HEAD.

--- a/edge/caller.go
+++ b/edge/caller.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -215,7 +216,7 @@
 	c.conn.SetReadDeadline(now.Add(limits.headerTimeout))
 	req, err := h1.ReadRequest(c.br, limits.headerBytes)
 	if err != nil {
-		c.answerUnreadable(err)
+		c.answerUnreadable(nil, err)
 		return false
 	}
 	r := c.reply(req)
@@ -258,15 +259,15 @@
 	}
 	c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if err := req.ReadBody(c.br, limits.bodyBytes); err != nil {
-		c.answerUnreadable(err)
+		c.answerUnreadable(req, err)
 		return false
 	}
 	return true
 }
 
-// answerUnreadable answers a request that cannot be parsed or is too large. The connection ends
-// after that.
-func (c *callerConn) answerUnreadable(err error) {
+// answerUnreadable answers a request that cannot be parsed or is too large; req is nil if its head could not
+// be parsed. The connection ends after that.
+func (c *callerConn) answerUnreadable(req *h1.Request, err error) {
 	status, code := 0, v1.Code_BAD_REQUEST
 	switch {
 	case errors.Is(err, h1.ErrBodyTooLarge):
@@ -282,7 +283,7 @@
 	if status == 0 {
 		return
 	}
-	r := c.reply(nil)
+	r := c.reply(req)
 	r.close = true
 	if err := r.sendResult(result.New(code, v1.Ran_NO, "%v", err), status); err != nil {
 		level.Debug(c.edge.logger).Log("event", "reply_failed", "error", err)
@@ -295,6 +296,7 @@
 	if req != nil {
 		r.id = req.Header.Get(r.idHeader)
 		r.minorVersion = req.Minor
+		r.headOnly = req.Method == http.MethodHead
 		r.close = !req.KeepAlive() || c.edge.stopping.Load() || c.edge.linkBusy.Load()
 	}
 	return r
--- a/edge/reply.go
+++ b/edge/reply.go
@@ -23,6 +23,9 @@
 	keepAlive time.Duration
 	// minorVersion is the minor HTTP version of the request: 0 or 1.
 	minorVersion int
+	// headOnly is set if the request's method is HEAD: the answer ends with its header, whatever that says
+	// of a body.
+	headOnly bool
 	// begun is set before the first byte of the answer is written, ended before the last part.
 	begun bool
 	ended bool
@@ -57,7 +60,13 @@
 // sendAnswer sends a complete answer of a target.
 func (r *reply) sendAnswer(a *answer) error {
 	h := a.header.EndToEnd(keepAll)
-	if a.status != http.StatusNoContent && a.status != http.StatusNotModified {
+	switch {
+	case r.headOnly:
+		// The length is that of the answer to GET.
+		if length, ok := a.header.Lookup("Content-Length"); ok {
+			h = append(h, h1.Field{Name: "Content-Length", Value: length})
+		}
+	case a.status != http.StatusNoContent && a.status != http.StatusNotModified:
 		h = append(h, h1.Field{Name: "Content-Length", Value: strconv.Itoa(len(a.body))})
 	}
 	r.begun = true
@@ -73,12 +82,14 @@
 	}
 	r.begun = true
 	h := resp.Header.EndToEnd(keepAll)
-	if r.minorVersion == 0 {
+	switch {
+	case r.headOnly:
+	case r.minorVersion == 0:
 		r.close = true
 		if err := r.setReset(true); err != nil {
 			return err
 		}
-	} else {
+	default:
 		h = append(h, h1.Field{Name: "Transfer-Encoding", Value: "chunked"})
 	}
 	r.buf = h1.AppendResponseHead(r.buf[:0], resp.Status, r.appendConnectionField(h))
@@ -87,7 +98,7 @@
 
 // sendData sends a part of a stream's body.
 func (r *reply) sendData(p []byte) error {
-	if len(p) == 0 {
+	if len(p) == 0 || r.headOnly {
 		return nil
 	}
 	if r.minorVersion == 0 {
@@ -100,7 +111,10 @@
 // endStream marks a stream as complete.
 func (r *reply) endStream() error {
 	r.ended = true
-	if r.minorVersion == 0 {
+	switch {
+	case r.headOnly:
+		return nil
+	case r.minorVersion == 0:
 		return r.setReset(false)
 	}
 	return r.write([]byte(h1.LastChunk))
@@ -161,5 +175,8 @@
 	r.begun = true
 	r.ended = true
 	r.buf = h1.AppendResponseHead(r.buf[:0], status, r.appendConnectionField(h))
+	if r.headOnly {
+		return r.write(r.buf)
+	}
 	return r.write(append(r.buf, body...))
 }
