--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -265,3 +265,24 @@
 	is.True(tell(requestLifetime-time.Second).RequestRefused(now.Add(requestLifetime-time.Second), request))
 	is.True(!tell(requestLifetime).RequestRefused(now.Add(requestLifetime), request))
 }
+
+// Guards against BUDGET: nine targets crash within 0.3 s by a part that none has ever answered, and it is not found
+// until more are lost.
+func TestPartThatCrashesAllTargetsAtOnceIsFound(t *testing.T) {
+	is := is.New(t)
+	const bad, sound = 1, 2
+	never := func(uint64) bool { return false }
+	now := time.Unix(1000, 0)
+	tracker := New(now)
+	now = now.Add(20 * time.Second)
+	tracker.Proven(now, now, 1, []uint64{sound})
+	for i := range uint64(9) {
+		now = now.Add(30 * time.Millisecond)
+		target := []uint32{uint32(i)}
+		tracker.Lost(now, Loss{Request: 100 + i, Parts: []uint64{sound, bad}, Begun: true, Targets: target})
+		tracker.Lost(now, Loss{Request: 200 + i, Parts: []uint64{sound, 1000 + i}, Begun: true, Targets: target})
+	}
+	now = now.Add(settleTime)
+	is.True(tracker.PromptRefused(now, []uint64{sound, bad}, never))
+	is.True(!tracker.PromptRefused(now, []uint64{sound, 999}, never))
+}
--- a/poison/world_test.go
+++ b/poison/world_test.go
@@ -43,6 +43,9 @@
 	goodBefore bool
 	// crashRate is the number of engines that crash for other reasons each second.
 	crashRate float64
+	// massCrashes are times at which massShare of the engines crash at the same moment, for other reasons.
+	massCrashes []time.Duration
+	massShare   float64
 	// restartAll is when all routers lose what they know, restartRate the number of single restarts
 	// each second.
 	restartAll  time.Duration
@@ -128,6 +131,13 @@
 	if w.chance(w.crashRate) {
 		w.crash(w.engines[w.random.IntN(len(w.engines))])
 	}
+	for _, at := range w.massCrashes {
+		if w.now.Equal(w.start.Add(at)) {
+			for _, i := range w.random.Perm(len(w.engines))[:int(w.massShare*float64(len(w.engines)))] {
+				w.crash(w.engines[i])
+			}
+		}
+	}
 }
 
 // chance reports whether an event with a rate a second happens in this tick.
@@ -362,6 +372,57 @@
 	}
 }
 
+// hotWorld is a small fleet in which a third of the requests has the bad part from some time on.
+func hotWorld() worldConfig {
+	hot := baseWorld()
+	hot.soundRate, hot.badRate, hot.length = 80, 30, 40*time.Second
+	return hot
+}
+
+// playHot fails the test if a world breaks the bounds.
+func playHot(t *testing.T, c worldConfig) {
+	for seed := range seeds(false) {
+		w := newWorld(seed, c)
+		w.play()
+		if w.lateBad > lateLimit {
+			t.Errorf("seed %d: %d bad requests reach engines late, %d crashes", seed, w.lateBad, len(w.crashes))
+		}
+		if float64(w.soundRefused) > maxSoundRefused*float64(w.soundSent) {
+			t.Errorf("seed %d: %d of %d sound requests are refused", seed, w.soundRefused, w.soundSent)
+		}
+	}
+}
+
+// Guards against BUDGET: a part that comes often crashes all engines within less than half a second, and again once
+// they are back, before it is found.
+func TestHotPartIsFound(t *testing.T) { playHot(t, hotWorld()) }
+
+// Guards against the same for a part that was sound before.
+func TestHotPartThatWasSoundIsFound(t *testing.T) {
+	c := hotWorld()
+	c.goodBefore = true
+	playHot(t, c)
+}
+
+// Guards against LOST: engines that crash at the same moment have a common cause other than the parts of the prompts
+// there, which are refused for it.
+func TestEnginesThatCrashTogetherBlameNoPart(t *testing.T) {
+	for _, share := range []float64{0.5, 0.7, 1} {
+		for _, rate := range []float64{5, 20, 60} {
+			for seed := range seeds(false) {
+				c := baseWorld()
+				c.badRate, c.soundRate, c.massShare = 0, rate, share
+				c.massCrashes = []time.Duration{15 * time.Second, 17 * time.Second, 30 * time.Second, 45 * time.Second}
+				w := newWorld(seed, c)
+				w.play()
+				if float64(w.soundRefused) > maxSoundRefused*float64(w.soundSent) {
+					t.Errorf("share %v, rate %v, seed %d: %d of %d sound requests are refused", share, rate, seed, w.soundRefused, w.soundSent)
+				}
+			}
+		}
+	}
+}
+
 // Flags of the seeds that the tests play.
 var (
 	firstSeed = flag.Uint64("poison.first", 0, "first seed of the worlds")
