edge: count each start of a target that a prompt part crashes

Cause: a part is found after four lost targets, and targets were told apart by their ID alone.

Change: a lost target is identified by its ID and its start.

--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -16,9 +16,10 @@
 )
 
 // crashingFleet is a set of model engines that crash when they begin to answer a prompt with a part
-// named bad. Each crashed engine is replaced by one with a new ID and address.
+// named bad. Each crashed engine is replaced by one with a new address, and a new ID unless keepsIDs is set.
 type crashingFleet struct {
-	f *fixture
+	f        *fixture
+	keepsIDs bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -28,21 +29,28 @@
 	arrivals, crashes []time.Time
 }
 
-func newCrashingFleet(t *testing.T, engines int) *crashingFleet {
-	fleet := &crashingFleet{}
+func newCrashingFleet(t *testing.T, engines int, keepsIDs bool) *crashingFleet {
+	fleet := &crashingFleet{keepsIDs: keepsIDs}
 	targets := make([]*testTarget, engines)
 	for i := range targets {
-		targets[i] = fleet.engine(t)
+		targets[i] = fleet.engine(t, "")
 	}
 	fleet.f = newFixture(t, targets...)
 	return fleet
 }
 
-func (fleet *crashingFleet) engine(t testing.TB) *testTarget {
+// engine starts an engine, under an ID of its own or under that of a crashed one.
+func (fleet *crashingFleet) engine(t testing.TB, crashed string) *testTarget {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	fleet.started++
-	return newTestTarget(t, fmt.Sprintf("t%d", fleet.started), fleet.handle)
+	id := fmt.Sprintf("t%d", fleet.started)
+	if crashed != "" && fleet.keepsIDs {
+		id = crashed
+	}
+	target := newTestTarget(t, id, fleet.handle)
+	target.started = int64(fleet.started)
+	return target
 }
 
 func (fleet *crashingFleet) handle(s *receivedRequest) {
@@ -64,7 +72,7 @@
 	fleet.crashes = append(fleet.crashes, time.Now())
 	fleet.mu.Unlock()
 	s.target.crash()
-	next := fleet.engine(fleet.f.t)
+	next := fleet.engine(fleet.f.t, s.target.id)
 	fleet.f.source.replaceTarget(s.target.id, next.registration())
 }
 
@@ -88,7 +96,15 @@
 // nothing else in common, and these are sent to engine after engine. They must be refused soon, and
 // other requests with the same key and the same other parts must not.
 func TestPromptPartThatCrashesTargetsIsRefused(t *testing.T) {
-	fleet := newCrashingFleet(t, 6)
+	playCrashingPart(t, newCrashingFleet(t, 6, false))
+}
+
+// Guards against BUDGET: a part that crashes three engines, which are back under their IDs each time, was never found.
+func TestPromptPartThatCrashesFewTargetsIsRefused(t *testing.T) {
+	playCrashingPart(t, newCrashingFleet(t, 3, true))
+}
+
+func playCrashingPart(t *testing.T, fleet *crashingFleet) {
 	c := fleet.f.client()
 	var lateSound, lateServed int
 	began := time.Now()
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -33,10 +33,12 @@
 
 // testTarget is a target whose answers are written by the test, byte by byte if necessary.
 type testTarget struct {
-	t        testing.TB
-	id       string
-	version  string
-	zone     string
+	t       testing.TB
+	id      string
+	version string
+	zone    string
+	// started is the Unix time in ms at which the target started; 0 stands for 1.
+	started  int64
 	listener net.Listener
 	handle   func(s *receivedRequest)
 
@@ -145,7 +147,7 @@
 }
 
 func (target *testTarget) registration() routing.Target {
-	return routing.Target{ID: target.id, Service: "s", Version: target.version, Zone: target.zone, Address: target.listener.Addr().String(), Slots: 4, StartedUnixMs: 1}
+	return routing.Target{ID: target.id, Service: "s", Version: target.version, Zone: target.zone, Address: target.listener.Addr().String(), Slots: 4, StartedUnixMs: max(target.started, 1)}
 }
 
 // fixture is a router between test callers and testTargets.
--- a/edge/poison.go
+++ b/edge/poison.go
@@ -14,6 +14,7 @@
 	"github.com/chiveseam/chiveseam/placement"
 	"github.com/chiveseam/chiveseam/poison"
 	"github.com/chiveseam/chiveseam/rendezvous"
+	"github.com/chiveseam/chiveseam/routing"
 )
 
 const (
@@ -74,7 +75,7 @@
 	case outcome == answered:
 		e.poison.Proven(now, a.firstByteAt, c.digest, a.provenParts())
 	case a.crashed:
-		loss := poison.Loss{Request: c.digest, Begun: !a.firstByteAt.IsZero(), Targets: []uint32{placement.Hash(a.target.ID)}}
+		loss := poison.Loss{Request: c.digest, Begun: !a.firstByteAt.IsZero(), Targets: []uint32{startOf(a.target)}}
 		if a.targetGone && !a.proven {
 			loss.Parts = c.sharedParts
 		}
@@ -82,6 +83,11 @@
 	}
 }
 
+// startOf identifies one start of a target: one that has crashed may be back under its ID.
+func startOf(t routing.Target) uint32 {
+	return placement.Hash(t.ID + "@" + strconv.FormatInt(t.StartedUnixMs, 10))
+}
+
 // provenParts returns the parts of the prompt that a complete answer proves: an answer that is no
 // stream of events may have been given without looking at the prompt.
 func (a *attempt) provenParts() []uint64 {
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -77,7 +77,7 @@
 	Parts []uint64
 	// Begun is set if a target had begun to answer the request.
 	Begun bool
-	// Targets holds hashes of the targets' IDs.
+	// Targets holds a hash for each start of a target.
 	Targets []uint32
 }
 
