placement: pauses and rate limits outlast a lapsed registration

The router sends it requests before its Retry-After has passed, and beyond its Server-Limit until the next answer.

Cause: the target is made anew with its registration.

Evidence: TestPauseAndLimitOutlastALapsedRegistration fails without the change.

Change: what a target asked for is kept for its start, also without a registration.

--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -58,6 +58,8 @@
 	zones  *zones
 	// leaving holds the targets that told a router that they leave.
 	leaving leavingTargets
+	// removed holds what removed targets asked for.
+	removed removedTargets
 	fleet   fleet
 	// evacuated holds the zones to whose targets nothing is sent.
 	evacuated evacuatedZones
@@ -172,6 +174,7 @@
 		shares:     newShares(o.ShareWindow),
 		zones:      newZones(o.Zone),
 		leaving:    newLeavingTargets(),
+		removed:    make(removedTargets),
 		fleet:      newFleet(o.Router),
 		evacuated:  newEvacuatedZones(),
 		routerHash: Hash(o.Router),
@@ -258,6 +261,7 @@
 	}
 	added.cold.Hash = added.idHash
 	_, added.leaving = b.leaving.heard[added.incarnation()]
+	b.removed.restore(added)
 	added.cache = newPartCache(added, s.holders, cacheCapacity(s))
 	if ok && s.cold.limits.Enabled() {
 		// The other routers must not take the load that the target had before its restart for its load now.
@@ -276,6 +280,7 @@
 		return
 	}
 	b.changes++
+	b.removed.remember(old)
 	delete(b.targets, id)
 	delete(b.byHash, old.hash)
 	old.cache.clear()
--- /dev/null
+++ b/placement/removed.go
@@ -0,0 +1,43 @@
+package placement
+
+import "time"
+
+// maxRemoved bounds the removed targets that are remembered.
+const maxRemoved = 1024
+
+// removedTargets holds what targets asked for whose registration is gone. It may only have lapsed, as while a
+// target does not reach the store: what the target asked for still counts when it is back.
+type removedTargets map[incarnation]request
+
+// request is what a target asked for in its answers.
+type request struct {
+	service, version string
+	pausedUntil      time.Time
+	rateLimit        rateLimit
+}
+
+// remember records what a target asked for that is removed, if it did.
+func (r removedTargets) remember(t *target) {
+	if t.pausedUntil.IsZero() && !t.rateLimit.limited() {
+		return
+	}
+	if len(r) >= maxRemoved {
+		for known := range r {
+			delete(r, known)
+			break
+		}
+	}
+	r[t.incarnation()] = request{t.Service, t.Version, t.pausedUntil, t.rateLimit}
+}
+
+// restore applies what a target asked for before it was removed, if it has not started again since.
+func (r removedTargets) restore(t *target) {
+	asked, ok := r[t.incarnation()]
+	if !ok {
+		return
+	}
+	delete(r, t.incarnation())
+	if asked.service == t.Service && asked.version == t.Version {
+		t.pausedUntil, t.rateLimit = asked.pausedUntil, asked.rateLimit
+	}
+}
--- a/placement/usable_test.go
+++ b/placement/usable_test.go
@@ -205,3 +205,33 @@
 	is.NoErr(err)
 	is.Equal(c.Target, "3")
 }
+
+// Guards against BUDGET and LIMIT: the registration of a target lapses and is made again, and the pause and the rate
+// limit that the target asked for are forgotten. They end with the start of the target.
+func TestPauseAndLimitOutlastALapsedRegistration(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := placement.New(placement.Options{Router: "r"})
+	refused := func(now time.Time) bool {
+		_, err := b.Choose(now, plainDemand())
+		return err != nil
+	}
+	lapse := func(started int64) {
+		b.RemoveTarget("x")
+		b.SetTarget(plainTarget("x", started))
+	}
+	b.SetTarget(plainTarget("x", 5))
+	b.Pause(now, "x", 10*time.Second)
+	lapse(5)
+	is.True(refused(now.Add(9 * time.Second)))
+	is.True(!refused(now.Add(11 * time.Second)))
+	lapse(6)
+	is.True(!refused(now.Add(time.Second)))
+
+	b.SetRateLimit(now, "x", 0.5)
+	is.True(refused(now))
+	lapse(6)
+	is.True(refused(now))
+	lapse(7)
+	is.True(!refused(now))
+}
