edge: an old complete read does not undo a newer watch in small zones

What callers would see (DRAIN): with a slow store, a complete read that began before a target was removed ends after the watch has told of it, and puts the target back in use for up to some seconds.

Cause: the check that drops such a read applied only where the routers of a zone share the reading of the store.

Evidence: TestOldReadDoesNotUndoANewerWatch fails without the change. The tests of readers, restores and outages of edge hold with it.

--- a/edge/readers.go
+++ b/edge/readers.go
@@ -182,7 +182,7 @@
 			changes = batch.Changes
 		}
 	}
-	if !current && r.shared {
+	if !current {
 		changes, complete = nil, false
 	}
 	e.applyRegistrations(now, changes, complete, away)
