--- a/exchange/catchup.go
+++ b/exchange/catchup.go
@@ -14,8 +14,11 @@
 	// must reach all routers is stated in more reports than that.
 	toleratedLosses = 2
 	// questionInterval is the time after which a live member is asked again. Answers take a round trip
-	// between availability zones.
-	questionInterval = 300 * time.Millisecond
+	// between availability zones. After quickQuestions without a full answer it is slowQuestionInterval:
+	// routers of earlier versions never answer in full.
+	questionInterval     = 300 * time.Millisecond
+	quickQuestions       = 10
+	slowQuestionInterval = 2 * time.Second
 	// maxQuestions limits the live members that one report asks, so that their answers do not overflow
 	// the receive buffer.
 	maxQuestions = 8
@@ -33,6 +36,8 @@
 	// missed is set if more than toleratedLosses reports in a row did not come: the router is asked to
 	// tell in full what it has stated.
 	missed bool
+	// questions is the number of questions since the last full answer.
+	questions int
 	// answer is the number of the latest answer, and parts holds the parts of it that have come; nil
 	// once all have.
 	answer uint32
@@ -65,17 +70,26 @@
 	if len(s.parts) < int(part.Count) {
 		return false
 	}
-	s.parts, s.missed = nil, false
+	s.parts, s.missed, s.questions = nil, false, 0
 	s.sequence = max(s.sequence, part.Sequence)
 	return true
 }
 
+// questionDue reports whether the member is asked again, a time after it was last asked.
+func (s *statements) questionDue(since time.Duration) bool {
+	interval := questionInterval
+	if s.questions >= quickQuestions {
+		interval = slowQuestionInterval
+	}
+	return s.missed && since >= interval
+}
+
 // questions returns the live members that the report at now asks for an answer: those whose statements
 // were missed, the routers that have been running for longest first, as they know most.
 func (m *Members) questions(now time.Time) []netip.AddrPort {
 	var list []netip.AddrPort
 	for address, known := range m.members {
-		if known.statements.missed && now.Sub(known.lastHeard) <= m.timeout && now.Sub(known.lastTried) >= questionInterval {
+		if now.Sub(known.lastHeard) <= m.timeout && known.statements.questionDue(now.Sub(known.lastTried)) {
 			list = append(list, address)
 		}
 	}
@@ -85,6 +99,7 @@
 	list = list[:min(len(list), maxQuestions)]
 	for _, address := range list {
 		m.members[address].lastTried = now
+		m.members[address].statements.questions++
 	}
 	return list
 }
--- a/placement/removed.go
+++ b/placement/removed.go
@@ -7,10 +7,10 @@
 
 // removedTargets holds what targets asked for whose registration is gone. It may only have lapsed, as while a
 // target does not reach the store: what the target asked for still counts when it is back.
-type removedTargets map[incarnation]request
+type removedTargets map[incarnation]restriction
 
-// request is what a target asked for in its answers.
-type request struct {
+// restriction is what a target asked for in its answers.
+type restriction struct {
 	service, version string
 	pausedUntil      time.Time
 	rateLimit        rateLimit
@@ -27,7 +27,7 @@
 			break
 		}
 	}
-	r[t.incarnation()] = request{t.Service, t.Version, t.pausedUntil, t.rateLimit}
+	r[t.incarnation()] = restriction{t.Service, t.Version, t.pausedUntil, t.rateLimit}
 }
 
 // restore applies what a target asked for before it was removed, if it has not started again since.
