exchange: a router that leaves stays known, and the only seed is not alone

What callers would see (BUDGET): a router that is stopped as planned and starts again while the only seed is down hears of nobody for a second or more, and sends prompts that crash targets. A router that is the only seed took itself for informed when it started, and said so to others.

Change: a router that leaves is kept in the lists as a silent one, which gets a report each second. Only a router without any seed is alone.

Measured: TestRouterThatLeftIsFoundWithoutItsSeed and a case of TestRouterIsInformedByAnInformedOne fail without it.

--- a/exchange/catchup.go
+++ b/exchange/catchup.go
@@ -130,7 +130,6 @@
 			wait = maxCatchUpTime
 		}
 	}
-	alone := len(m.seeds) == 0 && len(m.members) == 0
-	m.informed = alone || now.Sub(m.started) >= wait
+	m.informed = m.alone && len(m.members) == 0 || now.Sub(m.started) >= wait
 	return m.informed
 }
--- a/exchange/catchup_test.go
+++ b/exchange/catchup_test.go
@@ -191,7 +191,17 @@
 	w.routers[i].due[statement] = statementReports
 }
 
-// stop stops a router for a time.
+// leave stops a router for a time as planned.
+func (w *speakers) leave(i int, d time.Duration) {
+	r := w.base(i)
+	r.Leaving = true
+	for _, to := range w.routers[i].members.Recipients(w.now) {
+		w.send(i, i, w.index(to), r, exchange.Recipient{})
+	}
+	w.stop(i, d)
+}
+
+// stop kills a router, which starts again after a time.
 func (w *speakers) stop(i int, d time.Duration) {
 	s := w.routers[i]
 	s.down = w.now.Add(d)
@@ -238,6 +248,10 @@
 			}
 			continue
 		}
+		if w.random.IntN(2) == 0 {
+			w.leave(i, d)
+			continue
+		}
 		w.stop(i, d)
 	}
 }
@@ -303,6 +317,11 @@
 	}
 	is.True(members(false).Informed(start)) // there is no other router
 
+	// The only seed, when it starts again, does not know the others yet.
+	seed := exchange.New(address(0), "", start, timeout, 1)
+	seed.SetSeeds(seedAddresses(1))
+	is.True(!seed.Informed(at(time.Second)))
+
 	alone := members(true)
 	is.True(!alone.Informed(at(time.Second)))
 	is.True(alone.Informed(at(1300 * time.Millisecond)))
@@ -327,3 +346,26 @@
 	heard = told.HandleReport(at(2*time.Second), address(1), &v1.LoadReport{Incarnation: 1, AnswerPart: last, Informed: true})
 	is.True(!heard.CaughtUp) // a duplicate
 }
+
+// Guards against BUDGET: a router was stopped as planned and started again while the only seed was down. No other
+// router knew it any more, and none told it what crashes targets.
+func TestRouterThatLeftIsFoundWithoutItsSeed(t *testing.T) {
+	is := is.New(t)
+	w := newSpeakers(6, 1, 1, 1)
+	w.loss = 0
+	for range 30 {
+		w.step()
+	}
+	w.made[1] = w.now
+	w.routers[4].known[1], w.routers[4].due[1] = true, statementReports
+	for range 10 {
+		w.step()
+	}
+	w.stop(0, 10*time.Second)
+	w.leave(2, time.Second)
+	is.Equal(w.routers[4].members.LiveCount(w.now), 4) // the killed seed is still counted
+	for range 10 + int(tellTime/(100*time.Millisecond)) {
+		w.step()
+	}
+	is.True(w.routers[2].known[1])
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -60,6 +60,8 @@
 	// timeout is the silence after which a member is no longer live.
 	timeout time.Duration
 	seeds   []netip.AddrPort
+	// alone is set if there are no seeds, not even this router itself.
+	alone bool
 	// members holds the other routers and the seeds by address, live and silent ones.
 	members map[netip.AddrPort]*member
 	random  *rand.Rand
@@ -93,6 +95,7 @@
 func New(self netip.AddrPort, zone string, started time.Time, timeout time.Duration, seed uint64) *Members {
 	return &Members{
 		started: started,
+		alone:   true,
 		self:    self,
 		zone:    zone,
 		timeout: timeout,
@@ -104,6 +107,7 @@
 // SetSeeds replaces the seeds: addresses that get reports even if they never send any.
 func (m *Members) SetSeeds(seeds []netip.AddrPort) {
 	m.seeds = nil
+	m.alone = len(seeds) == 0
 	for _, seed := range seeds {
 		if seed != m.self {
 			m.seeds = append(m.seeds, seed)
@@ -121,7 +125,8 @@
 }
 
 // HandleReport processes a report that another router sent from address, and the members that
-// it names. A router whose report says that it is leaving is removed from the list.
+// it names. A router whose report says that it is leaving is no longer live. It stays in the list as a silent one,
+// since it may start again at its address while no seed is there to tell it of the others.
 func (m *Members) HandleReport(now time.Time, address netip.AddrPort, r *v1.LoadReport) Heard {
 	if address == m.self {
 		return Heard{}
@@ -132,7 +137,9 @@
 		}
 	}
 	if r.Leaving {
-		delete(m.members, address)
+		if known, ok := m.members[address]; ok && now.Sub(known.lastHeard) <= m.timeout {
+			known.lastHeard, known.lastTried = now.Add(-m.timeout-1), now
+		}
 		return Heard{}
 	}
 	known := m.addMember(now, address)
