poison: losses of one moment are no evidence against parts never answered either

Change: for such a part 0.15 s must lie between the first and the last loss, in which routers notice the losses of one moment; for others 0.5 s as before.

--- a/poison/judge.go
+++ b/poison/judge.go
@@ -110,10 +110,13 @@
 	return float64(len(c.targets)+len(c.begunTargets)) * min(perRequest, 1)
 }
 
-// isEvidence reports whether the losses of a part are enough to suspect it. If targets can answer the part, losses
-// within minSpan are none: the targets may have been lost together for another reason.
+// isEvidence reports whether the losses of a part are enough to suspect it.
 func (c *candidate) isEvidence() bool {
-	return len(c.requests) >= requestLimit && len(c.targets) >= requestLimit && (!c.provenLately || c.last.Sub(c.first) >= minSpan)
+	span := minUnprovenSpan
+	if c.provenLately {
+		span = minSpan
+	}
+	return len(c.requests) >= requestLimit && len(c.targets) >= requestLimit && c.last.Sub(c.first) >= span
 }
 
 // decided reports whether a proof of the part would have come by now.
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -37,9 +37,11 @@
 	// requests from which one more is not sent to a second target.
 	requestLimit = 4
 	resendLimit  = 2
-	// minSpan is the least time between the first and the last of these losses if the part was proven
-	// lately: targets that are lost at the same moment may have a common cause other than a request.
-	minSpan = 500 * time.Millisecond
+	// minSpan is the least time between the first and the last of these losses: targets that are lost
+	// at the same moment may have a common cause other than a request. It is minUnprovenSpan for a part
+	// that was not proven lately, in which routers notice the losses of one moment.
+	minSpan         = 500 * time.Millisecond
+	minUnprovenSpan = 150 * time.Millisecond
 	// settleTime is the age from which a loss is judged. The reports of all routers on a lost target
 	// have arrived by then.
 	settleTime = 300 * time.Millisecond
