edge: log the event IDs of each attempt and what is known of a stream's versions

Three hypotheses of docs/incidents/order-on-real-processes.md could not be told apart from the logs: whether a continued stream goes on at the next event (first_event_id and last_event_id of each attempt), and whether a stream of unknown origin went on because its router holds the service for single (versions) soon after a start (up_ms). No change of logic; the stream tests of edge pass.

--- a/edge/answer.go
+++ b/edge/answer.go
@@ -120,7 +120,8 @@
 	c.edge.metrics.attempts.WithLabelValues(outcome.String()).Inc()
 	logger := log.With(c.log, "close_delimited", a.closeDelimited)
 	if c.route.Stream {
-		logger = log.With(logger, "events", a.events.ended, "open_event_bytes", a.events.open)
+		logger = log.With(logger, "events", a.events.ended, "open_event_bytes", a.events.open,
+			"first_event_id", a.events.firstID, "last_event_id", a.events.lastID)
 	}
 	if outcome == answered {
 		c.edge.metrics.duration.Observe(time.Since(c.arrived).Seconds())
--- a/edge/events.go
+++ b/edge/events.go
@@ -20,6 +20,16 @@
 	// set once it begins with all of them.
 	matched int
 	answer  bool
+	// firstID and lastID are the IDs of the first and of the last event that has one, for the logs.
+	firstID, lastID string
+}
+
+// noteIDs records the IDs of complete events that are forwarded, the last of which has the ID last.
+func (s *eventScanner) noteIDs(events []byte, last string) {
+	if s.firstID == "" {
+		s.firstID = firstEventID(events)
+	}
+	s.lastID = last
 }
 
 // statusLineStart is the beginning of the head of an answer.
@@ -84,10 +94,24 @@
 			end = at
 			continue
 		}
-		value := events[at+len(field):]
-		if i := bytes.IndexAny(value, "\r\n"); i >= 0 {
-			value = value[:i]
+		return fieldValue(events[at+len(field):])
+	}
+}
+
+// firstEventID returns the ID of the first event that has one, "" if there is none.
+func firstEventID(events []byte) string {
+	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\r' || r == '\n' }) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return fieldValue(value)
 		}
-		return string(bytes.TrimSpace(value))
 	}
+	return ""
+}
+
+// fieldValue returns the value of a field, which ends with its line.
+func fieldValue(value []byte) string {
+	if i := bytes.IndexAny(value, "\r\n"); i >= 0 {
+		value = value[:i]
+	}
+	return string(bytes.TrimSpace(value))
 }
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -45,8 +45,10 @@
 	}
 	e.mu.Lock()
 	ambiguous := e.mayHaveSeveralVersions(c.route)
+	versions := e.versionCounts(c.route)
 	e.mu.Unlock()
-	level.Info(c.log).Log("event", "stream_origin_unknown", "stream", uint64(c.stream), "refused", ambiguous)
+	level.Info(c.log).Log("event", "stream_origin_unknown", "stream", uint64(c.stream), "refused", ambiguous,
+		"versions", versions, "up_ms", time.Since(e.started).Milliseconds())
 	if ambiguous {
 		c.refuse(v1.Code_NO_TARGET, http.StatusServiceUnavailable, unknownOriginRetryAfter, "version of the stream unknown")
 	}
@@ -112,6 +114,16 @@
 	return false
 }
 
+// versionCounts returns how many versions of each service of the route this router knows, for the logs: 2
+// stands for any larger number. The caller holds e.mu.
+func (e *Edge) versionCounts(route *routing.Route) []int {
+	counts := make([]int, len(route.Services))
+	for i, s := range route.Services {
+		counts[i] = e.origins.VersionCount(placement.Hash(s.Service))
+	}
+	return counts
+}
+
 // askForOrigin asks the other routers where a stream began, and ends the wait for their answers after
 // originWait. The caller holds e.mu.
 func (e *Edge) askForOrigin(id streams.ID, waiter chan struct{}) {
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -125,6 +125,7 @@
 		return pending, nil
 	}
 	if id := lastEventID(pending[:cut]); id != "" {
+		a.events.noteIDs(pending[:cut], id)
 		c.lastEventID = id
 	}
 	c.eventsSent = true
--- a/streams/streams.go
+++ b/streams/streams.go
@@ -96,6 +96,9 @@
 // or one that told it has seen.
 func (o *Origins) HasSeveralVersions(service uint32) bool { return len(o.versions[service]) > 1 }
 
+// VersionCount returns the number of versions that are known of a service; 2 stands for any larger number.
+func (o *Origins) VersionCount(service uint32) int { return len(o.versions[service]) }
+
 // Versions returns the versions of all services, for a router that does not know them.
 func (o *Origins) Versions() []*v1.ServiceVersions {
 	list := make([]*v1.ServiceVersions, 0, len(o.versions))
