streams, edge: learn the versions of services from the store's history after a start of all routers

Cause: a router that starts and hears of nobody older held the versions in the registrations for all that services had had, from 1.2 s after its start. A stream of unknown origin then went on at the only version left.

Change: a router knows for how long the versions that it knows are all (streams.Origins). It tells others with the versions, and streams of unknown origin go on only if that is longer than one may last, the timeout of its route. If all start at once, the first router that needs it reads the history of registrations that the store keeps, and tells the others; how far that goes back follows from the numbers of the registrations. If the store has discarded it, such streams are refused until the routers have been up for that long. The fixture of the tests waits until a lone router has read the history.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -264,6 +264,7 @@
 		func() error { return e.watchTargets(ctx) },
 		func() error { return e.probeStore(ctx) },
 		func() error { return e.chooseReaders(ctx) },
+		func() error { return e.recoverVersions(ctx) },
 		func() error { return e.sendReports(ctx) },
 		e.receiveReports,
 		func() error { return e.watchSettings(ctx) },
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -284,7 +284,8 @@
 	return peer
 }
 
-// run starts the router with the given targets and waits until it is ready.
+// run starts the router with the given targets and waits until it is ready and, if it is alone and the store
+// has its history, knows which software versions there were.
 func (f *fixture) run(targets []*testTarget) {
 	var registered []routing.Target
 	for _, target := range targets {
@@ -293,6 +294,9 @@
 	f.source.publish(testTable(1), registered...)
 	f.start(f.settings())
 	f.await(f.edge.isReady)
+	if f.seeds == "" && !f.source.historyLost {
+		f.await(f.edge.versionsKnown)
+	}
 }
 
 // settings writes a settings file with free addresses and reads it.
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -45,10 +45,10 @@
 	}
 	e.mu.Lock()
 	ambiguous := e.mayHaveSeveralVersions(c.route)
-	versions := e.versionCounts(c.route)
+	versions, knownFor := e.versionCounts(c.route), e.origins.VersionsKnownFor(time.Now())
 	e.mu.Unlock()
 	level.Info(c.log).Log("event", "stream_origin_unknown", "stream", uint64(c.stream), "refused", ambiguous,
-		"versions", versions, "up_ms", time.Since(e.started).Milliseconds())
+		"versions", versions, "known_for_ms", knownFor.Milliseconds(), "up_ms", time.Since(e.started).Milliseconds())
 	if ambiguous {
 		c.refuse(v1.Code_NO_TARGET, http.StatusServiceUnavailable, unknownOriginRetryAfter, "version of the stream unknown")
 	}
@@ -100,14 +100,16 @@
 	return waiter
 }
 
-// mayHaveSeveralVersions reports whether a service of the route has had targets of several versions, as far
-// as this router knows: one that has just started may not have been told. The caller holds e.mu.
+// mayHaveSeveralVersions reports whether a service of the route may have had targets of several versions
+// since a stream may have begun that a caller takes up now: this router may not have been told of one that
+// was there before it started. The caller holds e.mu.
 func (e *Edge) mayHaveSeveralVersions(route *routing.Route) bool {
-	if !e.members.Informed(time.Now()) {
+	now := time.Now()
+	if !e.members.Informed(now) {
 		return true
 	}
 	for _, s := range route.Services {
-		if e.origins.HasSeveralVersions(placement.Hash(s.Service)) {
+		if e.origins.MayHaveSeveralVersions(now, placement.Hash(s.Service), streamAge(route)) {
 			return true
 		}
 	}
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -83,7 +83,7 @@
 	}
 	e.balancer.FillReport(now, report)
 	e.poison.FillReport(now, report)
-	e.origins.FillReport(report)
+	e.origins.FillReport(now, report)
 	e.evacuations.FillReport(report)
 	e.fillStoreReading(now, report)
 	return report
@@ -263,7 +263,7 @@
 	answer.RateLimits = e.balancer.RateLimits(now)
 	answer.Evacuations = e.evacuations.Entries()
 	answer.ColdTargets = e.balancer.ColdTargetMessages(now)
-	answer.Versions = e.origins.Versions()
+	e.origins.AddVersions(now, answer)
 	answers := []*v1.LoadReport{answer}
 	for _, parts := range e.balancer.RecentCachedParts(now) {
 		partsReport := e.baseReport()
--- a/edge/restore_fleet_test.go
+++ b/edge/restore_fleet_test.go
@@ -146,6 +146,11 @@
 	return p, revision, err
 }
 
+func (s routerSource) TargetHistory(ctx context.Context) ([]TargetChange, bool, error) {
+	s.call(ctx)
+	return s.store.copy().history, true, ctx.Err()
+}
+
 func (s routerSource) WatchTargets(ctx context.Context, after Revision, wait time.Duration) ([]TargetChange, Revision, error) {
 	var changes []TargetChange
 	revision, err := s.watch(ctx, after, wait, func(state *storeState) bool {
--- a/edge/source.go
+++ b/edge/source.go
@@ -48,6 +48,9 @@
 	// WatchTargets waits for changes of registrations after a revision, and returns the revision
 	// to watch from next.
 	WatchTargets(ctx context.Context, after Revision, wait time.Duration) ([]TargetChange, Revision, error)
+	// TargetHistory returns the changes of registrations that the store still has, in their order, and
+	// whether they go back to its beginning.
+	TargetHistory(ctx context.Context) (changes []TargetChange, whole bool, err error)
 }
 
 // TargetChange is the registration of a target or its removal.
--- a/edge/source_test.go
+++ b/edge/source_test.go
@@ -21,6 +21,10 @@
 	targets []TargetChange
 	// pendingChanges are delivered by the next call of WatchTargets.
 	pendingChanges []TargetChange
+	// pastTargets are changes of registrations before targets, and historyLost is set if the store has
+	// discarded all changes.
+	pastTargets []TargetChange
+	historyLost bool
 	// evacuations are all changes of evacuations so far, and keys those in force.
 	evacuations, keys []evacuation.Change
 	// failure is the error of all calls; nil lets them succeed.
@@ -140,6 +144,15 @@
 	return s.targets, Revision{Epoch: s.revision.Epoch, Number: 1}, s.failure
 }
 
+func (s *fakeSource) TargetHistory(context.Context) ([]TargetChange, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failure == nil && s.historyLost {
+		return nil, false, nil
+	}
+	return append(slices.Clone(s.pastTargets), s.targets...), true, s.failure
+}
+
 func (s *fakeSource) WatchTargets(ctx context.Context, after Revision, wait time.Duration) ([]TargetChange, Revision, error) {
 	for end := time.Now().Add(wait); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, time.Millisecond) {
 		if changes, failure := s.takeChanges(); len(changes) > 0 || failure != nil {
--- /dev/null
+++ b/edge/versions.go
@@ -0,0 +1,110 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chiveseam/chiveseam/placement"
+	"github.com/chiveseam/chiveseam/routing"
+	"github.com/chiveseam/chiveseam/streams"
+)
+
+// takeUpMargin is how much longer than the timeout of its route ago a stream may have begun that a caller
+// takes up.
+const takeUpMargin = time.Second
+
+// streamAge returns how long ago a stream of the route may have begun that a caller takes up.
+func streamAge(route *routing.Route) time.Duration {
+	if route.Timeout <= 0 {
+		return streams.Lifetime
+	}
+	return route.Timeout + takeUpMargin
+}
+
+// recoverVersions finds out after a start which software versions the services have had for as long as a
+// stream may last. Routers that were running tell that. If all have started, the first one reads it from the
+// store's history of registrations, and tells the others.
+func (e *Edge) recoverVersions(ctx context.Context) error {
+	if !sleepUntil(ctx, e.readyForHistory) {
+		return nil
+	}
+	for {
+		sleep(ctx, e.historyDelay())
+		if ctx.Err() != nil || e.versionsKnown() {
+			return nil
+		}
+		changes, whole, err := e.source.TargetHistory(ctx)
+		if err == nil {
+			e.mergeHistory(changes, whole)
+			return nil
+		}
+		level.Warn(e.logger).Log("event", "version_history_unknown", "error", err)
+		sleep(ctx, maxRetryPause)
+	}
+}
+
+// sleepUntil waits until a condition holds. It returns false if ctx ends before that.
+func sleepUntil(ctx context.Context, condition func() bool) bool {
+	for !condition() {
+		if ctx.Err() != nil {
+			return false
+		}
+		sleep(ctx, minRetryPause)
+	}
+	return true
+}
+
+// readyForHistory reports whether this router has read the store and heard of the others.
+func (e *Edge) readyForHistory() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.targetsRead.Load() && e.table.Load() != nil && e.members.Informed(time.Now())
+}
+
+// historyDelay returns a random time in which the report of another router that has read the history may come.
+func (e *Edge) historyDelay() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	return rand.N(time.Duration(e.members.LiveCount(now))*e.members.Interval(now) + 1)
+}
+
+// versionsKnown reports whether all versions are known that services have had for as long as any stream may
+// last.
+func (e *Edge) versionsKnown() bool {
+	longest := time.Duration(0)
+	for route := range e.table.Load().Routes() {
+		if route.RetryPolicy == routing.Resumable {
+			longest = max(longest, streamAge(route))
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.origins.VersionsKnownFor(time.Now()) >= longest
+}
+
+// mergeHistory applies the store's history of registrations.
+func (e *Edge) mergeHistory(changes []TargetChange, whole bool) {
+	history := make([]streams.Registration, 0, len(changes))
+	for _, c := range changes {
+		switch {
+		case c.Removed:
+			history = append(history, streams.Registration{Target: c.ID, Removed: true})
+		case c.Err == nil:
+			t := c.Target
+			history = append(history, streams.Registration{
+				Target: c.ID, Service: placement.Hash(t.Service), Version: placement.VersionHash(t.Version),
+				Started: time.UnixMilli(t.StartedUnixMs), Sequence: t.Sequence,
+			})
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.origins.MergeHistory(now, history, whole)
+	level.Info(e.logger).Log("event", "version_history_read", "changes", len(changes), "whole", whole,
+		"known_for_ms", e.origins.VersionsKnownFor(now).Milliseconds())
+}
--- /dev/null
+++ b/edge/versions_test.go
@@ -0,0 +1,47 @@
+package edge
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against the incident ORDER: after the start of all routers, streams of a version that had left in the
+// meantime went on at the only one that was registered. Where one version served only, they go on.
+func TestStreamsAreNotMixedAfterAllRoutersStartAgain(t *testing.T) {
+	var breaks atomic.Bool
+	targets := versionedTargets(t, &breaks)
+	left, present := targets[0].registration(), targets[1].registration()
+	for _, c := range []struct {
+		name        string
+		past        []TargetChange
+		historyLost bool
+		// refusedFor is how long take-ups are refused at least; goesOn is set if they are not refused forever.
+		refusedFor time.Duration
+		goesOn     bool
+	}{
+		{"version left", []TargetChange{{ID: left.ID, Target: left}, {ID: left.ID, Removed: true}}, false, 5 * time.Second, false},
+		{"one version", []TargetChange{{ID: present.ID, Target: present}}, false, 0, true},
+		{"no history", nil, true, testRoutes()[0].Timeout, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := &fixture{t: t, is: is.New(t), source: newFakeSource(), done: make(chan error, 1), logs: &logRecorder{}}
+			f.source.pastTargets, f.source.historyLost = c.past, c.historyLost
+			f.run(targets[1:2])
+			began, goneOn := time.Now(), false
+			for !goneOn && time.Since(began) < 6*time.Second {
+				status, _ := f.resumeStream("nobody's")
+				goneOn = status == http.StatusOK
+				f.is.True(goneOn || status == http.StatusServiceUnavailable)
+				f.is.True(!goneOn || time.Since(began) >= c.refusedFor)
+				time.Sleep(50 * time.Millisecond)
+			}
+			f.is.Equal(goneOn, c.goesOn)
+			f.is.True(f.logs.contains("version_history_read"))
+		})
+	}
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -304,6 +304,7 @@
 	var updates []targetUpdate
 	if complete {
 		updates = e.directory.replace(now, changes)
+		e.origins.AllVersionsSince(now)
 	} else {
 		for _, c := range changes {
 			updates = append(updates, e.directory.update(now, c)...)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -8,6 +8,7 @@
 package routing
 
 import (
+	"iter"
 	"sort"
 	"strings"
 	"time"
@@ -143,6 +144,19 @@
 	return t
 }
 
+// Routes returns all routes, in no order.
+func (t *Table) Routes() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		for _, list := range t.byHost {
+			for _, r := range list {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Match returns the route of host whose prefix of path is the longest. The host may have
 // a port.
 func (t *Table) Match(host, path string) (*Route, bool) {
--- /dev/null
+++ b/streams/history.go
@@ -0,0 +1,83 @@
+package streams
+
+import (
+	"slices"
+	"time"
+)
+
+// Registration is a change in the history of registrations of targets.
+type Registration struct {
+	// Target is the ID of the target.
+	Target string
+	// Removed is set if the registration ended. The fields below are then empty.
+	Removed bool
+	// Service and Version are hashes of the service and of the version of the target.
+	Service, Version uint32
+	// Started is when the target started, the Unix time 0 if that is not known, and Sequence the number of
+	// its registrations since then, which it makes at a steady rate.
+	Started  time.Time
+	Sequence uint64
+}
+
+// MergeHistory records the versions in a history of registrations that ends now, with the oldest change first,
+// and since when these are all versions that there were. whole is set if the history goes back to the
+// beginning.
+//
+// A history has no times. How far it goes back is the time in which targets made the registrations that it
+// holds of them, by their rate since their starts. A single target may state a wrong start, so that the second
+// longest of these times counts.
+func (o *Origins) MergeHistory(now time.Time, history []Registration, whole bool) {
+	for _, r := range history {
+		if !r.Removed {
+			o.SeeVersion(r.Service, r.Version)
+		}
+	}
+	if whole {
+		o.AllVersionsSince(time.Unix(0, 0))
+		return
+	}
+	o.AllVersionsSince(now.Add(-span(now, history[knownFrom(history):])))
+}
+
+// knownFrom returns the index from which the versions of all registrations in a history are known: behind the
+// last end of a registration that was made before the history.
+func knownFrom(history []Registration) int {
+	from := 0
+	made := make(map[string]bool)
+	for i, r := range history {
+		if r.Removed && !made[r.Target] {
+			from = i + 1
+		}
+		made[r.Target] = !r.Removed
+	}
+	return from
+}
+
+// span returns how long before now a history begins, at least.
+func span(now time.Time, history []Registration) time.Duration {
+	first := make(map[string]Registration)
+	spans := make(map[string]time.Duration)
+	for _, r := range history {
+		begin, ok := first[r.Target]
+		if r.Removed || !ok || !begin.Started.Equal(r.Started) || r.Sequence < begin.Sequence {
+			delete(first, r.Target)
+			if !r.Removed {
+				first[r.Target] = r
+			}
+			continue
+		}
+		if age := now.Sub(r.Started); age > 0 && r.Started.Unix() > 0 {
+			share := float64(r.Sequence-begin.Sequence) / float64(max(r.Sequence, 1))
+			spans[r.Target] = time.Duration(share * float64(age))
+		}
+	}
+	longest := make([]time.Duration, 0, len(spans))
+	for _, s := range spans {
+		longest = append(longest, s)
+	}
+	slices.Sort(longest)
+	if len(longest) < 2 {
+		return 0
+	}
+	return longest[len(longest)-2]
+}
--- /dev/null
+++ b/streams/history_test.go
@@ -0,0 +1,79 @@
+package streams_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/streams"
+)
+
+const (
+	service   = 1
+	heartbeat = 1200 * time.Millisecond
+)
+
+// heartbeats returns the registrations of targets that began at one time long before now, within a time before
+// now. Each target has the version of its index; the ones with wrong clocks state that they started in 1970.
+func heartbeats(now time.Time, within time.Duration, wrongClocks int, versions ...uint32) []streams.Registration {
+	var history []streams.Registration
+	const before = 5000
+	for at := now.Add(-within); !at.After(now); at = at.Add(heartbeat) {
+		for i, version := range versions {
+			r := streams.Registration{Target: fmt.Sprint(i), Service: service, Version: version, Sequence: before + uint64(len(history)/len(versions))}
+			r.Started = at.Add(-time.Duration(r.Sequence) * heartbeat)
+			if i < wrongClocks {
+				r.Started = time.Unix(1, 0)
+			}
+			history = append(history, r)
+		}
+	}
+	return history
+}
+
+// Guards against ORDER: after the start of all routers a version that had left was unknown, or a version was
+// taken for the only one for longer than the store's history goes back.
+func TestHistoryTellsWhichVersionsThereWere(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	gone := streams.Registration{Target: "gone", Removed: true}
+	single := heartbeats(now, 18*time.Second, 0, 11, 11, 11)
+	left := append(heartbeats(now.Add(-10*time.Second), 8*time.Second, 0, 12), gone)
+	for _, c := range []struct {
+		name    string
+		history []streams.Registration
+		whole   bool
+		several bool
+		// known is for how long before now all versions are known, to a heartbeat.
+		known time.Duration
+	}{
+		{"one version", single, false, false, 18 * time.Second},
+		{"a version that left", append(left, single...), false, true, 18 * time.Second},
+		{"whole history", []streams.Registration{{Target: "a", Service: service, Version: 11}}, true, false, time.Hour},
+		{"whole history with a version that left", []streams.Registration{{Target: "a", Service: service, Version: 12}, {Target: "a", Removed: true}, {Target: "b", Service: service, Version: 11}}, true, true, time.Hour},
+		{"the end of an older registration", append(append(single[:15:15], gone), single[15:]...), false, false, 12 * time.Second},
+		{"an older registration ends last", append(single[:len(single):len(single)], gone), false, false, 0},
+		{"one wrong clock", heartbeats(now, 6*time.Second, 1, 11, 11, 11), false, false, 6 * time.Second},
+		{"no sequence", []streams.Registration{single[0], single[0], single[1], single[1]}, false, false, 0},
+		{"nothing", nil, false, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			o, told := streams.New(now), streams.New(now)
+			is.True(o.MayHaveSeveralVersions(now, service, time.Second)) // nothing is known before the first read
+			o.AllVersionsSince(now)
+			o.MergeHistory(now, c.history, c.whole)
+			r := &v1.LoadReport{}
+			o.FillReport(now, r)
+			told.MergeReport(now, r)
+			for _, o := range []*streams.Origins{o, told} {
+				is.Equal(o.MayHaveSeveralVersions(now, service, 0), c.several)
+				is.True(o.VersionsKnownFor(now) <= c.known || c.whole)
+				is.True(o.VersionsKnownFor(now) >= c.known-2*heartbeat)
+				is.Equal(o.MayHaveSeveralVersions(now, service, c.known+time.Minute), c.several || !c.whole)
+			}
+		})
+	}
+}
--- a/streams/streams.go
+++ b/streams/streams.go
@@ -5,9 +5,10 @@
 // in their load reports at which version each stream begins, and a router that does not know a stream,
 // because it has just started or a report was dropped, asks the others.
 //
-// A stream whose origin nobody knows may go on anywhere if its service has had one version only. Routers
-// therefore also tell each other the versions that they have seen: a router that starts after a version is
-// gone would not learn of it from the registrations of targets.
+// A stream whose origin nobody knows may go on anywhere if its service has had one version only since the
+// stream may have begun. Routers therefore also tell each other the versions that they have seen, and since
+// when they know all of them: a router that starts after a version is gone would not learn of it from the
+// registrations of targets. If all routers start at once, the history of registrations tells them.
 //
 // An origin is forgotten between one and two lifetimes after it was recorded; the router that forwards
 // a stream records it again before that. The memory is bounded: if streams begin faster than expected,
@@ -39,6 +40,11 @@
 	// versionReports is the number of reports that state the versions of a service after another one was
 	// seen, in case some of them are dropped.
 	versionReports = 3
+	// sinceReports is the number of reports that state all versions after it has become known that there
+	// were no others for longer.
+	sinceReports = 3
+	// maxKnownMs limits the time for which versions are taken for known, in milliseconds.
+	maxKnownMs = 24 * 60 * 60 * 1000
 	// maxServices bounds the services whose versions are remembered.
 	maxServices = 10_000
 )
@@ -72,6 +78,10 @@
 	// number of reports that must still state them.
 	versions    map[uint32][]uint32
 	versionsDue map[uint32]int
+	// versionsSince is the time since which versions holds all that services have had, zero before the
+	// registrations were first read, and sinceDue the number of reports that must still state it.
+	versionsSince time.Time
+	sinceDue      int
 }
 
 // New returns an empty memory.
@@ -92,15 +102,47 @@
 	o.versionsDue[service] = versionReports
 }
 
-// HasSeveralVersions reports whether a service has had targets of several versions, as far as this router
-// or one that told it has seen.
-func (o *Origins) HasSeveralVersions(service uint32) bool { return len(o.versions[service]) > 1 }
+// MayHaveSeveralVersions reports whether targets of several versions may have served a service within a time
+// before now.
+func (o *Origins) MayHaveSeveralVersions(now time.Time, service uint32, within time.Duration) bool {
+	return len(o.versions[service]) > 1 || o.VersionsKnownFor(now) < within
+}
 
 // VersionCount returns the number of versions that are known of a service; 2 stands for any larger number.
 func (o *Origins) VersionCount(service uint32) int { return len(o.versions[service]) }
 
-// Versions returns the versions of all services, for a router that does not know them.
-func (o *Origins) Versions() []*v1.ServiceVersions {
+// VersionsKnownFor returns for how long before now all versions are known that services have had.
+func (o *Origins) VersionsKnownFor(now time.Time) time.Duration {
+	if o.versionsSince.IsZero() {
+		return 0
+	}
+	return now.Sub(o.versionsSince)
+}
+
+// AllVersionsSince records that the versions which were seen are all that services have had since a time, and
+// that those to come will be seen. It has no effect if that is known for longer.
+func (o *Origins) AllVersionsSince(since time.Time) {
+	if o.lowerVersionsSince(since) {
+		o.sinceDue = sinceReports
+	}
+}
+
+func (o *Origins) lowerVersionsSince(since time.Time) bool {
+	lower := o.versionsSince.IsZero() || since.Before(o.versionsSince)
+	if lower {
+		o.versionsSince = since
+	}
+	return lower
+}
+
+// AddVersions adds to a report the versions of all services and for how long they are known, for a router
+// that does not know them.
+func (o *Origins) AddVersions(now time.Time, r *v1.LoadReport) {
+	r.Versions = o.allVersions()
+	r.VersionsKnownMs = uint64(max(o.VersionsKnownFor(now).Milliseconds(), 0))
+}
+
+func (o *Origins) allVersions() []*v1.ServiceVersions {
 	list := make([]*v1.ServiceVersions, 0, len(o.versions))
 	for service := range o.versions {
 		list = append(list, o.versionsOf(service))
@@ -135,8 +177,8 @@
 }
 
 // FillReport adds the origins to a report that were recorded since the last ones, and the versions of
-// services that were seen since.
-func (o *Origins) FillReport(r *v1.LoadReport) {
+// services that were seen since, or all if more has become known of the time before.
+func (o *Origins) FillReport(now time.Time, r *v1.LoadReport) {
 	for service := range o.versionsDue {
 		o.versionsDue[service]--
 		if o.versionsDue[service] == 0 {
@@ -144,6 +186,10 @@
 		}
 		r.Versions = append(r.Versions, o.versionsOf(service))
 	}
+	if o.sinceDue > 0 {
+		o.sinceDue--
+		o.AddVersions(now, r)
+	}
 	n := min(len(o.unreported), maxReported)
 	r.StreamOrigins = append(append(r.StreamOrigins, o.unreported[:n]...), o.reported...)
 	o.reported, o.unreported = o.unreported[:n:n], o.unreported[n:]
@@ -163,6 +209,9 @@
 			o.SeeVersion(s.Service, version)
 		}
 	}
+	if r.VersionsKnownMs > 0 {
+		o.lowerVersionsSince(now.Add(-time.Duration(min(r.VersionsKnownMs, maxKnownMs)) * time.Millisecond))
+	}
 }
 
 // Answer returns the origins that are known of the streams that another router asks for.
--- a/streams/streams_test.go
+++ b/streams/streams_test.go
@@ -43,7 +43,7 @@
 				}
 				for i, from := range fleet {
 					r := &v1.LoadReport{}
-					from.FillReport(r)
+					from.FillReport(now, r)
 					for k, to := range fleet {
 						if k != i && random.Float64() >= loss {
 							to.MergeReport(now, r)
@@ -119,7 +119,7 @@
 	_, ok := o.Lookup(0)
 	is.True(!ok)
 	r := &v1.LoadReport{}
-	o.FillReport(r)
+	o.FillReport(time.Unix(1000, 0), r)
 	is.Equal(len(r.StreamOrigins), 0)
 }
 
@@ -135,7 +135,7 @@
 		reported := map[uint64]int{}
 		for range n/500 + 2 {
 			r := &v1.LoadReport{}
-			o.FillReport(r)
+			o.FillReport(now, r)
 			if len(r.StreamOrigins) > 1000 {
 				t.Fatalf("%d origins in a report", len(r.StreamOrigins))
 			}
@@ -177,26 +177,28 @@
 	const service, other = 1, 2
 	first := streams.New(now)
 	for i, version := range []uint32{11, 12, 12, 13} {
-		is.Equal(first.HasSeveralVersions(service), i >= 2)
+		is.Equal(first.MayHaveSeveralVersions(now, service, 0), i >= 2)
 		first.SeeVersion(service, version)
 	}
 	first.SeeVersion(other, 11)
-	is.True(!first.HasSeveralVersions(other))
+	is.True(!first.MayHaveSeveralVersions(now, other, 0))
 
 	reported, answered, streaming := streams.New(now), streams.New(now), streams.New(now)
 	for i := range 5 {
 		r := &v1.LoadReport{}
-		first.FillReport(r)
+		first.FillReport(now, r)
 		if i == 2 {
 			reported.MergeReport(now, r)
 		}
 		is.Equal(len(r.Versions) > 0, i < 3)
 	}
-	answered.MergeReport(now, &v1.LoadReport{Versions: first.Versions()})
+	answer := &v1.LoadReport{}
+	first.AddVersions(now, answer)
+	answered.MergeReport(now, answer)
 	streaming.SeeVersion(service, 12)
 	streaming.MergeReport(now, &v1.LoadReport{StreamOrigins: []*v1.StreamOrigin{{Stream: 5, Service: service, Version: 11}}})
 	for _, o := range []*streams.Origins{reported, answered, streaming} {
-		is.True(o.HasSeveralVersions(service))
-		is.True(!o.HasSeveralVersions(other))
+		is.True(o.MayHaveSeveralVersions(now, service, 0))
+		is.True(!o.MayHaveSeveralVersions(now, other, 0))
 	}
 }
