edge: a stream without length or chunks whose target has ended is incomplete

Cause: a process that is killed closes its connections in the regular way, often between two events. The end of the connection was taken for the end of the stream, unless an event was open.

Evidence: TestStreamOfATargetThatEndedIsIncomplete failed in all four cases on the code before.

Change: after such an end the router checks, 20 ms later, whether the target still accepts connections. If it refuses them, the stream goes on at another target if it is resumable, and breaks off visibly if not.

--- a/edge/broken_stream_test.go
+++ b/edge/broken_stream_test.go
@@ -79,6 +79,38 @@
 	}
 }
 
+// Guards against ORDER: a target was killed between two events of a stream with neither a length nor chunks, and
+// the caller got the part that came as a complete answer. A resumable stream goes on at another target.
+func TestStreamOfATargetThatEndedIsIncomplete(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resumable/"} {
+		for _, order := range []string{"listener first", "connections first"} {
+			t.Run(path+order, func(t *testing.T) {
+				t.Parallel()
+				var starts atomic.Int32
+				handle := func(s *receivedRequest) {
+					s.write(unframedStreamHead)
+					if starts.Add(1) > 1 {
+						s.write("id: 2\ndata: b\n\n")
+						s.conn.Close()
+						return
+					}
+					s.write("id: 1\ndata: a\n\n")
+					if order == "connections first" {
+						s.conn.Close()
+						time.Sleep(5 * time.Millisecond)
+					}
+					s.target.crash()
+				}
+				f := newFixture(t, newTestTarget(t, "t1", handle), newTestTarget(t, "t2", handle))
+				_, body, err := f.client().call("POST", path)
+				f.is.Equal(err == nil, path == "/resumable/")
+				f.is.Equal(strings.Contains(body, "id: 2"), path == "/resumable/")
+				f.is.True(f.logs.contains(`"event":"attempt_failed"`, `"target_gone":true`))
+			})
+		}
+	}
+}
+
 // A stream without a length that ends after an event is complete, whatever ends its lines and
 // however its bytes are split.
 func TestUnframedStreamIsDelivered(t *testing.T) {
--- a/edge/poison.go
+++ b/edge/poison.go
@@ -133,6 +133,15 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// closeTime is the time in which a process that ends closes its connections and its listener, in any order.
+const closeTime = 20 * time.Millisecond
+
+// hasEnded reports whether the process of a target that has just closed a connection has ended.
+func (e *Edge) hasEnded(address string) bool {
+	time.Sleep(closeTime)
+	return e.refusesConnections(address)
+}
+
 // logSignatures logs a change of the prompts that are refused. Only sendReports uses it.
 func (r *reporter) logSignatures(signatures [][]uint64) {
 	r.edge.metrics.signatures.Set(float64(len(signatures)))
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -27,6 +27,9 @@
 	errEventTooLarge = errors.New("event too large")
 	// errStreamBrokenOff: a stream ends where a complete one cannot end.
 	errStreamBrokenOff = errors.New("stream broken off")
+	// errTargetEnded: nothing but the end of the connection ends the answer, and the process of the target has
+	// ended too.
+	errTargetEnded = errors.New("target ended with its answer")
 	// errAnswerInStream: a stream without a length or chunks is followed by another answer.
 	errAnswerInStream = errors.New("another answer within the stream")
 )
@@ -97,13 +100,18 @@
 
 // finishStream sends the last bytes of a stream that the target has ended. The framing of the answer
 // does not show that the stream is complete: a target or proxy that breaks it off may still end the
-// body, and a crash closes the connection of an answer without a length.
+// body, and a crash closes the connection of an answer without a length, often between two events.
 func (a *attempt) finishStream(pending []byte) (attemptOutcome, bool) {
 	if a.events.open > 0 || (a.closeDelimited && a.events.ended == 0) {
 		a.err = errStreamBrokenOff
 		a.crashed = a.closeDelimited
 		return lost, false
 	}
+	if a.closeDelimited && a.call.edge.hasEnded(a.target.Address) {
+		a.err = errTargetEnded
+		a.crashed, a.targetGone = true, true
+		return lost, false
+	}
 	if a.call.reply.sendData(pending) != nil || a.call.reply.endStream() != nil {
 		return abandoned, true
 	}
