edge: a continued stream whose event IDs do not increase is broken off

The router took the target's word for it: the caller got events 1, 2, 1, 2 in one answer that was framed as whole.

Evidence: TestStreamThatBeginsAgainIsNotPassedOn and four cases of TestEventIDsMustIncrease, which takes the place of TestLastEventID and holds its cases, fail without the check.

Change: the IDs of all complete events of a resumable stream are read, not only the last one. A number that is not above the one before ends the attempt as lost; the stream goes on at another target or breaks off visibly. IDs that are no numbers are passed on as they are.

--- a/edge/broken_stream_test.go
+++ b/edge/broken_stream_test.go
@@ -111,6 +111,32 @@
 	}
 }
 
+// Guards against ORDER: the target that was to go on with a stream began it again, and the caller got events twice
+// and as a complete answer, within one answer or when it took the stream up.
+func TestStreamThatBeginsAgainIsNotPassedOn(t *testing.T) {
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for _, taken := range []string{"", "T-Last: 2\r\nT-Resumes: r\r\n"} {
+		var starts atomic.Int32
+		handle := func(s *receivedRequest) {
+			s.writeStreamHead()
+			s.writeChunk(events)
+			if starts.Add(1) == 1 && taken == "" {
+				s.reset()
+				return
+			}
+			s.writeLastChunk()
+		}
+		f := newFixture(t, newTestTarget(t, "t1", handle), newTestTarget(t, "t2", handle))
+		c := f.client()
+		c.send("POST", "/resumable/", taken, "")
+		_, body, err := c.receive("POST")
+		f.is.True(err != nil)
+		f.is.True(body == "" || body == events)
+		f.is.Equal(body == events, taken == "")
+		f.is.True(f.logs.contains(errEventOrder.Error()))
+	}
+}
+
 // A stream without a length that ends after an event is complete, whatever ends its lines and
 // however its bytes are split.
 func TestUnframedStreamIsDelivered(t *testing.T) {
--- a/edge/events.go
+++ b/edge/events.go
@@ -1,6 +1,10 @@
 package edge
 
-import "bytes"
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
 
 // eventScanner finds the ends of server-sent events in a stream: empty lines. A line ends with a line
 // feed, a carriage return or both (HTML standard, section 9.2.6).
@@ -24,14 +28,6 @@
 	firstID, lastID string
 }
 
-// noteIDs records the IDs of complete events that are forwarded, the last of which has the ID last.
-func (s *eventScanner) noteIDs(events []byte, last string) {
-	if s.firstID == "" {
-		s.firstID = firstEventID(events)
-	}
-	s.lastID = last
-}
-
 // statusLineStart is the beginning of the head of an answer.
 const statusLineStart = "HTTP/1."
 
@@ -81,37 +77,35 @@
 	return end
 }
 
-// lastEventID returns the ID of the last event that has one, "" if there is none. events holds
-// complete events.
-func lastEventID(events []byte) string {
-	field := []byte("id:")
-	for end := len(events); ; {
-		at := bytes.LastIndex(events[:end], field)
-		if at < 0 {
-			return ""
-		}
-		if at > 0 && events[at-1] != '\n' && events[at-1] != '\r' {
-			end = at
-			continue
-		}
-		return fieldValue(events[at+len(field):])
-	}
-}
+// errEventOrder: the IDs of the events of a stream do not increase.
+var errEventOrder = errors.New("event IDs do not increase")
 
-// firstEventID returns the ID of the first event that has one, "" if there is none.
-func firstEventID(events []byte) string {
+// checkIDs returns the ID of the last of some complete events that has one; "" if there is none. It fails if a
+// number among the IDs is not above the one before it, the first of which comes after last.
+func (s *eventScanner) checkIDs(events []byte, last string) (string, error) {
+	id := ""
 	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\r' || r == '\n' }) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return fieldValue(value)
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if value = bytes.TrimSpace(value); !ok || len(value) == 0 {
+			continue
 		}
+		id = string(value)
+		if !increases(last, id) {
+			return "", errEventOrder
+		}
+		last = id
+		if s.firstID == "" {
+			s.firstID = id
+		}
+		s.lastID = id
 	}
-	return ""
+	return id, nil
 }
 
-// fieldValue returns the value of a field, which ends with its line.
-func fieldValue(value []byte) string {
-	if i := bytes.IndexAny(value, "\r\n"); i >= 0 {
-		value = value[:i]
-	}
-	return string(bytes.TrimSpace(value))
+// increases reports whether the number in an ID is above that in the one before. It returns true if one of
+// them is no number.
+func increases(before, id string) bool {
+	a, errA := strconv.ParseUint(before, 10, 64)
+	b, errB := strconv.ParseUint(id, 10, 64)
+	return errA != nil || errB != nil || b > a
 }
--- a/edge/events_test.go
+++ b/edge/events_test.go
@@ -30,11 +30,28 @@
 	})
 }
 
-func TestLastEventID(t *testing.T) {
-	is := is.New(t)
-	is.Equal(lastEventID([]byte("id: 1\ndata: id: 5\n\nid:2\ndata: x\n\n")), "2")
-	is.Equal(lastEventID([]byte("id: 7\n\n")), "7")
-	is.Equal(lastEventID([]byte("id: 7\r\ndata: valid: 3\r\n\r\n")), "7")
-	is.Equal(lastEventID([]byte("data: x\rid: 8\r\r")), "8")
-	is.Equal(lastEventID([]byte("data: x\n\n")), "")
+// Guards against ORDER: a stream was continued after another event than the last one, or its numbers went back.
+func TestEventIDsMustIncrease(t *testing.T) {
+	for _, c := range []struct {
+		after, events, last string
+		ordered             bool
+	}{
+		{"", "id: 1\ndata: id: 5\n\nid:2\ndata: x\n\n", "2", true},
+		{"", "id: 7\n\n", "7", true},
+		{"", "id: 7\r\ndata: valid: 3\r\n\r\n", "7", true},
+		{"", "data: x\rid: 8\r\r", "8", true},
+		{"", "data: x\n\n", "", true},
+		{"4", "data: x\n\nid:\n\n", "", true},
+		{"4", "id: 5\n\nid: 12\n\n", "12", true},
+		{"4", "id: b\n\nid: a\n\n", "a", true},
+		{"4", "id: 4\n\nid: 5\n\n", "", false},
+		{"4", "id: 1\n\n", "", false},
+		{"", "id: 10\n\nid: 9\n\n", "", false},
+	} {
+		is := is.New(t)
+		var s eventScanner
+		last, err := s.checkIDs([]byte(c.events), c.after)
+		is.Equal(err == nil, c.ordered)
+		is.Equal(last, c.last)
+	}
 }
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -64,8 +64,11 @@
 			if a.events.answer {
 				n = eventsEnd
 			}
-			var writeErr error
-			if pending, writeErr = a.forwardData(pending, buf[:n], eventsEnd); writeErr != nil {
+			var forwardErr error
+			if pending, forwardErr = a.forwardData(pending, buf[:n], eventsEnd); errors.Is(forwardErr, errEventOrder) {
+				a.err = forwardErr
+				return lost, false
+			} else if forwardErr != nil {
 				return abandoned, false
 			}
 			if a.events.answer {
@@ -122,6 +125,7 @@
 // resumable stream only complete events are sent, so that another target can continue after them:
 // the last one ends at data[eventsEnd]; 0 means that none ends in data. Of any other stream, all but the
 // bytes that may begin another answer is sent. The rest is returned, to be passed as pending in the next call.
+// The error is errEventOrder or that of the caller's connection.
 func (a *attempt) forwardData(pending, data []byte, eventsEnd int) ([]byte, error) {
 	c := a.call
 	if c.route.RetryPolicy != routing.Resumable {
@@ -132,8 +136,11 @@
 	if eventsEnd == 0 {
 		return pending, nil
 	}
-	if id := lastEventID(pending[:cut]); id != "" {
-		a.events.noteIDs(pending[:cut], id)
+	id, err := a.events.checkIDs(pending[:cut], c.resumeAfter())
+	if err != nil {
+		return nil, err
+	}
+	if id != "" {
 		c.lastEventID = id
 	}
 	c.eventsSent = true
