edge: a test's router without streams reads the targets

TestBatchingWatchIsNotTakenAsStalled builds a router by hand, which now records in the memory of streams since when it reads the registrations. It ended with a nil pointer; the check itself is unchanged.

--- a/edge/watch_test.go
+++ b/edge/watch_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/streams"
 )
 
 var errStoreAway = errors.New("store is unreachable")
@@ -107,7 +109,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		source := newFakeSource()
-		e := &Edge{logger: log.NewNopLogger(), source: source, directory: newDirectory(0)}
+		e := &Edge{logger: log.NewNopLogger(), source: source, directory: newDirectory(0), origins: streams.New(time.Now())}
 		e.peerTargetsRevision.raise(Revision{Number: 9})
 		e.targetsPausedUntil.Store(time.Now().Add(maxBatchPause).UnixNano())
 		time.AfterFunc(maxBatchPause, func() { e.targetsRevision.raise(Revision{Number: 9}) })
