edge: a connection whose next request was already read is not closed as idle

What callers see: on a kept connection, in a planned stop or when the limit of connections is reached, a request is read from the connection, which then ends without an answer.

Cause: closeIdle and evictIdle look for input on the socket alone. Between the read of the first bytes into the connection's buffer and the mark that it is busy, both find it idle and close it.

Change: they only wake the connection's goroutine, which closes it unless it has read something or input is there. A request that came in that moment is served, in a stop with the refusal that says "not run". The same holds when the idle time is over.

--- a/edge/caller.go
+++ b/edge/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -87,16 +88,28 @@
 	}
 }
 
-// closeIfIdle closes the connection and returns true, unless a request is in progress on it, bytes
-// of the next one have arrived, or the caller has already ended the connection.
+// closeIfIdle has the connection closed and returns true, unless a request is in progress on it, bytes
+// of the next one have arrived, or the caller has already ended the connection. The connection's goroutine closes
+// it, unless it has read bytes of a request meanwhile. The caller holds the mu of the connection's callerConns.
 func (c *callerConn) closeIfIdle() bool {
 	if !openWithoutInput(c.conn) || !c.state.CompareAndSwap(idle, closing) {
 		return false
 	}
-	c.conn.Close()
+	c.conn.SetReadDeadline(time.Now())
 	return true
 }
 
+// begin marks a connection as busy, also if it was about to be closed.
+func (s *callerConns) begin(c *callerConn) {
+	if c.state.CompareAndSwap(idle, busy) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.state.Store(busy)
+	s.open[c] = true
+}
+
 // evictIdle closes the longest idle connections to make room for new ones, and returns their
 // number.
 func (s *callerConns) evictIdle() int {
@@ -152,7 +165,7 @@
 			continue
 		}
 		c := &callerConn{edge: e, conn: conn, br: bufio.NewReaderSize(conn, callerBufferBytes)}
-		c.idleSince.Store(time.Now().UnixNano())
+		c.becomeIdle(e.callerLimits().idleTimeout)
 		e.callers.add(c)
 		go c.serve()
 	}
@@ -204,13 +217,10 @@
 // serveNext reads and serves one request. It returns whether the connection may carry another one.
 func (c *callerConn) serveNext() bool {
 	limits := c.edge.callerLimits()
-	c.conn.SetReadDeadline(time.Now().Add(limits.idleTimeout + keepAliveMargin))
-	if _, err := c.br.Peek(1); err != nil {
-		return false
-	}
-	if !c.state.CompareAndSwap(idle, busy) {
+	if !c.awaitInput(limits) {
 		return false
 	}
+	c.edge.callers.begin(c)
 	now := time.Now()
 	arrived := now.Add(-queuedTime(c.conn))
 	c.conn.SetReadDeadline(now.Add(limits.headerTimeout))
@@ -231,6 +241,25 @@
 	return c.handle(call, r)
 }
 
+// becomeIdle marks the connection as idle for up to a time, and a margin.
+func (c *callerConn) becomeIdle(limit time.Duration) {
+	now := time.Now()
+	c.idleSince.Store(now.UnixNano())
+	c.conn.SetReadDeadline(now.Add(limit + keepAliveMargin))
+	c.state.Store(idle)
+}
+
+// awaitInput waits for the first byte of a request. It returns false if the connection has ended or was
+// idle for too long, but not if a request came at that moment.
+func (c *callerConn) awaitInput(limits callerLimits) bool {
+	_, err := c.br.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !openWithoutInput(c.conn) {
+		c.conn.SetReadDeadline(time.Now().Add(limits.headerTimeout))
+		_, err = c.br.Peek(1)
+	}
+	return err == nil
+}
+
 // discardBody reads and discards the body of a refused request. It returns whether the connection
 // may carry another request.
 func (c *callerConn) discardBody(req *h1.Request, r *reply, limits callerLimits) bool {
@@ -241,8 +270,7 @@
 	if err := req.SkipBody(c.br, limits.bodyBytes); err != nil {
 		return false
 	}
-	c.state.Store(idle)
-	c.idleSince.Store(time.Now().UnixNano())
+	c.becomeIdle(limits.idleTimeout)
 	return !r.close
 }
 
@@ -326,8 +354,7 @@
 // awaitNext marks the connection as idle and waits for the first byte of the next request, which
 // the goroutine of handle reads. It returns false if the connection ends instead.
 func (c *callerConn) awaitNext(watched <-chan error) bool {
-	c.idleSince.Store(time.Now().UnixNano())
-	c.state.Store(idle)
-	c.conn.SetReadDeadline(time.Now().Add(c.edge.callerLimits().keepAlive() + keepAliveMargin))
-	return <-watched == nil
+	c.becomeIdle(c.edge.callerLimits().keepAlive())
+	err := <-watched
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
