edge: connections that wait to be accepted are served before the listener closes

What callers see: in a planned stop, a request on a connection that the kernel has established and the router has not accepted yet is reset, although the router would have refused it with "not run" a moment later.

Cause: stop closes the listener as soon as it refuses new requests; the kernel resets what waits there, which on a busy processor is more than a handful.

Change: stop waits until no connection waits to be accepted, for up to half a second.

A connection that comes between the last look and the close is still reset; nothing of it was read then.

--- a/edge/late_in_stop_test.go
+++ b/edge/late_in_stop_test.go
@@ -38,3 +38,27 @@
 	is.NoErr(err)
 	is.True(strings.HasPrefix(string(answer), "HTTP/1.1 503 "))
 }
+
+// Guards against requests that are reset with their connections when the listener closes, because the router had
+// not accepted these yet.
+func TestConnectionsThatWaitWhenTheListenerClosesAreServed(t *testing.T) {
+	f := newFixture(t, newTestTarget(t, "t1", echo))
+	f.stop()
+	f.await(f.edge.stopping.Load)
+	time.Sleep(loadBalancerDelay - 300*time.Millisecond)
+	f.edge.callers.mu.Lock() // serveCallers waits for it
+	var clients []*client
+	for range 4 {
+		c := f.client()
+		c.send("POST", "/once/", "", "body")
+		clients = append(clients, c)
+	}
+	f.await(f.edge.refuseNew.Load)
+	time.Sleep(100 * time.Millisecond)
+	f.edge.callers.mu.Unlock()
+	for _, c := range clients {
+		resp, _, err := c.receive("POST")
+		f.is.NoErr(err)
+		f.is.Equal(resp.Status, 503)
+	}
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -14,6 +14,8 @@
 	stopMargin = 300 * time.Millisecond
 	// stopPoll is the interval at which stop checks for open connections.
 	stopPoll = 20 * time.Millisecond
+	// maxBacklogTime limits the time to accept the connections that wait when the listener is to be closed.
+	maxBacklogTime = 500 * time.Millisecond
 )
 
 // stop ends readiness, accepts requests until the load balancer has reacted, and then waits for
@@ -24,7 +26,7 @@
 	level.Info(e.logger).Log("event", "stopping", "open", e.callers.count())
 	time.Sleep(min(loadBalancerDelay, time.Until(deadline)))
 	e.refuseNew.Store(true)
-	e.listener.Close()
+	e.closeListener(min(maxBacklogTime, time.Until(deadline)))
 	for time.Now().Before(deadline) {
 		e.callers.closeIdle()
 		if e.callers.count() == 0 {
@@ -34,3 +36,12 @@
 	}
 	level.Warn(e.logger).Log("event", "stop_cut_requests", "open", e.callers.count())
 }
+
+// closeListener closes the listener once no connections wait to be accepted, at the latest after limit. The
+// kernel resets those that still wait then.
+func (e *Edge) closeListener(limit time.Duration) {
+	for end := time.Now().Add(limit); hasPending(e.listener) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	e.listener.Close()
+}
