edge: requests that become whole late in a planned stop are refused, not passed on

Cause: whether a stopping router takes a request was decided from its head alone. A body that came slowly, or after 100 Continue, was passed on whenever it was whole, in the last tenth of a second too. Further attempts, after a target had refused the request or was not reached, began without regard to the end of the stop.

Change: it is decided where an attempt begins (choose). Once new requests are refused, no first attempt begins, and a further one only if the route's objective ends before the stop does. Such a request is answered "503, not run", or with what is known of its earlier attempts.

--- a/edge/answer.go
+++ b/edge/answer.go
@@ -37,6 +37,10 @@
 // refuseUnexecuted answers a request that no target has run. The code and the time to retry come
 // from err if it is a *placement.Refusal.
 func (c *call) refuseUnexecuted(err error) {
+	if errors.Is(err, errStopping) {
+		c.refuseStopping()
+		return
+	}
 	code, after := v1.Code_RETRY_BUDGET_EXHAUSTED, targetFailureRetryAfter
 	if errors.As(err, &c.refusal) {
 		after = c.refusal.RetryAfter
@@ -62,6 +66,13 @@
 	c.sendResult(res, status, errors.New(reason))
 }
 
+// refuseStopping answers that the request has not run because the router is stopping, and closes the
+// connection.
+func (c *call) refuseStopping() {
+	c.reply.close = true
+	c.refuse(v1.Code_STOPPING, http.StatusServiceUnavailable, stoppingRetryAfter, errStopping.Error())
+}
+
 // sendResult answers with a result of the router itself, counts it and logs the cause.
 func (c *call) sendResult(res *result.Result, status int, cause error) {
 	c.edge.metrics.results.WithLabelValues(res.Code.String()).Inc()
--- a/edge/call.go
+++ b/edge/call.go
@@ -133,8 +133,7 @@
 		c.refuse(v1.Code_NOT_READY, http.StatusServiceUnavailable, notReadyRetryAfter, "no configuration")
 		return false
 	case c.edge.refuseNew.Load():
-		c.reply.close = true
-		c.refuse(v1.Code_STOPPING, http.StatusServiceUnavailable, stoppingRetryAfter, "stopping")
+		c.refuseStopping()
 		return false
 	case c.edge.overloaded(rand.Float64()):
 		c.refuse(v1.Code_ROUTER_BUSY, http.StatusServiceUnavailable, busyRetryAfter, "router overloaded")
@@ -257,13 +256,16 @@
 	}
 }
 
-// choose selects a target and registers the new attempt with the placement balancer. The error is a
-// *placement.Refusal.
+// choose selects a target and registers the new attempt with the placement balancer. The error is
+// errStopping or a *placement.Refusal.
 func (c *call) choose(tries int) (*attempt, error) {
 	e := c.edge
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
+	if !e.mayAttempt(now, tries, c.route.LatencyObjective) {
+		return nil, errStopping
+	}
 	c.demand.Waited = now.Sub(c.arrived)
 	c.demand.Remaining = c.deadline.Sub(now)
 	choice, err := e.balancer.Choose(now, &c.demand)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -136,6 +136,8 @@
 	originWaiters map[streams.ID]chan struct{}
 	// readers says which routers of the zone watch the registrations of targets.
 	readers targetReaders
+	// stopDeadline is when a planned stop ends the requests in progress; zero before the stop signal.
+	stopDeadline time.Time
 	// lastStoreRead is when this or another router last read the complete store.
 	lastStoreRead time.Time
 
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -18,10 +19,15 @@
 	maxBacklogTime = 500 * time.Millisecond
 )
 
+var errStopping = errors.New("router is stopping")
+
 // stop ends readiness, accepts requests until the load balancer has reacted, and then waits for
 // those in progress to finish. It returns at the latest stopMargin before the grace time ends.
 func (e *Edge) stop() {
 	deadline := time.Now().Add(e.settings.Grace - stopMargin)
+	e.mu.Lock()
+	e.stopDeadline = deadline
+	e.mu.Unlock()
 	e.stopping.Store(true)
 	level.Info(e.logger).Log("event", "stopping", "open", e.callers.count())
 	time.Sleep(min(loadBalancerDelay, time.Until(deadline)))
@@ -45,3 +51,10 @@
 	}
 	e.listener.Close()
 }
+
+// mayAttempt reports whether an attempt of a request may begin. While the router refuses new requests, only a
+// further attempt may, if it can be answered within the route's objective before the stop ends it. The caller
+// holds e.mu.
+func (e *Edge) mayAttempt(now time.Time, tries int, objective time.Duration) bool {
+	return !e.refuseNew.Load() || tries > 1 && now.Add(objective).Before(e.stopDeadline)
+}
