edge: requests that outlast a planned stop are answered before the process ends

Cause: the end of the stop cancels the requests as if their callers had left: abandon aborts the answer, also one that has not begun. The process does not wait for those that would still write.

Change: the requests are cancelled with the stop as the cause. One whose answer has not begun is answered: with a target's error that is already there, 502 "unknown" if a target may have run it, 503 "not run" otherwise, also while its body is read. An answer that has begun ends visibly incomplete, as before. The process waits up to 150 ms of the 300 that it keeps for its exit. No target is dialled any more to find out whether it crashed, as that would be late.

--- a/edge/answer.go
+++ b/edge/answer.go
@@ -100,8 +100,13 @@
 	return fields
 }
 
-// abandon ends a request whose caller has left or whose deadline has passed.
+// abandon ends a request whose caller has left, whose deadline has passed or that lasts longer than the router's
+// planned stop.
 func (c *call) abandon(ctx context.Context) {
+	if endedByStop(ctx) {
+		c.finishWithError(errStopping)
+		return
+	}
 	if c.deadlinePassed() && !errors.Is(ctx.Err(), context.Canceled) && !c.reply.begun {
 		c.sendResult(result.New(v1.Code_TARGET_TIMEOUT, v1.Ran_UNKNOWN, "no answer in time"), http.StatusGatewayTimeout, context.DeadlineExceeded)
 		return
--- a/edge/call.go
+++ b/edge/call.go
@@ -310,6 +310,11 @@
 	case answered:
 		return false
 	case abandoned:
+		if a.sent && endedByStop(ctx) {
+			c.sentCount++
+			c.mayHaveRun = true
+			c.errorAnswer = a.answer
+		}
 		c.abandon(ctx)
 		return false
 	case notSent:
--- a/edge/caller.go
+++ b/edge/caller.go
@@ -110,6 +110,15 @@
 	s.open[c] = true
 }
 
+// interruptReads makes all reads from callers fail that wait for input.
+func (s *callerConns) interruptReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		c.conn.SetReadDeadline(time.Now())
+	}
+}
+
 // evictIdle closes the longest idle connections to make room for new ones, and returns their
 // number.
 func (s *callerConns) evictIdle() int {
@@ -234,7 +243,12 @@
 	if !accepted {
 		return c.discardBody(req, r, limits)
 	}
-	if !c.readBody(req, limits) {
+	if err := c.readBody(req, limits); err != nil {
+		if c.edge.requestCtx.Err() != nil {
+			call.refuseStopping()
+		} else {
+			c.answerUnreadable(req, err)
+		}
 		return false
 	}
 	c.conn.SetReadDeadline(time.Time{})
@@ -274,23 +288,18 @@
 	return !r.close
 }
 
-// readBody reads the body, after asking for it if the caller expects that. It answers the request
-// and returns false if the body cannot be read.
-func (c *callerConn) readBody(req *h1.Request, limits callerLimits) bool {
+// readBody reads the body, after asking for it if the caller expects that.
+func (c *callerConn) readBody(req *h1.Request, limits callerLimits) error {
 	if !req.HasBody() {
-		return true
+		return nil
 	}
 	if req.Header.HasToken("Expect", "100-continue") {
 		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return false
+			return err
 		}
 	}
 	c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if err := req.ReadBody(c.br, limits.bodyBytes); err != nil {
-		c.answerUnreadable(req, err)
-		return false
-	}
-	return true
+	return req.ReadBody(c.br, limits.bodyBytes)
 }
 
 // answerUnreadable answers a request that cannot be parsed or is too large; req is nil if its head could not
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -102,7 +102,7 @@
 	refuseNew atomic.Bool
 	// requestCtx is the parent context of all requests; abortRequests cancels it.
 	requestCtx    context.Context
-	abortRequests context.CancelFunc
+	abortRequests context.CancelCauseFunc
 	started       time.Time
 	overload      overload
 	backlog       acceptBacklog
@@ -203,7 +203,7 @@
 		int(callerFileShare*float64(max(s.MaxOpenFiles-reservedFiles, reservedFiles))),
 		int(callerMemoryShare*float64(s.MemoryMB<<20)/callerMemoryBytes))
 	e.answerMemory.limit = int64(answerMemoryShare * float64(s.MemoryMB<<20))
-	e.requestCtx, e.abortRequests = context.WithCancel(context.Background())
+	e.requestCtx, e.abortRequests = context.WithCancelCause(context.Background())
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -316,10 +316,10 @@
 	}
 }
 
-// close aborts all requests and closes the listeners and sockets.
+// close closes the listeners and sockets and ends all requests.
 func (e *Edge) close() {
-	e.abortRequests()
 	e.listener.Close()
+	e.endRequests()
 	e.readyHTTP.Close()
 	e.metricsHTTP.Close()
 	e.reportConn.Close()
--- a/edge/late_in_stop_test.go
+++ b/edge/late_in_stop_test.go
@@ -50,6 +50,7 @@
 const (
 	answeredWhole = "200 close"
 	refusedNotRun = "503 NO close"
+	outcomeOpen   = "502 UNKNOWN close"
 	visiblyBroken = "200, broken off"
 )
 
@@ -99,6 +100,9 @@
 	const second = time.Second
 	requests := []lateRequest{
 		{name: "unsafe", path: "/once/works", sentAt: 2 * second, want: answeredWhole, reaches: 1},
+		{name: "unsafe on a silent target", path: "/once/silent", sentAt: second, want: outcomeOpen, reaches: 1},
+		{name: "safe on silent targets", path: "/idempotent/silent", sentAt: second, want: outcomeOpen, reaches: 2},
+		{name: "stream without an event", path: "/stream/silent", sentAt: second, want: outcomeOpen, reaches: 1},
 		{name: "stream with an event", path: "/stream/begins", sentAt: second, want: visiblyBroken, reaches: 1},
 		{name: "resumable stream with an event", path: "/resumable/begins", sentAt: 2 * second, want: visiblyBroken, reaches: 2},
 		{name: "head late", path: "/once/", sentAt: 2 * second, split: "POST ", restAt: 3 * second, want: refusedNotRun},
@@ -107,6 +111,7 @@
 		{name: "body in the last moment", path: "/once/silent", sentAt: 2 * second, split: "\r\n\r\nbo", restAt: 3600 * time.Millisecond, want: refusedNotRun},
 		{name: "body late of a head before the stop", path: "/once/", sentAt: -second / 5, split: "\r\n\r\nbo", restAt: 2600 * time.Millisecond, want: refusedNotRun},
 		{name: "body asked for and late", path: "/once/", sentAt: 2 * second, split: "\r\n\r\n", expectContinue: true, restAt: 3 * second, want: refusedNotRun},
+		{name: "body never whole", path: "/once/", sentAt: 2 * second, split: "\r\n\r\nbo", want: refusedNotRun},
 		{name: "rejected in the last moment", path: "/once/rejects", sentAt: second, want: refusedNotRun, reaches: 1},
 	}
 	var targets []*testTarget
@@ -130,6 +135,7 @@
 	if took := time.Since(stopAt); took >= f.edge.settings.Grace {
 		t.Errorf("stopped after %v", took)
 	}
+	f.is.True(f.logs.contains(`"request_refused"`, `"status":502`, `"sent":1`, errStopping.Error()))
 	received := make(map[string]int)
 	for _, target := range targets {
 		for _, s := range target.requests() {
--- a/edge/poison.go
+++ b/edge/poison.go
@@ -112,7 +112,8 @@
 // checkCrash sets targetGone if the connection to the target broke because its process has ended. A
 // broken connection alone does not show that.
 func (a *attempt) checkCrash() {
-	if a.crashed && !a.proven && len(a.call.sharedParts) > 0 {
+	stopped := a.call.edge.requestCtx.Err() != nil
+	if a.crashed && !a.proven && !stopped && len(a.call.sharedParts) > 0 {
 		a.targetGone = a.call.edge.refusesConnections(a.target.Address)
 	}
 }
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -13,6 +14,8 @@
 	loadBalancerDelay = 2500 * time.Millisecond
 	// stopMargin is the part of the grace time that is left for the process to exit by itself.
 	stopMargin = 300 * time.Millisecond
+	// finalAnswerTime is the part of stopMargin in which requests that are still open are answered.
+	finalAnswerTime = 150 * time.Millisecond
 	// stopPoll is the interval at which stop checks for open connections.
 	stopPoll = 20 * time.Millisecond
 	// maxBacklogTime limits the time to accept the connections that wait when the listener is to be closed.
@@ -52,6 +55,22 @@
 	e.listener.Close()
 }
 
+// endRequests cancels all requests, and waits for up to finalAnswerTime until their callers are answered.
+func (e *Edge) endRequests() {
+	e.stopping.Store(true)
+	e.refuseNew.Store(true)
+	e.abortRequests(errStopping)
+	for end := time.Now().Add(finalAnswerTime); ; time.Sleep(stopPoll) {
+		e.callers.interruptReads()
+		if e.callers.count() == 0 || time.Now().After(end) {
+			return
+		}
+	}
+}
+
+// endedByStop reports whether a request's context was cancelled by endRequests.
+func endedByStop(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopping) }
+
 // mayAttempt reports whether an attempt of a request may begin. While the router refuses new requests, only a
 // further attempt may, if it can be answered within the route's objective before the stop ends it. The caller
 // holds e.mu.
