edge: answers during a planned stop say that the connection closes, also to earlier requests

What callers see: a request that began before the stop signal is answered with Keep-Alive: timeout=6 during the stop, and its connection is closed up to 20 ms later. The caller's next request crosses that close.

Cause: whether the connection closes was decided when the head of the request was read.

Change: it is decided when the head of the answer is written.

--- a/edge/caller.go
+++ b/edge/caller.go
@@ -329,12 +329,15 @@
 
 // reply creates the answer to a request; req is nil if it could not be parsed.
 func (c *callerConn) reply(req *h1.Request) *reply {
-	r := &reply{conn: c.conn, idHeader: c.edge.headers.RequestID, minorVersion: 1, keepAlive: c.edge.callerLimits().keepAlive()}
+	r := &reply{
+		conn: c.conn, idHeader: c.edge.headers.RequestID, minorVersion: 1, keepAlive: c.edge.callerLimits().keepAlive(),
+		stopping: &c.edge.stopping,
+	}
 	if req != nil {
 		r.id = req.Header.Get(r.idHeader)
 		r.minorVersion = req.Minor
 		r.headOnly = req.Method == http.MethodHead
-		r.close = !req.KeepAlive() || c.edge.stopping.Load() || c.edge.linkBusy.Load()
+		r.close = !req.KeepAlive() || c.edge.linkBusy.Load()
 	}
 	return r
 }
--- a/edge/late_in_stop_test.go
+++ b/edge/late_in_stop_test.go
@@ -99,6 +99,7 @@
 func TestRequestsInAPlannedStopAreAnswered(t *testing.T) {
 	const second = time.Second
 	requests := []lateRequest{
+		{name: "begun before the stop", path: "/once/works", sentAt: -second / 5, want: answeredWhole, reaches: 1},
 		{name: "unsafe", path: "/once/works", sentAt: 2 * second, want: answeredWhole, reaches: 1},
 		{name: "unsafe on a silent target", path: "/once/silent", sentAt: second, want: outcomeOpen, reaches: 1},
 		{name: "safe on silent targets", path: "/idempotent/silent", sentAt: second, want: outcomeOpen, reaches: 2},
--- a/edge/reply.go
+++ b/edge/reply.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/chiveseam/chiveseam/h1"
@@ -17,8 +18,9 @@
 	conn net.Conn
 	// id is the caller's request ID, idHeader the name of the field that carries it.
 	idHeader, id string
-	// close is set if the connection closes after this answer.
-	close bool
+	// close is set if the connection closes after this answer, and stopping once all connections do; it may be nil.
+	close    bool
+	stopping *atomic.Bool
 	// keepAlive is the idle time of the connection that is announced to the caller.
 	keepAlive time.Duration
 	// minorVersion is the minor HTTP version of the request: 0 or 1.
@@ -48,6 +50,7 @@
 // appendConnectionField appends the field that tells the caller whether and for how long the
 // connection stays open.
 func (r *reply) appendConnectionField(h h1.Header) h1.Header {
+	r.close = r.close || r.stopping != nil && r.stopping.Load()
 	if r.close {
 		return append(h, h1.Field{Name: "Connection", Value: "close"})
 	}
