--- a/edge/caller.go
+++ b/edge/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -87,16 +88,37 @@
 	}
 }
 
-// closeIfIdle closes the connection and returns true, unless a request is in progress on it, bytes
-// of the next one have arrived, or the caller has already ended the connection.
+// closeIfIdle has the connection closed and returns true, unless a request is in progress on it, bytes
+// of the next one have arrived, or the caller has already ended the connection. The connection's goroutine closes
+// it, unless it has read bytes of a request meanwhile. The caller holds the mu of the connection's callerConns.
 func (c *callerConn) closeIfIdle() bool {
 	if !openWithoutInput(c.conn) || !c.state.CompareAndSwap(idle, closing) {
 		return false
 	}
-	c.conn.Close()
+	c.conn.SetReadDeadline(time.Now())
 	return true
 }
 
+// begin marks a connection as busy, also if it was about to be closed.
+func (s *callerConns) begin(c *callerConn) {
+	if c.state.CompareAndSwap(idle, busy) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.state.Store(busy)
+	s.open[c] = true
+}
+
+// interruptReads makes all reads from callers fail that wait for input.
+func (s *callerConns) interruptReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		c.conn.SetReadDeadline(time.Now())
+	}
+}
+
 // evictIdle closes the longest idle connections to make room for new ones, and returns their
 // number.
 func (s *callerConns) evictIdle() int {
@@ -152,7 +174,7 @@
 			continue
 		}
 		c := &callerConn{edge: e, conn: conn, br: bufio.NewReaderSize(conn, callerBufferBytes)}
-		c.idleSince.Store(time.Now().UnixNano())
+		c.becomeIdle(e.callerLimits().idleTimeout)
 		e.callers.add(c)
 		go c.serve()
 	}
@@ -204,13 +226,10 @@
 // serveNext reads and serves one request. It returns whether the connection may carry another one.
 func (c *callerConn) serveNext() bool {
 	limits := c.edge.callerLimits()
-	c.conn.SetReadDeadline(time.Now().Add(limits.idleTimeout + keepAliveMargin))
-	if _, err := c.br.Peek(1); err != nil {
-		return false
-	}
-	if !c.state.CompareAndSwap(idle, busy) {
+	if !c.awaitInput(limits) {
 		return false
 	}
+	c.edge.callers.begin(c)
 	now := time.Now()
 	arrived := now.Add(-queuedTime(c.conn))
 	c.conn.SetReadDeadline(now.Add(limits.headerTimeout))
@@ -224,13 +243,37 @@
 	if !accepted {
 		return c.discardBody(req, r, limits)
 	}
-	if !c.readBody(req, limits) {
+	if err := c.readBody(req, limits); err != nil {
+		if c.edge.requestCtx.Err() != nil {
+			call.refuseStopping()
+		} else {
+			c.answerUnreadable(req, err)
+		}
 		return false
 	}
 	c.conn.SetReadDeadline(time.Time{})
 	return c.handle(call, r)
 }
 
+// becomeIdle marks the connection as idle for up to a time, and a margin.
+func (c *callerConn) becomeIdle(limit time.Duration) {
+	now := time.Now()
+	c.idleSince.Store(now.UnixNano())
+	c.conn.SetReadDeadline(now.Add(limit + keepAliveMargin))
+	c.state.Store(idle)
+}
+
+// awaitInput waits for the first byte of a request. It returns false if the connection has ended or was
+// idle for too long, but not if a request came at that moment.
+func (c *callerConn) awaitInput(limits callerLimits) bool {
+	_, err := c.br.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !openWithoutInput(c.conn) {
+		c.conn.SetReadDeadline(time.Now().Add(limits.headerTimeout))
+		_, err = c.br.Peek(1)
+	}
+	return err == nil
+}
+
 // discardBody reads and discards the body of a refused request. It returns whether the connection
 // may carry another request.
 func (c *callerConn) discardBody(req *h1.Request, r *reply, limits callerLimits) bool {
@@ -241,28 +284,22 @@
 	if err := req.SkipBody(c.br, limits.bodyBytes); err != nil {
 		return false
 	}
-	c.state.Store(idle)
-	c.idleSince.Store(time.Now().UnixNano())
+	c.becomeIdle(limits.idleTimeout)
 	return !r.close
 }
 
-// readBody reads the body, after asking for it if the caller expects that. It answers the request
-// and returns false if the body cannot be read.
-func (c *callerConn) readBody(req *h1.Request, limits callerLimits) bool {
+// readBody reads the body, after asking for it if the caller expects that.
+func (c *callerConn) readBody(req *h1.Request, limits callerLimits) error {
 	if !req.HasBody() {
-		return true
+		return nil
 	}
 	if req.Header.HasToken("Expect", "100-continue") {
 		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return false
+			return err
 		}
 	}
 	c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if err := req.ReadBody(c.br, limits.bodyBytes); err != nil {
-		c.answerUnreadable(req, err)
-		return false
-	}
-	return true
+	return req.ReadBody(c.br, limits.bodyBytes)
 }
 
 // answerUnreadable answers a request that cannot be parsed or is too large; req is nil if its head could not
@@ -292,12 +329,15 @@
 
 // reply creates the answer to a request; req is nil if it could not be parsed.
 func (c *callerConn) reply(req *h1.Request) *reply {
-	r := &reply{conn: c.conn, idHeader: c.edge.headers.RequestID, minorVersion: 1, keepAlive: c.edge.callerLimits().keepAlive()}
+	r := &reply{
+		conn: c.conn, idHeader: c.edge.headers.RequestID, minorVersion: 1, keepAlive: c.edge.callerLimits().keepAlive(),
+		stopping: &c.edge.stopping,
+	}
 	if req != nil {
 		r.id = req.Header.Get(r.idHeader)
 		r.minorVersion = req.Minor
 		r.headOnly = req.Method == http.MethodHead
-		r.close = !req.KeepAlive() || c.edge.stopping.Load() || c.edge.linkBusy.Load()
+		r.close = !req.KeepAlive() || c.edge.linkBusy.Load()
 	}
 	return r
 }
@@ -326,8 +366,7 @@
 // awaitNext marks the connection as idle and waits for the first byte of the next request, which
 // the goroutine of handle reads. It returns false if the connection ends instead.
 func (c *callerConn) awaitNext(watched <-chan error) bool {
-	c.idleSince.Store(time.Now().UnixNano())
-	c.state.Store(idle)
-	c.conn.SetReadDeadline(time.Now().Add(c.edge.callerLimits().keepAlive() + keepAliveMargin))
-	return <-watched == nil
+	c.becomeIdle(c.edge.callerLimits().keepAlive())
+	err := <-watched
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
