edge: an unframed answer of a target that has died is incomplete

Callers got a 200 with an empty or short body, framed as whole, when the process of a target ended after the head, or within the body, of an answer with neither a length nor chunks.

Cause: the kernel closes the connections of a process that ends in the regular way if no input is unread, and that is also the end of such an answer.

After the end of such an answer the router connects to the target. If nothing listens there, the answer is lost: 502, or another target where the request may be repeated. A process that ends closes its listener before the connections that came through it, which have higher descriptors.

A target that is back on its address before the check, or whose port another process holds open, is not told apart.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -91,10 +91,12 @@
 }
 
 var (
-	errOtherAnswer   = errors.New("target sent answers to other requests instead")
-	errUnsigned      = errors.New("answer has no signature")
-	errTargetTimeout = errors.New("target is silent")
-	errCallerLeft    = errors.New("caller left before the request was sent")
+	errOtherAnswer = errors.New("target sent answers to other requests instead")
+	errUnsigned    = errors.New("answer has no signature")
+	// errAnswerBrokenOff: an answer without a length or chunks ended with the target's process.
+	errAnswerBrokenOff = errors.New("answer broken off")
+	errTargetTimeout   = errors.New("target is silent")
+	errCallerLeft      = errors.New("caller left before the request was sent")
 )
 
 // maxOtherAnswers is the number of answers to other requests that are skipped on a connection.
@@ -404,7 +406,8 @@
 var errAnswerMemory = errors.New("no memory for the answer")
 
 // readBody reads a complete body of at most maxBufferedAnswerBytes, within the request's deadline
-// and the memory that the router has for answers.
+// and the memory that the router has for answers. A body that ends with its connection is complete
+// only if the target still accepts connections: the end of a process closes its connections, too.
 func (a *attempt) readBody(u *upstream, resp *h1.Response) ([]byte, error) {
 	u.SetReadDeadline(a.call.deadline)
 	buf := &answerBuffer{memory: &a.call.edge.answerMemory}
@@ -413,6 +416,9 @@
 	if err == nil && n > maxBufferedAnswerBytes {
 		return nil, h1.ErrBodyTooLarge
 	}
+	if err == nil && a.closeDelimited && a.call.edge.refusesConnections(a.target.Address) {
+		return nil, errAnswerBrokenOff
+	}
 	return buf.data.Bytes(), err
 }
 
