h1: a chunked body that broke off does not end when it is read on

A chunked body that broke off in its trailers gave io.ErrUnexpectedEOF once and io.EOF, the end of a whole body, from then on. No caller of the router saw this: all its readers stop at the first error.

Cause: the end was noted before the trailers had been read.

Evidence: TestBrokenChunkedBodyNeverEnds failed before (nil, not unexpected EOF, at the second read).

The body keeps the first error of a read and returns it again.

--- a/h1/body.go
+++ b/h1/body.go
@@ -122,21 +122,23 @@
 	// are.
 	started bool
 	done    bool
+	// err is the error of an earlier Read; the position in the byte stream is unknown after it.
+	err error
 }
 
 func (b *chunkedBody) Read(p []byte) (int, error) {
+	if b.remaining == 0 && !b.done && b.err == nil {
+		b.err = unexpectedEOF(b.nextChunk())
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
 	if b.done {
 		return 0, io.EOF
 	}
-	if b.remaining == 0 {
-		if err := b.nextChunk(); err != nil {
-			return 0, unexpectedEOF(err)
-		}
-		if b.done {
-			return 0, io.EOF
-		}
-	}
-	return readUpTo(b.br, p, &b.remaining)
+	var n int
+	n, b.err = readUpTo(b.br, p, &b.remaining)
+	return n, b.err
 }
 
 // nextChunk reads the size of the next chunk. For the last chunk, of size 0, it also
--- a/h1/h1_test.go
+++ b/h1/h1_test.go
@@ -193,3 +193,19 @@
 	out := h.EndToEnd(func(name string) bool { return name == "X-Id" })
 	is.Equal(out, h1.Header{{Name: "X-Id", Value: "2"}, {Name: "A", Value: "b"}})
 }
+
+// Guards against MIXED: a chunked body breaks off, and a reader that reads on after the error takes it for complete.
+func TestBrokenChunkedBodyNeverEnds(t *testing.T) {
+	const head, body = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "2;a=b\r\nab\r\n0\r\nX-A: b\r\n\r\n"
+	for cut := range len(body) {
+		is := is.New(t)
+		br := bufio.NewReader(strings.NewReader(head + body[:cut]))
+		resp, err := h1.ReadResponse(br, "GET", 1<<10)
+		is.NoErr(err)
+		r := resp.Body(br)
+		for range 2 {
+			_, err = io.ReadAll(r)
+			is.Equal(err, io.ErrUnexpectedEOF)
+		}
+	}
+}
