soak: kills of many routers, releases, long streams, engines killed between events

What the soak lacked to see ORDER as callers of a deployment see it: streams that last seconds and are taken up until their time limit, several routers killed at one moment, a software version that leaves as in a release, streams without a length or chunks whose engine is killed after a whole event, and engines that begin a continued stream with another event.

Events name their target. The checker now compares also the events of answers that broke off, over all tries of a stream: each once, in order, all of one software version. A complete answer must hold the last event, as before.

--- a/cmd/chiveseam-soak/main.go
+++ b/cmd/chiveseam-soak/main.go
@@ -35,6 +35,8 @@
 	Routers int           `long:"routers" default:"6" description:"Router processes."`
 	Targets int           `long:"targets" default:"6" description:"Targets; every other one is a model engine."`
 	Callers int           `long:"callers" default:"24" description:"Callers."`
+	Streams int           `long:"stream-callers" default:"24" description:"Further callers, which read long streams."`
+	Gap     time.Duration `long:"interval" default:"500ms" description:"Mean time between the starts of two faults."`
 	Kinds   []soak.Kind   `long:"kind" description:"Kind of fault; may be repeated. All kinds if it is not given."`
 	Logs    string        `long:"logs" description:"Directory that keeps the routers' logs."`
 	List    bool          `long:"list-kinds" description:"Print the kinds of fault and exit."`
@@ -103,7 +105,7 @@
 	}
 	return soak.Run(soak.Config{
 		Program: o.Program, Dir: dir, Seed: seed, Length: o.Length, Routers: o.Routers, Targets: o.Targets,
-		Callers: o.Callers, Kinds: o.Kinds,
+		Callers: o.Callers, StreamCallers: o.Streams, Interval: o.Gap, Kinds: o.Kinds,
 	}, stop)
 }
 
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -33,6 +33,14 @@
 	// keepAliveShare is the fraction of complete answers after which a caller reuses its
 	// connection.
 	keepAliveShare = 0.9
+	// minRetryPause and maxRetryPause bound the pause before a long stream is taken up, which callers do
+	// while they have minRetryTime left.
+	minRetryPause = 200 * time.Millisecond
+	maxRetryPause = 400 * time.Millisecond
+	minRetryTime  = 200 * time.Millisecond
+	// minLongEvents and maxLongEvents bound the number of events of a long stream.
+	minLongEvents = 20
+	maxLongEvents = 60
 )
 
 // caller sends one request after another. It reuses a connection for as long as that lasts,
@@ -41,6 +49,8 @@
 	run    *run
 	number int
 	random *rand.Rand
+	// routes are the routes from which requests are drawn.
+	routes []route
 	// requestCount is the number of requests drawn so far.
 	requestCount int
 
@@ -49,8 +59,8 @@
 	incarnation int
 	conn        net.Conn
 	br          *bufio.Reader
-	// broken is the last request, if its resumable stream broke off after an event and is taken up
-	// next; nil otherwise.
+	// broken is the next request, if it takes up a resumable stream that broke off after an event;
+	// nil otherwise.
 	broken *request
 }
 
@@ -61,7 +71,7 @@
 		select {
 		case <-done:
 			return
-		case <-time.After(time.Duration(c.random.ExpFloat64() * float64(meanThinkTime))):
+		case <-time.After(c.drawPause()):
 		}
 		if c.conn == nil && !c.connect() {
 			continue
@@ -70,6 +80,14 @@
 	}
 }
 
+// drawPause draws the pause before the next request.
+func (c *caller) drawPause() time.Duration {
+	if c.broken != nil && c.broken.route.persistent {
+		return minRetryPause + time.Duration(c.random.Float64()*float64(maxRetryPause-minRetryPause))
+	}
+	return time.Duration(c.random.ExpFloat64() * float64(meanThinkTime))
+}
+
 func (c *caller) closeConn() {
 	if c.conn != nil {
 		c.conn.Close()
@@ -97,7 +115,7 @@
 func (c *caller) exchange() {
 	r := c.nextRequest()
 	c.run.checker.requestSent(r)
-	c.conn.SetDeadline(time.Now().Add(r.route.timeout + extraWait))
+	c.conn.SetDeadline(time.Now().Add(r.deadline + extraWait))
 	_, err := io.WriteString(c.conn, c.encode(r))
 	if err == nil && r.probedVersion == 0 && c.random.Float64() < disconnectShare {
 		time.Sleep(disconnectDelay)
@@ -119,24 +137,34 @@
 // noteBroken decides whether the next request takes up the stream of r.
 func (c *caller) noteBroken(r *request, a answer) {
 	c.broken = nil
-	if events := strings.Count(a.body, "\n\n"); r.route.resumable && !a.complete && a.status == 200 && events > 0 {
-		r.lastEvent += events
-		c.broken = r
+	events, last := 0, r.lastEvent
+	if a.status == 200 {
+		events = strings.Count(a.body, "\n\n")
+		last += events
+	}
+	if !r.route.resumable || a.complete && a.status < 300 || last == 0 || events == 0 && !r.route.persistent {
+		return
+	}
+	c.broken = &request{
+		route: r.route, method: r.method, path: r.path, body: r.body, workspace: r.workspace, unknownKey: r.unknownKey,
+		begunBy: r.stream(), lastEvent: last, events: r.events, promptParts: r.promptParts, deadline: r.route.timeout,
+	}
+	if r.route.persistent {
+		c.broken.deadline -= time.Since(r.stream().sentAt)
 	}
 }
 
-// nextRequest returns a request that takes up the stream that has just broken off, or a new one.
+// nextRequest returns a request that takes up the stream that has just broken off, if its time isn't
+// over, or a new one.
 func (c *caller) nextRequest() *request {
-	if c.broken == nil {
+	if c.broken == nil || c.broken.deadline < minRetryTime {
 		return c.newRequest()
 	}
 	c.requestCount++
-	r := *c.broken
-	r.begunBy = c.broken.stream()
+	r := c.broken
 	r.id = fmt.Sprintf("c%d-%d", c.number, c.requestCount)
 	r.router, r.incarnation = c.router.number, c.incarnation
-	r.runs, r.fullAnswerSent = nil, false
-	return &r
+	return r
 }
 
 // newRequest draws the next request: route, workspace, and whether it probes a configuration
@@ -144,27 +172,44 @@
 func (c *caller) newRequest() *request {
 	c.requestCount++
 	r := &request{
-		id: fmt.Sprintf("c%d-%d", c.number, c.requestCount), route: routes[c.random.IntN(len(routes))], router: c.router.number,
+		id: fmt.Sprintf("c%d-%d", c.number, c.requestCount), route: c.routes[c.random.IntN(len(c.routes))], router: c.router.number,
 		incarnation: c.incarnation, method: "POST", workspace: workspaceName(c.random.IntN(workspaces)),
 	}
 	r.path = r.route.path + r.id + "?q=%20x"
 	r.body = fmt.Sprintf("body of %s", r.id)
+	r.deadline, r.events = r.route.timeout, standin.EventCount
+	if r.route.stream {
+		r.promptParts = c.drawPrompt()
+	}
+	if len(c.routes) == len(longRoutes) {
+		r.events = minLongEvents + c.random.IntN(maxLongEvents-minLongEvents)
+		return r
+	}
 	switch p := c.random.Float64(); {
 	case p < versionProbeShare:
 		r.probedVersion = c.run.drawVersion(c.random)
 		r.route = routes[idempotentRoute]
 		r.path = versionPath(r.probedVersion) + r.id
+		r.deadline = r.route.timeout
 	case p < versionProbeShare+unknownKeyShare:
 		r.unknownKey = true
 	}
 	return r
 }
 
-// encode returns the request as HTTP/1.1 text. Requests of streaming routes name their prompt
-// parts: one part that other requests share, and one of their own.
+// drawPrompt draws the parts of a prompt: one part that other requests share, and one of its own.
+func (c *caller) drawPrompt() string {
+	part := fmt.Sprintf("%x", c.random.IntN(sharedPromptParts))
+	if c.run.promptCrashes.Load() > 0 && c.random.Float64() < crashingShare {
+		part += fmt.Sprintf(":%d,%s", sharedPartTokens, crashingPart)
+	}
+	return fmt.Sprintf("%s:%d,%x:%d", part, sharedPartTokens, c.random.Uint64(), ownPartTokens)
+}
+
+// encode returns the request as HTTP/1.1 text.
 func (c *caller) encode(r *request) string {
 	sent := standin.Request{
-		ID: r.id, Method: r.method, Path: r.path, Host: host, APIKey: apiKey(r.workspace), Deadline: r.route.timeout, Body: r.body,
+		ID: r.id, Method: r.method, Path: r.path, Host: host, APIKey: apiKey(r.workspace), Deadline: r.deadline, Body: r.body,
 	}
 	if r.begunBy != nil {
 		sent.LastEventID, sent.Resumes = strconv.Itoa(r.lastEvent), r.begunBy.id
@@ -173,12 +218,8 @@
 		sent.APIKey = "of-nobody"
 	}
 	if r.route.stream {
-		part := fmt.Sprintf("%x", c.random.IntN(sharedPromptParts))
-		if c.run.promptCrashes.Load() > 0 && c.random.Float64() < crashingShare {
-			part += fmt.Sprintf(":%d,%s", sharedPartTokens, crashingPart)
-		}
-		sent.PromptParts = fmt.Sprintf("%s:%d,%x:%d", part, sharedPartTokens, c.random.Uint64(), ownPartTokens)
-		sent.PromptTokens, sent.OutputTokens = sharedPartTokens+ownPartTokens, standin.EventCount
+		sent.PromptParts = r.promptParts
+		sent.PromptTokens, sent.OutputTokens = sharedPartTokens+ownPartTokens, r.events
 	}
 	return sent.Text()
 }
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -294,6 +294,9 @@
 	switch {
 	case a.status == 0 || !a.complete:
 		c.checkLoss(r)
+		if r.route.stream && a.status == 200 {
+			c.checkEvents(r)
+		}
 	case a.requestID != r.id:
 		c.fail(promiseOwnAnswer, r.id, "the answer carries request ID %q", a.requestID)
 	case a.status < 300:
@@ -325,6 +328,22 @@
 // over. It is close to 1 because nothing is left that justifies a refusal.
 const minRecoveredShare = 0.99
 
+// requestsOf returns the IDs of all requests of the stream of a request; of the request alone if it is of
+// no stream.
+func (c *checker) requestsOf(id string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ids := []string{id}
+	if r, ok := c.requests[id]; ok {
+		for other, o := range c.requests {
+			if other != id && o.stream() == r.stream() {
+				ids = append(ids, other)
+			}
+		}
+	}
+	return ids
+}
+
 // countsCopy returns a copy of the counts.
 func (c *checker) countsCopy() map[string]int {
 	c.mu.Lock()
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -251,13 +251,43 @@
 		}
 		return
 	}
-	var want strings.Builder
-	for n := r.lastEvent + 1; n <= standin.EventCount; n++ {
-		want.WriteString(standin.EventText(r.id, n))
+	if last, rest := c.checkEvents(r); last != r.events || rest != "" {
+		c.fail(promiseStream, r.id, "the answer ends as complete after event %d of %d and %q", last, r.events, rest)
 	}
-	if a.body != want.String() {
-		c.fail(promiseStream, r.id, "events are %q", a.body)
+}
+
+// checkEvents checks the events that arrived in answer to a request of a stream, whole or broken off:
+// they go on after the last one that the caller had, without a gap or a repeat, and all events of the
+// stream are of targets of one software version. It returns the number of the last event, and the bytes
+// of the one that has not arrived in whole. c.mu is held.
+func (c *checker) checkEvents(r *request) (last int, rest string) {
+	last, rest = r.lastEvent, r.answer.body
+	for {
+		event, after, whole := strings.Cut(rest, "\n\n")
+		if !whole {
+			break
+		}
+		last++
+		target := event[strings.LastIndex(event, " ")+1:]
+		version, known := c.targetVersions[target]
+		if !known || event+"\n\n" != standin.EventText(target, r.id, last) {
+			c.fail(promiseStream, r.id, "%q instead of event %d", event, last)
+			return last, rest
+		}
+		rest = after
+		stream := r.stream()
+		if stream.version == "" {
+			stream.version = version
+		}
+		if stream.version != version {
+			c.fail(promiseStreamVersion, r.id, "event %d is of target %s (%s), the first one of %s", last, target, version, stream.version)
+		}
+	}
+	next := standin.EventText("", r.id, last+1)
+	if prefix := strings.TrimSuffix(next, "\n\n"); !strings.HasPrefix(prefix, rest) && !strings.HasPrefix(rest, prefix) {
+		c.fail(promiseStream, r.id, "%q instead of a part of event %d", rest, last+1)
 	}
+	return last, rest
 }
 
 // checkLoss checks a request that got no complete answer, or status 502 or 504. That is a
@@ -265,7 +295,7 @@
 // target of the request had an unplanned fault meanwhile, such as a crash under another request.
 // c.mu is held.
 func (c *checker) checkLoss(r *request) {
-	if !r.fullAnswerSent || r.endedAt.Sub(r.sentAt) >= r.route.timeout || !c.routerFaultFree(r.router, r.sentAt, r.endedAt) {
+	if !r.fullAnswerSent || r.endedAt.Sub(r.sentAt) >= r.deadline || !c.routerFaultFree(r.router, r.sentAt, r.endedAt) {
 		return
 	}
 	for _, run := range r.runs {
--- a/internal/soak/request.go
+++ b/internal/soak/request.go
@@ -14,6 +14,8 @@
 	nonIdempotent bool
 	stream        bool
 	resumable     bool
+	// persistent is set if callers take up a broken stream more than once.
+	persistent bool
 	// timeout is the route's deadline for the final answer.
 	timeout     time.Duration
 	maxAttempts int
@@ -34,6 +36,13 @@
 	{name: "draft", path: "/draft/", service: streamService, stream: true, nonIdempotent: true, timeout: 4 * time.Second, maxAttempts: 2},
 }
 
+// longRoutes are routes of streams that last for seconds, which every configuration version has too.
+// Callers take up a broken stream of the first one until its timeout.
+var longRoutes = []route{
+	{name: "plan", path: "/plan/", service: streamService, stream: true, resumable: true, persistent: true, timeout: 10 * time.Second, maxAttempts: 2},
+	{name: "digest", path: "/digest/", service: streamService, stream: true, nonIdempotent: true, timeout: 10 * time.Second, maxAttempts: 1},
+}
+
 // plainService is the service of the targets with odd numbers. streamService is that of the
 // targets with even numbers, which stand in for model engines.
 const (
@@ -62,6 +71,11 @@
 	// nil if it begins one.
 	begunBy   *request
 	lastEvent int
+	// events is the number of events of the stream. promptParts lists the parts of its prompt.
+	events      int
+	promptParts string
+	// deadline is how long the caller waits for the answer.
+	deadline time.Duration
 	// sentAt is just before the first byte is sent. endedAt is when the answer was complete or
 	// the connection ended.
 	sentAt, endedAt time.Time
@@ -70,6 +84,8 @@
 	answer         answer
 	// runs are the runs of the request at targets, in the order of their starts.
 	runs []standin.Run
+	// version is the software version of the target that sent the first event; "" if none has arrived.
+	version string
 	// fullAnswerSent is set once a target has sent a complete answer.
 	fullAnswerSent bool
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -48,6 +48,14 @@
 	TargetLimit          Kind = "target-rate-limit"
 	TargetLeaving        Kind = "target-leaving"
 	TargetPause          Kind = "target-pause"
+	TargetUnframedKill   Kind = "target-unframed-kill"
+	TargetRestartStream  Kind = "target-restart-stream"
+
+	// A schedule holds each KillRouters as several KillRouter at one time, and each Release as a
+	// TargetRelease of each model engine.
+	KillRouters   Kind = "routers-kill"
+	Release       Kind = "release"
+	TargetRelease Kind = "target-release"
 )
 
 // Kinds lists all kinds of fault. New ones come last: the schedule that a seed draws depends on the list.
@@ -56,6 +64,7 @@
 	StoreDown, StoreSilent, StoreCompact, StoreRestore, Publish, PromptCrash,
 	TargetCrash, TargetDrain, TargetFull, TargetSlow, TargetTruncate, TargetOtherRequestID, TargetFail, TargetDelay, TargetReset,
 	TargetCut, TargetSilence, TargetUnframed, TargetUnframedBreak, TargetLeaving, TargetPause, TargetLimit,
+	KillRouters, Release, TargetUnframedKill, TargetRestartStream,
 }
 
 // onRouter reports whether a fault of this kind hits one router.
@@ -70,7 +79,8 @@
 // planned reports whether the kind is an operator's planned work, during which no answer may be
 // lost.
 func (k Kind) planned() bool {
-	return k == StopRouter || k == ReloadRouter || k == Publish || k == TargetDrain || k == TargetLeaving
+	return k == StopRouter || k == ReloadRouter || k == Publish || k == TargetDrain || k == TargetLeaving ||
+		k == TargetRelease
 }
 
 // Fault is one fault of a schedule.
@@ -81,6 +91,8 @@
 	At, Duration time.Duration
 	// Index is the number of the router or target that the fault hits; 0 for other kinds.
 	Index int
+	// Version is the software version of the targets that a release starts.
+	Version int
 }
 
 // String returns the fault as one line of a report.
@@ -98,6 +110,8 @@
 	// repeatShare is the fraction of faults after which another fault of the same kind starts
 	// within minDuration. Its router or target is drawn anew.
 	repeatShare = 0.25
+	// allRoutersShare is the fraction of KillRouters that kill all of them.
+	allRoutersShare = 0.5
 )
 
 // Schedule draws the faults of a run, ordered by start. Equal seeds and configurations give
@@ -108,34 +122,60 @@
 	if len(kinds) == 0 {
 		kinds = Kinds
 	}
+	interval := meanInterval
+	if c.Interval > 0 {
+		interval = c.Interval
+	}
 	var faults []Fault
 	at := time.Duration(0)
 	for {
-		at += time.Duration(random.ExpFloat64() * float64(meanInterval))
+		at += time.Duration(random.ExpFloat64() * float64(interval))
 		if at > c.Length-minDuration {
 			break
 		}
 		f := Fault{Kind: kinds[random.IntN(len(kinds))], At: at}
 		f.Duration = min(minDuration+time.Duration(random.ExpFloat64()*float64(maxDuration/4)), maxDuration, c.Length-at)
-		f.Index = drawIndex(random, f.Kind, c)
-		faults = append(faults, f)
+		faults = append(faults, drawTargets(random, f, c)...)
 		if random.Float64() < repeatShare {
 			f.At += time.Duration(random.Float64() * float64(minDuration))
-			f.Index = drawIndex(random, f.Kind, c)
-			faults = append(faults, f)
+			faults = append(faults, drawTargets(random, f, c)...)
 		}
 	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
 
-// drawIndex draws the router or target that a fault of the kind hits.
-func drawIndex(random *rand.Rand, k Kind, c Config) int {
+// drawTargets draws the router or target that a fault hits. It returns a fault for each if there are
+// several.
+func drawTargets(random *rand.Rand, f Fault, c Config) []Fault {
 	switch {
-	case k.onRouter():
-		return random.IntN(c.Routers)
-	case k.onTarget():
-		return random.IntN(c.Targets)
+	case f.Kind == KillRouters:
+		count := c.Routers
+		if random.Float64() > allRoutersShare {
+			count = min(2+random.IntN(c.Routers), c.Routers)
+		}
+		f.Kind = KillRouter
+		return spread(f, random.Perm(c.Routers)[:count])
+	case f.Kind == Release:
+		f.Kind, f.Version = TargetRelease, 1+random.IntN(2)
+		var engines []int
+		for i := 0; i < c.Targets; i += 2 {
+			engines = append(engines, i)
+		}
+		return spread(f, engines)
+	case f.Kind.onRouter():
+		f.Index = random.IntN(c.Routers)
+	case f.Kind.onTarget():
+		f.Index = random.IntN(c.Targets)
 	}
-	return 0
+	return []Fault{f}
+}
+
+// spread returns the fault once for each index.
+func spread(f Fault, indexes []int) []Fault {
+	var faults []Fault
+	for _, f.Index = range indexes {
+		faults = append(faults, f)
+	}
+	return faults
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -38,8 +38,10 @@
 	// which the fleet must recover.
 	Length time.Duration
 	// Routers, Targets and Callers are how many of each there are. Targets with even numbers
-	// are model engines.
-	Routers, Targets, Callers int
+	// are model engines. StreamCallers is the number of further callers, which read long streams.
+	Routers, Targets, Callers, StreamCallers int
+	// Interval is the mean time between the starts of two faults; 0 means meanInterval.
+	Interval time.Duration
 	// Kinds are the kinds of fault to draw from; nil means all.
 	Kinds []Kind
 }
@@ -70,7 +72,8 @@
 	Counts map[string]int
 	// Violation is the first broken promise, nil if all were kept.
 	Violation *Violation
-	// Log holds the routers' log lines that contain the ID of the violation's request.
+	// Log holds the routers' log lines that contain the ID of the violation's request, or of another
+	// one of its stream.
 	Log []string
 }
 
@@ -134,7 +137,8 @@
 	}
 	report := &Report{Seed: c.Seed, Faults: faults, Violation: r.checker.violation(), Counts: r.checker.countsCopy()}
 	if report.Violation != nil {
-		report.Log = r.requestLog(report.Violation.Request)
+		time.Sleep(logDelay)
+		report.Log = r.requestLog(r.checker.requestsOf(report.Violation.Request))
 	}
 	return report, nil
 }
@@ -160,6 +164,7 @@
 			return err
 		}
 		r.targets = append(r.targets, t)
+		go t.heartbeat(r.done)
 	}
 	for i := range r.config.Routers {
 		router, err := newRouter(i, r.config, l.Addr().String(), r.checker)
@@ -192,8 +197,11 @@
 }
 
 func (r *run) startCallers() {
-	for i := range r.config.Callers {
-		c := &caller{run: r, number: i, random: rand.New(rand.NewPCG(r.config.Seed, uint64(i)+1))}
+	for i := range r.config.Callers + r.config.StreamCallers {
+		c := &caller{run: r, number: i, random: rand.New(rand.NewPCG(r.config.Seed, uint64(i)+1)), routes: routes}
+		if i >= r.config.Callers {
+			c.routes = longRoutes
+		}
 		r.callers.Go(func() { c.sendRequests(r.done) })
 	}
 }
@@ -379,11 +387,15 @@
 	}
 }
 
-// maxLogLines bounds the log lines in a report.
-const maxLogLines = 40
+const (
+	// maxLogLines bounds the log lines in a report.
+	maxLogLines = 40
+	// logDelay is the time in which the routers write the log lines of a request.
+	logDelay = 300 * time.Millisecond
+)
 
-// requestLog returns the log lines of all routers that contain the request ID.
-func (r *run) requestLog(request string) []string {
+// requestLog returns the log lines of all routers that contain one of the request IDs.
+func (r *run) requestLog(requests []string) []string {
 	var lines []string
 	for _, router := range r.routers {
 		file, err := os.Open(router.logPath())
@@ -393,7 +405,8 @@
 		}
 		scanner := bufio.NewScanner(file)
 		for scanner.Scan() && len(lines) < maxLogLines {
-			if strings.Contains(scanner.Text(), fmt.Sprintf("%q", request)) {
+			contains := func(request string) bool { return strings.Contains(scanner.Text(), fmt.Sprintf("%q", request)) }
+			if slices.ContainsFunc(requests, contains) {
 				lines = append(lines, scanner.Text())
 			}
 		}
@@ -434,7 +447,7 @@
 		Version: version, APIKeys: make(map[string]string), Services: []string{plainService},
 		Engines: map[string]int{streamService: engineSlots},
 	}
-	for _, r := range append(slices.Clone(routes), versionRoute) {
+	for _, r := range append(slices.Concat(routes, longRoutes), versionRoute) {
 		c.Routes = append(c.Routes, standin.Route{
 			Name: r.name, Host: host, Prefix: r.path, Service: r.service, NonIdempotent: r.nonIdempotent, Stream: r.stream,
 			Resumable: r.resumable, Timeout: r.timeout, LatencyObjective: r.timeout / 2, MaxAttempts: r.maxAttempts,
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,7 +16,7 @@
 
 // testConfig returns the configuration of a run with a few routers and targets.
 func testConfig(seed uint64) Config {
-	return Config{Seed: seed, Length: 20 * time.Second, Routers: 3, Targets: 4, Callers: 12}
+	return Config{Seed: seed, Length: 20 * time.Second, Routers: 3, Targets: 4, Callers: 12, StreamCallers: 6}
 }
 
 // TestSeedDrawsTheSameSchedule checks that a run can be repeated with the faults of its seed.
@@ -53,7 +53,7 @@
 	c.nextVersion()
 	c.publishedAt = time.Now().Add(-time.Minute)
 	c.targetStarted("t1", 1, "v1")
-	r := &request{id: "r", route: routes[route], method: "POST", path: "/p", body: "b", workspace: "shop0"}
+	r := &request{id: "r", route: routes[route], method: "POST", path: "/p", body: "b", workspace: "shop0", deadline: routes[route].timeout, events: standin.EventCount}
 	run := standin.Run{
 		RequestID: "r", Target: "t1", Service: r.route.service, Method: "POST", Path: "/p", Body: "b", Workspace: "shop0",
 		Deadline: time.Second, StartedAt: time.Now(), FullAnswer: true,
@@ -62,7 +62,7 @@
 	if r.route.stream {
 		a.body = ""
 		for n := range standin.EventCount {
-			a.body += standin.EventText("r", n+1)
+			a.body += standin.EventText("t1", "r", n+1)
 		}
 	}
 	return &scenario{checker: c, request: r, runs: []standin.Run{run}, answer: a, fullAnswer: true}
@@ -141,7 +141,16 @@
 		}},
 		{promiseNoLoss, idempotentRoute, func(s *scenario) { s.answer = answer{} }},
 		{promiseNoLoss, nonIdempotentRoute, func(s *scenario) { s.answer = answer{status: 502, requestID: "r", complete: true} }},
-		{promiseStream, chatRoute, func(s *scenario) { s.answer.body = standin.EventText("r", 1) + standin.EventText("r", 3) }},
+		{promiseStream, chatRoute, func(s *scenario) { s.answer.body = standin.EventText("t1", "r", 1) + standin.EventText("t1", "r", 3) }},
+		{promiseStream, chatRoute, func(s *scenario) { s.answer.body = standin.EventText("t1", "r", 1) }},
+		{promiseStream, chatRoute, func(s *scenario) { s.request.lastEvent, s.answer.complete, s.fullAnswer = 1, false, false }},
+		{promiseStream, chatRoute, func(s *scenario) {
+			s.answer.body, s.answer.complete, s.fullAnswer = standin.EventText("t1", "r", 1)+"id: 1", false, false
+		}},
+		{promiseStreamVersion, chatRoute, func(s *scenario) {
+			s.checker.targetStarted("t2", 2, "v2")
+			s.answer.body, s.answer.complete, s.fullAnswer = standin.EventText("t1", "r", 1)+standin.EventText("t2", "r", 2), false, false
+		}},
 		{promiseStreamVersion, chatRoute, func(s *scenario) {
 			s.checker.targetStarted("t2", 2, "v2")
 			other := s.runs[0]
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -15,16 +15,20 @@
 	number  int
 	run     *run
 	service string
-	// address is the IP:port of the target, behind the relay.
-	address string
-	relay   *relay
 
 	// mu guards the fields below.
 	mu sync.Mutex
+	// relay is the relay in front of the target, and spare that of the target that a release
+	// replaces. Each has the IP:port of a target of its own behind it.
+	relay, spare *relay
+	// leaving is the target that a release replaces while it still serves, nil otherwise.
+	leaving *standin.Target
 	// sequence counts the targets of the site. It is part of the target's ID. born is the Unix time in
 	// milliseconds at which the last one started.
 	sequence int
 	born     int64
+	// softwareVersion is the software version of the last target.
+	softwareVersion int
 	// registrations counts the registrations of the site, for their sequence numbers.
 	registrations int
 	// state is the state of the last registration.
@@ -36,26 +40,34 @@
 
 // newTargetSite starts the relay and the first target of a site.
 func newTargetSite(number int, r *run) (*targetSite, error) {
-	s := &targetSite{number: number, run: r, service: plainService, address: targetAddress(number)}
+	s := &targetSite{number: number, run: r, service: plainService, softwareVersion: 1 + (number/2)%2}
 	if number%2 == 0 {
 		s.service = streamService
 	}
 	var err error
-	if s.relay, err = newRelay(s.address); err != nil {
+	if s.relay, err = newRelay(targetAddress(number)); err != nil {
+		return nil, err
+	}
+	if s.spare, err = newRelay(targetAddress(number + r.config.Targets)); err != nil {
 		return nil, err
 	}
 	return s, s.start()
 }
 
-// start starts a target with a new ID at the address and registers it, unless the site is
-// closed.
+// start starts a target of the other software version, unless the site is closed.
 func (s *targetSite) start() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.startVersion(3 - s.softwareVersion)
+}
+
+// startVersion starts a target with a new ID and registers it, unless the site is closed. s.mu is held.
+func (s *targetSite) startVersion(version int) error {
 	if s.closed {
 		return nil
 	}
 	s.sequence++
+	s.softwareVersion = version
 	s.registrations++
 	s.born = time.Now().UnixMilli()
 	c := s.run.checker
@@ -70,7 +82,7 @@
 		go func() { s.run.reportError(s.crash(target, promptCrashRestart)) }()
 	}
 	c.targetStarted(target.ID, s.number, s.version())
-	if err := target.Start(s.address); err != nil {
+	if err := target.Start(s.relay.server); err != nil {
 		return err
 	}
 	if err := s.relay.listenAgain(); err != nil {
@@ -80,11 +92,9 @@
 	return s.register(standin.Ready)
 }
 
-// version returns the software version of the target. Half of the model engines have each version, and
-// each start of a target brings the other one. s.mu is held.
-func (s *targetSite) version() string {
-	return fmt.Sprintf("v%d", 1+(s.number/2+s.sequence)%2)
-}
+// version returns the software version of the target. At first half of the model engines have each
+// version, and each start of a target but those of releases brings the other one. s.mu is held.
+func (s *targetSite) version() string { return fmt.Sprintf("v%d", s.softwareVersion) }
 
 // register writes the target's registration with the given state to the store. s.mu is held.
 func (s *targetSite) register(state string) error {
@@ -101,15 +111,20 @@
 	// exceeds drainTime, so that late requests are noticed.
 	drainServeTime = drainTime + 3*time.Second
 	// promptCrashRestart is the time from the end of the registration of a target that a prompt has
-	// crashed until another one starts.
+	// crashed, or that was killed in its streams, until another one starts.
 	promptCrashRestart = 500 * time.Millisecond
 	// registrationLapse is the time from a target's crash until its registration is deleted.
 	registrationLapse = time.Second
+	// releaseOverlap is the time from the registration of the target that a release starts until that of
+	// the one that it replaces is deleted.
+	releaseOverlap = 500 * time.Millisecond
+	// heartbeatInterval is the time after which a target writes its registration again.
+	heartbeatInterval = 1200 * time.Millisecond
 )
 
 // inject injects one fault and returns after its end.
 func (s *targetSite) inject(f Fault) error {
-	target := s.current()
+	target, relay := s.current(), s.currentRelay()
 	switch f.Kind {
 	case TargetCrash:
 		return s.crash(target, f.Duration)
@@ -117,14 +132,22 @@
 		return s.drain()
 	case TargetLeaving:
 		return s.leave(target)
+	case TargetRelease:
+		return s.release(f)
+	case TargetUnframedKill:
+		if target != nil {
+			target.SetFault(standin.Unframed)
+			time.Sleep(f.Duration)
+		}
+		return s.crash(target, promptCrashRestart)
 	case TargetDelay:
-		setModeFor(s.relay, delay, f.Duration)
+		setModeFor(relay, delay, f.Duration)
 	case TargetCut:
-		setModeFor(s.relay, holdAnswers, f.Duration)
+		setModeFor(relay, holdAnswers, f.Duration)
 	case TargetSilence:
-		setModeFor(s.relay, holdAll, f.Duration)
+		setModeFor(relay, holdAll, f.Duration)
 	case TargetReset:
-		s.relay.reset()
+		relay.reset()
 	default:
 		if target == nil {
 			return nil
@@ -142,7 +165,7 @@
 	TargetFull: standin.Full, TargetSlow: standin.Slow, TargetTruncate: standin.Truncating,
 	TargetOtherRequestID: standin.OtherRequestID, TargetFail: standin.Failing,
 	TargetPause: standin.Pausing, TargetUnframed: standin.Unframed, TargetUnframedBreak: standin.UnframedTruncating,
-	TargetLimit: standin.Limited,
+	TargetLimit: standin.Limited, TargetRestartStream: standin.Restarting,
 }
 
 // detach removes target from the site if it is the current target. It returns false if it is
@@ -164,13 +187,20 @@
 	return s.target
 }
 
+// currentRelay returns the relay in front of the target.
+func (s *targetSite) currentRelay() *relay {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relay
+}
+
 // crash ends the target without draining, deletes its registration after registrationLapse,
 // and starts another target restartDelay later.
 func (s *targetSite) crash(target *standin.Target, restartDelay time.Duration) error {
 	if !s.detach(target) {
 		return nil
 	}
-	s.relay.refuse()
+	s.currentRelay().refuse()
 	if err := target.Crash(); err != nil {
 		return err
 	}
@@ -218,6 +248,51 @@
 	return s.crash(target, 0)
 }
 
+// release starts a target of the fault's software version beside the one that runs, deletes the
+// registration of the latter without publishing it as draining, and lets it serve for some seconds more.
+// Its connections then end in the regular way, or are reset. It does nothing if the target is of that
+// version already, or another release is under way.
+func (s *targetSite) release(f Fault) error {
+	s.mu.Lock()
+	if s.target == nil || s.leaving != nil || s.softwareVersion == f.Version || s.closed {
+		s.mu.Unlock()
+		return nil
+	}
+	old, oldRelay := s.target, s.relay
+	s.leaving, s.relay, s.spare = old, s.spare, s.relay
+	err := s.startVersion(f.Version)
+	reset := s.sequence%2 == 0
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	time.Sleep(releaseOverlap)
+	s.run.store.DeleteTarget(old.ID)
+	s.run.checker.targetDraining(old.ID)
+	time.Sleep(drainTime + f.Duration)
+	oldRelay.refuse()
+	if reset {
+		oldRelay.reset()
+	}
+	err = old.Crash()
+	s.mu.Lock()
+	s.leaving = nil
+	s.mu.Unlock()
+	return err
+}
+
+// heartbeat writes the registration again after each heartbeatInterval until done is closed.
+func (s *targetSite) heartbeat(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(heartbeatInterval):
+			s.run.reportError(s.registerAgain())
+		}
+	}
+}
+
 // registerAgain writes the registration of the running target again, as targets do after some time.
 func (s *targetSite) registerAgain() error {
 	s.mu.Lock()
@@ -233,10 +308,15 @@
 func (s *targetSite) close() {
 	s.mu.Lock()
 	s.closed = true
+	leaving := s.leaving
 	s.mu.Unlock()
+	if leaving != nil {
+		_ = leaving.Crash()
+	}
 	if target := s.current(); s.detach(target) {
 		// A fault may have closed the target's listener already.
 		_ = target.Crash()
 	}
 	s.relay.close()
+	s.spare.close()
 }
