soak: a stream taken up is a request of its own, events name the version

The request is now dropped, as when a caller leaves its first try.

Events hold the version of the process that wrote them. The version of a target was looked up by its ID when the answer ended, which is another one once a target has started again under its ID.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -162,6 +162,7 @@
 	}
 	c.requestCount++
 	r := c.broken
+	c.broken = nil
 	r.id = fmt.Sprintf("c%d-%d", c.number, c.requestCount)
 	r.router, r.incarnation = c.router.number, c.incarnation
 	return r
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -62,8 +62,6 @@
 	newestServed map[processKey]servedVersion
 	// targetNumbers maps target IDs to the numbers that Fault.Index uses.
 	targetNumbers map[string]int
-	// targetVersions holds the software version of each target, by ID.
-	targetVersions map[string]string
 	// counts holds the counts of Report.Counts.
 	counts map[string]int
 }
@@ -96,7 +94,7 @@
 	return &checker{
 		start: start, faults: faults,
 		requests: make(map[string]*request), drainingSince: make(map[string]time.Time),
-		newestServed: make(map[processKey]servedVersion), targetNumbers: make(map[string]int), targetVersions: make(map[string]string), counts: make(map[string]int),
+		newestServed: make(map[processKey]servedVersion), targetNumbers: make(map[string]int), counts: make(map[string]int),
 		promptCrashedAt: make(map[string]time.Time), leavingHeard: make(map[answeredBy]time.Time), pauses: make(map[answeredBy]*pause),
 		limited: make(map[string]*limitedTarget),
 	}
@@ -181,11 +179,11 @@
 	c.drainingSince[target] = time.Now()
 }
 
-// targetStarted records the ID and the software version of a target that is about to start.
-func (c *checker) targetStarted(id string, number int, version string) {
+// targetStarted records the ID of a target that is about to start.
+func (c *checker) targetStarted(id string, number int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.targetNumbers[id], c.targetVersions[id] = number, version
+	c.targetNumbers[id] = number
 }
 
 // nextVersion returns the next configuration version and takes the present as the time of its
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -217,8 +217,8 @@
 			begun = earlier
 		}
 	}
-	if began, now := c.targetVersions[begun.Target], c.targetVersions[run.Target]; began != now {
-		c.fail(promiseStreamVersion, r.id, "target %s (%s) goes on with a stream of target %s (%s)", run.Target, now, begun.Target, began)
+	if begun.Version != run.Version {
+		c.fail(promiseStreamVersion, r.id, "target %s (%s) goes on with a stream of target %s (%s)", run.Target, run.Version, begun.Target, begun.Version)
 	}
 }
 
@@ -268,9 +268,8 @@
 			break
 		}
 		last++
-		target := event[strings.LastIndex(event, " ")+1:]
-		version, known := c.targetVersions[target]
-		if !known || event+"\n\n" != standin.EventText(target, r.id, last) {
+		version := event[strings.LastIndex(event, " ")+1:]
+		if event+"\n\n" != standin.EventText(version, r.id, last) {
 			c.fail(promiseStream, r.id, "%q instead of event %d", event, last)
 			return last, rest
 		}
@@ -280,7 +279,7 @@
 			stream.version = version
 		}
 		if stream.version != version {
-			c.fail(promiseStreamVersion, r.id, "event %d is of target %s (%s), the first one of %s", last, target, version, stream.version)
+			c.fail(promiseStreamVersion, r.id, "event %d is of version %s, the first one of %s", last, version, stream.version)
 		}
 	}
 	next := standin.EventText("", r.id, last+1)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,17 +52,17 @@
 	c := newChecker(time.Now().Add(-time.Minute), nil)
 	c.nextVersion()
 	c.publishedAt = time.Now().Add(-time.Minute)
-	c.targetStarted("t1", 1, "v1")
+	c.targetStarted("t1", 1)
 	r := &request{id: "r", route: routes[route], method: "POST", path: "/p", body: "b", workspace: "shop0", deadline: routes[route].timeout, events: standin.EventCount}
 	run := standin.Run{
-		RequestID: "r", Target: "t1", Service: r.route.service, Method: "POST", Path: "/p", Body: "b", Workspace: "shop0",
+		RequestID: "r", Target: "t1", Version: "v1", Service: r.route.service, Method: "POST", Path: "/p", Body: "b", Workspace: "shop0",
 		Deadline: time.Second, StartedAt: time.Now(), FullAnswer: true,
 	}
 	a := answer{status: 200, requestID: "r", signature: "signed-t1", body: standin.AnswerBody("t1", "r"), complete: true}
 	if r.route.stream {
 		a.body = ""
 		for n := range standin.EventCount {
-			a.body += standin.EventText("t1", "r", n+1)
+			a.body += standin.EventText("v1", "r", n+1)
 		}
 	}
 	return &scenario{checker: c, request: r, runs: []standin.Run{run}, answer: a, fullAnswer: true}
@@ -141,20 +141,18 @@
 		}},
 		{promiseNoLoss, idempotentRoute, func(s *scenario) { s.answer = answer{} }},
 		{promiseNoLoss, nonIdempotentRoute, func(s *scenario) { s.answer = answer{status: 502, requestID: "r", complete: true} }},
-		{promiseStream, chatRoute, func(s *scenario) { s.answer.body = standin.EventText("t1", "r", 1) + standin.EventText("t1", "r", 3) }},
-		{promiseStream, chatRoute, func(s *scenario) { s.answer.body = standin.EventText("t1", "r", 1) }},
+		{promiseStream, chatRoute, func(s *scenario) { s.answer.body = standin.EventText("v1", "r", 1) + standin.EventText("v1", "r", 3) }},
+		{promiseStream, chatRoute, func(s *scenario) { s.answer.body = standin.EventText("v1", "r", 1) }},
 		{promiseStream, chatRoute, func(s *scenario) { s.request.lastEvent, s.answer.complete, s.fullAnswer = 1, false, false }},
 		{promiseStream, chatRoute, func(s *scenario) {
-			s.answer.body, s.answer.complete, s.fullAnswer = standin.EventText("t1", "r", 1)+"id: 1", false, false
+			s.answer.body, s.answer.complete, s.fullAnswer = standin.EventText("v1", "r", 1)+"id: 1", false, false
 		}},
 		{promiseStreamVersion, chatRoute, func(s *scenario) {
-			s.checker.targetStarted("t2", 2, "v2")
-			s.answer.body, s.answer.complete, s.fullAnswer = standin.EventText("t1", "r", 1)+standin.EventText("t2", "r", 2), false, false
+			s.answer.body, s.answer.complete, s.fullAnswer = standin.EventText("v1", "r", 1)+standin.EventText("v2", "r", 2), false, false
 		}},
 		{promiseStreamVersion, chatRoute, func(s *scenario) {
-			s.checker.targetStarted("t2", 2, "v2")
 			other := s.runs[0]
-			other.Target, other.LastEventID = "t2", "1"
+			other.Target, other.Version, other.LastEventID = "t2", "v2", "1"
 			s.runs = append(s.runs, other)
 		}},
 		{promiseTimeout, idempotentRoute, func(s *scenario) {
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -73,7 +73,7 @@
 	c := s.run.checker
 	id := fmt.Sprintf("t%d-%d", s.number, s.sequence)
 	target := &standin.Target{
-		ID: id, Service: s.service, OnStart: c.runStarted, OnEnd: c.runEnded,
+		ID: id, Service: s.service, Version: s.version(), OnStart: c.runStarted, OnEnd: c.runEnded,
 		CrashingPart: crashingPart,
 		OnPause:      func(request string) { c.requestPaused(id, request) },
 	}
@@ -81,7 +81,7 @@
 		c.promptCrashed(id)
 		go func() { s.run.reportError(s.crash(target, promptCrashRestart)) }()
 	}
-	c.targetStarted(target.ID, s.number, s.version())
+	c.targetStarted(target.ID, s.number)
 	if err := target.Start(s.relay.server); err != nil {
 		return err
 	}
