soak: targets that start again under their ID with another version

Targets state when they started in /api/kv-list, too.

The router that goes on with the stream logs the version of the old registration.

--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -50,6 +50,7 @@
 	TargetPause          Kind = "target-pause"
 	TargetUnframedKill   Kind = "target-unframed-kill"
 	TargetRestartStream  Kind = "target-restart-stream"
+	TargetRestart        Kind = "target-restart"
 
 	// A schedule holds each KillRouters as several KillRouter at one time, and each Release as a
 	// TargetRelease of each model engine.
@@ -64,7 +65,7 @@
 	StoreDown, StoreSilent, StoreCompact, StoreRestore, Publish, PromptCrash,
 	TargetCrash, TargetDrain, TargetFull, TargetSlow, TargetTruncate, TargetOtherRequestID, TargetFail, TargetDelay, TargetReset,
 	TargetCut, TargetSilence, TargetUnframed, TargetUnframedBreak, TargetLeaving, TargetPause, TargetLimit,
-	KillRouters, Release, TargetUnframedKill, TargetRestartStream,
+	KillRouters, Release, TargetUnframedKill, TargetRestartStream, TargetRestart,
 }
 
 // onRouter reports whether a fault of this kind hits one router.
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -58,22 +58,30 @@
 func (s *targetSite) start() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.startVersion(3 - s.softwareVersion)
+	return s.startNew(3 - s.softwareVersion)
 }
 
-// startVersion starts a target with a new ID and registers it, unless the site is closed. s.mu is held.
-func (s *targetSite) startVersion(version int) error {
+// startNew starts a target with a new ID and registers it, unless the site is closed. s.mu is held.
+func (s *targetSite) startNew(version int) error {
 	if s.closed {
 		return nil
 	}
 	s.sequence++
-	s.softwareVersion = version
+	if err := s.startVersion(version); err != nil {
+		return err
+	}
+	return s.register(standin.Ready)
+}
+
+// startVersion starts a target of a software version. s.mu is held.
+func (s *targetSite) startVersion(version int) error {
+	s.softwareVersion, s.state = version, standin.Ready
 	s.registrations++
 	s.born = time.Now().UnixMilli()
 	c := s.run.checker
 	id := fmt.Sprintf("t%d-%d", s.number, s.sequence)
 	target := &standin.Target{
-		ID: id, Service: s.service, Version: s.version(), OnStart: c.runStarted, OnEnd: c.runEnded,
+		ID: id, Service: s.service, Version: s.version(), Born: s.born, OnStart: c.runStarted, OnEnd: c.runEnded,
 		CrashingPart: crashingPart,
 		OnPause:      func(request string) { c.requestPaused(id, request) },
 	}
@@ -89,7 +97,7 @@
 		return err
 	}
 	s.target = target
-	return s.register(standin.Ready)
+	return nil
 }
 
 // version returns the software version of the target. At first half of the model engines have each
@@ -134,6 +142,8 @@
 		return s.leave(target)
 	case TargetRelease:
 		return s.release(f)
+	case TargetRestart:
+		return s.restart(target, min(f.Duration, registrationLapse))
 	case TargetUnframedKill:
 		if target != nil {
 			target.SetFault(standin.Unframed)
@@ -248,6 +258,25 @@
 	return s.crash(target, 0)
 }
 
+// restart ends the target without draining and starts one of the other software version under its ID
+// after a time. That registers with its next heartbeat.
+func (s *targetSite) restart(target *standin.Target, after time.Duration) error {
+	if !s.detach(target) {
+		return nil
+	}
+	s.currentRelay().refuse()
+	if err := target.Crash(); err != nil {
+		return err
+	}
+	time.Sleep(after)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	return s.startVersion(3 - s.softwareVersion)
+}
+
 // release starts a target of the fault's software version beside the one that runs, deletes the
 // registration of the latter without publishing it as draining, and lets it serve for some seconds more.
 // Its connections then end in the regular way, or are reset. It does nothing if the target is of that
@@ -260,7 +289,7 @@
 	}
 	old, oldRelay := s.target, s.relay
 	s.leaving, s.relay, s.spare = old, s.spare, s.relay
-	err := s.startVersion(f.Version)
+	err := s.startNew(f.Version)
 	reset := s.sequence%2 == 0
 	s.mu.Unlock()
 	if err != nil {
