--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -42,6 +42,9 @@
 	Routers, Targets, Callers, StreamCallers int
 	// Interval is the mean time between the starts of two faults; 0 means meanInterval.
 	Interval time.Duration
+	// OneVersion is set if all targets begin with one software version, which only releases and restarts
+	// of a target under its ID change.
+	OneVersion bool
 	// Kinds are the kinds of fault to draw from; nil means all.
 	Kinds []Kind
 }
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -40,7 +40,10 @@
 
 // newTargetSite starts the relay and the first target of a site.
 func newTargetSite(number int, r *run) (*targetSite, error) {
-	s := &targetSite{number: number, run: r, service: plainService, softwareVersion: 1 + (number/2)%2}
+	s := &targetSite{number: number, run: r, service: plainService, softwareVersion: 1}
+	if !r.config.OneVersion {
+		s.softwareVersion += (number / 2) % 2
+	}
 	if number%2 == 0 {
 		s.service = streamService
 	}
@@ -54,10 +57,13 @@
 	return s, s.start()
 }
 
-// start starts a target of the other software version, unless the site is closed.
+// start starts a target, unless the site is closed: of the other software version, unless all have one.
 func (s *targetSite) start() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.run.config.OneVersion {
+		return s.startNew(s.softwareVersion)
+	}
 	return s.startNew(3 - s.softwareVersion)
 }
 
@@ -100,8 +106,7 @@
 	return nil
 }
 
-// version returns the software version of the target. At first half of the model engines have each
-// version, and each start of a target but those of releases brings the other one. s.mu is held.
+// version returns the software version of the target. s.mu is held.
 func (s *targetSite) version() string { return fmt.Sprintf("v%d", s.softwareVersion) }
 
 // register writes the target's registration with the given state to the store. s.mu is held.
