--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -62,8 +62,6 @@
 	newestServed map[processKey]servedVersion
 	// targetNumbers maps target IDs to the numbers that Fault.Index uses.
 	targetNumbers map[string]int
-	// targetVersions holds the software version of each target, by ID.
-	targetVersions map[string]string
 	// counts holds the counts of Report.Counts.
 	counts map[string]int
 }
@@ -96,7 +94,7 @@
 	return &checker{
 		start: start, faults: faults,
 		requests: make(map[string]*request), drainingSince: make(map[string]time.Time),
-		newestServed: make(map[processKey]servedVersion), targetNumbers: make(map[string]int), targetVersions: make(map[string]string), counts: make(map[string]int),
+		newestServed: make(map[processKey]servedVersion), targetNumbers: make(map[string]int), counts: make(map[string]int),
 		promptCrashedAt: make(map[string]time.Time), leavingHeard: make(map[answeredBy]time.Time), pauses: make(map[answeredBy]*pause),
 		limited: make(map[string]*limitedTarget),
 	}
@@ -181,11 +179,11 @@
 	c.drainingSince[target] = time.Now()
 }
 
-// targetStarted records the ID and the software version of a target that is about to start.
-func (c *checker) targetStarted(id string, number int, version string) {
+// targetStarted records the ID of a target that is about to start.
+func (c *checker) targetStarted(id string, number int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.targetNumbers[id], c.targetVersions[id] = number, version
+	c.targetNumbers[id] = number
 }
 
 // nextVersion returns the next configuration version and takes the present as the time of its
@@ -294,6 +292,9 @@
 	switch {
 	case a.status == 0 || !a.complete:
 		c.checkLoss(r)
+		if r.route.stream && a.status == 200 {
+			c.checkEvents(r)
+		}
 	case a.requestID != r.id:
 		c.fail(promiseOwnAnswer, r.id, "the answer carries request ID %q", a.requestID)
 	case a.status < 300:
@@ -325,6 +326,22 @@
 // over. It is close to 1 because nothing is left that justifies a refusal.
 const minRecoveredShare = 0.99
 
+// requestsOf returns the IDs of all requests of the stream of a request; of the request alone if it is of
+// no stream.
+func (c *checker) requestsOf(id string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ids := []string{id}
+	if r, ok := c.requests[id]; ok {
+		for other, o := range c.requests {
+			if other != id && o.stream() == r.stream() {
+				ids = append(ids, other)
+			}
+		}
+	}
+	return ids
+}
+
 // countsCopy returns a copy of the counts.
 func (c *checker) countsCopy() map[string]int {
 	c.mu.Lock()
