--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -93,10 +93,11 @@
 var (
 	errOtherAnswer = errors.New("target sent answers to other requests instead")
 	errUnsigned    = errors.New("answer has no signature")
-	// errAnswerBrokenOff: an answer without a length or chunks ended with the target's process.
-	errAnswerBrokenOff = errors.New("answer broken off")
-	errTargetTimeout   = errors.New("target is silent")
-	errCallerLeft      = errors.New("caller left before the request was sent")
+	// errTargetEnded: nothing but the end of the connection ends the answer, and the process of the target has
+	// ended too.
+	errTargetEnded   = errors.New("target ended with its answer")
+	errTargetTimeout = errors.New("target is silent")
+	errCallerLeft    = errors.New("caller left before the request was sent")
 )
 
 // maxOtherAnswers is the number of answers to other requests that are skipped on a connection.
@@ -416,8 +417,8 @@
 	if err == nil && n > maxBufferedAnswerBytes {
 		return nil, h1.ErrBodyTooLarge
 	}
-	if err == nil && a.closeDelimited && a.call.edge.refusesConnections(a.target.Address) {
-		return nil, errAnswerBrokenOff
+	if err == nil && a.closeDelimited && a.call.edge.hasEnded(a.target.Address) {
+		return nil, errTargetEnded
 	}
 	return buf.data.Bytes(), err
 }
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -27,9 +27,6 @@
 	errEventTooLarge = errors.New("event too large")
 	// errStreamBrokenOff: a stream ends where a complete one cannot end.
 	errStreamBrokenOff = errors.New("stream broken off")
-	// errTargetEnded: nothing but the end of the connection ends the answer, and the process of the target has
-	// ended too.
-	errTargetEnded = errors.New("target ended with its answer")
 	// errAnswerInStream: a stream without a length or chunks is followed by another answer.
 	errAnswerInStream = errors.New("another answer within the stream")
 )
