soak: a reset at the end of a release may lose the last answers

Trace: the answer of 12 events took 191 ms and its last bytes were in the relay when the release reset the connections of t4-1 (17.58 s; the router logs "connection reset by peer" after event 12). The target's process broke the answer off, as in a crash under another request, which is excused already. Releases that end with a regular close are checked as before.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -51,8 +51,9 @@
 	// number of prompts with it that ran too late after.
 	promptCrashes []time.Time
 	lateCrashes   int
-	// promptCrashedAt holds, by target ID, when the target crashed under crashingPart.
-	promptCrashedAt map[string]time.Time
+	// brokenOffAt holds, by target ID, when the target crashed under crashingPart, or when its connections
+	// were reset at the end of a release: what it sent just before may be lost.
+	brokenOffAt map[string]time.Time
 	// newestVersion is the configuration version published last, and publishedAt the time of
 	// its publication.
 	newestVersion uint64
@@ -95,7 +96,7 @@
 		start: start, faults: faults,
 		requests: make(map[string]*request), drainingSince: make(map[string]time.Time),
 		newestServed: make(map[processKey]servedVersion), targetNumbers: make(map[string]int), counts: make(map[string]int),
-		promptCrashedAt: make(map[string]time.Time), leavingHeard: make(map[answeredBy]time.Time), pauses: make(map[answeredBy]*pause),
+		brokenOffAt: make(map[string]time.Time), leavingHeard: make(map[answeredBy]time.Time), pauses: make(map[answeredBy]*pause),
 		limited: make(map[string]*limitedTarget),
 	}
 }
@@ -257,10 +258,17 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.promptCrashes = append(c.promptCrashes, now)
-	c.promptCrashedAt[target] = now
+	c.brokenOffAt[target] = now
 	c.counts["prompt crashes"]++
 }
 
+// connectionsReset records that the connections of a target that has been replaced are reset.
+func (c *checker) connectionsReset(target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.brokenOffAt[target] = time.Now()
+}
+
 // requestPaused records that a target turned a request away and wants no others for a time.
 func (c *checker) requestPaused(target, requestID string) {
 	c.mu.Lock()
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -301,7 +301,7 @@
 		if !c.targetFaultFree(c.targetNumbers[run.Target], r.sentAt, r.endedAt) {
 			return
 		}
-		if crashed, ok := c.promptCrashedAt[run.Target]; ok && crashed.After(r.sentAt) && crashed.Before(r.endedAt.Add(measurementSlack)) {
+		if broken, ok := c.brokenOffAt[run.Target]; ok && broken.After(r.sentAt) && broken.Before(r.endedAt.Add(measurementSlack)) {
 			return
 		}
 	}
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -306,6 +306,7 @@
 	time.Sleep(drainTime + f.Duration)
 	oldRelay.refuse()
 	if reset {
+		s.run.checker.connectionsReset(old.ID)
 		oldRelay.reset()
 	}
 	err = old.Crash()
