edge: a router that was stopped or cut off does not take what it knew of versions for all

Cause: the time for which the versions are known grew with the clock, whether the router heard of new ones or not, and the check and the choice hold the lock one after the other.

Change: what a router knows of versions ends when it has not reported for a second, or reaches neither the store nor all other routers; it is learned again from answers or the history. A stream of unknown origin is pinned to the only version that its service has had.

--- a/edge/call.go
+++ b/edge/call.go
@@ -55,6 +55,8 @@
 	// request takes it up and the route leads there; "" otherwise.
 	stream        streams.ID
 	originService string
+	// originUnknown is set if the request takes up a stream of which nobody knows where it began.
+	originUnknown bool
 	// originRecordedAt is when the origin of the stream was last recorded; zero before its first event.
 	originRecordedAt time.Time
 	// firstByteLatency is the time from the request's arrival to the first bytes of the answer's
@@ -192,6 +194,12 @@
 	if c.service == "" {
 		c.service = c.route.Pick(rand.Float64(), func(s string) bool { return e.balancer.HasUsableTargetIn(c.demand.Regions, s, now) })
 	}
+	if !c.pinVersion() {
+		c.releaseLink(now)
+		e.mu.Unlock()
+		c.refuseUnknownOrigin()
+		return false
+	}
 	c.demand.Service = c.service
 	c.demand.Waited = now.Sub(c.arrived)
 	c.demand.Remaining = c.deadline.Sub(now)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -81,6 +81,8 @@
 	peerTargetsRevision, coveredTargetsRevision latestRevision
 	// storeEpoch is the epoch of the store, which changes when it is restored from a copy.
 	storeEpoch storeEpoch
+	// wakeHistory wakes recoverVersions after an interruption. It holds one signal.
+	wakeHistory chan struct{}
 	// olderPeer is set after a report of a router that was running before this one started.
 	olderPeer atomic.Bool
 	// peerConfigurationVersion is the highest configuration version that another router reports
@@ -130,8 +132,10 @@
 	// that asked for one.
 	reportSequence uint64
 	answerCount    uint32
-	origins        *streams.Origins
-	evacuations    *evacuation.Zones
+	// reportedAt is when the latest report was created; zero before the first.
+	reportedAt  time.Time
+	origins     *streams.Origins
+	evacuations *evacuation.Zones
 	// originWaiters holds a channel for each stream whose origin other routers were asked for.
 	originWaiters map[streams.ID]chan struct{}
 	// readers says which routers of the zone watch the registrations of targets.
@@ -195,6 +199,7 @@
 		link:          linkbudget.New(s.LinkMbps),
 		answers:       make(answerSizes),
 		wakeProbe:     make(chan struct{}, 1),
+		wakeHistory:   make(chan struct{}, 1),
 	}
 	e.refusalLog = &logLimiter{logger: e.logger, event: "refusals_not_logged"}
 	e.connectionLog = &logLimiter{logger: e.logger, event: "refused_connections_not_logged"}
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -50,11 +50,29 @@
 	level.Info(c.log).Log("event", "stream_origin_unknown", "stream", uint64(c.stream), "refused", ambiguous,
 		"versions", versions, "known_for_ms", knownFor.Milliseconds(), "up_ms", time.Since(e.started).Milliseconds())
 	if ambiguous {
-		c.refuse(v1.Code_NO_TARGET, http.StatusServiceUnavailable, unknownOriginRetryAfter, "version of the stream unknown")
+		c.refuseUnknownOrigin()
 	}
+	c.originUnknown = true
 	return !ambiguous
 }
 
+func (c *call) refuseUnknownOrigin() {
+	c.refuse(v1.Code_NO_TARGET, http.StatusServiceUnavailable, unknownOriginRetryAfter, "version of the stream unknown")
+}
+
+// pinVersion restricts a stream of unknown origin to the only version that its service has had, since another one
+// may come before a target is chosen. It returns false if one has come. The caller holds e.mu.
+func (c *call) pinVersion() bool {
+	if !c.originUnknown {
+		return true
+	}
+	if c.edge.mayHaveSeveralVersions(c.route) {
+		return false
+	}
+	c.demand.Version = c.edge.origins.OnlyVersion(placement.Hash(c.service))
+	return true
+}
+
 // setOrigin restricts the request to the service and version that began its stream. If the route no
 // longer leads to that service, the stream goes on at one to which it does.
 func (c *call) setOrigin(origin streams.Origin) {
@@ -105,7 +123,7 @@
 // was there before it started. The caller holds e.mu.
 func (e *Edge) mayHaveSeveralVersions(route *routing.Route) bool {
 	now := time.Now()
-	if !e.members.Informed(now) {
+	if !e.members.Informed(now) || e.cutOff(now) || e.interrupted(now) {
 		return true
 	}
 	for _, s := range route.Services {
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -67,6 +67,7 @@
 // report creates the next report. The caller holds e.mu.
 func (r *reporter) report(now time.Time) *v1.LoadReport {
 	e := r.edge
+	e.noteReport(now)
 	e.reportSequence++
 	report := e.baseReport()
 	report.Sequence = e.reportSequence
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -24,22 +24,68 @@
 	return route.Timeout + takeUpMargin
 }
 
-// recoverVersions finds out after a start which software versions the services have had for as long as a
-// stream may last. Routers that were running tell that. If all have started, the first one reads it from the
-// store's history of registrations, and tells the others.
+// interruptionTime is the time without a report of this router, which sends them more often, after which it was
+// stopped or got no processor.
+const interruptionTime = time.Second
+
+// interrupted reports whether this router was stopped until just now. The caller holds e.mu.
+func (e *Edge) interrupted(now time.Time) bool {
+	return !e.reportedAt.IsZero() && now.Sub(e.reportedAt) > interruptionTime
+}
+
+// noteReport records that this router reports. After an interruption or a cut, other routers may have seen versions
+// of which it has not heard. The caller holds e.mu.
+func (e *Edge) noteReport(now time.Time) {
+	interrupted := e.interrupted(now)
+	if interrupted {
+		level.Warn(e.logger).Log("event", "interrupted", "for_ms", now.Sub(e.reportedAt).Milliseconds())
+	}
+	if interrupted || e.cutOff(now) {
+		e.origins.Interrupted()
+		select {
+		case e.wakeHistory <- struct{}{}:
+		default:
+		}
+	}
+	e.reportedAt = now
+}
+
+// cutOff reports whether versions may come of which this router does not hear: it does not reach the store, and not
+// all other routers. The caller holds e.mu.
+func (e *Edge) cutOff(now time.Time) bool {
+	live := e.members.LiveCount(now)
+	return e.outage.ongoing() != nil && (live == 0 || live+1 < e.members.PeakRouters())
+}
+
+// recoverVersions finds out after each start and interruption which software versions the services have had for
+// as long as a stream may last, until ctx ends.
 func (e *Edge) recoverVersions(ctx context.Context) error {
-	if !sleepUntil(ctx, e.readyForHistory) {
-		return nil
+	for ctx.Err() == nil {
+		e.recoverVersionsOnce(ctx)
+		select {
+		case <-ctx.Done():
+		case <-e.wakeHistory:
+		}
 	}
+	return nil
+}
+
+// recoverVersionsOnce returns once the versions are known, or as far as the store has its history. Routers that were
+// running tell them. If all have started, the first one reads the store's history of registrations, and tells the
+// others.
+func (e *Edge) recoverVersionsOnce(ctx context.Context) {
 	for {
+		if !sleepUntil(ctx, e.readyForHistory) {
+			return
+		}
 		sleep(ctx, e.historyDelay())
 		if ctx.Err() != nil || e.versionsKnown() {
-			return nil
+			return
 		}
 		history, whole, err := e.source.TargetHistory(ctx)
 		if err == nil {
 			e.mergeHistory(history, whole)
-			return nil
+			return
 		}
 		level.Warn(e.logger).Log("event", "version_history_unknown", "error", err)
 		sleep(ctx, maxRetryPause)
@@ -57,11 +103,11 @@
 	return true
 }
 
-// readyForHistory reports whether this router has read the store and heard of the others.
+// readyForHistory reports whether this router reaches the store, has read it and has heard of the others.
 func (e *Edge) readyForHistory() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.targetsRead.Load() && e.table.Load() != nil && e.members.Informed(time.Now())
+	return e.outage.ongoing() == nil && e.targetsRead.Load() && e.table.Load() != nil && e.members.Informed(time.Now())
 }
 
 // historyDelay returns a random time in which the report of another router that has read the history may come.
--- a/streams/streams.go
+++ b/streams/streams.go
@@ -108,6 +108,18 @@
 	return len(o.versions[service]) > 1 || o.VersionsKnownFor(now) < within
 }
 
+// OnlyVersion returns the version of a service of which one is known only, and 0 otherwise.
+func (o *Origins) OnlyVersion(service uint32) uint32 {
+	if known := o.versions[service]; len(known) == 1 {
+		return known[0]
+	}
+	return 0
+}
+
+// Interrupted records that this router has heard of no versions for a while: those that it knows may not be all,
+// until that is known again.
+func (o *Origins) Interrupted() { o.versionsSince = time.Time{} }
+
 // VersionCount returns the number of versions that are known of a service; 2 stands for any larger number.
 func (o *Origins) VersionCount(service uint32) int { return len(o.versions[service]) }
 
