edge: a target that leaves and has ended with an answer has not crashed

A server that stops in the usual way closes its listener before it ends its answers. A stream without length or chunks that such a target ends cannot be told from one that breaks off, but is no evidence against its prompt: only the end of a target that is registered and not draining counts as a crash.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -356,6 +356,9 @@
 	}
 	// A connection that timed out is no sign of a crashed target.
 	a.crashed = !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.ETIMEDOUT)
+	if errors.Is(err, errTargetEnded) {
+		a.crashed = a.endedUnplanned()
+	}
 	return lost
 }
 
--- a/edge/poison.go
+++ b/edge/poison.go
@@ -137,7 +137,17 @@
 // closeTime is the time in which a process that ends closes its connections and its listener, in any order.
 const closeTime = 20 * time.Millisecond
 
-// hasEnded reports whether the process of a target that has just closed a connection has ended.
+// endedUnplanned reports whether the target of the attempt, which has ended, was not to leave: one that leaves may
+// close its listener before it ends its answers.
+func (a *attempt) endedUnplanned() bool {
+	e := a.call.edge
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t, registered := e.directory.targets[a.target.ID]
+	return registered && !t.Draining
+}
+
+// hasEnded reports, after closeTime, whether the process of a target that has just closed a connection has ended.
 func (e *Edge) hasEnded(address string) bool {
 	time.Sleep(closeTime)
 	return e.refusesConnections(address)
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -109,7 +109,8 @@
 	}
 	if a.closeDelimited && a.call.edge.hasEnded(a.target.Address) {
 		a.err = errTargetEnded
-		a.crashed, a.targetGone = true, true
+		a.crashed = a.endedUnplanned()
+		a.targetGone = a.crashed
 		return lost, false
 	}
 	if a.call.reply.sendData(pending) != nil || a.call.reply.endStream() != nil {
