edge: streams go on as soon as the versions are known, not when a router that knew them has answered

Change: what decides is for how long the versions are known, which answers, reports and the history all state; the wait for a router that knew them is none of it.

--- a/edge/origin.go
+++ b/edge/origin.go
@@ -123,7 +123,7 @@
 // was there before it started. The caller holds e.mu.
 func (e *Edge) mayHaveSeveralVersions(route *routing.Route) bool {
 	now := time.Now()
-	if !e.members.Informed(now) || e.cutOff(now) || e.interrupted(now) {
+	if e.cutOff(now) || e.interrupted(now) {
 		return true
 	}
 	for _, s := range route.Services {
