edge: a router that runs alone is not interrupted by its own pauses

Nobody else could have begun a stream there.

Change: only the pauses of a router that has known others count.

--- a/edge/cut_off_test.go
+++ b/edge/cut_off_test.go
@@ -36,3 +36,27 @@
 		})
 	}
 }
+
+// Guards against ORDER: a router that was stopped while other routers ran takes the versions that it knows for all.
+// A router that runs alone goes on.
+func TestRouterThatWasStoppedDoesNotTrustItsVersions(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		t.Run(fmt.Sprintf("alone %v", alone), func(t *testing.T) {
+			var breaks atomic.Bool
+			targets := versionedTargets(t, &breaks)
+			f := newFixture(t, targets[0])
+			if !alone {
+				f.newPeer(targets[0])
+			}
+			f.source.mu.Lock()
+			f.source.historyLost = true
+			f.source.mu.Unlock()
+			f.edge.mu.Lock() // no report is sent without it
+			time.Sleep(interruptionTime + 300*time.Millisecond)
+			f.edge.mu.Unlock()
+			status, _ := f.resumeStream("nobody's")
+			f.is.Equal(status == http.StatusOK, alone)
+			f.is.Equal(f.logs.contains(`"event":"interrupted"`), !alone)
+		})
+	}
+}
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -28,9 +28,10 @@
 // stopped or got no processor.
 const interruptionTime = time.Second
 
-// interrupted reports whether this router was stopped until just now. The caller holds e.mu.
+// interrupted reports whether this router was stopped until just now, while other routers may have begun streams.
+// The caller holds e.mu.
 func (e *Edge) interrupted(now time.Time) bool {
-	return !e.reportedAt.IsZero() && now.Sub(e.reportedAt) > interruptionTime
+	return !e.reportedAt.IsZero() && now.Sub(e.reportedAt) > interruptionTime && e.members.PeakRouters() > 1
 }
 
 // noteReport records that this router reports. After an interruption or a cut, other routers may have seen versions
