--- a/edge/versions.go
+++ b/edge/versions.go
@@ -54,8 +54,11 @@
 // cutOff reports whether versions may come of which this router does not hear: it does not reach the store, and not
 // all other routers. The caller holds e.mu.
 func (e *Edge) cutOff(now time.Time) bool {
+	if e.outage.ongoing() == nil {
+		return false
+	}
 	live := e.members.LiveCount(now)
-	return e.outage.ongoing() != nil && (live == 0 || live+1 < e.members.PeakRouters())
+	return live == 0 || live+1 < e.members.PeakRouters()
 }
 
 // recoverVersions finds out after each start and interruption which software versions the services have had for
