--- a/edge/broken_head_test.go
+++ b/edge/broken_head_test.go
@@ -323,6 +323,7 @@
 	f.source.publish(routing.NewTable(1, routes, nil, routing.Limits{IdleTimeout: 10 * time.Second}, map[string]string{"key": "shop"}), targets...)
 	f.start(f.settings())
 	f.await(f.edge.isReady)
+	f.await(f.edge.versionsKnown)
 	var running sync.WaitGroup
 	for worker := range brokenWorkers {
 		running.Go(func() {
