--- a/edge/events.go
+++ b/edge/events.go
@@ -80,8 +80,8 @@
 // errEventOrder: the IDs of the events of a stream do not increase.
 var errEventOrder = errors.New("event IDs do not increase")
 
-// checkIDs returns the ID of the last of some complete events that has one; "" if there is none. It fails if a
-// number among the IDs is not above the one before it, the first of which comes after last.
+// checkIDs returns the ID of the last event that has one; "" if there is none. It fails if an ID is a number that is
+// not above the ID before it, which is last for the first event. events holds complete events.
 func (s *eventScanner) checkIDs(events []byte, last string) (string, error) {
 	id := ""
 	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\r' || r == '\n' }) {
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -55,7 +55,8 @@
 	e.listener.Close()
 }
 
-// endRequests cancels all requests, and waits for up to finalAnswerTime until their callers are answered.
+// endRequests refuses new requests, cancels those in progress and waits for up to finalAnswerTime until their
+// callers are answered.
 func (e *Edge) endRequests() {
 	e.stopping.Store(true)
 	e.refuseNew.Store(true)
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -12,11 +12,10 @@
 	"github.com/chiveseam/chiveseam/streams"
 )
 
-// takeUpMargin is how much longer than the timeout of its route ago a stream may have begun that a caller
-// takes up.
+// takeUpMargin is added to the timeout of a route for the age of a stream that a caller takes up.
 const takeUpMargin = time.Second
 
-// streamAge returns how long ago a stream of the route may have begun that a caller takes up.
+// streamAge returns the greatest age of a stream of the route that a caller takes up.
 func streamAge(route *routing.Route) time.Duration {
 	if route.Timeout <= 0 {
 		return streams.Lifetime
@@ -24,8 +23,8 @@
 	return route.Timeout + takeUpMargin
 }
 
-// interruptionTime is the time without a report of this router, which sends them more often, after which it was
-// stopped or got no processor.
+// interruptionTime is the time without a report of this router after which it is held to have been stopped or to have
+// got no processor. It is longer than the interval between two reports.
 const interruptionTime = time.Second
 
 // interrupted reports whether this router was stopped until just now, while other routers may have begun streams.
@@ -114,7 +113,7 @@
 	return e.outage.ongoing() == nil && e.targetsRead.Load() && e.table.Load() != nil && e.members.Informed(time.Now())
 }
 
-// historyDelay returns a random time in which the report of another router that has read the history may come.
+// historyDelay returns a random delay, so that one router reads the history and the others hear its report first.
 func (e *Edge) historyDelay() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/streams/streams.go
+++ b/streams/streams.go
@@ -108,7 +108,7 @@
 	return len(o.versions[service]) > 1 || o.VersionsKnownFor(now) < within
 }
 
-// OnlyVersion returns the version of a service of which one is known only, and 0 otherwise.
+// OnlyVersion returns the version of a service of which exactly one is known, and 0 otherwise.
 func (o *Origins) OnlyVersion(service uint32) uint32 {
 	if known := o.versions[service]; len(known) == 1 {
 		return known[0]
@@ -116,8 +116,8 @@
 	return 0
 }
 
-// Interrupted records that this router has heard of no versions for a while: those that it knows may not be all,
-// until that is known again.
+// Interrupted records that versions may have come unnoticed: those that are known may not be all, until
+// AllVersionsSince or a report says so again.
 func (o *Origins) Interrupted() { o.versionsSince = time.Time{} }
 
 // VersionCount returns the number of versions that are known of a service; 2 stands for any larger number.
@@ -139,6 +139,7 @@
 	}
 }
 
+// lowerVersionsSince lowers versionsSince to a time, and returns false if it is lower already.
 func (o *Origins) lowerVersionsSince(since time.Time) bool {
 	lower := o.versionsSince.IsZero() || since.Before(o.versionsSince)
 	if lower {
