edge: the deadline of a request does not begin up to a kernel tick early

The kernel counts the time since the latest bytes in its ticks, so that what it tells may begin before they came.

--- a/edge/queued.go
+++ b/edge/queued.go
@@ -57,8 +57,12 @@
 // that is taken for unknown.
 const maxQueuedTime = 30 * time.Second
 
+// kernelTick is the longest interval of the kernel's clock, in whose ticks it counts since the latest bytes.
+const kernelTick = 10 * time.Millisecond
+
 // queuedTime returns how long ago the latest bytes on a TCP connection came from the network: on a busy
-// processor, a request may wait for seconds until it is read. It returns 0 if the kernel does not tell.
+// processor, a request may wait for seconds until it is read. It is up to kernelTick less than that, and 0 if the
+// kernel does not tell.
 func queuedTime(conn net.Conn) time.Duration {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
@@ -77,5 +81,5 @@
 	if err != nil || queued > maxQueuedTime {
 		return 0
 	}
-	return queued
+	return max(queued-kernelTick, 0)
 }
