--- a/cmd/chiveseam-soak/main.go
+++ b/cmd/chiveseam-soak/main.go
@@ -38,6 +38,7 @@
 	Streams int           `long:"stream-callers" default:"24" description:"Further callers, which read long streams."`
 	Gap     time.Duration `long:"interval" default:"500ms" description:"Mean time between the starts of two faults."`
 	One     bool          `long:"one-version" description:"All targets begin with one software version, which only releases and restarts under an ID change."`
+	Memory  int           `long:"memory-mb" default:"256" description:"Memory of a router's machine in MiB."`
 	Kinds   []soak.Kind   `long:"kind" description:"Kind of fault; may be repeated. All kinds if it is not given."`
 	Logs    string        `long:"logs" description:"Directory that keeps the routers' logs."`
 	List    bool          `long:"list-kinds" description:"Print the kinds of fault and exit."`
@@ -106,7 +107,7 @@
 	}
 	return soak.Run(soak.Config{
 		Program: o.Program, Dir: dir, Seed: seed, Length: o.Length, Routers: o.Routers, Targets: o.Targets,
-		Callers: o.Callers, StreamCallers: o.Streams, Interval: o.Gap, OneVersion: o.One, Kinds: o.Kinds,
+		Callers: o.Callers, StreamCallers: o.Streams, Interval: o.Gap, OneVersion: o.One, Kinds: o.Kinds, MemoryMB: o.Memory,
 	}, stop)
 }
 
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -212,6 +212,16 @@
 	c.fail("processes keep running", "-", "the process of router %d exited unexpectedly: %v", router, err)
 }
 
+// memoryUsed checks the peak memory of a router process in MiB.
+func (c *checker) memoryUsed(router, peak, limit int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts["peak MiB"] = max(c.counts["peak MiB"], peak)
+	if peak > limit {
+		c.fail(promiseMemory, "-", "router %d has had %d MiB, its machine has %d", router, peak, limit)
+	}
+}
+
 // runStarted checks a request that a target starts to run.
 func (c *checker) runStarted(run standin.Run) {
 	c.mu.Lock()
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -26,6 +26,7 @@
 	promiseStream        = "streams go on without a gap or a repeat"
 	promiseCancelled     = "a caller that leaves frees its target"
 	promiseTimeout       = "the final answer comes by the route's timeout"
+	promiseMemory        = "a router stays within the memory of its machine"
 	promiseRecovery      = "the fleet serves again after the faults"
 )
 
--- a/internal/soak/relay.go
+++ b/internal/soak/relay.go
@@ -86,6 +86,14 @@
 	return err
 }
 
+// refuseFor resets all connections and refuses others for the duration d.
+func (r *relay) refuseFor(d time.Duration) error {
+	r.refuse()
+	r.reset()
+	time.Sleep(d)
+	return r.listenAgain()
+}
+
 func (r *relay) setMode(m relayMode) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/router.go
+++ b/internal/soak/router.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,6 +27,7 @@
 	// program is the path of the router program; dir holds its settings and log.
 	program     string
 	dir         string
+	memoryMB    int
 	callerRelay *relay
 	storeRelay  *relay
 	checker     *checker
@@ -53,7 +55,7 @@
 // the store.
 func newRouter(number int, c Config, store string, checker *checker) (*router, error) {
 	r := &router{
-		number: number, program: c.Program, dir: c.Dir, checker: checker,
+		number: number, program: c.Program, dir: c.Dir, memoryMB: c.MemoryMB, checker: checker,
 		client: &http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	var err error
@@ -75,7 +77,7 @@
 	text := fmt.Sprintf("name = r%d\nzone = z%d\nlisten = %s\nready = %s\npeer = %s\nseeds = %s\nstore = %s\ngrace = %s\n",
 		r.number, r.number%zones, r.address(listenPort), r.address(readyPort), r.address(peerPort),
 		loopback(1, peerPort), r.storeRelay.address(), stopGrace)
-	text += fmt.Sprintf("memory-mb = %d\nmax-open-files = 2000\n", memoryMB)
+	text += fmt.Sprintf("memory-mb = %d\nmax-open-files = 4100\n", r.memoryMB)
 	return os.WriteFile(r.settingsPath(), []byte(text), 0o600)
 }
 
@@ -132,6 +134,22 @@
 	}
 }
 
+const (
+	// slowPeriod is the time in which a slow router's process runs once, for slowShare of it.
+	slowPeriod = 25 * time.Millisecond
+	slowShare  = 0.18
+)
+
+// slowDown lets the process run for slowShare of the duration d only.
+func (r *router) slowDown(d time.Duration) {
+	running := time.Duration(slowShare * float64(slowPeriod))
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(running) {
+		r.signal(syscall.SIGSTOP, false)
+		time.Sleep(slowPeriod - running)
+		r.signal(syscall.SIGCONT, false)
+	}
+}
+
 // replace ends the process with a signal, or with SIGKILL after stopGrace, and starts another
 // one after restartDelay. It does nothing if a replacement is under way.
 func (r *router) replace(s syscall.Signal, restartDelay time.Duration) error {
@@ -184,6 +202,7 @@
 			return
 		case <-time.After(readyInterval):
 		}
+		r.checkMemory()
 		if r.isReady() {
 			misses = 0
 			r.inRotation.Store(true)
@@ -195,6 +214,22 @@
 	}
 }
 
+// checkMemory reports the largest amount of memory that the process has had so far.
+func (r *router) checkMemory() {
+	r.mu.Lock()
+	process := r.process
+	r.mu.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.Pid))
+	if err != nil {
+		return // the process has ended
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	var kib int
+	if _, err := fmt.Sscanf(rest, "%d kB", &kib); err == nil {
+		r.checker.memoryUsed(r.number, kib>>10, r.memoryMB)
+	}
+}
+
 // isReady reports whether the ready endpoint answers 200 within readyTimeout.
 func (r *router) isReady() bool {
 	resp, err := r.client.Get("http://" + r.address(readyPort) + platform.ReadyPath)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -51,12 +51,32 @@
 	TargetUnframedKill   Kind = "target-unframed-kill"
 	TargetRestartStream  Kind = "target-restart-stream"
 	TargetRestart        Kind = "target-restart"
-
-	// A schedule holds each KillRouters as several KillRouter at one time, and each Release as a
-	// TargetRelease of each model engine.
+	TargetDark           Kind = "target-dark"
+	TargetSecondAnswer   Kind = "target-second-answer"
+	TargetLateAnswer     Kind = "target-late-second-answer"
+	TargetEndlessEvent   Kind = "target-endless-event"
+	TargetEndlessSecond  Kind = "target-endless-second-event"
+	TargetEndlessBody    Kind = "target-endless-body"
+	TargetEndlessChunks  Kind = "target-endless-chunks"
+	TargetEndlessField   Kind = "target-endless-field"
+	TargetEndlessList    Kind = "target-endless-list"
+
+	SlowRouter      Kind = "router-slow"
+	StoreLinkRefuse Kind = "store-link-refuse"
+
+	// A schedule holds each KillRouters as several KillRouter at one time, each Release as a
+	// TargetRelease of each model engine, each StopRouters as a StopRouter of each router in turn, each ZoneCut
+	// as the silence of all targets and of all links to the store of a zone, each PublishAndKill as
+	// a Publish and a KillRouter soon after it, and each EndlessAnswers as one of the faults without end of some
+	// model engines.
 	KillRouters   Kind = "routers-kill"
 	Release       Kind = "release"
 	TargetRelease Kind = "target-release"
+
+	StopRouters    Kind = "routers-stop"
+	ZoneCut        Kind = "zone-cut"
+	PublishAndKill Kind = "configuration-and-kill"
+	EndlessAnswers Kind = "targets-endless"
 )
 
 // Kinds lists all kinds of fault. New ones come last: the schedule that a seed draws depends on the list.
@@ -66,6 +86,12 @@
 	TargetCrash, TargetDrain, TargetFull, TargetSlow, TargetTruncate, TargetOtherRequestID, TargetFail, TargetDelay, TargetReset,
 	TargetCut, TargetSilence, TargetUnframed, TargetUnframedBreak, TargetLeaving, TargetPause, TargetLimit,
 	KillRouters, Release, TargetUnframedKill, TargetRestartStream, TargetRestart,
+	TargetDark, TargetSecondAnswer, TargetLateAnswer, SlowRouter, StoreLinkRefuse, StopRouters, ZoneCut, PublishAndKill, EndlessAnswers,
+}
+
+// endlessKinds are the kinds that an EndlessAnswers stands for.
+var endlessKinds = []Kind{
+	TargetEndlessEvent, TargetEndlessSecond, TargetEndlessBody, TargetEndlessChunks, TargetEndlessField, TargetEndlessList,
 }
 
 // onRouter reports whether a fault of this kind hits one router.
@@ -113,6 +139,10 @@
 	repeatShare = 0.25
 	// allRoutersShare is the fraction of KillRouters that kill all of them.
 	allRoutersShare = 0.5
+	// stopGap is the time between two StopRouter of a StopRouters, and maxKillDelay the longest time between
+	// the Publish and the KillRouter of a PublishAndKill.
+	stopGap      = time.Second
+	maxKillDelay = 400 * time.Millisecond
 )
 
 // Schedule draws the faults of a run, ordered by start. Equal seeds and configurations give
@@ -159,11 +189,29 @@
 		return spread(f, random.Perm(c.Routers)[:count])
 	case f.Kind == Release:
 		f.Kind, f.Version = TargetRelease, 1+random.IntN(2)
-		var engines []int
-		for i := 0; i < c.Targets; i += 2 {
-			engines = append(engines, i)
+		return spread(f, c.engines())
+	case f.Kind == EndlessAnswers:
+		f.Kind = endlessKinds[random.IntN(len(endlessKinds))]
+		engines := c.engines()
+		random.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
+		return spread(f, engines[:1+random.IntN(len(engines))])
+	case f.Kind == StopRouters:
+		f.Kind = StopRouter
+		faults := spread(f, random.Perm(c.Routers))
+		for i := range faults {
+			faults[i].At += time.Duration(i) * stopGap
 		}
-		return spread(f, engines)
+		return slices.DeleteFunc(faults, func(f Fault) bool { return f.At > c.Length })
+	case f.Kind == ZoneCut:
+		zone := random.IntN(zones)
+		links, targets := f, f
+		links.Kind, targets.Kind = StoreLinkSilence, TargetSilence
+		return append(spread(links, inZone(zone, c.Routers)), spread(targets, inZone(zone, c.Targets))...)
+	case f.Kind == PublishAndKill:
+		kill := f
+		f.Kind, kill.Kind, kill.Index = Publish, KillRouter, random.IntN(c.Routers)
+		kill.At += time.Duration(random.Float64() * float64(maxKillDelay))
+		return []Fault{f, kill}
 	case f.Kind.onRouter():
 		f.Index = random.IntN(c.Routers)
 	case f.Kind.onTarget():
@@ -172,6 +220,24 @@
 	return []Fault{f}
 }
 
+// engines returns the numbers of the targets that are model engines.
+func (c Config) engines() []int {
+	var engines []int
+	for i := 0; i < c.Targets; i += 2 {
+		engines = append(engines, i)
+	}
+	return engines
+}
+
+// inZone returns the numbers below count of the routers or targets of a zone.
+func inZone(zone, count int) []int {
+	var numbers []int
+	for i := zone; i < count; i += zones {
+		numbers = append(numbers, i)
+	}
+	return numbers
+}
+
 // spread returns the fault once for each index.
 func spread(f Fault, indexes []int) []Fault {
 	var faults []Fault
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -47,6 +47,10 @@
 	OneVersion bool
 	// Kinds are the kinds of fault to draw from; nil means all.
 	Kinds []Kind
+	// Faults are the faults of the run, ordered by start; nil means that they are drawn.
+	Faults []Fault
+	// MemoryMB is the memory of a router's machine in MiB; 0 means defaultMemoryMB.
+	MemoryMB int
 }
 
 const (
@@ -54,10 +58,10 @@
 	host       = "soak.example"
 	zones      = 3
 	workspaces = 4
-	// stopGrace is how long a router may take to stop after SIGTERM, and memoryMB its memory in
+	// stopGrace is how long a router may take to stop after SIGTERM, and defaultMemoryMB its memory in
 	// MiB. Both are those of a deployment of the first milestone.
-	stopGrace = 8 * time.Second
-	memoryMB  = 256
+	stopGrace       = 8 * time.Second
+	defaultMemoryMB = 256
 	// startTimeout bounds the time until all routers are ready.
 	startTimeout = 20 * time.Second
 	// recoveryTime is how long the fleet may take to recover after the last fault. In the
@@ -126,7 +130,13 @@
 // Run performs one run. It returns an error if the soak itself fails; a broken promise is in
 // the report. Closing stop ends the run early.
 func Run(c Config, stop <-chan struct{}) (*Report, error) {
-	faults := Schedule(c.Seed, c)
+	if c.MemoryMB == 0 {
+		c.MemoryMB = defaultMemoryMB
+	}
+	faults := c.Faults
+	if faults == nil {
+		faults = Schedule(c.Seed, c)
+	}
 	r := &run{config: c, store: standin.NewStore(), done: make(chan struct{}), errors: make(chan error, 1)}
 	r.checker = newChecker(time.Now(), faults)
 	defer r.close()
@@ -364,6 +374,10 @@
 		setModeFor(router.storeRelay, holdAll, f.Duration)
 	case StoreLinkReset:
 		router.storeRelay.reset()
+	case StoreLinkRefuse:
+		return router.storeRelay.refuseFor(f.Duration)
+	case SlowRouter:
+		router.slowDown(f.Duration)
 	}
 	return nil
 }
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -141,6 +141,8 @@
 	switch f.Kind {
 	case TargetCrash:
 		return s.crash(target, f.Duration)
+	case TargetDark:
+		return s.goDark(target, relay, f.Duration)
 	case TargetDrain:
 		return s.drain()
 	case TargetLeaving:
@@ -181,6 +183,9 @@
 	TargetOtherRequestID: standin.OtherRequestID, TargetFail: standin.Failing,
 	TargetPause: standin.Pausing, TargetUnframed: standin.Unframed, TargetUnframedBreak: standin.UnframedTruncating,
 	TargetLimit: standin.Limited, TargetRestartStream: standin.Restarting,
+	TargetSecondAnswer: standin.SecondAnswer, TargetLateAnswer: standin.LateSecondAnswer,
+	TargetEndlessEvent: standin.EndlessEvent, TargetEndlessSecond: standin.EndlessSecondEvent, TargetEndlessBody: standin.EndlessBody,
+	TargetEndlessChunks: standin.EndlessChunks, TargetEndlessField: standin.EndlessField, TargetEndlessList: standin.EndlessList,
 }
 
 // detach removes target from the site if it is the current target. It returns false if it is
@@ -225,6 +230,25 @@
 	return s.start()
 }
 
+// goDark ends the target without a word: its connections stay open and silent for registrationLapse and a time d, and are
+// then reset, as by a machine that has lost power and starts again.
+func (s *targetSite) goDark(target *standin.Target, relay *relay, d time.Duration) error {
+	relay.setMode(holdAll)
+	defer relay.setMode(forward)
+	time.Sleep(registrationLapse)
+	if !s.detach(target) {
+		return nil
+	}
+	s.run.store.DeleteTarget(target.ID)
+	time.Sleep(d)
+	relay.reset()
+	if err := target.Crash(); err != nil {
+		return err
+	}
+	relay.setMode(forward)
+	return s.start()
+}
+
 // drain stops the target as planned: it publishes the target as draining, lets it serve for
 // drainServeTime, and starts another one in its place.
 func (s *targetSite) drain() error {
