edge: a stream goes on only at the process that is registered

What callers saw: streams with events of two software versions, where a target had started again under its ID, up to 1.2 s before its registration said so; and streams without framing passed on as complete after event 43 of 50 or 46 of 53, where another target was at the address of the one that had ended.

Cause: the process at an address was taken for the one of the registration that the router knows, which is some seconds old.

Change: the router asks an engine once on each new connection when its process started, before the connection carries a stream that may be resumed; and again before an end without framing is taken for whole. A target without a stated start counts as ended if its address is registered for another one.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -123,6 +123,15 @@
 		}
 		return notSent
 	}
+	if a.call.route.RetryPolicy == routing.Resumable {
+		if a.err = e.checkProcess(u, a.target); a.err != nil {
+			u.abandon()
+			if ctx.Err() != nil {
+				return abandoned
+			}
+			return notSent
+		}
+	}
 	if e.isEvacuated(a.target.Zone) {
 		u.Close()
 		a.err = errEvacuated
@@ -420,7 +429,7 @@
 	if err == nil && n > maxBufferedAnswerBytes {
 		return nil, h1.ErrBodyTooLarge
 	}
-	if err == nil && a.closeDelimited && a.call.edge.hasEnded(a.target.Address) {
+	if err == nil && a.closeDelimited && a.call.edge.hasEnded(a.target) {
 		return nil, errTargetEnded
 	}
 	return buf.data.Bytes(), err
--- a/edge/poison.go
+++ b/edge/poison.go
@@ -147,10 +147,46 @@
 	return registered && !t.Draining
 }
 
-// hasEnded reports, after closeTime, whether the process of a target that has just closed a connection has ended.
-func (e *Edge) hasEnded(address string) bool {
+// hasEnded reports, after closeTime, whether the process of a target that has just closed a connection has ended: nothing
+// listens at its address, or something else does.
+func (e *Edge) hasEnded(t routing.Target) bool {
 	time.Sleep(closeTime)
-	return e.refusesConnections(address)
+	if e.refusesConnections(t.Address) {
+		return true
+	}
+	return e.isOtherProcess(t) || e.isAddressTaken(t)
+}
+
+// isAddressTaken reports whether the address of a target is registered for another one, or for a later start of it.
+func (e *Edge) isAddressTaken(t routing.Target) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, other := range e.directory.targets {
+		if other.Address == t.Address && (other.ID != t.ID || other.StartedUnixMs != t.StartedUnixMs) {
+			return true
+		}
+	}
+	return false
+}
+
+// isOtherProcess reports whether the process at the address of a target says that it is not the registered one. Without an answer
+// it returns false.
+func (e *Edge) isOtherProcess(t routing.Target) bool {
+	if !e.asksForStart(t) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	u, err := e.targetConns.get(ctx, t.Address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	if err := e.checkProcess(u, t); err != nil {
+		u.Close()
+		return errors.Is(err, errOtherProcess)
+	}
+	e.targetConns.putNew(u)
+	return false
 }
 
 // logSignatures logs a change of the prompts that are refused. Only sendReports uses it.
--- /dev/null
+++ b/edge/process_start.go
@@ -0,0 +1,82 @@
+package edge
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chiveseam/chiveseam/h1"
+	"github.com/chiveseam/chiveseam/routing"
+)
+
+const (
+	// startTimeout limits the time to ask a process when it started.
+	startTimeout = 300 * time.Millisecond
+	// maxStartBytes limits the body of the answer.
+	maxStartBytes = 16 << 10
+)
+
+// errOtherProcess: the process at the address of a target is not the one of its registration.
+var errOtherProcess = errors.New("another process than the registered one")
+
+// asksForStart reports whether the process of a target says when it started.
+func (e *Edge) asksForStart(t routing.Target) bool {
+	table := e.table.Load()
+	return e.inspector != nil && t.StartedUnixMs > 0 && table != nil && table.Services[t.Service].Engine != nil
+}
+
+// checkProcess asks, unless u has been asked before, whether the process at the other end of u is that of the
+// registration of t: a target that has started again under its ID, or another one at its address, may be of another
+// software version. A connection has one process for as long as it lasts. The error wraps errOtherProcess, or says why
+// the connection is of no use.
+func (e *Edge) checkProcess(u *upstream, t routing.Target) error {
+	if !e.asksForStart(t) {
+		return nil
+	}
+	if !u.startAsked {
+		started, err := e.processStart(u)
+		if err != nil {
+			return fmt.Errorf("ask for the start: %w", err)
+		}
+		u.startAsked, u.started = true, started
+	}
+	if u.started != 0 && u.started != t.StartedUnixMs {
+		level.Warn(e.logger).Log("event", "other_process", "target", t.ID, "target_version", t.Version,
+			"registered_start_ms", t.StartedUnixMs, "start_ms", u.started, "kept_connection", u.reused)
+		return errOtherProcess
+	}
+	return nil
+}
+
+// processStart asks the process at the other end of an unused connection for the Unix time in ms of its start; 0 if
+// its answer does not state it.
+func (e *Edge) processStart(u *upstream) (int64, error) {
+	u.SetDeadline(time.Now().Add(startTimeout))
+	head := h1.AppendRequestHead(nil, http.MethodGet, e.inspector.StartPath(), h1.Header{{Name: "Host", Value: u.address}}, 0)
+	if _, err := u.Write(head); err != nil {
+		return 0, err
+	}
+	resp, err := h1.ReadResponse(u.br, http.MethodGet, maxAnswerHeadBytes)
+	if err != nil {
+		return 0, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body(u.br), maxStartBytes+1))
+	switch {
+	case err != nil:
+		return 0, err
+	case len(body) > maxStartBytes:
+		return 0, h1.ErrBodyTooLarge
+	case !resp.Reusable():
+		return 0, errNotReusable
+	case resp.Status != http.StatusOK:
+		return 0, nil
+	}
+	u.SetDeadline(time.Time{})
+	return e.inspector.StartTime(body), nil
+}
+
+var errNotReusable = errors.New("connection cannot be used again")
--- /dev/null
+++ b/edge/process_start_test.go
@@ -0,0 +1,140 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/routing"
+)
+
+// fakeInspector asks at /start for a start, whose answer is the number alone.
+type fakeInspector struct{}
+
+func (fakeInspector) Inspect(context.Context, string) (*EngineState, error) { return &EngineState{}, nil }
+func (fakeInspector) StartPath() string                                      { return "/start" }
+func (fakeInspector) StartTime(body []byte) int64 {
+	started, _ := strconv.ParseInt(string(body), 10, 64)
+	return started
+}
+
+// newEngineFixture starts a router whose targets are model engines.
+func newEngineFixture(t *testing.T, targets ...*testTarget) *fixture {
+	f := &fixture{t: t, is: is.New(t), source: newFakeSource(), done: make(chan error, 1), logs: &logRecorder{}, inspector: fakeInspector{}}
+	f.run(targets)
+	services := []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 16}}}
+	f.edge.applyTable(routing.NewTable(2, testRoutes(), services, routing.Limits{}, map[string]string{"key": "shop"}), Revision{Number: 2})
+	return f
+}
+
+// statesStart answers the question for the start of a target. It returns false for other requests.
+func (s *receivedRequest) statesStart(started int64) bool {
+	if s.Path() != "/start" {
+		return false
+	}
+	s.answer(http.StatusOK, strconv.FormatInt(started, 10))
+	return true
+}
+
+// requestsFor returns the number of requests for a path that a target has got.
+func (target *testTarget) requestsFor(path string) int {
+	n := 0
+	for _, s := range target.requests() {
+		if s.Path() == path {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against ORDER: a target has started again under its ID with another software version, and its registration does not
+// say so yet. A stream that broke off elsewhere goes on there as at the version of the registration.
+func TestStreamDoesNotGoOnAtAProcessThatIsNotRegistered(t *testing.T) {
+	breaks := newTestTarget(t, "t1", func(s *receivedRequest) {
+		if s.statesStart(1) {
+			return
+		}
+		s.writeStreamHead()
+		s.writeChunk("id: 1\ndata: v1\n\n")
+		time.Sleep(20 * time.Millisecond)
+		s.reset()
+	})
+	restarted := newTestTarget(t, "t2", func(s *receivedRequest) {
+		if s.statesStart(2) {
+			return
+		}
+		s.writeStreamHead()
+		s.writeChunk("id: 2\ndata: v2\n\n")
+		s.writeLastChunk()
+	})
+	breaks.version, restarted.version = "v1", "v1"
+	f := newEngineFixture(t, breaks, restarted)
+	for range 4 {
+		_, body, err := f.client().call("POST", "/resumable/")
+		f.is.True(!strings.Contains(body, "v2"))
+		f.is.True(err != nil || body == "" || !strings.Contains(body, "v1")) // broken off, or refused
+	}
+	f.is.Equal(restarted.requestsFor("/resumable/"), 0)
+	f.is.True(f.logs.contains("other_process", "t2"))
+}
+
+// Guards against ORDER: a stream with neither a length nor chunks ends with its target's process, and another one answers at the
+// same address at once. The part that came passes as a whole stream.
+func TestUnframedStreamOfAReplacedProcessIsIncomplete(t *testing.T) {
+	var started atomic.Int64
+	started.Store(1)
+	f := newEngineFixture(t, newTestTarget(t, "t1", func(s *receivedRequest) {
+		if s.statesStart(started.Load()) {
+			return
+		}
+		s.write("HTTP/1.1 200 X\r\nT-Id: %ID\r\nT-Signed: yes\r\n\r\nid: 1\ndata: a\n\n")
+		started.Store(2)
+		s.conn.Close()
+	}))
+	_, _, err := f.client().call("POST", "/stream/")
+	f.is.True(err != nil) // the caller sees that the stream is not complete
+}
+
+// Guards against MIXED: the same for a target that states no start, whose address is registered for another one.
+func TestUnframedAnswerOfAReplacedTargetIsIncomplete(t *testing.T) {
+	var f *fixture
+	target := newTestTarget(t, "t1", nil)
+	target.handle = func(s *receivedRequest) {
+		s.write("HTTP/1.1 200 X\r\nT-Id: %ID\r\nT-Signed: yes\r\n\r\npart")
+		other := target.registration()
+		other.ID = "t2"
+		f.edge.updateTargets([]TargetChange{{ID: "t1", Removed: true}, {ID: "t2", Target: other}}, false, 0)
+		s.conn.Close()
+	}
+	f = newFixture(t, target)
+	resp, _, err := f.client().call("POST", "/once/")
+	f.is.NoErr(err)
+	f.is.Equal(resp.Status, http.StatusBadGateway)
+}
+
+// The start of a process is asked once for each connection, and a target that does not state it is used all the same.
+func TestStartIsAskedOncePerConnection(t *testing.T) {
+	for _, stated := range []int64{1, 0} {
+		target := newTestTarget(t, "t1", func(s *receivedRequest) {
+			if s.statesStart(stated) {
+				return
+			}
+			s.writeStreamHead()
+			s.writeChunk("id: 1\ndata: a\n\n")
+			s.writeLastChunk()
+		})
+		f := newEngineFixture(t, target)
+		for range 3 {
+			_, body, err := f.client().call("POST", "/resumable/")
+			f.is.NoErr(err)
+			f.is.True(strings.Contains(body, "data: a"))
+		}
+		f.is.Equal(target.requestsFor("/start"), 1)
+	}
+}
--- a/edge/recover.go
+++ b/edge/recover.go
@@ -12,11 +12,15 @@
 	"github.com/chiveseam/chiveseam/rendezvous"
 )
 
-// Inspector reads the contents of model engines' KV caches. Implementations are safe for concurrent
+// Inspector asks model engines for the contents of their KV caches and for their start. Implementations are safe for concurrent
 // use; the platform package has one.
 type Inspector interface {
 	// Inspect asks the engine at an address.
 	Inspect(ctx context.Context, address string) (*EngineState, error)
+	// StartPath returns the path of a GET request to an engine whose answer says when its process started,
+	// and StartTime that time as a Unix time in ms; 0 if the body does not state it.
+	StartPath() string
+	StartTime(body []byte) int64
 }
 
 // EngineState is what an engine says of itself.
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -107,7 +107,7 @@
 		a.crashed = a.closeDelimited
 		return lost, false
 	}
-	if a.closeDelimited && a.call.edge.hasEnded(a.target.Address) {
+	if a.closeDelimited && a.call.edge.hasEnded(a.target) {
 		a.err = errTargetEnded
 		a.crashed = a.endedUnplanned()
 		a.targetGone = a.crashed
--- a/edge/upstream.go
+++ b/edge/upstream.go
@@ -44,6 +44,10 @@
 	expires time.Time
 	// reused is set if an earlier attempt has used the connection.
 	reused bool
+	// startAsked is set once the process at the other end was asked for its start, and started is the Unix time in
+	// ms that it stated; 0 if none.
+	startAsked bool
+	started    int64
 	// answering is set while the target answers the current request.
 	answering atomic.Bool
 }
