platform, placement: responses and prompt parts without end are bounded

The same class elsewhere: what engines list of their KV caches (8 MiB of parts of a few bytes each, heads of 10 MiB), pages of the store without end, several large responses at a time, and parts of prompts that cost more memory than their text: 4,096 in one header, and any number of parts of few tokens in the model of an engine's cache.

--- a/cmd/chiveseam-edge/main.go
+++ b/cmd/chiveseam-edge/main.go
@@ -169,5 +169,6 @@
 // lists. Callers' requests do not use it.
 func newTransport() *http.Transport {
 	dialer := deadpeer.Dialer(platformDialTimeout)
-	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: platformIdleTimeout, DisableCompression: true}
+	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: platformIdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: platform.MaxHeaderBytes}
 }
--- a/edge/figures_test.go
+++ b/edge/figures_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/h1"
 )
 
 var placeholder = regexp.MustCompile(`\{\{([^}]*)\}\}`)
@@ -151,3 +153,17 @@
 	_, err := parseSettings(fillTemplate(t, nil) + "prefix-weighing = true\n")
 	is.True(err != nil && strings.Contains(err.Error(), "want on or off"))
 }
+
+// Failure: a caller lists thousands of prompt parts, each of which takes more memory than its text. Their tokens count all
+// the same.
+func TestPromptPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	names := testHeaders()
+	parts := names.promptParts(h1.Header{{Name: names.PromptParts, Value: strings.Repeat("a:2,", 3000) + "b:2"}})
+	is.Equal(len(parts), maxPromptParts)
+	tokens := 0
+	for _, p := range parts {
+		tokens += p.Tokens
+	}
+	is.Equal(tokens, 6002)
+}
--- a/edge/headers.go
+++ b/edge/headers.go
@@ -99,7 +99,7 @@
 }
 
 // promptParts parses the list of prompt parts. The list ends at the first invalid entry, so that
-// parts after a gap are not matched with other prompts.
+// parts after a gap are not matched with other prompts. From maxPromptParts on, the parts count as one.
 func (h *Headers) promptParts(fields h1.Header) []placement.Part {
 	text := fields.Get(h.PromptParts)
 	if text == "" {
@@ -113,11 +113,20 @@
 		if !ok || err != nil || tokens < 0 {
 			return parts
 		}
-		parts = append(parts, placement.Part{ID: PartID(model, id), Tokens: tokens})
+		part := placement.Part{ID: PartID(model, id), Tokens: tokens}
+		if last := len(parts) - 1; last+1 == maxPromptParts {
+			part.Tokens += parts[last].Tokens
+			parts[last] = part
+			continue
+		}
+		parts = append(parts, part)
 	}
 	return parts
 }
 
+// maxPromptParts bounds the parts of a prompt, each of which takes more memory than its text in the header.
+const maxPromptParts = 256
+
 // PartID returns the ID of a prompt part for a model. All routers compute the same ID. The platform
 // package uses it for the parts that model engines list.
 func PartID(model, id string) uint64 { return xxhash.Sum64String(model + "\x00" + id) }
--- a/placement/parts.go
+++ b/placement/parts.go
@@ -83,6 +83,9 @@
 	k.byID[p.ID] = k.lru.PushFront(part)
 	k.holders.add(p.ID, k.target)
 	k.tokens += p.Tokens
+	if k.lru.Len() > maxCachedParts {
+		k.remove(k.lru.Back())
+	}
 	if k.memory != nil {
 		k.memory.touch(now, part)
 		k.memory.evict()
@@ -94,6 +97,9 @@
 	return part
 }
 
+// maxCachedParts bounds the parts of one target: parts of few tokens, or of none, would not be bounded by its capacity.
+const maxCachedParts = 4096
+
 func (k *partCache) remove(e *list.Element) {
 	part := e.Value.(*cachedPart)
 	k.lru.Remove(e)
