edge: a body takes its memory at once where its length is known

A body of 17 KB was copied eight times while its buffer grew, and the end of each body let it grow once more. Two things that a reading of the diff found: a kept connection was read for partialSince after it had been pooled, and a stream of large events counted its allowance again with each of them. A message that is given up no longer waits for a caller that does not read.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -120,7 +120,10 @@
 	e := a.call.edge
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a.hold = e.answerMemory.open(a.target.ID, func() { cancel(errMemory) })
+	a.hold = e.answerMemory.open(a.target.ID, func() {
+		cancel(errMemory)
+		a.call.reply.interruptWrite()
+	})
 	u, err := e.targetConns.get(ctx, a.target.Address)
 	if err != nil {
 		a.err = err
@@ -156,7 +159,6 @@
 	a.stopCancel = context.AfterFunc(attemptCtx, u.abandon)
 	defer a.stopCancel()
 	outcome := a.exchange(ctx, u)
-	a.partialSince = u.partialSince
 	if ctx.Err() != nil && outcome != answered {
 		return abandoned
 	}
@@ -179,12 +181,14 @@
 	}
 	resp, err := a.readHead(u)
 	if err != nil {
+		a.partialSince = u.partialSince
 		u.abandon()
 		return a.readFailed(err)
 	}
 	u.answering.Store(true)
 	a.closeDelimited = resp.CloseDelimited()
 	outcome, complete := a.deliver(ctx, u, resp)
+	a.partialSince = u.partialSince
 	a.release(u, resp, complete, written)
 	return outcome
 }
@@ -457,7 +461,7 @@
 	u.SetReadDeadline(a.call.deadline)
 	u.partialSince = time.Now()
 	buf := heldBuffer{hold: a.hold}
-	more, err := buf.readAll(resp.Body(u.br), maxBufferedAnswerBytes)
+	more, err := buf.readAll(resp.Body(u.br), resp.Length(), maxBufferedAnswerBytes)
 	switch {
 	case err != nil:
 		return nil, err
--- a/edge/call.go
+++ b/edge/call.go
@@ -375,7 +375,7 @@
 // sendHeld sends a complete answer of a target. If its memory is needed while the caller does not read it, it is
 // broken off.
 func (c *call) sendHeld(a *answer, h *hold) error {
-	h.onGiveUp(func() { c.reply.conn.SetWriteDeadline(time.Now()) })
+	h.onGiveUp(c.reply.interruptWrite)
 	return c.reply.sendAnswer(a)
 }
 
--- a/edge/caller.go
+++ b/edge/caller.go
@@ -243,7 +243,6 @@
 	if !accepted {
 		return c.discardBody(req, r, limits)
 	}
-	call.bodyHold = c.edge.requestMemory.open(cmp.Or(call.workspace, c.conn.RemoteAddr().String()), c.interruptRead)
 	if err := c.readBody(call, limits); err != nil || !call.bodyHold.pin() {
 		call.refuseUnread(c, err)
 		return false
@@ -297,12 +296,13 @@
 		}
 	}
 	c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	call.bodyHold = c.edge.requestMemory.open(cmp.Or(call.workspace, c.conn.RemoteAddr().String()), c.interruptRead)
 	body, err := req.OpenBody(c.br, limits.bodyBytes)
 	if err != nil {
 		return err
 	}
 	buf := heldBuffer{hold: call.bodyHold}
-	more, err := buf.readAll(body, limits.bodyBytes)
+	more, err := buf.readAll(body, req.Length(), limits.bodyBytes)
 	if more {
 		return h1.ErrBodyTooLarge
 	}
--- a/edge/hold.go
+++ b/edge/hold.go
@@ -36,7 +36,7 @@
 	party  string
 	// held is the memory of the message.
 	held int64
-	// account is nil as long as held has not exceeded holdAllowance. budget.mu guards account and giveUp.
+	// account is nil as long as held has not exceeded holdAllowance. budget.mu guards its state and giveUp.
 	account *membudget.Account
 	giveUp  func()
 }
@@ -51,16 +51,17 @@
 	if h == nil {
 		return nil
 	}
-	if h.held += n; h.held <= holdAllowance {
+	before := h.counted()
+	h.held += n
+	if h.held <= holdAllowance {
 		return nil
 	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	if h.account == nil {
 		h.account = h.budget.budget.Open(h.party, h)
-		n = h.held - holdAllowance
 	}
-	revoked, ok := h.account.Grow(n)
+	revoked, ok := h.account.Grow(h.counted() - before)
 	for _, a := range revoked {
 		h.budget.revocations.Inc()
 		a.Owner.(*hold).giveUp()
@@ -72,39 +73,42 @@
 	return nil
 }
 
+// counted returns the part of the memory that counts.
+func (h *hold) counted() int64 { return max(h.held-holdAllowance, 0) }
+
 // shrink counts n bytes less.
 func (h *hold) shrink(n int64) {
 	if h == nil {
 		return
 	}
-	counted := h.held - holdAllowance
+	before := h.counted()
 	h.held -= n
-	if h.account == nil || counted <= 0 {
+	if before == 0 {
 		return
 	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	h.account.Shrink(min(n, counted))
+	h.account.Shrink(before - h.counted())
 }
 
-// pin keeps the message from being given up from now on. It returns false if it has been.
+// pin keeps the message, which does not grow any more, from being given up from now on. It returns false if it has been.
 func (h *hold) pin() bool {
+	if h == nil || h.account == nil {
+		return true
+	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	if h.account == nil {
-		h.account = h.budget.budget.Open(h.party, h)
-	}
 	return h.account.Pin()
 }
 
 // revoked reports whether the message was given up.
 func (h *hold) revoked() bool {
-	if h == nil {
+	if h == nil || h.account == nil {
 		return false
 	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	return h.account != nil && h.account.Revoked()
+	return h.account.Revoked()
 }
 
 // onGiveUp replaces giveUp, or calls it if the message has been given up.
@@ -169,9 +173,16 @@
 	}
 }
 
-// readAll appends all that r has, up to limit bytes, and reports whether there are more.
-func (b *heldBuffer) readAll(r io.Reader, limit int64) (more bool, err error) {
-	for {
+// maxReservedBytes is the largest part of a message that is reserved before it comes.
+const maxReservedBytes = 64 << 10
+
+// readAll reads a message of length bytes, or to its end if length is -1. It ends after limit bytes, and reports
+// whether there are more.
+func (b *heldBuffer) readAll(r io.Reader, length, limit int64) (more bool, err error) {
+	if err := b.reserve(int(min(max(length, 0), limit, maxReservedBytes))); err != nil {
+		return false, err
+	}
+	for int64(len(b.data)) != length {
 		if err := b.reserve(1); err != nil {
 			return false, err
 		}
@@ -186,4 +197,5 @@
 			return false, err
 		}
 	}
+	return false, nil
 }
--- a/edge/process_start.go
+++ b/edge/process_start.go
@@ -65,6 +65,7 @@
 		return 0, err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body(u.br), maxProcessStartBytes+1))
+	u.SetDeadline(time.Time{})
 	switch {
 	case err != nil:
 		return 0, err
@@ -75,7 +76,6 @@
 	case resp.Status != http.StatusOK:
 		return 0, nil
 	}
-	u.SetDeadline(time.Time{})
 	return e.inspector.StartTime(body), nil
 }
 
--- a/edge/reply.go
+++ b/edge/reply.go
@@ -47,6 +47,9 @@
 	return err
 }
 
+// interruptWrite ends a write to the caller that is under way.
+func (r *reply) interruptWrite() { r.conn.SetWriteDeadline(time.Now()) }
+
 // appendConnectionField appends the field that tells the caller whether and for how long the
 // connection stays open.
 func (r *reply) appendConnectionField(h h1.Header) h1.Header {
@@ -58,6 +61,8 @@
 	return append(h, h1.Field{Name: "Keep-Alive", Value: "timeout=" + strconv.Itoa(seconds)})
 }
 
+var chunkEnd = []byte(h1.ChunkEnd)
+
 func keepAll(string) bool { return true }
 
 // sendAnswer sends a complete answer of a target.
@@ -126,7 +131,7 @@
 		return r.write(p)
 	}
 	r.buf = h1.AppendChunkHead(r.buf[:0], len(p))
-	return r.writeParts(r.buf, p, []byte(h1.ChunkEnd))
+	return r.writeParts(r.buf, p, chunkEnd)
 }
 
 // endStream marks a stream as complete.
--- a/h1/request.go
+++ b/h1/request.go
@@ -139,6 +139,14 @@
 	return nil
 }
 
+// Length returns the length of the body in bytes, or -1 if it is not known in advance.
+func (r *Request) Length() int64 {
+	if r.framing.kind == chunked {
+		return -1
+	}
+	return r.framing.length
+}
+
 // OpenBody returns a reader of the body like Response.Body. It returns ErrBodyTooLarge if Content-Length exceeds
 // maxBytes.
 func (r *Request) OpenBody(br *bufio.Reader, maxBytes int64) (io.Reader, error) {
