edge: parts that another process lists are not taken for those of an engine

The same cause elsewhere: a router that starts asks engines at their registered addresses what they keep of prompts. Another process at such an address, or one that has started again and keeps nothing, was taken for the registered one. The answer states the start of the process.

--- a/edge/process_start_test.go
+++ b/edge/process_start_test.go
@@ -14,11 +14,12 @@
 	"github.com/chiveseam/chiveseam/routing"
 )
 
-// fakeInspector asks at /start for a start, whose answer is the number alone.
+// fakeInspector asks at /start for a start, whose answer is the number alone. All engines list no parts, and state 7 as
+// their start there.
 type fakeInspector struct{}
 
 func (fakeInspector) Inspect(context.Context, string) (*EngineState, error) {
-	return &EngineState{}, nil
+	return &EngineState{StartedUnixMs: 7}, nil
 }
 func (fakeInspector) StartPath() string { return "/start" }
 func (fakeInspector) StartTime(body []byte) int64 {
@@ -142,3 +143,13 @@
 		}
 	}
 }
+
+// Failure: the parts that another process lists at the address of an engine are taken for those of the engine.
+func TestPartsOfAnotherProcessAreNotUsed(t *testing.T) {
+	registered, other := newTestTarget(t, "t1", nil), newTestTarget(t, "t2", nil)
+	registered.started, other.started = 7, 8
+	f := newEngineFixture(t, registered, other)
+	f.await(func() bool {
+		return f.logs.contains("kept_parts_read", "t1") && f.logs.contains("kept_parts_unknown", "t2")
+	})
+}
--- a/edge/recover.go
+++ b/edge/recover.go
@@ -27,6 +27,8 @@
 type EngineState struct {
 	// CachedParts are the prompt parts in its KV cache, the least recently used first.
 	CachedParts []placement.Part
+	// StartedUnixMs is the Unix time in milliseconds at which the process started; 0 if it is not stated.
+	StartedUnixMs int64
 	// Leaving is set if the engine leaves.
 	Leaving bool
 	// RateLimit is the number of requests per second that it takes from all routers together;
@@ -62,6 +64,9 @@
 			continue
 		}
 		state, err := e.inspector.Inspect(ctx, t.address)
+		if err == nil && t.started != 0 && state.StartedUnixMs != 0 && state.StartedUnixMs != t.started {
+			err = errOtherProcess
+		}
 		if err != nil {
 			level.Warn(e.logger).Log("event", "kept_parts_unknown", "target", t.id, "error", err)
 			continue
@@ -78,7 +83,11 @@
 	return nil
 }
 
-type engineAddress struct{ id, address, zone string }
+type engineAddress struct {
+	id, address, zone string
+	// started is the start that the registration states.
+	started int64
+}
 
 // enginesToInspect returns at most maxInspected of ownedEngines: those with the highest rendezvous
 // score for this router.
@@ -104,7 +113,7 @@
 	for id, t := range e.directory.targets {
 		owner, _ := rendezvous.Owner(id, routers)
 		if owner == e.settings.Name && !e.isEvacuated(t.Zone) && !e.balancer.IsCold(now, id) && table != nil && table.Services[t.Service].Engine != nil {
-			own = append(own, engineAddress{id, t.Address, t.Zone})
+			own = append(own, engineAddress{id, t.Address, t.Zone, t.StartedUnixMs})
 		}
 	}
 	return own
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -188,6 +188,8 @@
 	{20007, Kinds[:30]},
 	// Streams went on at another software version, and targets got more than their rate limits.
 	{31001, []Kind{TargetCrash, TargetTruncate, KillRouter, TargetUnframedBreak, ResetCallers, TargetLimit}},
+	// Streams went on at targets that had started again under their IDs with another software version.
+	{46506, []Kind{TargetRestart, ResetCallers}},
 }
 
 // TestShortSoak runs router processes for a few seconds under random faults, and fails if a
