edge: the time in which a caller does not read is not its target's silence

What callers saw: a sound stream was cut, or went on at another target, when its caller had not read for longer than the target may be silent.

Cause: the time to the next event ran while the router waited for the caller, and the next read failed at once though the event had come.

Evidence: TestStreamToASlowCallerIsNotCut fails on (unexpected EOF).

Change: the time of a write to the caller is taken out of both limits.

--- a/edge/stream.go
+++ b/edge/stream.go
@@ -67,11 +67,19 @@
 			if a.events.answer {
 				n = eventsEnd
 			}
-			switch err := a.forwardData(pending, buf[:n], eventsEnd); {
-			case errors.Is(err, errEventOrder), errors.Is(err, errMemory):
-				a.err = err
+			forwarded := time.Now()
+			forwardErr := a.forwardData(pending, buf[:n], eventsEnd)
+			// The time in which the caller did not read is not the target's.
+			waited := time.Since(forwarded)
+			eventAt = eventAt.Add(waited)
+			if !u.partialSince.IsZero() {
+				u.partialSince = u.partialSince.Add(waited)
+			}
+			switch {
+			case errors.Is(forwardErr, errEventOrder), errors.Is(forwardErr, errMemory):
+				a.err = forwardErr
 				return lost, false
-			case err != nil:
+			case forwardErr != nil:
 				return abandoned, false
 			}
 			if a.events.answer {
--- a/edge/stream_test.go
+++ b/edge/stream_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"fmt"
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -152,3 +154,28 @@
 		})
 	}
 }
+
+// Failure: a caller does not read for a time. The router, which waits for it, takes the target for silent and cuts a sound
+// stream.
+func TestStreamToASlowCallerIsNotCut(t *testing.T) {
+	const events = 300
+	data := strings.Repeat("x", 60<<10)
+	for _, path := range []string{"/resumable/", "/stream/"} {
+		target := newTestTarget(t, "t1", func(s *receivedRequest) {
+			s.writeStreamHead()
+			for i := range events {
+				s.writeChunk(fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, data))
+			}
+			s.writeLastChunk()
+		})
+		f := newFixture(t, target)
+		c := f.client()
+		f.is.NoErr(c.conn.(*net.TCPConn).SetReadBuffer(64 << 10))
+		c.send("POST", path, "", "")
+		time.Sleep(maxPartialTime + 200*time.Millisecond)
+		_, body, err := c.receive("POST")
+		f.is.NoErr(err)
+		f.is.Equal(strings.Count(body, "data: "), events)
+		f.is.Equal(len(target.requests()), 1)
+	}
+}
