--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -133,7 +133,7 @@
 		return notSent
 	}
 	if a.call.route.RetryPolicy == routing.Resumable {
-		if a.err = e.checkProcess(u, a.target); a.err != nil {
+		if a.err = e.checkProcess(u, a.target, a.hold); a.err != nil {
 			u.abandon()
 			if ctx.Err() != nil {
 				return abandoned
--- a/edge/poison.go
+++ b/edge/poison.go
@@ -181,7 +181,9 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	if err := e.checkProcess(u, t); err != nil {
+	h := e.answerMemory.open(t.ID, func() {}) // the time for the answer is short
+	defer h.close()
+	if err := e.checkProcess(u, t, h); err != nil {
 		u.Close()
 		return errors.Is(err, errOtherProcess)
 	}
--- a/edge/process_start.go
+++ b/edge/process_start.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -31,14 +30,14 @@
 
 // checkProcess asks, unless u has been asked before, whether the process at the other end of u is that of the
 // registration of t: a target that has started again under its ID, or another one at its address, may be of another
-// software version. A connection has one process for as long as it lasts. The error wraps errOtherProcess, or says why
-// the connection is of no use.
-func (e *Edge) checkProcess(u *upstream, t routing.Target) error {
+// software version. A connection has one process for as long as it lasts. What the answer holds counts
+// in h. The error wraps errOtherProcess, or says why the connection is of no use.
+func (e *Edge) checkProcess(u *upstream, t routing.Target, h *hold) error {
 	if !e.asksForStart(t) {
 		return nil
 	}
 	if !u.startAsked {
-		started, err := e.processStart(u)
+		started, err := e.processStart(u, h)
 		if err != nil {
 			return fmt.Errorf("ask for the start: %w", err)
 		}
@@ -54,29 +53,33 @@
 
 // processStart asks the process at the other end of an unused connection for the Unix time in ms of its start; 0 if
 // its answer does not state it.
-func (e *Edge) processStart(u *upstream) (int64, error) {
-	u.SetDeadline(time.Now().Add(processStartTimeout))
+func (e *Edge) processStart(u *upstream, h *hold) (int64, error) {
+	deadline := time.Now().Add(processStartTimeout)
+	u.SetDeadline(deadline)
 	head := h1.AppendRequestHead(nil, http.MethodGet, e.inspector.StartPath(), h1.Header{{Name: "Host", Value: u.address}}, 0)
 	if _, err := u.Write(head); err != nil {
 		return 0, err
 	}
+	u.beginHead(h, deadline)
 	resp, err := h1.ReadResponse(u.br, http.MethodGet, maxAnswerHeadBytes)
+	u.endHead()
 	if err != nil {
 		return 0, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body(u.br), maxProcessStartBytes+1))
+	body := heldBuffer{hold: h}
+	more, err := body.readAll(resp.Body(u.br), resp.Length(), maxProcessStartBytes)
 	u.SetDeadline(time.Time{})
 	switch {
 	case err != nil:
 		return 0, err
-	case len(body) > maxProcessStartBytes:
+	case more:
 		return 0, h1.ErrBodyTooLarge
 	case !resp.Reusable():
 		return 0, errNotReusable
 	case resp.Status != http.StatusOK:
 		return 0, nil
 	}
-	return e.inspector.StartTime(body), nil
+	return e.inspector.StartTime(body.data), nil
 }
 
 var errNotReusable = errors.New("connection cannot be used again")
--- a/edge/process_start_test.go
+++ b/edge/process_start_test.go
@@ -153,3 +153,23 @@
 		return f.logs.contains("kept_parts_read", "t1") && f.logs.contains("kept_parts_unknown", "t2")
 	})
 }
+
+// Failure: a target sends its start without end. The request is not sent to it, and the caller told so soon.
+func TestStartWithoutEndIsGivenUp(t *testing.T) {
+	for name, head := range map[string]string{"head": "HTTP/1.1 200 X\r\nX-Long: ", "body": "HTTP/1.1 200 X\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			target := newTestTarget(t, "t1", func(s *receivedRequest) {
+				s.write(head)
+				s.writeForever(strings.Repeat("1", 1<<10))
+			})
+			f := newEngineFixture(t, target)
+			began := time.Now()
+			resp, _, err := f.client().call("POST", "/resumable/")
+			f.is.NoErr(err)
+			f.is.Equal(resp.Status, http.StatusServiceUnavailable)
+			f.is.Equal(ranHeader(resp), "NO")
+			f.is.True(time.Since(began) < time.Second)
+			f.is.Equal(target.requestsFor("/resumable/"), 0)
+		})
+	}
+}
