--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -160,6 +160,7 @@
 			s.runs, s.answer.status = nil, 504
 		}},
 		{promiseCancelled, idempotentRoute, func(s *scenario) { s.request.disconnectedAt = time.Now().Add(-2 * time.Second) }},
+		{promiseMemory, idempotentRoute, func(s *scenario) { s.checker.memoryUsed(0, defaultMemoryMB+1, defaultMemoryMB) }},
 		{promiseRecovery, idempotentRoute, func(s *scenario) { s.checker.checkRecovery(1, 2) }},
 	} {
 		is := is.New(t)
