edge: log what is known of the process that ends an unframed answer

The logs did not say what the router had found out of that process, so an end that nobody vouches for could not be told from one of a running process, nor whether a stream went on at a process that had stated its start.

request_answered and attempt_failed now have end_evidence (refused, other_start, address_taken, same_start, accepted, none) and start_ms, and chiveseam_edge_unframed_ends_total counts ends by evidence.

--- a/edge/admin.go
+++ b/edge/admin.go
@@ -20,6 +20,7 @@
 	refusals            *prometheus.CounterVec
 	reports             *prometheus.CounterVec
 	aborted             prometheus.Counter
+	unframedEnds        *prometheus.CounterVec
 	refusedConnections  prometheus.Counter
 	givenUp             *prometheus.CounterVec
 	callers             prometheus.Gauge
@@ -57,6 +58,9 @@
 		aborted: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chiveseam_edge_aborted_total", Help: "Answers broken off.",
 		}),
+		unframedEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chiveseam_edge_unframed_ends_total", Help: "Ends of answers with neither a length nor chunks by what was known of their target's process.",
+		}, []string{"evidence"}),
 		givenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chiveseam_edge_given_up_for_memory_total", Help: "Messages that were given up since the memory for them was used up, by kind.",
 		}, []string{"message"}),
@@ -111,7 +115,7 @@
 			Name: "chiveseam_edge_unreadable_loads_total", Help: "Answers that state a load of their target that cannot be read or be true.",
 		}),
 	}
-	m.registry.MustRegister(m.attempts, m.results, m.refusals, m.reports, m.aborted, m.refusedConnections, m.givenUp, m.callers,
+	m.registry.MustRegister(m.attempts, m.results, m.refusals, m.reports, m.aborted, m.unframedEnds, m.refusedConnections, m.givenUp, m.callers,
 		m.version, m.lag, m.linkLoad, m.share, m.availableThroughput, m.storeRestores, m.sharedUnread, m.signatures, m.evacuatedZones, m.watchesTargets, m.coldTargets, m.duration, m.pace, m.unreadableLoads)
 	return m
 }
--- a/edge/answer.go
+++ b/edge/answer.go
@@ -151,9 +151,12 @@
 	took := time.Since(a.began)
 	c.edge.metrics.attempts.WithLabelValues(outcome.String()).Inc()
 	logger := log.With(c.log, "close_delimited", a.closeDelimited)
+	if a.end != "" {
+		logger = log.With(logger, "end_evidence", a.end)
+	}
 	if c.route.Stream {
 		logger = log.With(logger, "events", a.events.ended, "open_event_bytes", a.events.open,
-			"first_event_id", a.events.firstID, "last_event_id", a.events.lastID)
+			"first_event_id", a.events.firstID, "last_event_id", a.events.lastID, "start_ms", a.statedStart)
 	}
 	if outcome == answered {
 		c.edge.metrics.duration.Observe(time.Since(c.arrived).Seconds())
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -62,12 +62,17 @@
 	// stopCancel unregisters the function that closes the connection when the request's context
 	// ends. It returns false if that function has already started.
 	stopCancel func() bool
-	// closeDelimited is set if the end of the answer's body is the end of the connection.
+	// closeDelimited is set if the end of the answer's body is the end of the connection, and end says then what is
+	// known of the process that has closed it; "" before.
 	closeDelimited bool
+	end            endEvidence
 	// firstByteAt is when the first bytes of the answer's body came; zero before.
 	firstByteAt time.Time
 	// events finds the events of a stream.
 	events eventScanner
+	// statedStart is the Unix time in ms that the process stated as its start on the connection of the attempt; 0 if it
+	// stated none or was not asked.
+	statedStart int64
 	// hold is the memory of the answer, or of the parts of it that are held.
 	hold *hold
 	// partialSince is when a part of the answer came that had not become complete when the attempt ended; zero if
@@ -140,6 +145,7 @@
 			}
 			return notSent
 		}
+		a.statedStart = u.started
 	}
 	if e.isEvacuated(a.target.Zone) {
 		u.Close()
@@ -467,8 +473,11 @@
 		return nil, err
 	case more:
 		return nil, h1.ErrBodyTooLarge
-	case a.closeDelimited && a.call.edge.hasEnded(a.target):
-		return nil, errTargetEnded
+	}
+	if a.closeDelimited {
+		if a.findEnd(); a.end.processEnded() {
+			return nil, errTargetEnded
+		}
 	}
 	u.partialSince = time.Time{}
 	return buf.data, nil
--- a/edge/poison.go
+++ b/edge/poison.go
@@ -134,63 +134,6 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// closeTime is the time in which a process that ends closes its connections and its listener, in any order.
-const closeTime = 20 * time.Millisecond
-
-// endedUnplanned reports whether the target of the attempt, which has ended, was not to leave: one that leaves may
-// close its listener before it ends its answers.
-func (a *attempt) endedUnplanned() bool {
-	e := a.call.edge
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	t, registered := e.directory.targets[a.target.ID]
-	return registered && !t.Draining
-}
-
-// hasEnded reports, after closeTime, whether the process of a target that has just closed a connection has ended: nothing
-// listens at its address, or something else does.
-func (e *Edge) hasEnded(t routing.Target) bool {
-	time.Sleep(closeTime)
-	if e.refusesConnections(t.Address) {
-		return true
-	}
-	return e.isOtherProcess(t) || e.isAddressTaken(t)
-}
-
-// isAddressTaken reports whether the address of a target is registered for another one, or for a later start of it.
-func (e *Edge) isAddressTaken(t routing.Target) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, other := range e.directory.targets {
-		if other.Address == t.Address && (other.ID != t.ID || other.StartedUnixMs != t.StartedUnixMs) {
-			return true
-		}
-	}
-	return false
-}
-
-// isOtherProcess reports whether the process at the address of a target says that it is not the registered one. Without an answer
-// it returns false.
-func (e *Edge) isOtherProcess(t routing.Target) bool {
-	if !e.asksForStart(t) {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-	defer cancel()
-	u, err := e.targetConns.get(ctx, t.Address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	h := e.answerMemory.open(t.ID, func() {}) // the time for the answer is short
-	defer h.close()
-	if err := e.checkProcess(u, t, h); err != nil {
-		u.Close()
-		return errors.Is(err, errOtherProcess)
-	}
-	e.targetConns.putNew(u)
-	return false
-}
-
 // logSignatures logs a change of the prompts that are refused. Only sendReports uses it.
 func (r *reporter) logSignatures(signatures [][]uint64) {
 	r.edge.metrics.signatures.Set(float64(len(signatures)))
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -121,11 +121,13 @@
 		a.crashed = a.closeDelimited
 		return lost, false
 	}
-	if a.closeDelimited && a.call.edge.hasEnded(a.target) {
-		a.err = errTargetEnded
-		a.crashed = a.endedUnplanned()
-		a.targetGone = a.crashed
-		return lost, false
+	if a.closeDelimited {
+		if a.findEnd(); a.end.processEnded() {
+			a.err = errTargetEnded
+			a.crashed = a.endedUnplanned()
+			a.targetGone = a.crashed
+			return lost, false
+		}
 	}
 	if a.call.reply.sendData(pending.data) != nil || a.call.reply.endStream() != nil {
 		return abandoned, true
