edge: an unframed answer is whole only if its process is known to go on

Cause: the router asked whether the process had ended and took whatever it could not find out for "no": no answer within 100 ms, an error other than a refusal, a plain target, which states no start.

Change: the end counts as whole if something shows that the process goes on. Engines are asked for their start as before. If that gives nothing, and for plain targets, another connection to the same process decides: all connections of a process end with it, so one that was opened before the answer was last seen open and is open after its end shows that the process goes on, without a wait and whatever else is within reach (edge/witness.go). A plain target whose first unframed answer comes in one piece is asked for its status; for a minute after that the other connection is opened before requests are sent. What nobody vouches for is broken off, or goes on at another target if it may be resumed.

Sound answers: TestUnframedAnswerOfABusyTargetIsDelivered (the target takes no connection and answers no question), TestUnframedAnswersInOnePieceAreDelivered.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -80,8 +80,9 @@
 	partialSince time.Time
 	// answer is a complete answer that is held in memory; set for non-stream answers.
 	answer *answer
-	// sent is set once the target may have received the head of the request.
-	sent bool
+	// sent is set once the target may have received the head of the request, and sentAt is just before that.
+	sent   bool
+	sentAt time.Time
 	// crashed is set if the connection broke after the target had received the request, and
 	// targetGone if the target's process is known to have ended.
 	crashed    bool
@@ -99,11 +100,8 @@
 }
 
 var (
-	errOtherAnswer = errors.New("target sent answers to other requests instead")
-	errUnsigned    = errors.New("answer has no signature")
-	// errTargetEnded: nothing but the end of the connection ends the answer, and the process of the target has
-	// ended too.
-	errTargetEnded   = errors.New("target ended with its answer")
+	errOtherAnswer   = errors.New("target sent answers to other requests instead")
+	errUnsigned      = errors.New("answer has no signature")
 	errTargetTimeout = errors.New("target is silent")
 	errCallerLeft    = errors.New("caller left before the request was sent")
 )
@@ -161,6 +159,10 @@
 		a.err = errCallerLeft
 		return abandoned
 	}
+	defer e.witnesses.detach(u)
+	if !e.asksForStart(a.target) && e.witnesses.expectsUnframed(a.target.Service) {
+		e.witnesses.attachNow(u)
+	}
 	u.answering.Store(false)
 	a.stopCancel = context.AfterFunc(attemptCtx, u.abandon)
 	defer a.stopCancel()
@@ -176,7 +178,7 @@
 	c := a.call
 	head := h1.AppendRequestHead(make([]byte, 0, typicalHeadBytes), c.req.Method, c.req.Target, a.header(), len(c.req.Body))
 	written := make(chan error, 1)
-	a.sent = true
+	a.sent, a.sentAt = true, time.Now()
 	if sent, err := send(u, head, c.req.Body, written); err != nil {
 		u.abandon()
 		a.err = fmt.Errorf("send: %w", err)
@@ -388,7 +390,7 @@
 		a.err = errTargetTimeout
 	}
 	a.crashed = showsCrash(err)
-	if errors.Is(err, errTargetEnded) {
+	if errors.Is(err, errTargetEnded) || errors.Is(err, errEndUnconfirmed) {
 		a.crashed = a.endedUnplanned()
 	}
 	return lost
@@ -430,6 +432,9 @@
 		a.err = errUnsigned
 		return lost, false
 	}
+	if a.closeDelimited {
+		a.watchEnd(u)
+	}
 	if a.call.route.Stream && resp.Status < 300 && resp.Status != http.StatusNoContent {
 		return a.stream(ctx, u, resp)
 	}
@@ -462,7 +467,7 @@
 
 // readBody reads a complete body of at most maxBufferedAnswerBytes, within the request's deadline
 // and the memory that the router has for answers. A body that ends with its connection is complete
-// only if the target still accepts connections: the end of a process closes its connections, too.
+// only if the process of the target goes on: its end closes its connections, too.
 func (a *attempt) readBody(u *upstream, resp *h1.Response) ([]byte, error) {
 	u.SetReadDeadline(a.call.deadline)
 	u.partialSince = time.Now()
@@ -475,8 +480,8 @@
 		return nil, h1.ErrBodyTooLarge
 	}
 	if a.closeDelimited {
-		if a.findEnd(); a.end.processEnded() {
-			return nil, errTargetEnded
+		if err := a.confirmEnd(u); err != nil {
+			return nil, err
 		}
 	}
 	u.partialSince = time.Time{}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -65,6 +65,7 @@
 	tomb        *tomb.Tomb
 	metrics     *routerMetrics
 	targetConns *connPool
+	witnesses   *witnesses
 	// crashChecks joins concurrent checks of one target.
 	crashChecks singleflight.Group
 	callers     callerConns
@@ -209,6 +210,7 @@
 		int(callerFileShare*float64(max(s.MaxOpenFiles-reservedFiles, reservedFiles))),
 		int(callerMemoryShare*float64(s.MemoryMB<<20)/callerMemoryBytes))
 	e.targetConns = newConnPool(e.maxCallerConns)
+	e.witnesses = newWitnesses(e.targetConns)
 	e.answerMemory = newMemoryBudget(int64(answerMemoryShare*float64(s.MemoryMB<<20)), e.metrics.givenUp.WithLabelValues("answer"))
 	e.requestMemory = newMemoryBudget(int64(requestMemoryShare*float64(s.MemoryMB<<20)), e.metrics.givenUp.WithLabelValues("request"))
 	e.requestCtx, e.abortRequests = context.WithCancelCause(context.Background())
@@ -319,6 +321,7 @@
 			return nil
 		case now := <-ticker.C:
 			e.targetConns.sweep(now)
+			e.witnesses.sweep(now)
 			e.expireTargets()
 			e.metrics.callers.Set(float64(e.callers.count()))
 		}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
-			return a.finishStream(pending)
+			return a.finishStream(u, pending)
 		}
 		if ctx.Err() != nil {
 			return abandoned, false
@@ -115,17 +115,17 @@
 // finishStream sends the last bytes of a stream that the target has ended. The framing of the answer
 // does not show that the stream is complete: a target or proxy that breaks it off may still end the
 // body, and a crash closes the connection of an answer without a length, often between two events.
-func (a *attempt) finishStream(pending *heldBuffer) (attemptOutcome, bool) {
+func (a *attempt) finishStream(u *upstream, pending *heldBuffer) (attemptOutcome, bool) {
 	if a.events.open > 0 || (a.closeDelimited && a.events.ended == 0) {
 		a.err = errStreamBrokenOff
 		a.crashed = a.closeDelimited
 		return lost, false
 	}
 	if a.closeDelimited {
-		if a.findEnd(); a.end.processEnded() {
-			a.err = errTargetEnded
+		if err := a.confirmEnd(u); err != nil {
+			a.err = err
 			a.crashed = a.endedUnplanned()
-			a.targetGone = a.crashed
+			a.targetGone = a.crashed && a.end.processEnded()
 			return lost, false
 		}
 	}
--- a/edge/upstream.go
+++ b/edge/upstream.go
@@ -40,6 +40,11 @@
 	net.Conn
 	br      *bufio.Reader
 	address string
+	// openedAt is when the connection was established.
+	openedAt time.Time
+	// witness is the witness of the answer on the connection, if it needs one; nil otherwise. Only the attempt that uses
+	// the connection reads it.
+	witness *witness
 	// expires is when the pool closes the idle connection; the target may do so soon after.
 	expires time.Time
 	// reused is set if an earlier attempt has used the connection.
@@ -121,7 +126,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	u := &upstream{Conn: conn, address: address}
+	u := &upstream{Conn: conn, address: address, openedAt: time.Now()}
 	u.br = bufio.NewReaderSize(u, upstreamBufferBytes)
 	return u, nil
 }
@@ -147,6 +152,9 @@
 
 // Read reads from the connection. Within a head it counts what comes, and limits the time to the head's end.
 func (u *upstream) Read(p []byte) (int, error) {
+	if u.witness != nil {
+		u.witness.see(u)
+	}
 	n, err := u.Conn.Read(p)
 	if u.head == nil || n == 0 {
 		return n, err
@@ -216,6 +224,27 @@
 	}
 }
 
+// maxTestimonies is the number of idle connections to one target that are looked at for a testimony.
+const maxTestimonies = 4
+
+// openedBefore reports whether some of the idle connections to an address that were opened before a time are still open, and
+// whether some have ended.
+func (p *connPool) openedBefore(address string, before time.Time) (open, ended bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for _, u := range list[max(len(list)-maxTestimonies, 0):] {
+		switch {
+		case u.openedAt.After(before) || time.Now().After(u.expires):
+		case u.isReusable():
+			open = true
+		default:
+			ended = true
+		}
+	}
+	return open, ended
+}
+
 // sweep closes expired idle connections.
 func (p *connPool) sweep(now time.Time) {
 	p.mu.Lock()
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -73,6 +73,8 @@
 	// ColdPerSecond requests per second; 0 if targets are never cold.
 	ColdStart     time.Duration
 	ColdPerSecond float64
+	// StatusPath is the path of the status check of a target; "" if the configuration states none.
+	StatusPath string
 }
 
 // Engine describes each of the model engines of a service.
