edge: targets are asked for their status at the path of the configuration

The check goes to health_path, and an answer with another target's X-Chiveseam-Instance-Id or 421 counts as the end of the process. Without a path nothing is asked, and nothing known of the process.

--- a/configcheck/configuration.go
+++ b/configcheck/configuration.go
@@ -88,7 +88,9 @@
 	Engine        *Engine
 	ColdStart     Field[time.Duration]
 	ColdPerSecond Field[float64]
-	Unread        Unread
+	// StatusPath is the path of the status check.
+	StatusPath Field[string]
+	Unread     Unread
 }
 
 // Engine describes the engines of a service.
--- a/configcheck/diff.go
+++ b/configcheck/diff.go
@@ -268,7 +268,7 @@
 }
 
 func serviceEntry(s *Service) entry {
-	properties := []property{{"cold start", value(s.ColdStart)}, {"cold rate per second", value(s.ColdPerSecond)}}
+	properties := []property{{"cold start", value(s.ColdStart)}, {"cold rate per second", value(s.ColdPerSecond)}, {"status path", value(s.StatusPath)}}
 	if e := s.Engine; e != nil {
 		properties = append(properties, property{"engine", "set"},
 			property{"engine slots", number(e.Slots)}, property{"engine cache tokens", number(e.KVCacheTokens)},
--- a/edge/end.go
+++ b/edge/end.go
@@ -172,8 +172,12 @@
 	return evidenceSameStart, nil
 }
 
-// askStatus checks the status of the target. Whatever it answers shows that a process has the target's ID.
+// askStatus checks the status of the target on a new connection. Whatever it answers shows that it goes on.
 func (e *Edge) askStatus(t routing.Target, h *hold) (endEvidence, error) {
+	path := e.statusPath(t)
+	if path == "" {
+		return evidenceNone, nil
+	}
 	deadline := time.Now().Add(statusCheckTimeout)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -184,24 +188,26 @@
 	defer u.Close()
 	u.SetDeadline(deadline)
 	header := h1.Header{{Name: "Host", Value: t.Address}, {Name: e.headers.TargetID, Value: t.ID}}
-	if _, err := u.Write(h1.AppendRequestHead(nil, http.MethodGet, e.statusPath(t), header, 0)); err != nil {
+	if _, err := u.Write(h1.AppendRequestHead(nil, http.MethodGet, path, header, 0)); err != nil {
 		return "", err
 	}
 	u.beginHead(h, deadline)
 	resp, err := h1.ReadResponse(u.br, http.MethodGet, maxAnswerHeadBytes)
-	switch {
-	case err != nil:
+	if err != nil {
 		return "", err
-	case resp.Status == http.StatusMisdirectedRequest:
+	}
+	id, stated := resp.Header.Lookup(e.headers.InstanceID)
+	if stated && id != t.ID || resp.Status == http.StatusMisdirectedRequest {
 		return evidenceOtherTarget, nil
 	}
 	return evidenceAnswered, nil
 }
 
-// statusPath returns the path of the status check of a target. Targets do not run requests without an ID, at any path.
+// statusPath returns the path of the status check of a target; "" if the configuration states none.
 func (e *Edge) statusPath(t routing.Target) string {
-	if table := e.table.Load(); table != nil && table.Services[t.Service].StatusPath != "" {
-		return table.Services[t.Service].StatusPath
+	table := e.table.Load()
+	if table == nil {
+		return ""
 	}
-	return "/"
+	return table.Services[t.Service].StatusPath
 }
--- a/edge/end_test.go
+++ b/edge/end_test.go
@@ -169,9 +169,9 @@
 func TestUnframedAnswersInOnePieceAreDelivered(t *testing.T) {
 	var checks atomic.Int32
 	f := newFixture(t, newTestTarget(t, "t1", func(s *receivedRequest) {
-		if s.id == "" {
+		if s.Path() == "/status" {
 			checks.Add(1)
-			s.notRun(http.StatusBadRequest)
+			s.write("HTTP/1.1 200 X\r\nT-Instance: t1\r\nContent-Length: 0\r\n\r\n")
 			return
 		}
 		s.write(unframedBodyHead + "hello")
@@ -186,3 +186,27 @@
 	f.is.True(checks.Load() <= 1)
 	f.await(func() bool { return f.logs.count(`"end_evidence":"witness"`) == 9 })
 }
+
+// Guards against MIXED: another target has the address of one that has ended with an answer in one piece, of which the router
+// knows no other connection.
+func TestUnframedAnswerIsIncompleteIfAnotherTargetHasItsAddress(t *testing.T) {
+	for name, status := range map[string]string{
+		"other ID":    "HTTP/1.1 200 X\r\nT-Instance: t2\r\nContent-Length: 0\r\n\r\n",
+		"misdirected": "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+		"no answer":   "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, newTestTarget(t, "t1", func(s *receivedRequest) {
+				if s.Path() == "/status" {
+					s.write(status)
+					return
+				}
+				s.write(unframedBodyHead + "hel")
+				s.conn.Close()
+			}))
+			resp, _, err := f.client().call("POST", "/once/")
+			f.is.NoErr(err)
+			f.is.Equal(resp.Status, http.StatusBadGateway)
+		})
+	}
+}
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -26,7 +26,7 @@
 func testHeaders() Headers {
 	return Headers{
 		RequestID: "T-Id", Deadline: "T-Deadline", PromptParts: "T-Parts", TokenUsage: "T-Usage", Model: "T-Model",
-		LengthHint: "T-Hint", LastEventID: "T-Last", Resumes: "T-Resumes", Signature: "T-Signed", Workspace: "T-Workspace", TargetID: "T-Target",
+		LengthHint: "T-Hint", LastEventID: "T-Last", Resumes: "T-Resumes", Signature: "T-Signed", Workspace: "T-Workspace", TargetID: "T-Target", InstanceID: "T-Instance",
 		FetchFrom: "T-Fetch", NotRun: "T-Not-Run", Leaving: "T-Leaving", RateLimit: "T-Limit", Load: "T-Load", APIKey: "T-Key", Reserved: []string{"T-Hold"},
 	}
 }
@@ -221,9 +221,12 @@
 	return []*routing.Route{&idempotent, &once, &stream, &resumable, &short}
 }
 
+// testServices returns the service of testRoutes.
+func testServices() []routing.Service { return []routing.Service{{Name: "s", StatusPath: "/status"}} }
+
 // testTable returns a configuration with testRoutes and the API key "key" of the workspace "shop".
 func testTable(version uint64) *routing.Table {
-	return routing.NewTable(version, testRoutes(), nil, routing.Limits{IdleTimeout: 10 * time.Second}, map[string]string{"key": "shop"})
+	return routing.NewTable(version, testRoutes(), testServices(), routing.Limits{IdleTimeout: 10 * time.Second}, map[string]string{"key": "shop"})
 }
 
 // Ports of freeAddress. They are below those that the kernel gives to connections and listeners
--- a/edge/headers.go
+++ b/edge/headers.go
@@ -38,6 +38,8 @@
 	Workspace string
 	// TargetID is the ID of the intended target. Other targets refuse the request.
 	TargetID string
+	// InstanceID is present in answers to status checks: the ID of the target.
+	InstanceID string
 	// FetchFrom is the address of another model engine, from whose KV cache the target fetches the
 	// parts of the prompt that it lacks.
 	FetchFrom string
