edge: do not go on with streams at a process that states no start

Callers could get a stream with events of two software versions: an engine whose registration states a start answered the question for it with none, with another status than 200 or unreadably, and was taken for the registered process for as long as the connection lasted.

Cause: not known was taken for the good case. Nobody vouched for the version of that process, and its streams were recorded as of the registered one.

Evidence: TestStreamDoesNotGoOnWithAProcessOfUnknownStart failed before in its three cases with several versions (a stream went on with such a process) and held in the three with one version.

Change: where the service of a stream may have had several versions, it does not go on at such a process, and one that began there goes on nowhere, in the answer or over its caller's tries: its origin is unknown. Where there was one version, both go on. A stream may begin there as before, and the engine does not count as unreachable. After another status than 200 the connection is asked again when it is used next.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -73,6 +73,8 @@
 	// statedStart is the Unix time in ms that the process stated as its start on the connection of the attempt; 0 if it
 	// stated none or was not asked.
 	statedStart int64
+	// processUnknown is set if the process did not state its start although its registration does.
+	processUnknown bool
 	// hold is the memory of the answer, or of the parts of it that are held.
 	hold *hold
 	// partialSince is when a part of the answer came that had not become complete when the attempt ended; zero if
@@ -138,14 +140,13 @@
 		return notSent
 	}
 	if a.call.route.RetryPolicy == routing.Resumable {
-		if a.err = e.checkProcess(u, a.target, a.hold); a.err != nil {
+		if a.err = a.checkProcess(u); a.err != nil {
 			u.abandon()
 			if ctx.Err() != nil {
 				return abandoned
 			}
 			return notSent
 		}
-		a.statedStart = u.started
 	}
 	if e.isEvacuated(a.target.Zone) {
 		u.Close()
--- a/edge/call.go
+++ b/edge/call.go
@@ -56,7 +56,7 @@
 	// request takes it up and the route leads there; "" otherwise.
 	stream        streams.ID
 	originService string
-	// originUnknown is set if the request takes up a stream of which nobody knows where it began.
+	// originUnknown is set if nobody knows at which version the stream began that the request takes up or has begun.
 	originUnknown bool
 	// originRecordedAt is when the origin of the stream was last recorded; zero before its first event.
 	originRecordedAt time.Time
@@ -394,6 +394,9 @@
 	}
 	c.edge.mu.Lock()
 	defer c.edge.mu.Unlock()
+	if !c.pinVersion() {
+		return "version of the stream unknown"
+	}
 	now := time.Now()
 	if c.targetsLost && !c.edge.poison.MayResend(now, c.digest, c.sharedParts) {
 		return "targets were lost with this request in flight"
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -388,7 +388,7 @@
 		// The packets may wait at this router's own link.
 		return placement.Unsent
 	}
-	if errors.Is(a.err, errEvacuated) || errors.Is(a.err, syscall.EMFILE) || outcome == abandoned && !a.sent {
+	if errors.Is(a.err, errEvacuated) || errors.Is(a.err, errProcessUnknown) || errors.Is(a.err, syscall.EMFILE) || outcome == abandoned && !a.sent {
 		return placement.Unsent
 	}
 	switch outcome {
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -63,7 +63,7 @@
 // pinVersion restricts a stream of unknown origin to the only version that its service has had, since another one
 // may come before a target is chosen. It returns false if one has come. The caller holds e.mu.
 func (c *call) pinVersion() bool {
-	if !c.originUnknown {
+	if !c.originUnknown || c.demand.Version != 0 {
 		return true
 	}
 	if c.edge.mayHaveSeveralVersions(c.route) {
@@ -197,14 +197,20 @@
 
 // recordOrigin records, before events of a stream are forwarded, at which version they were written:
 // the stream may go on only there, in this answer and in those to later requests of its caller.
-func (c *call) recordOrigin(t routing.Target) {
+// Where a process of unknown version has begun it, or has gone on with a stream of unknown origin, that stays unknown.
+func (a *attempt) recordOrigin() {
+	c, e := a.call, a.call.edge
+	if a.processUnknown && (c.originUnknown || c.demand.Version == 0) {
+		c.originUnknown, c.demand.Version = true, 0
+		return
+	}
 	now := time.Now()
 	if now.Sub(c.originRecordedAt) < originRefresh {
 		return
 	}
 	c.originRecordedAt = now
-	c.demand.Version = placement.VersionHash(t.Version)
-	e := c.edge
+	c.originUnknown = false
+	c.demand.Version = placement.VersionHash(a.target.Version)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.origins.Record(now, c.stream, streams.Origin{Service: placement.Hash(c.service), Version: c.demand.Version})
--- a/edge/process_start.go
+++ b/edge/process_start.go
@@ -19,8 +19,12 @@
 	maxProcessStartBytes = 16 << 10
 )
 
-// errOtherProcess: the process at the address of a target is not the one of its registration.
-var errOtherProcess = errors.New("another process than the registered one")
+var (
+	// errOtherProcess: the process at the address of a target is not the one of its registration.
+	errOtherProcess = errors.New("another process than the registered one")
+	// errProcessUnknown: the process does not state its start, and the stream goes on at one version only.
+	errProcessUnknown = errors.New("process does not state its start")
+)
 
 // asksForStart reports whether the process of a target says when it started.
 func (e *Edge) asksForStart(t routing.Target) bool {
@@ -37,11 +41,11 @@
 		return nil
 	}
 	if !u.startAsked {
-		started, err := e.processStart(u, h)
+		started, answered, err := e.processStart(u, h)
 		if err != nil {
 			return fmt.Errorf("ask for the start: %w", err)
 		}
-		u.startAsked, u.started = true, started
+		u.startAsked, u.started = answered, started
 	}
 	if u.started != 0 && u.started != t.StartedUnixMs {
 		level.Warn(e.logger).Log("event", "other_process", "target", t.ID, "target_version", t.Version,
@@ -51,35 +55,56 @@
 	return nil
 }
 
+// checkProcess checks the process at the other end of u before it gets the request. One that does not state its start,
+// although the registration does, may be of any version: a stream may begin there, but goes on only if its service has
+// had one version. The error wraps errOtherProcess or errProcessUnknown, or says why the connection is of no use.
+func (a *attempt) checkProcess(u *upstream) error {
+	c, e := a.call, a.call.edge
+	if err := e.checkProcess(u, a.target, a.hold); err != nil {
+		return err
+	}
+	a.statedStart = u.started
+	a.processUnknown = u.started == 0 && e.asksForStart(a.target)
+	if !a.processUnknown || c.resumeAfter() == "" {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.mayHaveSeveralVersions(c.route) {
+		return errProcessUnknown
+	}
+	return nil
+}
+
 // processStart asks the process at the other end of an unused connection for the Unix time in ms of its start; 0 if
-// its answer does not state it.
-func (e *Edge) processStart(u *upstream, h *hold) (int64, error) {
+// its answer does not state it. answered is false if the process could not say, and may be asked again.
+func (e *Edge) processStart(u *upstream, h *hold) (started int64, answered bool, err error) {
 	deadline := time.Now().Add(processStartTimeout)
 	u.SetDeadline(deadline)
 	head := h1.AppendRequestHead(nil, http.MethodGet, e.inspector.StartPath(), h1.Header{{Name: "Host", Value: u.address}}, 0)
 	if _, err := u.Write(head); err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	u.beginHead(h, deadline)
 	resp, err := h1.ReadResponse(u.br, http.MethodGet, maxAnswerHeadBytes)
 	u.endHead()
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	body := heldBuffer{hold: h}
 	more, err := body.readAll(resp.Body(u.br), resp.Length(), maxProcessStartBytes)
 	u.SetDeadline(time.Time{})
 	switch {
 	case err != nil:
-		return 0, err
+		return 0, false, err
 	case more:
-		return 0, h1.ErrBodyTooLarge
+		return 0, false, h1.ErrBodyTooLarge
 	case !resp.Reusable():
-		return 0, errNotReusable
+		return 0, false, errNotReusable
 	case resp.Status != http.StatusOK:
-		return 0, nil
+		return 0, false, nil
 	}
-	return e.inspector.StartTime(body.data), nil
+	return e.inspector.StartTime(body.data), true, nil
 }
 
 var errNotReusable = errors.New("connection cannot be used again")
--- a/edge/process_start_test.go
+++ b/edge/process_start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/chiveseam/chiveseam/placement"
 	"github.com/chiveseam/chiveseam/routing"
 )
 
@@ -173,3 +175,75 @@
 		})
 	}
 }
+
+// unstated are answers to the question for its start of a process that does not state it.
+var unstated = map[string]func(s *receivedRequest){
+	"none":         func(s *receivedRequest) { s.answer(http.StatusOK, "0") },
+	"unreadable":   func(s *receivedRequest) { s.answer(http.StatusOK, "no number") },
+	"other status": func(s *receivedRequest) { s.answer(http.StatusServiceUnavailable, "2") },
+}
+
+// unstatedStream runs a stream that breaks off at an engine after its first event, when another one of its version is
+// registered. One of the two, the first if begins is set, answers the question for its start with answer. It returns the
+// router, the ID of the request, its error, and how often the stream went on.
+func unstatedStream(t *testing.T, answer func(s *receivedRequest), several, begins bool) (f *fixture, id string, err error, continued *atomic.Int64) {
+	var second *testTarget
+	continued = &atomic.Int64{}
+	engine := func(id string, states bool) *testTarget {
+		target := newTestTarget(t, id, func(s *receivedRequest) {
+			switch {
+			case s.Path() == "/start" && states:
+				s.statesStart(1)
+			case s.Path() == "/start":
+				answer(s)
+			case s.Header.Get("T-Last") != "":
+				continued.Add(1)
+				s.writeStreamHead()
+				s.writeChunk("id: 3\ndata: b\n\n")
+				s.writeLastChunk()
+			default:
+				f.edge.updateTargets([]TargetChange{{ID: second.id, Target: second.registration()}}, false, 0)
+				s.writeStreamHead()
+				s.writeChunk("id: 1\ndata: a\n\n")
+				time.Sleep(20 * time.Millisecond)
+				s.reset()
+			}
+		})
+		target.version = "v1"
+		return target
+	}
+	first := engine("t1", !begins)
+	second = engine("t2", begins)
+	f = newEngineFixture(t, first)
+	if several {
+		f.edge.mu.Lock()
+		f.edge.origins.SeeVersion(placement.Hash("s"), placement.VersionHash("v2"))
+		f.edge.mu.Unlock()
+	}
+	c := f.client()
+	id = c.send("POST", "/resumable/", "", "")
+	_, body, err := c.receive("POST")
+	f.is.True(strings.Contains(body, "data: a"))
+	return f, id, err, continued
+}
+
+// Guards against ORDER: a process that does not state its start, though its registration does, was taken for the
+// registered one. A stream of another engine went on there, or one that began there went on elsewhere, in one answer or
+// over its caller's tries. Where the service has had one version only, both go on.
+func TestStreamDoesNotGoOnWithAProcessOfUnknownStart(t *testing.T) {
+	for name, answer := range unstated {
+		for _, several := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, several versions %t", name, several), func(t *testing.T) {
+				f, _, err, continued := unstatedStream(t, answer, several, false)
+				f.is.Equal(err != nil, several)
+				f.is.Equal(continued.Load() == 0, several)
+
+				f, id, err, continued := unstatedStream(t, answer, several, true)
+				f.is.Equal(err != nil, several)
+				f.is.Equal(continued.Load() == 0, several)
+				status, _ := f.resumeStream(id)
+				f.is.Equal(status == http.StatusOK, !several)
+			})
+		}
+	}
+}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -183,7 +183,7 @@
 		c.lastEventID = id
 	}
 	c.eventsSent = true
-	c.recordOrigin(a.target)
+	a.recordOrigin()
 	return nil
 }
 
