edge: know how old streams may be after a timeout was lowered

Callers could get a stream with events of two software versions: it had begun under a longer timeout of its route, nobody knew at which version, and it went on at the version that was left.

Cause: the age that such a stream may have followed from the present timeout alone, so that it passed as too old to matter. The same held where another prefix, with a lower timeout, took over the paths of a route.

Change: streamAges remembers longer timeouts for as long as streams that began under them may last, and 2 s, in which a configuration comes into force everywhere. It holds nothing while no timeout is lowered. A router that starts after the change does not know the earlier timeout.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -136,6 +136,7 @@
 	// reportedAt is when the latest report was created; zero before the first.
 	reportedAt  time.Time
 	origins     *streams.Origins
+	streamAges  streamAges
 	evacuations *evacuation.Zones
 	// originWaiters holds a channel for each stream whose origin other routers were asked for.
 	originWaiters map[streams.ID]chan struct{}
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -127,7 +127,7 @@
 		return true
 	}
 	for _, s := range route.Services {
-		if e.origins.MayHaveSeveralVersions(now, placement.Hash(s.Service), streamAge(route)) {
+		if e.origins.MayHaveSeveralVersions(now, placement.Hash(s.Service), e.streamAges.of(now, route)) {
 			return true
 		}
 	}
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -12,17 +12,6 @@
 	"github.com/chiveseam/chiveseam/streams"
 )
 
-// takeUpMargin is added to the timeout of a route for the age of a stream that a caller takes up.
-const takeUpMargin = time.Second
-
-// streamAge returns the greatest age of a stream of the route that a caller takes up.
-func streamAge(route *routing.Route) time.Duration {
-	if route.Timeout <= 0 {
-		return streams.Lifetime
-	}
-	return route.Timeout + takeUpMargin
-}
-
 // interruptionTime is the time without a report of this router after which it is held to have been stopped or to have
 // got no processor. It is longer than the interval between two reports.
 const interruptionTime = time.Second
@@ -124,15 +113,15 @@
 // versionsKnown reports whether all versions are known that services have had for as long as any stream may
 // last.
 func (e *Edge) versionsKnown() bool {
-	longest := time.Duration(0)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now, longest := time.Now(), time.Duration(0)
 	for route := range e.table.Load().Routes() {
 		if route.RetryPolicy == routing.Resumable {
-			longest = max(longest, streamAge(route))
+			longest = max(longest, e.streamAges.of(now, route))
 		}
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.origins.VersionsKnownFor(time.Now()) >= longest
+	return e.origins.VersionsKnownFor(now) >= longest
 }
 
 // mergeHistory applies the store's history of registrations.
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -275,6 +275,7 @@
 	}
 	e.mu.Lock()
 	e.balancer.SetServices(t.Services, t.Limits.TokensPerSecond)
+	e.streamAges.replaceTable(time.Now(), old, t)
 	e.mu.Unlock()
 	e.table.Store(t)
 	e.metrics.version.Set(float64(t.Version))
