streams: the history of a restored store is not known before a loss

Callers could get a stream with events of two software versions: a version was registered and left within the time that a restore of the store from a copy has lost, all routers started again, and streams that had begun there went on at the version that was left.

Cause: the history of the restored store was taken for whole, or for known as far as it goes back, though it has a hole.

Change: in the history of a store that states that it has been restored, versions are known only from the last registration on before which others of the same process are missing. Where nothing is missing, nothing changes; otherwise streams of unknown origin are refused until the loss is older than they may be. Routers that ran through the restore know what they saw, and tell the others, as before. MergeHistory takes a History now; the tests call it with the same values. A loss that is shorter than a heartbeat and in which no target registered is not seen.

--- a/edge/versions.go
+++ b/edge/versions.go
@@ -126,14 +126,15 @@
 
 // mergeHistory applies the store's history of registrations.
 func (e *Edge) mergeHistory(past []PastChange, whole bool) {
-	history := make([]streams.Registration, 0, len(past))
+	history := streams.History{Registrations: make([]streams.Registration, 0, len(past)), Whole: whole}
 	for _, c := range past {
+		history.Restored = history.Restored || c.Revision.Epoch > 0
 		switch {
 		case c.Removed:
-			history = append(history, streams.Registration{Target: c.ID, Removed: true})
+			history.Registrations = append(history.Registrations, streams.Registration{Target: c.ID, Removed: true})
 		case c.Err == nil:
 			t := c.Target
-			history = append(history, streams.Registration{
+			history.Registrations = append(history.Registrations, streams.Registration{
 				Target: c.ID, New: c.New, Service: placement.Hash(t.Service), Version: placement.VersionHash(t.Version),
 				Started: time.UnixMilli(t.StartedUnixMs), Sequence: t.Sequence,
 			})
@@ -142,7 +143,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	e.origins.MergeHistory(now, history, whole, e.settings.Heartbeat)
+	e.origins.MergeHistory(now, history, e.settings.Heartbeat)
 	level.Info(e.logger).Log("event", "version_history_read", "changes", len(past), "whole", whole,
 		"known_for_ms", e.origins.VersionsKnownFor(now).Milliseconds())
 }
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/chiveseam/chiveseam/streams"
 )
 
 // Guards against the incident ORDER: after the start of all routers, streams of a version that had left in the
@@ -45,3 +47,35 @@
 		})
 	}
 }
+
+// Guards against ORDER: the history of a store that was restored from a copy was taken for whole, although a version may
+// have been registered and left within the time that is lost.
+func TestHistoryOfARestoredStoreMayLackAVersion(t *testing.T) {
+	var breaks atomic.Bool
+	present := versionedTargets(t, &breaks)[0]
+	for _, c := range []struct {
+		name      string
+		sequences []uint64
+		status    int
+	}{
+		{"nothing lost", []uint64{1, 2, 3, 4}, http.StatusOK},
+		{"registrations lost", []uint64{1, 2, 5, 6}, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, present)
+			var history []PastChange
+			for i, sequence := range c.sequences {
+				r := present.registration()
+				r.Sequence = sequence
+				change := TargetChange{ID: r.ID, Target: r, Revision: Revision{Epoch: 1, Number: uint64(i + 1)}}
+				history = append(history, PastChange{TargetChange: change, New: i == 0})
+			}
+			f.edge.mu.Lock()
+			f.edge.origins = streams.New(time.Now())
+			f.edge.mu.Unlock()
+			f.edge.mergeHistory(history, true)
+			status, _ := f.resumeStream("nobody's")
+			f.is.Equal(status, c.status)
+		})
+	}
+}
--- a/streams/history.go
+++ b/streams/history.go
@@ -21,25 +21,66 @@
 	Sequence uint64
 }
 
-// MergeHistory records the versions in a history of registrations that ends now, with the oldest change first,
-// and since when these are all versions that there were. whole is set if the history goes back to the
-// beginning.
+// History is the registrations of targets up to now, as far as they are known.
+type History struct {
+	// Registrations begin with the oldest one.
+	Registrations []Registration
+	// Whole is set if they go back to the beginning.
+	Whole bool
+	// Restored is set if the store may have lost some in between, as it was restored from a copy.
+	Restored bool
+}
+
+// MergeHistory records the versions in a history, and since when these are all versions that there were.
 //
 // A history has no times. How far it goes back is the time in which targets made the registrations that it
 // holds of them: one each heartbeat, or at their rate since their starts if that is higher, as they may have made
 // fewer while the store was away. The second longest of these times counts, since a single target may state a wrong
 // start.
-func (o *Origins) MergeHistory(now time.Time, history []Registration, whole bool, heartbeat time.Duration) {
-	for _, r := range history {
+func (o *Origins) MergeHistory(now time.Time, h History, heartbeat time.Duration) {
+	for _, r := range h.Registrations {
 		if !r.Removed {
 			o.SeeVersion(r.Service, r.Version)
 		}
 	}
-	if whole {
+	lost := 0
+	if h.Restored {
+		lost = lossEnd(h.Registrations)
+	}
+	if h.Whole && lost == 0 {
 		o.AllVersionsSince(time.Unix(0, 0))
 		return
 	}
-	o.AllVersionsSince(now.Add(-span(now, history[knownFrom(history):], heartbeat)))
+	from := lost
+	if !h.Whole {
+		from = max(from, knownFrom(h.Registrations))
+	}
+	o.AllVersionsSince(now.Add(-span(now, h.Registrations[from:], heartbeat)))
+}
+
+// lossEnd returns the index behind the last registration before which others of the same process are missing; 0 if
+// there is none. A version may have been registered and left in the time that the store has lost.
+func lossEnd(history []Registration) int {
+	end := 0
+	last := make(map[string]Registration)
+	for i, r := range history {
+		if r.Removed {
+			continue
+		}
+		before, made := last[r.Target]
+		switch {
+		case made && before.Started.Equal(r.Started):
+			if r.Sequence > before.Sequence+1 {
+				end = i + 1
+			}
+		case made || r.New:
+			if r.Sequence > 1 {
+				end = i + 1
+			}
+		}
+		last[r.Target] = r
+	}
+	return end
 }
 
 // knownFrom returns the index from which the versions of all registrations in a history are known: behind the
--- a/streams/history_test.go
+++ b/streams/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -64,7 +65,7 @@
 			o, told := streams.New(now), streams.New(now)
 			is.True(o.MayHaveSeveralVersions(now, service, time.Second)) // nothing is known before the first read
 			o.AllVersionsSince(now)
-			o.MergeHistory(now, c.history, c.whole, heartbeat)
+			o.MergeHistory(now, streams.History{Registrations: c.history, Whole: c.whole}, heartbeat)
 			r := &v1.LoadReport{}
 			o.FillReport(now, r)
 			told.MergeReport(now, r)
@@ -104,7 +105,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			o := streams.New(now)
-			o.MergeHistory(now.Add(c.clock), c.history, false, heartbeat)
+			o.MergeHistory(now.Add(c.clock), streams.History{Registrations: c.history}, heartbeat)
 			is.True(o.VersionsKnownFor(now.Add(c.clock)) <= within)
 		})
 	}
@@ -119,6 +120,47 @@
 	again := streams.Registration{Target: "again", Service: service, Version: 11, Started: now.Add(-16 * time.Second), Sequence: 1}
 	history = append(append(history[:6:6], again), history[6:]...) // 2.4 s after the beginning
 	o := streams.New(now)
-	o.MergeHistory(now, history, false, heartbeat)
+	o.MergeHistory(now, streams.History{Registrations: history}, heartbeat)
 	is.True(o.VersionsKnownFor(now) <= 16*time.Second)
 }
+
+// Guards against ORDER: a version was registered and left within the time that a restore of the store from a copy has
+// lost, and the history was taken for whole after it.
+func TestHistoryIsNotKnownBeforeALoss(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	whole := heartbeats(now, 18*time.Second, 0, 11, 11, 11)
+	start := func(sequence uint64) []streams.Registration {
+		added := streams.Registration{Target: "n", New: true, Service: service, Version: 11, Started: now.Add(-14 * time.Second), Sequence: sequence}
+		return append(append(whole[:24:24], added), whole[24:]...)
+	}
+	restarted := slices.Clone(whole)
+	for i := range restarted[24:] { // the first one is 8.4 s before now, the third since the start
+		if r := &restarted[24+i]; r.Target == "0" {
+			r.Started, r.Sequence = now.Add(-12*time.Second), uint64(3+i/3)
+		}
+	}
+	for _, c := range []struct {
+		name    string
+		history streams.History
+		known   time.Duration
+	}{
+		{"nothing lost", streams.History{Registrations: whole, Whole: true, Restored: true}, time.Hour},
+		{"nothing lost, cut off", streams.History{Registrations: whole, Restored: true}, 18 * time.Second},
+		{"three heartbeats lost", streams.History{Registrations: append(whole[:15:15], whole[24:]...), Whole: true, Restored: true}, 8400 * time.Millisecond},
+		{"three heartbeats lost, cut off", streams.History{Registrations: append(whole[:15:15], whole[24:]...), Restored: true}, 8400 * time.Millisecond},
+		{"one registration lost", streams.History{Registrations: append(whole[:23:23], whole[24:]...), Whole: true, Restored: true}, 8400 * time.Millisecond},
+		{"first registration lost", streams.History{Registrations: start(2), Whole: true, Restored: true}, 8400 * time.Millisecond},
+		{"new target", streams.History{Registrations: start(1), Whole: true, Restored: true}, time.Hour},
+		{"registrations since a start lost", streams.History{Registrations: restarted, Whole: true, Restored: true}, 8400 * time.Millisecond},
+		{"registrations missing in a store that was not restored", streams.History{Registrations: append(whole[:15:15], whole[24:]...), Whole: true}, time.Hour},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			o := streams.New(now)
+			o.MergeHistory(now, c.history, heartbeat)
+			known := o.VersionsKnownFor(now)
+			is.True(known <= c.known || c.known == time.Hour)
+			is.True(known >= c.known-2*heartbeat)
+		})
+	}
+}
