streams: versions of services beyond the bound are not known

Callers could get a stream with events of two software versions of a service that came after 10,000 others: its versions were not remembered.

Cause: what was not remembered for want of room passed as one version.

Evidence: TestVersionsOfServicesBeyondTheBoundAreNotKnown failed before.

Change: a service of which nothing is remembered may have several versions once there is no room left.

Measured: package streams passes.

--- a/streams/streams.go
+++ b/streams/streams.go
@@ -103,9 +103,10 @@
 }
 
 // MayHaveSeveralVersions reports whether targets of several versions may have served a service within a time
-// before now.
+// before now. Those of a service for which no room was left are not known.
 func (o *Origins) MayHaveSeveralVersions(now time.Time, service uint32, within time.Duration) bool {
-	return len(o.versions[service]) > 1 || o.VersionsKnownFor(now) < within
+	known := len(o.versions[service])
+	return known > 1 || known == 0 && len(o.versions) >= maxServices || o.VersionsKnownFor(now) < within
 }
 
 // OnlyVersion returns the version of a service of which exactly one is known, and 0 otherwise.
--- a/streams/streams_test.go
+++ b/streams/streams_test.go
@@ -202,3 +202,21 @@
 		is.True(!o.MayHaveSeveralVersions(now, other, 0))
 	}
 }
+
+// Guards against ORDER: the versions of services beyond the bound were not remembered, and such a service passed as one of
+// a single version.
+func TestVersionsOfServicesBeyondTheBoundAreNotKnown(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	o := streams.New(now)
+	o.AllVersionsSince(now.Add(-time.Hour))
+	const services = 10_000
+	is.True(!o.MayHaveSeveralVersions(now, services+1, time.Minute))
+	for service := range uint32(services) {
+		o.SeeVersion(service+1, 11)
+	}
+	o.SeeVersion(services+1, 11)
+	o.SeeVersion(services+1, 12)
+	is.True(o.MayHaveSeveralVersions(now, services+1, time.Minute))
+	is.True(!o.MayHaveSeveralVersions(now, services, time.Minute))
+}
