edge: a router that was stopped does not tell that it knows all versions

Callers could get a stream with events of two software versions: a router that had been stopped (SIGSTOP) answered the question of one that had just started, before its own next report was due, that it knew all versions for as long as it was up. One that came and left in between was unknown to both.

Cause: what it had missed was noted with its next report only.

Evidence: TestStoppedRouterDoesNotTellThatItKnowsAllVersions failed before.

Change: the interruption is noted before an answer, too.

--- a/edge/reports.go
+++ b/edge/reports.go
@@ -264,6 +264,8 @@
 	answer.RateLimits = e.balancer.RateLimits(now)
 	answer.Evacuations = e.evacuations.Entries()
 	answer.ColdTargets = e.balancer.ColdTargetMessages(now)
+	// After an interruption, a question may come before the next report is due.
+	e.noteReport(now)
 	e.origins.AddVersions(now, answer)
 	answers := []*v1.LoadReport{answer}
 	for _, parts := range e.balancer.RecentCachedParts(now) {
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -1,13 +1,16 @@
 package edge
 
 import (
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/streams"
 )
 
@@ -79,3 +82,28 @@
 		})
 	}
 }
+
+// Guards against ORDER: a router that had been stopped answered others before its next report, and told them that it knew
+// all versions, also of the time in which it was stopped.
+func TestStoppedRouterDoesNotTellThatItKnowsAllVersions(t *testing.T) {
+	f := newFixture(t)
+	f.newPeer()
+	asking, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	f.is.NoErr(err)
+	defer asking.Close()
+	f.is.NoErr(asking.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	for _, stopped := range []time.Duration{0, 10 * time.Second} {
+		f.edge.mu.Lock()
+		now := time.Now()
+		f.edge.origins.AllVersionsSince(now.Add(-time.Minute))
+		f.edge.reportedAt = now.Add(-stopped)
+		f.edge.answerReport(now, asking.LocalAddr().(*net.UDPAddr).AddrPort())
+		f.edge.mu.Unlock()
+		buf := make([]byte, maxReportBytes)
+		n, err := asking.Read(buf)
+		f.is.NoErr(err)
+		var answer v1.LoadReport
+		f.is.NoErr(proto.Unmarshal(buf[:n], &answer))
+		f.is.Equal(answer.VersionsKnownMs == 0, stopped > 0)
+	}
+}
