edge: a stream that moves to another service stays at one version there

Callers could get a stream with events of two software versions of one service: the configuration led its route to another service with two versions, the stream went on at one of them, and when its caller took it up again, at the other.

Cause: a stream kept its first origin only. Where that does not apply, any version passed, each time anew.

Evidence: TestStreamThatGoesOnAtAnotherServiceStaysAtOneVersion failed before.

Change: what follows of a stream after its service has an ID of its own, under which its origin there is recorded, told and asked for.

Tried and reverted: to replace the recorded origin by that of the other service. TestOriginIsKeptForItsLifetime and TestOriginIsRefreshed, by which the first one stays, failed.

--- a/edge/origin.go
+++ b/edge/origin.go
@@ -40,7 +40,7 @@
 	c.stream = streams.IDOf(c.req.Header.Get(e.headers.Resumes))
 	origin, known := e.findOrigin(c.stream, c.route)
 	if known {
-		c.setOrigin(origin)
+		c.followOrigin(origin)
 		return true
 	}
 	e.mu.Lock()
@@ -73,16 +73,37 @@
 	return true
 }
 
-// setOrigin restricts the request to the service and version that began its stream. If the route no
-// longer leads to that service, the stream goes on at one to which it does.
-func (c *call) setOrigin(origin streams.Origin) {
+// maxMoves is the number of services to which a stream is followed.
+const maxMoves = 4
+
+// followOrigin restricts the request to the service and version that began its stream. If the route no longer leads to
+// that service, the stream goes on at one to which it does, and at the same version of that from then on.
+func (c *call) followOrigin(origin streams.Origin) {
+	for range maxMoves {
+		if c.setOrigin(origin) {
+			return
+		}
+		c.stream = c.stream.After(origin.Service)
+		next, known := c.edge.findOrigin(c.stream, c.route)
+		if !known {
+			return
+		}
+		origin = next
+	}
+}
+
+// setOrigin restricts the request to the targets of a service and version. It returns false if the route does not lead
+// to the service.
+func (c *call) setOrigin(origin streams.Origin) bool {
 	for _, s := range c.route.Services {
 		if placement.Hash(s.Service) == origin.Service {
 			c.originService = s.Service
 			c.demand.Version = origin.Version
 			c.demand.Repeated = true
+			return true
 		}
 	}
+	return false
 }
 
 // findOrigin returns where a stream began, and whether that is known. If it is not and the services of
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -107,3 +107,24 @@
 		f.is.Equal(answer.VersionsKnownMs == 0, stopped > 0)
 	}
 }
+
+// Guards against ORDER: the route of a stream came to another service with two versions. The stream went on at one of them,
+// and when its caller took it up again, at the other.
+func TestStreamThatGoesOnAtAnotherServiceStaysAtOneVersion(t *testing.T) {
+	var breaks atomic.Bool
+	targets := versionedTargets(t, &breaks)
+	f := newFixture(t, targets...)
+	id, _ := f.beginStream()
+	f.edge.mu.Lock()
+	f.edge.origins = streams.New(time.Now())
+	f.edge.origins.Record(time.Now(), streams.IDOf(id), streams.Origin{Service: 1, Version: 1}) // the earlier service
+	f.edge.mu.Unlock()
+	var rest string
+	for range 8 {
+		status, body := f.resumeStream(id)
+		f.is.Equal(status, http.StatusOK)
+		rest += body
+	}
+	versions, _ := versionsIn(rest)
+	f.is.Equal(len(versions), 1)
+}
--- a/streams/streams.go
+++ b/streams/streams.go
@@ -19,6 +19,7 @@
 package streams
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -60,6 +61,12 @@
 	return ID(xxhash.Sum64String(requestID))
 }
 
+// After returns the ID of what follows of a stream once its route no longer leads to the service at which it began.
+func (id ID) After(service uint32) ID {
+	b := binary.LittleEndian.AppendUint64(nil, uint64(id))
+	return ID(xxhash.Sum64(binary.LittleEndian.AppendUint32(b, service)))
+}
+
 // Origin is where a stream began.
 type Origin struct {
 	// Service and Version are hashes of the service and of the version of its targets.
