--- a/edge/process_start_test.go
+++ b/edge/process_start_test.go
@@ -186,7 +186,7 @@
 // unstatedStream runs a stream that breaks off at an engine after its first event, when another one of its version is
 // registered. One of the two, the first if begins is set, answers the question for its start with answer. It returns the
 // router, the ID of the request, its error, and how often the stream went on.
-func unstatedStream(t *testing.T, answer func(s *receivedRequest), several, begins bool) (f *fixture, id string, err error, continued *atomic.Int64) {
+func unstatedStream(t *testing.T, answer func(s *receivedRequest), several, begins bool) (f *fixture, id string, continued *atomic.Int64, err error) {
 	var second *testTarget
 	continued = &atomic.Int64{}
 	engine := func(id string, states bool) *testTarget {
@@ -224,7 +224,7 @@
 	id = c.send("POST", "/resumable/", "", "")
 	_, body, err := c.receive("POST")
 	f.is.True(strings.Contains(body, "data: a"))
-	return f, id, err, continued
+	return f, id, continued, err
 }
 
 // Guards against ORDER: a process that does not state its start, though its registration does, was taken for the
@@ -234,11 +234,11 @@
 	for name, answer := range unstated {
 		for _, several := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, several versions %t", name, several), func(t *testing.T) {
-				f, _, err, continued := unstatedStream(t, answer, several, false)
+				f, _, continued, err := unstatedStream(t, answer, several, false)
 				f.is.Equal(err != nil, several)
 				f.is.Equal(continued.Load() == 0, several)
 
-				f, id, err, continued := unstatedStream(t, answer, several, true)
+				f, id, continued, err := unstatedStream(t, answer, several, true)
 				f.is.Equal(err != nil, several)
 				f.is.Equal(continued.Load() == 0, several)
 				status, _ := f.resumeStream(id)
