soak: targets whose processes end within unframed answers

Cause of not seeing it here: target-dark holds all bytes back first and resets the connections at the end, so no end between two events came before the silence; after target-unframed-kill connections are refused; and no plain answer was unframed.

Change: three kinds at the end of Kinds. The target answers unframed, also plain requests, half of them in two parts 20 ms apart, until its process ends and closes all connections; then its address answers no connection, accepts and says nothing, or is a successor's under the same ID at once. A target that only answers unframed is no excuse for a lost answer any more, one of these kinds not before its end. The report counts unframed answers: whole, whole but cut, whole and run again, short but passed as whole, short and cut.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -120,8 +120,7 @@
 // after the period.
 func (c *checker) faultDuring(from, to time.Time, affects func(Fault) bool) bool {
 	for _, f := range c.faults {
-		begin := c.start.Add(f.At)
-		end := begin.Add(f.Duration + settleTime)
+		begin, end := c.start.Add(f.disturbsAt()), c.start.Add(f.At+f.Duration+settleTime)
 		if affects(f) && begin.Before(to.Add(measurementSlack)) && end.After(from) {
 			return true
 		}
@@ -147,7 +146,9 @@
 
 // targetFaultFree reports whether the target had no unplanned fault in the period.
 func (c *checker) targetFaultFree(target int, from, to time.Time) bool {
-	return !c.faultDuring(from, to, func(f Fault) bool { return f.Index == target && f.Kind.onTarget() && !f.Kind.planned() })
+	return !c.faultDuring(from, to, func(f Fault) bool {
+		return f.Index == target && f.Kind.onTarget() && !f.Kind.planned() && !f.Kind.sound()
+	})
 }
 
 // startClock sets the time from which Fault.At is counted to now.
@@ -232,6 +233,9 @@
 		c.fail(promiseRunAsSent, run.RequestID, "target %s runs a request that no caller sent", run.Target)
 		return
 	}
+	if r.unframedSent {
+		c.counts["unframed whole, run again"]++
+	}
 	r.runs = append(r.runs, run)
 	c.checkRunAsSent(r, run)
 	c.checkRunLimits(r, run)
@@ -253,6 +257,7 @@
 	defer c.mu.Unlock()
 	if r, ok := c.requests[run.RequestID]; ok && run.FullAnswer {
 		r.fullAnswerSent = true
+		r.unframedSent = run.Unframed
 		if by := (answeredBy{r.process(), run.Target}); run.Leaving && c.leavingHeard[by].IsZero() {
 			c.leavingHeard[by] = time.Now()
 		}
@@ -307,6 +312,7 @@
 			c.counts["proper served"]++
 		}
 	}
+	c.countUnframed(r)
 	switch {
 	case a.status == 0 || !a.complete:
 		c.checkLoss(r)
@@ -330,6 +336,25 @@
 	c.checkTimeout(r)
 }
 
+// countUnframed counts an answer whose last run answered with neither a length nor chunks. "Whole" is what a target
+// has sent in full, or what its caller has got in full. c.mu is held.
+func (c *checker) countUnframed(r *request) {
+	if len(r.runs) == 0 || !r.runs[len(r.runs)-1].Unframed {
+		return
+	}
+	passed := r.answer.complete && r.answer.status < 300
+	switch {
+	case passed && c.isWhole(r):
+		c.counts["unframed whole"]++
+	case passed:
+		c.counts["unframed short, passed as whole"]++
+	case r.unframedSent:
+		c.counts["unframed whole, cut"]++
+	default:
+		c.counts["unframed short, cut"]++
+	}
+}
+
 // checkRecovery checks that enough requests are served after the faults are over. sent is the
 // number of valid requests that ended in that period, and served how many of them got status 200.
 func (c *checker) checkRecovery(served, sent int) {
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -247,7 +247,7 @@
 		return
 	}
 	if !r.route.stream {
-		if a.body != standin.AnswerBody(target, r.id) {
+		if !c.isWhole(r) {
 			c.fail(promiseOwnAnswer, r.id, "the body of %d bytes is not the answer of target %s", len(a.body), target)
 		}
 		return
@@ -257,6 +257,16 @@
 	}
 }
 
+// isWhole reports whether the body is all of what the target that signed the answer sends, or holds as many events.
+// c.mu is held.
+func (c *checker) isWhole(r *request) bool {
+	if r.route.stream {
+		ended := r.answer.body == "" || strings.HasSuffix(r.answer.body, "\n\n")
+		return ended && r.lastEvent+strings.Count(r.answer.body, "\n\n") == r.events
+	}
+	return r.answer.body == standin.AnswerBody(strings.TrimPrefix(r.answer.signature, "signed-"), r.id)
+}
+
 // checkEvents checks the events that arrived in answer to a request of a stream, whole or broken off:
 // they go on after the last one that the caller had, without a gap or a repeat, and all events of the
 // stream are of targets of one software version. It returns the number of the last event, and the bytes
--- a/internal/soak/relay.go
+++ b/internal/soak/relay.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/chiveseam/chiveseam/internal/standin/fault"
@@ -40,8 +42,12 @@
 	// open connections to clients and to the server.
 	mu       sync.Mutex
 	listener net.Listener
-	mode     relayMode
-	conns    map[net.Conn]bool
+	// accepting is closed when the last listener's connections are no longer accepted.
+	accepting chan struct{}
+	// filler fills the queue of a listener that stopAccepting has made dark.
+	filler net.Conn
+	mode   relayMode
+	conns  map[net.Conn]bool
 }
 
 // newRelay starts a relay on a free port in front of server.
@@ -50,8 +56,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{listenAddress: l.Addr().String(), listener: l, server: server, conns: make(map[net.Conn]bool)}
-	go r.accept(l)
+	r := &relay{listenAddress: l.Addr().String(), listener: l, server: server, conns: make(map[net.Conn]bool), accepting: make(chan struct{})}
+	go r.accept(l, r.accepting)
 	return r, nil
 }
 
@@ -66,6 +72,38 @@
 		r.listener.Close()
 		r.listener = nil
 	}
+	if r.filler != nil {
+		r.filler.Close()
+		r.filler = nil
+	}
+}
+
+// stopAccepting leaves new connections to the kernel: they open, and nobody reads from them. If dark is set,
+// the kernel answers them as little as a machine that is gone: it drops the first packet of each. Open
+// connections go on. refuse ends this.
+func (r *relay) stopAccepting(dark bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l, ok := r.listener.(*net.TCPListener)
+	if !ok {
+		return nil
+	}
+	if err := l.SetDeadline(time.Unix(1, 0)); err != nil {
+		return err
+	}
+	<-r.accepting
+	if !dark {
+		return nil
+	}
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), 0) })
+	// A queue of length 0 takes one connection. The dial fails if another one is in it already.
+	r.filler, _ = net.DialTimeout("tcp4", r.listenAddress, pollInterval)
+	return errors.Join(err, listenErr)
 }
 
 // listenAgain ends refuse. Another socket may have the port for a moment.
@@ -78,7 +116,8 @@
 	var err error
 	for end := time.Now().Add(relayDialTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
 		if r.listener, err = net.Listen("tcp4", r.listenAddress); err == nil {
-			go r.accept(r.listener)
+			r.accepting = make(chan struct{})
+			go r.accept(r.listener, r.accepting)
 			return nil
 		}
 	}
@@ -121,11 +160,12 @@
 	r.reset()
 }
 
-// accept serves new connections until the listener is closed.
-func (r *relay) accept(l net.Listener) {
+// accept serves new connections until the listener is closed or its deadline is over, and then closes done.
+func (r *relay) accept(l net.Listener, done chan<- struct{}) {
+	defer close(done)
 	for {
 		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
 		if err != nil {
--- a/internal/soak/request.go
+++ b/internal/soak/request.go
@@ -88,6 +88,8 @@
 	version string
 	// fullAnswerSent is set once a target has sent a complete answer.
 	fullAnswerSent bool
+	// unframedSent is set if the last complete answer of a target had neither a length nor chunks.
+	unframedSent bool
 }
 
 // stream returns the request that began the stream.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -50,16 +50,21 @@
 	TargetPause          Kind = "target-pause"
 	TargetUnframedKill   Kind = "target-unframed-kill"
 	TargetRestartStream  Kind = "target-restart-stream"
-	TargetRestart        Kind = "target-restart"
-	TargetDark           Kind = "target-dark"
-	TargetSecondAnswer   Kind = "target-second-answer"
-	TargetLateAnswer     Kind = "target-late-second-answer"
-	TargetEndlessEvent   Kind = "target-endless-event"
-	TargetEndlessSecond  Kind = "target-endless-second-event"
-	TargetEndlessBody    Kind = "target-endless-body"
-	TargetEndlessChunks  Kind = "target-endless-chunks"
-	TargetEndlessField   Kind = "target-endless-field"
-	TargetEndlessList    Kind = "target-endless-list"
+	// Targets that answer unframed until their processes end. Their addresses then belong to a machine that
+	// answers no connection, to something that accepts connections and says nothing, or to a successor under the same ID.
+	TargetUnframedDark    Kind = "target-unframed-dark"
+	TargetUnframedMute    Kind = "target-unframed-mute"
+	TargetUnframedRestart Kind = "target-unframed-restart"
+	TargetRestart         Kind = "target-restart"
+	TargetDark            Kind = "target-dark"
+	TargetSecondAnswer    Kind = "target-second-answer"
+	TargetLateAnswer      Kind = "target-late-second-answer"
+	TargetEndlessEvent    Kind = "target-endless-event"
+	TargetEndlessSecond   Kind = "target-endless-second-event"
+	TargetEndlessBody     Kind = "target-endless-body"
+	TargetEndlessChunks   Kind = "target-endless-chunks"
+	TargetEndlessField    Kind = "target-endless-field"
+	TargetEndlessList     Kind = "target-endless-list"
 
 	SlowRouter      Kind = "router-slow"
 	StoreLinkRefuse Kind = "store-link-refuse"
@@ -87,6 +92,7 @@
 	TargetCut, TargetSilence, TargetUnframed, TargetUnframedBreak, TargetLeaving, TargetPause, TargetLimit,
 	KillRouters, Release, TargetUnframedKill, TargetRestartStream, TargetRestart,
 	TargetDark, TargetSecondAnswer, TargetLateAnswer, SlowRouter, StoreLinkRefuse, StopRouters, ZoneCut, PublishAndKill, EndlessAnswers,
+	TargetUnframedDark, TargetUnframedMute, TargetUnframedRestart,
 }
 
 // endlessKinds are the kinds that an EndlessAnswers stands for.
@@ -110,6 +116,9 @@
 		k == TargetRelease
 }
 
+// sound reports whether the kind leaves a target able to serve all requests.
+func (k Kind) sound() bool { return k == TargetUnframed }
+
 // Fault is one fault of a schedule.
 type Fault struct {
 	Kind Kind
@@ -122,6 +131,16 @@
 	Version int
 }
 
+// disturbsAt returns when the fault may first keep a request from being served, counted from the start of the
+// traffic.
+func (f Fault) disturbsAt() time.Duration {
+	switch f.Kind {
+	case TargetUnframedKill, TargetUnframedDark, TargetUnframedMute, TargetUnframedRestart:
+		return f.At + f.Duration
+	}
+	return f.At
+}
+
 // String returns the fault as one line of a report.
 func (f Fault) String() string {
 	return fmt.Sprintf("%6.2f s  %-20s on %d for %.2f s", f.At.Seconds(), f.Kind, f.Index, f.Duration.Seconds())
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -141,6 +141,12 @@
 		}},
 		{promiseNoLoss, idempotentRoute, func(s *scenario) { s.answer = answer{} }},
 		{promiseNoLoss, nonIdempotentRoute, func(s *scenario) { s.answer = answer{status: 502, requestID: "r", complete: true} }},
+		{promiseNoLoss, nonIdempotentRoute, func(s *scenario) {
+			s.answer = answer{status: 502, requestID: "r", complete: true}
+			s.checker.faults = []Fault{
+				{Kind: TargetUnframed, Index: 1, Duration: time.Hour}, {Kind: TargetUnframedDark, Index: 1, Duration: time.Hour},
+			}
+		}},
 		{promiseStream, chatRoute, func(s *scenario) { s.answer.body = standin.EventText("v1", "r", 1) + standin.EventText("v1", "r", 3) }},
 		{promiseStream, chatRoute, func(s *scenario) { s.answer.body = standin.EventText("v1", "r", 1) }},
 		{promiseStream, chatRoute, func(s *scenario) { s.request.lastEvent, s.answer.complete, s.fullAnswer = 1, false, false }},
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -151,12 +152,13 @@
 		return s.release(f)
 	case TargetRestart:
 		return s.restart(target, min(f.Duration, registrationLapse))
-	case TargetUnframedKill:
-		if target != nil {
-			target.SetFault(standin.Unframed)
-			time.Sleep(f.Duration)
+	case TargetUnframedKill, TargetUnframedDark, TargetUnframedMute, TargetUnframedRestart:
+		if target == nil {
+			return nil
 		}
-		return s.crash(target, promptCrashRestart)
+		target.SetFault(standin.Unframed)
+		time.Sleep(f.Duration)
+		return s.endUnframed(target, f.Kind)
 	case TargetDelay:
 		setModeFor(relay, delay, f.Duration)
 	case TargetCut:
@@ -214,6 +216,17 @@
 	return s.relay
 }
 
+// endUnframed ends the target as a kind of fault says that begins with answers without framing.
+func (s *targetSite) endUnframed(target *standin.Target, kind Kind) error {
+	switch kind {
+	case TargetUnframedRestart:
+		return s.restartAtOnce(target)
+	case TargetUnframedDark, TargetUnframedMute:
+		return s.vanish(target, kind == TargetUnframedDark)
+	}
+	return s.crash(target, promptCrashRestart)
+}
+
 // crash ends the target without draining, deletes its registration after registrationLapse,
 // and starts another target restartDelay later.
 func (s *targetSite) crash(target *standin.Target, restartDelay time.Duration) error {
@@ -221,15 +234,34 @@
 		return nil
 	}
 	s.currentRelay().refuse()
+	return s.replaceCrashed(target, restartDelay)
+}
+
+// replaceCrashed is crash from the moment at which the target is detached and its address is as it will be.
+func (s *targetSite) replaceCrashed(target *standin.Target, restartDelay time.Duration) error {
 	if err := target.Crash(); err != nil {
 		return err
 	}
 	time.Sleep(registrationLapse)
 	s.run.store.DeleteTarget(target.ID)
 	time.Sleep(restartDelay)
+	// Ends stopAccepting.
+	s.currentRelay().refuse()
 	return s.start()
 }
 
+// vanish is crash, but with something at the target's address that accepts connections and says nothing, or, if
+// dark is set, a machine that does not answer.
+func (s *targetSite) vanish(target *standin.Target, dark bool) error {
+	if !s.detach(target) {
+		return nil
+	}
+	if err := s.currentRelay().stopAccepting(dark); err != nil {
+		return err
+	}
+	return s.replaceCrashed(target, promptCrashRestart)
+}
+
 // goDark ends the target without a word: its connections stay open and silent for registrationLapse and a time d, and are
 // then reset, as by a machine that has lost power and starts again.
 func (s *targetSite) goDark(target *standin.Target, relay *relay, d time.Duration) error {
@@ -306,6 +338,20 @@
 	return s.startVersion(3 - s.softwareVersion)
 }
 
+// restartAtOnce is restart without a time in between: the other target listens when the connections of this one end.
+func (s *targetSite) restartAtOnce(target *standin.Target) error {
+	if !s.detach(target) {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := target.StopListening()
+	if !s.closed && err == nil {
+		err = s.startVersion(3 - s.softwareVersion)
+	}
+	return errors.Join(err, target.Crash())
+}
+
 // release starts a target of the fault's software version beside the one that runs, deletes the
 // registration of the latter without publishing it as draining, and lets it serve for some seconds more.
 // Its connections then end in the regular way, or are reset. It does nothing if the target is of that
