edge: detach the witness before the connection is pooled

The attempt detached its witness after it had returned the connection to the pool, where another attempt may use it already: that one's witness was removed, and its reads of the field raced with the write. Seen by callers: rarely, an unframed answer on a kept connection that is cut or needs a status check.

TestUnframedAnswersBesideKeptConnections reports the race with -race on (in the first run), and not in 6 of 6 runs with this change.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -160,7 +160,6 @@
 		a.err = errCallerLeft
 		return abandoned
 	}
-	defer e.witnesses.detach(u)
 	if !e.asksForStart(a.target) && e.witnesses.expectsUnframed(a.target.Service) {
 		e.witnesses.attachNow(u)
 	}
@@ -181,6 +180,7 @@
 	written := make(chan error, 1)
 	a.sent, a.sentAt = true, time.Now()
 	if sent, err := send(u, head, c.req.Body, written); err != nil {
+		c.edge.witnesses.detach(u)
 		u.abandon()
 		a.err = fmt.Errorf("send: %w", err)
 		if sent < int64(len(head)) {
@@ -191,6 +191,7 @@
 	resp, err := a.readHead(u)
 	if err != nil {
 		a.partialSince = u.partialSince
+		c.edge.witnesses.detach(u)
 		u.abandon()
 		return a.readFailed(err)
 	}
@@ -237,6 +238,8 @@
 // release pools the connection if the request was written and the answer read completely, and
 // closes it otherwise.
 func (a *attempt) release(u *upstream, resp *h1.Response, complete bool, written <-chan error) {
+	// Another attempt may use the connection as soon as it is in the pool.
+	a.call.edge.witnesses.detach(u)
 	if !complete || !a.stopCancel() {
 		u.Close()
 		return
--- a/edge/end_test.go
+++ b/edge/end_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -210,3 +211,33 @@
 		})
 	}
 }
+
+// The reverse: answers with and without framing of one service on kept connections, many at a time.
+func TestUnframedAnswersBesideKeptConnections(t *testing.T) {
+	f := newFixture(t, newTestTarget(t, "t1", func(s *receivedRequest) {
+		if s.Path() == "/once/" {
+			s.write(unframedBodyHead + "hello")
+			s.conn.Close()
+			return
+		}
+		s.answer(http.StatusOK, "hello")
+	}))
+	_, _, err := f.client().call("POST", "/once/")
+	f.is.NoErr(err)
+	var calls sync.WaitGroup
+	var failed atomic.Int32
+	for range 8 {
+		c := f.client()
+		calls.Go(func() {
+			for range 200 {
+				resp, body, err := c.call("POST", "/idempotent/")
+				if err != nil || resp.Status != http.StatusOK || body != "hello" {
+					failed.Add(1)
+					return
+				}
+			}
+		})
+	}
+	calls.Wait()
+	f.is.Equal(failed.Load(), int32(0))
+}
