edge: the witness of an unframed answer is that of its process

- A read that does not take what has come took the error of a reset from the next read, so that a reset answer looked ended.
Connections are polled now.
- A witness that had ended and was opened again, or a status check, vouched for a process that had ended long before its answer was read to the end, by a slow caller or late packets.
The end of a witness now counts for all answers beside it; it is replaced before the target's idle time-out.
- The start that a kept connection had stated counted as an answer.
The engine is asked each time.
- Whole answers were cut at targets that had as many connections as they take, after an idle connection had ended, while a status check waited for a slot, and beside old or late registrations.
Unconfirmed ends counted as crashes and led to a quarantine of sound requests.
Framed answers waited for the witness.

The review's tests of an idle time-out just as an answer ends, and of a target that leaves and closes all else first, are left out: what the router sees is the end of a process with the next one at its address, and a crash.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -161,7 +161,7 @@
 		return abandoned
 	}
 	if !e.asksForStart(a.target) && e.witnesses.expectsUnframed(a.target.Service) {
-		e.witnesses.attachNow(u)
+		e.witnesses.attach(u, time.Now())
 	}
 	u.answering.Store(false)
 	a.stopCancel = context.AfterFunc(attemptCtx, u.abandon)
@@ -395,7 +395,7 @@
 	}
 	a.crashed = showsCrash(err)
 	if errors.Is(err, errTargetEnded) || errors.Is(err, errEndUnconfirmed) {
-		a.crashed = a.endedUnplanned()
+		a.crashed = a.processCrashed()
 	}
 	return lost
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -336,6 +336,8 @@
 	e.readyHTTP.Close()
 	e.metricsHTTP.Close()
 	e.reportConn.Close()
+	e.witnesses.close()
+	e.targetConns.dropAll()
 }
 
 // retryBudget returns the retry budget of a service. It allows RetryRatio retries for each request
--- a/edge/end.go
+++ b/edge/end.go
@@ -16,11 +16,13 @@
 type endEvidence string
 
 const (
-	// evidenceWitness: other connections to the process are open.
+	// evidenceWitness: another connection to the process is open.
 	evidenceWitness endEvidence = "witness"
 	// evidenceSameStart: the process at the address states the registered start.
 	evidenceSameStart endEvidence = "same_start"
-	// evidenceAnswered: the target answers a status check, and no other connection to it has ended.
+	// evidenceCapped: the target resets new connections, so it has as many as it takes, unlike the next process at its address.
+	evidenceCapped endEvidence = "capped"
+	// evidenceAnswered: a plain target answers a status check, and there was no other connection that could have ended.
 	evidenceAnswered endEvidence = "answered"
 
 	// evidenceRefused: nothing listens at the address of the target.
@@ -31,7 +33,7 @@
 	evidenceOtherTarget endEvidence = "other_target"
 	// evidenceAddressTaken: the address is registered for another target, or for a later start of it.
 	evidenceAddressTaken endEvidence = "address_taken"
-	// evidenceWitnessEnded: the other connections to the process have ended, too.
+	// evidenceWitnessEnded: the other connection to the process has ended, too.
 	evidenceWitnessEnded endEvidence = "witness_ended"
 
 	// evidenceNone: nothing was found out in time.
@@ -40,7 +42,7 @@
 
 // processLives reports whether the process goes on, so that it has ended the answer and not the answer with it.
 func (v endEvidence) processLives() bool {
-	return v == evidenceWitness || v == evidenceSameStart || v == evidenceAnswered
+	return v == evidenceWitness || v == evidenceSameStart || v == evidenceCapped || v == evidenceAnswered
 }
 
 // processEnded reports whether the process has ended.
@@ -58,33 +60,46 @@
 const (
 	// closeTime is the time in which a process that ends closes its connections and its listener, in any order.
 	closeTime = 20 * time.Millisecond
-	// statusCheckTimeout limits the time of a status check, which may wait for the requests that run.
-	statusCheckTimeout = 500 * time.Millisecond
+	// lateEndTime is the time after which the end of a connection has come though its packet was lost once.
+	lateEndTime = 250 * time.Millisecond
+	// statusCheckShare is the fraction of the time until the request's deadline for which the router waits for a status
+	// check, which may wait for the requests that run.
+	statusCheckShare = 0.5
 )
 
-// endedUnplanned reports whether the target of the attempt, which has ended, was not to leave: one that leaves may
-// close its listener before it ends its answers.
-func (a *attempt) endedUnplanned() bool {
-	e := a.call.edge
+// processCrashed reports whether the process of the target is known to have ended, and was not to leave: one that leaves
+// may close its listener before it ends its answers.
+func (a *attempt) processCrashed() bool { return a.end.processEnded() && !a.call.edge.leaves(a.target) }
+
+// leaves reports whether a target is registered as draining, or no longer registered.
+func (e *Edge) leaves(t routing.Target) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t, registered := e.directory.targets[a.target.ID]
-	return registered && !t.Draining
+	t, registered := e.directory.targets[t.ID]
+	return !registered || t.Draining
 }
 
 // watchEnd begins to watch the process that writes an answer with neither a length nor chunks on u.
 func (a *attempt) watchEnd(u *upstream) {
 	w := a.call.edge.witnesses
 	w.noteUnframed(a.target.Service)
-	w.attach(u, a.sentAt).see(u)
+	w.attach(u, a.sentAt)
+	if u.witness != nil {
+		u.witness.see(u)
+	}
 }
 
 // confirmEnd returns nil if the process that has ended an answer on u by closing the connection is known to go on. Otherwise
 // the answer may be incomplete: the error is errTargetEnded or errEndUnconfirmed.
 func (a *attempt) confirmEnd(u *upstream) error {
 	e := a.call.edge
+	u.endedAt = time.Now()
 	time.Sleep(closeTime)
-	a.end = e.endEvidence(a.target, u)
+	if e.asksForStart(a.target) {
+		a.end = e.engineEvidence(a.target, u)
+	} else {
+		a.end = e.plainEvidence(a.target, u, time.Duration(statusCheckShare*float64(time.Until(a.call.deadline))))
+	}
 	e.metrics.unframedEnds.WithLabelValues(string(a.end)).Inc()
 	switch {
 	case a.end.processLives():
@@ -95,112 +110,164 @@
 	return errEndUnconfirmed
 }
 
-// endEvidence finds out whether the process of a target goes on, which has closed u. What the process states of itself
-// decides before what its connections show: their ends may be late.
-func (e *Edge) endEvidence(t routing.Target, u *upstream) endEvidence {
+// engineEvidence finds out whether the process of a model engine goes on that has closed u. Its start decides before
+// the witness, the end of which may be late.
+func (e *Edge) engineEvidence(t routing.Target, u *upstream) endEvidence {
 	if e.isAddressTaken(t) {
 		return evidenceAddressTaken
 	}
-	testimony := e.witnesses.testimonyOn(u)
-	if testimony == testimonyOpen && !e.asksForStart(t) {
+	if evidence := e.askStart(t, u); evidence != evidenceNone {
+		return evidence
+	}
+	return e.lateWitness(u)
+}
+
+// plainEvidence finds out whether the process of a target that states no start goes on, which has closed u. If nothing else
+// shows it, the target has the time wait to answer a status check.
+func (e *Edge) plainEvidence(t routing.Target, u *upstream, wait time.Duration) endEvidence {
+	state := e.witnesses.state(u)
+	if state == witnessEnded {
+		return evidenceWitnessEnded
+	}
+	if e.isAddressTaken(t) && (state != witnessOpen || e.isAddressOfOther(t)) {
+		return evidenceAddressTaken
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	next, err := e.targetConns.dial(ctx, t.Address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED) && (state != witnessOpen || !e.leaves(t)):
+		return evidenceRefused
+	case err != nil:
+		return e.lateWitness(u)
+	case state == witnessOpen:
+		e.targetConns.putNew(next)
 		return evidenceWitness
 	}
-	evidence := e.askProcess(t)
-	if evidence != evidenceAnswered && evidence != evidenceNone {
-		return evidence
+	defer next.Close()
+	return e.askStatus(t, next, wait)
+}
+
+// lateWitness returns what the witness shows of a process that does not answer.
+func (e *Edge) lateWitness(u *upstream) endEvidence {
+	if e.witnesses.state(u) == witnessOpen {
+		time.Sleep(time.Until(u.endedAt.Add(lateEndTime)))
 	}
-	switch testimony {
-	case testimonyOpen:
+	switch e.witnesses.state(u) {
+	case witnessOpen:
 		return evidenceWitness
-	case testimonyEnded:
+	case witnessEnded:
 		return evidenceWitnessEnded
 	}
-	return evidence
+	return evidenceNone
 }
 
-// isAddressTaken reports whether the address of a target is registered for another one, or for a later start of it.
+// isAddressTaken reports whether the address of a target is registered for another one that started no earlier, or for a later
+// start of it.
 func (e *Edge) isAddressTaken(t routing.Target) bool {
+	return e.isAddressOfOther(t) || e.isReplaced(t)
+}
+
+// isAddressOfOther reports whether the address of a target is registered for another one that started no earlier.
+func (e *Edge) isAddressOfOther(t routing.Target) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, other := range e.directory.targets {
-		if other.Address == t.Address && (other.ID != t.ID || other.StartedUnixMs != t.StartedUnixMs) {
+		if other.Address == t.Address && other.ID != t.ID && (other.StartedUnixMs == 0 || other.StartedUnixMs >= t.StartedUnixMs) {
 			return true
 		}
 	}
 	return false
 }
 
-// askProcess asks the process at the address of a target for its start, or for its status if it states no start.
-func (e *Edge) askProcess(t routing.Target) endEvidence {
-	h := e.answerMemory.open(t.ID, func() {}) // the time for the answer is short
-	defer h.close()
-	ask := e.askStatus
-	if e.asksForStart(t) {
-		ask = e.askStart
-	}
-	evidence, err := ask(t, h)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return evidenceRefused
-	case err != nil:
-		return evidenceNone
-	}
-	return evidence
+// isReplaced reports whether another start of a target is registered.
+func (e *Edge) isReplaced(t routing.Target) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now, registered := e.directory.targets[t.ID]
+	return registered && now.StartedUnixMs != t.StartedUnixMs
 }
 
-// askStart asks the process for its start.
-func (e *Edge) askStart(t routing.Target, h *hold) (endEvidence, error) {
+// askStart asks the process at the address of a model engine for its start, on an idle connection, or on a new one if that
+// has ended. The answer to an earlier question does not count.
+func (e *Edge) askStart(t routing.Target, ended *upstream) endEvidence {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	u, err := e.targetConns.get(ctx, t.Address)
+	if err == nil && u.openedAt.Before(ended.endedAt) {
+		if evidence := e.askStartOn(u, t); evidence != evidenceNone {
+			return evidence
+		}
+		u, err = e.targetConns.dial(ctx, t.Address)
+	}
 	if err != nil {
-		return "", err
+		return noAnswer(err)
 	}
-	err = e.checkProcess(u, t, h)
-	switch {
-	case errors.Is(err, errOtherProcess):
-		u.Close()
-		return evidenceOtherStart, nil
-	case err != nil:
+	evidence := e.askStartOn(u, t)
+	if evidence == evidenceCapped && e.witnesses.state(ended) == witnessEnded {
+		return evidenceNone
+	}
+	return evidence
+}
+
+// askStartOn asks on a connection, which it pools or closes. Only a new connection that is reset shows a limit of connections.
+func (e *Edge) askStartOn(u *upstream, t routing.Target) endEvidence {
+	h := e.answerMemory.open(t.ID, func() {}) // the time for the answer is short
+	defer h.close()
+	fresh := !u.reused
+	u.startAsked = false
+	if err := e.checkProcess(u, t, h); err != nil {
 		u.Close()
-		return "", err
+		if evidence := noAnswer(err); fresh || evidence != evidenceCapped {
+			return evidence
+		}
+		return evidenceNone
 	}
 	e.targetConns.putNew(u)
 	if u.started == 0 {
-		return evidenceAnswered, nil
+		return evidenceNone
 	}
-	return evidenceSameStart, nil
+	return evidenceSameStart
 }
 
-// askStatus checks the status of the target on a new connection. Whatever it answers shows that it goes on.
-func (e *Edge) askStatus(t routing.Target, h *hold) (endEvidence, error) {
+// askStatus checks the status of a plain target on a new connection, for as long as wait. Whatever it answers shows that a
+// process with its ID goes on.
+func (e *Edge) askStatus(t routing.Target, u *upstream, wait time.Duration) endEvidence {
 	path := e.statusPath(t)
 	if path == "" {
-		return evidenceNone, nil
-	}
-	deadline := time.Now().Add(statusCheckTimeout)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	u, err := e.targetConns.dial(ctx, t.Address)
-	if err != nil {
-		return "", err
+		return evidenceNone
 	}
-	defer u.Close()
+	h := e.answerMemory.open(t.ID, func() {}) // the head is bounded
+	defer h.close()
+	deadline := time.Now().Add(wait)
 	u.SetDeadline(deadline)
 	header := h1.Header{{Name: "Host", Value: t.Address}, {Name: e.headers.TargetID, Value: t.ID}}
 	if _, err := u.Write(h1.AppendRequestHead(nil, http.MethodGet, path, header, 0)); err != nil {
-		return "", err
+		return noAnswer(err)
 	}
 	u.beginHead(h, deadline)
 	resp, err := h1.ReadResponse(u.br, http.MethodGet, maxAnswerHeadBytes)
 	if err != nil {
-		return "", err
+		return noAnswer(err)
 	}
 	id, stated := resp.Header.Lookup(e.headers.InstanceID)
 	if stated && id != t.ID || resp.Status == http.StatusMisdirectedRequest {
-		return evidenceOtherTarget, nil
+		return evidenceOtherTarget
+	}
+	return evidenceAnswered
+}
+
+// noAnswer returns what a question on a new connection shows that was not answered.
+func noAnswer(err error) endEvidence {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return evidenceRefused
+	case errors.Is(err, errOtherProcess):
+		return evidenceOtherStart
+	case errors.Is(err, syscall.ECONNRESET):
+		return evidenceCapped
 	}
-	return evidenceAnswered, nil
+	return evidenceNone
 }
 
 // statusPath returns the path of the status check of a target; "" if the configuration states none.
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -124,8 +124,8 @@
 	if a.closeDelimited {
 		if err := a.confirmEnd(u); err != nil {
 			a.err = err
-			a.crashed = a.endedUnplanned()
-			a.targetGone = a.crashed && a.end.processEnded()
+			a.crashed = a.processCrashed()
+			a.targetGone = a.crashed && a.end != evidenceWitnessEnded
 			return lost, false
 		}
 	}
--- a/edge/upstream.go
+++ b/edge/upstream.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,8 +43,8 @@
 	net.Conn
 	br      *bufio.Reader
 	address string
-	// openedAt is when the connection was established.
-	openedAt time.Time
+	// openedAt is when the connection was established, and endedAt when the end of an answer was read that ends with it.
+	openedAt, endedAt time.Time
 	// witness is the witness of the answer on the connection, if it needs one; nil otherwise. Only the attempt that uses
 	// the connection reads it.
 	witness *witness
@@ -226,25 +229,14 @@
 	}
 }
 
-// maxTestimonies is the number of idle connections to one target that are looked at for a testimony.
-const maxTestimonies = 4
-
-// openedBefore reports whether some of the idle connections to an address that were opened before a time are still open, and
-// whether some have ended.
-func (p *connPool) openedBefore(address string, before time.Time) (open, ended bool) {
+// dropAll closes all idle connections.
+func (p *connPool) dropAll() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	for _, u := range list[max(len(list)-maxTestimonies, 0):] {
-		switch {
-		case u.openedAt.After(before) || time.Now().After(u.expires):
-		case u.isReusable():
-			open = true
-		default:
-			ended = true
-		}
+	addresses := slices.Collect(maps.Keys(p.idle))
+	p.mu.Unlock()
+	for _, address := range addresses {
+		p.drop(address)
 	}
-	return open, ended
 }
 
 // sweep closes expired idle connections.
@@ -308,3 +300,24 @@
 	}
 	return peekErr
 }
+
+// pollSocket returns which of some events have come on a TCP connection, without waiting and without reading it: those
+// of poll(2).
+func pollSocket(conn net.Conn, events int16) (int16, error) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return 0, net.ErrClosed
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var revents int16
+	var pollErr error
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		_, pollErr = unix.Poll(fds, 0)
+		revents = fds[0].Revents
+	})
+	return revents, errors.Join(err, pollErr)
+}
