platform: an unreadable rate limit after a start is not taken for none

After a start of all routers an engine in need may name a rate limit that cannot be read beside what its cache holds. That counted as no limit and ended the one that other routers had told of: the engine got more requests than it takes. In answers to requests such a field changes nothing.

The limit is left as it is, and logged.

--- a/edge/recover.go
+++ b/edge/recover.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -32,7 +33,7 @@
 	// Leaving is set if the engine leaves.
 	Leaving bool
 	// RateLimit is the number of requests per second that it takes from all routers together;
-	// infinite if it sets no limit.
+	// infinite if it sets no limit, not a number if what it states cannot be read.
 	RateLimit float64
 }
 
@@ -74,7 +75,11 @@
 		if state.Leaving {
 			e.setLeaving(t.id)
 		}
-		e.setRateLimit(e.logger, t.id, state.RateLimit)
+		if math.IsNaN(state.RateLimit) {
+			level.Warn(e.logger).Log("event", "target_limit_unreadable", "target", t.id)
+		} else {
+			e.setRateLimit(e.logger, t.id, state.RateLimit)
+		}
 		e.mu.Lock()
 		e.balancer.AddCachedParts(time.Now(), t.id, state.CachedParts)
 		e.mu.Unlock()
