edge: a witness is replaced by its age, an engine asked twice only on a closed connection

A witness that had been kept without answers could be as old as six seconds when an answer came, and its target's idle time-out then looked like the end of the process: a whole answer would be cut. Its age is looked at every 250 ms now. An engine that did not answer on a kept connection is not asked again on a new one, for another half a second, unless the kept one had been closed.

--- a/edge/end.go
+++ b/edge/end.go
@@ -194,40 +194,41 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	u, err := e.targetConns.get(ctx, t.Address)
-	if err == nil && u.openedAt.Before(ended.endedAt) {
-		if evidence := e.askStartOn(u, t); evidence != evidenceNone {
-			return evidence
+	kept, stated := err == nil && u.reused, false
+	if err == nil {
+		stated, err = e.askStartOn(u, t)
+	}
+	if err != nil && kept && !errors.Is(err, errOtherProcess) && !isTimeout(err) {
+		if u, err = e.targetConns.dial(ctx, t.Address); err == nil {
+			stated, err = e.askStartOn(u, t)
 		}
-		u, err = e.targetConns.dial(ctx, t.Address)
 	}
-	if err != nil {
-		return noAnswer(err)
+	switch {
+	case stated:
+		return evidenceSameStart
+	case err == nil:
+		return evidenceNone
 	}
-	evidence := e.askStartOn(u, t)
+	evidence := noAnswer(err)
 	if evidence == evidenceCapped && e.witnesses.state(ended) == witnessEnded {
 		return evidenceNone
 	}
 	return evidence
 }
 
-// askStartOn asks on a connection, which it pools or closes. Only a new connection that is reset shows a limit of connections.
-func (e *Edge) askStartOn(u *upstream, t routing.Target) endEvidence {
+// askStartOn is checkProcess on a connection that it pools or closes, also if that has been asked before. stated is set if
+// the process states the registered start.
+func (e *Edge) askStartOn(u *upstream, t routing.Target) (stated bool, err error) {
 	h := e.answerMemory.open(t.ID, func() {}) // the time for the answer is short
 	defer h.close()
-	fresh := !u.reused
 	u.startAsked = false
 	if err := e.checkProcess(u, t, h); err != nil {
 		u.Close()
-		if evidence := noAnswer(err); fresh || evidence != evidenceCapped {
-			return evidence
-		}
-		return evidenceNone
+		return false, err
 	}
+	stated = u.started != 0
 	e.targetConns.putNew(u)
-	if u.started == 0 {
-		return evidenceNone
-	}
-	return evidenceSameStart
+	return stated, nil
 }
 
 // askStatus checks the status of a plain target on a new connection, for as long as wait. Whatever it answers shows that a
--- a/edge/witness.go
+++ b/edge/witness.go
@@ -15,8 +15,10 @@
 const (
 	// witnessLinger is how long a witness is kept after the last answer that needed it.
 	witnessLinger = defaultIdleLifetime
-	// witnessAge is the age at which the connection of a witness is replaced, before its target closes it as idle.
-	witnessAge = 2 * time.Second
+	// witnessAge is the age at which the connection of a witness is replaced, before its target closes it as idle, and
+	// witnessCheck the interval at which the age is looked at.
+	witnessAge   = 2 * time.Second
+	witnessCheck = 250 * time.Millisecond
 	// witnessRetryPause is the time between two connections that could not be opened or lasted shorter.
 	witnessRetryPause = 500 * time.Millisecond
 	// overlap is the time for which two connections must have been open together to belong to one process: the next
@@ -163,9 +165,9 @@
 		case err := <-c.ended:
 			w.end(err)
 			return
-		case <-time.After(witnessAge):
+		case <-time.After(witnessCheck):
 		}
-		if !w.hasAnswers() {
+		if time.Since(c.openedAt) < witnessAge || !w.hasAnswers() {
 			continue
 		}
 		next := w.open()
