--- a/internal/soak/relay_test.go
+++ b/internal/soak/relay_test.go
@@ -13,6 +13,12 @@
 	"github.com/chiveseam/chiveseam/platform/standin"
 )
 
+// Requests to the target: for the parts that it keeps, which it answers at once, and for a long stream.
+var (
+	keptParts = standin.Request{Method: "GET", Path: "/api/kv-list"}
+	stream    = standin.Request{Method: "GET", Path: "/", PromptParts: "a:1", PromptTokens: 1, OutputTokens: 1000}
+)
+
 // relayedTarget starts a target without framing, with a relay in front of it.
 func relayedTarget(t *testing.T) (*standin.Target, *relay) {
 	is := is.New(t)
@@ -32,12 +38,13 @@
 }
 
 // ask sends a request on a new connection and waits for the first bytes of its answer.
-func ask(t *testing.T, r *relay, path, field string) net.Conn {
+func ask(t *testing.T, r *relay, request standin.Request) net.Conn {
 	is := is.New(t)
 	conn, err := net.Dial("tcp4", r.address())
 	is.NoErr(err)
 	t.Cleanup(func() { conn.Close() })
-	fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: x\r\nX-Chiveseam-Target-Instance: t1\r\n%s\r\n", path, field)
+	_, err = io.WriteString(conn, request.TextFor("t1"))
+	is.NoErr(err)
 	_, err = conn.Read(make([]byte, 1024))
 	is.NoErr(err)
 	return conn
@@ -50,7 +57,7 @@
 	target, r := relayedTarget(t)
 	var conns []net.Conn
 	for range 20 {
-		conns = append(conns, ask(t, r, "/api/kv-list", ""), ask(t, r, "/", "X-Chiveseam-Prompt-Prefix: a:1\r\nX-Chiveseam-Token-Usage: 1,1000\r\n"))
+		conns = append(conns, ask(t, r, keptParts), ask(t, r, stream))
 	}
 	ends, errs := make(chan time.Time, len(conns)), make(chan error, len(conns))
 	for _, conn := range conns {
@@ -79,7 +86,7 @@
 	for _, dark := range []bool{false, true} {
 		is := is.New(t)
 		_, r := relayedTarget(t)
-		open := ask(t, r, "/api/kv-list", "")
+		open := ask(t, r, keptParts)
 		is.NoErr(r.stopAccepting(dark))
 		for range 3 {
 			conn, err := net.DialTimeout("tcp4", r.address(), 100*time.Millisecond)
@@ -98,7 +105,7 @@
 		_, err = net.Dial("tcp4", r.address())
 		is.True(err != nil && !isTimeout(err)) // refused
 		is.NoErr(r.listenAgain())
-		ask(t, r, "/api/kv-list", "")
+		ask(t, r, keptParts)
 	}
 }
 
