soak: a target that starts again under its ID does not leave

Cause: a fault of the check. target-unframed-restart, like target-restart before it, starts a successor under the ID of a target that was draining or had said that it leaves; the successor registers as ready, and the checker still judged it by what the earlier process had said.

Change: with the start of a target the draining state, the word that it leaves and the pauses of an earlier one with its ID are forgotten. The promise is checked as before for each process, and for the successor from what it says itself. TestTargetThatStartsAgainIsNotLeaving fails with the checker before; the planted breaks of the promise are still found.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -61,8 +61,10 @@
 	// newestServed holds the newest version that each router process has served, and since
 	// when.
 	newestServed map[processKey]servedVersion
-	// targetNumbers maps target IDs to the numbers that Fault.Index uses.
+	// targetNumbers maps target IDs to the numbers that Fault.Index uses, and startedAt to the start of the last
+	// target with the ID.
 	targetNumbers map[string]int
+	startedAt     map[string]time.Time
 	// counts holds the counts of Report.Counts.
 	counts map[string]int
 }
@@ -97,7 +99,7 @@
 		requests: make(map[string]*request), drainingSince: make(map[string]time.Time),
 		newestServed: make(map[processKey]servedVersion), targetNumbers: make(map[string]int), counts: make(map[string]int),
 		brokenOffAt: make(map[string]time.Time), leavingHeard: make(map[answeredBy]time.Time), pauses: make(map[answeredBy]*pause),
-		limited: make(map[string]*limitedTarget),
+		limited: make(map[string]*limitedTarget), startedAt: make(map[string]time.Time),
 	}
 }
 
@@ -181,11 +183,15 @@
 	c.drainingSince[target] = time.Now()
 }
 
-// targetStarted records the ID of a target that is about to start.
+// targetStarted records the ID of a target that is about to start. What an earlier one with the ID has said of itself
+// is over.
 func (c *checker) targetStarted(id string, number int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.targetNumbers[id] = number
+	c.targetNumbers[id], c.startedAt[id] = number, time.Now()
+	delete(c.drainingSince, id)
+	maps.DeleteFunc(c.leavingHeard, func(by answeredBy, _ time.Time) bool { return by.target == id })
+	maps.DeleteFunc(c.pauses, func(by answeredBy, _ *pause) bool { return by.target == id })
 }
 
 // nextVersion returns the next configuration version and takes the present as the time of its
@@ -258,7 +264,7 @@
 	if r, ok := c.requests[run.RequestID]; ok && run.FullAnswer {
 		r.fullAnswerSent = true
 		r.unframedSent = run.Unframed
-		if by := (answeredBy{r.process(), run.Target}); run.Leaving && c.leavingHeard[by].IsZero() {
+		if by := (answeredBy{r.process(), run.Target}); run.Leaving && c.leavingHeard[by].IsZero() && run.StartedAt.After(c.startedAt[run.Target]) {
 			c.leavingHeard[by] = time.Now()
 		}
 		if run.Limited {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -180,6 +180,16 @@
 	}
 }
 
+// TestTargetThatStartsAgainIsNotLeaving checks that requests may run at a target after one with its ID has left.
+func TestTargetThatStartsAgainIsNotLeaving(t *testing.T) {
+	is := is.New(t)
+	s := newScenario(idempotentRoute)
+	ago := time.Now().Add(-drainTime - time.Second)
+	s.checker.drainingSince["t1"], s.checker.leavingHeard[answeredBy{processKey{}, "t1"}] = ago, ago
+	s.checker.targetStarted("t1", 1)
+	is.Equal(s.report(), nil)
+}
+
 // shortRuns are the runs of TestShortSoak. A seed that has failed is added with the kinds of fault that
 // there were, and a line that states the cause.
 var shortRuns = []struct {
