--- a/edge/answer.go
+++ b/edge/answer.go
@@ -156,7 +156,9 @@
 	}
 	if c.route.Stream {
 		logger = log.With(logger, "events", a.events.ended, "open_event_bytes", a.events.open,
-			"first_event_id", a.events.firstID, "last_event_id", a.events.lastID, "start_ms", a.statedStart)
+			"first_event_id", a.events.firstID, "last_event_id", a.events.lastID, "start_ms", a.statedStart,
+			"unidentified_events", a.events.tally.unidentified, "malformed_events", a.events.tally.malformed,
+			"unknown_line_events", a.events.tally.unknown, "cr_ended_events", a.events.tally.crEnded)
 	}
 	if a.spoiled != "" {
 		logger = log.With(logger, "spoiled", a.spoiled)
--- a/edge/gate.go
+++ b/edge/gate.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"errors"
+	"slices"
 	"sync"
+	"unicode/utf8"
 
 	"github.com/chiveseam/chiveseam/streams"
 )
@@ -21,6 +23,33 @@
 	firstID, lastID string
 	// unidentified is set if an event with data has come since the last one with an ID.
 	unidentified bool
+	// tally counts the events that are not formed as usual.
+	tally eventTally
+	// fields holds the names of the fields that events may have besides those of the standard.
+	fields []string
+}
+
+// eventTally counts events, for the logs.
+type eventTally struct {
+	// unidentified have data but no ID, malformed have bytes that are no text, and unknown have lines that are neither a
+	// comment nor a known field. crEnded end with a carriage return, so far without a line feed.
+	unidentified, malformed, unknown, crEnded int
+}
+
+// add counts an event.
+func (t *eventTally) add(event []byte, parsed parsedEvent) {
+	if parsed.hasData && parsed.id == "" {
+		t.unidentified++
+	}
+	if parsed.malformed {
+		t.malformed++
+	}
+	if parsed.unknownLines > 0 {
+		t.unknown++
+	}
+	if bytes.HasSuffix(event, []byte("\r")) {
+		t.crEnded++
+	}
 }
 
 // Errors of events that do not go on with their stream, besides those of streams.Sequence.
@@ -40,10 +69,12 @@
 		if g.isAnswer(event) {
 			return admitted, errAnswerInStream
 		}
-		id, hasData, err := parseEvent(event)
+		parsed, err := parseEvent(event, g.fields)
+		g.tally.add(event, parsed)
 		if err != nil {
 			return admitted, err
 		}
+		id := parsed.id
 		if id != "" {
 			if err := g.next(id); err != nil {
 				return admitted, err
@@ -53,7 +84,7 @@
 			}
 			g.lastID = id
 		}
-		g.unidentified = id == "" && (g.unidentified || hasData)
+		g.unidentified = id == "" && (g.unidentified || parsed.hasData)
 		admitted += len(event)
 	}
 	return admitted, nil
@@ -82,27 +113,41 @@
 	return events
 }
 
-// parseEvent returns the ID of an event, "" if it has none, and whether it has data: callers ignore others. It fails with
-// errJoinedEvents.
-func parseEvent(event []byte) (id string, hasData bool, err error) {
+// parsedEvent is what the router reads of an event.
+type parsedEvent struct {
+	// id is the ID, "" if it has none. hasData is set if it has data: callers ignore others.
+	id      string
+	hasData bool
+	// unknownLines is the number of lines that are neither a comment nor a known field.
+	unknownLines int
+	// malformed is set if bytes are no text: malformed UTF-8 or NUL.
+	malformed bool
+}
+
+// parseEvent parses an event, of which the standard and fields name the fields. It fails with errJoinedEvents.
+func parseEvent(event []byte, fields []string) (parsedEvent, error) {
+	parsed := parsedEvent{malformed: !utf8.Valid(event) || bytes.IndexByte(event, 0) >= 0}
 	for len(event) > 0 {
 		n := lineLength(event)
-		name, value, _ := bytes.Cut(event[:n], []byte(":"))
+		line := event[:n]
 		event = event[min(n+1, len(event)):]
-		switch string(name) {
-		case "data":
-			hasData = true
-		case "id":
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case string(name) == "data":
+			parsed.hasData = true
+		case string(name) == "id":
 			if value = bytes.TrimSpace(value); len(value) == 0 {
 				continue
 			}
-			if id != "" {
-				return "", hasData, errJoinedEvents
+			if parsed.id != "" {
+				return parsed, errJoinedEvents
 			}
-			id = string(value)
+			parsed.id = string(value)
+		case len(line) > 0 && !slices.Contains(eventFields, string(name)) && !slices.Contains(fields, string(name)):
+			parsed.unknownLines++
 		}
 	}
-	return id, hasData, nil
+	return parsed, nil
 }
 
 // numberings is what is learned of the IDs of events. The mutex guards the map and all that it holds.
--- a/edge/headers.go
+++ b/edge/headers.go
@@ -55,6 +55,8 @@
 	// and on some deployments the time that work takes on the target's machine, where 100 is usual,
 	// separated by commas.
 	Load string
+	// EventFields are fields of the events of streams, in lowercase, besides those of server-sent events.
+	EventFields []string
 	// APIKey is the API key of the caller.
 	APIKey string
 	// Reserved lists fields that are removed from callers' requests.
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -138,6 +138,7 @@
 	c, e := a.call, a.call.edge
 	origin := streams.Origin{Service: placement.Hash(c.service), Version: placement.VersionHash(a.target.Version)}
 	a.events.numberings = &e.numberings
+	a.events.fields = e.headers.EventFields
 	last := c.resumeAfter()
 	resumable := c.route.RetryPolicy == routing.Resumable
 	if !resumable && last != "" {
