edge: bytes that are no text end a stream as spoiled

Callers got bytes such as 00 FF 7B 5D within data lines, before fields and between events, in streams that ended as whole. The gate of streams checked IDs and heads of other answers only. Event streams are UTF-8 (HTML standard, section 9.2.5): malformed UTF-8 or NUL in an event or a comment is spoiled now, reason malformed_text, also where the service's data is binary.

Streams of non-ASCII text and with a byte order mark, byte by byte, pass in both (TestUnframedStreamIsDelivered).

--- a/edge/broken_stream_test.go
+++ b/edge/broken_stream_test.go
@@ -147,6 +147,8 @@
 		"carriage returns": "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
 		"old line ends":    "id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
 		"empty lines":      "\n\nid: 1\ndata: a\n\n\n\n",
+		"not ASCII":        ": größer\n\nid: 1\ndata: 日本 \U0001f600 \u0085\u2028\n\n",
+		"byte order mark":  "\ufeffid: 1\ndata: a\n\nid: 2\ndata: b\n\n",
 	} {
 		for _, path := range []string{"/stream/", "/resumable/"} {
 			t.Run(name+path, func(t *testing.T) {
--- a/edge/gate.go
+++ b/edge/gate.go
@@ -58,6 +58,8 @@
 	errAnswerInStream = errors.New("another answer within the stream")
 	// errJoinedEvents: an event has two IDs, so it is of parts of two.
 	errJoinedEvents = errors.New("event with two IDs")
+	// errMalformedText: event streams are UTF-8 (HTML standard, section 9.2.5), and no text has NUL in it.
+	errMalformedText = errors.New("event with malformed text")
 )
 
 // admit returns the number of bytes of complete events up to the first one that must not be passed on, and the reason for
@@ -71,8 +73,11 @@
 		}
 		parsed, err := parseEvent(event, g.fields)
 		g.tally.add(event, parsed)
-		if err != nil {
+		switch {
+		case err != nil:
 			return admitted, err
+		case parsed.malformed:
+			return admitted, errMalformedText
 		}
 		id := parsed.id
 		if id != "" {
--- a/edge/spoiled.go
+++ b/edge/spoiled.go
@@ -23,7 +23,8 @@
 // spoiledReasons names the errors of spoiled answers for logs and metrics.
 var spoiledReasons = map[error]string{
 	streams.ErrOrder: "order", streams.ErrGap: "gap", errAnswerInStream: "answer_in_stream", errJoinedEvents: "joined_events",
-	errAnswerInBody: "answer_in_body", errJoinedHeads: "joined_heads",
+	errMalformedText: "malformed_text",
+	errAnswerInBody:  "answer_in_body", errJoinedHeads: "joined_heads",
 }
 
 // noteSpoiled records the reason why an answer is not whole, or none to the request, if err is one.
--- a/edge/spoiled_stream_test.go
+++ b/edge/spoiled_stream_test.go
@@ -93,6 +93,22 @@
 	})
 }
 
+// Guards against ORDER: an engine writes bytes that are no text into a stream, in place of some of it or between, and the
+// caller gets them as events.
+func TestBytesThatAreNoTextAreNotPassedOn(t *testing.T) {
+	spoiled := make(map[string]func(s *receivedRequest))
+	for name, bytes := range map[string]string{"NUL": "\x00", "malformed UTF-8": "\xff{]", "mixed": "\x00\xff{]\x00\xff{]"} {
+		for place, before := range map[string]string{
+			"data": "id: 6\ndata: eve", "field": "", "value": "id: ", "line end": "id: 6\ndata: event 6\n", "comment": ": pi",
+		} {
+			text := soundEvents(1, 5) + before + bytes
+			spoiled[name+" in "+place] = sendChunked(text + strings.TrimPrefix(soundEvents(6, eventsOfStream), before))
+			spoiled[name+" in "+place+", with a length"] = func(s *receivedRequest) { s.write(lengthHead(len(text)+2) + text + "\n\n") }
+		}
+	}
+	testSpoiled(t, spoiled)
+}
+
 // Guards against ORDER: an engine breaks a stream off and answers the same request again on the connection, and the caller
 // gets parts of both answers as one stream.
 func TestAnswerWithinAStreamIsNotPassedOn(t *testing.T) {
