h1: refuse reason phrases and chunk extensions that are no text

Callers saw: an answer whose head the engine spoiled, as a sound one: what the bytes replaced, fields or the rest of an interim head, was gone. Cause: field values are checked for control characters; the reason phrase and chunk extensions, which are dropped, were not. A status above 599 was read too. Evidence: 00 FF 7B 5D repeated, 1 to 40 bytes, inserted, replacing or last, at any byte: 580 of 11,280 forms of a head with an interim one, 166 of 840 of a chunk size, 211 of 2,520 of the last chunk and trailers were read as sound; of 6 status lines that are malformed all. Change: both must be field text, and a status at most 599. After: none of these; non-ASCII reason phrases are still read.

--- a/h1/body.go
+++ b/h1/body.go
@@ -177,8 +177,8 @@
 // extensions.
 func parseChunkSize(line string) (int64, error) {
 	size, extension, _ := strings.Cut(line, ";")
-	if _, found := CutStatusLine(extension); found {
-		return 0, fmt.Errorf("%w: status line in a chunk extension", ErrFraming)
+	if _, found := CutStatusLine(extension); found || !isFieldValue(extension) {
+		return 0, fmt.Errorf("%w: chunk extension", ErrFraming)
 	}
 	if size == "" || len(size) > maxChunkSizeDigits || strings.Trim(size, "0123456789abcdefABCDEF") != "" {
 		return 0, fmt.Errorf("%w: chunk size %q", ErrFraming, size)
--- a/h1/response.go
+++ b/h1/response.go
@@ -60,12 +60,18 @@
 	if err != nil {
 		return nil, err
 	}
+	if resp.Status > maxStatus || !isFieldValue(resp.Reason) {
+		return nil, fmt.Errorf("%w: status line", ErrSyntax)
+	}
 	if resp.Header, err = readFields(br, remaining); err != nil {
 		return nil, unexpectedEOF(err)
 	}
 	return resp, nil
 }
 
+// maxStatus is the largest valid status code (RFC 9110, section 15).
+const maxStatus = 599
+
 // StatusLineStart is the beginning of each status line that this package reads.
 const StatusLineStart = "HTTP/1."
 
