edge: an answer with an empty or spoiled signature is not signed

Callers saw: a success (or a stream) with an empty or unreadable signature, which does not count, as the final answer. Cause: only the presence of the field was checked, here and for loads and limits. Evidence: of 6 values, empty to non-ASCII, on two routes all 12 were passed on with 200 and their rate limit was taken. Change: a signature is printable ASCII; without one the answer is lost and may be tried again. After: 12 of 12 refused with 502, no limit taken.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -444,7 +444,7 @@
 		a.err = fmt.Errorf("target answered %d", resp.Status)
 		return rejected, err == nil
 	}
-	if _, signed := resp.Header.Lookup(names.Signature); !signed {
+	if !names.isSigned(resp) {
 		a.err = errUnsigned
 		return lost, false
 	}
--- a/edge/heed.go
+++ b/edge/heed.go
@@ -49,8 +49,7 @@
 func (a *attempt) heedRateLimit(resp *h1.Response) {
 	e := a.call.edge
 	id, _ := resp.Header.Lookup(e.headers.RequestID)
-	_, signed := resp.Header.Lookup(e.headers.Signature)
-	if id != a.call.id || !signed && !a.saysNotRun(resp) {
+	if id != a.call.id || !e.headers.isSigned(resp) && !a.saysNotRun(resp) {
 		return
 	}
 	limit, err := ParseRateLimit(resp.Header.Values(e.headers.RateLimit))
@@ -65,7 +64,7 @@
 func (a *attempt) heedLoad(resp *h1.Response) {
 	e := a.call.edge
 	id, _ := resp.Header.Lookup(e.headers.RequestID)
-	if _, signed := resp.Header.Lookup(e.headers.Signature); id != a.call.id || !signed {
+	if id != a.call.id || !e.headers.isSigned(resp) {
 		return
 	}
 	figures, ok, err := targetload.Parse(resp.Header.Values(e.headers.Load))
--- a/edge/spoiled.go
+++ b/edge/spoiled.go
@@ -69,6 +69,12 @@
 	return strings.EqualFold(name, h.RequestID) || strings.EqualFold(name, h.Signature)
 }
 
+// isSigned reports whether a target has signed an answer: a signature is printable ASCII.
+func (h *Headers) isSigned(resp *h1.Response) bool {
+	signature := resp.Header.Get(h.Signature)
+	return signature != "" && !strings.ContainsFunc(signature, func(r rune) bool { return r < ' ' || r > '~' })
+}
+
 func isLetterOrDigit(r rune) bool { return unicode.IsLetter(r) || unicode.IsDigit(r) }
 
 const (
