edge: refuse settings whose name or zone is no text

Callers saw (by reading): a router that is alone: others do not hear of its load, of targets that leave, or of where its streams began. Cause: protobuf strings are UTF-8; with another name no report can be encoded.

--- a/edge/figures_test.go
+++ b/edge/figures_test.go
@@ -167,3 +167,17 @@
 	}
 	is.Equal(tokens, 6002)
 }
+
+// Failure: a router whose name or zone is no text starts, or takes it over at a reload, and none of its reports to other routers
+// can be encoded.
+func TestNamesThatAreNoTextAreRefused(t *testing.T) {
+	for _, setting := range []string{"node_name", "zone"} {
+		for _, text := range []string{"a\xff", "\xc3", "a\x00b", `"a\xff"`, "a\x7f"} {
+			is := is.New(t)
+			_, err := parseSettings(fillTemplate(t, map[string]string{setting: text}))
+			is.True(err != nil && strings.Contains(err.Error(), "want text"))
+		}
+		_, err := parseSettings(fillTemplate(t, map[string]string{setting: "zürich 1"}))
+		is.New(t).NoErr(err)
+	}
+}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -8,6 +8,8 @@
 	"os"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -174,8 +176,12 @@
 func (s *Settings) validate() error {
 	var errs []error
 	for _, text := range []struct{ name, value string }{{"name", s.Name}, {"zone", s.Zone}} {
-		if text.value == "" {
+		switch {
+		case text.value == "":
 			errs = append(errs, fmt.Errorf("settings: %s is missing", text.name))
+		case !utf8.ValidString(text.value) || strings.ContainsFunc(text.value, unicode.IsControl):
+			// Reports to other routers hold UTF-8 only.
+			errs = append(errs, fmt.Errorf("settings: %s = %q: want text", text.name, text.value))
 		}
 	}
 	for _, address := range []struct{ name, value string }{
