--- a/cmd/chiveseam-soak/main.go
+++ b/cmd/chiveseam-soak/main.go
@@ -16,6 +16,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/chiveseam/chiveseam/internal/soak"
+	"github.com/chiveseam/chiveseam/platform/standin"
 )
 
 // Exit codes of the program.
@@ -28,22 +29,23 @@
 
 // options are the flags of the command line.
 type options struct {
-	Program string        `long:"program" default:"target/chiveseam-edge" description:"Path of the router program."`
-	Seed    uint64        `long:"seed" default:"1" description:"Seed of the first run."`
-	Runs    int           `long:"runs" default:"1" description:"Number of runs, each with the next seed."`
-	Length  time.Duration `long:"length" default:"20s" description:"Time of the faults of one run."`
-	Routers int           `long:"routers" default:"6" description:"Router processes."`
-	Targets int           `long:"targets" default:"6" description:"Targets; every other one is a model engine."`
-	Callers int           `long:"callers" default:"24" description:"Callers."`
-	Streams int           `long:"stream-callers" default:"24" description:"Further callers, which read long streams."`
-	Gap     time.Duration `long:"interval" default:"500ms" description:"Mean time between the starts of two faults."`
-	One     bool          `long:"one-version" description:"All targets begin with one software version, which only releases and restarts under an ID change."`
-	Memory  int           `long:"memory-mb" default:"256" description:"Memory of a router's machine in MiB."`
-	Kinds   []soak.Kind   `long:"kind" description:"Kind of fault; may be repeated. All kinds if it is not given."`
-	Sets    []string      `long:"set" description:"Named list of kinds of fault: herd-kills, dark-ends or spoiled. May be repeated, also beside --kind."`
-	Count   bool          `long:"count-cases" description:"Go on after a broken promise, and count the cases by promise."`
-	Logs    string        `long:"logs" description:"Directory that keeps the routers' logs."`
-	List    bool          `long:"list-kinds" description:"Print the kinds of fault and exit."`
+	Program string                `long:"program" default:"target/chiveseam-edge" description:"Path of the router program."`
+	Seed    uint64                `long:"seed" default:"1" description:"Seed of the first run."`
+	Runs    int                   `long:"runs" default:"1" description:"Number of runs, each with the next seed."`
+	Length  time.Duration         `long:"length" default:"20s" description:"Time of the faults of one run."`
+	Routers int                   `long:"routers" default:"6" description:"Router processes."`
+	Targets int                   `long:"targets" default:"6" description:"Targets; every other one is a model engine."`
+	Callers int                   `long:"callers" default:"24" description:"Callers."`
+	Streams int                   `long:"stream-callers" default:"24" description:"Further callers, which read long streams."`
+	Gap     time.Duration         `long:"interval" default:"500ms" description:"Mean time between the starts of two faults."`
+	One     bool                  `long:"one-version" description:"All targets begin with one software version, which only releases and restarts under an ID change."`
+	Memory  int                   `long:"memory-mb" default:"256" description:"Memory of a router's machine in MiB."`
+	Kinds   []soak.Kind           `long:"kind" description:"Kind of fault; may be repeated. All kinds if it is not given."`
+	Sets    []string              `long:"set" description:"Named list of kinds of fault: herd-kills, dark-ends, spoiled or generated. May be repeated, also beside --kind."`
+	Answers []standin.AnswerFault `long:"answer-fault" description:"Fault of the answers that targets draw from a grammar; may be repeated. All of them if it is not given."`
+	Count   bool                  `long:"count-cases" description:"Go on after a broken promise, and count the cases by promise."`
+	Logs    string                `long:"logs" description:"Directory that keeps the routers' logs."`
+	List    bool                  `long:"list-kinds" description:"Print the kinds of fault and exit."`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -118,7 +120,7 @@
 	return soak.Run(soak.Config{
 		Program: o.Program, Dir: dir, Seed: seed, Length: o.Length, Routers: o.Routers, Targets: o.Targets,
 		Callers: o.Callers, StreamCallers: o.Streams, Interval: o.Gap, OneVersion: o.One, Kinds: o.Kinds, MemoryMB: o.Memory,
-		CountCases: o.Count,
+		CountCases: o.Count, AnswerFaults: o.Answers,
 	}, stop)
 }
 
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/chiveseam/chiveseam/h1"
@@ -98,7 +97,7 @@
 // connect opens a connection to a router in rotation. It returns false if there is none or the
 // connection fails.
 func (c *caller) connect() bool {
-	r := c.run.pickRouter(c.random)
+	r := c.run.pickRouter(c.random, c.avoided())
 	if r == nil {
 		return false
 	}
@@ -111,6 +110,14 @@
 	return true
 }
 
+// avoided returns the router to which a caller does not come back: the one at which its stream broke off.
+func (c *caller) avoided() *router {
+	if c.broken == nil {
+		return nil
+	}
+	return c.router
+}
+
 // exchange sends one request, reads its answer and reports both to the checker.
 func (c *caller) exchange() {
 	r := c.nextRequest()
@@ -129,7 +136,7 @@
 	}
 	c.run.checker.requestEnded(r, a)
 	c.noteBroken(r, a)
-	if !a.complete || c.random.Float64() > keepAliveShare {
+	if !a.complete || c.random.Float64() > keepAliveShare || c.broken != nil && c.random.Float64() < movedShare {
 		c.closeConn()
 	}
 }
@@ -139,17 +146,17 @@
 	c.broken = nil
 	events, last := 0, r.lastEvent
 	if a.status == 200 {
-		events = strings.Count(a.body, "\n\n")
-		last += events
+		last, events = lastEvent(a.body, c.number%2 == 0, last)
 	}
-	if !r.route.resumable || a.complete && a.status < 300 || last == 0 || events == 0 && !r.route.persistent {
+	persistent := r.route.persistent || c.run.config.generates()
+	if !r.route.resumable || a.complete && a.status < 300 || last == 0 || events == 0 && !persistent {
 		return
 	}
 	c.broken = &request{
 		route: r.route, method: r.method, path: r.path, body: r.body, workspace: r.workspace, unknownKey: r.unknownKey,
 		begunBy: r.stream(), lastEvent: last, events: r.events, promptParts: r.promptParts, deadline: r.route.timeout,
 	}
-	if r.route.persistent {
+	if persistent {
 		c.broken.deadline -= time.Since(r.stream().sentAt)
 	}
 }
@@ -182,6 +189,9 @@
 	if r.route.stream {
 		r.promptParts = c.drawPrompt()
 	}
+	if c.run.config.generates() && r.route.stream {
+		r.events = 1 + c.random.IntN(maxGeneratedEvents)
+	}
 	if len(c.routes) == len(longRoutes) {
 		r.events = minLongEvents + c.random.IntN(maxLongEvents-minLongEvents)
 		return r
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -157,7 +157,7 @@
 			words = append(words, string(f.Kind))
 		}
 	}
-	return strings.Join(words, " ")
+	return strings.Join(words, " ") + r.stream().drawnAnswers()
 }
 
 // faultDuring reports whether one of the faults that affects selects overlaps the period. A
@@ -209,6 +209,7 @@
 	defer c.mu.Unlock()
 	r.sentAt = time.Now()
 	c.requests[r.id] = r
+	r.stream().tries = append(r.stream().tries, r)
 	c.counts["requests"]++
 }
 
@@ -286,6 +287,7 @@
 		c.counts["unframed whole, run again"]++
 	}
 	r.runs = append(r.runs, run)
+	c.countGenerated(r, run)
 	c.checkRunAsSent(r, run)
 	c.checkRunLimits(r, run)
 	c.checkDrain(r, run)
@@ -366,7 +368,7 @@
 	case a.status == 0 || !a.complete:
 		c.checkLoss(r)
 		if r.route.stream && a.status == 200 {
-			c.checkEvents(r)
+			c.checkStream(r)
 		}
 	case a.requestID != r.id:
 		c.fail(promiseOwnAnswer, r.id, "the answer carries request ID %q", a.requestID)
@@ -378,6 +380,8 @@
 		c.fail(promiseValidAccepted, r.id, "its API key is known")
 	case a.status == 404 && r.probedVersion == 0:
 		c.fail(promiseValidAccepted, r.id, "its route exists")
+	case a.status >= 500 && a.signature != "" && r.isGenerated():
+		c.fail(promiseOwnAnswer, r.id, "status %d ends as complete, but its target has broken it off", a.status)
 	case a.status == 502 || a.status == 504:
 		c.checkLoss(r)
 	}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -246,13 +247,26 @@
 		c.fail(promiseOwnAnswer, r.id, "success with signature %q after %d runs", a.signature, len(r.runs))
 		return
 	}
+	if !slices.ContainsFunc(r.runs, func(run standin.Run) bool { return run.Target == target }) {
+		c.fail(promiseOwnAnswer, r.id, "success of target %s, which has not run it", target)
+	}
 	if !r.route.stream {
 		if !c.isWhole(r) {
 			c.fail(promiseOwnAnswer, r.id, "the body of %d bytes is not the answer of target %s", len(a.body), target)
 		}
 		return
 	}
-	if last, rest := c.checkEvents(r); last != r.events || rest != "" {
+	c.checkStream(r)
+}
+
+// checkStream checks the events that arrived in answer to a request of a stream, whole or broken off. c.mu is held.
+func (c *checker) checkStream(r *request) {
+	if r.isGenerated() {
+		c.checkGenerated(r)
+		return
+	}
+	last, rest := c.checkEvents(r)
+	if r.answer.complete && (last != r.events || rest != "") {
 		c.fail(promiseStream, r.id, "the answer ends as complete after event %d of %d and %q", last, r.events, rest)
 	}
 }
@@ -261,8 +275,8 @@
 // c.mu is held.
 func (c *checker) isWhole(r *request) bool {
 	if r.route.stream {
-		ended := r.answer.body == "" || strings.HasSuffix(r.answer.body, "\n\n")
-		return ended && r.lastEvent+strings.Count(r.answer.body, "\n\n") == r.events
+		events, rest := standin.SplitEvents(r.answer.body, true)
+		return rest == "" && r.lastEvent+len(events) == r.events
 	}
 	return r.answer.body == standin.AnswerBody(strings.TrimPrefix(r.answer.signature, "signed-"), r.id)
 }
--- a/internal/soak/request.go
+++ b/internal/soak/request.go
@@ -86,6 +86,10 @@
 	runs []standin.Run
 	// version is the software version of the target that sent the first event; "" if none has arrived.
 	version string
+	// tries holds the requests of a stream, of which this one is the first. drawn is set once a target has drawn an answer to one
+	// of them, and spoiled once its caller holds what breaks a promise.
+	tries          []*request
+	drawn, spoiled bool
 	// fullAnswerSent is set once a target has sent a complete answer.
 	fullAnswerSent bool
 	// unframedSent is set if the last complete answer of a target had neither a length nor chunks.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -75,6 +75,11 @@
 	TargetBrokenFilled Kind = "target-broken-length-filled"
 	TargetBodyFilled   Kind = "target-body-length-filled"
 
+	// Targets that draw their answers from a grammar, a share of them with a fault or none. A schedule holds one for each of
+	// several targets.
+	TargetGenerated      Kind = "target-generated"
+	TargetGeneratedSound Kind = "target-generated-sound"
+
 	SlowRouter      Kind = "router-slow"
 	StoreLinkRefuse Kind = "store-link-refuse"
 
@@ -103,6 +108,7 @@
 	TargetDark, TargetSecondAnswer, TargetLateAnswer, SlowRouter, StoreLinkRefuse, StopRouters, ZoneCut, PublishAndKill, EndlessAnswers,
 	TargetUnframedDark, TargetUnframedMute, TargetUnframedRestart,
 	TargetEventTwice, TargetEventLower, TargetEventMissing, TargetBrokenSecond, TargetBrokenFilled, TargetBodyFilled,
+	TargetGenerated, TargetGeneratedSound,
 }
 
 // endlessKinds are the kinds that an EndlessAnswers stands for.
@@ -132,7 +138,7 @@
 }
 
 // sound reports whether the kind leaves a target able to serve all requests.
-func (k Kind) sound() bool { return k == TargetUnframed }
+func (k Kind) sound() bool { return k == TargetUnframed || k == TargetGeneratedSound }
 
 // Fault is one fault of a schedule.
 type Fault struct {
@@ -144,6 +150,8 @@
 	Index int
 	// Version is the software version of the targets that a release starts.
 	Version int
+	// Share is the fraction of drawn answers with a fault.
+	Share float64
 }
 
 // disturbsAt returns when the fault may first keep a request from being served, counted from the start of the
@@ -246,6 +254,8 @@
 		f.Kind, kill.Kind, kill.Index = Publish, KillRouter, random.IntN(c.Routers)
 		kill.At += time.Duration(random.Float64() * float64(maxKillDelay))
 		return []Fault{f, kill}
+	case f.Kind.generated():
+		return drawGenerated(random, f, c)
 	case f.Kind.onRouter():
 		f.Index = random.IntN(c.Routers)
 	case f.Kind.spoilsStreams():
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -47,6 +47,8 @@
 	OneVersion bool
 	// Kinds are the kinds of fault to draw from; nil means all.
 	Kinds []Kind
+	// AnswerFaults are the faults of answers that targets draw from a grammar; nil means all.
+	AnswerFaults []standin.AnswerFault
 	// MemoryMB is the memory of a router's machine in MiB; 0 means defaultMemoryMB.
 	MemoryMB int
 	// CountCases is set if a run goes on after a broken promise, and its report lists all cases.
@@ -247,14 +249,18 @@
 	}
 }
 
-// pickRouter draws a router in rotation for a new connection. It returns nil if there is none.
-func (r *run) pickRouter(random *rand.Rand) *router {
+// pickRouter draws a router in rotation for a new connection, another one than avoided if there is one. It returns nil
+// if there is none.
+func (r *run) pickRouter(random *rand.Rand, avoided *router) *router {
+	var picked *router
 	for _, i := range random.Perm(len(r.routers)) {
 		if r.routers[i].inRotation.Load() {
-			return r.routers[i]
+			if picked = r.routers[i]; picked != avoided {
+				break
+			}
 		}
 	}
-	return nil
+	return picked
 }
 
 // reportError keeps err if it is the first error of the soak itself.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -281,3 +281,25 @@
 	}
 	return program
 }
+
+// TestDrawnAnswersKeepStreamsInOrder runs router processes with targets that draw their answers from a grammar, with one
+// fault at a time.
+func TestDrawnAnswersKeepStreamsInOrder(t *testing.T) {
+	program := buildRouter(t)
+	for i, fault := range []standin.AnswerFault{
+		standin.AnswerSpoiled, standin.AnswerSpoiledText, standin.AnswerLost, standin.AnswerBreakCR, standin.AnswerHigher, standin.AnswerMissing,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			c := testConfig(55101 + uint64(i))
+			c.Kinds, c.AnswerFaults, c.Interval, c.OneVersion = []Kind{TargetGenerated}, []standin.AnswerFault{fault}, 100*time.Millisecond, true
+			c.Program, c.Dir, c.Length = program, t.TempDir(), 4*time.Second
+			report, err := Run(c, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if report.Violation != nil || report.Counts["drawn streams, resumable"] == 0 {
+				t.Error(report)
+			}
+		})
+	}
+}
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chiveseam/chiveseam/platform/standin"
@@ -17,6 +18,9 @@
 	run     *run
 	service string
 
+	// drawing is the number of faults due to which the target draws its answers.
+	drawing atomic.Int32
+
 	// mu guards the fields below.
 	mu sync.Mutex
 	// relay is the relay in front of the target, and spare that of the target that a release
@@ -96,6 +100,10 @@
 		c.promptCrashed(id)
 		go func() { s.run.reportError(s.crash(target, promptCrashRestart)) }()
 	}
+	target.OnExit = func(standin.Run) {
+		c.connectionsReset(id)
+		go func() { s.run.reportError(s.crash(target, promptCrashRestart)) }()
+	}
 	c.targetStarted(target.ID, s.number)
 	if err := target.Start(s.relay.server); err != nil {
 		return err
@@ -172,8 +180,14 @@
 			return nil
 		}
 		target.SetFault(targetFaults[f.Kind])
+		if f.Kind.generated() {
+			target.SetGrammar(s.run.config.grammar(f))
+			s.drawing.Add(1)
+		}
 		time.Sleep(f.Duration)
-		target.SetFault(standin.NoFault)
+		if !f.Kind.generated() || s.drawing.Add(-1) == 0 {
+			target.SetFault(standin.NoFault)
+		}
 	}
 	return nil
 }
