edge: an event ends with a whole line end, and comments are parts of their own

Three faults of where the parts of a stream end: - An engine stopped after the CR of the CRLF that ends an event. The event counted as ended, the stream went on at another engine, and the caller held "\r\n\r: ping" or "\r\n\rid: 3": a reader that knows LF and CRLF joins the events. A CR ends a line at once only if the line before ended so; otherwise the next byte decides, or the end of the stream, unless an event is open. - Comments without an empty line between them counted as an open event, and sound streams were cut after two seconds, or after three pauses. A comment or an empty line between two events is a part of its own now, passed on by the line. A comment with the start of a status line waits for what follows. - A target that went on with a stream began with a byte order mark, which is part of a field's name within the caller's stream: dropped there.

The scanner yields the parts one by one, so the gate no longer looks for the end of each event twice. Unframed streams of comments only count as without events.

The test of event ends also reads the text by the standard's lines now; that of leadingEvent went with the function.

--- a/edge/events_test.go
+++ b/edge/events_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -11,49 +13,66 @@
 	"github.com/chiveseam/chiveseam/streams"
 )
 
-// Where events end does not depend on how a stream's bytes are split between reads.
+// lineEnds matches all that ends a line of a stream of events.
+var lineEnds = regexp.MustCompile("\r\n|\r|\n")
+
+// countEvents counts the events that have ended in a text, read by lines as the standard defines them.
+func countEvents(text string) (events int) {
+	lines := lineEnds.Split(text, -1)
+	fields := false
+	for _, line := range lines[:len(lines)-1] {
+		switch {
+		case line == "" && fields:
+			events++
+			fields = false
+		case line != "" && line[0] != ':':
+			fields = true
+		}
+	}
+	return events
+}
+
+// Where the parts of a stream end does not depend on how its bytes are split between reads, and events end where the standard
+// ends them.
 func TestEventEndsDoNotDependOnReads(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		text := []byte(rapid.StringOfN(rapid.RuneFrom([]rune("a\n\r")), 0, 30, -1).Draw(t, "text"))
+		text := rapid.StringOfN(rapid.RuneFrom([]rune("a:\n\r")), 0, 30, -1).Draw(t, "text")
+		scan := func(s *eventScanner, data string) (ends []int) {
+			at := 0
+			for {
+				n, kind := s.scan([]byte(data[at:]))
+				if at += n; kind == openPart {
+					return ends
+				}
+				if s.open != 0 {
+					t.Fatalf("%q: %d open bytes at the end of a part", text, s.open)
+				}
+				ends = append(ends, at)
+			}
+		}
 		var whole, split eventScanner
-		end := whole.scan(text)
-		splitEnd := 0
+		ends := scan(&whole, text)
+		var splitEnds []int
 		for at := 0; at < len(text); {
 			n := rapid.IntRange(1, len(text)-at).Draw(t, "n")
-			if e := split.scan(text[at : at+n]); e > 0 {
-				splitEnd = at + e
+			for _, end := range scan(&split, text[at:at+n]) {
+				splitEnds = append(splitEnds, at+end)
 			}
 			at += n
 		}
-		if whole != split || end != splitEnd {
-			t.Fatalf("%q: %+v up to %d, split %+v up to %d", text, whole, end, split, splitEnd)
+		if whole != split || !slices.Equal(ends, splitEnds) {
+			t.Fatalf("%q: %+v to %d, split %+v to %d", text, whole, ends, split, splitEnds)
 		}
-		if whole.open != len(text)-end {
-			t.Fatalf("%q: %d open bytes after %d", text, whole.open, end)
+		if whole.open != len(text)-slices.Max(append(ends, 0)) {
+			t.Fatalf("%q: %d open bytes after %d", text, whole.open, ends)
 		}
-	})
-}
-
-// Where the first event ends does not depend on whether it is looked for alone or with the others.
-func TestLeadingEventEndsWhereAnEventEnds(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		text := []byte(rapid.StringOfN(rapid.RuneFrom([]rune("a\n\r")), 0, 30, -1).Draw(t, "text"))
-		var s eventScanner
-		whole := text[:s.scan(text)]
-		count := 0
-		for rest := whole; len(rest) > 0; count++ {
-			event := leadingEvent(rest)
-			var one eventScanner
-			if one.scan(event) != len(event) || one.ended > 1 {
-				t.Fatalf("%q of %q is not an event", event, text)
-			}
-			if rest = rest[len(event):]; one.ended == 0 {
-				// Only empty lines are left.
-				count--
-			}
+		// The next byte decides what a carriage return at the end is; at the end of the stream, only an event is left open.
+		atEnd := whole
+		if kind := atEnd.end(); kind == eventPart || kind == openPart && atEnd.pendingCR && !atEnd.eventBegun() {
+			t.Fatalf("%q: %v at the end", text, kind)
 		}
-		if count != s.ended {
-			t.Fatalf("%q: %d events, not %d", text, count, s.ended)
+		if scan(&whole, "a"); whole.ended != countEvents(text) {
+			t.Fatalf("%q: %d events, not %d", text, whole.ended, countEvents(text))
 		}
 	})
 }
--- a/edge/gate.go
+++ b/edge/gate.go
@@ -23,6 +23,9 @@
 	firstID, lastID string
 	// unidentified is set if an event with data has come since the last one with an ID.
 	unidentified bool
+	// begun is set once a part of the stream was admitted. continues is set before the first part is forwarded, if the caller
+	// has received a part of the stream from another target.
+	begun, continues bool
 	// tally counts the events that are not formed as usual.
 	tally eventTally
 	// fields holds the names of the fields that events may have besides those of the standard.
@@ -62,37 +65,64 @@
 	errMalformedText = errors.New("event with malformed text")
 )
 
-// admit returns the number of bytes of complete events up to the first one that must not be passed on, and the reason for
-// that; nil if there is none.
-func (g *eventGate) admit(events []byte) (int, error) {
+// admit checks a text that begins with the open part of the stream and goes on with its next bytes. It returns the number of bytes
+// up to the end of the last part of it, or up to the first part that must not be passed on and the reason for that.
+func (g *eventGate) admit(text []byte) (int, error) {
 	admitted := 0
-	for admitted < len(events) {
-		event := leadingEvent(events[admitted:])
-		if g.isAnswer(event) {
-			return admitted, errAnswerInStream
+	for scanned := g.open; ; {
+		n, kind := g.scan(text[scanned:])
+		if kind == openPart {
+			return admitted, nil
 		}
-		parsed, err := parseEvent(event, g.fields)
-		g.tally.add(event, parsed)
-		switch {
-		case err != nil:
+		scanned += n
+		if err := g.check(text[admitted:scanned], kind); err != nil {
 			return admitted, err
-		case parsed.malformed:
-			return admitted, errMalformedText
 		}
-		id := parsed.id
-		if id != "" {
-			if err := g.next(id); err != nil {
-				return admitted, err
-			}
-			if g.firstID == "" {
-				g.firstID = id
-			}
-			g.lastID = id
+		admitted = scanned
+	}
+}
+
+// admitEnd checks what is open at the end of the stream, as admit does.
+func (g *eventGate) admitEnd(text []byte) (int, error) {
+	kind := g.end()
+	if kind == openPart {
+		return 0, nil
+	}
+	if err := g.check(text, kind); err != nil {
+		return 0, err
+	}
+	return len(text), nil
+}
+
+// check returns the reason why a part of the stream must not be passed on; nil if there is none.
+func (g *eventGate) check(part []byte, kind partKind) error {
+	if !g.begun {
+		part = bytes.TrimPrefix(part, []byte(byteOrderMark))
+	}
+	if kind == eventPart && g.isAnswer(part) {
+		return errAnswerInStream
+	}
+	parsed, err := parseEvent(part, g.fields)
+	g.tally.add(part, parsed)
+	switch {
+	case err != nil:
+		return err
+	case parsed.malformed:
+		return errMalformedText
+	}
+	id := parsed.id
+	if id != "" {
+		if err := g.next(id); err != nil {
+			return err
 		}
-		g.unidentified = id == "" && (g.unidentified || parsed.hasData)
-		admitted += len(event)
+		if g.firstID == "" {
+			g.firstID = id
+		}
+		g.lastID = id
 	}
-	return admitted, nil
+	g.unidentified = id == "" && (g.unidentified || parsed.hasData)
+	g.begun = true
+	return nil
 }
 
 // next checks the ID of the next event.
@@ -102,22 +132,6 @@
 	return g.sequence.Next(id)
 }
 
-// leadingEvent returns the first event of some, with the empty lines before it and its end.
-func leadingEvent(events []byte) []byte {
-	var s eventScanner
-	for i, b := range events {
-		if s.step(b); s.ended == 0 {
-			continue
-		}
-		end := i + 1
-		if b == '\r' && bytes.HasPrefix(events[end:], []byte("\n")) {
-			end++
-		}
-		return events[:end]
-	}
-	return events
-}
-
 // parsedEvent is what the router reads of an event.
 type parsedEvent struct {
 	// id is the ID, "" if it has none. hasData is set if it has data: callers ignore others.
--- a/edge/hold.go
+++ b/edge/hold.go
@@ -164,6 +164,26 @@
 	return nil
 }
 
+// join returns the text of the buffer with p behind it. If the buffer is empty, that is p itself.
+func (b *heldBuffer) join(p []byte) ([]byte, error) {
+	if len(b.data) == 0 {
+		return p, nil
+	}
+	if err := b.append(p); err != nil {
+		return nil, err
+	}
+	return b.data, nil
+}
+
+// keep reduces the buffer to the rest of a text that join has returned.
+func (b *heldBuffer) keep(rest []byte) error {
+	if len(rest) == len(b.data) && len(rest) > 0 {
+		return nil
+	}
+	b.release()
+	return b.append(rest)
+}
+
 // release empties the buffer. It keeps as much memory as a stream of small events needs.
 func (b *heldBuffer) release() {
 	b.data = b.data[:0]
--- a/edge/reply.go
+++ b/edge/reply.go
@@ -31,6 +31,8 @@
 	// begun is set before the first byte of the answer is written, ended before the last part.
 	begun bool
 	ended bool
+	// dataBegun is set before the first byte of a stream's body is written.
+	dataBegun bool
 	// bytes counts the bytes written, heads included, and writes the number of writes.
 	bytes, writes int
 	buf           []byte
@@ -127,6 +129,7 @@
 	if len(p) == 0 || r.headOnly {
 		return nil
 	}
+	r.dataBegun = true
 	if r.minorVersion == 0 {
 		return r.write(p)
 	}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -50,14 +50,19 @@
 		n, err := readAvailable(body, buf)
 		if n > 0 {
 			c.edge.recordFirstBytes(a)
-			eventsEnd := a.events.scan(buf[:n])
-			if eventsEnd > 0 {
+			text, memoryErr := pending.join(buf[:n])
+			if memoryErr != nil {
+				a.err = memoryErr
+				return lost, false
+			}
+			admitted, spoiledErr := a.events.admit(text)
+			if admitted > 0 {
 				eventAt = time.Now()
 			}
 			switch {
-			case a.events.open == 0:
+			case !a.events.eventBegun():
 				u.partialSince = time.Time{}
-			case eventsEnd > 0 || u.partialSince.IsZero():
+			case admitted > 0 || u.partialSince.IsZero():
 				u.partialSince = time.Now()
 			}
 			a.recordProgress()
@@ -66,26 +71,29 @@
 				return lost, false
 			}
 			forwarded := time.Now()
-			forwardErr := a.forwardData(pending, buf[:n], eventsEnd)
+			forwardErr := a.forwardData(text[:admitted])
 			// The time in which the caller did not read is not the target's.
 			waited := time.Since(forwarded)
 			eventAt = eventAt.Add(waited)
 			if !u.partialSince.IsZero() {
 				u.partialSince = u.partialSince.Add(waited)
 			}
-			switch {
-			case a.spoiled != "", errors.Is(forwardErr, errMemory):
-				a.err = forwardErr
-				return lost, false
-			case forwardErr != nil:
+			if forwardErr != nil {
 				return abandoned, false
 			}
+			if spoiledErr != nil {
+				a.noteSpoiledStream(spoiledErr)
+				return lost, false
+			}
+			if a.err = pending.keep(text[admitted:]); a.err != nil {
+				return lost, false
+			}
 		}
 		if err == nil {
 			continue
 		}
 		if errors.Is(err, io.EOF) {
-			return a.finishStream(u)
+			return a.finishStream(u, pending.data)
 		}
 		if ctx.Err() != nil {
 			return abandoned, false
@@ -106,10 +114,18 @@
 	return n, err
 }
 
-// finishStream ends a stream that the target has ended. The framing of the answer
+// finishStream ends a stream that the target has ended; rest is what was not forwarded of it. The framing of the answer
 // does not show that the stream is complete: a target or proxy that breaks it off may still end the
 // body, and a crash closes the connection of an answer without a length, often between two events.
-func (a *attempt) finishStream(u *upstream) (attemptOutcome, bool) {
+func (a *attempt) finishStream(u *upstream, rest []byte) (attemptOutcome, bool) {
+	admitted, spoiledErr := a.events.admitEnd(rest)
+	if spoiledErr != nil {
+		a.noteSpoiledStream(spoiledErr)
+		return lost, false
+	}
+	if a.forwardData(rest[:admitted]) != nil {
+		return abandoned, false
+	}
 	if a.events.open > 0 || a.closeDelimited && a.events.ended == 0 && a.call.resumeAfter() == "" {
 		a.err = errStreamBrokenOff
 		a.crashed = a.closeDelimited
@@ -139,6 +155,7 @@
 	origin := streams.Origin{Service: placement.Hash(c.service), Version: placement.VersionHash(a.target.Version)}
 	a.events.numberings = &e.numberings
 	a.events.fields = e.headers.EventFields
+	a.events.continues = c.reply.dataBegun
 	last := c.resumeAfter()
 	resumable := c.route.RetryPolicy == routing.Resumable
 	if !resumable && last != "" {
@@ -146,42 +163,32 @@
 	}
 	a.events.sequence = e.numberings.sequence(origin, last, c.suspectedGap, resumable && a.number < c.route.MaxAttempts)
 	a.events.isAnswer = func(event []byte) bool {
-		return bytes.HasPrefix(bytes.TrimLeft(event, "\r\n"), statusLineStart) || eventHoldsHead(event) ||
+		return bytes.HasPrefix(event, statusLineStart) || eventHoldsHead(event) ||
 			u.holdsAnswer(event, e.headers.RequestID)
 	}
 }
 
-// forwardData sends the complete events of pending and data, two successive parts of a stream, to the caller, up to the first
-// one that does not go on with the stream: the last one ends at data[eventsEnd]; 0 means that none ends in data. The
-// rest stays in pending, so that another target can continue after an event.
-// The error is that of eventGate.admit, errMemory or that of the caller's connection.
-func (a *attempt) forwardData(pending *heldBuffer, data []byte, eventsEnd int) error {
-	if eventsEnd == 0 {
-		return pending.append(data)
-	}
-	events := data[:eventsEnd]
-	if len(pending.data) > 0 {
-		if err := pending.append(events); err != nil {
-			return err
-		}
-		events = pending.data
-	}
-	admitted, spoiledErr := a.events.admit(events)
-	if admitted > 0 {
-		a.recordEvents()
-		if err := a.call.reply.sendData(events[:admitted]); err != nil {
-			return err
-		}
-	}
-	if spoiledErr != nil {
-		a.noteSpoiled(spoiledErr)
-		if gap := a.events.sequence.Gap(); gap != nil {
-			a.call.suspectedGap = gap
-		}
-		return spoiledErr
+// forwardData sends a part of the stream, which may be empty, to the caller. If it continues what another target began, the byte
+// order mark at its start is left out: within a stream it would be part of a field's name.
+func (a *attempt) forwardData(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	if a.events.continues {
+		a.events.continues = false
+		data = bytes.TrimPrefix(data, []byte(byteOrderMark))
+	}
+	a.recordEvents()
+	return a.call.reply.sendData(data)
+}
+
+// noteSpoiledStream records why the rest of the stream is not passed on.
+func (a *attempt) noteSpoiledStream(err error) {
+	a.err = err
+	a.noteSpoiled(err)
+	if gap := a.events.sequence.Gap(); gap != nil {
+		a.call.suspectedGap = gap
 	}
-	pending.release()
-	return pending.append(data[eventsEnd:])
 }
 
 // recordEvents records how far the caller of a resumable stream will have received it.
