streams, edge: a stream does not go on after a number that may be wrong

Callers saw events missing (8 of 170 streams) or streams that ended short as whole (2 of 170) where engines wrote one event with a number 40 higher. The wrong number passed while the step was not known yet, the event behind it was refused, and the stream was taken up after the wrong number at another engine, which has nothing there.

If a refused number is above that of the event before the last one, nobody knows which of the two is wrong. The stream then ends visibly (reason "last event ID doubtful"), unless the last step is the known usual one. An event that comes twice, or one that comes late, is not passed on, and the stream goes on as before.

TestStreamDoesNotGoOnAfterADoubtfulNumber fails on the code before (1 of 1), and passes now, with the tests of streams and the edge tests of the name Stream.

--- a/edge/call.go
+++ b/edge/call.go
@@ -54,6 +54,9 @@
 	unidentified bool
 	// suspectedGap is where a target seems to have left events out of the stream; nil if none has.
 	suspectedGap *streams.Gap
+	// lastDoubtful is set if the ID of the last event that the caller received may be wrong, so that the stream cannot go on
+	// from there.
+	lastDoubtful bool
 	// stream identifies a resumable stream, and originService is the service that began it, if the
 	// request takes it up and the route leads there; "" otherwise.
 	stream        streams.ID
@@ -393,6 +396,8 @@
 		return "answer begun"
 	case c.unidentified:
 		return "events without IDs"
+	case c.lastDoubtful:
+		return "last event ID doubtful"
 	}
 	c.edge.mu.Lock()
 	defer c.edge.mu.Unlock()
--- a/edge/gate_test.go
+++ b/edge/gate_test.go
@@ -127,3 +127,24 @@
 		f.is.True(strings.HasPrefix(body, begun))
 	}
 }
+
+// Guards against ORDER: an event has a wrong, higher number, the next one is refused, and the stream goes on after the wrong one at
+// another target: events are missing, or it ends short as whole. One that comes twice or late is left out of the stream.
+func TestStreamDoesNotGoOnAfterADoubtfulNumber(t *testing.T) {
+	for numbers, goesOn := range map[[3]int]bool{{1, 42, 3}: false, {41, 2, 3}: false, {1, 2, 2}: true, {2, 3, 1}: true} {
+		var starts atomic.Int32
+		handle := func(s *receivedRequest) {
+			if starts.Add(1) == 1 {
+				sendChunked(fmt.Sprintf("id: %d\ndata: a\n\nid: %d\ndata: b\n\nid: %d\ndata: c\n\n", numbers[0], numbers[1], numbers[2]))(s)
+				return
+			}
+			last := 0
+			fmt.Sscan(s.Header.Get("T-Last"), &last)
+			sendChunked(soundEvents(last+1, eventsOfStream))(s)
+		}
+		f := newFixture(t, newTestTarget(t, "t1", handle), newTestTarget(t, "t2", handle))
+		_, _, err := f.client().call("POST", "/resumable/")
+		f.is.Equal(err == nil, goesOn)
+		f.is.True(goesOn || f.logs.contains("last event ID doubtful"))
+	}
+}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -178,6 +178,7 @@
 		if gap := a.events.sequence.Gap(); gap != nil {
 			a.call.suspectedGap = gap
 		}
+		a.call.lastDoubtful = a.events.sequence.LastDoubtful()
 		return spoiledErr
 	}
 	pending.release()
--- a/streams/sequence.go
+++ b/streams/sequence.go
@@ -70,6 +70,11 @@
 	m.confirmed = max(m.confirmed-1, 0)
 }
 
+// isUsual reports whether a number is the mode, as far as that is known.
+func (m *mode) isUsual(number uint64) bool {
+	return number == m.value && m.hits >= minHitsRetry && m.hits > m.outliers
+}
+
 // exceededBy reports whether a number is above the mode, which must have been seen at least hits times.
 func (m *mode) exceededBy(number uint64, hits int) bool {
 	return number > m.value && m.hits >= hits && m.confirmed < maxConfirmed &&
@@ -100,6 +105,12 @@
 	gapConfirmed bool
 	// gap is where the sequence found events missing.
 	gap *Gap
+	// begun is set once an event has passed. secondLast is the ID of the event before the last one, and lastUsual is set if the step from there is the usual one.
+	begun      bool
+	secondLast eventID
+	lastUsual  bool
+	// lastDoubtful is set if the last event that passed, rather than the one behind it, may be out of order.
+	lastDoubtful bool
 }
 
 // eventID is the ID of an event, as far as it is a number.
@@ -140,11 +151,14 @@
 // two targets leave behind the same event passes, too, whatever its size: how much an event holds may depend on the load of
 // its target.
 func (s *Sequence) Next(id string) error {
-	before, atStart := s.last, s.atStart
-	s.last, s.atStart = parseEventID(id), false
+	before, atStart, wasUsual := s.last, s.atStart, s.lastUsual
+	s.last, s.atStart, s.lastUsual = parseEventID(id), false, false
 	if s.last.isNumber && before.isNumber && !s.last.above(before) {
+		s.lastDoubtful = !wasUsual && s.begun && before.above(s.last) &&
+			(!s.secondLast.isNumber || s.last.above(s.secondLast))
 		return ErrOrder
 	}
+	s.secondLast, s.begun = before, true
 	if !s.last.isUint64 || !before.isUint64 && !atStart {
 		return nil
 	}
@@ -160,6 +174,7 @@
 	if !s.gapConfirmed && usual.exceededBy(distance, s.hits) {
 		s.gap = &Gap{After: before.number}
 	}
+	s.lastUsual = usual.isUsual(distance)
 	usual.observe(distance)
 	if s.gap != nil {
 		return ErrGap
@@ -167,6 +182,10 @@
 	return nil
 }
 
+// LastDoubtful reports whether, after ErrOrder, the last event that passed may have a wrong ID: the refused one goes on from the
+// event before that.
+func (s *Sequence) LastDoubtful() bool { return s.lastDoubtful }
+
 // Gap returns where events are missing; nil if Next has not returned ErrGap.
 func (s *Sequence) Gap() *Gap { return s.gap }
 
--- a/streams/sequence_test.go
+++ b/streams/sequence_test.go
@@ -143,6 +143,35 @@
 	}
 }
 
+// Guards against ORDER: an event has a wrong, higher number, the next one is refused, and the stream goes on after the wrong one at
+// another target: events are missing, or it ends short. An event that comes twice or late is not passed on, so that it goes on.
+func TestStreamEndsAfterADoubtfulNumber(t *testing.T) {
+	for _, c := range []struct {
+		after    string
+		ids      []string
+		learned  int
+		doubtful bool
+	}{
+		{"", []string{"1", "2", "3", "43", "4"}, 0, true},
+		{"", []string{"41", "2"}, 0, true},
+		{"4", []string{"45", "6"}, 0, true},
+		{"", []string{"a", "45", "6"}, 0, true},
+		{"", []string{"1", "2", "2"}, 0, false},
+		{"", []string{"5", "6", "4"}, 0, false},
+		{"", []string{"5", "6", "5"}, 0, false},
+		{"9", []string{"1"}, 0, false},
+		{"", []string{"2", "4", "3"}, 2 * minHits, false}, // 4 is where it should be
+	} {
+		is := is.New(t)
+		s := NewSequence(learn(2, 2, c.learned), c.after, nil, false)
+		for i, id := range c.ids {
+			err := s.Next(id)
+			is.Equal(errors.Is(err, ErrOrder), i == len(c.ids)-1)
+		}
+		is.Equal(s.LastDoubtful(), c.doubtful)
+	}
+}
+
 // Guards against ORDER: the numbers of events have more than 64 bits, go back, and that was not noticed.
 func TestNumbersOfAnySizeIncrease(t *testing.T) {
 	for _, c := range []struct {
