streams, edge: routers tell each other how event IDs rise

Routers state in two load reports each time they have learned twice as much of a service and version (from 4 steps to 64), and answers to a router that starts state all, at most 300 in a report. A router that has seen less than 64 numbers takes over what another has learned from more, scaled to 64, unless it has seen otherwise four times. Nothing is added up, so reports that are repeated, reordered or passed on count once. A wrong report is not taken up again once 64 own numbers are known.

TestStartedRouterIsToldHowIDsRise fails on the code before (3 of 3).

--- a/edge/gate.go
+++ b/edge/gate.go
@@ -7,6 +7,7 @@
 	"sync"
 	"unicode/utf8"
 
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/streams"
 )
 
@@ -162,3 +163,27 @@
 	defer n.mu.Unlock()
 	return streams.NewSequence(n.byVersion.Of(origin), last, suspected, mayRetry)
 }
+
+// fillReport adds to a report what has been learned lately.
+func (n *numberings) fillReport(r *v1.LoadReport) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.byVersion.FillReport(r)
+}
+
+// mergeReport learns what another router reports.
+func (n *numberings) mergeReport(r *v1.LoadReport) {
+	if len(r.Numberings) == 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.byVersion.MergeReport(r)
+}
+
+// messages returns all that is known, in lists that fit into a report each.
+func (n *numberings) messages() [][]*v1.EventNumbering {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.byVersion.Messages()
+}
--- a/edge/gate_test.go
+++ b/edge/gate_test.go
@@ -148,3 +148,17 @@
 		f.is.True(goesOn || f.logs.contains("last event ID doubtful"))
 	}
 }
+
+// Guards against ORDER: a router starts, knows nothing of how the IDs of a service rise, and passes on a stream that may not be resumed
+// although an event is left out, while other routers know it.
+func TestStartedRouterIsToldHowIDsRise(t *testing.T) {
+	f := newFixture(t, newTestTarget(t, "t1", serveSound))
+	for range soundStreams {
+		_, _, err := f.client().call("POST", "/stream/")
+		f.is.NoErr(err)
+	}
+	peer := f.newPeer(newTestTarget(t, "t2", sendChunked(soundEvents(1, 4)+soundEvents(6, eventsOfStream))))
+	_, body, err := peer.client().call("POST", "/stream/")
+	f.is.True(err != nil)
+	f.is.Equal(body, soundEvents(1, 4))
+}
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -85,6 +85,7 @@
 	e.balancer.FillReport(now, report)
 	e.poison.FillReport(now, report)
 	e.origins.FillReport(now, report)
+	e.numberings.fillReport(report)
 	e.evacuations.FillReport(report)
 	e.fillStoreReading(now, report)
 	return report
@@ -221,6 +222,7 @@
 	e.balancer.MergeReport(now, report)
 	e.poison.MergeReport(now, report)
 	e.origins.MergeReport(now, report)
+	e.numberings.mergeReport(report)
 	e.mergeEvacuations(now, report)
 	e.wakeOriginWaiters(report)
 	if answer := e.answerOrigins(report.WantedStreams); answer != nil {
@@ -254,8 +256,8 @@
 }
 
 // answerReport sends a router that asked for it the addresses of the other routers, the targets that
-// leave, are cold or have rate limits, the evacuations, the versions of services, the prompt parts that the
-// targets have in their KV caches, and the requests that crash targets, with the parts of their prompts that
+// leave, are cold or have rate limits, the evacuations, the versions of services and how their event IDs rise, the prompt parts that
+// the targets have in their KV caches, and the requests that crash targets, with the parts of their prompts that
 // targets can answer. The caller holds e.mu.
 func (e *Edge) answerReport(now time.Time, to netip.AddrPort) {
 	answer := e.baseReport()
@@ -273,6 +275,11 @@
 		partsReport.Parts = parts
 		answers = append(answers, partsReport)
 	}
+	for _, numberings := range e.numberings.messages() {
+		numberingReport := e.baseReport()
+		numberingReport.Numberings = numberings
+		answers = append(answers, numberingReport)
+	}
 	for _, lost := range e.poison.Losses(now) {
 		lossReport := e.baseReport()
 		lossReport.Lost = lost
--- /dev/null
+++ b/streams/numbering.go
@@ -0,0 +1,123 @@
+package streams
+
+import (
+	"math/bits"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+)
+
+const (
+	// maxNumberings bounds the services and versions of which the numbering is learned.
+	maxNumberings = 1_000
+	// wellKnown is the number of steps from which on a router needs no other one to tell it of a numbering.
+	wellKnown = 64
+	// numberingReports is the number of reports that state what was learned, in case some of them are dropped.
+	numberingReports = 2
+	// maxReportedNumberings limits the numberings in one report, so that it fits into a datagram.
+	maxReportedNumberings = 300
+)
+
+// Numbering is what is known of how the IDs of the events of one service rise at one software version. Targets only
+// promise that IDs increase, so it is learned from all their streams. It is not safe for concurrent use.
+type Numbering struct {
+	// first is the ID of the first event of streams, and step how far an ID is above the one before it.
+	first, step mode
+	// reported is how much was known at the last report, and due the number of reports that must still state it.
+	reported, due int
+}
+
+// known returns the number of observations, as far as it matters to other routers.
+func (n *Numbering) known() int { return min(max(n.first.observed(), n.step.observed()), wellKnown) }
+
+func (n *Numbering) message(origin Origin) *v1.EventNumbering {
+	return &v1.EventNumbering{Service: origin.Service, Version: origin.Version, First: n.first.message(), Step: n.step.message()}
+}
+
+// Numberings holds the numbering of each service and version. It is not safe for concurrent use.
+type Numberings map[Origin]*Numbering
+
+// Of returns the numbering of a service and version. Beyond maxNumberings, it forgets another one.
+func (n Numberings) Of(origin Origin) *Numbering {
+	if known, ok := n[origin]; ok {
+		return known
+	}
+	for other := range n {
+		if len(n) < maxNumberings {
+			break
+		}
+		delete(n, other)
+	}
+	learned := new(Numbering)
+	n[origin] = learned
+	return learned
+}
+
+// FillReport adds the numberings to a report of which twice as much has been learned as at an earlier one, until other routers
+// know enough.
+func (n Numberings) FillReport(r *v1.LoadReport) {
+	for origin, numbering := range n {
+		if len(r.Numberings) >= maxReportedNumberings {
+			return
+		}
+		if known := numbering.known(); known >= minHitsRetry && bits.Len(uint(known)) > bits.Len(uint(numbering.reported)) {
+			numbering.reported, numbering.due = known, numberingReports
+		}
+		if numbering.due > 0 {
+			numbering.due--
+			r.Numberings = append(r.Numberings, numbering.message(origin))
+		}
+	}
+}
+
+// Messages returns all numberings, for a router that does not know them, in lists that fit into a report each.
+func (n Numberings) Messages() [][]*v1.EventNumbering {
+	var lists [][]*v1.EventNumbering
+	for origin, numbering := range n {
+		if numbering.known() < minHitsRetry {
+			continue
+		}
+		if last := len(lists) - 1; last < 0 || len(lists[last]) == maxReportedNumberings {
+			lists = append(lists, nil)
+		}
+		lists[len(lists)-1] = append(lists[len(lists)-1], numbering.message(origin))
+	}
+	return lists
+}
+
+// MergeReport learns what another router reports.
+func (n Numberings) MergeReport(r *v1.LoadReport) {
+	for _, told := range r.Numberings[:min(len(r.Numberings), maxReportedNumberings)] {
+		numbering := n.Of(Origin{Service: told.Service, Version: told.Version})
+		numbering.first.adopt(told.First)
+		numbering.step.adopt(told.Step)
+		numbering.reported = max(numbering.reported, numbering.known())
+	}
+}
+
+// observed returns the number of observations.
+func (m *mode) observed() int { return m.hits + m.outliers }
+
+func (m *mode) message() *v1.UsualNumber {
+	return &v1.UsualNumber{
+		Value: m.value, Hits: uint32(m.hits), Outliers: uint32(m.outliers), Confirmed: uint32(m.confirmed),
+	}
+}
+
+// adopt replaces the mode by one that another router has learned from more numbers, unless the own one is well known or
+// contradicts it. Nothing is added up, so that a report may come several times, or by way of several routers. It counts for
+// wellKnown numbers at most, and own ones soon outweigh it.
+func (m *mode) adopt(told *v1.UsualNumber) {
+	hits, outliers := int(min(told.GetHits(), maxObserved)), int(min(told.GetOutliers(), maxObserved))
+	if hits == 0 || hits+outliers <= m.seen || m.seen >= wellKnown || m.hits >= minHitsRetry && m.value != told.GetValue() {
+		return
+	}
+	if total := hits + outliers; total > wellKnown {
+		outliers = (outliers*wellKnown + total - 1) / total
+		hits = wellKnown - outliers
+	}
+	*m = mode{
+		value: told.GetValue(), hits: max(hits, m.hits), outliers: max(outliers, m.outliers),
+		seen:      max(m.seen, min(hits+outliers, wellKnown)),
+		confirmed: max(m.confirmed, int(min(told.GetConfirmed(), maxConfirmed))),
+	}
+}
--- a/streams/sequence.go
+++ b/streams/sequence.go
@@ -40,10 +40,13 @@
 	outlierRun int
 	// confirmed counts the larger numbers that a second target confirmed, less those that it did not.
 	confirmed int
+	// seen counts all numbers, also those before the mode has changed, up to maxObserved.
+	seen int
 }
 
 // observe records a number.
 func (m *mode) observe(number uint64) {
+	m.seen = min(m.seen+1, maxObserved)
 	switch {
 	case number == m.value:
 		m.hits++
@@ -54,7 +57,7 @@
 			m.outliers = m.hits
 		}
 	default:
-		*m = mode{value: number, hits: 1, confirmed: m.confirmed}
+		*m = mode{value: number, hits: 1, seen: m.seen, confirmed: m.confirmed}
 	}
 	if m.hits+m.outliers >= maxObserved {
 		m.hits, m.outliers, m.confirmed = m.hits/2, m.outliers/2, m.confirmed/2
@@ -81,13 +84,6 @@
 		float64(m.outliers) <= maxOutlierShare*float64(m.hits)
 }
 
-// Numbering is what is known of how the IDs of the events of one service rise at one software version. Targets only
-// promise that IDs increase, so it is learned from all their streams. It is not safe for concurrent use.
-type Numbering struct {
-	// first is the ID of the first event of streams, and step how far an ID is above the one before it.
-	first, step mode
-}
-
 // Gap is a place of a stream where events may be missing: behind the event with the ID After, which is 0 before the first one.
 type Gap struct{ After uint64 }
 
@@ -188,25 +184,3 @@
 
 // Gap returns where events are missing; nil if Next has not returned ErrGap.
 func (s *Sequence) Gap() *Gap { return s.gap }
-
-// maxNumberings bounds the services and versions of which the numbering is learned.
-const maxNumberings = 1_000
-
-// Numberings holds the numbering of each service and version. It is not safe for concurrent use.
-type Numberings map[Origin]*Numbering
-
-// Of returns the numbering of a service and version. Beyond maxNumberings, it forgets another one.
-func (n Numberings) Of(origin Origin) *Numbering {
-	if known, ok := n[origin]; ok {
-		return known
-	}
-	for other := range n {
-		if len(n) < maxNumberings {
-			break
-		}
-		delete(n, other)
-	}
-	learned := new(Numbering)
-	n[origin] = learned
-	return learned
-}
