--- a/edge/stream.go
+++ b/edge/stream.go
@@ -189,6 +189,7 @@
 	if gap := a.events.sequence.Gap(); gap != nil {
 		a.call.suspectedGap = gap
 	}
+	a.call.lastDoubtful = a.events.sequence.LastDoubtful()
 }
 
 // recordEvents records how far the caller of a resumable stream will have received it.
--- a/streams/sequence.go
+++ b/streams/sequence.go
@@ -40,10 +40,13 @@
 	outlierRun int
 	// confirmed counts the larger numbers that a second target confirmed, less those that it did not.
 	confirmed int
+	// seen counts all numbers, also those before the mode has changed, up to maxObserved.
+	seen int
 }
 
 // observe records a number.
 func (m *mode) observe(number uint64) {
+	m.seen = min(m.seen+1, maxObserved)
 	switch {
 	case number == m.value:
 		m.hits++
@@ -54,7 +57,7 @@
 			m.outliers = m.hits
 		}
 	default:
-		*m = mode{value: number, hits: 1, confirmed: m.confirmed}
+		*m = mode{value: number, hits: 1, seen: m.seen, confirmed: m.confirmed}
 	}
 	if m.hits+m.outliers >= maxObserved {
 		m.hits, m.outliers, m.confirmed = m.hits/2, m.outliers/2, m.confirmed/2
@@ -70,19 +73,17 @@
 	m.confirmed = max(m.confirmed-1, 0)
 }
 
+// isUsual reports whether a number is the mode, as far as that is known.
+func (m *mode) isUsual(number uint64) bool {
+	return number == m.value && m.hits >= minHitsRetry && m.hits > m.outliers
+}
+
 // exceededBy reports whether a number is above the mode, which must have been seen at least hits times.
 func (m *mode) exceededBy(number uint64, hits int) bool {
 	return number > m.value && m.hits >= hits && m.confirmed < maxConfirmed &&
 		float64(m.outliers) <= maxOutlierShare*float64(m.hits)
 }
 
-// Numbering is what is known of how the IDs of the events of one service rise at one software version. Targets only
-// promise that IDs increase, so it is learned from all their streams. It is not safe for concurrent use.
-type Numbering struct {
-	// first is the ID of the first event of streams, and step how far an ID is above the one before it.
-	first, step mode
-}
-
 // Gap is a place of a stream where events may be missing: behind the event with the ID After, which is 0 before the first one.
 type Gap struct{ After uint64 }
 
@@ -100,6 +101,12 @@
 	gapConfirmed bool
 	// gap is where the sequence found events missing.
 	gap *Gap
+	// begun is set once an event has passed. secondLast is the ID of the event before the last one, and lastUsual is set if the step from there is the usual one.
+	begun      bool
+	secondLast eventID
+	lastUsual  bool
+	// lastDoubtful is set if the last event that passed, rather than the one behind it, may be out of order.
+	lastDoubtful bool
 }
 
 // eventID is the ID of an event, as far as it is a number.
@@ -140,11 +147,14 @@
 // two targets leave behind the same event passes, too, whatever its size: how much an event holds may depend on the load of
 // its target.
 func (s *Sequence) Next(id string) error {
-	before, atStart := s.last, s.atStart
-	s.last, s.atStart = parseEventID(id), false
+	before, atStart, wasUsual := s.last, s.atStart, s.lastUsual
+	s.last, s.atStart, s.lastUsual = parseEventID(id), false, false
 	if s.last.isNumber && before.isNumber && !s.last.above(before) {
+		s.lastDoubtful = !wasUsual && s.begun && before.above(s.last) &&
+			(!s.secondLast.isNumber || s.last.above(s.secondLast))
 		return ErrOrder
 	}
+	s.secondLast, s.begun = before, true
 	if !s.last.isUint64 || !before.isUint64 && !atStart {
 		return nil
 	}
@@ -160,6 +170,7 @@
 	if !s.gapConfirmed && usual.exceededBy(distance, s.hits) {
 		s.gap = &Gap{After: before.number}
 	}
+	s.lastUsual = usual.isUsual(distance)
 	usual.observe(distance)
 	if s.gap != nil {
 		return ErrGap
@@ -167,27 +178,9 @@
 	return nil
 }
 
+// LastDoubtful reports whether, after ErrOrder, the last event that passed may have a wrong ID: the refused one goes on from the
+// event before that.
+func (s *Sequence) LastDoubtful() bool { return s.lastDoubtful }
+
 // Gap returns where events are missing; nil if Next has not returned ErrGap.
 func (s *Sequence) Gap() *Gap { return s.gap }
-
-// maxNumberings bounds the services and versions of which the numbering is learned.
-const maxNumberings = 1_000
-
-// Numberings holds the numbering of each service and version. It is not safe for concurrent use.
-type Numberings map[Origin]*Numbering
-
-// Of returns the numbering of a service and version. Beyond maxNumberings, it forgets another one.
-func (n Numberings) Of(origin Origin) *Numbering {
-	if known, ok := n[origin]; ok {
-		return known
-	}
-	for other := range n {
-		if len(n) < maxNumberings {
-			break
-		}
-		delete(n, other)
-	}
-	learned := new(Numbering)
-	n[origin] = learned
-	return learned
-}
