edge: a stream whose route moves goes on at its own software version

Callers saw: events of v1 of one service followed by events of v2 of the next one, although that had v1, too. Cause: a stream whose route no longer leads to the service that began it went on at any version of the next one. Change: it goes on at the version that began it, where a service of the route has a usable target of that, else at any one, where it stays as before. It counts as a stream that goes on.

--- a/edge/call.go
+++ b/edge/call.go
@@ -58,6 +58,9 @@
 	// request takes it up and the route leads there; "" otherwise.
 	stream        streams.ID
 	originService string
+	// movedVersion is the version at which the stream began that the request takes up, if the route no longer leads to the
+	// service of that and the stream has not gone on at another one yet; 0 otherwise.
+	movedVersion uint32
 	// originUnknown is set if nobody knows at which version the stream began that the request takes up or has begun.
 	originUnknown bool
 	// originRecordedAt is when the origin of the stream was last recorded; zero before its first event.
@@ -203,7 +206,7 @@
 	}
 	c.service = c.originService
 	if c.service == "" {
-		c.service = c.route.Pick(rand.Float64(), func(s string) bool { return e.balancer.HasUsableTargetIn(c.demand.Regions, s, now) })
+		c.service = c.pickService(now)
 	}
 	if !c.pinVersion() {
 		c.releaseLink(now)
@@ -226,6 +229,24 @@
 	return err == nil
 }
 
+// pickService picks a service of the route that has a usable target. If the stream that the request takes up began at another
+// one, it goes on at its version where there is a service with that. The caller holds e.mu.
+func (c *call) pickService(now time.Time) string {
+	pick := func(version uint32) (service string, usable bool) {
+		hasTarget := func(s string) bool { return c.edge.balancer.HasUsableTargetIn(c.demand.Regions, s, version, now) }
+		service = c.route.Pick(rand.Float64(), hasTarget)
+		return service, hasTarget(service)
+	}
+	if c.movedVersion != 0 {
+		if service, usable := pick(c.movedVersion); usable {
+			c.demand.Version = c.movedVersion
+			return service
+		}
+	}
+	service, _ := pick(0)
+	return service
+}
+
 // checkDeadline refuses a request that was read after its deadline, and then returns false.
 func (c *call) checkDeadline() bool {
 	if c.deadlinePassed() {
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -77,8 +77,10 @@
 const maxMoves = 4
 
 // followOrigin restricts the request to the service and version that began its stream. If the route no longer leads to
-// that service, the stream goes on at one to which it does, and at the same version of that from then on.
+// that service, the stream goes on at one to which it does, and at the same version of that from then on: the one that
+// began it, if it is there.
 func (c *call) followOrigin(origin streams.Origin) {
+	began := origin.Version
 	for range maxMoves {
 		if c.setOrigin(origin) {
 			return
@@ -86,10 +88,11 @@
 		c.stream = c.stream.After(origin.Service)
 		next, known := c.edge.findOrigin(c.stream, c.route)
 		if !known {
-			return
+			break
 		}
 		origin = next
 	}
+	c.movedVersion, c.demand.Repeated = began, true
 }
 
 // setOrigin restricts the request to the targets of a service and version. It returns false if the route does not lead
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -295,17 +295,18 @@
 
 // HasUsableTarget reports whether a service has a target that may get requests.
 func (b *Balancer) HasUsableTarget(serviceName string, now time.Time) bool {
-	return b.HasUsableTargetIn(nil, serviceName, now)
+	return b.HasUsableTargetIn(nil, serviceName, 0, now)
 }
 
-// HasUsableTargetIn reports whether a service has a target in one of the regions that may get requests.
-func (b *Balancer) HasUsableTargetIn(regions routing.Regions, serviceName string, now time.Time) bool {
+// HasUsableTargetIn reports whether a service has a target in one of the regions, and of the version with a VersionHash, that
+// may get requests; 0 stands for any version.
+func (b *Balancer) HasUsableTargetIn(regions routing.Regions, serviceName string, version uint32, now time.Time) bool {
 	s, ok := b.services[serviceName]
 	if !ok {
 		return false
 	}
 	for _, t := range s.targets {
-		if b.allows(regions, t) && b.availability(now, t).reason == Eligible {
+		if t.hasVersion(version) && b.allows(regions, t) && b.availability(now, t).reason == Eligible {
 			return true
 		}
 	}
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -51,7 +51,7 @@
 // share.
 func (b *Balancer) Admit(now time.Time, d *Demand) error {
 	b.fleet.countRequest(now)
-	if d.plain() || !b.HasUsableTargetIn(d.Regions, d.Service, now) {
+	if d.plain() || !b.HasUsableTargetIn(d.Regions, d.Service, 0, now) {
 		_, err := b.pick(now, d, b.search(now, d))
 		return err
 	}
