edge: follow a stream to its version on routes that are no longer resumable

Callers saw: events of two software versions of one service, after the operator made the route of a stream not resumable and the caller took it up. Cause: only on resumable routes was the origin of a stream looked up. Evidence: 8 of 8 streams taken up at two routers in turn while resumable is switched off and on, and 8 of 8 while the route is moved too. Streams that began before their route was resumable are refused; a shorter time-out, one attempt and another prefix held. Change: the origin is looked up for each stream that is taken up, and the process checked. On a route that is not resumable, one of unknown origin goes on as before.

--- a/edge/moved_stream_test.go
+++ b/edge/moved_stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -165,6 +166,7 @@
 					for _, f := range fleet {
 						f.setTable(movedTable(uint64(step+2), leadsTo(to...)))
 					}
+					slices.Reverse(played)
 					for i := range played {
 						s := &played[i]
 						if s.read(fleet[step%routers], 2); s.status != http.StatusOK {
@@ -181,3 +183,46 @@
 		}
 	}
 }
+
+// Guards against ORDER: a stream is taken up when its route may no longer be resumed, or for the first time may be, and goes on at
+// another software version, as only routes that may be resumed were looked at.
+func TestStreamStaysAtItsVersionWhenItsRouteChanges(t *testing.T) {
+	resumable := func(r *routing.Route) { leadsTo("A")(r) }
+	once := func(r *routing.Route) { leadsTo("A")(r); r.RetryPolicy = routing.AtMostOnce }
+	short := func(r *routing.Route) { leadsTo("A")(r); r.MaxAttempts, r.Timeout = 1, time.Second }
+	other := func(r *routing.Route) { leadsTo("A")(r); r.Prefix = "/" }
+	elsewhere := func(r *routing.Route) { leadsTo("B")(r); r.RetryPolicy = routing.AtMostOnce }
+	for name, c := range map[string]struct {
+		changes []func(r *routing.Route)
+		refused bool
+	}{
+		"no longer resumable":      {[]func(r *routing.Route){resumable, once, resumable, once}, false},
+		"resumable from now on":    {[]func(r *routing.Route){once, resumable}, true},
+		"shorter, one attempt":     {[]func(r *routing.Route){resumable, short, resumable}, false},
+		"another prefix":           {[]func(r *routing.Route){resumable, other, resumable}, false},
+		"moved, not to be resumed": {[]func(r *routing.Route){resumable, elsewhere, elsewhere, resumable}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet := newMovableFleet(t, 2, "A v1", "B v2", "A v2", "B v1", "A v1", "A v2")
+			played := make([]playedStream, 8)
+			for step, change := range c.changes {
+				for _, f := range fleet {
+					f.setTable(movedTable(uint64(step+2), change))
+				}
+				slices.Reverse(played)
+				for i := range played {
+					s := &played[i]
+					if s.read(fleet[step%2], 2); s.status != http.StatusOK && !(c.refused && s.status == http.StatusServiceUnavailable) {
+						t.Errorf("step %d: %d", step, s.status)
+					}
+				}
+			}
+			for _, s := range played {
+				if s.versionsOf("") > 1 {
+					t.Errorf("of two versions: %q", s.wrote)
+				}
+			}
+		})
+	}
+}
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -27,14 +27,17 @@
 
 // resolveOrigin restricts a request that takes a stream up to the targets of the service and of the
 // software version that began it. If these cannot be told, and the service may have had several versions, it
-// answers the request and returns false.
+// answers the request and returns false. The route may have been resumable when the stream began.
 func (c *call) resolveOrigin() bool {
 	e := c.edge
-	if c.route.RetryPolicy != routing.Resumable {
+	resumable := c.route.RetryPolicy == routing.Resumable
+	if c.req.Header.Get(e.headers.LastEventID) == "" {
+		if resumable {
+			c.stream = streams.IDOf(c.id)
+		}
 		return true
 	}
-	if c.req.Header.Get(e.headers.LastEventID) == "" {
-		c.stream = streams.IDOf(c.id)
+	if !c.route.Stream {
 		return true
 	}
 	c.stream = streams.IDOf(c.req.Header.Get(e.headers.Resumes))
@@ -43,6 +46,9 @@
 		c.followOrigin(origin)
 		return true
 	}
+	if !resumable {
+		return true
+	}
 	e.mu.Lock()
 	ambiguous := e.mayHaveSeveralVersions(c.route)
 	versions, knownFor := e.versionCounts(c.route), e.origins.VersionsKnownFor(time.Now())
