--- a/internal/soak/sets.go
+++ b/internal/soak/sets.go
@@ -7,7 +7,7 @@
 var Sets = map[string][]Kind{
 	"herd-kills": slices.Concat(commonFaults, herdKills),
 	"dark-ends":  slices.Concat(commonFaults, darkEnds),
-	"generated":  {TargetGenerated},
+	"generated":  slices.Repeat([]Kind{TargetGenerated}, 6),
 	"spoiled":    {TargetEventTwice, TargetEventLower, TargetEventMissing, TargetBrokenSecond, TargetBrokenFilled, TargetBodyFilled},
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -162,6 +162,33 @@
 			other.Target, other.Version, other.LastEventID = "t2", "v2", "1"
 			s.runs = append(s.runs, other)
 		}},
+		{promiseOwnAnswer, idempotentRoute, func(s *scenario) {
+			s.answer.signature, s.answer.body = "signed-t9", standin.AnswerBody("t9", "r")
+		}},
+		{promiseOwnAnswer, idempotentRoute, func(s *scenario) {
+			s.runs[0].Answer, s.runs[0].AnswerFault, s.answer.status, s.fullAnswer = "drawn", standin.AnswerFailure, 500, false
+		}},
+		drawnCase(promiseStream, false, 1, 3),
+		drawnCase(promiseStream, false, 1, 1),
+		drawnCase(promiseStream, false, 1, 2, 1),
+		drawnCase(promiseStream, true, 1, 2),
+		drawnChange(promiseStream, "r 2 v1\n\nid: 3", "r 2 v1\nid: 3"),
+		drawnChange(promiseStream, "id: 2\n", ""),
+		drawnChange(promiseStream, "data: r 2 v1", "data: r 2{] v1"),
+		drawnChange(promiseStream, "data: r 2 v1", "data: r 2 v1\x00\xff"),
+		drawnChange(promiseStream, "id: 2", "{]id: 2"),
+		drawnChange(promiseStream, "id: 2", ": gr\xc3\nid: 2"),
+		drawnChange(promiseStream, "id: 2", "\rid: 2"),
+		drawnChange(promiseStream, "data: r 12 v1\n\n", "data: r 12 v1\n\nid: 13"),
+		drawnChange(promiseStream, "data: r 12 v1\n\n", "data: r 12 v1\n"),
+		drawnChange(promiseStreamVersion, "r 2 v1", "r 2 v2"),
+		{promiseStream, chatRoute, func(s *scenario) {
+			// The caller has come back after the first event.
+			s.runs[0].Answer, s.request.lastEvent, s.answer.complete, s.fullAnswer = "drawn", 1, false, false
+		}},
+		{promiseStreamVersion, chatRoute, func(s *scenario) {
+			s.runs[0].Answer, s.request.version = "drawn", "v2"
+		}},
 		{promiseTimeout, idempotentRoute, func(s *scenario) {
 			s.request.route.timeout = -2 * time.Second
 			s.runs, s.answer.status = nil, 504
@@ -181,6 +208,100 @@
 	}
 }
 
+// drawnCase is a scenario in which the caller gets the events with the given numbers of drawn answers, in an answer that ends as
+// whole or not.
+func drawnCase(promise string, complete bool, events ...int) violationCase {
+	return violationCase{promise, chatRoute, func(s *scenario) {
+		s.runs[0].Answer, s.answer.complete, s.answer.body, s.fullAnswer = "drawn", complete, "", false
+		for _, n := range events {
+			s.answer.body += standin.EventText("v1", "r", n)
+		}
+	}}
+}
+
+// drawnChange is a scenario in which the caller gets a drawn answer with other bytes in place of some.
+func drawnChange(promise, before, after string) violationCase {
+	return violationCase{promise, chatRoute, func(s *scenario) {
+		s.runs[0].Answer, s.answer.body = "drawn", strings.Replace(s.answer.body, before, after, 1)
+	}}
+}
+
+// TestSoundDrawnAnswersPass checks that the checker takes all line ends and forms, and answers that break off, for sound.
+func TestSoundDrawnAnswersPass(t *testing.T) {
+	for name, alter := range map[string]func(s *scenario){
+		"CRLF": func(s *scenario) { s.answer.body = strings.ReplaceAll(s.answer.body, "\n", "\r\n") },
+		"lone CR": func(s *scenario) {
+			s.answer.body, s.runs[0].LoneCR = strings.ReplaceAll(s.answer.body, "\n", "\r"), true
+		},
+		"comment": func(s *scenario) { s.answer.body = ": größer\n\n" + s.answer.body },
+		"more data": func(s *scenario) {
+			s.answer.body = strings.Replace(s.answer.body, "r 5 v1", "r 5 v1 2\ndata: plain words", 1)
+		},
+		"version": func(s *scenario) { s.answer.body = "x-chiveseam-weight-versions: 1\n" + s.answer.body },
+		"broken off": func(s *scenario) {
+			s.answer.body, s.answer.complete, s.fullAnswer = standin.EventText("v1", "r", 1)+"id: 2\nda", false, false
+		},
+		"goes on": func(s *scenario) {
+			s.request.lastEvent = 1
+			_, s.answer.body, _ = strings.Cut(s.answer.body, "\n\n")
+		},
+	} {
+		s := newScenario(chatRoute)
+		s.runs[0].Answer = "drawn"
+		alter(s)
+		if found := s.report(); found != nil {
+			t.Errorf("%s: %v", name, found)
+		}
+	}
+}
+
+// TestStreamOfDrawnAnswersIsReportedOnce checks that a case names the answers to all tries of its stream, and that later
+// tries do not break the promise again.
+func TestStreamOfDrawnAnswersIsReportedOnce(t *testing.T) {
+	is := is.New(t)
+	s := newScenario(chatRoute)
+	drawnCase(promiseStream, false, 1, 3).alter(s)
+	s.runs[0].AnswerFault = standin.AnswerMissing
+	s.report()
+	first := s.request
+	s.request = &request{id: "r2", route: first.route, method: "POST", path: "/p", body: "b", workspace: "shop0", begunBy: first, lastEvent: 3, events: first.events}
+	s.runs[0].RequestID = "r2"
+	s.report()
+	cases := s.checker.casesCopy()[promiseStream]
+	is.Equal(len(cases), 1)
+	is.Equal(cases[0].Context, `chat; r from t1 after "": drawn`)
+	is.Equal(s.checker.countsCopy()["drawn streams broken with event-missing"], 1)
+	is.Equal(s.checker.countsCopy()["drawn streams, resumable"], 1)
+}
+
+// TestDrawnAnswersHitSeveralTargets checks the faults of a schedule with drawn answers.
+func TestDrawnAnswersHitSeveralTargets(t *testing.T) {
+	is := is.New(t)
+	c := testConfig(5)
+	c.Kinds = []Kind{TargetGenerated, TargetGeneratedSound}
+	hit := make(map[int]bool)
+	for _, f := range Schedule(5, c) {
+		hit[f.Index] = true
+		is.Equal(f.Share > 0, f.Kind == TargetGenerated)
+		is.Equal(len(c.grammar(f).Faults), len(standin.AnswerFaults))
+	}
+	is.Equal(len(hit), c.Targets)
+}
+
+// TestLastEventIsTheOneThatCallersRead checks with which ID callers come back.
+func TestLastEventIsTheOneThatCallersRead(t *testing.T) {
+	is := is.New(t)
+	last := func(body string, loneCR bool) int {
+		last, _ := lastEvent(body, loneCR, 4)
+		return last
+	}
+	is.Equal(last("", true), 4)
+	is.Equal(last("id: 5\ndata: a\n\nid: 6\nda", true), 5)
+	is.Equal(last("data: a\n\ndata: b\n\n", false), 6)
+	is.Equal(last("id: 5\r\ndata: a\r\n\r", true), 5)
+	is.Equal(last("id: 5\r\ndata: a\r\n\r", false), 4)
+}
+
 // TestCasesAreCountedOncePerRequest checks that a run which counts cases goes on after a broken promise, and that it
 // counts each request once for a promise.
 func TestCasesAreCountedOncePerRequest(t *testing.T) {
@@ -282,24 +403,44 @@
 	return program
 }
 
-// TestDrawnAnswersKeepStreamsInOrder runs router processes with targets that draw their answers from a grammar, with one
-// fault at a time.
+// TestDrawnAnswersKeepStreamsInOrder runs router processes with targets that draw their answers from a grammar, with
+// faults of one group at a time.
 func TestDrawnAnswersKeepStreamsInOrder(t *testing.T) {
 	program := buildRouter(t)
-	for i, fault := range []standin.AnswerFault{
-		standin.AnswerSpoiled, standin.AnswerSpoiledText, standin.AnswerLost, standin.AnswerBreakCR, standin.AnswerHigher, standin.AnswerMissing,
+	for name, faults := range map[string][]standin.AnswerFault{
+		"spoiled":  {standin.AnswerSpoiled, standin.AnswerSpoiledText, standin.AnswerLost},
+		"break-cr": {standin.AnswerBreakCR},
+		"numbers":  {standin.AnswerHigher, standin.AnswerMissing},
 	} {
-		t.Run(string(fault), func(t *testing.T) {
-			c := testConfig(55101 + uint64(i))
-			c.Kinds, c.AnswerFaults, c.Interval, c.OneVersion = []Kind{TargetGenerated}, []standin.AnswerFault{fault}, 100*time.Millisecond, true
-			c.Program, c.Dir, c.Length = program, t.TempDir(), 4*time.Second
-			report, err := Run(c, nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if report.Violation != nil || report.Counts["drawn streams, resumable"] == 0 {
-				t.Error(report)
-			}
+		t.Run(name, func(t *testing.T) { playDrawn(t, program, 55101, []Kind{TargetGenerated}, faults) })
+	}
+}
+
+// TestDrawnAnswersKeepPromises is TestDrawnAnswersKeepStreamsInOrder with sound answers, of which none may be lost, and with
+// all other faults beside kills of routers and crashes of targets.
+func TestDrawnAnswersKeepPromises(t *testing.T) {
+	program := buildRouter(t)
+	t.Run("sound", func(t *testing.T) { playDrawn(t, program, 55102, []Kind{TargetGeneratedSound}, nil) })
+	t.Run("faulty", func(t *testing.T) {
+		kinds := append(slices.Repeat([]Kind{TargetGenerated}, 4), KillRouters, TargetCrash)
+		playDrawn(t, program, 55103, kinds, []standin.AnswerFault{
+			standin.AnswerBreak, standin.AnswerReset, standin.AnswerSilence, standin.AnswerExtra, standin.AnswerSecond,
+			standin.AnswerLateSecond, standin.AnswerNextSecond, standin.AnswerBreakSecond, standin.AnswerForeign, standin.AnswerTwice,
+			standin.AnswerLower, standin.AnswerFailure, standin.AnswerRefusal, standin.AnswerExit,
 		})
+	})
+}
+
+// playDrawn runs router processes for a few seconds with targets that draw their answers.
+func playDrawn(t *testing.T, program string, seed uint64, kinds []Kind, faults []standin.AnswerFault) {
+	c := testConfig(seed)
+	c.Kinds, c.AnswerFaults, c.Interval, c.OneVersion = kinds, faults, 100*time.Millisecond, true
+	c.Program, c.Dir, c.Length = program, t.TempDir(), 4*time.Second
+	report, err := Run(c, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Violation != nil || report.Counts["drawn streams, resumable"] == 0 {
+		t.Error(report)
 	}
 }
