edge, streams: learn the form of streams, and end those that deviate

Spoiled bytes that are text passed: before a field, so that "id:" no longer began its line and the event came without ID; in place of data; within an ID; a lost LF that left CR as a line end. The gate looked at IDs only where they were.

Some services end each stream with "data: [DONE]" without ID, have no IDs, or have fields of their own, so the usual form is learned by service and software version, by stream, with the mode of the numbering (streams.Form): data without ID beside events of the same type (or none) with IDs, IDs that are numbers beside others, lines that are no known field, lines that end with CR alone beside others. After 8 whole streams without (4 if another target may continue the stream) an event that shows a trait is spoiled, reason "form". A second target that shows it behind the same event too confirms it, as for gaps. Like a gap, a deviation does not count against its target. A caller's Last-Event-Id on a route that may not be resumed says nothing of the form.

The tests of streams, events and answers of edge pass.

--- a/edge/call.go
+++ b/edge/call.go
@@ -54,6 +54,8 @@
 	unidentified bool
 	// suspectedGap is where a target seems to have left events out of the stream; nil if none has.
 	suspectedGap *streams.Gap
+	// suspectedForm is where a target seems to deviate from the form of the service's streams; nil if none has.
+	suspectedForm *streams.Deviation
 	// stream identifies a resumable stream, and originService is the service that began it, if the
 	// request takes it up and the route leads there; "" otherwise.
 	stream        streams.ID
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -99,6 +99,8 @@
 	targetsRead atomic.Bool
 	// numberings holds what is learned of the IDs of events.
 	numberings numberings
+	// forms holds what is learned of the form of streams.
+	forms forms
 	// answerMemory bounds what is held of answers of all targets: heads, events that have not ended, and answers that
 	// are held until they are complete. requestMemory does so for the bodies of requests.
 	answerMemory, requestMemory *memoryBudget
@@ -200,6 +202,7 @@
 		poison:        poison.New(time.Now()),
 		origins:       streams.New(time.Now()),
 		numberings:    numberings{byVersion: make(streams.Numberings)},
+		forms:         forms{byVersion: make(streams.Forms)},
 		evacuations:   evacuation.New(),
 		originWaiters: make(map[streams.ID]chan struct{}),
 		link:          linkbudget.New(s.LinkMbps),
@@ -414,10 +417,10 @@
 	case notSent:
 		return placement.Unreachable
 	case lost:
-		if !errors.Is(a.err, streams.ErrGap) {
+		if !errors.Is(a.err, streams.ErrGap) && !errors.Is(a.err, streams.ErrForm) {
 			return placement.Failed
 		}
-		// The service may have begun to number its events otherwise.
+		// The service may have begun to number or to write its events otherwise.
 	}
 	return placement.Unknown
 }
--- a/edge/events_test.go
+++ b/edge/events_test.go
@@ -110,8 +110,10 @@
 	} {
 		is := is.New(t)
 		numberings := &numberings{byVersion: make(streams.Numberings)}
+		forms := &forms{byVersion: make(streams.Forms)}
 		gate := eventGate{
 			numberings: numberings, sequence: numberings.sequence(streams.Origin{}, c.after, nil, false),
+			forms: forms, form: forms.check(streams.Origin{}, c.after, nil, false),
 			isAnswer: func([]byte) bool { return false },
 		}
 		admitted, err := gate.admit([]byte(c.events))
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -28,6 +28,7 @@
 		RequestID: "T-Id", Deadline: "T-Deadline", PromptParts: "T-Parts", TokenUsage: "T-Usage", Model: "T-Model",
 		LengthHint: "T-Hint", LastEventID: "T-Last", Resumes: "T-Resumes", Signature: "T-Signed", Workspace: "T-Workspace", TargetID: "T-Target", InstanceID: "T-Instance",
 		FetchFrom: "T-Fetch", NotRun: "T-Not-Run", Leaving: "T-Leaving", RateLimit: "T-Limit", Load: "T-Load", APIKey: "T-Key", Reserved: []string{"T-Hold"},
+		EventFields: []string{"t-weights"},
 	}
 }
 
--- a/edge/gate.go
+++ b/edge/gate.go
@@ -17,6 +17,9 @@
 	// sequence checks the IDs, and numberings guards what it learns.
 	sequence   *streams.Sequence
 	numberings *numberings
+	// form checks the form of the events, and forms guards what it learns.
+	form  *streams.FormCheck
+	forms *forms
 	// isAnswer reports whether an event holds the head of another answer.
 	isAnswer func(event []byte) bool
 	// firstID and lastID are the IDs of the first and of the last event that has one.
@@ -110,6 +113,9 @@
 	case parsed.malformed:
 		return errMalformedText
 	}
+	if err := g.checkForm(parsed, kind); err != nil {
+		return err
+	}
 	id := parsed.id
 	if id != "" {
 		if err := g.next(id); err != nil {
@@ -125,6 +131,26 @@
 	return nil
 }
 
+// checkForm checks the form of a part.
+func (g *eventGate) checkForm(parsed parsedEvent, kind partKind) error {
+	mixed := g.mixedLineEnds()
+	if kind != eventPart && !mixed {
+		return nil
+	}
+	g.forms.mu.Lock()
+	defer g.forms.mu.Unlock()
+	return g.form.Next(streams.Event{
+		ID: parsed.id, Type: parsed.eventType, HasData: parsed.hasData, UnknownLines: parsed.unknownLines > 0, MixedLineEnds: mixed,
+	})
+}
+
+// complete records that the stream has ended as whole.
+func (g *eventGate) complete() {
+	g.forms.mu.Lock()
+	defer g.forms.mu.Unlock()
+	g.form.End()
+}
+
 // next checks the ID of the next event.
 func (g *eventGate) next(id string) error {
 	g.numberings.mu.Lock()
@@ -134,9 +160,9 @@
 
 // parsedEvent is what the router reads of an event.
 type parsedEvent struct {
-	// id is the ID, "" if it has none. hasData is set if it has data: callers ignore others.
-	id      string
-	hasData bool
+	// id is the ID and eventType the type, "" if it has none. hasData is set if it has data: callers ignore others.
+	id, eventType string
+	hasData       bool
 	// unknownLines is the number of lines that are neither a comment nor a known field.
 	unknownLines int
 	// malformed is set if bytes are no text: malformed UTF-8 or NUL.
@@ -162,6 +188,8 @@
 				return parsed, errJoinedEvents
 			}
 			parsed.id = string(value)
+		case string(name) == "event":
+			parsed.eventType = string(bytes.TrimSpace(value))
 		case len(line) > 0 && !slices.Contains(eventFields, string(name)) && !slices.Contains(fields, string(name)):
 			parsed.unknownLines++
 		}
@@ -181,3 +209,16 @@
 	defer n.mu.Unlock()
 	return streams.NewSequence(n.byVersion.Of(origin), last, suspected, mayRetry)
 }
+
+// forms is what is learned of the form of streams. The mutex guards the map and all that it holds.
+type forms struct {
+	mu        sync.Mutex
+	byVersion streams.Forms
+}
+
+// check returns the check of a stream at a version of a service.
+func (f *forms) check(origin streams.Origin, last string, suspected *streams.Deviation, mayRetry bool) *streams.FormCheck {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return streams.NewFormCheck(f.byVersion.Of(origin), last, suspected, mayRetry)
+}
--- a/edge/spoiled.go
+++ b/edge/spoiled.go
@@ -22,7 +22,7 @@
 
 // spoiledReasons names the errors of spoiled answers for logs and metrics.
 var spoiledReasons = map[error]string{
-	streams.ErrOrder: "order", streams.ErrGap: "gap", errAnswerInStream: "answer_in_stream", errJoinedEvents: "joined_events",
+	streams.ErrOrder: "order", streams.ErrGap: "gap", streams.ErrForm: "form", errAnswerInStream: "answer_in_stream", errJoinedEvents: "joined_events",
 	errMalformedText: "malformed_text",
 	errAnswerInBody:  "answer_in_body", errJoinedHeads: "joined_heads",
 }
--- a/edge/spoiled_stream_test.go
+++ b/edge/spoiled_stream_test.go
@@ -109,6 +109,60 @@
 	testSpoiled(t, spoiled)
 }
 
+// Guards against ORDER: bytes that are text spoil the start of a line, the end of one or an ID, and the caller gets an event
+// without its ID, its data or its end.
+func TestEventOfUnusualFormIsNotPassedOn(t *testing.T) {
+	spoiled := make(map[string]func(s *receivedRequest))
+	for name, sixth := range map[string]string{
+		"before the ID":      "{]id: 6\ndata: event 6\n\n",
+		"in place of the ID": "{]{]data: event 6\n\n",
+		"without ID":         "data: event 6\n\n",
+		"within the ID":      "id: 6{]\ndata: event 6\n\n",
+		"before data":        "id: 6\n{]data: event 6\n\n",
+		"between lines":      "id: 6\ndata: event 6\n{]\n",
+		"line end":           "id: 6\rdata: event 6\n\n",
+		"last":               "{]{]",
+	} {
+		text := soundEvents(1, 5) + sixth
+		spoiled[name] = sendChunked(text + soundEvents(7, eventsOfStream))
+		spoiled[name+", with a length"] = func(s *receivedRequest) { s.write(lengthHead(len(text)+2) + text + "\n\n") }
+	}
+	spoiled["first event"] = sendChunked("{]" + soundEvents(1, eventsOfStream))
+	testSpoiled(t, spoiled)
+}
+
+// Guards against LOST: a service begins to write its streams in another form, and two engines that may go on from each other
+// cut them all, or all its engines count as failing.
+func TestFormOfTwoTargetsPasses(t *testing.T) {
+	var changed atomic.Bool
+	handle := func(s *receivedRequest) {
+		last := 0
+		fmt.Sscan(s.Header.Get("T-Last"), &last)
+		text := soundEvents(last+1, eventsOfStream)
+		if changed.Load() {
+			text = strings.ReplaceAll(text, "data: event 6\n", "data: event 6\ntokens: 3\n")
+		}
+		sendChunked(text)(s)
+	}
+	f := newFixture(t, newTestTarget(t, "t1", handle), newTestTarget(t, "t2", handle))
+	for range soundStreams {
+		_, _, err := f.client().call("POST", "/resumable/")
+		f.is.NoErr(err)
+	}
+	changed.Store(true)
+	for range 3 {
+		resp, _, err := f.client().call("POST", "/stream/")
+		f.is.Equal(resp.Status, 200)
+		f.is.True(err != nil)
+	}
+	for range 6 {
+		_, body, err := f.client().call("POST", "/resumable/")
+		f.is.NoErr(err)
+		f.is.Equal(strings.Count(body, "tokens: 3\n"), 1)
+		f.is.Equal(strings.ReplaceAll(body, "tokens: 3\n", ""), soundEvents(1, eventsOfStream))
+	}
+}
+
 // Guards against ORDER: an engine breaks a stream off and answers the same request again on the connection, and the caller
 // gets parts of both answers as one stream.
 func TestAnswerWithinAStreamIsNotPassedOn(t *testing.T) {
@@ -151,6 +205,18 @@
 		"events without ID": func(int) string { return "id: 1\ndata: a\n\ndata: b\n\n: comment\n\nid: 2\ndata: c\n\n" },
 		"quoted answer":     func(int) string { return "id: 1\ndata: x\n\n" + quoted + "id: 3\ndata: HTTP/1.1 404 gone\n\n" },
 		"version line":      func(int) string { return "t-version: 4\nid: 1\ndata: x\n\n" },
+		"last without ID":   func(n int) string { return soundEvents(1, 1+n%4) + "data: [DONE]\n\n" },
+		"no IDs":            func(n int) string { return strings.Repeat("data: a\n\n", 1+n%4) },
+		"further fields":    func(int) string { return "id: 1\ndata: a\ntokens: 3\n\nid: 2\ndata: b\n\n" },
+		"rare error": func(n int) string {
+			return "event: token\nid: 1\ndata: a\n\n" + strings.Repeat("event: error\ndata: a\n\n", n/13%2)
+		},
+		"rare lines that are known": func(n int) string {
+			rare := ": ping\nretry: 5\n: ping\n\nevent: ping\n\nt-weights: 4\nid: 3\ndata: a\ndata: b\ndata\n\n"
+			return soundEvents(1, 2) + strings.Repeat(rare, n/13%2)
+		},
+		"carriage returns": func(int) string { return strings.ReplaceAll(": ping\n"+soundEvents(1, 2), "\n", "\r") },
+		"mixed line ends":  func(n int) string { return soundEvents(1, 2) + "id: 3\ndata: a\rb\n\n" },
 	} {
 		for _, path := range []string{"/stream/", "/resumable/"} {
 			t.Run(name+path, func(t *testing.T) {
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -139,6 +139,7 @@
 			return lost, false
 		}
 	}
+	a.events.complete()
 	if a.call.reply.endStream() != nil {
 		return abandoned, true
 	}
@@ -156,12 +157,15 @@
 	a.events.numberings = &e.numberings
 	a.events.fields = e.headers.EventFields
 	a.events.continues = c.reply.dataBegun
-	last := c.resumeAfter()
+	a.events.forms = &e.forms
+	last, lastOfForm := c.resumeAfter(), c.resumeAfter()
 	resumable := c.route.RetryPolicy == routing.Resumable
 	if !resumable && last != "" {
-		last = unknownEventID
+		last, lastOfForm = unknownEventID, ""
 	}
-	a.events.sequence = e.numberings.sequence(origin, last, c.suspectedGap, resumable && a.number < c.route.MaxAttempts)
+	mayRetry := resumable && a.number < c.route.MaxAttempts
+	a.events.sequence = e.numberings.sequence(origin, last, c.suspectedGap, mayRetry)
+	a.events.form = e.forms.check(origin, lastOfForm, c.suspectedForm, mayRetry)
 	a.events.isAnswer = func(event []byte) bool {
 		return bytes.HasPrefix(event, statusLineStart) || eventHoldsHead(event) ||
 			u.holdsAnswer(event, e.headers.RequestID)
@@ -189,6 +193,9 @@
 	if gap := a.events.sequence.Gap(); gap != nil {
 		a.call.suspectedGap = gap
 	}
+	if deviation := a.events.form.Deviation(); deviation != nil {
+		a.call.suspectedForm = deviation
+	}
 }
 
 // recordEvents records how far the caller of a resumable stream will have received it.
--- /dev/null
+++ b/streams/form.go
@@ -0,0 +1,194 @@
+package streams
+
+import (
+	"errors"
+	"slices"
+)
+
+// ErrForm: an event is of a form that whole streams of its service do not have.
+var ErrForm = errors.New("event of unusual form")
+
+const (
+	// minRegular is the number of whole streams without a trait after which it counts as a deviation, and minRegularRetry the
+	// same for a stream that another target may continue.
+	minRegular      = 8
+	minRegularRetry = 4
+	// maxEventTypes bounds the types of events that are remembered of a stream.
+	maxEventTypes = 8
+)
+
+// trait is something unusual that a stream has or not.
+type trait int
+
+const (
+	// unidentified: some events have IDs, and another one of the same type, or of none, has data but no ID.
+	unidentified trait = iota
+	// unnumbered: some IDs are numbers, and others are not.
+	unnumbered
+	// unknownLines: there are lines that are neither a comment nor a known field.
+	unknownLines
+	// mixedLineEnds: some lines end with a carriage return alone, others with a line feed.
+	mixedLineEnds
+	traitCount
+)
+
+// Form is what is known of the form of the streams of one service at one software version: which traits whole streams
+// have. It is not safe for concurrent use.
+type Form struct{ traits [traitCount]mode }
+
+// Forms holds the form of each service and version. It is not safe for concurrent use.
+type Forms map[Origin]*Form
+
+// Of returns the form of a service and version. Beyond maxNumberings, it forgets another one.
+func (f Forms) Of(origin Origin) *Form { return learnedOf(f, origin) }
+
+// Event is what the form of a stream is judged by.
+type Event struct {
+	// ID and Type are the values of its fields, "" if it has none.
+	ID, Type string
+	// HasData is set if it has data.
+	HasData bool
+	// UnknownLines is set if it has a line that is neither a comment nor a known field.
+	UnknownLines bool
+	// MixedLineEnds is set if lines up to its end have ended with a carriage return alone, and others with a line feed.
+	MixedLineEnds bool
+}
+
+// Deviation is a place of a stream where a target deviates from the form of its service.
+type Deviation struct {
+	// After is the ID of the last event before it that has one.
+	After  string
+	traits [traitCount]bool
+}
+
+// FormCheck checks that the events of a stream have the form of its service.
+type FormCheck struct {
+	form *Form
+	// fromStart is set if the stream begins with the first event, and begun once there is one.
+	fromStart, begun bool
+	// last is the ID of the last event that has one, and hasNumber and hasName whether IDs were numbers, and others.
+	last               string
+	hasNumber, hasName bool
+	// identified and loose are the types of events with data that have an ID, and that have none.
+	identified, loose []string
+	// has are the traits that the stream has had.
+	has [traitCount]bool
+	// hits is the number of whole streams without a trait after which it counts.
+	hits int
+	// suspected is where another target has deviated, with the traits that this one has neither confirmed nor not.
+	suspected Deviation
+	deviation *Deviation
+}
+
+// NewFormCheck returns the check of a stream that goes on after the event last, or begins if last is "". suspected is where another
+// target has deviated; it may be nil. mayRetry is set if another target may continue the stream: less is then enough for a deviation,
+// since that target shows whether it is one.
+func NewFormCheck(form *Form, last string, suspected *Deviation, mayRetry bool) *FormCheck {
+	c := &FormCheck{form: form, fromStart: last == "", last: last, hits: minRegular}
+	if suspected != nil {
+		c.suspected = *suspected
+	}
+	if mayRetry {
+		c.hits = minRegularRetry
+	}
+	c.noteID(last)
+	return c
+}
+
+func (c *FormCheck) noteID(id string) {
+	if id == "" {
+		return
+	}
+	isNumber := parseEventID(id).isNumber
+	c.hasNumber, c.hasName = c.hasNumber || isNumber, c.hasName || !isNumber
+}
+
+// Next checks the next event, or what is between two. The error is ErrForm. A trait that two targets have behind the same event
+// passes.
+func (c *FormCheck) Next(e Event) error {
+	before := c.last
+	c.note(e)
+	for t, has := range c.traitsOf(e) {
+		if !has || c.has[t] {
+			continue
+		}
+		c.has[t] = true
+		if !c.mayHave(trait(t), before) {
+			if c.deviation == nil {
+				c.deviation = &Deviation{After: before}
+			}
+			c.deviation.traits[t] = true
+		}
+		c.form.traits[t].observe(1)
+	}
+	if c.last != before {
+		c.refuteSuspected()
+	}
+	if c.deviation != nil {
+		return ErrForm
+	}
+	return nil
+}
+
+// note records the ID and the type of an event.
+func (c *FormCheck) note(e Event) {
+	c.begun = c.begun || e.HasData || e.ID != ""
+	types := &c.loose
+	if e.ID != "" {
+		c.last = e.ID
+		c.noteID(e.ID)
+		types = &c.identified
+	}
+	if e.HasData && len(*types) < maxEventTypes && !slices.Contains(*types, e.Type) {
+		*types = append(*types, e.Type)
+	}
+}
+
+// traitsOf returns the traits of the stream up to and with an event.
+func (c *FormCheck) traitsOf(e Event) (has [traitCount]bool) {
+	has[unidentified] = c.last != "" && slices.ContainsFunc(c.loose, func(eventType string) bool {
+		return eventType == "" || slices.Contains(c.identified, eventType)
+	})
+	has[unnumbered] = c.hasNumber && c.hasName
+	has[unknownLines] = e.UnknownLines
+	has[mixedLineEnds] = e.MixedLineEnds
+	return has
+}
+
+// mayHave reports whether a trait that shows behind the event with the ID after is no deviation.
+func (c *FormCheck) mayHave(t trait, after string) bool {
+	if c.suspected.traits[t] && c.suspected.After == after {
+		c.form.traits[t].confirm(true)
+		c.suspected.traits[t] = false
+		return true
+	}
+	return !c.form.traits[t].exceededBy(1, c.hits)
+}
+
+// refuteSuspected records that this target has gone on without the deviation of another one.
+func (c *FormCheck) refuteSuspected() {
+	for t, suspected := range c.suspected.traits {
+		if suspected {
+			c.form.traits[t].confirm(false)
+		}
+	}
+	c.suspected = Deviation{}
+}
+
+// End records that the stream has ended as whole.
+func (c *FormCheck) End() {
+	c.refuteSuspected()
+	if !c.fromStart || !c.begun {
+		return
+	}
+	for t, has := range c.has {
+		// Without IDs, a stream says nothing of them.
+		aboutIDs := trait(t) == unidentified || trait(t) == unnumbered
+		if !has && (c.last != "" || !aboutIDs) {
+			c.form.traits[t].observe(0)
+		}
+	}
+}
+
+// Deviation returns where the stream deviates from the form of its service; nil if Next has not returned ErrForm.
+func (c *FormCheck) Deviation() *Deviation { return c.deviation }
--- a/streams/sequence.go
+++ b/streams/sequence.go
@@ -177,17 +177,20 @@
 type Numberings map[Origin]*Numbering
 
 // Of returns the numbering of a service and version. Beyond maxNumberings, it forgets another one.
-func (n Numberings) Of(origin Origin) *Numbering {
-	if known, ok := n[origin]; ok {
+func (n Numberings) Of(origin Origin) *Numbering { return learnedOf(n, origin) }
+
+// learnedOf returns what is learned of a service and version. Beyond maxNumberings, it forgets another one.
+func learnedOf[T any](all map[Origin]*T, origin Origin) *T {
+	if known, ok := all[origin]; ok {
 		return known
 	}
-	for other := range n {
-		if len(n) < maxNumberings {
+	for other := range all {
+		if len(all) < maxNumberings {
 			break
 		}
-		delete(n, other)
+		delete(all, other)
 	}
-	learned := new(Numbering)
-	n[origin] = learned
+	learned := new(T)
+	all[origin] = learned
 	return learned
 }
