--- a/edge/call.go
+++ b/edge/call.go
@@ -57,6 +57,8 @@
 	// lastDoubtful is set if the ID of the last event that the caller received may be wrong, so that the stream cannot go on
 	// from there.
 	lastDoubtful bool
+	// suspectedForm is where a target seems to deviate from the form of the service's streams; nil if none has.
+	suspectedForm *streams.Deviation
 	// stream identifies a resumable stream, and originService is the service that began it, if the
 	// request takes it up and the route leads there; "" otherwise.
 	stream        streams.ID
