streams, edge: gaps are found after four equal steps, and at the end of a stream

Four steps are enough, two if another target may continue the stream, as long as no other step has been seen: services whose steps vary have shown that by then. From the first other step on, the earlier bounds hold (32 and 4, a tenth of others). What passed while too little was known is judged again at the end of the stream: if its largest step is a gap by what is known then, or the only other one beside eight usual steps, the stream ends visibly incomplete.

--- a/edge/call.go
+++ b/edge/call.go
@@ -57,6 +57,8 @@
 	// lastDoubtful is set if the ID of the last event that the caller received may be wrong, so that the stream cannot go on
 	// from there.
 	lastDoubtful bool
+	// gapPassed is set if events are missing among those that the caller received.
+	gapPassed bool
 	// stream identifies a resumable stream, and originService is the service that began it, if the
 	// request takes it up and the route leads there; "" otherwise.
 	stream        streams.ID
@@ -398,6 +400,8 @@
 		return "events without IDs"
 	case c.lastDoubtful:
 		return "last event ID doubtful"
+	case c.gapPassed:
+		return "events missing"
 	}
 	c.edge.mu.Lock()
 	defer c.edge.mu.Unlock()
--- a/edge/gate.go
+++ b/edge/gate.go
@@ -98,6 +98,13 @@
 	return g.sequence.Next(id)
 }
 
+// end checks a stream that ends as whole.
+func (g *eventGate) end() error {
+	g.numberings.mu.Lock()
+	defer g.numberings.mu.Unlock()
+	return g.sequence.End()
+}
+
 // leadingEvent returns the first event of some, with the empty lines before it and its end.
 func leadingEvent(events []byte) []byte {
 	var s eventScanner
--- a/edge/gate_test.go
+++ b/edge/gate_test.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/chiveseam/chiveseam/streams"
 )
 
 // Guards against ORDER: an engine breaks a stream off within an event and goes on with an answer that names no request of the
@@ -162,3 +164,18 @@
 	f.is.True(err != nil)
 	f.is.Equal(body, soundEvents(1, 4))
 }
+
+// Guards against ORDER: an event is left out of the first streams of a service, before the router knows how its IDs rise, and they pass as
+// whole.
+func TestGapInTheFirstStreamIsNotPassedAsWhole(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resumable/"} {
+		for _, left := range []int{3, 10} {
+			faulty := sendChunked(soundEvents(1, left-1) + soundEvents(left+1, 20))
+			f := newFixture(t, newTestTarget(t, "t1", faulty))
+			_, body, err := f.client().call("POST", path)
+			f.is.True(err != nil)
+			f.is.True(left == 3 || body == soundEvents(1, left-1))
+			f.is.True(f.logs.contains(streams.ErrGap.Error()))
+		}
+	}
+}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -123,6 +123,11 @@
 			return lost, false
 		}
 	}
+	if err := a.events.end(); err != nil {
+		a.noteSpoiled(err)
+		a.err, a.call.gapPassed = err, true
+		return lost, false
+	}
 	if a.call.reply.endStream() != nil {
 		return abandoned, true
 	}
--- a/streams/sequence.go
+++ b/streams/sequence.go
@@ -20,6 +20,11 @@
 	// the same for a stream that another target may continue.
 	minHits      = 32
 	minHitsRetry = 4
+	// minOnlyHits and minOnlyHitsRetry are the same if no other step has been seen.
+	minOnlyHits      = 4
+	minOnlyHitsRetry = 2
+	// minHitsAtEnd is the same at the end of a stream, if no step but the larger one has been different.
+	minHitsAtEnd = 8
 	// maxOutlierShare is the largest number of other steps, as a fraction of the usual ones.
 	maxOutlierShare = 0.1
 	// maxOutlierRun is the number of other steps in a row that show that the usual one has changed: a target that leaves
@@ -78,10 +83,19 @@
 	return number == m.value && m.hits >= minHitsRetry && m.hits > m.outliers
 }
 
-// exceededBy reports whether a number is above the mode, which must have been seen at least hits times.
-func (m *mode) exceededBy(number uint64, hits int) bool {
-	return number > m.value && m.hits >= hits && m.confirmed < maxConfirmed &&
-		float64(m.outliers) <= maxOutlierShare*float64(m.hits)
+// exceededBy reports whether a number is above the mode, and the mode is known well enough.
+func (m *mode) exceededBy(number uint64, mayRetry bool) bool {
+	hits, only := minHits, minOnlyHits
+	if mayRetry {
+		hits, only = minHitsRetry, minOnlyHitsRetry
+	}
+	known := m.hits >= hits && float64(m.outliers) <= maxOutlierShare*float64(m.hits) || m.hits >= only && m.hits == m.seen
+	return number > m.value && known && m.confirmed < maxConfirmed
+}
+
+// exceededOnce reports whether a number above the mode is the only other one that was seen, as far as that is known.
+func (m *mode) exceededOnce(number uint64) bool {
+	return number > m.value && m.hits >= minHitsAtEnd && m.outliers <= 1
 }
 
 // Gap is a place of a stream where events may be missing: behind the event with the ID After, which is 0 before the first one.
@@ -94,13 +108,15 @@
 	last eventID
 	// atStart is set before the first event with an ID, if the stream begins with that.
 	atStart bool
-	// hits is how often a step must have been seen before a larger one counts as a gap.
-	hits int
+	// mayRetry is set if another target may continue the stream.
+	mayRetry bool
 	// suspected is a gap that another target left; nil once this one has confirmed it or not. gapConfirmed is set if it has.
 	suspected    *Gap
 	gapConfirmed bool
 	// gap is where the sequence found events missing.
 	gap *Gap
+	// passed is the largest step that passed while too little was known.
+	passed uint64
 	// begun is set once an event has passed. secondLast is the ID of the event before the last one, and lastUsual is set if the step from there is the usual one.
 	begun      bool
 	secondLast eventID
@@ -136,11 +152,7 @@
 // another target has left in the stream; it may be nil. mayRetry is set if another target may continue the stream: gaps are
 // then suspected sooner, since that target shows whether events are missing.
 func NewSequence(numbering *Numbering, last string, suspected *Gap, mayRetry bool) *Sequence {
-	s := &Sequence{numbering: numbering, last: parseEventID(last), atStart: last == "", suspected: suspected, hits: minHits}
-	if mayRetry {
-		s.hits = minHitsRetry
-	}
-	return s
+	return &Sequence{numbering: numbering, last: parseEventID(last), atStart: last == "", suspected: suspected, mayRetry: mayRetry}
 }
 
 // Next checks the ID of the next event that has one. The error is ErrOrder or ErrGap. IDs that are no numbers pass. A gap that
@@ -167,8 +179,12 @@
 		usual.confirm(s.gapConfirmed)
 		s.suspected = nil
 	}
-	if !s.gapConfirmed && usual.exceededBy(distance, s.hits) {
+	switch {
+	case s.gapConfirmed:
+	case usual.exceededBy(distance, s.mayRetry):
 		s.gap = &Gap{After: before.number}
+	case !atStart && usual.seen < minHits:
+		s.passed = max(s.passed, distance)
 	}
 	s.lastUsual = usual.isUsual(distance)
 	usual.observe(distance)
@@ -178,6 +194,14 @@
 	return nil
 }
 
+// End checks a stream that ends as whole. The error is ErrGap if what has been learned meanwhile shows that events are missing.
+func (s *Sequence) End() error {
+	if step := &s.numbering.step; step.exceededBy(s.passed, false) || step.exceededOnce(s.passed) {
+		return ErrGap
+	}
+	return nil
+}
+
 // LastDoubtful reports whether, after ErrOrder, the last event that passed may have a wrong ID: the refused one goes on from the
 // event before that.
 func (s *Sequence) LastDoubtful() bool { return s.lastDoubtful }
--- a/streams/sequence_test.go
+++ b/streams/sequence_test.go
@@ -106,6 +106,29 @@
 	is.NoErr(NewSequence(n, "5", nil, false).Next("7"))
 }
 
+// Guards against ORDER: an event is left out of the first stream of a service that a router sees, and the stream passes as whole. Nothing
+// shows the gap when it comes unless some steps came before it; what follows does.
+func TestGapInTheFirstStreamShows(t *testing.T) {
+	for left := 2; left < 12; left++ {
+		is := is.New(t)
+		s := NewSequence(new(Numbering), "", nil, false)
+		var err error
+		for id := 1; id <= 12 && err == nil; id++ {
+			if id != left {
+				err = s.Next(strconv.Itoa(id))
+			}
+		}
+		is.Equal(err != nil, left >= minOnlyHits+2)
+		is.True(err != nil || errors.Is(s.End(), ErrGap))
+	}
+	is := is.New(t)
+	s := NewSequence(new(Numbering), "", nil, false)
+	for _, id := range []string{"1", "2", "4", "5", "7", "9", "10"} {
+		is.NoErr(s.Next(id))
+	}
+	is.NoErr(s.End())
+}
+
 // Guards against sound streams cut: the load of a service has grown, events hold several tokens and are numbered by these, and
 // two targets write different numbers of tokens after the same event.
 func TestGapsOfTwoSizesAreNone(t *testing.T) {
