streams: a gap that two targets leave counts if the service hardly has any

If second targets lately did not have two other gaps, and the usual step was seen 40 times as often as others, a gap of the same size at two targets counts as one: a third target is asked, or the stream ends visibly. A third target that leaves it, too, confirms it. Each confirmed gap offsets two refuted ones, so a service whose steps begin to vary loses a stream or two at each router. The first gaps of a service pass as before if confirmed: nothing tells then whose fault they are.

--- a/edge/gate_test.go
+++ b/edge/gate_test.go
@@ -179,3 +179,30 @@
 		}
 	}
 }
+
+// Guards against ORDER: two targets leave out the same event of a stream that may be resumed, and it passes as whole although other gaps
+// of the service were faults of single targets.
+func TestSameGapAtTwoTargetsIsNotPassedOn(t *testing.T) {
+	var faulty atomic.Int32
+	handle := func(s *receivedRequest) {
+		first := 0
+		fmt.Sscan(s.Header.Get("T-Last"), &first)
+		if faulty.Add(-1) >= 0 {
+			left := max(first, 5) + 1
+			sendChunked(soundEvents(first+1, left-1) + soundEvents(left+1, eventsOfStream))(s)
+			return
+		}
+		sendChunked(soundEvents(first+1, eventsOfStream))(s)
+	}
+	f := newFixture(t, newTestTarget(t, "t1", handle), newTestTarget(t, "t2", handle))
+	for range soundStreams {
+		_, _, err := f.client().call("POST", "/resumable/")
+		f.is.NoErr(err)
+	}
+	for _, targets := range []int32{1, 1, 2} {
+		faulty.Store(targets)
+		_, body, err := f.client().call("POST", "/resumable/")
+		f.is.Equal(err == nil, targets == 1)
+		f.is.True(strings.HasPrefix(soundEvents(1, eventsOfStream), body))
+	}
+}
--- a/streams/fleet_test.go
+++ b/streams/fleet_test.go
@@ -18,8 +18,8 @@
 	// byContent is set if all targets number the events of a stream alike.
 	byContent bool
 	// maxLearning and maxLater are how many of 500 streams that may not be resumed may be cut while the service is learned,
-	// and of 1,000 later.
-	maxLearning, maxLater float64
+	// and of 1,000 later, and maxResumable how many of 1,000 later if a second target may be asked.
+	maxLearning, maxLater, maxResumable float64
 }
 
 func otherSteps(perCent int) func(r *rand.Rand, stream int) uint64 {
@@ -54,16 +54,16 @@
 func numberingKinds() []numberingKind {
 	const handful = 6
 	return []numberingKind{
-		{"always 1", otherSteps(0), false, 0, 0},
-		{"random 1 to 3", stepsUpTo(3), false, handful, 1},
-		{"random 1 to 10", stepsUpTo(10), false, handful, 1},
-		{"tokens", tokens, true, 1 + handful, 2},
-		{"by load", byLoad, false, 113 + handful, 235},
-		{"1 of 100 others", otherSteps(1), false, 90 + handful, 190},
-		{"3 of 100 others", otherSteps(3), true, 216 + handful, 440},
-		{"10 of 100 others", otherSteps(10), false, 164 + handful, 125},
-		{"20 of 100 others", otherSteps(20), true, 5 + handful, 3},
-		{"30 of 100 others", otherSteps(30), false, 1 + handful, 2},
+		{"always 1", otherSteps(0), false, 0, 0, 0},
+		{"random 1 to 3", stepsUpTo(3), false, handful, 1, 1},
+		{"random 1 to 10", stepsUpTo(10), false, handful, 1, 1},
+		{"tokens", tokens, true, 1 + handful, 2, 1},
+		{"by load", byLoad, false, 113 + handful, 235, 6},
+		{"1 of 100 others", otherSteps(1), false, 90 + handful, 190, 25},
+		{"3 of 100 others", otherSteps(3), true, 216 + handful, 440, 1},
+		{"10 of 100 others", otherSteps(10), false, 164 + handful, 125, 30},
+		{"20 of 100 others", otherSteps(20), true, 5 + handful, 3, 1},
+		{"30 of 100 others", otherSteps(30), false, 1 + handful, 2, 1},
 	}
 }
 
@@ -198,40 +198,50 @@
 // Guards against sound streams cut: the steps of a service vary, by chance, by the streams' content or with its load, and routers
 // that have just begun to learn them, or were told of them, take larger ones for gaps.
 func TestFleetRarelyCutsSoundStreams(t *testing.T) {
-	const fleets = 10
 	for _, kind := range numberingKinds() {
 		is := is.New(t)
-		learning, later := 0.0, 0.0
-		for seed := range uint64(fleets) {
-			f := newSimulatedFleet(seed, 6, 1)
-			for i := range 2000 {
-				switch cut := f.sound(kind); {
-				case cut && i < 500:
-					learning += 1. / fleets
-				case cut && i >= 1000:
-					later += 1. / fleets
-				}
-			}
-		}
-		t.Logf("%s: %.1f of the first 500 cut, %.1f of 1,000 later", kind.name, learning, later)
+		learning, later := cutStreams(kind, 1)
+		_, resumable := cutStreams(kind, 2)
+		t.Logf("%s: %.1f of the first 500 cut, %.1f of 1,000 later, %.1f if they may be resumed", kind.name, learning, later, resumable)
 		is.True(learning <= kind.maxLearning)
 		is.True(later <= kind.maxLater)
+		is.True(resumable <= kind.maxResumable)
+	}
+}
+
+// cutStreams returns how many of the first 500 streams of a service are cut, and of 1,000 later.
+func cutStreams(kind numberingKind, attempts int) (learning, later float64) {
+	const fleets = 10
+	for seed := range uint64(fleets) {
+		f := newSimulatedFleet(seed, 6, attempts)
+		for i := range 2000 {
+			switch cut := f.sound(kind); {
+			case cut && i < 500:
+				learning += 1. / fleets
+			case cut && i >= 1000:
+				later += 1. / fleets
+			}
+		}
 	}
+	return learning, later
 }
 
-// Guards against ORDER: targets leave events out of streams that may not be resumed, and routers that have seen little of the service, or
+// Guards against ORDER: targets leave events out of streams, now and then two of them the same one, and routers that have seen little of the service, or
 // have just started again, pass the gaps on.
 func TestFleetPassesFewGaps(t *testing.T) {
 	const fleets = 10
 	for _, c := range []struct {
-		share    int
-		restarts bool
-		max      float64
-	}{{1, false, 1.5}, {1, true, 1.5}, {3, false, 5}, {3, true, 5.5}} {
+		attempts, share int
+		restarts        bool
+		max             float64
+	}{
+		{1, 1, false, 1.5}, {1, 1, true, 1.5}, {1, 3, false, 5}, {1, 3, true, 5.5},
+		{2, 1, false, 2}, {2, 1, true, 2}, {2, 3, false, 13}, {2, 3, true, 16}, {3, 3, false, 18}, {3, 3, true, 22},
+	} {
 		is := is.New(t)
 		passed := 0.0
 		for seed := range uint64(fleets) {
-			f := newSimulatedFleet(seed, 6, 1)
+			f := newSimulatedFleet(seed, 6, c.attempts)
 			for i := range 1000 {
 				if c.restarts && i%100 == 99 {
 					f.restart(3)
@@ -241,7 +251,7 @@
 				}
 			}
 		}
-		t.Logf("%d of 10 answers, restarts %v: %.1f of 1,000 streams passed with a gap", c.share, c.restarts, passed)
+		t.Logf("%d attempts, %d of 10 answers, restarts %v: %.1f of 1,000 streams passed with a gap", c.attempts, c.share, c.restarts, passed)
 		is.True(passed <= c.max)
 	}
 }
--- a/streams/numbering.go
+++ b/streams/numbering.go
@@ -100,6 +100,7 @@
 func (m *mode) message() *v1.UsualNumber {
 	return &v1.UsualNumber{
 		Value: m.value, Hits: uint32(m.hits), Outliers: uint32(m.outliers), Confirmed: uint32(m.confirmed),
+		Refuted: uint32(m.refuted),
 	}
 }
 
@@ -119,5 +120,6 @@
 		value: told.GetValue(), hits: max(hits, m.hits), outliers: max(outliers, m.outliers),
 		seen:      max(m.seen, min(hits+outliers, wellKnown)),
 		confirmed: max(m.confirmed, int(min(told.GetConfirmed(), maxConfirmed))),
+		refuted:   max(m.refuted, int(min(told.GetRefuted(), maxRefuted))),
 	}
 }
--- a/streams/numbering_test.go
+++ b/streams/numbering_test.go
@@ -135,12 +135,12 @@
 					return nil
 				}
 				any := rapid.Uint32()
-				return &v1.UsualNumber{Value: rapid.Uint64().Draw(t, "value"), Hits: any.Draw(t, "hits"), Outliers: any.Draw(t, "outliers"), Confirmed: any.Draw(t, "confirmed")}
+				return &v1.UsualNumber{Value: rapid.Uint64().Draw(t, "value"), Hits: any.Draw(t, "hits"), Outliers: any.Draw(t, "outliers"), Confirmed: any.Draw(t, "confirmed"), Refuted: any.Draw(t, "refuted")}
 			}
 			n.MergeReport(&v1.LoadReport{Numberings: []*v1.EventNumbering{{First: number(), Step: number()}}})
 			for _, m := range []mode{n.Of(Origin{}).first, n.Of(Origin{}).step} {
 				is.True(m.hits >= 0 && m.outliers >= 0 && m.observed() <= 2*wellKnown && m.seen <= wellKnown)
-				is.True(m.confirmed >= 0 && m.confirmed <= maxConfirmed)
+				is.True(m.confirmed >= 0 && m.confirmed <= maxConfirmed && m.refuted >= 0 && m.refuted <= maxRefuted)
 			}
 		}
 	})
--- a/streams/sequence.go
+++ b/streams/sequence.go
@@ -33,6 +33,12 @@
 	// maxConfirmed is the number of gaps that second targets must confirm until gaps are ignored. A gap that a second
 	// target does not have offsets one that it has.
 	maxConfirmed = 4
+	// minRefuted is the number of gaps that second targets did not have from which on one that they have still counts, if the
+	// usual step was seen at least regularHits times as often as others. One that they have offsets minRefuted others, of which
+	// maxRefuted count at most.
+	minRefuted  = 2
+	maxRefuted  = 4
+	regularHits = 40
 	// maxObserved is the number of steps after which all counts are halved, so that old ones lose their weight.
 	maxObserved = 4096
 )
@@ -43,8 +49,9 @@
 	hits, outliers int
 	// outlierRun counts the outliers since the last hit.
 	outlierRun int
-	// confirmed counts the larger numbers that a second target confirmed, less those that it did not.
-	confirmed int
+	// confirmed counts the larger numbers that a second target confirmed, less those that it did not, and refuted those that it
+	// did not, less minRefuted for each one that it did.
+	confirmed, refuted int
 	// seen counts all numbers, also those before the mode has changed, up to maxObserved.
 	seen int
 }
@@ -62,7 +69,7 @@
 			m.outliers = m.hits
 		}
 	default:
-		*m = mode{value: number, hits: 1, seen: m.seen, confirmed: m.confirmed}
+		*m = mode{value: number, hits: 1, seen: m.seen, confirmed: m.confirmed, refuted: m.refuted}
 	}
 	if m.hits+m.outliers >= maxObserved {
 		m.hits, m.outliers, m.confirmed = m.hits/2, m.outliers/2, m.confirmed/2
@@ -73,9 +80,17 @@
 func (m *mode) confirm(confirmed bool) {
 	if confirmed {
 		m.confirmed++
+		m.refuted = max(m.refuted-minRefuted, 0)
 		return
 	}
 	m.confirmed = max(m.confirmed-1, 0)
+	m.refuted = min(m.refuted+1, maxRefuted)
+}
+
+// trusts reports whether a larger number that a second target confirms is right: targets of a service whose numbers hardly vary
+// may rather write the same wrong one.
+func (m *mode) trusts() bool {
+	return m.refuted < minRefuted || m.hits < regularHits*max(m.outliers, 1)
 }
 
 // isUsual reports whether a number is the mode, as far as that is known.
@@ -98,8 +113,13 @@
 	return number > m.value && m.hits >= minHitsAtEnd && m.outliers <= 1
 }
 
-// Gap is a place of a stream where events may be missing: behind the event with the ID After, which is 0 before the first one.
-type Gap struct{ After uint64 }
+// Gap is a place of a stream where events may be missing.
+type Gap struct {
+	// After is the ID of the event before the gap, 0 before the first one, and Distance how far the next one is above it.
+	After, Distance uint64
+	// Targets is the number of targets that have left it.
+	Targets int
+}
 
 // Sequence checks that the events of a stream go on one from the other.
 type Sequence struct {
@@ -110,7 +130,7 @@
 	atStart bool
 	// mayRetry is set if another target may continue the stream.
 	mayRetry bool
-	// suspected is a gap that another target left; nil once this one has confirmed it or not. gapConfirmed is set if it has.
+	// suspected is a gap that other targets left; nil once this one has confirmed it or not. gapConfirmed is set if it has.
 	suspected    *Gap
 	gapConfirmed bool
 	// gap is where the sequence found events missing.
@@ -149,15 +169,15 @@
 }
 
 // NewSequence returns the check of a stream that goes on after the event last, or begins if last is "". suspected is a gap that
-// another target has left in the stream; it may be nil. mayRetry is set if another target may continue the stream: gaps are
+// other targets have left in the stream; it may be nil. mayRetry is set if another target may continue the stream: gaps are
 // then suspected sooner, since that target shows whether events are missing.
 func NewSequence(numbering *Numbering, last string, suspected *Gap, mayRetry bool) *Sequence {
 	return &Sequence{numbering: numbering, last: parseEventID(last), atStart: last == "", suspected: suspected, mayRetry: mayRetry}
 }
 
 // Next checks the ID of the next event that has one. The error is ErrOrder or ErrGap. IDs that are no numbers pass. A gap that
-// two targets leave behind the same event passes, too, whatever its size: how much an event holds may depend on the load of
-// its target.
+// two targets leave behind the same event passes, too, unless it is of the same size and the service has hardly any: how
+// much an event holds may depend on the load of its target.
 func (s *Sequence) Next(id string) error {
 	before, atStart, wasUsual := s.last, s.atStart, s.lastUsual
 	s.last, s.atStart, s.lastUsual = parseEventID(id), false, false
@@ -174,24 +194,34 @@
 	if atStart {
 		usual, distance = &s.numbering.first, s.last.number
 	}
-	if s.suspected != nil && s.suspected.After == before.number {
-		s.gapConfirmed = distance > usual.value
-		usual.confirm(s.gapConfirmed)
+	s.checkGap(usual, before.number, distance)
+	s.lastUsual = usual.isUsual(distance)
+	usual.observe(distance)
+	if s.gap != nil {
+		return ErrGap
+	}
+	return nil
+}
+
+// checkGap sets gap if events are missing between two IDs at a distance.
+func (s *Sequence) checkGap(usual *mode, after, distance uint64) {
+	if known := s.suspected; known != nil && known.After == after {
 		s.suspected = nil
+		confirmed := distance > usual.value
+		s.gapConfirmed = confirmed && (distance != known.Distance || known.Targets > 1 || usual.trusts())
+		usual.confirm(confirmed)
+		if confirmed && !s.gapConfirmed {
+			s.gap = &Gap{After: after, Distance: distance, Targets: known.Targets + 1}
+			return
+		}
 	}
 	switch {
 	case s.gapConfirmed:
 	case usual.exceededBy(distance, s.mayRetry):
-		s.gap = &Gap{After: before.number}
-	case !atStart && usual.seen < minHits:
+		s.gap = &Gap{After: after, Distance: distance, Targets: 1}
+	case usual == &s.numbering.step && usual.seen < minHits:
 		s.passed = max(s.passed, distance)
 	}
-	s.lastUsual = usual.isUsual(distance)
-	usual.observe(distance)
-	if s.gap != nil {
-		return ErrGap
-	}
-	return nil
 }
 
 // End checks a stream that ends as whole. The error is ErrGap if what has been learned meanwhile shows that events are missing.
--- a/streams/sequence_test.go
+++ b/streams/sequence_test.go
@@ -93,6 +93,28 @@
 	is.Equal(NewSequence(n, "5", nil, false).Next("7"), ErrGap)
 }
 
+// Guards against ORDER: two targets leave out the same event of a stream that may be resumed, and the gap passes, although other gaps
+// of the service have been faults of single targets.
+func TestSameGapAtTwoTargetsOfARegularServiceIsFound(t *testing.T) {
+	is := is.New(t)
+	n := learn(1, 1, 2*minHits)
+	for range minRefuted {
+		s := NewSequence(n, "5", nil, true)
+		is.Equal(s.Next("7"), ErrGap)
+		is.NoErr(NewSequence(n, "5", s.Gap(), true).Next("6"))
+	}
+	s := NewSequence(n, "5", nil, true)
+	is.Equal(s.Next("7"), ErrGap)
+	first := s.Gap()
+	is.NoErr(NewSequence(n, "5", &Gap{After: 5, Distance: 3, Targets: 1}, true).Next("7")) // of another size
+	for range minRefuted {
+		is.NoErr(NewSequence(n, "5", first, true).Next("6"))
+	}
+	s = NewSequence(n, "5", first, true)
+	is.Equal(s.Next("7"), ErrGap)
+	is.NoErr(NewSequence(n, "5", s.Gap(), false).Next("7")) // a third target leaves it, too
+}
+
 // Guards against ORDER: a router has just started, knows nothing of the service's numbers, and passes gaps on in streams for
 // which it could ask another target.
 func TestGapIsDoubtedEarlyIfAnotherTargetMayBeAsked(t *testing.T) {
