--- a/edge/call.go
+++ b/edge/call.go
@@ -59,6 +59,8 @@
 	lastDoubtful bool
 	// suspectedForm is where a target seems to deviate from the form of the service's streams; nil if none has.
 	suspectedForm *streams.Deviation
+	// gapPassed is set if events are missing among those that the caller received.
+	gapPassed bool
 	// stream identifies a resumable stream, and originService is the service that began it, if the
 	// request takes it up and the route leads there; "" otherwise.
 	stream        streams.ID
@@ -421,6 +423,8 @@
 		return "events without IDs"
 	case c.lastDoubtful:
 		return "last event ID doubtful"
+	case c.gapPassed:
+		return "events missing"
 	}
 	c.edge.mu.Lock()
 	defer c.edge.mu.Unlock()
--- a/edge/gate.go
+++ b/edge/gate.go
@@ -145,11 +145,22 @@
 	})
 }
 
-// complete records that the stream has ended as whole.
-func (g *eventGate) complete() {
+// complete checks a stream that ends as whole, and records its form if nothing is missing.
+func (g *eventGate) complete() error {
+	if err := g.completeNumbers(); err != nil {
+		return err
+	}
 	g.forms.mu.Lock()
 	defer g.forms.mu.Unlock()
 	g.form.End()
+	return nil
+}
+
+// completeNumbers checks the IDs of a stream that ends as whole.
+func (g *eventGate) completeNumbers() error {
+	g.numberings.mu.Lock()
+	defer g.numberings.mu.Unlock()
+	return g.sequence.End()
 }
 
 // next checks the ID of the next event.
--- a/edge/gate_test.go
+++ b/edge/gate_test.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/chiveseam/chiveseam/streams"
 )
 
 // Guards against ORDER: an engine breaks a stream off within an event and goes on with an answer that names no request of the
@@ -162,3 +164,45 @@
 	f.is.True(err != nil)
 	f.is.Equal(body, soundEvents(1, 4))
 }
+
+// Guards against ORDER: an event is left out of the first streams of a service, before the router knows how its IDs rise, and they pass as
+// whole.
+func TestGapInTheFirstStreamIsNotPassedAsWhole(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resumable/"} {
+		for _, left := range []int{3, 10} {
+			faulty := sendChunked(soundEvents(1, left-1) + soundEvents(left+1, 20))
+			f := newFixture(t, newTestTarget(t, "t1", faulty))
+			_, body, err := f.client().call("POST", path)
+			f.is.True(err != nil)
+			f.is.True(left == 3 || body == soundEvents(1, left-1))
+			f.is.True(f.logs.contains(streams.ErrGap.Error()))
+		}
+	}
+}
+
+// Guards against ORDER: two targets leave out the same event of a stream that may be resumed, and it passes as whole although other gaps
+// of the service were faults of single targets.
+func TestSameGapAtTwoTargetsIsNotPassedOn(t *testing.T) {
+	var faulty atomic.Int32
+	handle := func(s *receivedRequest) {
+		first := 0
+		fmt.Sscan(s.Header.Get("T-Last"), &first)
+		if faulty.Add(-1) >= 0 {
+			left := max(first, 5) + 1
+			sendChunked(soundEvents(first+1, left-1) + soundEvents(left+1, eventsOfStream))(s)
+			return
+		}
+		sendChunked(soundEvents(first+1, eventsOfStream))(s)
+	}
+	f := newFixture(t, newTestTarget(t, "t1", handle), newTestTarget(t, "t2", handle))
+	for range soundStreams {
+		_, _, err := f.client().call("POST", "/resumable/")
+		f.is.NoErr(err)
+	}
+	for _, targets := range []int32{1, 1, 2} {
+		faulty.Store(targets)
+		_, body, err := f.client().call("POST", "/resumable/")
+		f.is.Equal(err == nil, targets == 1)
+		f.is.True(strings.HasPrefix(soundEvents(1, eventsOfStream), body))
+	}
+}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -139,7 +139,11 @@
 			return lost, false
 		}
 	}
-	a.events.complete()
+	if err := a.events.complete(); err != nil {
+		a.noteSpoiled(err)
+		a.err, a.call.gapPassed = err, true
+		return lost, false
+	}
 	if a.call.reply.endStream() != nil {
 		return abandoned, true
 	}
--- a/streams/sequence_test.go
+++ b/streams/sequence_test.go
@@ -93,6 +93,28 @@
 	is.Equal(NewSequence(n, "5", nil, false).Next("7"), ErrGap)
 }
 
+// Guards against ORDER: two targets leave out the same event of a stream that may be resumed, and the gap passes, although other gaps
+// of the service have been faults of single targets.
+func TestSameGapAtTwoTargetsOfARegularServiceIsFound(t *testing.T) {
+	is := is.New(t)
+	n := learn(1, 1, 2*minHits)
+	for range minRefuted {
+		s := NewSequence(n, "5", nil, true)
+		is.Equal(s.Next("7"), ErrGap)
+		is.NoErr(NewSequence(n, "5", s.Gap(), true).Next("6"))
+	}
+	s := NewSequence(n, "5", nil, true)
+	is.Equal(s.Next("7"), ErrGap)
+	first := s.Gap()
+	is.NoErr(NewSequence(n, "5", &Gap{After: 5, Distance: 3, Targets: 1}, true).Next("7")) // of another size
+	for range minRefuted {
+		is.NoErr(NewSequence(n, "5", first, true).Next("6"))
+	}
+	s = NewSequence(n, "5", first, true)
+	is.Equal(s.Next("7"), ErrGap)
+	is.NoErr(NewSequence(n, "5", s.Gap(), false).Next("7")) // a third target leaves it, too
+}
+
 // Guards against ORDER: a router has just started, knows nothing of the service's numbers, and passes gaps on in streams for
 // which it could ask another target.
 func TestGapIsDoubtedEarlyIfAnotherTargetMayBeAsked(t *testing.T) {
@@ -106,6 +128,29 @@
 	is.NoErr(NewSequence(n, "5", nil, false).Next("7"))
 }
 
+// Guards against ORDER: an event is left out of the first stream of a service that a router sees, and the stream passes as whole. Nothing
+// shows the gap when it comes unless some steps came before it; what follows does.
+func TestGapInTheFirstStreamShows(t *testing.T) {
+	for left := 2; left < 12; left++ {
+		is := is.New(t)
+		s := NewSequence(new(Numbering), "", nil, false)
+		var err error
+		for id := 1; id <= 12 && err == nil; id++ {
+			if id != left {
+				err = s.Next(strconv.Itoa(id))
+			}
+		}
+		is.Equal(err != nil, left >= minOnlyHits+2)
+		is.True(err != nil || errors.Is(s.End(), ErrGap))
+	}
+	is := is.New(t)
+	s := NewSequence(new(Numbering), "", nil, false)
+	for _, id := range []string{"1", "2", "4", "5", "7", "9", "10"} {
+		is.NoErr(s.Next(id))
+	}
+	is.NoErr(s.End())
+}
+
 // Guards against sound streams cut: the load of a service has grown, events hold several tokens and are numbered by these, and
 // two targets write different numbers of tokens after the same event.
 func TestGapsOfTwoSizesAreNone(t *testing.T) {
