edge: forward one Last-Event-Id and one Resumes

Callers saw: a stream that goes on behind events that they do not have, or at another version. Cause: the router checks order and version by the first of repeated fields, and forwarded all of them; a target may go by the last. Evidence: of 14 odd forms on two routes, with a target that goes by the last one, the first form passed events 5 and 6 after event 2 on both routes, the second broke off and ended the test there. Change: the target gets the first of each field. Other odd values (empty, 0, spaces, no number, beyond the last event, spoiled) reach it unchanged, as before. After: all 28 go on after the first value.

--- a/edge/headers.go
+++ b/edge/headers.go
@@ -63,14 +63,16 @@
 	Reserved []string
 }
 
-// forwarded returns the fields of a caller's request that its target receives.
+// forwarded returns the fields of a caller's request that its target receives. Of those by which a stream goes on, the router
+// reads the first ones: targets could go by others.
 func (h *Headers) forwarded(fields h1.Header) h1.Header {
 	out := fields.EndToEnd(h.describesRequest)
 	kept := out[:0]
 	for _, f := range out {
-		if !h.setByRouter(f.Name) {
-			kept = append(kept, f)
+		if h.setByRouter(f.Name) || h.takesUp(f.Name) && kept.Count(f.Name) > 0 {
+			continue
 		}
+		kept = append(kept, f)
 	}
 	return kept
 }
@@ -86,6 +88,11 @@
 	return false
 }
 
+// takesUp reports whether a field says which stream a request goes on with.
+func (h *Headers) takesUp(name string) bool {
+	return strings.EqualFold(name, h.LastEventID) || strings.EqualFold(name, h.Resumes)
+}
+
 // setByRouter reports whether a field is never taken from a caller, since only the router sets it
 // or it is reserved.
 func (h *Headers) setByRouter(name string) bool {
