--- a/edge/moved_stream_test.go
+++ b/edge/moved_stream_test.go
@@ -66,10 +66,9 @@
 
 // playedStream is a stream as its caller has it over all tries.
 type playedStream struct {
-	f *fixture
 	// id is the request that brought the first event; "" before.
 	id string
-	// lines are what wrote each event.
+	// wrote holds the service and version that wrote each event.
 	wrote []string
 	// status is that of the last try.
 	status int
