--- a/edge/embedded.go
+++ b/edge/embedded.go
@@ -21,6 +21,11 @@
 // statusLineStart is the beginning of the head of an answer.
 var statusLineStart = []byte(h1.StatusLineStart)
 
+// isAnswer reports whether an event of a stream holds the head of another answer.
+func (u *upstream) isAnswer(event []byte, idHeader string) bool {
+	return bytes.HasPrefix(event, statusLineStart) || eventHoldsHead(event) || u.holdsAnswer(event, idHeader)
+}
+
 // holdsAnswer reports whether a part of a body holds the head of an answer to a request that was sent on the connection: a
 // target that breaks an answer off and answers again writes that into the body. A body that merely quotes an answer does not name such
 // a request. idHeader is the name of the field that does.
--- a/edge/events.go
+++ b/edge/events.go
@@ -33,9 +33,10 @@
 	afterCR bool
 	// hasCR and hasLF are set once a line has ended with a carriage return alone, and with a line feed.
 	hasCR, hasLF bool
-	// started is set after the byte order mark, of which the stream has begun with markBytes.
-	started   bool
-	markBytes int
+	// started is set after the byte order mark, of which the stream has begun with markBytes; onlyMark is set if nothing has come
+	// behind it.
+	started, onlyMark bool
+	markBytes         int
 	// statusBytes is how much of h1.StatusLineStart the current comment ends with.
 	statusBytes int
 }
@@ -71,10 +72,14 @@
 // end processes the end of the stream, after which a carriage return is a whole line end. Whether that of an event is one is
 // still not known. It returns what ends there.
 func (s *eventScanner) end() partKind {
+	if s.onlyMark {
+		s.open = 0
+		return idlePart
+	}
 	if !s.pendingCR || s.eventBegun() {
 		return openPart
 	}
-	s.pendingCR = false
+	s.pendingCR, s.afterCR = false, true
 	return s.endLine(true)
 }
 
@@ -82,7 +87,7 @@
 func (s *eventScanner) step(b byte) partKind {
 	s.open++
 	afterEnd := s.endedCR
-	s.endedCR = false
+	s.endedCR, s.onlyMark = false, false
 	switch b {
 	case '\n':
 		s.pendingCR, s.hasLF = false, true
@@ -102,6 +107,7 @@
 		if s.started = b != byteOrderMark[s.markBytes]; !s.started {
 			s.markBytes++
 			s.started = s.markBytes == len(byteOrderMark)
+			s.onlyMark = s.started
 			return openPart
 		}
 	}
@@ -133,12 +139,15 @@
 
 // endLine ends the current line, with a carriage return alone if lone is set. It returns what ends with it.
 func (s *eventScanner) endLine(lone bool) partKind {
-	line := s.line
+	line, known := s.line, !lone || s.afterCR
 	s.line, s.started, s.afterCR, s.hasCR = emptyLine, true, lone, s.hasCR || lone
 	switch {
 	case line == fieldLine || line == commentLine && s.inEvent:
 		s.inEvent = true
 		return openPart
+	case !s.inEvent && !known:
+		// What follows shows whether lines end so.
+		return openPart
 	case !s.inEvent:
 		s.open = 0
 		return idlePart
--- a/edge/gate.go
+++ b/edge/gate.go
@@ -97,6 +97,16 @@
 	return len(text), nil
 }
 
+// cutMark returns admitted data without the byte order mark at the start of a stream that continues what another target began:
+// within the caller's stream it would be part of a field's name.
+func (g *eventGate) cutMark(data []byte) []byte {
+	if g.continues && len(data) > 0 {
+		g.continues = false
+		return bytes.TrimPrefix(data, []byte(byteOrderMark))
+	}
+	return data
+}
+
 // check returns the reason why a part of the stream must not be passed on; nil if there is none.
 func (g *eventGate) check(part []byte, kind partKind) error {
 	if !g.begun {
--- a/edge/spoiled_stream_test.go
+++ b/edge/spoiled_stream_test.go
@@ -119,6 +119,7 @@
 		"without ID":         "data: event 6\n\n",
 		"within the ID":      "id: 6{]\ndata: event 6\n\n",
 		"before data":        "id: 6\n{]data: event 6\n\n",
+		"without data":       "id: 6\n\n",
 		"between lines":      "id: 6\ndata: event 6\n{]\n",
 		"line end":           "id: 6\rdata: event 6\n\n",
 		"last":               "{]{]",
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -166,24 +165,16 @@
 	mayRetry := resumable && a.number < c.route.MaxAttempts
 	a.events.sequence = e.numberings.sequence(origin, last, c.suspectedGap, mayRetry)
 	a.events.form = e.forms.check(origin, lastOfForm, c.suspectedForm, mayRetry)
-	a.events.isAnswer = func(event []byte) bool {
-		return bytes.HasPrefix(event, statusLineStart) || eventHoldsHead(event) ||
-			u.holdsAnswer(event, e.headers.RequestID)
-	}
+	a.events.isAnswer = func(event []byte) bool { return u.isAnswer(event, e.headers.RequestID) }
 }
 
-// forwardData sends a part of the stream, which may be empty, to the caller. If it continues what another target began, the byte
-// order mark at its start is left out: within a stream it would be part of a field's name.
+// forwardData sends a part of the stream, which may be empty, to the caller.
 func (a *attempt) forwardData(data []byte) error {
 	if len(data) == 0 {
 		return nil
 	}
-	if a.events.continues {
-		a.events.continues = false
-		data = bytes.TrimPrefix(data, []byte(byteOrderMark))
-	}
 	a.recordEvents()
-	return a.call.reply.sendData(data)
+	return a.call.reply.sendData(a.events.cutMark(data))
 }
 
 // noteSpoiledStream records why the rest of the stream is not passed on.
--- a/streams/form.go
+++ b/streams/form.go
@@ -23,7 +23,9 @@
 const (
 	// unidentified: some events have IDs, and another one of the same type, or of none, has data but no ID.
 	unidentified trait = iota
-	// unnumbered: some IDs are numbers, and others are not.
+	// dataless: an event of the same type as those with data, or of none, has an ID but no data.
+	dataless
+	// unnumbered: an ID is no number.
 	unnumbered
 	// unknownLines: there are lines that are neither a comment nor a known field.
 	unknownLines
@@ -66,9 +68,8 @@
 	form *Form
 	// fromStart is set if the stream begins with the first event, and begun once there is one.
 	fromStart, begun bool
-	// last is the ID of the last event that has one, and hasNumber and hasName whether IDs were numbers, and others.
-	last               string
-	hasNumber, hasName bool
+	// last is the ID of the last event that has one.
+	last string
 	// identified and loose are the types of events with data that have an ID, and that have none.
 	identified, loose []string
 	// has are the traits that the stream has had.
@@ -91,18 +92,9 @@
 	if mayRetry {
 		c.hits = minRegularRetry
 	}
-	c.noteID(last)
 	return c
 }
 
-func (c *FormCheck) noteID(id string) {
-	if id == "" {
-		return
-	}
-	isNumber := parseEventID(id).isNumber
-	c.hasNumber, c.hasName = c.hasNumber || isNumber, c.hasName || !isNumber
-}
-
 // Next checks the next event, or what is between two. The error is ErrForm. A trait that two targets have behind the same event
 // passes.
 func (c *FormCheck) Next(e Event) error {
@@ -136,7 +128,6 @@
 	types := &c.loose
 	if e.ID != "" {
 		c.last = e.ID
-		c.noteID(e.ID)
 		types = &c.identified
 	}
 	if e.HasData && len(*types) < maxEventTypes && !slices.Contains(*types, e.Type) {
@@ -146,10 +137,10 @@
 
 // traitsOf returns the traits of the stream up to and with an event.
 func (c *FormCheck) traitsOf(e Event) (has [traitCount]bool) {
-	has[unidentified] = c.last != "" && slices.ContainsFunc(c.loose, func(eventType string) bool {
-		return eventType == "" || slices.Contains(c.identified, eventType)
-	})
-	has[unnumbered] = c.hasNumber && c.hasName
+	usual := func(eventType string) bool { return eventType == "" || slices.Contains(c.identified, eventType) }
+	has[unidentified] = c.last != "" && slices.ContainsFunc(c.loose, usual)
+	has[dataless] = e.ID != "" && !e.HasData && usual(e.Type)
+	has[unnumbered] = e.ID != "" && !parseEventID(e.ID).isNumber
 	has[unknownLines] = e.UnknownLines
 	has[mixedLineEnds] = e.MixedLineEnds
 	return has
@@ -183,7 +174,7 @@
 	}
 	for t, has := range c.has {
 		// Without IDs, a stream says nothing of them.
-		aboutIDs := trait(t) == unidentified || trait(t) == unnumbered
+		aboutIDs := trait(t) <= unnumbered
 		if !has && (c.last != "" || !aboutIDs) {
 			c.form.traits[t].observe(0)
 		}
--- a/streams/form_test.go
+++ b/streams/form_test.go
@@ -39,7 +39,7 @@
 // deviating are events that no stream of learnForm has.
 func deviating() map[string]Event {
 	return map[string]Event{
-		"no ID": {HasData: true}, "no number": {ID: "4}", HasData: true}, "unknown line": {ID: "4", HasData: true, UnknownLines: true},
+		"no ID": {HasData: true}, "no data": {ID: "4"}, "no number": {ID: "4}", HasData: true}, "unknown line": {ID: "4", HasData: true, UnknownLines: true},
 		"line ends": {MixedLineEnds: true}, "several": {ID: "4}", HasData: true, UnknownLines: true, MixedLineEnds: true},
 	}
 }
@@ -63,8 +63,10 @@
 		is.Equal(err, ErrForm)
 	}
 	for _, types := range [][2]string{{"token", "token"}, {"token", ""}, {"", ""}} {
-		_, err := playForm(learnForm(minRegular), "", nil, false, Event{ID: "1", Type: types[0], HasData: true}, Event{Type: types[1], HasData: true})
-		is.Equal(err, ErrForm)
+		for _, e := range []Event{{Type: types[1], HasData: true}, {ID: "2", Type: types[1]}} {
+			_, err := playForm(learnForm(minRegular), "", nil, false, Event{ID: "1", Type: types[0], HasData: true}, e)
+			is.Equal(err, ErrForm)
+		}
 	}
 }
 
@@ -84,6 +86,7 @@
 		},
 		"unknown lines":     func(n int) []Event { return []Event{{ID: "1", HasData: true}, {ID: "2", UnknownLines: n%4 != 0}} },
 		"names and numbers": func(int) []Event { return []Event{{ID: "1"}, {ID: "a"}} },
+		"no data":           func(int) []Event { return []Event{{ID: "1", HasData: true}, {ID: "2"}} },
 		"mixed line ends":   func(int) []Event { return []Event{{ID: "1"}, {MixedLineEnds: true}} },
 		"error of its type": func(n int) []Event {
 			if n%20 < 19 {
