edge, docs: the first line end has a test of its own; changelog

A mutant of the scanner that passes a first line that ends with CR on in half was not found by 100 draws of the property; TestFirstLineEndIsNotPassedOnInHalf fails on it. Six other mutants (no check of text, of form, of answers or of order, CR at once, the mark not left out) fail the property within 3 to 70 draws.

--- a/edge/line_end_test.go
+++ b/edge/line_end_test.go
@@ -177,3 +177,13 @@
 		})
 	}
 }
+
+// Guards against ORDER: an engine breaks off within the first line end and answers again, the stream goes on at another engine, and a
+// reader that knows only line feeds takes the first field there for a part of the comment.
+func TestFirstLineEndIsNotPassedOnInHalf(t *testing.T) {
+	fleet := newGateFleet(t, []string{soundEvents(1, 4)})
+	out, err := fleet.newGate("", true).run([][]byte{[]byte(": ping\r" + unframedStreamHead + soundEvents(1, 4))}, false)
+	if out != "" || err != errAnswerInStream {
+		t.Errorf("%q, %v", out, err)
+	}
+}
