--- a/edge/stream.go
+++ b/edge/stream.go
@@ -42,7 +42,7 @@
 	a.checkEvents(u)
 	buf := make([]byte, streamBufferBytes)
 	pending := &heldBuffer{hold: a.hold}
-	// eventAt is when the last event ended.
+	// eventAt is when the last event or comment ended.
 	eventAt := time.Now()
 	for {
 		u.SetReadDeadline(a.nextReadDeadline(eventAt, u.partialSince))
@@ -203,7 +203,7 @@
 }
 
 // nextReadDeadline returns the time by which the next event of a stream must end, if the last one
-// ended at eventAt: bytes that end no event do not extend it. For a stream that cannot be resumed or
+// ended at eventAt: bytes that end neither an event nor a comment do not extend it. For a stream that cannot be resumed or
 // sent to another target, it is the request's deadline. An event of which the first part came at partialSince
 // must end within maxPartialTime in any case.
 func (a *attempt) nextReadDeadline(eventAt, partialSince time.Time) time.Time {
