--- a/edge/stream.go
+++ b/edge/stream.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -43,7 +42,7 @@
 	a.checkEvents(u)
 	buf := make([]byte, streamBufferBytes)
 	pending := &heldBuffer{hold: a.hold}
-	// eventAt is when the last event ended.
+	// eventAt is when the last event or comment ended.
 	eventAt := time.Now()
 	for {
 		u.SetReadDeadline(a.nextReadDeadline(eventAt, u.partialSince))
@@ -170,24 +169,16 @@
 	mayRetry := resumable && a.number < c.route.MaxAttempts
 	a.events.sequence = e.numberings.sequence(origin, last, c.suspectedGap, mayRetry)
 	a.events.form = e.forms.check(origin, lastOfForm, c.suspectedForm, mayRetry)
-	a.events.isAnswer = func(event []byte) bool {
-		return bytes.HasPrefix(event, statusLineStart) || eventHoldsHead(event) ||
-			u.holdsAnswer(event, e.headers.RequestID)
-	}
+	a.events.isAnswer = func(event []byte) bool { return u.isAnswer(event, e.headers.RequestID) }
 }
 
-// forwardData sends a part of the stream, which may be empty, to the caller. If it continues what another target began, the byte
-// order mark at its start is left out: within a stream it would be part of a field's name.
+// forwardData sends a part of the stream, which may be empty, to the caller.
 func (a *attempt) forwardData(data []byte) error {
 	if len(data) == 0 {
 		return nil
 	}
-	if a.events.continues {
-		a.events.continues = false
-		data = bytes.TrimPrefix(data, []byte(byteOrderMark))
-	}
 	a.recordEvents()
-	return a.call.reply.sendData(data)
+	return a.call.reply.sendData(a.events.cutMark(data))
 }
 
 // noteSpoiledStream records why the rest of the stream is not passed on.
@@ -217,7 +208,7 @@
 }
 
 // nextReadDeadline returns the time by which the next event of a stream must end, if the last one
-// ended at eventAt: bytes that end no event do not extend it. For a stream that cannot be resumed or
+// ended at eventAt: bytes that end neither an event nor a comment do not extend it. For a stream that cannot be resumed or
 // sent to another target, it is the request's deadline. An event of which the first part came at partialSince
 // must end within maxPartialTime in any case.
 func (a *attempt) nextReadDeadline(eventAt, partialSince time.Time) time.Time {
