--- a/streams/sequence.go
+++ b/streams/sequence.go
@@ -20,9 +20,12 @@
 	// the same for a stream that another target may continue.
 	minHits      = 32
 	minHitsRetry = 4
-	// minOnlyHits and minOnlyHitsRetry are the same if no other step has been seen.
-	minOnlyHits      = 4
-	minOnlyHitsRetry = 2
+	// minEarlyHits and minEarlyHitsRetry are the same for a mode of less than maxEarly numbers, with earlyHitsPerOutlier more for
+	// each other one.
+	minEarlyHits        = 4
+	minEarlyHitsRetry   = 2
+	earlyHitsPerOutlier = 10
+	maxEarly            = 64
 	// minHitsAtEnd is the same at the end of a stream, if no step but the larger one has been different.
 	minHitsAtEnd = 8
 	// maxOutlierShare is the largest number of other steps, as a fraction of the usual ones.
@@ -100,11 +103,12 @@
 
 // exceededBy reports whether a number is above the mode, and the mode is known well enough.
 func (m *mode) exceededBy(number uint64, mayRetry bool) bool {
-	hits, only := minHits, minOnlyHits
+	hits, early := minHits, minEarlyHits
 	if mayRetry {
-		hits, only = minHitsRetry, minOnlyHitsRetry
+		hits, early = minHitsRetry, minEarlyHitsRetry
 	}
-	known := m.hits >= hits && float64(m.outliers) <= maxOutlierShare*float64(m.hits) || m.hits >= only && m.hits == m.seen
+	known := m.hits >= hits && float64(m.outliers) <= maxOutlierShare*float64(m.hits) ||
+		m.seen < maxEarly && m.hits >= early+earlyHitsPerOutlier*(m.seen-m.hits)
 	return number > m.value && known && m.confirmed < maxConfirmed
 }
 
--- a/streams/sequence_test.go
+++ b/streams/sequence_test.go
@@ -140,7 +140,7 @@
 				err = s.Next(strconv.Itoa(id))
 			}
 		}
-		is.Equal(err != nil, left >= minOnlyHits+2)
+		is.Equal(err != nil, left >= minEarlyHits+2)
 		is.True(err != nil || errors.Is(s.End(), ErrGap))
 	}
 	is := is.New(t)
