streams: a new version is expected to number its events like the one before

The other version of the service had shown hundreds of equal steps.

If another version is known well (64 numbers, others at most one in 40), its step counts as seen 16 times as soon as the first one of the new version is equal, and likewise the first ID. A version that numbers its events otherwise is not touched: its first number differs. One whose numbers vary loses a few streams (TestNewVersionIsExpectedToNumberLikeTheOther: at most 3 of 200).

--- a/streams/numbering.go
+++ b/streams/numbering.go
@@ -1,6 +1,7 @@
 package streams
 
 import (
+	"cmp"
 	"math/bits"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -48,10 +49,29 @@
 		delete(n, other)
 	}
 	learned := new(Numbering)
+	if other := n.otherVersion(origin); other != nil {
+		learned.first.expect(&other.first)
+		learned.step.expect(&other.step)
+	}
 	n[origin] = learned
 	return learned
 }
 
+// otherVersion returns the best known numbering of a service at another version; nil if there is none.
+func (n Numberings) otherVersion(origin Origin) *Numbering {
+	var best *Numbering
+	var version uint32
+	for other, numbering := range n {
+		if other.Service != origin.Service {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(numbering.step.hits, best.step.hits), cmp.Compare(other.Version, version)) > 0 {
+			best, version = numbering, other.Version
+		}
+	}
+	return best
+}
+
 // FillReport adds the numberings to a report of which twice as much has been learned as at an earlier one, until other routers
 // know enough.
 func (n Numberings) FillReport(r *v1.LoadReport) {
--- a/streams/numbering_test.go
+++ b/streams/numbering_test.go
@@ -145,3 +145,31 @@
 		}
 	})
 }
+
+// Guards against ORDER: the only target of a new version leaves an event out of each of its first streams; or against sound streams cut: the new
+// version numbers its events otherwise.
+func TestNewVersionIsExpectedToNumberLikeTheOther(t *testing.T) {
+	is := is.New(t)
+	n := Numberings{Origin{Service: 1, Version: 1}: learn(1, 1, 2*minHits)}
+	for range 3 {
+		is.True(finds(n, Origin{Service: 1, Version: 2}))
+	}
+	cut := 0
+	for i := range 100 {
+		s := NewSequence(n.Of(Origin{Service: 1, Version: 3}), "", nil, false)
+		for event := range 10 {
+			if s.Next(strconv.Itoa(3+2*event)) != nil {
+				cut++
+				break
+			}
+		}
+		s = NewSequence(n.Of(Origin{Service: 1, Version: 4}), "", nil, false)
+		for id := i%3 + 1; id < 30; id += 1 + (id+i)%3 {
+			if s.Next(strconv.Itoa(id)) != nil {
+				cut++
+				break
+			}
+		}
+	}
+	is.True(cut <= 3)
+}
--- a/streams/sequence.go
+++ b/streams/sequence.go
@@ -26,6 +26,8 @@
 	minEarlyHitsRetry   = 2
 	earlyHitsPerOutlier = 10
 	maxEarly            = 64
+	// expectedHits is how often a step counts as seen that is the same as at another version, which hardly has any other.
+	expectedHits = 16
 	// minHitsAtEnd is the same at the end of a stream, if no step but the larger one has been different.
 	minHitsAtEnd = 8
 	// maxOutlierShare is the largest number of other steps, as a fraction of the usual ones.
@@ -57,10 +59,16 @@
 	confirmed, refuted int
 	// seen counts all numbers, also those before the mode has changed, up to maxObserved.
 	seen int
+	// expected is the mode of another version, if expects is set. It counts if the first number is the same.
+	expected uint64
+	expects  bool
 }
 
 // observe records a number.
 func (m *mode) observe(number uint64) {
+	if m.seen == 0 && m.expects && number == m.expected {
+		m.value, m.hits, m.seen = number, expectedHits, expectedHits
+	}
 	m.seen = min(m.seen+1, maxObserved)
 	switch {
 	case number == m.value:
@@ -96,6 +104,13 @@
 	return m.refuted < minRefuted || m.hits < regularHits*max(m.outliers, 1)
 }
 
+// expect makes the mode expect that of another version, if that is known well and hardly varies.
+func (m *mode) expect(other *mode) {
+	if other.hits >= wellKnown && other.hits >= regularHits*other.outliers {
+		m.expected, m.expects = other.value, true
+	}
+}
+
 // isUsual reports whether a number is the mode, as far as that is known.
 func (m *mode) isUsual(number uint64) bool {
 	return number == m.value && m.hits >= minHitsRetry && m.hits > m.outliers
