--- a/streams/numbering.go
+++ b/streams/numbering.go
@@ -1,6 +1,7 @@
 package streams
 
 import (
+	"cmp"
 	"math/bits"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -37,7 +38,18 @@
 type Numberings map[Origin]*Numbering
 
 // Of returns the numbering of a service and version. Beyond maxNumberings, it forgets another one.
-func (n Numberings) Of(origin Origin) *Numbering { return learnedOf(n, origin) }
+func (n Numberings) Of(origin Origin) *Numbering {
+	if known, ok := n[origin]; ok {
+		return known
+	}
+	other := n.otherVersion(origin)
+	learned := learnedOf(n, origin)
+	if other != nil {
+		learned.first.expect(&other.first)
+		learned.step.expect(&other.step)
+	}
+	return learned
+}
 
 // learnedOf returns what is learned of a service and version. Beyond maxNumberings, it forgets another one.
 func learnedOf[T any](all map[Origin]*T, origin Origin) *T {
@@ -55,6 +67,21 @@
 	return learned
 }
 
+// otherVersion returns the best known numbering of a service at another version; nil if there is none.
+func (n Numberings) otherVersion(origin Origin) *Numbering {
+	var best *Numbering
+	var version uint32
+	for other, numbering := range n {
+		if other.Service != origin.Service {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(numbering.step.hits, best.step.hits), cmp.Compare(other.Version, version)) > 0 {
+			best, version = numbering, other.Version
+		}
+	}
+	return best
+}
+
 // FillReport adds the numberings to a report of which twice as much has been learned as at an earlier one, until other routers
 // know enough.
 func (n Numberings) FillReport(r *v1.LoadReport) {
--- a/streams/sequence.go
+++ b/streams/sequence.go
@@ -20,9 +20,14 @@
 	// the same for a stream that another target may continue.
 	minHits      = 32
 	minHitsRetry = 4
-	// minOnlyHits and minOnlyHitsRetry are the same if no other step has been seen.
-	minOnlyHits      = 4
-	minOnlyHitsRetry = 2
+	// minEarlyHits and minEarlyHitsRetry are the same for a mode of less than maxEarly numbers, with earlyHitsPerOutlier more for
+	// each other one.
+	minEarlyHits        = 4
+	minEarlyHitsRetry   = 2
+	earlyHitsPerOutlier = 10
+	maxEarly            = 64
+	// expectedHits is how often a step counts as seen that is the same as at another version, which hardly has any other.
+	expectedHits = 16
 	// minHitsAtEnd is the same at the end of a stream, if no step but the larger one has been different.
 	minHitsAtEnd = 8
 	// maxOutlierShare is the largest number of other steps, as a fraction of the usual ones.
@@ -54,10 +59,16 @@
 	confirmed, refuted int
 	// seen counts all numbers, also those before the mode has changed, up to maxObserved.
 	seen int
+	// expected is the mode of another version, if expects is set. It counts if the first number is the same.
+	expected uint64
+	expects  bool
 }
 
 // observe records a number.
 func (m *mode) observe(number uint64) {
+	if m.seen == 0 && m.expects && number == m.expected {
+		m.value, m.hits, m.seen = number, expectedHits, expectedHits
+	}
 	m.seen = min(m.seen+1, maxObserved)
 	switch {
 	case number == m.value:
@@ -93,6 +104,13 @@
 	return m.refuted < minRefuted || m.hits < regularHits*max(m.outliers, 1)
 }
 
+// expect makes the mode expect that of another version, if that is known well and hardly varies.
+func (m *mode) expect(other *mode) {
+	if other.hits >= wellKnown && other.hits >= regularHits*other.outliers {
+		m.expected, m.expects = other.value, true
+	}
+}
+
 // isUsual reports whether a number is the mode, as far as that is known.
 func (m *mode) isUsual(number uint64) bool {
 	return number == m.value && m.hits >= minHitsRetry && m.hits > m.outliers
@@ -100,17 +118,22 @@
 
 // exceededBy reports whether a number is above the mode, which must have been seen at least hits times.
 func (m *mode) exceededBy(number uint64, hits int) bool {
-	return number > m.value && m.hits >= hits && m.confirmed < maxConfirmed &&
-		float64(m.outliers) <= maxOutlierShare*float64(m.hits)
+	return m.mayBeExceededBy(number) && m.hits >= hits && float64(m.outliers) <= maxOutlierShare*float64(m.hits)
+}
+
+// mayBeExceededBy reports whether a number is above the mode, and such numbers are not ignored for the time being.
+func (m *mode) mayBeExceededBy(number uint64) bool {
+	return number > m.value && m.confirmed < maxConfirmed
 }
 
 // isGap reports whether a step or a first ID counts as a gap. mayRetry is set if another target may continue the stream.
 func (m *mode) isGap(number uint64, mayRetry bool) bool {
-	hits, only := minHits, minOnlyHits
+	hits, early := minHits, minEarlyHits
 	if mayRetry {
-		hits, only = minHitsRetry, minOnlyHitsRetry
+		hits, early = minHitsRetry, minEarlyHitsRetry
 	}
-	return m.exceededBy(number, hits) || m.hits == m.seen && m.exceededBy(number, only)
+	knownEarly := m.seen < maxEarly && m.hits >= early+earlyHitsPerOutlier*(m.seen-m.hits)
+	return m.exceededBy(number, hits) || knownEarly && m.mayBeExceededBy(number)
 }
 
 // exceededOnce reports whether a number above the mode is the only other one that was seen, as far as that is known.
