edge: a fixture of the broken heads signed with nothing

Its shared targets had no ID, and writeStreamHead signs with that: since empty signatures count as none, the five groups of resumable EB of TestAnswerThatBreaksOffAtAnyByteIsIncomplete failed. The targets have a signature now; the cases and what they expect are the same.

--- a/edge/broken_head_test.go
+++ b/edge/broken_head_test.go
@@ -312,7 +312,7 @@
 		shared := &listeners[i%brokenWorkers]
 		for step := range c.steps {
 			if step == len(*shared) {
-				*shared = append(*shared, newTestTarget(t, "", handle))
+				*shared = append(*shared, newTestTarget(t, "shared", handle))
 			}
 			target := (*shared)[step].registration()
 			target.ID, target.Service = fmt.Sprint(c.id, "-", step), c.id
