streams: tell unknown lines by their names

Callers got events whose lines were spoiled by printable bytes, or lacked some ("dta: a", "{]id: 6"), while more than a tenth of a service's streams had such lines: then unknown lines no longer counted as unusual. Spoiled names differ, and those of a service's own fields are the same in many streams, so names are learned: usual from four streams on, unless a second target does not have them.

--- a/edge/gate.go
+++ b/edge/gate.go
@@ -51,7 +51,7 @@
 	if parsed.malformed {
 		t.malformed++
 	}
-	if parsed.unknownLines > 0 {
+	if len(parsed.unknownLines) > 0 {
 		t.unknown++
 	}
 	if bytes.HasSuffix(event, []byte("\r")) {
@@ -151,7 +151,7 @@
 	g.forms.mu.Lock()
 	defer g.forms.mu.Unlock()
 	return g.form.Next(streams.Event{
-		ID: parsed.id, Type: parsed.eventType, HasData: parsed.hasData, UnknownLines: parsed.unknownLines > 0, MixedLineEnds: mixed,
+		ID: parsed.id, Type: parsed.eventType, HasData: parsed.hasData, UnknownLines: parsed.unknownLines, MixedLineEnds: mixed,
 	})
 }
 
@@ -185,12 +185,18 @@
 	// id is the ID and eventType the type, "" if it has none. hasData is set if it has data: callers ignore others.
 	id, eventType string
 	hasData       bool
-	// unknownLines is the number of lines that are neither a comment nor a known field.
-	unknownLines int
+	// unknownLines are the names of lines that are neither a comment nor a known field, up to maxUnknownLines.
+	unknownLines []string
 	// malformed is set if bytes are no text: malformed UTF-8 or NUL.
 	malformed bool
 }
 
+const (
+	// maxUnknownLines bounds the names of unknown lines that are kept of an event, and maxLineNameBytes each of them.
+	maxUnknownLines  = 64
+	maxLineNameBytes = 64
+)
+
 // parseEvent parses an event, of which the standard and fields name the fields. It fails with errJoinedEvents.
 func parseEvent(event []byte, fields []string) (parsedEvent, error) {
 	parsed := parsedEvent{malformed: !utf8.Valid(event) || bytes.IndexByte(event, 0) >= 0}
@@ -212,8 +218,8 @@
 			parsed.id = string(value)
 		case string(name) == "event":
 			parsed.eventType = string(bytes.TrimSpace(value))
-		case len(line) > 0 && !slices.Contains(eventFields, string(name)) && !slices.Contains(fields, string(name)):
-			parsed.unknownLines++
+		case len(line) > 0 && len(parsed.unknownLines) < maxUnknownLines && !slices.Contains(eventFields, string(name)) && !slices.Contains(fields, string(name)):
+			parsed.unknownLines = append(parsed.unknownLines, string(name[:min(len(name), maxLineNameBytes)]))
 		}
 	}
 	return parsed, nil
--- a/streams/form.go
+++ b/streams/form.go
@@ -27,7 +27,7 @@
 	dataless
 	// unnumbered: an ID is no number.
 	unnumbered
-	// unknownLines: there are lines that are neither a comment nor a known field.
+	// unknownLines: there are lines that are neither a comment, a known field nor usual for the service.
 	unknownLines
 	// mixedLineEnds: some lines end with a carriage return alone, others with a line feed.
 	mixedLineEnds
@@ -36,7 +36,40 @@
 
 // Form is what is known of the form of the streams of one service at one software version: which traits whole streams
 // have. It is not safe for concurrent use.
-type Form struct{ traits [traitCount]mode }
+type Form struct {
+	traits [traitCount]mode
+	// lines decides in place of traits[unknownLines].
+	lines lineNames
+}
+
+// observe records whether a stream has a trait.
+func (f *Form) observe(t trait, has bool) {
+	switch {
+	case t == unknownLines:
+		f.lines.count(!has)
+	case has:
+		f.traits[t].observe(1)
+	default:
+		f.traits[t].observe(0)
+	}
+}
+
+// confirm records whether a second target had a trait of a deviation, too.
+func (f *Form) confirm(t trait, d *Deviation, confirmed bool) {
+	if t == unknownLines {
+		f.lines.confirm(d.lines, confirmed)
+		return
+	}
+	f.traits[t].confirm(confirmed)
+}
+
+// lacks reports whether the streams of the service usually do not have a trait; at least hits whole ones did not.
+func (f *Form) lacks(t trait, hits int) bool {
+	if t == unknownLines {
+		return f.lines.areKnown(hits)
+	}
+	return f.traits[t].exceededBy(1, hits)
+}
 
 // Forms holds the form of each service and version. It is not safe for concurrent use.
 type Forms map[Origin]*Form
@@ -50,8 +83,8 @@
 	ID, Type string
 	// HasData is set if it has data.
 	HasData bool
-	// UnknownLines is set if it has a line that is neither a comment nor a known field.
-	UnknownLines bool
+	// UnknownLines holds the names of its lines that are neither a comment nor a known field.
+	UnknownLines []string
 	// MixedLineEnds is set if lines up to its end have ended with a carriage return alone, and others with a line feed.
 	MixedLineEnds bool
 }
@@ -61,6 +94,8 @@
 	// After is the ID of the last event before it that has one.
 	After  string
 	traits [traitCount]bool
+	// lines are the names of its unusual lines.
+	lines []string
 }
 
 // FormCheck checks that the events of a stream have the form of its service.
@@ -72,6 +107,8 @@
 	last string
 	// identified and loose are the types of events with data that have an ID, and that have none.
 	identified, loose []string
+	// lines are the names of Event.UnknownLines up to now.
+	lines []string
 	// has are the traits that the stream has had.
 	has [traitCount]bool
 	// hits is the number of whole streams without a trait after which it counts.
@@ -100,18 +137,19 @@
 func (c *FormCheck) Next(e Event) error {
 	before := c.last
 	c.note(e)
-	for t, has := range c.traitsOf(e) {
+	unusualLines := c.noteLines(e.UnknownLines)
+	for t, has := range c.traitsOf(e, len(unusualLines) > 0) {
 		if !has || c.has[t] {
 			continue
 		}
 		c.has[t] = true
 		if !c.mayHave(trait(t), before) {
 			if c.deviation == nil {
-				c.deviation = &Deviation{After: before}
+				c.deviation = &Deviation{After: before, lines: unusualLines}
 			}
 			c.deviation.traits[t] = true
 		}
-		c.form.traits[t].observe(1)
+		c.form.observe(trait(t), true)
 	}
 	if c.last != before {
 		c.refuteSuspected()
@@ -135,13 +173,13 @@
 	}
 }
 
-// traitsOf returns the traits of the stream up to and with an event.
-func (c *FormCheck) traitsOf(e Event) (has [traitCount]bool) {
+// traitsOf returns the traits of the stream up to and with an event, which has unusual lines or not.
+func (c *FormCheck) traitsOf(e Event, unusualLines bool) (has [traitCount]bool) {
 	usual := func(eventType string) bool { return eventType == "" || slices.Contains(c.identified, eventType) }
 	has[unidentified] = c.last != "" && slices.ContainsFunc(c.loose, usual)
 	has[dataless] = e.ID != "" && !e.HasData && usual(e.Type)
 	has[unnumbered] = e.ID != "" && !parseEventID(e.ID).isNumber
-	has[unknownLines] = e.UnknownLines
+	has[unknownLines] = unusualLines
 	has[mixedLineEnds] = e.MixedLineEnds
 	return has
 }
@@ -149,18 +187,18 @@
 // mayHave reports whether a trait that shows behind the event with the ID after is no deviation.
 func (c *FormCheck) mayHave(t trait, after string) bool {
 	if c.suspected.traits[t] && c.suspected.After == after {
-		c.form.traits[t].confirm(true)
+		c.form.confirm(t, &c.suspected, true)
 		c.suspected.traits[t] = false
 		return true
 	}
-	return !c.form.traits[t].exceededBy(1, c.hits)
+	return !c.form.lacks(t, c.hits)
 }
 
 // refuteSuspected records that this target has gone on without the deviation of another one.
 func (c *FormCheck) refuteSuspected() {
 	for t, suspected := range c.suspected.traits {
 		if suspected {
-			c.form.traits[t].confirm(false)
+			c.form.confirm(trait(t), &c.suspected, false)
 		}
 	}
 	c.suspected = Deviation{}
@@ -176,7 +214,7 @@
 		// Without IDs, a stream says nothing of them.
 		aboutIDs := trait(t) <= unnumbered
 		if !has && (c.last != "" || !aboutIDs) {
-			c.form.traits[t].observe(0)
+			c.form.observe(trait(t), false)
 		}
 	}
 }
--- a/streams/form_test.go
+++ b/streams/form_test.go
@@ -39,8 +39,8 @@
 // deviating are events that no stream of learnForm has.
 func deviating() map[string]Event {
 	return map[string]Event{
-		"no ID": {HasData: true}, "no data": {ID: "4"}, "no number": {ID: "4}", HasData: true}, "unknown line": {ID: "4", HasData: true, UnknownLines: true},
-		"line ends": {MixedLineEnds: true}, "several": {ID: "4}", HasData: true, UnknownLines: true, MixedLineEnds: true},
+		"no ID": {HasData: true}, "no data": {ID: "4"}, "no number": {ID: "4}", HasData: true}, "unknown line": {ID: "4", HasData: true, UnknownLines: []string{"{]id"}},
+		"line ends": {MixedLineEnds: true}, "several": {ID: "4}", HasData: true, UnknownLines: []string{"{]id"}, MixedLineEnds: true},
 	}
 }
 
@@ -84,7 +84,12 @@
 			}
 			return unidentified
 		},
-		"unknown lines":     func(n int) []Event { return []Event{{ID: "1", HasData: true}, {ID: "2", UnknownLines: n%4 != 0}} },
+		"unknown lines": func(n int) []Event {
+			return []Event{{ID: "1", HasData: true}, {ID: "2", UnknownLines: []string{"tokens"}[:min(n%4, 1)]}}
+		},
+		"lines of any name": func(n int) []Event {
+			return append(numbered(1, 1), Event{ID: "2", HasData: true, UnknownLines: []string{fmt.Sprint(n)}})
+		},
 		"names and numbers": func(int) []Event { return []Event{{ID: "1"}, {ID: "a"}} },
 		"no data":           func(int) []Event { return []Event{{ID: "1", HasData: true}, {ID: "2"}} },
 		"mixed line ends":   func(int) []Event { return []Event{{ID: "1"}, {MixedLineEnds: true}} },
