edge: a test of late answers waits for the connection that they come on

TestLateAnswerStatesNoStart failed in 11 of 90 plays, six at a time: 503, or no start in the log. Its target writes the late answer on the connection that asks for the start first. Where the connection of the first request was not idle yet, that is a new one, on which no answer can be late, and the start in it counts as another process's. The test waits until the first connection is idle; what it demands is as before.

--- a/edge/process_start_test.go
+++ b/edge/process_start_test.go
@@ -298,6 +298,7 @@
 		f := newEngineFixture(t, target)
 		_, _, err := f.client().call("POST", "/idempotent/")
 		f.is.NoErr(err)
+		f.await(func() bool { return f.idleConns() == 1 }) // the question goes to the connection of the late answer
 		resp, body, err := f.client().call("POST", "/resumable/")
 		f.is.NoErr(err)
 		f.is.Equal(resp.Status, http.StatusOK)
@@ -307,3 +308,10 @@
 		f.is.True(!f.logs.contains("other_process"))
 	}
 }
+
+// idleConns returns the number of idle connections to targets.
+func (f *fixture) idleConns() int {
+	f.edge.targetConns.mu.Lock()
+	defer f.edge.targetConns.mu.Unlock()
+	return f.edge.targetConns.idleCount
+}
