edge: the property of the gate heeds what the end of a stream finds

What callers saw: nothing; the test discarded the error of eventGate.complete, so that a sound stream that is cut at its end, or a gap that only the end finds, did not count.

Evidence: by reading. The test returns the error now.

--- a/edge/gate_property_test.go
+++ b/edge/gate_property_test.go
@@ -178,8 +178,7 @@
 	case g.open > 0:
 		return string(out), errStreamBrokenOff
 	}
-	g.complete()
-	return string(out), nil
+	return string(out), g.complete()
 }
 
 // newGateFleet returns a router that has learned a service from sound streams. They must pass.
