edge: a whole line end behind a lone carriage return is seen as whole

What callers saw: a stream in which one line ends with a carriage return alone and the others with CRLF breaks off within the line end behind an event and goes on at another target, and a reader that knows only LF and CRLF joins two events.

Cause: after a lone carriage return the next one ends its line at once. If a line feed followed, the line had a whole end, but the next carriage return still ended a line, and with it the event, at once.

Evidence: TestHalfALineEndBehindAWholeOneEndsNoEvent, 3 of 3 texts before.

Change: the line feed behind a carriage return that has ended a line takes back that lines end so.

--- a/edge/events.go
+++ b/edge/events.go
@@ -91,6 +91,9 @@
 	switch b {
 	case '\n':
 		s.pendingCR, s.hasLF = false, true
+		if afterEnd {
+			s.afterCR = false
+		}
 		if afterEnd && s.open > 1 {
 			return openPart
 		}
--- a/edge/events_test.go
+++ b/edge/events_test.go
@@ -32,6 +32,23 @@
 	return events
 }
 
+// Guards against ORDER: after one carriage return alone, the first half of the line end behind an event ends it, although the
+// line before ended with both halves.
+func TestHalfALineEndBehindAWholeOneEndsNoEvent(t *testing.T) {
+	for _, text := range []string{"id: 1\rdata: a\r\n\r", "data: a\rb\r\n\r", "data: a\r\rdata: b\r\n\r"} {
+		var s eventScanner
+		n, kind := s.scan([]byte(text))
+		for kind != openPart && n < len(text) {
+			var more int
+			more, kind = s.scan([]byte(text[n:]))
+			n += more
+		}
+		if kind != openPart || !s.pendingCR {
+			t.Errorf("%q: %v, %+v", text, kind, s)
+		}
+	}
+}
+
 // Where the parts of a stream end does not depend on how its bytes are split between reads, and events end where the standard
 // ends them.
 func TestEventEndsDoNotDependOnReads(t *testing.T) {
