edge: a stream does not go on behind half a line end

What callers saw: two events joined into one in a stream that ends as whole, for readers that know only LF and CRLF.

Cause: an engine writes other bytes, or another answer, in place of the line feed behind an event. The next byte shows that the carriage return is a line end of its own, so the event is passed on, what follows is refused, and the stream goes on at another engine behind the lone carriage return. The form of streams catches that only once 4 or 8 whole ones were seen, at each router and version.

Change: behind an event that ends with a carriage return alone, where other lines have ended with a line feed, the stream is not sent to another target but ends visibly. Streams with one kind of line end go on as before.

--- a/edge/call.go
+++ b/edge/call.go
@@ -52,6 +52,9 @@
 	// unidentified is set if it received an event without ID after that: a target that continues the stream repeats it.
 	lastEventID  string
 	unidentified bool
+	// halfEnd is set if the last event that the caller received may lack the second half of its line end: to a reader that knows
+	// only line feeds, the next event would be part of it.
+	halfEnd bool
 	// suspectedGap is where a target seems to have left events out of the stream; nil if none has.
 	suspectedGap *streams.Gap
 	// lastDoubtful is set if the ID of the last event that the caller received may be wrong, so that the stream cannot go on
@@ -421,6 +424,8 @@
 		return "answer begun"
 	case c.unidentified:
 		return "events without IDs"
+	case c.halfEnd:
+		return "line end doubtful"
 	case c.lastDoubtful:
 		return "last event ID doubtful"
 	case c.gapPassed:
--- a/edge/gate.go
+++ b/edge/gate.go
@@ -27,6 +27,8 @@
 	firstID, lastID string
 	// unidentified is set if an event with data has come since the last one with an ID.
 	unidentified bool
+	// halfEnd is set if the last event ended with a carriage return alone, but not all lines have.
+	halfEnd bool
 	// begun is set once a part of the stream was admitted. continues is set before the first part is forwarded, if the caller
 	// has received a part of the stream from another target.
 	begun, continues bool
@@ -138,6 +140,9 @@
 		g.lastID = id
 	}
 	g.unidentified = id == "" && (g.unidentified || parsed.hasData)
+	if kind == eventPart {
+		g.halfEnd = g.mixedLineEnds() && bytes.HasSuffix(part, []byte("\r"))
+	}
 	g.begun = true
 	return nil
 }
--- a/edge/line_end_test.go
+++ b/edge/line_end_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -187,3 +188,36 @@
 		t.Errorf("%q, %v", out, err)
 	}
 }
+
+// Guards against ORDER: an engine writes other bytes in place of the second half of the line end behind an event, the stream goes
+// on at another engine, and a reader that knows only line feeds joins two events. The router has not learned the service.
+func TestStreamDoesNotGoOnBehindHalfALineEnd(t *testing.T) {
+	crlf := func(text string) string { return strings.ReplaceAll(text, "\n", "\r\n") }
+	for name, rest := range map[string]string{
+		"bytes": "\x00\xff", "printable bytes": "{]", "second answer": unframedStreamHead + crlf(soundEvents(1, 4)),
+		"comment": ": ping\r\n\x00", "event": crlf("id: 2\ndata: a\n\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var spoiled atomic.Bool
+			spoiled.Store(true)
+			handle := func(s *receivedRequest) {
+				if spoiled.Swap(false) {
+					text := strings.TrimSuffix(crlf(soundEvents(1, 2)), "\n") + rest
+					s.write(lengthHead(len(text)+1) + text)
+					s.conn.Close()
+					return
+				}
+				last := 0
+				fmt.Sscan(s.Header.Get("T-Last"), &last)
+				sendChunked(crlf(soundEvents(last+1, 4)))(s)
+			}
+			f := newFixture(t, newTestTarget(t, "t1", handle), newTestTarget(t, "t2", handle))
+			_, body, err := f.client().call("POST", "/resumable/")
+			got, sound := readEvents(body, feedLineEnds), readEvents(crlf(soundEvents(1, 4)), lineEnds)
+			if len(got) > len(sound) || !slices.Equal(got, sound[:len(got)]) || err == nil && len(got) != len(sound) {
+				t.Errorf("read %q, %v", got, err)
+			}
+		})
+	}
+}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -203,7 +203,7 @@
 	if a.events.lastID != "" {
 		c.lastEventID = a.events.lastID
 	}
-	c.unidentified = a.events.unidentified
+	c.unidentified, c.halfEnd = a.events.unidentified, a.events.halfEnd
 	a.recordOrigin()
 }
 
