edge: what is open at the end of a stream is passed on once the end is confirmed

What callers saw: in an unframed stream that goes on at another engine an event without its ID, for readers that know only LF and CRLF; the stream ends as whole.

Cause: at the end of a connection a carriage return ends an open comment or empty line, which was passed on before the end was confirmed. If the process has ended, the stream goes on behind the half line end (": ping\r" and "id: 3").

Change: the rest is passed on with the end of the answer.

--- a/edge/line_end_test.go
+++ b/edge/line_end_test.go
@@ -221,3 +221,36 @@
 		})
 	}
 }
+
+// Guards against ORDER: the process of an engine ends within the line end of a comment or of an empty line of an unframed stream,
+// the stream goes on at another engine, and to a reader that knows only line feeds the next event has no ID.
+func TestStreamDoesNotGoOnWithinAComment(t *testing.T) {
+	crlf := func(text string) string { return strings.ReplaceAll(text, "\n", "\r\n") }
+	for _, rest := range []string{": ping\r", "\r", ": pi"} {
+		t.Run(fmt.Sprintf("%q", rest), func(t *testing.T) {
+			t.Parallel()
+			var ends atomic.Bool
+			ends.Store(true)
+			handle := func(s *receivedRequest) {
+				if s.statesStart(1) {
+					return
+				}
+				if ends.Swap(false) {
+					s.write(unframedStreamHead + crlf(soundEvents(1, 2)) + rest)
+					time.Sleep(30 * time.Millisecond)
+					s.target.endProcess(t, successors["nothing"])
+					return
+				}
+				last := 0
+				fmt.Sscan(s.Header.Get("T-Last"), &last)
+				sendChunked(crlf(soundEvents(last+1, 4)))(s)
+			}
+			f := newEngineFixture(t, newTestTarget(t, "t1", handle), newTestTarget(t, "t2", handle))
+			_, body, err := f.client().call("POST", "/resumable/")
+			f.is.NoErr(err)
+			if got, want := readEvents(body, feedLineEnds), readEvents(soundEvents(1, 4), lineEnds); !slices.Equal(got, want) {
+				t.Errorf("read %q", got)
+			}
+		})
+	}
+}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -122,9 +122,6 @@
 		a.noteSpoiledStream(spoiledErr)
 		return lost, false
 	}
-	if a.forwardData(rest[:admitted]) != nil {
-		return abandoned, false
-	}
 	if a.events.open > 0 || a.closeDelimited && a.events.ended == 0 && a.call.resumeAfter() == "" {
 		a.err = errStreamBrokenOff
 		a.crashed = a.closeDelimited
@@ -143,7 +140,7 @@
 		a.err, a.call.gapPassed = err, true
 		return lost, false
 	}
-	if a.call.reply.endStream() != nil {
+	if a.forwardData(rest[:admitted]) != nil || a.call.reply.endStream() != nil {
 		return abandoned, true
 	}
 	return answered, true
