edge: streams that may not go on leave half of the questions to others

What callers saw: streams that may be resumed refused (503), while callers take up streams on routes that may not be.

Cause: since the origin of any stream with Last-Event-Id and Resumes is asked for. Those of routes that are not resumable are recorded nowhere, so that each question waits its 300 ms, and they could take all 64 questions.

Change: routes that are not resumable ask only while fewer than half of the questions wait.

Result: the test passes, and so do those of moved streams and of routes that change.

--- a/edge/origin.go
+++ b/edge/origin.go
@@ -125,7 +125,7 @@
 	if known || id == 0 || !e.mayHaveSeveralVersions(route) {
 		return origin, known
 	}
-	if told := e.originWaiter(id); told != nil {
+	if told := e.originWaiter(id, maxQuestions(route)); told != nil {
 		e.mu.Unlock()
 		<-told
 		e.mu.Lock()
@@ -133,13 +133,22 @@
 	return e.origins.Lookup(id)
 }
 
+// maxQuestions returns the number of waiting questions up to which a route may ask another one. Most streams of routes that may not be
+// resumed are recorded nowhere, and would keep those of others from being asked for.
+func maxQuestions(route *routing.Route) int {
+	if route.RetryPolicy == routing.Resumable {
+		return maxOriginQuestions
+	}
+	return maxOriginQuestions / 2
+}
+
 // originWaiter returns a channel that is closed when another router has told where a stream began, or
-// after originWait; nil if too many questions wait for an answer. The caller holds e.mu.
-func (e *Edge) originWaiter(id streams.ID) <-chan struct{} {
+// after originWait; nil if limit questions wait for an answer. The caller holds e.mu.
+func (e *Edge) originWaiter(id streams.ID, limit int) <-chan struct{} {
 	if waiter, ok := e.originWaiters[id]; ok {
 		return waiter
 	}
-	if len(e.originWaiters) >= maxOriginQuestions {
+	if len(e.originWaiters) >= limit {
 		return nil
 	}
 	waiter := make(chan struct{})
--- a/edge/version_test.go
+++ b/edge/version_test.go
@@ -242,3 +242,27 @@
 	f.is.True(time.Since(began) < originWait)
 	f.is.Equal(f.logs.count("stream_origin_asked"), 1)
 }
+
+// Guards against LOST: callers take up streams of routes that may not be resumed, which are recorded nowhere, and the questions for
+// them keep the router from asking for those that may.
+func TestStreamsThatMayNotGoOnLeaveQuestionsToOthers(t *testing.T) {
+	var breaks atomic.Bool
+	targets := versionedTargets(t, &breaks)
+	f := newFixture(t, targets...)
+	f.newPeer(targets...)
+	f.edge.mu.Lock()
+	for i := range maxOriginQuestions / 2 {
+		f.edge.originWaiters[streams.ID(i+1)] = make(chan struct{})
+	}
+	f.edge.mu.Unlock()
+	began := time.Now()
+	c := f.client()
+	c.send("POST", "/stream/", "T-Last: 1\r\nT-Resumes: nobody's\r\n", "")
+	resp, _, _ := c.receive("POST")
+	f.is.Equal(resp.Status, 200)
+	f.is.True(time.Since(began) < originWait)
+	f.is.Equal(f.logs.count("stream_origin_asked"), 0)
+	status, _ := f.resumeStream("nobody's")
+	f.is.Equal(status, 503)
+	f.is.Equal(f.logs.count("stream_origin_asked"), 1)
+}
