edge: a property of the gate that has learned nothing

What callers saw: nothing. The property of the gate holds for services that are learned; a router that has just started, or meets a new version, was not covered.

--- a/edge/gate_property_test.go
+++ b/edge/gate_property_test.go
@@ -310,6 +310,41 @@
 // a sound stream is cut.
 func TestGatePassesPrefixesOfSoundStreams(t *testing.T) { rapid.Check(t, checkGate) }
 
+// checkNewGate is the property of the gate before it has learned anything of the service: if a stream breaks off at any byte, or bytes
+// that are no text or another answer come there, what has passed reads as the sound events with what the stream goes on with.
+func checkNewGate(t *rapid.T) {
+	style := drawStyle(t)
+	style.further = false // a status line in data and such a field behind it count as the head of another answer
+	events := style.drawEvents(t, rapid.IntRange(2, 8).Draw(t, "events"))
+	sound := style.text(events)
+	at := rapid.IntRange(0, len(sound)).Draw(t, "at")
+	bytes := rapid.SampledFrom([]string{"", "\x00", "\xff{]", "\x00\xff{]\x00\xff{]", unframedStreamHead + sound}).Draw(t, "bytes")
+	text, broken := sound[:at]+bytes, bytes == ""
+	if !broken && rapid.Bool().Draw(t, "rest follows") {
+		text += sound[at:]
+	}
+	fleet := &gateFleet{numberings: numberings{byVersion: make(streams.Numberings)}, forms: forms{byVersion: make(streams.Forms)}}
+	gate := fleet.newGate("", true)
+	out, err := gate.run(drawSplit(t, text), broken)
+	if err == nil {
+		t.Fatalf("%q passes as %q", text, out)
+	}
+	if gate.unidentified || gate.halfEnd || gate.lastID == "" {
+		return
+	}
+	number, _ := strconv.Atoi(gate.lastID)
+	rest := style.text(events[(number-style.first)/style.step+1:])
+	next, err := fleet.newGate(gate.lastID, false).run(drawSplit(t, rest), false)
+	if err != nil {
+		t.Fatalf("%q does not go on with %q: %v", out, rest, err)
+	}
+	style.checkRead(t, out+next, sound, true)
+}
+
+// Guards against ORDER: a router that has just started, or does not know a version yet, joins a broken stream to what another target
+// goes on with, so that events are joined or lose their IDs.
+func TestGateThatHasLearnedNothingJoinsNoEvents(t *testing.T) { rapid.Check(t, checkNewGate) }
+
 // Guards against ORDER: whatever bytes come, by packets of any size, the gate passes a prefix of them which is text.
 func FuzzGate(f *testing.F) {
 	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
