soak: only the crashing part itself counts as one

Its own part has a drawn ID, and the check counted each ID that ends with "bad", one of 4,096. It now compares whole IDs, as the targets do when they crash; what it demands of those is as before.

TestPartsThatEndLikeTheCrashingOneDoNotCount fails without the change.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -194,7 +194,7 @@
 // checkPromptCrash counts a run of a prompt that crashes targets, unless its router had a fault within
 // detectionTime. c.mu is held.
 func (c *checker) checkPromptCrash(r *request, run standin.Run) {
-	if !strings.Contains(run.PromptParts, crashingPart+":") || len(c.promptCrashes) < crashesToDetect {
+	if !strings.Contains(","+run.PromptParts, ","+crashingPart+":") || len(c.promptCrashes) < crashesToDetect {
 		return
 	}
 	limit := c.promptCrashes[crashesToDetect-1].Add(detectionTime)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -274,6 +274,19 @@
 	is.Equal(s.checker.countsCopy()["drawn streams, resumable"], 1)
 }
 
+// TestPartsThatEndLikeTheCrashingOneDoNotCount checks that only the crashing part itself counts as one: the drawn IDs of other
+// parts may end like it.
+func TestPartsThatEndLikeTheCrashingOneDoNotCount(t *testing.T) {
+	is := is.New(t)
+	for part, counts := range map[string]bool{"1" + crashingPart: false, crashingPart: true} {
+		s := newScenario(chatRoute)
+		s.checker.promptCrashes = slices.Repeat([]time.Time{time.Now().Add(-time.Minute)}, crashesToDetect)
+		s.checker.lateCrashes = maxLateCrashes
+		s.runs[0].PromptParts = "2:100," + part + ":50"
+		is.Equal(s.report() != nil, counts)
+	}
+}
+
 // TestDrawnAnswersHitSeveralTargets checks the faults of a schedule with drawn answers.
 func TestDrawnAnswersHitSeveralTargets(t *testing.T) {
 	is := is.New(t)
