edge, streams, docs: comments after the read-through

cr_ended_events counts events that end with a carriage return alone since the gate waits for the second half of a line end; the page and a comment still said otherwise.

--- a/edge/events.go
+++ b/edge/events.go
@@ -17,8 +17,8 @@
 // both (HTML standard, section 9.2.5).
 //
 // A carriage return that follows a line with another end may be the first half of an end: the next byte decides whether the line
-// has ended, since the stream may break off before that, and go on from another target. A comment with the start of a status line is taken for
-// the beginning of an event, so that it is not passed on before the lines that follow it.
+// has ended, since the stream may break off before that, and go on from another target. A comment with the start of a status line is
+// taken for the beginning of an event, so that it is not passed on before the lines that follow it.
 type eventScanner struct {
 	// ended is the number of events that have ended.
 	ended int
--- a/edge/gate.go
+++ b/edge/gate.go
@@ -41,7 +41,7 @@
 // eventTally counts events, for the logs.
 type eventTally struct {
 	// unidentified have data but no ID, malformed have bytes that are no text, and unknown have lines that are neither a
-	// comment nor a known field. crEnded end with a carriage return, so far without a line feed.
+	// comment nor a known field. crEnded end with a carriage return alone.
 	unidentified, malformed, unknown, crEnded int
 }
 
--- a/streams/form.go
+++ b/streams/form.go
@@ -111,7 +111,7 @@
 	lines []string
 	// has are the traits that the stream has had.
 	has [traitCount]bool
-	// hits is the number of whole streams without a trait after which it counts.
+	// hits is the number of whole streams without a trait after which the trait is a deviation.
 	hits int
 	// suspected is where another target has deviated, with the traits that this one has neither confirmed nor not.
 	suspected Deviation
--- a/streams/lines.go
+++ b/streams/lines.go
@@ -63,7 +63,8 @@
 	}
 }
 
-// confirm records whether a second target had the same unusual lines: they are then usual.
+// confirm records whether a second target had the same unusual lines. If it had, their names are usual from then on; otherwise they
+// are forgotten.
 func (l *lineNames) confirm(names []string, confirmed bool) {
 	for _, name := range names {
 		if confirmed {
--- a/streams/sequence.go
+++ b/streams/sequence.go
@@ -165,7 +165,8 @@
 	gap *Gap
 	// passed is the largest step that passed while too little was known.
 	passed uint64
-	// begun is set once an event has passed. secondLast is the ID of the event before the last one, and lastUsual is set if the step from there is the usual one.
+	// begun is set once an event has passed. secondLast is the ID of the event before the last one, and lastUsual is set if the
+	// step from there is the usual one.
 	begun      bool
 	secondLast eventID
 	lastUsual  bool
