--- a/edge/call.go
+++ b/edge/call.go
@@ -338,7 +338,7 @@
 	c.tried[choice.Target] = true
 	logger := log.With(c.log, shareUsageFields(choice.ShareUsage)...)
 	if after := c.resumeAfter(); after != "" {
-		logger = log.With(logger, "last_event_id", after, "resumes", c.req.Header.Get(e.headers.Resumes))
+		logger = log.With(logger, "last_event_id", after, "resumes", c.req.Header.Get(e.headers.Resumes), "origin_known", !c.originUnknown)
 	}
 	if choice.Pace > 0 {
 		logger = log.With(logger, "pace", math.Round(choice.Pace*100)/100)
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"github.com/chiveseam/chiveseam/placement"
@@ -51,10 +52,9 @@
 	}
 	e.mu.Lock()
 	ambiguous := e.mayHaveSeveralVersions(c.route)
-	versions, knownFor := e.versionCounts(c.route), e.origins.VersionsKnownFor(time.Now())
+	fields := e.versionKnowledge(time.Now(), c.route)
 	e.mu.Unlock()
-	level.Info(c.log).Log("event", "stream_origin_unknown", "stream", uint64(c.stream), "refused", ambiguous,
-		"versions", versions, "known_for_ms", knownFor.Milliseconds(), "up_ms", time.Since(e.started).Milliseconds())
+	level.Info(log.With(c.log, fields...)).Log("event", "stream_origin_unknown", "stream", uint64(c.stream), "refused", ambiguous)
 	if ambiguous {
 		c.refuseUnknownOrigin()
 	}
@@ -173,6 +173,22 @@
 	return false
 }
 
+// versionKnowledge returns log fields with what this router knows of the versions of a route's services, and how old the
+// news are that it has of the store and of other routers; -1 if it has none. The caller holds e.mu.
+func (e *Edge) versionKnowledge(now time.Time, route *routing.Route) []any {
+	age := func(at time.Time) int64 {
+		if at.IsZero() {
+			return -1
+		}
+		return now.Sub(at).Milliseconds()
+	}
+	return []any{
+		"versions", e.versionCounts(route), "known_for_ms", e.origins.VersionsKnownFor(now).Milliseconds(), "up_ms", age(e.started),
+		"store_answer_age_ms", age(e.outage.lastAnswer()), "report_age_ms", age(e.members.LastHeard()), "routers", e.members.LiveCount(now) + 1,
+		"revision", e.targetsRevision.load().Number, "revision_reported", e.peerTargetsRevision.load().Number,
+	}
+}
+
 // versionCounts returns how many versions of each service of the route this router knows, for the logs: 2
 // stands for any larger number. The caller holds e.mu.
 func (e *Edge) versionCounts(route *routing.Route) []int {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -48,6 +48,8 @@
 	prober *storeLink
 	// ended is closed when a task has reached the store.
 	ended chan struct{}
+	// answeredAt is when the store last answered a call; zero before the first answer.
+	answeredAt time.Time
 }
 
 // claim makes l the prober if there is none. It returns nil for the prober, and for other tasks a
@@ -79,12 +81,20 @@
 func (o *outage) end() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.answeredAt = time.Now()
 	if o.prober != nil {
 		close(o.ended)
 		o.prober = nil
 	}
 }
 
+// lastAnswer returns when the store last answered a call.
+func (o *outage) lastAnswer() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.answeredAt
+}
+
 // release lets another task become the prober if l is it.
 func (o *outage) release(l *storeLink) {
 	o.mu.Lock()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -183,6 +183,17 @@
 	return n
 }
 
+// LastHeard returns when the latest report of another router came; zero if none has.
+func (m *Members) LastHeard() time.Time {
+	var last time.Time
+	for _, known := range m.members {
+		if known.lastHeard.After(last) {
+			last = known.lastHeard
+		}
+	}
+	return last
+}
+
 // PeakRouters returns the largest number of routers that were live at the same time, including
 // this one.
 func (m *Members) PeakRouters() int { return m.maxLive + 1 }
