edge, streams: streams of unknown origin go on only once the store confirms

The router took "one version only" from what it had been told, and noticed that it was told nothing more only after 1.9 s (store) and 3 s (reports). Class: absence of news taken as proof.

What a router knows of versions now has an end, a revision of the store up to which it has seen each registration (streams.Coverage). It moves only with answers to watches, the coverage of other routers that overlaps its own, and the store's history, which closes gaps between two complete reads. A stream of unknown origin goes on if a call to the store that began after the request came confirms that its service has had one version for as long as the stream may have lasted. Otherwise the other routers are asked, and if none knows it is refused, before anything is sent. The detectors of a cut and of an interruption no longer decide anything; the latter is still logged.

This works since routers begin streams at registered targets only: the version that began a stream was registered before its caller asked again.

Changed tests: TestRouterThatWasStoppedDoesNotTrustItsVersions expected a refusal after each stop with a store that has lost its history, and that a router which runs alone goes on. It now asks what the store shows: refused if another version came or the history since is lost, alone or not; goes on if nothing came. TestStoppedRouterDoesNotTellThatItKnowsAllVersions expected that a stopped router states nothing; what it states now ends at the revision that it has read, and one that has read more is not persuaded. In TestRouterThatWasCutOffDoesNotMixVersions the version that came and went is in the store's history of changes rather than in that of a start only.

--- a/edge/call.go
+++ b/edge/call.go
@@ -431,6 +431,9 @@
 	case c.gapPassed:
 		return "events missing"
 	}
+	if c.originUnknown && c.demand.Version == 0 && !c.edge.hasOneVersion(c.route) {
+		return "version of the stream unknown"
+	}
 	c.edge.mu.Lock()
 	defer c.edge.mu.Unlock()
 	if !c.pinVersion() {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -82,7 +82,7 @@
 	peerTargetsRevision, coveredTargetsRevision latestRevision
 	// storeEpoch is the epoch of the store, which changes when it is restored from a copy.
 	storeEpoch storeEpoch
-	// wakeHistory wakes recoverVersions after an interruption. It holds one signal.
+	// wakeHistory wakes recoverVersions when this router may have missed versions. It holds one signal.
 	wakeHistory chan struct{}
 	// olderPeer is set after a report of a router that was running before this one started.
 	olderPeer atomic.Bool
@@ -117,6 +117,8 @@
 	// linkBusy is set while the network link is nearly full; see updateLinkBusy.
 	linkBusy atomic.Bool
 	outage   outage
+	// confirmations are reads of the store by which requests find out which versions there were.
+	confirmations confirmations
 	// refusalLog and connectionLog limit the log lines of refused requests and connections, loadLog
 	// those of loads of targets that cannot be read.
 	refusalLog, connectionLog, loadLog *logLimiter
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -42,8 +42,8 @@
 		return true
 	}
 	c.stream = streams.IDOf(c.req.Header.Get(e.headers.Resumes))
-	origin, known := e.findOrigin(c.stream, c.route)
-	if known {
+	origin, found := e.findOrigin(c.stream, c.route)
+	if found == originKnown {
 		c.followOrigin(origin)
 		return true
 	}
@@ -51,15 +51,14 @@
 		return true
 	}
 	e.mu.Lock()
-	ambiguous := e.mayHaveSeveralVersions(c.route)
 	fields := e.versionKnowledge(time.Now(), c.route)
 	e.mu.Unlock()
-	level.Info(log.With(c.log, fields...)).Log("event", "stream_origin_unknown", "stream", uint64(c.stream), "refused", ambiguous)
-	if ambiguous {
+	level.Info(log.With(c.log, fields...)).Log("event", "stream_origin_unknown", "stream", uint64(c.stream), "refused", found == originAmbiguous)
+	if found == originAmbiguous {
 		c.refuseUnknownOrigin()
 	}
 	c.originUnknown = true
-	return !ambiguous
+	return found == onlyOneVersion
 }
 
 func (c *call) refuseUnknownOrigin() {
@@ -92,8 +91,8 @@
 			return
 		}
 		c.stream = c.stream.After(origin.Service)
-		next, known := c.edge.findOrigin(c.stream, c.route)
-		if !known {
+		next, found := c.edge.findOrigin(c.stream, c.route)
+		if found != originKnown {
 			break
 		}
 		origin = next
@@ -115,22 +114,53 @@
 	return false
 }
 
-// findOrigin returns where a stream began, and whether that is known. If it is not and the services of
+// foundOrigin is what is known of where a stream began.
+type foundOrigin int
+
+const (
+	// originAmbiguous: it may have begun at any of several versions.
+	originAmbiguous foundOrigin = iota
+	// originKnown: a router has recorded it.
+	originKnown
+	// onlyOneVersion: nobody asked knows, and the services of the route have had one version each.
+	onlyOneVersion
+)
+
+// findOrigin returns where a stream began, as far as that is known. If it is not and the services of
 // the route may have had several versions, it asks the other routers and waits for an answer, for originWait
 // at the longest.
-func (e *Edge) findOrigin(id streams.ID, route *routing.Route) (streams.Origin, bool) {
+func (e *Edge) findOrigin(id streams.ID, route *routing.Route) (streams.Origin, foundOrigin) {
+	if origin, known := e.lookupOrigin(id); known {
+		return origin, originKnown
+	}
+	missing := originAmbiguous
+	if e.hasOneVersion(route) {
+		missing = onlyOneVersion
+	} else if id != 0 {
+		e.awaitOrigin(id, maxQuestions(route))
+	}
+	if origin, known := e.lookupOrigin(id); known {
+		return origin, originKnown
+	}
+	return streams.Origin{}, missing
+}
+
+// lookupOrigin returns where a stream began, and whether this router knows it.
+func (e *Edge) lookupOrigin(id streams.ID) (streams.Origin, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	origin, known := e.origins.Lookup(id)
-	if known || id == 0 || !e.mayHaveSeveralVersions(route) {
-		return origin, known
-	}
-	if told := e.originWaiter(id, maxQuestions(route)); told != nil {
-		e.mu.Unlock()
+	return e.origins.Lookup(id)
+}
+
+// awaitOrigin asks the other routers where a stream began, unless limit questions wait for an answer, and waits for the
+// answer.
+func (e *Edge) awaitOrigin(id streams.ID, limit int) {
+	e.mu.Lock()
+	told := e.originWaiter(id, limit)
+	e.mu.Unlock()
+	if told != nil {
 		<-told
-		e.mu.Lock()
 	}
-	return e.origins.Lookup(id)
 }
 
 // maxQuestions returns the number of waiting questions up to which a route may ask another one. Most streams of routes that may not be
@@ -157,22 +187,6 @@
 	return waiter
 }
 
-// mayHaveSeveralVersions reports whether a service of the route may have had targets of several versions
-// since a stream may have begun that a caller takes up now: this router may not have been told of one that
-// was there before it started. The caller holds e.mu.
-func (e *Edge) mayHaveSeveralVersions(route *routing.Route) bool {
-	now := time.Now()
-	if e.cutOff(now) || e.interrupted(now) {
-		return true
-	}
-	for _, s := range route.Services {
-		if e.origins.MayHaveSeveralVersions(now, placement.Hash(s.Service), e.streamAges.of(now, route)) {
-			return true
-		}
-	}
-	return false
-}
-
 // versionKnowledge returns log fields with what this router knows of the versions of a route's services, and how old the
 // news are that it has of the store and of other routers; -1 if it has none. The caller holds e.mu.
 func (e *Edge) versionKnowledge(now time.Time, route *routing.Route) []any {
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -141,7 +141,7 @@
 func (e *Edge) probeTargets(ctx context.Context) error {
 	// The read includes all changes up to a revision that was reported before it began.
 	peerRevision := e.peerTargetsRevision.load()
-	targets, revision, err := e.source.Targets(ctx)
+	targets, revision, err := e.readRegistrations(ctx)
 	if err == nil {
 		err = e.observeEpoch(revision.Epoch)
 	}
--- a/edge/process_start.go
+++ b/edge/process_start.go
@@ -69,9 +69,7 @@
 	if !a.processUnknown || c.resumeAfter() == "" {
 		return nil
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.mayHaveSeveralVersions(c.route) {
+	if !e.hasOneVersion(c.route) {
 		return errProcessUnknown
 	}
 	return nil
--- a/edge/readers.go
+++ b/edge/readers.go
@@ -126,7 +126,7 @@
 		}
 	}()
 	return follow(ctx, e, feed[[]TargetChange]{
-		name: "targets", read: e.source.Targets, watch: e.watchRegistrations, pausedUntil: &e.targetsPausedUntil, known: e.knownRegistrations,
+		name: "targets", read: e.readRegistrations, watch: e.watchRegistrations, pausedUntil: &e.targetsPausedUntil, known: e.knownRegistrations,
 		maxPause: e.maxTargetsPause,
 		apply: func(changes []TargetChange, revision Revision, complete bool, away time.Duration) bool {
 			e.registrationsRead(changes, revision, complete, away)
@@ -149,7 +149,7 @@
 		wait = readerWatchWait
 	}
 	e.mu.Unlock()
-	return e.source.WatchTargets(ctx, after, wait)
+	return e.watchRegistrationChanges(ctx, after, wait)
 }
 
 // maxTargetsPause returns the longest pause of this router's watch of the registrations.
@@ -272,7 +272,12 @@
 	if report.TargetChanges == nil {
 		return
 	}
-	if changes := r.history.Received(storereaders.BatchOf(report.TargetChanges)); len(changes) > 0 {
+	batch := storereaders.BatchOf(report.TargetChanges)
+	e.seeVersions(batch.Changes)
+	if batch.Until == batch.To {
+		e.origins.ReadChanges(Revision{Epoch: batch.Epoch, Number: batch.From}, Revision{Epoch: batch.Epoch, Number: batch.To})
+	}
+	if changes := r.history.Received(batch); len(changes) > 0 {
 		e.adoptStoreReturn(now)
 		e.applyRegistrations(now, changes, false, 0)
 	}
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -67,7 +67,7 @@
 // report creates the next report. The caller holds e.mu.
 func (r *reporter) report(now time.Time) *v1.LoadReport {
 	e := r.edge
-	e.noteReport(now)
+	e.logInterruption(now)
 	e.reportSequence++
 	report := e.baseReport()
 	report.Sequence = e.reportSequence
@@ -91,6 +91,18 @@
 	return report
 }
 
+// interruptionTime is the time without a report of this router after which it is held to have been stopped or to have
+// got no processor. It is longer than the interval between two reports.
+const interruptionTime = time.Second
+
+// logInterruption logs that this router was stopped or got no processor until now. The caller holds e.mu.
+func (e *Edge) logInterruption(now time.Time) {
+	if away := now.Sub(e.reportedAt); !e.reportedAt.IsZero() && away > interruptionTime {
+		level.Warn(e.logger).Log("event", "interrupted", "for_ms", away.Milliseconds())
+	}
+	e.reportedAt = now
+}
+
 // datagramConn is the socket for reports.
 type datagramConn interface {
 	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
@@ -266,8 +278,6 @@
 	answer.RateLimits = e.balancer.RateLimits(now)
 	answer.Evacuations = e.evacuations.Entries()
 	answer.ColdTargets = e.balancer.ColdTargetMessages(now)
-	// After an interruption, a question may come before the next report is due.
-	e.noteReport(now)
 	e.origins.AddVersions(now, answer)
 	answers := []*v1.LoadReport{answer}
 	for _, parts := range e.balancer.RecentCachedParts(now) {
--- a/edge/restore_fleet_test.go
+++ b/edge/restore_fleet_test.go
@@ -146,9 +146,13 @@
 	return p, revision, err
 }
 
-func (s routerSource) TargetHistory(ctx context.Context) ([]PastChange, bool, error) {
+func (s routerSource) TargetHistory(ctx context.Context) (TargetHistory, error) {
 	s.call(ctx)
-	return nil, false, ctx.Err()
+	return TargetHistory{}, ctx.Err()
+}
+
+func (s routerSource) MissedTargetChanges(ctx context.Context, after Revision) ([]TargetChange, Revision, error) {
+	return s.WatchTargets(ctx, after, time.Millisecond)
 }
 
 func (s routerSource) WatchTargets(ctx context.Context, after Revision, wait time.Duration) ([]TargetChange, Revision, error) {
--- a/edge/source.go
+++ b/edge/source.go
@@ -48,9 +48,21 @@
 	// WatchTargets waits for changes of registrations after a revision, and returns the revision
 	// to watch from next.
 	WatchTargets(ctx context.Context, after Revision, wait time.Duration) ([]TargetChange, Revision, error)
-	// TargetHistory returns the changes of registrations that the store still has, in their order, and
-	// whether they go back to its beginning.
-	TargetHistory(ctx context.Context) (history []PastChange, whole bool, err error)
+	// TargetHistory returns the changes of registrations that the store still has.
+	TargetHistory(ctx context.Context) (TargetHistory, error)
+	// MissedTargetChanges returns the changes of registrations after a revision, and the revision up to which these are
+	// all: one that the store had after the call. It does not take the answer to an earlier call for its own.
+	MissedTargetChanges(ctx context.Context, after Revision) ([]TargetChange, Revision, error)
+}
+
+// TargetHistory is the history of registrations of targets, as far as the store has it.
+type TargetHistory struct {
+	// Changes are in the order of their revisions.
+	Changes []PastChange
+	// Whole is set if they go back to the beginning of the store.
+	Whole bool
+	// Until is the revision up to which they go.
+	Until Revision
 }
 
 // PastChange is a change in the history of the store.
--- a/edge/source_test.go
+++ b/edge/source_test.go
@@ -19,8 +19,11 @@
 	mu      sync.Mutex
 	table   *routing.Table
 	targets []TargetChange
-	// pendingChanges are delivered by the next call of WatchTargets.
-	pendingChanges []TargetChange
+	// pendingChanges are delivered by the next call of WatchTargets, and sentChanges all that were sent so far: each has a
+	// revision of its own in the store, the first one 2.
+	pendingChanges, sentChanges []TargetChange
+	// hidden is set if watches do not deliver pendingChanges.
+	hidden bool
 	// pastTargets are changes of registrations before targets, and historyLost is set if the store has
 	// discarded all changes.
 	pastTargets []TargetChange
@@ -34,6 +37,9 @@
 	revision, tableAt Revision
 	// reads counts the calls of Configuration and Targets.
 	reads atomic.Int64
+	// confirmations counts the calls of MissedTargetChanges. silent keeps these from returning.
+	confirmations atomic.Int64
+	silent        atomic.Bool
 	// watchesStalled keeps WatchConfiguration from delivering changes.
 	watchesStalled atomic.Bool
 }
@@ -65,6 +71,17 @@
 	s.pendingChanges = append(s.pendingChanges, c)
 }
 
+// silence keeps calls of MissedTargetChanges from returning, or lets them return again.
+func (s *fakeSource) silence(silent bool) { s.silent.Store(silent) }
+
+// hideChanges makes changes that the store has, and that no watch delivers.
+func (s *fakeSource) hideChanges(changes ...TargetChange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hidden = true
+	s.pendingChanges = append(s.pendingChanges, changes...)
+}
+
 // replaceTarget removes a registration and adds another one.
 func (s *fakeSource) replaceTarget(id string, added routing.Target) {
 	s.mu.Lock()
@@ -75,12 +92,16 @@
 	s.targets = append(s.targets, changes[1])
 }
 
-// takeChanges returns the pending changes once, and the failure.
-func (s *fakeSource) takeChanges() (changes []TargetChange, failure error) {
+// takeChanges returns the pending changes once, the revision that they lead to, and the failure.
+func (s *fakeSource) takeChanges() (changes []TargetChange, next Revision, failure error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.failure != nil || s.hidden {
+		return nil, s.delivered(), s.failure
+	}
 	changes, s.pendingChanges = s.pendingChanges, nil
-	return changes, s.failure
+	s.sentChanges = append(s.sentChanges, changes...)
+	return changes, s.delivered(), nil
 }
 
 // evacuate requests the evacuation of a zone, or ends it.
@@ -141,26 +162,55 @@
 	s.reads.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.targets, Revision{Epoch: s.revision.Epoch, Number: 1}, s.failure
+	return s.targets, s.delivered(), s.failure
+}
+
+// newest returns the newest revision of the registrations, and delivered that up to which watches have delivered them. The
+// caller holds s.mu.
+func (s *fakeSource) newest() Revision {
+	return Revision{Epoch: s.revision.Epoch, Number: uint64(1 + len(s.sentChanges) + len(s.pendingChanges))}
+}
+
+func (s *fakeSource) delivered() Revision {
+	return Revision{Epoch: s.revision.Epoch, Number: uint64(1 + len(s.sentChanges))}
+}
+
+func (s *fakeSource) MissedTargetChanges(ctx context.Context, after Revision) ([]TargetChange, Revision, error) {
+	s.confirmations.Add(1)
+	sleep(ctx, 4*time.Millisecond)
+	if s.silent.Load() {
+		<-ctx.Done()
+		return nil, Revision{}, ctx.Err()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := s.newest()
+	switch {
+	case s.failure != nil:
+		return nil, Revision{}, s.failure
+	case s.historyLost && after.Number < newest.Number || after.Epoch != newest.Epoch:
+		return nil, Revision{}, ErrHistoryLost
+	}
+	return slices.Concat(s.sentChanges, s.pendingChanges)[after.Number-1:], newest, nil
 }
 
-func (s *fakeSource) TargetHistory(context.Context) ([]PastChange, bool, error) {
+func (s *fakeSource) TargetHistory(context.Context) (TargetHistory, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.failure == nil && s.historyLost {
-		return nil, false, nil
+		return TargetHistory{Until: s.delivered()}, nil
 	}
 	var history []PastChange
 	for _, c := range append(slices.Clone(s.pastTargets), s.targets...) {
 		history = append(history, PastChange{TargetChange: c, New: true})
 	}
-	return history, true, s.failure
+	return TargetHistory{Changes: history, Whole: true, Until: s.delivered()}, s.failure
 }
 
 func (s *fakeSource) WatchTargets(ctx context.Context, after Revision, wait time.Duration) ([]TargetChange, Revision, error) {
 	for end := time.Now().Add(wait); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, time.Millisecond) {
-		if changes, failure := s.takeChanges(); len(changes) > 0 || failure != nil {
-			return changes, after, failure
+		if changes, next, failure := s.takeChanges(); len(changes) > 0 || failure != nil {
+			return changes, next, failure
 		}
 	}
 	return nil, after, nil
--- a/edge/stream_age_test.go
+++ b/edge/stream_age_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/chiveseam/chiveseam/placement"
 	"github.com/chiveseam/chiveseam/routing"
+	"github.com/chiveseam/chiveseam/streams"
 )
 
 // ageTable returns a table with one resumable route for each prefix and timeout.
@@ -44,10 +45,9 @@
 			f.edge.applyTable(ageTable(12, c.next), Revision{})
 			f.edge.mu.Lock()
 			defer f.edge.mu.Unlock()
-			f.edge.origins.Interrupted()
-			f.edge.origins.AllVersionsSince(now.Add(-10 * time.Second))
+			f.edge.origins = streams.New(now)
+			f.edge.origins.ReadAll(now.Add(-10*time.Second), Revision{Number: 1})
 			f.edge.origins.SeeVersion(placement.Hash("s"), 1)
-			f.edge.reportedAt = now
 			route, ok := f.edge.table.Load().Match("h.example", c.path)
 			is.True(ok)
 			is.True(f.edge.mayHaveSeveralVersions(route)) // a stream may be 20 s old
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -12,45 +13,16 @@
 	"github.com/chiveseam/chiveseam/streams"
 )
 
-// interruptionTime is the time without a report of this router after which it is held to have been stopped or to have
-// got no processor. It is longer than the interval between two reports.
-const interruptionTime = time.Second
-
-// interrupted reports whether this router was stopped until just now, while other routers may have begun streams.
-// The caller holds e.mu.
-func (e *Edge) interrupted(now time.Time) bool {
-	return !e.reportedAt.IsZero() && now.Sub(e.reportedAt) > interruptionTime && e.members.PeakRouters() > 1
-}
-
-// noteReport records that this router reports. After an interruption or a cut, other routers may have seen versions
-// of which it has not heard. The caller holds e.mu.
-func (e *Edge) noteReport(now time.Time) {
-	interrupted := e.interrupted(now)
-	if interrupted {
-		level.Warn(e.logger).Log("event", "interrupted", "for_ms", now.Sub(e.reportedAt).Milliseconds())
-	}
-	if interrupted || e.cutOff(now) {
-		e.origins.Interrupted()
-		select {
-		case e.wakeHistory <- struct{}{}:
-		default:
-		}
-	}
-	e.reportedAt = now
-}
-
-// cutOff reports whether versions may come of which this router does not hear: it does not reach the store, and not
-// all other routers. The caller holds e.mu.
-func (e *Edge) cutOff(now time.Time) bool {
-	if e.outage.ongoing() == nil {
-		return false
-	}
-	live := e.members.LiveCount(now)
-	return live == 0 || live+1 < e.members.PeakRouters()
-}
+const (
+	// minGapDelay is the delay before this router reads what it has missed of the store's history: its watch or another
+	// router usually tells it sooner. The random delay that follows is at most maxGapDelay, since the store keeps its
+	// history for some seconds only.
+	minGapDelay = 1500 * time.Millisecond
+	maxGapDelay = 5 * time.Second
+)
 
-// recoverVersions finds out after each start and interruption which software versions the services have had for
-// as long as a stream may last, until ctx ends.
+// recoverVersions finds out, after each start and whenever this router may have missed some, which software versions the
+// services have had for as long as a stream may last, until ctx ends.
 func (e *Edge) recoverVersions(ctx context.Context) error {
 	for ctx.Err() == nil {
 		e.recoverVersionsOnce(ctx)
@@ -63,8 +35,8 @@
 }
 
 // recoverVersionsOnce returns once the versions are known, or as far as the store has its history. Routers that were
-// running tell them. If all have started, the first one reads the store's history of registrations, and tells the
-// others.
+// running tell them, or the store the changes that were missed. If all have started, the first one reads the store's
+// history of registrations, and tells the others.
 func (e *Edge) recoverVersionsOnce(ctx context.Context) {
 	for {
 		if !sleepUntil(ctx, e.readyForHistory) {
@@ -74,9 +46,18 @@
 		if ctx.Err() != nil || e.versionsKnown() {
 			return
 		}
-		history, whole, err := e.source.TargetHistory(ctx)
+		if e.missedVersions() {
+			if err := e.confirmVersions(); err != nil && !errors.Is(err, ErrHistoryLost) {
+				sleep(ctx, maxRetryPause)
+				continue
+			}
+			if e.versionsKnown() {
+				return
+			}
+		}
+		history, err := e.source.TargetHistory(ctx)
 		if err == nil {
-			e.mergeHistory(history, whole)
+			e.mergeHistory(history)
 			return
 		}
 		level.Warn(e.logger).Log("event", "version_history_unknown", "error", err)
@@ -107,15 +88,32 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	return rand.N(time.Duration(e.members.LiveCount(now))*e.members.Interval(now) + 1)
+	spread := time.Duration(e.members.LiveCount(now)) * e.members.Interval(now)
+	if e.versionsKnownLongEnough(now) {
+		return minGapDelay + rand.N(min(spread, maxGapDelay)+1)
+	}
+	return rand.N(spread + 1)
+}
+
+// missedVersions reports whether versions may have come and gone since the latest change that this router knows of.
+func (e *Edge) missedVersions() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.origins.Coverage().IsKnown() && e.origins.HasGap()
 }
 
 // versionsKnown reports whether all versions are known that services have had for as long as any stream may
-// last.
+// last, up to the latest read of all registrations.
 func (e *Edge) versionsKnown() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now, longest := time.Now(), time.Duration(0)
+	return !e.origins.HasGap() && e.versionsKnownLongEnough(time.Now())
+}
+
+// versionsKnownLongEnough reports whether the versions that are known are all for as long as any stream may last. The
+// caller holds e.mu.
+func (e *Edge) versionsKnownLongEnough(now time.Time) bool {
+	longest := time.Duration(0)
 	for route := range e.table.Load().Routes() {
 		if route.RetryPolicy == routing.Resumable {
 			longest = max(longest, e.streamAges.of(now, route))
@@ -125,18 +123,18 @@
 }
 
 // mergeHistory applies the store's history of registrations.
-func (e *Edge) mergeHistory(past []PastChange, whole bool) {
-	history := streams.History{Registrations: make([]streams.Registration, 0, len(past)), Whole: whole}
-	for _, c := range past {
+func (e *Edge) mergeHistory(past TargetHistory) {
+	history := streams.History{Registrations: make([]streams.Registration, 0, len(past.Changes)), Whole: past.Whole, Until: past.Until}
+	for _, c := range past.Changes {
 		history.Restored = history.Restored || c.Revision.Epoch > 0
 		switch {
 		case c.Removed:
-			history.Registrations = append(history.Registrations, streams.Registration{Target: c.ID, Removed: true})
+			history.Registrations = append(history.Registrations, streams.Registration{Target: c.ID, Removed: true, Revision: c.Revision})
 		case c.Err == nil:
 			t := c.Target
 			history.Registrations = append(history.Registrations, streams.Registration{
 				Target: c.ID, New: c.New, Service: placement.Hash(t.Service), Version: placement.VersionHash(t.Version),
-				Started: time.UnixMilli(t.StartedUnixMs), Sequence: t.Sequence,
+				Started: time.UnixMilli(t.StartedUnixMs), Sequence: t.Sequence, Revision: c.Revision,
 			})
 		}
 	}
@@ -144,6 +142,6 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.origins.MergeHistory(now, history, e.settings.Heartbeat)
-	level.Info(e.logger).Log("event", "version_history_read", "changes", len(past), "whole", whole,
+	level.Info(e.logger).Log("event", "version_history_read", "changes", len(past.Changes), "whole", past.Whole,
 		"known_for_ms", e.origins.VersionsKnownFor(now).Milliseconds())
 }
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/chiveseam/chiveseam/placement"
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/streams"
 )
@@ -73,18 +74,22 @@
 				change := TargetChange{ID: r.ID, Target: r, Revision: Revision{Epoch: 1, Number: uint64(i + 1)}}
 				history = append(history, PastChange{TargetChange: change, New: i == 0})
 			}
+			f.source.mu.Lock()
+			f.source.revision.Epoch = 1
+			f.source.mu.Unlock()
 			f.edge.mu.Lock()
 			f.edge.origins = streams.New(time.Now())
+			f.edge.origins.SeeVersion(placement.Hash("s"), placement.VersionHash(present.version))
 			f.edge.mu.Unlock()
-			f.edge.mergeHistory(history, true)
+			f.edge.mergeHistory(TargetHistory{Changes: history, Whole: true, Until: Revision{Epoch: 1, Number: 1}})
 			status, _ := f.resumeStream("nobody's")
 			f.is.Equal(status, c.status)
 		})
 	}
 }
 
-// Guards against ORDER: a router that had been stopped answered others before its next report, and told them that it knew
-// all versions, also of the time in which it was stopped.
+// Guards against ORDER: a router that had been stopped, or cut off from the store, told others that it knew all versions, also
+// of the time in which it was. Each answer states up to which revision it does.
 func TestStoppedRouterDoesNotTellThatItKnowsAllVersions(t *testing.T) {
 	f := newFixture(t)
 	f.newPeer()
@@ -92,20 +97,32 @@
 	f.is.NoErr(err)
 	defer asking.Close()
 	f.is.NoErr(asking.SetReadDeadline(time.Now().Add(5 * time.Second)))
-	for _, stopped := range []time.Duration{0, 10 * time.Second} {
+	answer := func() *streams.Origins {
 		f.edge.mu.Lock()
-		now := time.Now()
-		f.edge.origins.AllVersionsSince(now.Add(-time.Minute))
-		f.edge.reportedAt = now.Add(-stopped)
-		f.edge.answerReport(now, asking.LocalAddr().(*net.UDPAddr).AddrPort())
+		f.edge.answerReport(time.Now(), asking.LocalAddr().(*net.UDPAddr).AddrPort())
 		f.edge.mu.Unlock()
 		buf := make([]byte, maxReportBytes)
 		n, err := asking.Read(buf)
 		f.is.NoErr(err)
-		var answer v1.LoadReport
-		f.is.NoErr(proto.Unmarshal(buf[:n], &answer))
-		f.is.Equal(answer.VersionsKnownMs == 0, stopped > 0)
+		var report v1.LoadReport
+		f.is.NoErr(proto.Unmarshal(buf[:n], &report))
+		told := streams.New(time.Now())
+		told.MergeReport(time.Now(), &report)
+		return told
 	}
+	f.is.True(answer().Covers(Revision{Number: 1}))
+	f.source.hideChanges(TargetChange{ID: "t", Removed: true})
+	f.is.True(answer().Covers(Revision{Number: 1}))
+	f.is.True(!answer().Covers(Revision{Number: 2}))
+	// A router that has read the store since then does not take the answer for more.
+	later := streams.New(time.Now())
+	later.ReadAll(time.Now(), Revision{Number: 2})
+	report := &v1.LoadReport{}
+	f.edge.mu.Lock()
+	f.edge.origins.AddVersions(time.Now(), report)
+	f.edge.mu.Unlock()
+	later.MergeReport(time.Now(), report)
+	f.is.True(later.VersionsKnownFor(time.Now()) < time.Second)
 }
 
 // Guards against ORDER: the route of a stream came to another service with two versions. The stream went on at one of them,
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -10,7 +10,6 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/chiveseam/chiveseam/placement"
 	"github.com/chiveseam/chiveseam/routing"
 )
 
@@ -315,7 +314,6 @@
 	var updates []targetUpdate
 	if complete {
 		updates = e.directory.replace(now, changes)
-		e.origins.AllVersionsSince(now)
 	} else {
 		for _, c := range changes {
 			updates = append(updates, e.directory.update(now, c)...)
@@ -345,7 +343,6 @@
 			continue
 		}
 		e.balancer.SetTarget(t)
-		e.origins.SeeVersion(placement.Hash(t.Service), placement.VersionHash(t.Version))
 		level.Info(e.logger).Log("event", "target_updated", "target", t.ID, "service", t.Service, "address", t.Address,
 			"draining", t.Draining, "sequence", t.Sequence, "zone", t.Zone, "target_version", t.Version)
 	}
--- a/streams/history.go
+++ b/streams/history.go
@@ -19,6 +19,8 @@
 	// its registrations since then, which it makes at a steady rate.
 	Started  time.Time
 	Sequence uint64
+	// Revision is the store's revision of the change.
+	Revision Revision
 }
 
 // History is the registrations of targets up to now, as far as they are known.
@@ -29,6 +31,8 @@
 	Whole bool
 	// Restored is set if the store may have lost some in between, as it was restored from a copy.
 	Restored bool
+	// Until is the revision up to which they go.
+	Until Revision
 }
 
 // MergeHistory records the versions in a history, and since when these are all versions that there were.
@@ -48,14 +52,18 @@
 		lost = lossEnd(h.Registrations)
 	}
 	if h.Whole && lost == 0 {
-		o.AllVersionsSince(time.Unix(0, 0))
+		o.coverage = o.coverage.merge(Coverage{Since: time.Unix(0, 0), From: Revision{Epoch: h.Until.Epoch}, Until: h.Until})
 		return
 	}
 	from := lost
 	if !h.Whole {
 		from = max(from, knownFrom(h.Registrations))
 	}
-	o.AllVersionsSince(now.Add(-span(now, h.Registrations[from:], heartbeat)))
+	known := Coverage{Since: now.Add(-span(now, h.Registrations[from:], heartbeat)), From: h.Until, Until: h.Until}
+	if from < len(h.Registrations) {
+		known.From = h.Registrations[from].Revision
+	}
+	o.coverage = o.coverage.merge(known)
 }
 
 // lossEnd returns the index behind the last registration before which others of the same process are missing; 0 if
--- a/streams/history_test.go
+++ b/streams/history_test.go
@@ -64,8 +64,8 @@
 			is := is.New(t)
 			o, told := streams.New(now), streams.New(now)
 			is.True(o.MayHaveSeveralVersions(now, service, time.Second)) // nothing is known before the first read
-			o.AllVersionsSince(now)
-			o.MergeHistory(now, streams.History{Registrations: c.history, Whole: c.whole}, heartbeat)
+			o.ReadAll(now, streams.Revision{Number: 1})
+			o.MergeHistory(now, streams.History{Registrations: c.history, Whole: c.whole, Until: streams.Revision{Number: 1}}, heartbeat)
 			r := &v1.LoadReport{}
 			o.FillReport(now, r)
 			told.MergeReport(now, r)
--- a/streams/streams.go
+++ b/streams/streams.go
@@ -7,9 +7,11 @@
 // because it has just started or a report was dropped, asks the others.
 //
 // A stream whose origin nobody knows may go on anywhere if its service has had one version only since the
-// stream may have begun. Routers therefore also tell each other the versions that they have seen, and since
-// when they know all of them: a router that starts after a version is gone would not learn of it from the
-// registrations of targets. If all routers start at once, the history of registrations tells them.
+// stream may have begun. Routers therefore also tell each other the versions that they have seen, and which part of
+// the history of registrations these cover (Coverage): a router that starts after a version is gone would not learn of it
+// from the registrations of targets. If all routers start at once, the history of registrations tells them. That nothing
+// was heard of another version proves nothing: it takes a coverage up to a revision which the store had after the
+// caller asked for the stream, since a router begins streams only at targets that are registered.
 //
 // An origin is forgotten between one and two lifetimes after it was recorded; the router that forwards
 // a stream records it again before that. The memory is bounded: if streams begin faster than expected,
@@ -42,9 +44,10 @@
 	// versionReports is the number of reports that state the versions of a service after another one was
 	// seen, in case some of them are dropped.
 	versionReports = 3
-	// sinceReports is the number of reports that state all versions after it has become known that there
-	// were no others for longer.
-	sinceReports = 3
+	// coverageInterval is the time between two reports that state all versions and the coverage.
+	coverageInterval = time.Second
+	// maxToldServices is the number of services up to which a report states all versions, so that it fits into a datagram.
+	maxToldServices = 500
 	// maxKnownMs limits the time for which versions are taken for known, in milliseconds.
 	maxKnownMs = 24 * 60 * 60 * 1000
 	// maxServices bounds the services whose versions are remembered.
@@ -86,10 +89,12 @@
 	// number of reports that must still state them.
 	versions    map[uint32][]uint32
 	versionsDue map[uint32]int
-	// versionsSince is the time since which versions holds all that services have had, zero before the
-	// registrations were first read, and sinceDue the number of reports that must still state it.
-	versionsSince time.Time
-	sinceDue      int
+	// coverage says which part of the history of registrations versions is known to hold, and lastRead the latest
+	// revision at which all registrations were read.
+	coverage Coverage
+	lastRead Revision
+	// coverageReportedAt is when a report last stated the coverage.
+	coverageReportedAt time.Time
 }
 
 // New returns an empty memory.
@@ -111,7 +116,7 @@
 }
 
 // MayHaveSeveralVersions reports whether targets of several versions may have served a service within a time
-// before now. Those of a service for which no room was left are not known.
+// before now, if the coverage reaches up to now. Those of a service for which no room was left are not known.
 func (o *Origins) MayHaveSeveralVersions(now time.Time, service uint32, within time.Duration) bool {
 	known := len(o.versions[service])
 	return known > 1 || known == 0 && len(o.versions) >= maxServices || o.VersionsKnownFor(now) < within
@@ -125,45 +130,9 @@
 	return 0
 }
 
-// Interrupted records that versions may have come unnoticed: those that are known may not be all, until
-// AllVersionsSince or a report says so again.
-func (o *Origins) Interrupted() { o.versionsSince = time.Time{} }
-
 // VersionCount returns the number of versions that are known of a service; 2 stands for any larger number.
 func (o *Origins) VersionCount(service uint32) int { return len(o.versions[service]) }
 
-// VersionsKnownFor returns for how long before now all versions are known that services have had.
-func (o *Origins) VersionsKnownFor(now time.Time) time.Duration {
-	if o.versionsSince.IsZero() {
-		return 0
-	}
-	return now.Sub(o.versionsSince)
-}
-
-// AllVersionsSince records that the versions which were seen are all that services have had since a time, and
-// that those to come will be seen. It has no effect if that is known for longer.
-func (o *Origins) AllVersionsSince(since time.Time) {
-	if o.lowerVersionsSince(since) {
-		o.sinceDue = sinceReports
-	}
-}
-
-// lowerVersionsSince lowers versionsSince to a time, and returns false if it is lower already.
-func (o *Origins) lowerVersionsSince(since time.Time) bool {
-	lower := o.versionsSince.IsZero() || since.Before(o.versionsSince)
-	if lower {
-		o.versionsSince = since
-	}
-	return lower
-}
-
-// AddVersions adds to a report the versions of all services and for how long they are known, for a router
-// that does not know them.
-func (o *Origins) AddVersions(now time.Time, r *v1.LoadReport) {
-	r.Versions = o.allVersions()
-	r.VersionsKnownMs = uint64(max(o.VersionsKnownFor(now).Milliseconds(), 0))
-}
-
 func (o *Origins) allVersions() []*v1.ServiceVersions {
 	list := make([]*v1.ServiceVersions, 0, len(o.versions))
 	for service := range o.versions {
@@ -199,7 +168,7 @@
 }
 
 // FillReport adds the origins to a report that were recorded since the last ones, and the versions of
-// services that were seen since, or all if more has become known of the time before.
+// services that were seen since, or all with the coverage each coverageInterval.
 func (o *Origins) FillReport(now time.Time, r *v1.LoadReport) {
 	for service := range o.versionsDue {
 		o.versionsDue[service]--
@@ -208,8 +177,8 @@
 		}
 		r.Versions = append(r.Versions, o.versionsOf(service))
 	}
-	if o.sinceDue > 0 {
-		o.sinceDue--
+	if now.Sub(o.coverageReportedAt) >= coverageInterval && o.coverage.IsKnown() {
+		o.coverageReportedAt = now
 		o.AddVersions(now, r)
 	}
 	n := min(len(o.unreported), maxReported)
@@ -231,9 +200,7 @@
 			o.SeeVersion(s.Service, version)
 		}
 	}
-	if r.VersionsKnownMs > 0 {
-		o.lowerVersionsSince(now.Add(-time.Duration(min(r.VersionsKnownMs, maxKnownMs)) * time.Millisecond))
-	}
+	o.coverage = o.coverage.merge(coverageOf(now, r))
 }
 
 // Answer returns the origins that are known of the streams that another router asks for.
--- a/streams/streams_test.go
+++ b/streams/streams_test.go
@@ -209,7 +209,7 @@
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
 	o := streams.New(now)
-	o.AllVersionsSince(now.Add(-time.Hour))
+	o.ReadAll(now.Add(-time.Hour), streams.Revision{Number: 1})
 	const services = 10_000
 	is.True(!o.MayHaveSeveralVersions(now, services+1, time.Minute))
 	for service := range uint32(services) {
