edge: an unframed answer is incomplete if its connection was reset within an upload

A target answered a long upload at once, with 200, a signature and neither a length nor chunks, sent a part of its body and broke the connection while the router was still writing the upload. Callers got the part as a whole answer, with a length (MIXED), or a stream with its last chunk (ORDER).

Cause: a socket reports the error of a reset once. If the write of the upload takes it, or if the target had ended its side before, the next read says end of file, which is the end of an answer without framing. The process of the target goes on, so the witness confirms that end.

Ruled out: to go by the error of the write alone. It is missing where the socket's buffer has taken the whole upload before the reset.

Change: confirmEnd asks the socket, after the evidence of the process, whether it was reset (POLLHUP or POLLERR: the router does not end its own side). The answer counts as one whose read failed by a reset. New end_evidence `reset`.

--- a/edge/end.go
+++ b/edge/end.go
@@ -36,6 +36,9 @@
 	// evidenceWitnessEnded: the other connection to the process has ended, too.
 	evidenceWitnessEnded endEvidence = "witness_ended"
 
+	// evidenceReset: the target has reset the connection.
+	evidenceReset endEvidence = "reset"
+
 	// evidenceNone: nothing was found out in time.
 	evidenceNone endEvidence = "none"
 )
@@ -46,7 +49,9 @@
 }
 
 // processEnded reports whether the process has ended.
-func (v endEvidence) processEnded() bool { return !v.processLives() && v != evidenceNone }
+func (v endEvidence) processEnded() bool {
+	return !v.processLives() && v != evidenceReset && v != evidenceNone
+}
 
 var (
 	// errTargetEnded: nothing but the end of the connection ends the answer, and the process of the target has
@@ -89,8 +94,8 @@
 	}
 }
 
-// confirmEnd returns nil if the process that has ended an answer on u by closing the connection is known to go on. Otherwise
-// the answer may be incomplete: the error is errTargetEnded or errEndUnconfirmed.
+// confirmEnd returns nil if the process that has ended an answer on u by closing the connection is known to go on, and has not
+// reset it. Otherwise the answer may be incomplete: the error is errTargetEnded, errEndUnconfirmed or that of the reset.
 func (a *attempt) confirmEnd(u *upstream) error {
 	e := a.call.edge
 	u.endedAt = time.Now()
@@ -100,10 +105,16 @@
 	} else {
 		a.end = e.plainEvidence(a.target, u, time.Duration(statusCheckShare*float64(time.Until(a.call.deadline))))
 	}
+	var resetErr error
+	if a.end.processLives() {
+		if resetErr = u.resetError(); resetErr != nil {
+			a.end = evidenceReset
+		}
+	}
 	e.metrics.unframedEnds.WithLabelValues(string(a.end)).Inc()
 	switch {
-	case a.end.processLives():
-		return nil
+	case a.end.processLives() || a.end == evidenceReset:
+		return resetErr
 	case a.end.processEnded():
 		return errTargetEnded
 	}
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -42,6 +42,8 @@
 	started  int64
 	listener net.Listener
 	handle   func(s *receivedRequest)
+	// early is set if handle gets requests before their bodies are read; it may read a part of them.
+	early bool
 
 	mu sync.Mutex
 	// received holds all requests read, open the connections and accepted their number. mu guards
@@ -130,7 +132,7 @@
 	br := bufio.NewReader(conn)
 	for number := 1; ; number++ {
 		req, err := h1.ReadRequest(br, 1<<16)
-		if err != nil || req.ReadBody(br, 1<<22) != nil {
+		if err != nil || !target.early && req.ReadBody(br, 1<<22) != nil {
 			return
 		}
 		s := &receivedRequest{Request: req, conn: conn, br: br, number: number, id: req.Header.Get("T-Id"), target: target}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -129,10 +129,9 @@
 	}
 	if a.closeDelimited {
 		if err := a.confirmEnd(u); err != nil {
-			a.err = err
-			a.crashed = a.processCrashed()
-			a.targetGone = a.crashed && a.end != evidenceWitnessEnded
-			return lost, false
+			outcome := a.readFailed(err)
+			a.targetGone = a.crashed && a.end.processEnded() && a.end != evidenceWitnessEnded
+			return outcome, false
 		}
 	}
 	if err := a.events.complete(); err != nil {
--- /dev/null
+++ b/edge/upload_test.go
@@ -0,0 +1,231 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chiveseam/chiveseam/routing"
+)
+
+// uploadPaths are the routes on which uploads are played, with the whole body of an answer.
+var uploadPaths = map[string]string{
+	"/once/": "hello", "/idempotent/": "hello", "/stream/": firstEvent + secondEvent, "/resumable/": firstEvent + secondEvent,
+}
+
+// uploadPart returns the part of an answer that a target writes before it ends the connection.
+func uploadPart(path string) string {
+	if uploadPaths[path] == "hello" {
+		return "hel"
+	}
+	return firstEvent
+}
+
+// unreadAtEnd are the last bytes of an upload that a target has not read "at the end" of it.
+const unreadAtEnd = 64 << 10
+
+// uploadMoments are the numbers of bytes of an upload that a target has read when it ends its answer.
+var uploadMoments = map[string]func(size int) int{
+	"before it":     func(int) int { return 0 },
+	"during it":     func(size int) int { return size / 2 },
+	"at its end":    func(size int) int { return size - unreadAtEnd },
+	"all but a bit": func(size int) int { return size - unreadAtEnd/8 },
+}
+
+// uploadEnds end the connection of a target that has not read the whole upload.
+var uploadEnds = map[string]func(s *receivedRequest){
+	"reset":  func(s *receivedRequest) { s.reset() },
+	"closed": func(s *receivedRequest) { s.conn.Close() },
+	"ended, then reset": func(s *receivedRequest) {
+		s.endSending()
+		s.reset()
+	},
+}
+
+// endSending ends the sending side of the connection.
+func (s *receivedRequest) endSending() { s.conn.(*net.TCPConn).CloseWrite() }
+
+// readBytes reads a part of the body.
+func (s *receivedRequest) readBytes(n int) { io.CopyN(io.Discard, s.br, int64(n)) }
+
+// newEarlyTarget returns a target that gets requests before their bodies are read, and answers status checks.
+func newEarlyTarget(t *testing.T, id string, handle func(s *receivedRequest)) *testTarget {
+	target := newTestTarget(t, id, func(s *receivedRequest) {
+		if s.id == "" {
+			s.answer(http.StatusOK, "")
+			return
+		}
+		handle(s)
+	})
+	target.early = true
+	return target
+}
+
+// brokenUpload sends a body of some bytes and returns what is wrong if the answer of the only attempt that broke off is not
+// incomplete, or if a request that may be repeated is not answered by the other target.
+func (f *fixture) brokenUpload(path string, size int) error {
+	c := f.client()
+	c.send("POST", path, "", strings.Repeat("b", size))
+	resp, body, err := c.receive("POST")
+	whole := uploadPaths[path]
+	ok := false
+	switch path {
+	case "/once/":
+		ok = err == nil && resp.Status == http.StatusBadGateway && ranHeader(resp) == "UNKNOWN"
+	case "/stream/":
+		ok = err != nil && resp != nil && strings.HasPrefix(whole, body)
+	default:
+		ok = err == nil && resp.Status == http.StatusOK && body == whole
+	}
+	if ok {
+		return nil
+	}
+	return fmt.Errorf("answer %+v, body %q, end %v", resp, body, err)
+}
+
+// newBrokenUploads returns a router whose first request goes to a target that answers by breakOff, while the other target
+// answers soundly.
+func newBrokenUploads(t *testing.T, route string, breakOff func(f *fixture, s *receivedRequest)) *fixture {
+	var f *fixture
+	var broken atomic.Bool
+	handle := func(s *receivedRequest) {
+		if broken.CompareAndSwap(false, true) {
+			breakOff(f, s)
+			return
+		}
+		if s.ReadBody(s.br, hugeUpload) != nil {
+			return
+		}
+		if s.Header.Get("T-Last") == "1" {
+			s.answer(http.StatusOK, secondEvent)
+			return
+		}
+		s.answer(http.StatusOK, uploadPaths[route])
+	}
+	f = newFixture(t, newEarlyTarget(t, "t1", handle), newEarlyTarget(t, "t2", handle))
+	limits := routing.Limits{IdleTimeout: 10 * time.Second, BodyBytes: hugeUpload}
+	f.edge.applyTable(routing.NewTable(2, testRoutes(), testServices(), limits, map[string]string{"key": "shop"}), Revision{Number: 2})
+	return f
+}
+
+// hugeUpload is the size of an upload that does not fit into the buffers of a connection.
+const hugeUpload = 8 << 20
+
+// uploadRuns is how often each case of an upload is played, as races decide who sees the end of its connection.
+const uploadRuns = 3
+
+// Guards against MIXED: a target answers an upload without framing and breaks the connection before it has read the upload. The
+// part that came passes as a whole answer.
+func TestUnframedAnswerThatBreaksOffWithinAnUploadIsIncomplete(t *testing.T) {
+	for route := range uploadPaths {
+		for moment, read := range uploadMoments {
+			for name, end := range uploadEnds {
+				for _, size := range []int{200 << 10, 3 << 20} {
+					t.Run(fmt.Sprint(path.Base(route), " ", moment, " ", name, " ", size), func(t *testing.T) {
+						t.Parallel()
+						for range uploadRuns {
+							f := newBrokenUploads(t, route, func(_ *fixture, s *receivedRequest) {
+								s.write(unframedBodyHead + uploadPart(route))
+								s.readBytes(read(size))
+								end(s)
+							})
+							if err := f.brokenUpload(route, size); err != nil {
+								t.Error(err)
+							}
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// The same with certainty: the write of the upload takes the error of the reset, since the answer is read only after that.
+func TestResetThatAWriteOfTheUploadTakesIsSeen(t *testing.T) {
+	for route := range uploadPaths {
+		for name, end := range uploadEnds {
+			t.Run(path.Base(route)+" "+name, func(t *testing.T) {
+				t.Parallel()
+				f := newBrokenUploads(t, route, func(f *fixture, s *receivedRequest) {
+					f.edge.witnesses.mu.Lock()
+					defer f.edge.witnesses.mu.Unlock()
+					s.write(unframedBodyHead + uploadPart(route))
+					time.Sleep(30 * time.Millisecond)
+					end(s)
+					time.Sleep(30 * time.Millisecond)
+				})
+				if err := f.brokenUpload(route, hugeUpload); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+	}
+}
+
+// The reverse: a target begins its answer within the upload, or has ended its side of the connection by then, reads on to the
+// end of the upload and closes the connection: the answer is whole.
+func TestUnframedAnswerThatBeginsWithinAnUploadIsDelivered(t *testing.T) {
+	for route, whole := range uploadPaths {
+		for name, answer := range map[string]func(s *receivedRequest, size int){
+			"begins before the upload is read": func(s *receivedRequest, size int) {
+				s.write(unframedBodyHead + whole[:3])
+				s.readBytes(size)
+				s.write(whole[3:])
+			},
+			"begins while it is read": func(s *receivedRequest, size int) {
+				s.readBytes(size / 2)
+				s.write(unframedBodyHead + whole[:3])
+				time.Sleep(30 * time.Millisecond)
+				s.readBytes(size - size/2)
+				s.write(whole[3:])
+			},
+			"is whole before the upload is read": func(s *receivedRequest, size int) {
+				s.write(unframedBodyHead + whole)
+				s.readBytes(size)
+			},
+			"its side ends before the upload is read": func(s *receivedRequest, size int) {
+				s.write(unframedBodyHead + whole)
+				s.endSending()
+				time.Sleep(50 * time.Millisecond)
+				s.readBytes(size)
+			},
+			"its side ends while the upload is read": func(s *receivedRequest, size int) {
+				s.readBytes(size / 2)
+				s.write(unframedBodyHead + whole)
+				s.endSending()
+				for read := size / 2; read < size; read += size / 16 {
+					time.Sleep(5 * time.Millisecond)
+					s.readBytes(min(size/16, size-read))
+				}
+			},
+			"begins after the upload is read": func(s *receivedRequest, size int) {
+				s.readBytes(size)
+				s.write(unframedBodyHead + whole)
+			},
+		} {
+			for _, size := range []int{200 << 10, hugeUpload} {
+				t.Run(fmt.Sprint(path.Base(route), " ", name, " ", size), func(t *testing.T) {
+					t.Parallel()
+					f := newBrokenUploads(t, route, func(_ *fixture, s *receivedRequest) {
+						answer(s, size)
+						s.conn.Close()
+					})
+					c := f.client()
+					c.send("POST", route, "", strings.Repeat("b", size))
+					resp, body, err := c.receive("POST")
+					f.is.NoErr(err)
+					f.is.Equal(resp.Status, http.StatusOK)
+					f.is.Equal(body, whole)
+					// It is not the other target's answer.
+					f.await(func() bool { return f.logs.contains(`"event":"request_answered"`, `"close_delimited":true`) })
+				})
+			}
+		}
+	}
+}
--- a/edge/upstream.go
+++ b/edge/upstream.go
@@ -325,3 +325,13 @@
 	})
 	return revents, errors.Join(err, pollErr)
 }
+
+// resetError returns why a connection can carry nothing more; nil if it can, also if the peer has ended its side. A read behind that
+// end does not say so, nor does any after a write has taken the error.
+func (u *upstream) resetError() error {
+	revents, err := pollSocket(u.Conn, 0)
+	if err != nil || revents&(unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) == 0 {
+		return err
+	}
+	return fmt.Errorf("connection to the target: %w", unix.ECONNRESET)
+}
