edge: an unframed answer is whole only if the target has taken the whole request

A target answered an upload of 200 KB at once with a part of its answer, without framing, ended its side of the connection, never read the upload and closed the connection 0.2 s later.

Cause: the end of the target's side was the end of the answer, and its process goes on. That the upload was still on its way was not looked at: its write returns once the socket's buffer has it, up to some megabytes.

Ruled out: to refuse each answer that ends before the upload does. A target may answer before it has read a long body and read on later. To send something behind the request, which a target that has closed the connection would answer with a reset: the others would take it for the next request.

Change: after the end of an answer without framing the router waits until the target's machine has acknowledged the whole request (SIOCOUTQ), the connection is reset, or the time for the answer is over. The ACK of a target that has read the request before it ends the answer comes with that end, so that its answers wait for nothing. New end_evidence `untaken`.

Not covered: a target that ends its side when its machine has taken the whole upload, has not read all of it, and closes the connection over 20 ms later.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -66,6 +66,8 @@
 	// known of the process that has closed it; "" before.
 	closeDelimited bool
 	end            endEvidence
+	// upload is the sending of the request; nil before.
+	upload *upload
 	// firstByteAt is when the first bytes of the answer's body came; zero before.
 	firstByteAt time.Time
 	// events finds and checks the events of a stream.
@@ -179,10 +181,11 @@
 func (a *attempt) exchange(ctx context.Context, u *upstream) attemptOutcome {
 	c := a.call
 	head := h1.AppendRequestHead(make([]byte, 0, typicalHeadBytes), c.req.Method, c.req.Target, a.header(), len(c.req.Body))
-	written := make(chan error, 1)
 	a.sent, a.sentAt = true, time.Now()
 	u.noteSent(c.id)
-	if sent, err := send(u, head, c.req.Body, written); err != nil {
+	var sent int64
+	var err error
+	if a.upload, sent, err = send(u, head, c.req.Body); err != nil {
 		c.edge.witnesses.detach(u)
 		u.abandon()
 		a.err = fmt.Errorf("send: %w", err)
@@ -202,7 +205,7 @@
 	a.closeDelimited = resp.CloseDelimited()
 	outcome, complete := a.deliver(ctx, u, resp)
 	a.partialSince = u.partialSince
-	a.release(u, resp, complete, written)
+	a.release(u, resp, complete)
 	return outcome
 }
 
@@ -216,31 +219,40 @@
 	sendTimeout = 5 * time.Second
 )
 
+// upload is the sending of a request, which may go on while the answer is read.
+type upload struct {
+	// done is closed after the last write, and err is the error of that.
+	done chan struct{}
+	err  error
+}
+
 // send writes the request and returns the number of bytes written before it returns. A body longer
 // than maxInlineBodyBytes is written by a goroutine while the answer is read, since a target may
-// answer before it has read the whole body. written receives the result of the last write.
-func send(u *upstream, head, body []byte, written chan<- error) (int64, error) {
+// answer before it has read the whole body.
+func send(u *upstream, head, body []byte) (*upload, int64, error) {
+	up := &upload{done: make(chan struct{})}
 	u.SetWriteDeadline(time.Now().Add(sendTimeout))
 	if len(body) <= maxInlineBodyBytes {
+		defer close(up.done)
 		message := net.Buffers{head, body}
 		n, err := message.WriteTo(u.Conn)
-		written <- err
-		return n, err
+		up.err = err
+		return up, n, err
 	}
 	n, err := u.Write(head)
 	if err != nil {
-		return int64(n), err
+		return up, int64(n), err
 	}
 	go func() {
-		_, err := u.Write(body)
-		written <- err
+		defer close(up.done)
+		_, up.err = u.Write(body)
 	}()
-	return int64(n), nil
+	return up, int64(n), nil
 }
 
 // release pools the connection if the request was written and the answer read completely, and
 // closes it otherwise.
-func (a *attempt) release(u *upstream, resp *h1.Response, complete bool, written <-chan error) {
+func (a *attempt) release(u *upstream, resp *h1.Response, complete bool) {
 	// Another attempt may use the connection as soon as it is in the pool.
 	a.call.edge.witnesses.detach(u)
 	if !complete || !a.stopCancel() {
@@ -248,8 +260,8 @@
 		return
 	}
 	select {
-	case err := <-written:
-		if err != nil {
+	case <-a.upload.done:
+		if a.upload.err != nil {
 			u.Close()
 			return
 		}
@@ -483,7 +495,7 @@
 
 // readBody reads a complete body of at most maxBufferedAnswerBytes, within the request's deadline
 // and the memory that the router has for answers. A body that ends with its connection is complete
-// only if the process of the target goes on: its end closes its connections, too.
+// only if confirmEnd says so.
 func (a *attempt) readBody(u *upstream, resp *h1.Response) ([]byte, error) {
 	u.SetReadDeadline(a.call.deadline)
 	u.partialSince = time.Now()
@@ -500,7 +512,7 @@
 		return nil, h1.ErrBodyTooLarge
 	}
 	if a.closeDelimited {
-		if err := a.confirmEnd(u); err != nil {
+		if err := a.confirmEnd(u, a.call.deadline); err != nil {
 			return nil, err
 		}
 	}
--- a/edge/end.go
+++ b/edge/end.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -38,6 +39,8 @@
 
 	// evidenceReset: the target has reset the connection.
 	evidenceReset endEvidence = "reset"
+	// evidenceUntaken: the target did not take the whole request.
+	evidenceUntaken endEvidence = "untaken"
 
 	// evidenceNone: nothing was found out in time.
 	evidenceNone endEvidence = "none"
@@ -50,7 +53,7 @@
 
 // processEnded reports whether the process has ended.
 func (v endEvidence) processEnded() bool {
-	return !v.processLives() && v != evidenceReset && v != evidenceNone
+	return !v.processLives() && v != evidenceReset && v != evidenceUntaken && v != evidenceNone
 }
 
 var (
@@ -94,33 +97,79 @@
 	}
 }
 
-// confirmEnd returns nil if the process that has ended an answer on u by closing the connection is known to go on, and has not
-// reset it. Otherwise the answer may be incomplete: the error is errTargetEnded, errEndUnconfirmed or that of the reset.
-func (a *attempt) confirmEnd(u *upstream) error {
+// confirmEnd returns nil if the target has taken the whole request, and the process that has ended an answer on u by closing the
+// connection is known to go on, and has not reset it. Otherwise the answer may be incomplete: the error is errTargetEnded or
+// errEndUnconfirmed, or says what became of the connection. The target has until deadline to take the request.
+func (a *attempt) confirmEnd(u *upstream, deadline time.Time) error {
 	e := a.call.edge
 	u.endedAt = time.Now()
-	time.Sleep(closeTime)
+	err := a.awaitTaken(u, deadline)
+	if err != nil {
+		a.end = evidenceUntaken
+	} else {
+		time.Sleep(closeTime)
+		err = a.findEvidence(u)
+	}
+	e.metrics.unframedEnds.WithLabelValues(string(a.end)).Inc()
+	return err
+}
+
+// findEvidence sets end, and returns the error of confirmEnd.
+func (a *attempt) findEvidence(u *upstream) error {
+	e := a.call.edge
 	if e.asksForStart(a.target) {
 		a.end = e.engineEvidence(a.target, u)
 	} else {
 		a.end = e.plainEvidence(a.target, u, time.Duration(statusCheckShare*float64(time.Until(a.call.deadline))))
 	}
-	var resetErr error
-	if a.end.processLives() {
-		if resetErr = u.resetError(); resetErr != nil {
+	switch {
+	case a.end.processLives():
+		err := u.resetError()
+		if err != nil {
 			a.end = evidenceReset
 		}
-	}
-	e.metrics.unframedEnds.WithLabelValues(string(a.end)).Inc()
-	switch {
-	case a.end.processLives() || a.end == evidenceReset:
-		return resetErr
+		return err
 	case a.end.processEnded():
 		return errTargetEnded
 	}
 	return errEndUnconfirmed
 }
 
+// takenInterval is the time between two looks at what a target has not taken of a request.
+const takenInterval = 5 * time.Millisecond
+
+// awaitTaken waits, after the end of an answer on u, until the target's machine has acknowledged the whole request: a target may
+// end its side of the connection and read on. If it has ended the whole connection, what comes after that resets it.
+func (a *attempt) awaitTaken(u *upstream, deadline time.Time) error {
+	for {
+		taken, err := a.requestTaken(u)
+		if taken || err != nil {
+			return err
+		}
+		if !time.Now().Before(deadline) {
+			return os.ErrDeadlineExceeded
+		}
+		time.Sleep(takenInterval)
+	}
+}
+
+// requestTaken reports whether the target's machine has acknowledged the whole request. The error says why it never will.
+func (a *attempt) requestTaken(u *upstream) (bool, error) {
+	if err := u.resetError(); err != nil {
+		return false, err
+	}
+	select {
+	case <-a.upload.done:
+	default:
+		return false, nil
+	}
+	if a.upload.err != nil {
+		return false, a.upload.err
+	}
+	unacked, err := u.unacknowledged()
+	return unacked == 0, err
+}
+
 // engineEvidence finds out whether the process of a model engine goes on that has closed u. Its start decides before
 // the witness, the end of which may be late.
 func (e *Edge) engineEvidence(t routing.Target, u *upstream) endEvidence {
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
-			return a.finishStream(u, pending.data)
+			return a.finishStream(u, pending.data, a.nextReadDeadline(eventAt, u.partialSince))
 		}
 		if ctx.Err() != nil {
 			return abandoned, false
@@ -115,8 +115,9 @@
 
 // finishStream ends a stream that the target has ended; rest is what was not forwarded of it. The framing of the answer
 // does not show that the stream is complete: a target or proxy that breaks it off may still end the
-// body, and a crash closes the connection of an answer without a length, often between two events.
-func (a *attempt) finishStream(u *upstream, rest []byte) (attemptOutcome, bool) {
+// body, and a crash closes the connection of an answer without a length, often between two events. The target has until deadline
+// to take the rest of the request.
+func (a *attempt) finishStream(u *upstream, rest []byte, deadline time.Time) (attemptOutcome, bool) {
 	admitted, spoiledErr := a.events.admitEnd(rest)
 	if spoiledErr != nil {
 		a.noteSpoiledStream(spoiledErr)
@@ -128,7 +129,7 @@
 		return lost, false
 	}
 	if a.closeDelimited {
-		if err := a.confirmEnd(u); err != nil {
+		if err := a.confirmEnd(u, deadline); err != nil {
 			outcome := a.readFailed(err)
 			a.targetGone = a.crashed && a.end.processEnded() && a.end != evidenceWitnessEnded
 			return outcome, false
--- a/edge/upload_test.go
+++ b/edge/upload_test.go
@@ -168,6 +168,28 @@
 	}
 }
 
+// Guards against MIXED: the target ends its side of the connection within an upload that it never reads, and closes the
+// connection later.
+func TestUnframedAnswerOfATargetThatNeverReadsTheUploadIsIncomplete(t *testing.T) {
+	for route := range uploadPaths {
+		for _, size := range []int{200 << 10, hugeUpload} {
+			t.Run(fmt.Sprint(path.Base(route), size), func(t *testing.T) {
+				t.Parallel()
+				f := newBrokenUploads(t, route, func(_ *fixture, s *receivedRequest) {
+					s.conn.(*net.TCPConn).SetReadBuffer(32 << 10)
+					s.write(unframedBodyHead + uploadPart(route))
+					s.endSending()
+					time.Sleep(200 * time.Millisecond)
+					s.conn.Close()
+				})
+				if err := f.brokenUpload(route, size); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+	}
+}
+
 // The reverse: a target begins its answer within the upload, or has ended its side of the connection by then, reads on to the
 // end of the upload and closes the connection: the answer is whole.
 func TestUnframedAnswerThatBeginsWithinAnUploadIsDelivered(t *testing.T) {
@@ -229,3 +251,20 @@
 		}
 	}
 }
+
+// Guards against CONFIG: a target that ends its side, and neither reads the upload nor ends the connection, holds the request
+// beyond the timeout of its route.
+func TestUnframedAnswerOfATargetThatHoldsTheUploadEndsInTime(t *testing.T) {
+	f := newBrokenUploads(t, "/once/", func(_ *fixture, s *receivedRequest) {
+		s.write(unframedBodyHead + "hel")
+		s.endSending()
+		time.Sleep(2 * time.Second)
+	})
+	c := f.client()
+	began := time.Now()
+	c.send("POST", "/short/", "", strings.Repeat("b", hugeUpload))
+	resp, _, err := c.receive("POST")
+	f.is.NoErr(err)
+	f.is.Equal(resp.Status, http.StatusGatewayTimeout)
+	f.is.True(time.Since(began) < 700*time.Millisecond)
+}
--- a/edge/upstream.go
+++ b/edge/upstream.go
@@ -335,3 +335,19 @@
 	}
 	return fmt.Errorf("connection to the target: %w", unix.ECONNRESET)
 }
+
+// unacknowledged returns the number of bytes sent that the peer's machine has not acknowledged. A reset leaves it as it was.
+func (u *upstream) unacknowledged() (int, error) {
+	tcp, ok := u.Conn.(*net.TCPConn)
+	if !ok {
+		return 0, net.ErrClosed
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var n int
+	var ioctlErr error
+	err = raw.Control(func(fd uintptr) { n, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return n, errors.Join(err, ioctlErr)
+}
