edge: a caller that leaves is no sign that its request crashes targets

When two callers had left within the same request, an upload of 200 KB for instance, the router refused it for some time with 503 "targets were lost with this request in flight".

Cause: when a caller leaves, the router closes the connection to the target, so that the read of the answer fails. That error ("use of closed network connection") counted as the end of the connection by the target: log lines had "crashed":true with "fate":"abandoned", the request's digest got a loss, and the idle connections to the target were closed. A deadline that passes closes the connection in the same way.

Change: an error of a connection that the router itself has closed shows no crash (net.ErrClosed beside the deadlines in showsCrash).

With the change the test passes; so do the tests of edge on crashes, parts, callers that leave and stops, run together.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -424,10 +424,10 @@
 }
 
 // showsCrash reports whether an answer that could not be read may be the end of its target. Neither a connection that
-// timed out nor bytes that are no answer are a sign of that.
+// timed out or that the router has closed nor bytes that are no answer are a sign of that.
 func showsCrash(err error) bool {
 	for _, other := range []error{
-		os.ErrDeadlineExceeded, syscall.ETIMEDOUT, errMemory, errOtherAnswer, errAnswerInBody, errJoinedHeads,
+		os.ErrDeadlineExceeded, net.ErrClosed, syscall.ETIMEDOUT, errMemory, errOtherAnswer, errAnswerInBody, errJoinedHeads,
 		h1.ErrSyntax, h1.ErrFraming, h1.ErrHeaderTooLarge, h1.ErrBodyTooLarge,
 	} {
 		if errors.Is(err, other) {
--- a/edge/upload_test.go
+++ b/edge/upload_test.go
@@ -268,3 +268,40 @@
 	f.is.Equal(resp.Status, http.StatusGatewayTimeout)
 	f.is.True(time.Since(began) < 700*time.Millisecond)
 }
+
+// The reverse: callers that leave within an answer to an upload, or before it, are no sign that the upload harms targets.
+func TestCallersThatLeaveWithinAnUploadDoNotQuarantineIt(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		t.Run(fmt.Sprint(begun), func(t *testing.T) {
+			var sound atomic.Bool
+			handle := func(s *receivedRequest) {
+				switch {
+				case sound.Load():
+					s.readBytes(200 << 10)
+					s.answer(http.StatusOK, "hello")
+				case begun:
+					s.write(unframedBodyHead + "hel")
+					fallthrough
+				default:
+					time.Sleep(300 * time.Millisecond)
+					s.conn.Close()
+				}
+			}
+			f := newFixture(t, newEarlyTarget(t, "t1", handle), newEarlyTarget(t, "t2", handle))
+			upload := strings.Repeat("b", 200<<10)
+			for range 5 {
+				c := f.client()
+				c.send("POST", "/once/", "", upload)
+				time.Sleep(100 * time.Millisecond)
+				c.conn.Close()
+			}
+			time.Sleep(400 * time.Millisecond)
+			sound.Store(true)
+			c := f.client()
+			c.send("POST", "/once/", "", upload)
+			resp, _, err := c.receive("POST")
+			f.is.NoErr(err)
+			f.is.Equal(resp.Status, http.StatusOK)
+		})
+	}
+}
