edge, placement: keep what a target asks for while its registration has lapsed

What callers saw: a target whose answer said that it leaves, or that it wants no requests or few for a time, got requests again, and they broke off or were turned away (DRAIN, BUDGET, LIMIT).

Cause: absence of a registration was taken for absence of the target. The balancer looked the target of an answer up by its ID, and dropped what it asked for if its registration had lapsed, as while the store is away. Once it was registered again, it was used as if it had said nothing. An answer of an earlier start that came late counted for the start that is registered.

Change: SetLeaving, Pause and SetRateLimit take the registration with which the request was sent. They count for that start, also if it is not registered now.

--- a/edge/catchup_test.go
+++ b/edge/catchup_test.go
@@ -52,8 +52,8 @@
 	second := first.newPeer(targets...)
 	begun := first.beginStreams(6)
 	first.loseTargets()
-	first.edge.setLeaving(targets[3].id)
-	first.edge.setRateLimit(first.edge.logger, targets[1].id, 5)
+	first.edge.setLeaving(targets[3].registration())
+	first.edge.setRateLimit(first.edge.logger, targets[1].registration(), 5)
 	first.await(func() bool { return first.refusesPart() && second.refusesPart() })
 	time.Sleep(time.Second) // reports no longer state it
 
@@ -79,7 +79,7 @@
 	second := first.newPeer(target)
 	second.edge.tomb.Kill(nil)
 	<-second.done
-	first.edge.setRateLimit(first.edge.logger, target.id, 5)
+	first.edge.setRateLimit(first.edge.logger, target.registration(), 5)
 	time.Sleep(time.Second)
 
 	again := &fixture{t: t, is: first.is, source: newFakeSource(), done: make(chan error, 1), logs: &logRecorder{}, name: second.name, peer: second.peer, seeds: second.seeds}
--- a/edge/heed.go
+++ b/edge/heed.go
@@ -13,6 +13,7 @@
 
 	"github.com/chiveseam/chiveseam/h1"
 	"github.com/chiveseam/chiveseam/placement"
+	"github.com/chiveseam/chiveseam/routing"
 	"github.com/chiveseam/chiveseam/targetload"
 )
 
@@ -27,7 +28,7 @@
 	e := a.call.edge
 	for _, h := range []h1.Header{resp.Interim, resp.Header} {
 		if strings.TrimSpace(h.Get(e.headers.Leaving)) == "1" {
-			e.setLeaving(a.target.ID)
+			e.setLeaving(a.target)
 		}
 	}
 	a.heedRateLimit(resp)
@@ -37,7 +38,7 @@
 	}
 	if pause := retryAfter(resp.Header); pause > 0 {
 		e.mu.Lock()
-		e.balancer.Pause(time.Now(), a.target.ID, pause)
+		e.balancer.Pause(time.Now(), a.target, pause)
 		e.mu.Unlock()
 		level.Info(a.call.log).Log("event", "target_paused", "target", a.target.ID, "pause_ms", pause.Milliseconds())
 	}
@@ -57,7 +58,7 @@
 		level.Warn(a.call.log).Log("event", "target_limit_unreadable", "target", a.target.ID, "error", err)
 		return
 	}
-	e.setRateLimit(a.call.log, a.target.ID, limit)
+	e.setRateLimit(a.call.log, a.target, limit)
 }
 
 // heedLoad records the load that the target states. Only its own signed answers to this request count.
@@ -85,12 +86,12 @@
 }
 
 // setRateLimit records the rate limit of a target, and logs it if it has changed.
-func (e *Edge) setRateLimit(logger log.Logger, id string, perSecond float64) {
+func (e *Edge) setRateLimit(logger log.Logger, answered routing.Target, perSecond float64) {
 	e.mu.Lock()
-	changed := e.balancer.SetRateLimit(time.Now(), id, perSecond)
+	changed := e.balancer.SetRateLimit(time.Now(), answered, perSecond)
 	e.mu.Unlock()
 	if changed {
-		level.Info(logger).Log("event", "target_limited", "target", id, "per_second", finite(perSecond))
+		level.Info(logger).Log("event", "target_limited", "target", answered.ID, "per_second", finite(perSecond))
 	}
 }
 
@@ -109,12 +110,12 @@
 }
 
 // setLeaving takes a target out of use that said that it leaves.
-func (e *Edge) setLeaving(id string) {
+func (e *Edge) setLeaving(answered routing.Target) {
 	e.mu.Lock()
-	added := e.balancer.SetLeaving(time.Now(), id)
+	added := e.balancer.SetLeaving(time.Now(), answered)
 	e.mu.Unlock()
 	if added {
-		level.Info(e.logger).Log("event", "target_leaving", "target", id)
+		level.Info(e.logger).Log("event", "target_leaving", "target", answered.ID)
 	}
 }
 
--- a/edge/recover.go
+++ b/edge/recover.go
@@ -11,6 +11,7 @@
 
 	"github.com/chiveseam/chiveseam/placement"
 	"github.com/chiveseam/chiveseam/rendezvous"
+	"github.com/chiveseam/chiveseam/routing"
 )
 
 // Inspector asks model engines for the contents of their KV caches and for their start. Implementations are safe for concurrent
@@ -61,46 +62,40 @@
 		return nil
 	}
 	for _, t := range e.enginesToInspect() {
-		if e.isEvacuated(t.zone) {
+		if e.isEvacuated(t.Zone) {
 			continue
 		}
-		state, err := e.inspector.Inspect(ctx, t.address)
-		if err == nil && t.started != 0 && state.StartedUnixMs != 0 && state.StartedUnixMs != t.started {
+		state, err := e.inspector.Inspect(ctx, t.Address)
+		if err == nil && t.StartedUnixMs != 0 && state.StartedUnixMs != 0 && state.StartedUnixMs != t.StartedUnixMs {
 			err = errOtherProcess
 		}
 		if err != nil {
-			level.Warn(e.logger).Log("event", "kept_parts_unknown", "target", t.id, "error", err)
+			level.Warn(e.logger).Log("event", "kept_parts_unknown", "target", t.ID, "error", err)
 			continue
 		}
 		if state.Leaving {
-			e.setLeaving(t.id)
+			e.setLeaving(t)
 		}
 		if math.IsNaN(state.RateLimit) {
-			level.Warn(e.logger).Log("event", "target_limit_unreadable", "target", t.id)
+			level.Warn(e.logger).Log("event", "target_limit_unreadable", "target", t.ID)
 		} else {
-			e.setRateLimit(e.logger, t.id, state.RateLimit)
+			e.setRateLimit(e.logger, t, state.RateLimit)
 		}
 		e.mu.Lock()
-		e.balancer.AddCachedParts(time.Now(), t.id, state.CachedParts)
+		e.balancer.AddCachedParts(time.Now(), t.ID, state.CachedParts)
 		e.mu.Unlock()
-		level.Info(e.logger).Log("event", "kept_parts_read", "target", t.id, "parts", len(state.CachedParts))
+		level.Info(e.logger).Log("event", "kept_parts_read", "target", t.ID, "parts", len(state.CachedParts))
 	}
 	return nil
 }
 
-type engineAddress struct {
-	id, address, zone string
-	// started is the start that the registration states.
-	started int64
-}
-
 // enginesToInspect returns at most maxInspected of ownedEngines: those with the highest rendezvous
 // score for this router.
-func (e *Edge) enginesToInspect() []engineAddress {
+func (e *Edge) enginesToInspect() []routing.Target {
 	own := e.ownedEngines()
 	self := e.settings.Name
-	slices.SortFunc(own, func(a, b engineAddress) int {
-		return cmp.Compare(rendezvous.Score(b.id, self), rendezvous.Score(a.id, self))
+	slices.SortFunc(own, func(a, b routing.Target) int {
+		return cmp.Compare(rendezvous.Score(b.ID, self), rendezvous.Score(a.ID, self))
 	})
 	return own[:min(len(own), maxInspected)]
 }
@@ -108,17 +103,17 @@
 // ownedEngines returns the engines that rendezvous hashing assigns to this router among the routers
 // it knows, but for those in evacuated zones, and for cold ones, which have started lately and have nothing
 // in their caches.
-func (e *Edge) ownedEngines() []engineAddress {
+func (e *Edge) ownedEngines() []routing.Target {
 	table := e.table.Load()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	routers := append(e.balancer.PeerNames(), e.settings.Name)
-	var own []engineAddress
+	var own []routing.Target
 	for id, t := range e.directory.targets {
 		owner, _ := rendezvous.Owner(id, routers)
 		if owner == e.settings.Name && !e.isEvacuated(t.Zone) && !e.balancer.IsCold(now, id) && table != nil && table.Services[t.Service].Engine != nil {
-			own = append(own, engineAddress{id, t.Address, t.Zone, t.StartedUnixMs})
+			own = append(own, t)
 		}
 	}
 	return own
--- a/placement/eligibility_test.go
+++ b/placement/eligibility_test.go
@@ -20,9 +20,9 @@
 	for _, id := range []string{"draining", "leaving", "paused", "version", "excluded"} {
 		b.SetTarget(routing.Target{ID: id, Service: "desk", Slots: 4, Draining: id == "draining", Version: map[string]string{"version": "v2"}[id]})
 	}
-	b.SetLeaving(now, "leaving")
-	b.Pause(now, "draining", time.Second)
-	b.Pause(now, "paused", 3*time.Second)
+	b.SetLeaving(now, routing.Target{ID: "leaving"})
+	b.Pause(now, routing.Target{ID: "draining"}, time.Second)
+	b.Pause(now, routing.Target{ID: "paused"}, 3*time.Second)
 	d := plainDemand()
 	d.Version = placement.VersionHash("")
 	d.Excluded = func(target string) bool { return target == "excluded" }
--- a/placement/ratelimit.go
+++ b/placement/ratelimit.go
@@ -4,8 +4,11 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/ratelimit"
+	"github.com/chiveseam/chiveseam/routing"
 )
 
 const (
@@ -44,10 +47,9 @@
 	return l.limited() && now.Sub(l.observedAt) >= confirmRateLimit
 }
 
-// setRateLimit applies what an answer of the target says, unless a newer answer is known. It returns
+// set applies what an answer of the target with an idHash says, unless a newer answer is known. It returns
 // whether the limit has changed.
-func (t *target) setRateLimit(observedAt time.Time, perSecond float64) bool {
-	l := &t.rateLimit
+func (l *rateLimit) set(observedAt time.Time, idHash uint64, perSecond float64) bool {
 	if observedAt.Before(l.observedAt) {
 		return false
 	}
@@ -60,7 +62,7 @@
 	case !l.limited():
 		l.permits = nil
 	case l.permits == nil:
-		l.permits = ratelimit.New(observedAt, t.idHash, perSecond)
+		l.permits = ratelimit.New(observedAt, idHash, perSecond)
 	default:
 		l.permits.SetRate(observedAt, perSecond)
 	}
@@ -70,13 +72,18 @@
 // SetRateLimit records the number of requests per second that a target takes from all routers
 // together, infinite if it sets no limit, as its latest answer to this router says. The other routers
 // are told. It returns whether that has changed.
-func (b *Balancer) SetRateLimit(now time.Time, id string, perSecond float64) bool {
-	t, ok := b.targets[id]
-	if !ok {
-		return false
+func (b *Balancer) SetRateLimit(now time.Time, answered routing.Target, perSecond float64) (changed bool) {
+	idHash := xxhash.Sum64String(answered.ID)
+	if t := b.inUse(answered); t != nil {
+		return t.rateLimit.answered(now, idHash, perSecond)
 	}
-	changed := t.setRateLimit(now, perSecond)
-	l := &t.rateLimit
+	b.removed.change(answered, func(r *restriction) { changed = r.rateLimit.answered(now, idHash, perSecond) })
+	return changed
+}
+
+// answered applies what an answer to this router says, and has it reported. It returns whether the limit has changed.
+func (l *rateLimit) answered(now time.Time, idHash uint64, perSecond float64) bool {
+	changed := l.set(now, idHash, perSecond)
 	switch {
 	case changed:
 		l.reportsDue = rateLimitReports
@@ -139,6 +146,6 @@
 		if !ok || t.incarnation() != (incarnation{l.Target, int64(l.Incarnation)}) || math.IsNaN(l.PerSecond) || l.PerSecond < 0 {
 			continue
 		}
-		t.setRateLimit(now.Add(-time.Duration(l.AgeMs)*time.Millisecond), l.PerSecond)
+		t.rateLimit.set(now.Add(-time.Duration(l.AgeMs)*time.Millisecond), t.idHash, l.PerSecond)
 	}
 }
--- a/placement/removed.go
+++ b/placement/removed.go
@@ -1,6 +1,11 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/chiveseam/chiveseam/routing"
+)
 
 // maxRemoved bounds the removed targets that are remembered.
 const maxRemoved = 1024
@@ -21,13 +26,30 @@
 	if t.pausedUntil.IsZero() && !t.rateLimit.limited() {
 		return
 	}
+	r.put(t.incarnation(), restriction{t.Service, t.Version, t.pausedUntil, t.rateLimit})
+}
+
+// change changes the restriction of a target without a registration that has answered.
+func (r removedTargets) change(answered routing.Target, apply func(*restriction)) {
+	i := incarnationOf(answered)
+	asked, ok := r[i]
+	if !ok {
+		asked = restriction{service: answered.Service, version: answered.Version, rateLimit: rateLimit{perSecond: math.Inf(1)}}
+	}
+	apply(&asked)
+	if ok || !asked.pausedUntil.IsZero() || asked.rateLimit.limited() {
+		r.put(i, asked)
+	}
+}
+
+func (r removedTargets) put(i incarnation, asked restriction) {
 	if len(r) >= maxRemoved {
 		for known := range r {
 			delete(r, known)
 			break
 		}
 	}
-	r[t.incarnation()] = restriction{t.Service, t.Version, t.pausedUntil, t.rateLimit}
+	r[i] = asked
 }
 
 // restore applies the restriction that a target had before it was removed, if it has not started again since.
--- a/placement/usable.go
+++ b/placement/usable.go
@@ -4,6 +4,7 @@
 	"time"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/routing"
 )
 
 const (
@@ -53,31 +54,50 @@
 }
 
 // SetLeaving records that a target has told this router that it leaves: it gets no new requests until
-// it starts again, whatever its registration says. The other routers are told. It returns false if
-// that is known or the target is not.
-func (b *Balancer) SetLeaving(now time.Time, id string) bool {
-	t, ok := b.targets[id]
-	if !ok || t.leaving {
+// it starts again, whatever its registration says, and also if that has lapsed and is made again. The other
+// routers are told. It returns false if that is known.
+func (b *Balancer) SetLeaving(now time.Time, answered routing.Target) bool {
+	i := incarnationOf(answered)
+	t := b.inUse(answered)
+	if _, known := b.leaving.heard[i]; known || t != nil && t.leaving {
 		return false
 	}
-	t.leaving = true
-	b.leaving.add(now, t.incarnation())
-	b.leaving.due[t.incarnation()] = leavingReports
+	if t != nil {
+		t.leaving = true
+	}
+	b.leaving.add(now, i)
+	b.leaving.due[i] = leavingReports
 	return true
 }
 
 // Pause records that a target wants no requests from this router for a time, at most MaxPause. A
 // shorter one than it asked for before changes nothing.
-func (b *Balancer) Pause(now time.Time, id string, d time.Duration) {
-	t, ok := b.targets[id]
-	if !ok {
+func (b *Balancer) Pause(now time.Time, answered routing.Target, d time.Duration) {
+	until := now.Add(min(d, MaxPause))
+	if t := b.inUse(answered); t != nil {
+		t.pausedUntil = laterOf(t.pausedUntil, until)
 		return
 	}
-	if until := now.Add(min(d, MaxPause)); until.After(t.pausedUntil) {
-		t.pausedUntil = until
+	b.removed.change(answered, func(r *restriction) { r.pausedUntil = laterOf(r.pausedUntil, until) })
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
 
+// inUse returns the target that has answered; nil if its registration has lapsed, or if it has started again since.
+func (b *Balancer) inUse(answered routing.Target) *target {
+	if t, ok := b.targets[answered.ID]; ok && t.StartedUnixMs == answered.StartedUnixMs {
+		return t
+	}
+	return nil
+}
+
+func incarnationOf(t routing.Target) incarnation { return incarnation{Hash(t.ID), t.StartedUnixMs} }
+
 func (t *target) incarnation() incarnation { return incarnation{t.hash, t.StartedUnixMs} }
 
 // reportLeaving adds the targets that leave to a report for other routers.
--- a/placement/usable_test.go
+++ b/placement/usable_test.go
@@ -29,8 +29,8 @@
 	now := time.Unix(1000, 0)
 	b := placement.New(placement.Options{Router: "r"})
 	b.SetTarget(plainTarget("a", 5))
-	is.True(b.SetLeaving(now, "a"))
-	is.True(!b.SetLeaving(now, "a"))
+	is.True(b.SetLeaving(now, plainTarget("a", 5)))
+	is.True(!b.SetLeaving(now, plainTarget("a", 5)))
 	b.SetTarget(plainTarget("a", 5))
 	is.True(!b.HasUsableTarget("desk", now))
 	b.RemoveTarget("a")
@@ -39,6 +39,8 @@
 	is.True(errors.Is(err, placement.ErrNoTarget))
 	b.SetTarget(plainTarget("a", 6))
 	is.True(b.HasUsableTarget("desk", now))
+	b.SetLeaving(now, plainTarget("a", 5)) // an answer of the earlier start comes late
+	is.True(b.HasUsableTarget("desk", now))
 }
 
 // The other routers learn that a target leaves, also those that get to know it later. A late or wrong
@@ -49,7 +51,7 @@
 	a, b, later := placement.New(placement.Options{Router: "a"}), placement.New(placement.Options{Router: "b"}), placement.New(placement.Options{Router: "c"})
 	a.SetTarget(plainTarget("x", 5))
 	b.SetTarget(plainTarget("x", 5))
-	a.SetLeaving(now, "x")
+	a.SetLeaving(now, plainTarget("x", 5))
 	r := &v1.LoadReport{Router: "a", Sequence: 1}
 	a.FillReport(now, r)
 	is.Equal(len(r.LeavingTargets), 1)
@@ -76,14 +78,14 @@
 	b := placement.New(placement.Options{Router: "r"})
 	b.SetTarget(plainTarget("a", 1))
 	b.SetTarget(plainTarget("b", 1))
-	b.Pause(now, "a", 2*time.Second)
-	b.Pause(now, "a", time.Second)
+	b.Pause(now, plainTarget("a", 1), 2*time.Second)
+	b.Pause(now, plainTarget("a", 1), time.Second)
 	for range 5 {
 		choice, err := b.Choose(now, plainDemand())
 		is.NoErr(err)
 		is.Equal(choice.Target, "b")
 	}
-	b.Pause(now, "b", 3*time.Second)
+	b.Pause(now, plainTarget("b", 1), 3*time.Second)
 	_, err := b.Choose(now.Add(500*time.Millisecond), plainDemand())
 	var refusal *placement.Refusal
 	is.True(errors.As(err, &refusal))
@@ -92,9 +94,9 @@
 	is.NoErr(err)
 	is.Equal(choice.Target, "a")
 	b.RemoveTarget("b")
-	b.Pause(now, "a", time.Hour)
+	b.Pause(now, plainTarget("a", 1), time.Hour)
 	is.True(!b.HasUsableTarget("desk", now.Add(placement.MaxPause-time.Second)))
-	b.Pause(now, "a", -time.Second)
+	b.Pause(now, plainTarget("a", 1), -time.Second)
 	is.True(b.HasUsableTarget("desk", now.Add(placement.MaxPause)))
 }
 
@@ -110,7 +112,7 @@
 		if s := int(w.now.Sub(start).Seconds()); s > paused && s < len(w.engines) {
 			paused = s
 			for _, b := range w.routers {
-				b.Pause(w.now, fmt.Sprint("e", s), time.Minute)
+				b.Pause(w.now, routing.Target{ID: fmt.Sprint("e", s)}, time.Minute)
 			}
 		}
 		if w.poisson(perSecond) {
@@ -140,15 +142,15 @@
 	}
 	a.SetTarget(plainTarget("x", 5))
 	b.SetTarget(plainTarget("x", 5))
-	is.True(a.SetRateLimit(now, "x", 0.5))
-	is.True(!a.SetRateLimit(now, "x", 0.5))
+	is.True(a.SetRateLimit(now, plainTarget("x", 5), 0.5))
+	is.True(!a.SetRateLimit(now, plainTarget("x", 5), 0.5))
 	first := &v1.LoadReport{Router: "a", Sequence: 1}
 	a.FillReport(now, first)
 	b.MergeReport(now, first)
 	is.True(limited())
 
 	now = now.Add(100 * time.Millisecond)
-	is.True(b.SetRateLimit(now, "x", math.Inf(1)))
+	is.True(b.SetRateLimit(now, plainTarget("x", 5), math.Inf(1)))
 	late := &v1.LoadReport{Router: "a", Sequence: 2, RateLimits: []*v1.TargetRateLimit{{Target: placement.Hash("x"), Incarnation: 5, PerSecond: 0.5, AgeMs: 100}}}
 	b.MergeReport(now, late)
 	is.True(!limited()) // the older answer comes later
@@ -221,14 +223,14 @@
 		b.SetTarget(plainTarget("x", started))
 	}
 	b.SetTarget(plainTarget("x", 5))
-	b.Pause(now, "x", 10*time.Second)
+	b.Pause(now, plainTarget("x", 5), 10*time.Second)
 	lapse(5)
 	is.True(refused(now.Add(9 * time.Second)))
 	is.True(!refused(now.Add(11 * time.Second)))
 	lapse(6)
 	is.True(!refused(now.Add(time.Second)))
 
-	b.SetRateLimit(now, "x", 0.5)
+	b.SetRateLimit(now, plainTarget("x", 6), 0.5)
 	is.True(refused(now))
 	lapse(6)
 	is.True(refused(now))
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -201,7 +201,7 @@
 	e.paces.state(w.now, e, j.balancer)
 	j.balancer.FirstToken(w.now, j.ticket)
 	if e.limit != nil {
-		j.balancer.SetRateLimit(w.now, e.id, e.limit())
+		j.balancer.SetRateLimit(w.now, routing.Target{ID: e.id}, e.limit())
 		e.answered(j.balancer)
 	}
 	j.ends = w.now.Add(w.answerTime)
