edge, exchange: no part of the fixed retries for a router that has heard no other one

What callers saw: nothing; the service got more repeated requests than its budget allows (BUDGET, summed over all routers).

Cause: absence of news was taken for absence of routers. A router that started while it was cut off from the others took itself for the fleet, and half of the fixed number of retries for itself, while the others had theirs. Seeds that were silent did not count.

Evidence: TestRoutersThatStartCutOffTakeNoMoreThanThereIs on the code before: "after 2s, with map[0:false 1:false 2:true] cut off: the parts of 3 routers add up to 1.17".

Change: Members.Part. A router that knows other seeds and has heard no router since it started has no part, and retries in proportion to its requests only. Silent seeds and members count as routers.

Result: go test ./exchange passes (37 s). Routers that start in groups, each cut off from the other group, still take more than there is: nothing tells them of each other.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -347,12 +347,10 @@
 }
 
 // retryBudget returns the retry budget of a service. It allows RetryRatio retries for each request
-// that this router accepted, and this router's part of the fleet's fixed number RetryMin. The part
-// is computed for one router more than were ever seen at a time, to account for routers that are
-// unreachable now. The caller holds e.mu.
+// that this router accepted, and this router's part of the fleet's fixed number RetryMin. The caller holds e.mu.
 func (e *Edge) retryBudget(service string) *retry.Window {
 	s := e.settings
-	floor := s.RetryMin / float64(e.members.PeakRouters()+1)
+	floor := s.RetryMin * e.members.Part()
 	w, ok := e.retryBudgets[service]
 	if !ok {
 		w = retry.NewWindow(s.RetryWindow, s.RetryRatio, floor)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -198,6 +198,16 @@
 // this one.
 func (m *Members) PeakRouters() int { return m.maxLive + 1 }
 
+// Part returns this router's part of what the fleet divides evenly, between 0 and 1. It counts all routers that were live at a time,
+// the seeds, and one more that it may not have heard of. A router that knows seeds and has heard no other router since it started has
+// no part: it may be cut off, and the others have the whole.
+func (m *Members) Part() float64 {
+	if m.maxLive == 0 && len(m.seeds) > 0 {
+		return 0
+	}
+	return 1 / float64(max(m.maxLive, len(m.members))+2)
+}
+
 // Interval returns the time that a router waits between two reports. It grows with the
 // number of live members, so that each receives at most maxReportsPerSecond.
 func (m *Members) Interval(now time.Time) time.Duration {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -136,6 +136,45 @@
 	is.Equal(w.members[0].LiveCount(w.now), 5)
 }
 
+// Guards against BUDGET: routers that start while they are cut off take themselves for the fleet, and together take more
+// than there is of what the fleet divides.
+func TestRoutersThatStartCutOffTakeNoMoreThanThereIs(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(rt, "routers")
+		w := newNetwork(n, rapid.IntRange(2, min(n, 3)).Draw(rt, "seeds"))
+		cutOff := make(map[int]bool)
+		for i := range n {
+			cutOff[i] = rapid.Bool().Draw(rt, "cut off")
+		}
+		w.partitioned = func(a, b int) bool { return cutOff[a] || cutOff[b] }
+		for _, d := range []time.Duration{2 * time.Second, 10 * time.Second, 2 * time.Minute} {
+			w.run(d)
+			sum := 0.0
+			for _, m := range w.members {
+				sum += m.Part()
+			}
+			if sum > 1 {
+				rt.Fatalf("after %v, with %v cut off: the parts of %d routers add up to %.2f", d, cutOff, n, sum)
+			}
+		}
+		w.partitioned = func(int, int) bool { return false }
+		w.run(5 * time.Second)
+		for _, m := range w.members {
+			if m.Part() < 1/float64(n+2) {
+				rt.Fatalf("a router takes %.2f of what %d have", m.Part(), n)
+			}
+		}
+	})
+}
+
+// A router that no other one knows has what there is, but for the part of one that it may not have heard of yet.
+func TestLoneRouterTakesItsPart(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(1, 1)
+	w.run(time.Second)
+	is.Equal(w.members[0].Part(), 0.5)
+}
+
 // TestPartitionedRoutersFindEachOtherAgain guards against a fleet that stays split after
 // a network partition: members that became silent must be tried again, also if all seeds
 // are on one side and the partition lasted longer than the timeout.
