placement, edge: no requests to cold targets from a router that has heard no other one

What callers saw: cold targets crashed under their requests (FAILBACK, which binds routers in touch or not).

Cause: absence of news was taken for absence of routers. Routers that started while they were cut off took themselves for the fleet, and each sent all that a cold target takes, beside the others. docs/design/cold-targets.md listed that without a test.

Change: a router whose settings name others sends nothing to cold targets until it has heard one of them.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -194,7 +194,7 @@
 		started: time.Now(),
 		balancer: placement.New(placement.Options{
 			Router: s.Name, Zone: s.Zone, ShareWindow: s.ShareWindow, PeerTimeout: peerTimeout, ZoneRegions: s.ZoneRegions,
-			Started: time.Now(), ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
+			Started: time.Now(), Seeded: s.hasOtherSeeds(), ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
 			PrefixWeighing: s.PrefixWeighing,
 		}),
 		directory:     newDirectory(s.LapsedGrace),
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 	"unicode"
@@ -217,3 +218,9 @@
 	}
 	return out, nil
 }
+
+// hasOtherSeeds reports whether there are seeds other than this router.
+func (s *Settings) hasOtherSeeds() bool {
+	seeds, err := s.SeedAddresses()
+	return err == nil && slices.ContainsFunc(seeds, func(seed netip.AddrPort) bool { return seed.String() != s.Peer })
+}
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -31,6 +31,8 @@
 	ZoneRegions map[string]string
 	// Started is when the router started.
 	Started time.Time
+	// Seeded is set if the router knows addresses of other ones from its settings: until it hears one, it may be cut off.
+	Seeded bool
 	// ColdOverage and ColdSlack bound the requests that a cold target gets in any second, from all
 	// routers: ColdOverage times the rate of its service, and ColdSlack more.
 	ColdOverage, ColdSlack float64
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -91,6 +91,10 @@
 	if !b.isCold(now, t) {
 		return 0
 	}
+	if b.options.Seeded && b.fleet.grownAt.IsZero() {
+		// The others may use all permits.
+		return discoveryPause
+	}
 	if b.isNew(now) {
 		if known := max(now.Sub(b.options.Started), 0); known < discoveryPause {
 			return discoveryPause - known
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -53,7 +53,7 @@
 func (w *coldWorld) startRouter(i int, started time.Time) {
 	w.routers[i] = placement.New(placement.Options{
 		Router: fmt.Sprintf("r%d", i), ShareWindow: 4 * time.Second, PeerTimeout: 3 * time.Second,
-		Started: started, ColdOverage: coldOverage, ColdSlack: coldSlack,
+		Started: started, Seeded: len(w.routers) > 1, ColdOverage: coldOverage, ColdSlack: coldSlack,
 	})
 	w.routers[i].SetServices(map[string]routing.Service{serviceName: {
 		Name: serviceName, Engine: &routing.Engine{Slots: 64, KVCacheTokens: 600_000}, ColdStart: coldTime, ColdPerSecond: coldPerSecond,
@@ -206,6 +206,39 @@
 	}
 }
 
+// Guards against FAILBACK, which binds routers that are cut off, too: some that start while they are cut off take themselves for the
+// fleet, and each of them sends all that a cold target takes, beside the others.
+func TestRoutersThatStartCutOffLeaveColdTargetsToOthers(t *testing.T) {
+	w := newColdWorld(6, 6, 3, 64, 50, 400, anyRouter)
+	w.play(2*time.Second, nothing)
+	from := w.now
+	for _, e := range w.engines {
+		w.crash(e, 2*coldTime)
+	}
+	for i := range w.routers {
+		if i < 3 {
+			w.isolated[i] = true
+			w.startRouter(i, w.now)
+		}
+		w.register(i, false, everyEngine)
+	}
+	w.play(2*coldTime, nothing)
+	w.check(t, from, from.Add(2*coldTime), 0.3, everyEngine)
+
+	// They get their part once they hear the others.
+	clear(w.isolated)
+	w.play(time.Second, nothing)
+	for _, e := range w.engines {
+		w.crash(e, coldTime)
+	}
+	for i := range w.routers {
+		w.register(i, false, everyEngine)
+	}
+	from = w.now
+	w.play(coldTime, nothing)
+	w.check(t, from, from.Add(coldTime), 0.5, everyEngine)
+}
+
 // Guards against a flood that goes on at the only target of a service, which turns cold in use and has
 // room. Routers receive its registration 400 to 1,200 ms later. Until all know it, the load bounds what it
 // gets; from then on, it gets no more than it takes.
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -32,7 +32,7 @@
 	// part is this router's part of each limit.
 	part ratelimit.Part
 	// owner is this router's part of what cold targets take; nil if the routers have changed since it
-	// was computed. grownAt is when a router was last added.
+	// was computed. grownAt is when a router was last added; zero if none was heard yet.
 	owner   *ratelimit.Candidates
 	grownAt time.Time
 	// demand is the demand that this router reported last. recent is the decayed number of its
