--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -124,7 +124,7 @@
 	if e.outage.ongoing() != nil {
 		return errOutage // logged already
 	}
-	ctx, cancel := context.WithTimeout(e.tomb.Context(nil), confirmTimeout)
+	ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), confirmTimeout)
 	defer cancel()
 	err := e.readVersionsUpToNow(ctx)
 	if err == nil {
