edge: tests of uploads of slow callers, of callers that leave, and at engines

Callers that send an upload slowly or wait for 100 before they do: the router reads the upload before it sends it on, so that the target gets it at once and without Expect. Callers that leave while the router waits for a target to take the upload. Answers of model engines, whose start is asked for.

--- a/edge/upload_test.go
+++ b/edge/upload_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"path"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -57,7 +58,7 @@
 // newEarlyTarget returns a target that gets requests before their bodies are read, and answers status checks.
 func newEarlyTarget(t *testing.T, id string, handle func(s *receivedRequest)) *testTarget {
 	target := newTestTarget(t, id, func(s *receivedRequest) {
-		if s.id == "" {
+		if s.Path() == "/status" {
 			s.answer(http.StatusOK, "")
 			return
 		}
@@ -305,3 +306,138 @@
 		})
 	}
 }
+
+// Uploads of callers that send them slowly, or wait for 100 before they do, are sent to targets once they are whole, without
+// the question for 100.
+func TestUploadsOfSlowCallers(t *testing.T) {
+	const size = 200 << 10
+	for name, pace := range map[string]struct {
+		extra, body string
+		pause       time.Duration
+	}{
+		"length":         {fmt.Sprintf("Content-Length: %d\r\n", size), strings.Repeat("b", size), 50 * time.Millisecond},
+		"chunks":         {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("b", size)), 50 * time.Millisecond},
+		"expects 100":    {fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d\r\n", size), strings.Repeat("b", size), 0},
+		"slow after 100": {fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d\r\n", size), strings.Repeat("b", size), 50 * time.Millisecond},
+	} {
+		for end, broken := range map[string]bool{"whole": false, "reset": true, "closed": true, "ended, then reset": true} {
+			for route, whole := range map[string]string{"/once/": "hello", "/stream/": firstEvent + secondEvent} {
+				t.Run(name+" "+end+route, func(t *testing.T) {
+					t.Parallel()
+					expected := make(chan bool, 1)
+					f := newBrokenUploads(t, route, func(_ *fixture, s *receivedRequest) {
+						expected <- s.Header.Count("Expect") > 0
+						if broken {
+							s.write(unframedBodyHead + uploadPart(route))
+							uploadEnds[end](s)
+							return
+						}
+						s.write(unframedBodyHead + whole)
+						s.readBytes(size)
+						s.conn.Close()
+					})
+					c := f.client()
+					c.send("POST", route, pace.extra, "")
+					if strings.HasPrefix(pace.extra, "Expect") {
+						line, err := c.br.ReadString('\n')
+						f.is.NoErr(err)
+						f.is.Equal(line, "HTTP/1.1 100 Continue\r\n")
+						c.br.ReadString('\n')
+					}
+					for piece := range slices.Chunk([]byte(pace.body), len(pace.body)/5+1) {
+						_, err := c.conn.Write(piece)
+						f.is.NoErr(err)
+						time.Sleep(pace.pause)
+					}
+					resp, body, err := c.receive("POST")
+					f.is.True(!<-expected)
+					switch {
+					case !broken:
+						f.is.NoErr(err)
+						f.is.Equal(resp.Status, http.StatusOK)
+						f.is.Equal(body, whole)
+					case route == "/stream/":
+						f.is.True(err != nil)
+					default:
+						f.is.NoErr(err)
+						f.is.Equal(resp.Status, http.StatusBadGateway)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against GONE: the caller leaves while the router waits for a target to take the upload behind its answer.
+func TestUploadOfACallerThatLeavesEnds(t *testing.T) {
+	for _, route := range []string{"/once/", "/stream/", "/resumable/"} {
+		t.Run(route, func(t *testing.T) {
+			read := make(chan int64, 2)
+			f := newBrokenUploads(t, route, func(_ *fixture, s *receivedRequest) {
+				s.write(unframedBodyHead + uploadPart(route))
+				s.endSending()
+				time.Sleep(300 * time.Millisecond)
+				n, _ := io.Copy(io.Discard, io.LimitReader(s.br, hugeUpload))
+				read <- n
+			})
+			c := f.client()
+			c.send("POST", route, "", strings.Repeat("b", hugeUpload))
+			time.Sleep(100 * time.Millisecond)
+			c.conn.Close()
+			f.is.True(<-read < hugeUpload)
+		})
+	}
+}
+
+// Guards against MIXED and ORDER: a model engine, which states its start, breaks an answer to an upload off.
+func TestUnframedAnswerOfAnEngineWithinAnUpload(t *testing.T) {
+	for route, whole := range uploadPaths {
+		for name, broken := range map[string]bool{"reads on": false, "reset": true, "closed": true, "ended, then reset": true, "never reads": true} {
+			t.Run(path.Base(route)+" "+name, func(t *testing.T) {
+				t.Parallel()
+				var first atomic.Bool
+				handle := func(s *receivedRequest) {
+					if s.statesStart(1) {
+						return
+					}
+					if !first.CompareAndSwap(false, true) {
+						s.readBytes(200 << 10)
+						s.answer(http.StatusOK, map[string]string{"": whole, "1": secondEvent}[s.Header.Get("T-Last")])
+						return
+					}
+					if !broken {
+						s.write(unframedBodyHead + whole)
+						s.endSending()
+						time.Sleep(30 * time.Millisecond)
+						s.readBytes(200 << 10)
+						s.conn.Close()
+						return
+					}
+					s.conn.(*net.TCPConn).SetReadBuffer(32 << 10)
+					s.write(unframedBodyHead + uploadPart(route))
+					if end := uploadEnds[name]; end != nil {
+						end(s)
+						return
+					}
+					s.endSending()
+					time.Sleep(200 * time.Millisecond)
+					s.conn.Close()
+				}
+				f := newEngineFixture(t, newEarlyTarget(t, "t1", handle), newEarlyTarget(t, "t2", handle))
+				if broken {
+					if err := f.brokenUpload(route, 200<<10); err != nil {
+						t.Error(err)
+					}
+					return
+				}
+				c := f.client()
+				c.send("POST", route, "", strings.Repeat("b", 200<<10))
+				resp, body, err := c.receive("POST")
+				f.is.NoErr(err)
+				f.is.Equal(resp.Status, http.StatusOK)
+				f.is.Equal(body, whole)
+				f.await(func() bool { return f.logs.contains(`"event":"request_answered"`, `"close_delimited":true`) })
+			})
+		}
+	}
+}
