edge, streams, exchange: a moved stream goes on only if most routers say that none has gone on with it

What callers saw: streams whose route had come to another service held events of two software versions of that service (ORDER, which binds routers in touch or not).

Cause: absence of news was taken as proof. A stream whose route no longer leads to its service goes on at another one, at any version, if this router has not heard that another one has gone on with it there. It waited 0.3 s for a word and took silence for "nobody has".

Evidence: TestMovedStreamThatAnotherRouterTookUpIsNotMixed on the code before, three routers of which one hears no reports, 12 streams a case: 12, 12 and 4 of two versions, such as "A v1" "A v1" "B v2" "B v2" "B v1" "B v1". The two cases in touch passed.

Change: a router asks all others whether they know that the stream has gone on, in a question of its own for each request. More than half of all routers must answer that they do not, and so must each router that has asked before, which the answers name: two routers that both go on have asked one in common. Otherwise the request is refused with 503. Questions go out up to four times within 0.3 s, and one that fails is withdrawn. A router that stops tells the origins that no report has stated yet.

Result: the test passes: none of two versions, routers in touch go on with all streams, each within 0.6 s. Where the new service has had one version only, nothing is asked. Open: two routers that started in parts of a fleet that were cut off from each other know no common one; an origin that is lost with a killed router before its first report.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -145,6 +145,12 @@
 	evacuations *evacuation.Zones
 	// originWaiters holds a channel for each stream whose origin other routers were asked for.
 	originWaiters map[streams.ID]chan struct{}
+	// takeUps holds by their numbers the questions whether other routers have gone on with streams, and takeUpCount is the number of the
+	// latest one. Those of an earlier start of this router are lower.
+	takeUps map[uint64]*takeUpQuestion
+	// takeUpAskers holds the other routers that have asked for streams.
+	takeUpAskers streams.Askers
+	takeUpCount  uint64
 	// readers says which routers of the zone watch the registrations of targets.
 	readers targetReaders
 	// stopDeadline is when a planned stop ends the requests in progress; zero before the stop signal.
@@ -205,6 +211,8 @@
 		forms:         forms{byVersion: make(streams.Forms)},
 		evacuations:   evacuation.New(),
 		originWaiters: make(map[streams.ID]chan struct{}),
+		takeUps:       make(map[uint64]*takeUpQuestion),
+		takeUpCount:   uint64(time.Now().UnixNano()),
 		link:          linkbudget.New(s.LinkMbps),
 		answers:       make(answerSizes),
 		wakeProbe:     make(chan struct{}, 1),
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -164,6 +164,8 @@
 	// name is the router's name, peer its address for reports, and seeds where it finds other routers;
 	// the last two may be empty.
 	name, peer, seeds string
+	// deaf makes the router lose the reports that come in.
+	deaf atomic.Bool
 }
 
 // logRecorder collects log lines. It is safe for concurrent use.
@@ -271,12 +273,15 @@
 
 // newPeer starts another router with the given targets, which exchanges reports with f, and waits until
 // both have heard of each other.
-func (f *fixture) newPeer(targets ...*testTarget) *fixture {
+func (f *fixture) newPeer(targets ...*testTarget) *fixture { return f.newNumberedPeer(2, targets...) }
+
+// newNumberedPeer is newPeer for a peer with a number of its own.
+func (f *fixture) newNumberedPeer(number int, targets ...*testTarget) *fixture {
 	peer := &fixture{
 		t: f.t, is: f.is, source: newFakeSource(), done: make(chan error, 1), logs: &logRecorder{},
-		name: "r2", seeds: f.edge.settings.Peer,
+		name: fmt.Sprint("r", number), seeds: f.edge.settings.Peer,
 		// Routers take seeds to have the port of their own.
-		peer: strings.Replace(f.edge.settings.Peer, "127.0.0.1:", "127.0.0.2:", 1),
+		peer: strings.Replace(f.edge.settings.Peer, "127.0.0.1:", fmt.Sprintf("127.0.0.%d:", number), 1),
 	}
 	peer.run(targets)
 	for _, r := range []*fixture{f, peer} {
@@ -331,6 +336,7 @@
 		Logger: log.NewJSONLogger(log.NewSyncWriter(f.logs)),
 	})
 	f.is.NoErr(err)
+	f.edge.reportConn = deafConn{f.edge.reportConn, &f.deaf}
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
 	go func() { f.done <- f.edge.Run(ctx) }()
--- a/edge/moved_stream_test.go
+++ b/edge/moved_stream_test.go
@@ -107,8 +107,8 @@
 func newMovableFleet(t *testing.T, routers int, names ...string) []*fixture {
 	_, registrations := movableTargets(t, names...)
 	fleet := []*fixture{newFixture(t)}
-	if routers > 1 {
-		fleet = append(fleet, fleet[0].newPeer())
+	for number := 2; number <= routers; number++ {
+		fleet = append(fleet, fleet[0].newNumberedPeer(number))
 	}
 	for _, f := range fleet {
 		f.source.mu.Lock()
--- /dev/null
+++ b/edge/moved_unheard_test.go
@@ -0,0 +1,122 @@
+package edge
+
+import (
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chiveseam/chiveseam/routing"
+)
+
+// deafConn loses the reports that come in while deaf is set.
+type deafConn struct {
+	datagramConn
+	deaf *atomic.Bool
+}
+
+func (c deafConn) ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error) {
+	for {
+		n, from, err = c.datagramConn.ReadFromUDPAddrPort(b)
+		if err != nil || !c.deaf.Load() {
+			return n, from, err
+		}
+	}
+}
+
+// Guards against ORDER, which binds routers that are out of step, too: the route of a stream has come to another service, and another
+// router has gone on with the stream there. A router that has not heard of that goes on at another version of that service. Routers in
+// touch go on, at its version.
+func TestMovedStreamThatAnotherRouterTookUpIsNotMixed(t *testing.T) {
+	for name, c := range map[string]struct {
+		targets []string
+		// deaf is the number of the router that hears no reports; -1 for none. order holds the routers that take the streams up.
+		deaf  int
+		order []int
+	}{
+		"deaf, other versions":    {[]string{"A v1", "B v2", "B v3", "B v2", "B v3"}, 1, []int{0, 1, 2}},
+		"deaf, its version too":   {[]string{"A v1", "B v2", "B v3", "B v1"}, 1, []int{0, 1, 2}},
+		"deaf, asked first":       {[]string{"A v1", "B v2", "B v3", "B v2", "B v3"}, 1, []int{1, 0, 1, 2}},
+		"in touch":                {[]string{"A v1", "B v2", "B v3", "B v2", "B v3"}, -1, []int{0, 1, 2}},
+		"in touch, asked by many": {[]string{"A v1", "B v2", "B v3", "B v2", "B v3"}, -1, []int{2, 1, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet := newMovableFleet(t, 3, c.targets...)
+			for _, f := range fleet {
+				f.await(func() bool {
+					f.edge.mu.Lock()
+					defer f.edge.mu.Unlock()
+					return f.edge.members.LiveCount(time.Now()) == 2
+				})
+				f.setTable(movedTable(2, leadsTo("A")))
+			}
+			played := make([]playedStream, 12)
+			for i := range played {
+				played[i].read(fleet[0], 2)
+			}
+			time.Sleep(300 * time.Millisecond) // all know where they began
+			if c.deaf >= 0 {
+				fleet[c.deaf].deaf.Store(true)
+			}
+			for _, f := range fleet {
+				f.setTable(movedTable(3, leadsTo("B")))
+			}
+			if len(c.targets) == 4 {
+				fleet[0].source.sendChange(TargetChange{ID: "t3", Removed: true, Revision: Revision{Number: 9}})
+				fleet[0].await(func() bool { return fleet[0].logs.contains("target_gone", "t3") })
+			}
+			for _, router := range c.order {
+				slices.Reverse(played)
+				for i := range played {
+					s, began := &played[i], time.Now()
+					s.read(fleet[router], 2)
+					if s.status != http.StatusOK && (s.status != http.StatusServiceUnavailable || router != c.deaf) {
+						t.Errorf("router %d: %d", router, s.status)
+					}
+					if took := time.Since(began); took > 2*originWait {
+						t.Errorf("router %d took %v", router, took)
+					}
+				}
+			}
+			for _, s := range played {
+				if s.versionsOf("B") > 1 {
+					t.Errorf("of two versions: %q", s.wrote)
+				}
+			}
+		})
+	}
+}
+
+// Guards against ORDER: a stream whose route has come to another service, and may not be resumed any more, goes on there at one version,
+// and when its caller takes it up again, at another one, as nobody recorded it.
+func TestMovedStreamThatMayNotGoOnStaysAtOneVersion(t *testing.T) {
+	t.Parallel()
+	fleet := newMovableFleet(t, 2, "A v1", "B v2", "B v3", "B v2", "B v3")
+	for _, f := range fleet {
+		f.setTable(movedTable(2, leadsTo("A")))
+	}
+	played := make([]playedStream, 12)
+	for i := range played {
+		played[i].read(fleet[0], 2)
+	}
+	for _, f := range fleet {
+		f.setTable(movedTable(3, func(r *routing.Route) { leadsTo("B")(r); r.RetryPolicy = routing.AtMostOnce }))
+	}
+	for step := range 3 {
+		slices.Reverse(played)
+		for i := range played {
+			s := &played[i]
+			if s.read(fleet[step%2], 2); s.status != http.StatusOK {
+				t.Errorf("step %d: %d", step, s.status)
+			}
+		}
+	}
+	for _, s := range played {
+		if s.versionsOf("B") > 1 {
+			t.Errorf("of two versions: %q", s.wrote)
+		}
+	}
+}
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/go-kit/log"
@@ -44,7 +45,10 @@
 	c.stream = streams.IDOf(c.req.Header.Get(e.headers.Resumes))
 	origin, known := e.findOrigin(c.stream, c.route)
 	if known {
-		c.followOrigin(origin)
+		if !c.followOrigin(origin) {
+			c.refuseUnknownOrigin()
+			return false
+		}
 		return true
 	}
 	if !resumable {
@@ -84,21 +88,26 @@
 
 // followOrigin restricts the request to the service and version that began its stream. If the route no longer leads to
 // that service, the stream goes on at one to which it does, and at the same version of that from then on: the one that
-// began it, if it is there.
-func (c *call) followOrigin(origin streams.Origin) {
+// began it, if it is there. It returns false if another router may have gone on with the stream at a version that this one does not know.
+func (c *call) followOrigin(origin streams.Origin) bool {
 	began := origin.Version
 	for range maxMoves {
 		if c.setOrigin(origin) {
-			return
+			return true
 		}
 		c.stream = c.stream.After(origin.Service)
-		next, known := c.edge.findOrigin(c.stream, c.route)
+		next, known, settled := c.edge.findTakeUp(c.stream, c.route)
+		if !settled {
+			level.Info(c.log).Log("event", "stream_take_up_unknown", "stream", uint64(c.stream))
+			return false
+		}
 		if !known {
 			break
 		}
 		origin = next
 	}
 	c.movedVersion, c.demand.Repeated = began, true
+	return true
 }
 
 // setOrigin restricts the request to the targets of a service and version. It returns false if the route does not lead
@@ -227,14 +236,19 @@
 	}
 }
 
-// answerOrigins tells another router where streams began. The caller holds e.mu.
-func (e *Edge) answerOrigins(wanted []uint64) *v1.LoadReport {
-	known := e.origins.Answer(wanted)
-	if len(known) == 0 {
+// answerOrigins tells the router from where streams began that it asks for, and if it asks whether one has gone on elsewhere, that this
+// one does not know. The caller holds e.mu.
+func (e *Edge) answerOrigins(from netip.AddrPort, asking *v1.LoadReport) *v1.LoadReport {
+	known := e.origins.Answer(asking.WantedStreams)
+	asksOne := asking.Question > 0 && len(asking.WantedStreams) == 1
+	if len(known) == 0 && !asksOne {
 		return nil
 	}
 	answer := e.baseReport()
-	answer.StreamOrigins = known
+	answer.StreamOrigins, answer.Question = known, asking.Question
+	if len(known) == 0 {
+		e.answerTakeUp(from, asking.WantedStreams[0], answer)
+	}
 	return answer
 }
 
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -156,11 +156,12 @@
 }
 
 // sendLeaving tells the other routers that this one has stopped, so that they drop its loads at
-// once rather than after peerTimeout.
+// once rather than after peerTimeout, and what it has not told them yet of the origins of streams.
 func (e *Edge) sendLeaving() {
 	e.mu.Lock()
 	recipients := e.members.Recipients(time.Now())
 	report := e.baseReport()
+	e.origins.FillReport(time.Now(), report)
 	e.mu.Unlock()
 	report.Leaving = true
 	e.sendReport(report, recipients)
@@ -216,6 +217,7 @@
 	e.mergeStoreReading(now, report)
 	if report.Leaving {
 		e.balancer.RemoveRouter(report.Router)
+		e.origins.MergeReport(now, report)
 		level.Info(e.logger).Log("event", "peer_left", "peer", report.Router)
 		return
 	}
@@ -225,7 +227,8 @@
 	e.numberings.mergeReport(report)
 	e.mergeEvacuations(now, report)
 	e.wakeOriginWaiters(report)
-	if answer := e.answerOrigins(report.WantedStreams); answer != nil {
+	e.noteTakeUps(now, from, report)
+	if answer := e.answerOrigins(from, report); answer != nil {
 		e.send(answer, from)
 	}
 	e.compareWithPeer(report)
--- /dev/null
+++ b/edge/take_up.go
@@ -0,0 +1,160 @@
+package edge
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
+	"github.com/chiveseam/chiveseam/routing"
+	"github.com/chiveseam/chiveseam/streams"
+)
+
+const (
+	// takeUpInterval is the time after which routers that have not answered are asked again.
+	takeUpInterval = originWait / takeUpTries
+	// takeUpTries is the number of times that they are asked.
+	takeUpTries = 4
+	// maxAskedBy limits the routers in an answer, so that it fits into a datagram.
+	maxAskedBy = 100
+)
+
+// takeUpQuestion asks the other routers whether one of them has gone on with a stream at a service to which its route has come. That
+// none has is not concluded from silence, as reports may be lost or this router cut off: more than half of all routers must say so, and
+// each one that has asked before. The Edge's mu guards it.
+type takeUpQuestion struct {
+	stream streams.ID
+	// needed is the number of other routers that must answer, and answered holds those that have: none of them knows the stream.
+	needed   int
+	answered map[netip.AddrPort]bool
+	// askers holds the routers that must answer, since they have asked for the stream before.
+	askers map[netip.AddrPort]bool
+	// done is closed when the answer is known, or after originWait.
+	done chan struct{}
+}
+
+// settled reports whether no other router has gone on with the stream.
+func (q *takeUpQuestion) settled() bool {
+	for router := range q.askers {
+		if !q.answered[router] {
+			return false
+		}
+	}
+	return len(q.answered) >= q.needed
+}
+
+// findTakeUp returns where a stream goes on whose route has left the service of its origin, and whether that is known. settled is
+// false if it is not, another router may know, and the services of the route may have had several versions.
+func (e *Edge) findTakeUp(id streams.ID, route *routing.Route) (origin streams.Origin, known, settled bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if origin, known = e.origins.Lookup(id); known || !e.mayHaveSeveralVersions(route) {
+		return origin, known, true
+	}
+	if len(e.takeUps) >= maxQuestions(route) {
+		return streams.Origin{}, false, false
+	}
+	q := e.askForTakeUp(id)
+	e.mu.Unlock()
+	<-q.done
+	e.mu.Lock()
+	origin, known = e.origins.Lookup(id)
+	return origin, known, known || q.settled()
+}
+
+// askForTakeUp asks for a stream. Each request asks anew, as the stream may have gone on since an earlier question. The caller holds
+// e.mu.
+func (e *Edge) askForTakeUp(id streams.ID) *takeUpQuestion {
+	e.takeUpCount++
+	routers := max(e.members.PeakRouters(), len(e.members.Running())+1)
+	q := &takeUpQuestion{
+		stream: id, needed: routers / 2, answered: make(map[netip.AddrPort]bool), askers: make(map[netip.AddrPort]bool), done: make(chan struct{}),
+	}
+	for _, router := range e.takeUpAskers.Of(id, netip.AddrPort{}) {
+		q.askers[router] = true
+	}
+	level.Info(e.logger).Log("event", "stream_take_up_asked", "stream", uint64(id), "routers", routers, "asked_before", len(q.askers))
+	e.takeUps[e.takeUpCount] = q
+	if q.settled() {
+		e.endTakeUpQuestion(e.takeUpCount)
+	} else {
+		e.sendTakeUpQuestion(e.takeUpCount, takeUpTries)
+	}
+	return q
+}
+
+// sendTakeUpQuestion asks the routers that have not answered a question, some times, and then withdraws it. The caller holds e.mu.
+func (e *Edge) sendTakeUpQuestion(number uint64, tries int) {
+	q, ok := e.takeUps[number]
+	if !ok {
+		return
+	}
+	question := e.baseReport()
+	if tries > 0 {
+		question.Question, question.WantedStreams = number, []uint64{uint64(q.stream)}
+	} else {
+		question.WithdrawnQuestion, question.UnknownStreams = number, []uint64{uint64(q.stream)}
+	}
+	for _, router := range e.members.Running() {
+		if tries == 0 || !q.answered[router] {
+			e.send(question, router)
+		}
+	}
+	if tries == 0 {
+		e.endTakeUpQuestion(number)
+		return
+	}
+	time.AfterFunc(takeUpInterval, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.sendTakeUpQuestion(number, tries-1)
+	})
+}
+
+// endTakeUpQuestion continues the request that waits for the answers to a question. The caller holds e.mu.
+func (e *Edge) endTakeUpQuestion(number uint64) {
+	close(e.takeUps[number].done)
+	delete(e.takeUps, number)
+}
+
+// noteTakeUps applies what the router from asks for or withdraws, or answers to a question of this one. The caller holds e.mu.
+func (e *Edge) noteTakeUps(now time.Time, from netip.AddrPort, report *v1.LoadReport) {
+	if report.Question > 0 && len(report.WantedStreams) == 1 {
+		e.takeUpAskers.Ask(now, streams.ID(report.WantedStreams[0]), from, report.Question)
+		return
+	}
+	if report.WithdrawnQuestion > 0 && len(report.UnknownStreams) == 1 {
+		e.takeUpAskers.Withdraw(streams.ID(report.UnknownStreams[0]), from, report.WithdrawnQuestion)
+		return
+	}
+	q, ok := e.takeUps[report.Question]
+	if !ok {
+		return
+	}
+	for _, text := range report.AskedBy {
+		if asker, err := netip.ParseAddrPort(text); err == nil && text != e.settings.Peer {
+			q.askers[asker] = true
+		}
+	}
+	if slices.Contains(report.UnknownStreams, uint64(q.stream)) {
+		q.answered[from] = true
+	}
+	if _, known := e.origins.Lookup(q.stream); known || q.settled() {
+		e.endTakeUpQuestion(report.Question)
+	}
+}
+
+// answerTakeUp tells the router from, which has asked for a stream that this one does not know, which others have asked for it. The
+// caller holds e.mu.
+func (e *Edge) answerTakeUp(from netip.AddrPort, stream uint64, answer *v1.LoadReport) {
+	askers := e.takeUpAskers.Of(streams.ID(stream), from)
+	if len(askers) > maxAskedBy {
+		return
+	}
+	answer.UnknownStreams = []uint64{stream}
+	for _, router := range askers {
+		answer.AskedBy = append(answer.AskedBy, router.String())
+	}
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -87,6 +87,8 @@
 	// forwards reports.
 	zone     string
 	forwards bool
+	// left is set if the member has said that it leaves, and not reported since.
+	left bool
 }
 
 // New returns an empty list for the router with address self in an availability zone, which started at a
@@ -137,14 +139,17 @@
 		}
 	}
 	if r.Leaving {
-		if known, ok := m.members[address]; ok && now.Sub(known.lastHeard) <= m.timeout {
-			known.lastHeard, known.lastTried = now.Add(-m.timeout-1), now
+		if known, ok := m.members[address]; ok {
+			known.left = true
+			if now.Sub(known.lastHeard) <= m.timeout {
+				known.lastHeard, known.lastTried = now.Add(-m.timeout-1), now
+			}
 		}
 		return Heard{}
 	}
 	known := m.addMember(now, address)
 	heard := Heard{Joined: now.Sub(known.lastHeard) > m.timeout}
-	known.lastHeard = now
+	known.lastHeard, known.left = now, false
 	known.zone, known.forwards, known.informed = r.Zone, r.Forwards, r.Informed
 	missed := known.statements.missed
 	heard.CaughtUp = known.statements.handle(r)
@@ -183,6 +188,18 @@
 	return n
 }
 
+// Running returns the addresses of the routers that may be running: all that have sent a report and have not said that they leave,
+// silent ones too.
+func (m *Members) Running() []netip.AddrPort {
+	var list []netip.AddrPort
+	for address, known := range m.members {
+		if !known.lastHeard.IsZero() && !known.left {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 // LastHeard returns when the latest report of another router came; zero if none has.
 func (m *Members) LastHeard() time.Time {
 	var last time.Time
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -175,6 +175,21 @@
 	is.Equal(w.members[0].Part(), 0.5)
 }
 
+// A silent router may be running, one that has left is not, and one that was never heard is none.
+func TestSilentRoutersMayBeRunning(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(4, 4)
+	w.stopped[3] = true
+	w.run(2 * time.Second)
+	w.stopped[1], w.stopped[2] = true, true
+	w.members[0].HandleReport(w.now, address(2), &v1.LoadReport{Leaving: true})
+	w.run(timeout + time.Second)
+	is.Equal(w.members[0].Running(), []netip.AddrPort{address(1)})
+	w.stopped[2] = false
+	w.run(2 * time.Second)
+	is.Equal(len(w.members[0].Running()), 2)
+}
+
 // TestPartitionedRoutersFindEachOtherAgain guards against a fleet that stays split after
 // a network partition: members that became silent must be tried again, also if all seeds
 // are on one side and the partition lasted longer than the timeout.
