--- a/edge/take_up.go
+++ b/edge/take_up.go
@@ -45,23 +45,39 @@
 	return len(q.answered) >= q.needed
 }
 
-// findTakeUp returns where a stream goes on whose route has left the service of its origin, and whether that is known. settled is
-// false if it is not, another router may know, and the services of the route may have had several versions.
-func (e *Edge) findTakeUp(id streams.ID, route *routing.Route) (origin streams.Origin, known, settled bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if origin, known = e.origins.Lookup(id); known || !e.mayHaveSeveralVersions(route) {
-		return origin, known, true
+// findTakeUp returns where a stream goes on whose route has left the service of its origin, as far as that is known: at any version if
+// the services of the route have had one each, or if no other router has gone on with it.
+func (e *Edge) findTakeUp(id streams.ID, route *routing.Route) (streams.Origin, foundOrigin) {
+	if origin, known := e.lookupOrigin(id); known {
+		return origin, originKnown
+	}
+	if e.hasOneVersion(route) {
+		return streams.Origin{}, onlyOneVersion
 	}
-	if len(e.takeUps) >= maxQuestions(route) {
-		return streams.Origin{}, false, false
+	settled := e.isNotTakenUp(id, maxQuestions(route))
+	if origin, known := e.lookupOrigin(id); known {
+		return origin, originKnown
+	}
+	if settled {
+		return streams.Origin{}, notTakenUp
+	}
+	return streams.Origin{}, originAmbiguous
+}
+
+// isNotTakenUp reports whether no other router has gone on with a stream, or false if that is not known in time or if limit questions
+// wait for answers.
+func (e *Edge) isNotTakenUp(id streams.ID, limit int) bool {
+	e.mu.Lock()
+	if len(e.takeUps) >= limit {
+		e.mu.Unlock()
+		return false
 	}
 	q := e.askForTakeUp(id)
 	e.mu.Unlock()
 	<-q.done
 	e.mu.Lock()
-	origin, known = e.origins.Lookup(id)
-	return origin, known, known || q.settled()
+	defer e.mu.Unlock()
+	return q.settled()
 }
 
 // askForTakeUp asks for a stream. Each request asks anew, as the stream may have gone on since an earlier question. The caller holds
