edge: record where a moved stream goes on, also if its route may not be resumed

What callers saw: streams of a route that came to another service and could no longer be resumed held events of two software versions of that service (ORDER), at routers in touch, too.

Cause: that nobody had recorded where such a stream goes on was taken for "it has not gone on". Origins were recorded for routes that may be resumed only, and the process at the other end was not asked for its start.

Evidence: TestMovedStreamThatMayNotGoOnStaysAtOneVersion on: 12 of 12 streams of two versions, such as "A v1" "A v1" "B v2" "B v2" "B v3" "B v3" "B v2" "B v2".

Change: the first events of a stream at another service record its version there, whatever the route's policy, and the process there is checked.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -139,7 +139,7 @@
 		}
 		return notSent
 	}
-	if a.call.route.RetryPolicy == routing.Resumable || a.call.demand.Version != 0 {
+	if c := a.call; c.route.RetryPolicy == routing.Resumable || c.demand.Version != 0 || c.movedVersion != 0 {
 		if a.err = a.checkProcess(u); a.err != nil {
 			u.abandon()
 			if ctx.Err() != nil {
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -191,10 +191,14 @@
 	}
 }
 
-// recordEvents records how far the caller of a resumable stream will have received it.
+// recordEvents records how far the caller of a resumable stream will have received it, and where a stream goes on whose route has come
+// to another service.
 func (a *attempt) recordEvents() {
 	c := a.call
 	if c.route.RetryPolicy != routing.Resumable {
+		if c.movedVersion != 0 {
+			a.recordOrigin()
+		}
 		return
 	}
 	if a.events.lastID != "" {
