soak: faults on datagrams between routers, and new versions beside them

The soak could not find it: it had no faults on datagrams between routers, and no version that first appears while a router does not hear of it.

Each router now takes its own peer port for that of all routers. The network of the soak has a socket at the IP of each other router with that port, forwards the datagrams and replaces the port in the addresses that they name. It loses, delays and repeats them. New kinds of fault: datagrams of a router lost (all, those that come in, those that go out, 85 of 100), late or twice; and with the link to the store a router that is out of step: a cut, after a SIGSTOP of 0.7 s, around a restart, of two routers of a zone, datagrams that do not come in beside a silent store, and lost datagrams beside late answers of the store. The kinds new-version-* put a router out of step while six targets of a new version join and 60 callers begin streams at the others; four of the targets leave with a reset, and callers take the streams up, half of them at the router out of step.

Counts: streams of two versions, and streams taken up in and out of touch. A new check: of 12 or more streams that are taken up at routers in touch while two targets of their version serve, at least half go on.

Each kind of broken promise is still found; the tests of the new parts pass.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -50,6 +50,8 @@
 	random *rand.Rand
 	// routes are the routes from which requests are drawn.
 	routes []route
+	// joins is set for callers that read streams while targets of a new version join.
+	joins bool
 	// requestCount is the number of requests drawn so far.
 	requestCount int
 
@@ -97,7 +99,7 @@
 // connect opens a connection to a router in rotation. It returns false if there is none or the
 // connection fails.
 func (c *caller) connect() bool {
-	r := c.run.pickRouter(c.random, c.avoided())
+	r := c.run.pickRouter(c.random, c.preference())
 	if r == nil {
 		return false
 	}
@@ -110,12 +112,13 @@
 	return true
 }
 
-// avoided returns the router to which a caller does not come back: the one at which its stream broke off.
-func (c *caller) avoided() *router {
-	if c.broken == nil {
-		return nil
+// preference returns which routers the caller prefers for a new connection: another one than that at which its stream broke
+// off. If targets of a new version join, streams begin at routers that are in step.
+func (c *caller) preference() func(*router) bool {
+	outOfStep := c.broken != nil && c.random.Float64() < outOfStepShare
+	return func(r *router) bool {
+		return (c.broken == nil || r != c.router) && (!c.joins || outOfStep == (r.outOfStep.Load() > 0))
 	}
-	return c.router
 }
 
 // exchange sends one request, reads its answer and reports both to the checker.
@@ -192,7 +195,7 @@
 	if c.run.config.generates() && r.route.stream {
 		r.events = 1 + c.random.IntN(maxGeneratedEvents)
 	}
-	if len(c.routes) == len(longRoutes) {
+	if c.joins || c.number >= c.run.config.Callers {
 		r.events = minLongEvents + c.random.IntN(maxLongEvents-minLongEvents)
 		return r
 	}
@@ -208,8 +211,12 @@
 	return r
 }
 
-// drawPrompt draws the parts of a prompt: one part that other requests share, and one of its own.
+// drawPrompt draws the parts of a prompt: one part that other requests share, and one of its own. While targets of a new
+// version join there is only the latter, since targets that have read shared parts are preferred.
 func (c *caller) drawPrompt() string {
+	if c.joins {
+		return fmt.Sprintf("%x:%d", c.random.Uint64(), ownPartTokens)
+	}
 	part := fmt.Sprintf("%x", c.random.IntN(sharedPromptParts))
 	if c.run.promptCrashes.Load() > 0 && c.random.Float64() < crashingShare {
 		part += fmt.Sprintf(":%d,%s", sharedPartTokens, crashingPart)
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -71,6 +71,8 @@
 	// target with the ID.
 	targetNumbers map[string]int
 	startedAt     map[string]time.Time
+	// registered holds the targets that are registered as ready, by ID.
+	registered map[string]registeredTarget
 	// counts holds the counts of Report.Counts.
 	counts map[string]int
 }
@@ -84,6 +86,12 @@
 	target  string
 }
 
+// registeredTarget is a target that is registered as ready, and since when it has been.
+type registeredTarget struct {
+	service, version string
+	since            time.Time
+}
+
 // pause is a time in which a target wants no requests from a router process.
 type pause struct {
 	from, until time.Time
@@ -106,6 +114,7 @@
 		newestServed: make(map[processKey]servedVersion), targetNumbers: make(map[string]int), counts: make(map[string]int),
 		brokenOffAt: make(map[string]time.Time), leavingHeard: make(map[answeredBy]time.Time), pauses: make(map[answeredBy]*pause),
 		limited: make(map[string]*limitedTarget), startedAt: make(map[string]time.Time),
+		registered: make(map[string]registeredTarget),
 	}
 }
 
@@ -225,6 +234,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.drainingSince[target] = time.Now()
+	delete(c.registered, target)
+}
+
+// targetRegistered records that a target is registered as ready, which it may have been before.
+func (c *checker) targetRegistered(target, service, version string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.registered[target]; !ok {
+		c.registered[target] = registeredTarget{service, version, time.Now()}
+	}
+}
+
+// targetEnded records that a target has ended.
+func (c *checker) targetEnded(target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.registered, target)
 }
 
 // targetStarted records the ID of a target that is about to start. What an earlier one with the ID has said of itself
@@ -387,6 +413,7 @@
 	}
 	c.checkVersion(r)
 	c.checkTimeout(r)
+	c.countTakenUp(r)
 }
 
 // countUnframed counts an answer whose last run answered with neither a length nor chunks. "Whole" is what a target
@@ -413,6 +440,7 @@
 func (c *checker) checkRecovery(served, sent int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.checkGoesOn()
 	if sent == 0 || float64(served) < minRecoveredShare*float64(sent) {
 		c.fail(promiseRecovery, "-", "%d of %d requests are served", served, sent)
 	}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -24,6 +24,7 @@
 	promiseVersion       = "the configuration is in force in time and never goes back"
 	promiseNoLoss        = "planned work loses no answer"
 	promiseStreamVersion = "a stream goes on only at the software version that began it"
+	promiseGoesOn        = "streams that are taken up at routers in touch go on"
 	promiseStream        = "streams go on without a gap or a repeat"
 	promiseCancelled     = "a caller that leaves frees its target"
 	promiseTimeout       = "the final answer comes by the route's timeout"
@@ -220,10 +221,68 @@
 		}
 	}
 	if begun.Version != run.Version {
+		c.countMixed(r)
 		c.fail(promiseStreamVersion, r.id, "target %s (%s) goes on with a stream of target %s (%s)", run.Target, run.Version, begun.Target, begun.Version)
 	}
 }
 
+// countMixed counts a stream of two software versions once. c.mu is held.
+func (c *checker) countMixed(r *request) {
+	if stream := r.stream(); !stream.mixed {
+		stream.mixed = true
+		c.counts["streams of two versions"]++
+	}
+}
+
+const (
+	// minServing is the number of targets of a stream's version that must have been registered for registeredTime when it is
+	// taken up, so that it should go on. From minTakenUp of such streams on, minGoesOn of them must.
+	minServing     = 2
+	registeredTime = 500 * time.Millisecond
+	minTakenUp     = 12
+	minGoesOn      = 0.5
+)
+
+// countTakenUp counts a request that takes up a stream that has begun at a router in touch, while targets of its version
+// serve, and whether it goes on if this router is in touch too. c.mu is held.
+func (c *checker) countTakenUp(r *request) {
+	begun := r.stream()
+	if r == begun || begun.version == "" || !c.controlPathFaultFree(begun.router, begun.sentAt, r.endedAt) || c.servingTargets(r) < minServing {
+		return
+	}
+	if !c.controlPathFaultFree(r.router, begun.sentAt, r.endedAt) {
+		c.counts["streams taken up out of touch"]++
+		return
+	}
+	c.counts["streams taken up in touch"]++
+	if r.answer.status == 200 && (r.answer.complete || r.answer.body != "") {
+		c.counts["streams taken up in touch, gone on"]++
+	}
+}
+
+// servingTargets returns the number of targets that serve when a request begins and ends, of the version and service of its
+// stream. c.mu is held.
+func (c *checker) servingTargets(r *request) int {
+	count := 0
+	for id, t := range c.registered {
+		faulty := c.faultDuring(r.sentAt, r.endedAt, func(f Fault) bool {
+			return f.Kind.onTarget() && f.Index == c.targetNumbers[id] && !f.Kind.sound()
+		})
+		if t.service == r.route.service && t.version == r.stream().version && t.since.Add(registeredTime).Before(r.sentAt) && !faulty {
+			count++
+		}
+	}
+	return count
+}
+
+// checkGoesOn checks at the end of a run that enough streams that were taken up went on. c.mu is held.
+func (c *checker) checkGoesOn() {
+	taken, gone := c.counts["streams taken up in touch"], c.counts["streams taken up in touch, gone on"]
+	if taken >= minTakenUp && float64(gone) < minGoesOn*float64(taken) {
+		c.fail(promiseGoesOn, "-", "%d of %d streams go on", gone, taken)
+	}
+}
+
 // checkCancelled checks that a request doesn't start to run long after its caller disconnected.
 // c.mu is held.
 func (c *checker) checkCancelled(r *request, run standin.Run) {
@@ -304,6 +363,7 @@
 			stream.version = version
 		}
 		if stream.version != version {
+			c.countMixed(r)
 			c.fail(promiseStreamVersion, r.id, "event %d is of version %s, the first one of %s", last, version, stream.version)
 		}
 	}
--- a/internal/soak/generated.go
+++ b/internal/soak/generated.go
@@ -87,6 +87,7 @@
 			if err := standin.CheckEvent(event, version, r.id, last); err != nil {
 				c.failGenerated(r, promiseStream, "event %d, lone CR %t: %v: %.200q", last, loneCR, err, event)
 			} else if version != stream.version {
+				c.countMixed(r)
 				c.failGenerated(r, promiseStreamVersion, "event %d is of version %s, the first one of %s", last, version, stream.version)
 			}
 		}
--- a/internal/soak/relay.go
+++ b/internal/soak/relay.go
@@ -22,10 +22,13 @@
 	holdAnswers
 	// holdAll holds the bytes of both directions. New connections are still accepted.
 	holdAll
+	// lateAnswers holds each chunk of bytes that the server sends for lateAnswerDelay.
+	lateAnswers
 )
 
 const (
-	relayDelay = 150 * time.Millisecond
+	relayDelay      = 150 * time.Millisecond
+	lateAnswerDelay = 900 * time.Millisecond
 	// pollInterval is how often a relay that holds bytes checks whether its mode has changed.
 	// Other waits of the soak poll at the same interval.
 	pollInterval     = 10 * time.Millisecond
@@ -237,11 +240,14 @@
 	conn.Close()
 }
 
-// waitWhileHeld delays one chunk of bytes as the mode says: once by relayDelay, or for as long
+// waitWhileHeld delays one chunk of bytes as the mode says: once by relayDelay or lateAnswerDelay, or for as long
 // as the mode holds this direction.
 func (r *relay) waitWhileHeld(fromServer bool) {
-	if r.currentMode() == delay {
+	switch m := r.currentMode(); {
+	case m == delay:
 		time.Sleep(relayDelay)
+	case m == lateAnswers && fromServer:
+		time.Sleep(lateAnswerDelay)
 	}
 	for {
 		m := r.currentMode()
--- a/internal/soak/request.go
+++ b/internal/soak/request.go
@@ -43,6 +43,12 @@
 	{name: "digest", path: "/digest/", service: streamService, stream: true, nonIdempotent: true, timeout: 10 * time.Second, maxAttempts: 1},
 }
 
+// joinRoutes are the routes of streams that callers read while targets of a new version join, and which break off when
+// their targets do.
+var joinRoutes = []route{
+	{name: "note", path: "/note/", service: streamService, stream: true, resumable: true, persistent: true, timeout: 10 * time.Second, maxAttempts: 1},
+}
+
 // plainService is the service of the targets with odd numbers. streamService is that of the
 // targets with even numbers, which stand in for model engines.
 const (
@@ -90,6 +96,8 @@
 	// of them, and spoiled once its caller holds what breaks a promise.
 	tries          []*request
 	drawn, spoiled bool
+	// mixed is set once the stream has gone on at another software version.
+	mixed bool
 	// fullAnswerSent is set once a target has sent a complete answer.
 	fullAnswerSent bool
 	// unframedSent is set if the last complete answer of a target had neither a length nor chunks.
--- a/internal/soak/router.go
+++ b/internal/soak/router.go
@@ -30,6 +30,7 @@
 	memoryMB    int
 	callerRelay *relay
 	storeRelay  *relay
+	network     *reportNetwork
 	checker     *checker
 	// client asks the ready endpoint.
 	client *http.Client
@@ -48,14 +49,16 @@
 	incarnation atomic.Int64
 	// inRotation is set while callers may open new connections to the router.
 	inRotation atomic.Bool
-	closed     bool
+	// outOfStep is the number of faults of the router's links.
+	outOfStep atomic.Int32
+	closed    bool
 }
 
 // newRouter starts the relays of a router and writes its settings file. store is the IP:port of
 // the store.
-func newRouter(number int, c Config, store string, checker *checker) (*router, error) {
+func newRouter(number int, c Config, store string, network *reportNetwork, checker *checker) (*router, error) {
 	r := &router{
-		number: number, program: c.Program, dir: c.Dir, memoryMB: c.MemoryMB, checker: checker,
+		number: number, program: c.Program, dir: c.Dir, memoryMB: c.MemoryMB, network: network, checker: checker,
 		client: &http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	var err error
@@ -75,8 +78,8 @@
 
 func (r *router) writeSettings() error {
 	text := fmt.Sprintf("name = r%d\nzone = z%d\nlisten = %s\nready = %s\npeer = %s\nseeds = %s\nstore = %s\ngrace = %s\n",
-		r.number, r.number%zones, r.address(listenPort), r.address(readyPort), r.address(peerPort),
-		loopback(1, peerPort), r.storeRelay.address(), stopGrace)
+		r.number, r.number%zones, r.address(listenPort), r.address(readyPort), r.address(peerPort(r.number)),
+		loopback(1, peerPort(r.number)), r.storeRelay.address(), stopGrace)
 	text += fmt.Sprintf("memory-mb = %d\nmax-open-files = 4100\n", r.memoryMB)
 	return os.WriteFile(r.settingsPath(), []byte(text), 0o600)
 }
@@ -244,7 +247,6 @@
 const (
 	listenPort = 8001
 	readyPort  = 8002
-	peerPort   = 8003
 	targetPort = 20000
 )
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -99,7 +99,7 @@
 )
 
 // Kinds lists all kinds of fault. New ones come last: the schedule that a seed draws depends on the list.
-var Kinds = []Kind{
+var Kinds = slices.Concat([]Kind{
 	KillRouter, PauseRouter, StopRouter, ReloadRouter, DelayCallers, ResetCallers, CutAnswers, StoreLinkSilence, StoreLinkReset,
 	StoreDown, StoreSilent, StoreCompact, StoreRestore, Publish, PromptCrash,
 	TargetCrash, TargetDrain, TargetFull, TargetSlow, TargetTruncate, TargetOtherRequestID, TargetFail, TargetDelay, TargetReset,
@@ -109,7 +109,9 @@
 	TargetUnframedDark, TargetUnframedMute, TargetUnframedRestart,
 	TargetEventTwice, TargetEventLower, TargetEventMissing, TargetBrokenSecond, TargetBrokenFilled, TargetBodyFilled,
 	TargetGenerated, TargetGeneratedSound,
-}
+	ReportsSilent, ReportsInSilent, ReportsOutSilent, ReportsLost, ReportsDelay, ReportsTwice,
+	RouterCut, RouterCutPause, RouterCutRestart, RouterCutIn, RouterLate, RouterLossyLate, RoutersCut,
+}, newVersionKinds())
 
 // endlessKinds are the kinds that an EndlessAnswers stands for.
 var endlessKinds = []Kind{
@@ -152,6 +154,8 @@
 	Version int
 	// Share is the fraction of drawn answers with a fault.
 	Share float64
+	// Break is the time after which targets of a new version leave.
+	Break time.Duration
 }
 
 // disturbsAt returns when the fault may first keep a request from being served, counted from the start of the
@@ -166,7 +170,11 @@
 
 // String returns the fault as one line of a report.
 func (f Fault) String() string {
-	return fmt.Sprintf("%6.2f s  %-20s on %d for %.2f s", f.At.Seconds(), f.Kind, f.Index, f.Duration.Seconds())
+	text := fmt.Sprintf("%6.2f s  %-20s on %d for %.2f s", f.At.Seconds(), f.Kind, f.Index, f.Duration.Seconds())
+	if f.Break > 0 {
+		text += fmt.Sprintf(", breaks after %.2f s", f.Break.Seconds())
+	}
+	return text
 }
 
 const (
@@ -200,16 +208,22 @@
 		interval = c.Interval
 	}
 	var faults []Fault
-	at := time.Duration(0)
+	at, nextVersionAt := time.Duration(0), time.Duration(0)
 	for {
 		at += time.Duration(random.ExpFloat64() * float64(interval))
 		if at > c.Length-minDuration {
 			break
 		}
 		f := Fault{Kind: kinds[random.IntN(len(kinds))], At: at}
+		if f.Kind.bringsVersion() {
+			if at < nextVersionAt {
+				continue
+			}
+			nextVersionAt = at + newVersionGap
+		}
 		f.Duration = min(minDuration+time.Duration(random.ExpFloat64()*float64(maxDuration/4)), maxDuration, c.Length-at)
 		faults = append(faults, drawTargets(random, f, c)...)
-		if random.Float64() < repeatShare {
+		if random.Float64() < repeatShare && !f.Kind.bringsVersion() {
 			f.At += time.Duration(random.Float64() * float64(minDuration))
 			faults = append(faults, drawTargets(random, f, c)...)
 		}
@@ -254,6 +268,12 @@
 		f.Kind, kill.Kind, kill.Index = Publish, KillRouter, random.IntN(c.Routers)
 		kill.At += time.Duration(random.Float64() * float64(maxKillDelay))
 		return []Fault{f, kill}
+	case f.Kind == RoutersCut:
+		f.Kind = RouterCut
+		routers := inZone(random.IntN(zones), c.Routers)
+		return spread(f, routers[:min(2, len(routers))])
+	case f.Kind.bringsVersion():
+		return drawNewVersion(random, f, c)
 	case f.Kind.generated():
 		return drawGenerated(random, f, c)
 	case f.Kind.onRouter():
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -137,13 +137,19 @@
 	config  Config
 	checker *checker
 	store   *standin.Store
+	network *reportNetwork
 	routers []*router
 	targets []*targetSite
+	// joiners are the sites of the targets of new versions. joinMu is held while such a version is there.
+	joiners []*targetSite
+	joinMu  sync.Mutex
 	// done is closed to end the callers and the checks of the routers' readiness.
 	done chan struct{}
 	// faults counts the faults being injected, and callers the callers that run.
 	faults  sync.WaitGroup
 	callers sync.WaitGroup
+	// callerCount is the number of callers that have been created.
+	callerCount atomic.Int64
 	// promptCrashes is the number of faults during which callers send prompts that crash targets.
 	promptCrashes atomic.Int32
 	// publishMu is held while a configuration version is published, so that versions are
@@ -207,10 +213,24 @@
 			return err
 		}
 		r.targets = append(r.targets, t)
+		if err := t.start(); err != nil {
+			return err
+		}
+		go t.heartbeat(r.done)
+	}
+	for i := range joinCount {
+		t, err := newTargetSite(2*r.config.Targets+i, r)
+		if err != nil {
+			return err
+		}
+		r.joiners = append(r.joiners, t)
 		go t.heartbeat(r.done)
 	}
+	if r.network, err = newReportNetwork(r.config.Routers, r.config.Seed); err != nil {
+		return err
+	}
 	for i := range r.config.Routers {
-		router, err := newRouter(i, r.config, l.Addr().String(), r.checker)
+		router, err := newRouter(i, r.config, l.Addr().String(), r.network, r.checker)
 		if err != nil {
 			return err
 		}
@@ -241,7 +261,7 @@
 
 func (r *run) startCallers() {
 	for i := range r.config.Callers + r.config.StreamCallers {
-		c := &caller{run: r, number: i, random: rand.New(rand.NewPCG(r.config.Seed, uint64(i)+1)), routes: routes}
+		c := r.newCaller(routes)
 		if i >= r.config.Callers {
 			c.routes = longRoutes
 		}
@@ -249,13 +269,19 @@
 	}
 }
 
-// pickRouter draws a router in rotation for a new connection, another one than avoided if there is one. It returns nil
+// newCaller returns a caller that draws its requests from the given routes.
+func (r *run) newCaller(routes []route) *caller {
+	number := int(r.callerCount.Add(1)) - 1
+	return &caller{run: r, number: number, random: rand.New(rand.NewPCG(r.config.Seed, uint64(number)+1)), routes: routes}
+}
+
+// pickRouter draws a router in rotation for a new connection, a preferred one if there is one. It returns nil
 // if there is none.
-func (r *run) pickRouter(random *rand.Rand, avoided *router) *router {
+func (r *run) pickRouter(random *rand.Rand, prefers func(*router) bool) *router {
 	var picked *router
 	for _, i := range random.Perm(len(r.routers)) {
 		if r.routers[i].inRotation.Load() {
-			if picked = r.routers[i]; picked != avoided {
+			if picked = r.routers[i]; prefers(picked) {
 				break
 			}
 		}
@@ -332,6 +358,8 @@
 		return r.injectRouter(f, r.routers[f.Index])
 	case f.Kind.onTarget():
 		return r.targets[f.Index].inject(f)
+	case f.Kind == NewVersion:
+		return r.joinVersion(f)
 	case f.Kind == Publish:
 		return r.publish()
 	case f.Kind == StoreCompact:
@@ -373,7 +401,7 @@
 	err := r.store.PutConfiguration(configuration(r.checker.latestVersion()))
 	r.publishMu.Unlock()
 	running := make(map[string]bool)
-	for _, site := range r.targets {
+	for _, site := range slices.Concat(r.targets, r.joiners) {
 		if target := site.current(); target != nil {
 			running[target.ID] = true
 		}
@@ -407,14 +435,14 @@
 		setModeFor(router.callerRelay, holdAnswers, f.Duration)
 	case ResetCallers:
 		router.callerRelay.reset()
-	case StoreLinkSilence:
-		setModeFor(router.storeRelay, holdAll, f.Duration)
 	case StoreLinkReset:
 		router.storeRelay.reset()
 	case StoreLinkRefuse:
 		return router.storeRelay.refuseFor(f.Duration)
 	case SlowRouter:
 		router.slowDown(f.Duration)
+	default:
+		return router.injectLinks(linkFaults[f.Kind], f.Duration)
 	}
 	return nil
 }
@@ -432,10 +460,13 @@
 	for _, router := range r.routers {
 		router.close()
 	}
-	for _, t := range r.targets {
+	for _, t := range slices.Concat(r.targets, r.joiners) {
 		t.close()
 	}
 	r.callers.Wait()
+	if r.network != nil {
+		r.network.close()
+	}
 	if r.server != nil {
 		r.server.Close()
 	}
@@ -501,7 +532,7 @@
 		Version: version, APIKeys: make(map[string]string), Services: []string{plainService},
 		Engines: map[string]int{streamService: engineSlots},
 	}
-	for _, r := range append(slices.Concat(routes, longRoutes), versionRoute) {
+	for _, r := range append(slices.Concat(routes, longRoutes, joinRoutes), versionRoute) {
 		c.Routes = append(c.Routes, standin.Route{
 			Name: r.name, Host: host, Prefix: r.path, Service: r.service, NonIdempotent: r.nonIdempotent, Stream: r.stream,
 			Resumable: r.resumable, Timeout: r.timeout, LatencyObjective: r.timeout / 2, MaxAttempts: r.maxAttempts,
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -195,6 +195,10 @@
 		}},
 		{promiseCancelled, idempotentRoute, func(s *scenario) { s.request.disconnectedAt = time.Now().Add(-2 * time.Second) }},
 		{promiseMemory, idempotentRoute, func(s *scenario) { s.checker.memoryUsed(0, defaultMemoryMB+1, defaultMemoryMB) }},
+		{promiseGoesOn, idempotentRoute, func(s *scenario) {
+			s.checker.counts["streams taken up in touch"], s.checker.counts["streams taken up in touch, gone on"] = minTakenUp, minTakenUp/2-1
+			s.checker.checkRecovery(1, 1)
+		}},
 		{promiseRecovery, idempotentRoute, func(s *scenario) { s.checker.checkRecovery(1, 2) }},
 	} {
 		is := is.New(t)
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -43,13 +43,13 @@
 	closed bool
 }
 
-// newTargetSite starts the relay and the first target of a site.
+// newTargetSite starts the relays of a site. Sites beyond the targets of the configuration are those of new versions.
 func newTargetSite(number int, r *run) (*targetSite, error) {
 	s := &targetSite{number: number, run: r, service: plainService, softwareVersion: 1}
 	if !r.config.OneVersion {
 		s.softwareVersion += (number / 2) % 2
 	}
-	if number%2 == 0 {
+	if number%2 == 0 || number >= r.config.Targets {
 		s.service = streamService
 	}
 	var err error
@@ -59,13 +59,17 @@
 	if s.spare, err = newRelay(targetAddress(number + r.config.Targets)); err != nil {
 		return nil, err
 	}
-	return s, s.start()
+	return s, nil
 }
 
-// start starts a target, unless the site is closed: of the other software version, unless all have one.
+// start starts a target, unless the site is closed: of the other software version, unless all have one. At the sites of new
+// versions none starts in the place of another.
 func (s *targetSite) start() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.number >= s.run.config.Targets {
+		return nil
+	}
 	if s.run.config.OneVersion {
 		return s.startNew(s.softwareVersion)
 	}
@@ -121,6 +125,9 @@
 // register writes the target's registration with the given state to the store. s.mu is held.
 func (s *targetSite) register(state string) error {
 	s.state = state
+	if state == standin.Ready {
+		s.run.checker.targetRegistered(s.target.ID, s.service, s.version())
+	}
 	return s.run.store.PutTarget(standin.Registration{
 		ID: s.target.ID, Service: s.service, Address: s.relay.address(), Zone: fmt.Sprintf("z%d", s.number%zones), Version: s.version(),
 		Slots: targetSlots, State: state, Sequence: uint64(s.registrations), Born: s.born,
@@ -215,6 +222,7 @@
 		return false
 	}
 	s.target = nil
+	s.run.checker.targetEnded(target.ID)
 	return true
 }
 
