edge: refuse streams of unknown origin also if their route could be resumed until lately

What callers saw: a stream that had begun while its route could be resumed went on at another software version after the route no longer could (ORDER, which binds routers in touch or not).

Cause: absence of an origin was taken as proof that the stream never had one, since origins of routes that may not be resumed are recorded nowhere. The stream may have begun before the configuration changed, at a router from which nothing was heard.

Evidence: TestStreamOfUnknownOriginIsRefusedAfterItsRouteChanged on the code before: "200 != 503" with several versions.

Change: a router remembers which routes could be resumed, for as long as a stream of that time may last (streamAges). A stream of unknown origin on such a route is treated as on one that may be resumed: it goes on if the store confirms one version, else it is refused.

Result: the test passes; streams of routes that could not be resumed go on as before. Open: a router without the configuration of that time, since it has started or is behind, does not know it.

--- a/edge/moved_unheard_test.go
+++ b/edge/moved_unheard_test.go
@@ -120,3 +120,32 @@
 		}
 	}
 }
+
+// Guards against ORDER: a stream of unknown origin goes on at any version if its route may not be resumed any more, although it could
+// be when the stream may have begun. It is refused until no such stream can last, unless the service has had one version only.
+func TestStreamOfUnknownOriginIsRefusedAfterItsRouteChanged(t *testing.T) {
+	for name, c := range map[string]struct {
+		targets []string
+		status  int
+	}{
+		"several versions": {[]string{"A v1", "A v2"}, http.StatusServiceUnavailable},
+		"one version":      {[]string{"A v1", "A v1"}, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newMovableFleet(t, 1, c.targets...)[0]
+			once := func(r *routing.Route) { leadsTo("A")(r); r.RetryPolicy = routing.AtMostOnce }
+			f.setTable(movedTable(2, leadsTo("A")))
+			f.setTable(movedTable(3, once))
+			s := playedStream{id: "nobody's", wrote: []string{"A v1"}}
+			s.read(f, 1)
+			f.is.Equal(s.status, c.status)
+			f.setTable(movedTable(4, once)) // changes nothing of that
+			s.read(f, 1)
+			f.is.Equal(s.status, c.status)
+			time.Sleep(testRoutes()[0].Timeout + takeUpMargin + tableDelay + 100*time.Millisecond)
+			s.read(f, 1)
+			f.is.Equal(s.status, http.StatusOK)
+		})
+	}
+}
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -51,12 +51,14 @@
 		}
 		return true
 	}
+	e.mu.Lock()
+	now := time.Now()
+	fields := e.versionKnowledge(now, c.route)
+	resumable = resumable || e.streamAges.mayHaveBeenResumable(now, c.route)
+	e.mu.Unlock()
 	if !resumable {
 		return true
 	}
-	e.mu.Lock()
-	fields := e.versionKnowledge(time.Now(), c.route)
-	e.mu.Unlock()
 	level.Info(log.With(c.log, fields...)).Log("event", "stream_origin_unknown", "stream", uint64(c.stream), "refused", found == originAmbiguous)
 	if found == originAmbiguous {
 		c.refuseUnknownOrigin()
--- a/edge/stream_age.go
+++ b/edge/stream_age.go
@@ -24,11 +24,13 @@
 	return route.Timeout + takeUpMargin
 }
 
-// streamAges knows how old the streams of routes may be, also of those that began when timeouts were longer. It reads
+// streamAges knows how old the streams of routes may be, also of those that began when timeouts were longer, and which could be resumed. It reads
 // no clock and is not safe for concurrent use.
 type streamAges struct {
 	// past holds the ages by which present streams began, if they are above those of the present timeouts.
 	past map[routeKey][]pastAge
+	// resumableUntil is until when streams of routes may last that began while these could be resumed, if they cannot now.
+	resumableUntil map[routeKey]time.Time
 }
 
 type routeKey struct{ host, prefix string }
@@ -52,13 +54,26 @@
 	return age
 }
 
+// mayHaveBeenResumable reports whether a stream of the route that a caller takes up now may have begun while the route could be resumed,
+// as far as this router has had the configuration of that time.
+func (s *streamAges) mayHaveBeenResumable(now time.Time, route *routing.Route) bool {
+	return now.Before(s.resumableUntil[keyOf(route)])
+}
+
 // replaceTable records the ages of streams that began under a table which another one replaces now. old may be nil.
 func (s *streamAges) replaceTable(now time.Time, old, next *routing.Table) {
 	if old == nil {
 		return
 	}
-	past := make(map[routeKey][]pastAge)
+	past, resumableUntil := make(map[routeKey][]pastAge), make(map[routeKey]time.Time)
 	inherit := func(to, from *routing.Route) {
+		until := s.resumableUntil[keyOf(from)]
+		if from.RetryPolicy == routing.Resumable {
+			until = now.Add(s.of(now, from) + tableDelay)
+		}
+		if to.RetryPolicy != routing.Resumable && until.After(now) && until.After(resumableUntil[keyOf(to)]) {
+			resumableUntil[keyOf(to)] = until
+		}
 		ages := slices.Clone(s.past[keyOf(from)])
 		if from.RetryPolicy == routing.Resumable {
 			age := timeoutAge(from)
@@ -81,7 +96,7 @@
 			inherit(to, from)
 		}
 	}
-	s.past = past
+	s.past, s.resumableUntil = past, resumableUntil
 }
 
 // addAge adds an age to a list, which then has none that another one covers.
