edge, streams, exchange: a router that has started since it asked for a moved stream does not settle the question

A router that went on with a stream, was killed before its next report and started again answered that it does not know the stream. That counted as the answer of the router that had asked before, and the stream went on at another version.

--- a/edge/moved_unheard_test.go
+++ b/edge/moved_unheard_test.go
@@ -120,3 +120,31 @@
 		}
 	}
 }
+
+// Guards against ORDER: a router has gone on with a stream whose route has come to another service, is killed before it tells the
+// others, and starts again. It no longer knows the stream, which it or another router then lets go on at another version.
+func TestMovedStreamOfARouterThatStartedAgainIsRefused(t *testing.T) {
+	t.Parallel()
+	fleet := newMovableFleet(t, 3, "A v1")
+	for _, f := range fleet {
+		f.await(func() bool {
+			f.edge.mu.Lock()
+			defer f.edge.mu.Unlock()
+			return f.edge.members.LiveCount(time.Now()) == 2
+		})
+	}
+	const taken, other = 7, 8
+	again := fleet[2]
+	for _, f := range fleet[:2] {
+		f.edge.mu.Lock()
+		earlier := uint64(again.edge.started.Add(-time.Minute).UnixNano())
+		f.edge.takeUpAskers.Ask(time.Now(), taken, netip.MustParseAddrPort(again.peer), earlier-1, earlier)
+		f.edge.mu.Unlock()
+	}
+	for range 2 {
+		for _, f := range []*fixture{again, fleet[1]} {
+			f.is.True(!f.edge.isNotTakenUp(taken, maxOriginQuestions))
+			f.is.True(f.edge.isNotTakenUp(other, maxOriginQuestions))
+		}
+	}
+}
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/go-kit/log"
@@ -257,7 +256,7 @@
 
 // answerOrigins tells the router from where streams began that it asks for, and if it asks whether one has gone on elsewhere, that this
 // one does not know. The caller holds e.mu.
-func (e *Edge) answerOrigins(from netip.AddrPort, asking *v1.LoadReport) *v1.LoadReport {
+func (e *Edge) answerOrigins(asking *v1.LoadReport) *v1.LoadReport {
 	known := e.origins.Answer(asking.WantedStreams)
 	asksOne := asking.Question > 0 && len(asking.WantedStreams) == 1
 	if len(known) == 0 && !asksOne {
@@ -266,7 +265,7 @@
 	answer := e.baseReport()
 	answer.StreamOrigins, answer.Question = known, asking.Question
 	if len(known) == 0 {
-		e.answerTakeUp(from, asking.WantedStreams[0], answer)
+		e.answerTakeUp(asking.WantedStreams[0], answer)
 	}
 	return answer
 }
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -240,7 +240,7 @@
 	e.mergeEvacuations(now, report)
 	e.wakeOriginWaiters(report)
 	e.noteTakeUps(now, from, report)
-	if answer := e.answerOrigins(from, report); answer != nil {
+	if answer := e.answerOrigins(report); answer != nil {
 		e.send(answer, from)
 	}
 	e.compareWithPeer(report)
--- a/edge/take_up.go
+++ b/edge/take_up.go
@@ -26,19 +26,21 @@
 // each one that has asked before. The Edge's mu guards it.
 type takeUpQuestion struct {
 	stream streams.ID
-	// needed is the number of other routers that must answer, and answered holds those that have: none of them knows the stream.
+	// needed is the number of other routers that must answer, and answered holds those that have, with firstQuestion of their starts: none
+	// of them knows the stream.
 	needed   int
-	answered map[netip.AddrPort]bool
-	// askers holds the routers that must answer, since they have asked for the stream before.
-	askers map[netip.AddrPort]bool
+	answered map[netip.AddrPort]uint64
+	// askers holds the routers that must answer, since they have asked for the stream before, with the numbers of their questions.
+	askers map[netip.AddrPort]uint64
 	// done is closed when the answer is known, or after originWait.
 	done chan struct{}
 }
 
 // settled reports whether no other router has gone on with the stream.
 func (q *takeUpQuestion) settled() bool {
-	for router := range q.askers {
-		if !q.answered[router] {
+	for router, number := range q.askers {
+		// One that has started since does not know whether it has gone on.
+		if first, ok := q.answered[router]; !ok || number < first {
 			return false
 		}
 	}
@@ -86,10 +88,7 @@
 	e.takeUpCount++
 	routers := max(e.members.PeakRouters(), len(e.members.Running())+1)
 	q := &takeUpQuestion{
-		stream: id, needed: routers / 2, answered: make(map[netip.AddrPort]bool), askers: make(map[netip.AddrPort]bool), done: make(chan struct{}),
-	}
-	for _, router := range e.takeUpAskers.Of(id, netip.AddrPort{}) {
-		q.askers[router] = true
+		stream: id, needed: routers / 2, answered: make(map[netip.AddrPort]uint64), askers: e.takeUpAskers.Of(id), done: make(chan struct{}),
 	}
 	level.Info(e.logger).Log("event", "stream_take_up_asked", "stream", uint64(id), "routers", routers, "asked_before", len(q.askers))
 	e.takeUps[e.takeUpCount] = q
@@ -114,7 +113,7 @@
 		question.WithdrawnQuestion, question.UnknownStreams = number, []uint64{uint64(q.stream)}
 	}
 	for _, router := range e.members.Running() {
-		if tries == 0 || !q.answered[router] {
+		if _, ok := q.answered[router]; tries == 0 || !ok {
 			e.send(question, router)
 		}
 	}
@@ -135,42 +134,52 @@
 	delete(e.takeUps, number)
 }
 
+// firstQuestion returns a number below those of all questions since the start of the router that sent a report.
+func firstQuestion(report *v1.LoadReport) uint64 {
+	return report.Incarnation * uint64(time.Millisecond)
+}
+
 // noteTakeUps applies what the router from asks for or withdraws, or answers to a question of this one. The caller holds e.mu.
 func (e *Edge) noteTakeUps(now time.Time, from netip.AddrPort, report *v1.LoadReport) {
 	if report.Question > 0 && len(report.WantedStreams) == 1 {
-		e.takeUpAskers.Ask(now, streams.ID(report.WantedStreams[0]), from, report.Question)
+		e.takeUpAskers.Ask(now, streams.ID(report.WantedStreams[0]), from, firstQuestion(report), report.Question)
 		return
 	}
 	if report.WithdrawnQuestion > 0 && len(report.UnknownStreams) == 1 {
-		e.takeUpAskers.Withdraw(streams.ID(report.UnknownStreams[0]), from, report.WithdrawnQuestion)
+		e.takeUpAskers.Withdraw(streams.ID(report.UnknownStreams[0]), from, firstQuestion(report), report.WithdrawnQuestion)
 		return
 	}
 	q, ok := e.takeUps[report.Question]
 	if !ok {
 		return
 	}
-	for _, text := range report.AskedBy {
-		if asker, err := netip.ParseAddrPort(text); err == nil && text != e.settings.Peer {
-			q.askers[asker] = true
+	for i, text := range report.AskedBy[:min(len(report.AskedBy), len(report.AskedQuestions))] {
+		number := report.AskedQuestions[i]
+		asker, err := netip.ParseAddrPort(text)
+		if err != nil || text == e.settings.Peer && number >= uint64(e.started.UnixNano()) {
+			continue
+		}
+		if known, ok := q.askers[asker]; !ok || number < known {
+			q.askers[asker] = number
 		}
 	}
 	if slices.Contains(report.UnknownStreams, uint64(q.stream)) {
-		q.answered[from] = true
+		q.answered[from] = firstQuestion(report)
 	}
 	if _, known := e.origins.Lookup(q.stream); known || q.settled() {
 		e.endTakeUpQuestion(report.Question)
 	}
 }
 
-// answerTakeUp tells the router from, which has asked for a stream that this one does not know, which others have asked for it. The
-// caller holds e.mu.
-func (e *Edge) answerTakeUp(from netip.AddrPort, stream uint64, answer *v1.LoadReport) {
-	askers := e.takeUpAskers.Of(streams.ID(stream), from)
+// answerTakeUp tells a router that has asked for a stream that this one does not know which routers have asked for it. The caller holds
+// e.mu.
+func (e *Edge) answerTakeUp(stream uint64, answer *v1.LoadReport) {
+	askers := e.takeUpAskers.Of(streams.ID(stream))
 	if len(askers) > maxAskedBy {
 		return
 	}
 	answer.UnknownStreams = []uint64{stream}
-	for _, router := range askers {
-		answer.AskedBy = append(answer.AskedBy, router.String())
+	for router, number := range askers {
+		answer.AskedBy, answer.AskedQuestions = append(answer.AskedBy, router.String()), append(answer.AskedQuestions, number)
 	}
 }
