--- a/edge/moved_unheard_test.go
+++ b/edge/moved_unheard_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/routing"
 )
 
@@ -148,3 +149,16 @@
 		}
 	}
 }
+
+// Guards against ORDER: a router that has started within a cut takes the few routers that it hears for most of all, and lets a stream go
+// on that another one has taken up.
+func TestMovedStreamNeedsMostOfTheRoutersEverNamed(t *testing.T) {
+	t.Parallel()
+	fleet := newMovableFleet(t, 2, "A v1")
+	asking, heard := fleet[0].edge, netip.MustParseAddrPort(fleet[1].peer)
+	fleet[0].is.True(asking.isNotTakenUp(7, maxOriginQuestions))
+	asking.mu.Lock()
+	asking.members.HandleReport(time.Now(), heard, &v1.LoadReport{Members: []string{"127.0.0.7:9", "127.0.0.8:9", "127.0.0.9:9"}})
+	asking.mu.Unlock()
+	fleet[0].is.True(!asking.isNotTakenUp(7, maxOriginQuestions))
+}
--- a/edge/take_up.go
+++ b/edge/take_up.go
@@ -86,7 +86,7 @@
 // e.mu.
 func (e *Edge) askForTakeUp(id streams.ID) *takeUpQuestion {
 	e.takeUpCount++
-	routers := max(e.members.PeakRouters(), len(e.members.Running())+1)
+	routers := e.members.Routers()
 	q := &takeUpQuestion{
 		stream: id, needed: routers / 2, answered: make(map[netip.AddrPort]uint64), askers: e.takeUpAskers.Of(id), done: make(chan struct{}),
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -200,6 +200,19 @@
 	return list
 }
 
+// Routers returns the largest number of routers, including this one, that there may be or may have been at a time: those that were live,
+// or all that this one has heard of but for those that have said that they leave. It counts seeds and routers that others have named,
+// which this one may never have heard since it started.
+func (m *Members) Routers() int {
+	n := 0
+	for _, known := range m.members {
+		if !known.left {
+			n++
+		}
+	}
+	return max(m.maxLive, n) + 1
+}
+
 // LastHeard returns when the latest report of another router came; zero if none has.
 func (m *Members) LastHeard() time.Time {
 	var last time.Time
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -190,6 +190,20 @@
 	is.Equal(len(w.members[0].Running()), 2)
 }
 
+// A router that has started lately and hears few others counts all that it was told of, but for those that have left.
+func TestRoutersThatWereNeverHeardCount(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(4, 4)
+	w.stopped[1], w.stopped[2], w.stopped[3] = true, true, true
+	w.run(2 * time.Second)
+	is.Equal(w.members[0].PeakRouters(), 1)
+	is.Equal(w.members[0].Routers(), 4) // with the seeds
+	w.members[0].HandleReport(w.now, address(1), &v1.LoadReport{Members: []string{address(5).String(), address(6).String()}})
+	is.Equal(w.members[0].Routers(), 6)
+	w.members[0].HandleReport(w.now, address(1), &v1.LoadReport{Leaving: true})
+	is.Equal(w.members[0].Routers(), 5)
+}
+
 // TestPartitionedRoutersFindEachOtherAgain guards against a fleet that stays split after
 // a network partition: members that became silent must be tried again, also if all seeds
 // are on one side and the partition lasted longer than the timeout.
