--- a/edge/moved_unheard_test.go
+++ b/edge/moved_unheard_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
 	"github.com/chiveseam/chiveseam/routing"
 )
 
@@ -149,3 +150,44 @@
 		})
 	}
 }
+
+// Guards against ORDER: a router has gone on with a stream whose route has come to another service, is killed before it tells the
+// others, and starts again. It no longer knows the stream, which it or another router then lets go on at another version.
+func TestMovedStreamOfARouterThatStartedAgainIsRefused(t *testing.T) {
+	t.Parallel()
+	fleet := newMovableFleet(t, 3, "A v1")
+	for _, f := range fleet {
+		f.await(func() bool {
+			f.edge.mu.Lock()
+			defer f.edge.mu.Unlock()
+			return f.edge.members.LiveCount(time.Now()) == 2
+		})
+	}
+	const taken, other = 7, 8
+	again := fleet[2]
+	for _, f := range fleet[:2] {
+		f.edge.mu.Lock()
+		earlier := uint64(again.edge.started.Add(-time.Minute).UnixNano())
+		f.edge.takeUpAskers.Ask(time.Now(), taken, netip.MustParseAddrPort(again.peer), earlier-1, earlier)
+		f.edge.mu.Unlock()
+	}
+	for range 2 {
+		for _, f := range []*fixture{again, fleet[1]} {
+			f.is.True(!f.edge.isNotTakenUp(taken, maxOriginQuestions))
+			f.is.True(f.edge.isNotTakenUp(other, maxOriginQuestions))
+		}
+	}
+}
+
+// Guards against ORDER: a router that has started within a cut takes the few routers that it hears for most of all, and lets a stream go
+// on that another one has taken up.
+func TestMovedStreamNeedsMostOfTheRoutersEverNamed(t *testing.T) {
+	t.Parallel()
+	fleet := newMovableFleet(t, 2, "A v1")
+	asking, heard := fleet[0].edge, netip.MustParseAddrPort(fleet[1].peer)
+	fleet[0].is.True(asking.isNotTakenUp(7, maxOriginQuestions))
+	asking.mu.Lock()
+	asking.members.HandleReport(time.Now(), heard, &v1.LoadReport{Members: []string{"127.0.0.7:9", "127.0.0.8:9", "127.0.0.9:9"}})
+	asking.mu.Unlock()
+	fleet[0].is.True(!asking.isNotTakenUp(7, maxOriginQuestions))
+}
