--- a/cmd/chiveseam-soak/main.go
+++ b/cmd/chiveseam-soak/main.go
@@ -41,7 +41,7 @@
 	One     bool                  `long:"one-version" description:"All targets begin with one software version, which only releases and restarts under an ID change."`
 	Memory  int                   `long:"memory-mb" default:"256" description:"Memory of a router's machine in MiB."`
 	Kinds   []soak.Kind           `long:"kind" description:"Kind of fault; may be repeated. All kinds if it is not given."`
-	Sets    []string              `long:"set" description:"Named list of kinds of fault: herd-kills, dark-ends, spoiled or generated. May be repeated, also beside --kind."`
+	Sets    []string              `long:"set" description:"Named list of kinds of fault: herd-kills, dark-ends, spoiled, generated or out-of-step. May be repeated, also beside --kind."`
 	Answers []standin.AnswerFault `long:"answer-fault" description:"Fault of the answers that targets draw from a grammar; may be repeated. All of them if it is not given."`
 	Count   bool                  `long:"count-cases" description:"Go on after a broken promise, and count the cases by promise."`
 	Logs    string                `long:"logs" description:"Directory that keeps the routers' logs."`
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -219,6 +219,7 @@
 	r.sentAt = time.Now()
 	c.requests[r.id] = r
 	r.stream().tries = append(r.stream().tries, r)
+	r.serving = c.servingTargets(r)
 	c.counts["requests"]++
 }
 
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -243,29 +243,36 @@
 	minGoesOn      = 0.5
 )
 
-// countTakenUp counts a request that takes up a stream that has begun at a router in touch, while targets of its version
-// serve, and whether it goes on if this router is in touch too. c.mu is held.
+// countTakenUp counts a stream that has begun at a router in touch when a request first takes it up while targets of its version
+// serve: once out of touch, and once at a router in touch, where the request decides whether the stream goes on. c.mu is held.
 func (c *checker) countTakenUp(r *request) {
 	begun := r.stream()
-	if r == begun || begun.version == "" || !c.controlPathFaultFree(begun.router, begun.sentAt, r.endedAt) || c.servingTargets(r) < minServing {
+	if r == begun || begun.version == "" || r.serving < minServing || !c.controlPathFaultFree(begun.router, begun.sentAt, r.sentAt) {
 		return
 	}
-	if !c.controlPathFaultFree(r.router, begun.sentAt, r.endedAt) {
-		c.counts["streams taken up out of touch"]++
+	if !c.controlPathFaultFree(r.router, begun.sentAt, r.sentAt) {
+		if !begun.takenUpOutside {
+			begun.takenUpOutside = true
+			c.counts["streams taken up out of touch"]++
+		}
+		return
+	}
+	if begun.takenUpInTouch {
 		return
 	}
+	begun.takenUpInTouch = true
 	c.counts["streams taken up in touch"]++
 	if r.answer.status == 200 && (r.answer.complete || r.answer.body != "") {
 		c.counts["streams taken up in touch, gone on"]++
 	}
 }
 
-// servingTargets returns the number of targets that serve when a request begins and ends, of the version and service of its
-// stream. c.mu is held.
+// servingTargets returns the number of targets that serve when a request is sent, of the version and service of its stream. c.mu is
+// held.
 func (c *checker) servingTargets(r *request) int {
 	count := 0
 	for id, t := range c.registered {
-		faulty := c.faultDuring(r.sentAt, r.endedAt, func(f Fault) bool {
+		faulty := c.faultDuring(r.sentAt, r.sentAt, func(f Fault) bool {
 			return f.Kind.onTarget() && f.Index == c.targetNumbers[id] && !f.Kind.sound()
 		})
 		if t.service == r.route.service && t.version == r.stream().version && t.since.Add(registeredTime).Before(r.sentAt) && !faulty {
--- a/internal/soak/outofstep.go
+++ b/internal/soak/outofstep.go
@@ -119,13 +119,15 @@
 	// routers in step know them and callers begin streams. Some of the targets leave between minBreak and maxBreak after they
 	// have joined, the others stayTime after the routers are in step again.
 	joinDelay = 50 * time.Millisecond
-	learnTime = 500 * time.Millisecond
-	minBreak  = 700 * time.Millisecond
+	learnTime = 400 * time.Millisecond
+	minBreak  = 600 * time.Millisecond
 	maxBreak  = 3200 * time.Millisecond
 	stayTime  = 3 * time.Second
+	// firstVersionAt is the earliest time of a new version, when the routers know which versions there have been, and
 	// newVersionGap is the least time between two new versions: a router that knows two versions of a service of late
 	// does not continue streams of unknown origin.
-	newVersionGap = 40 * time.Second
+	firstVersionAt = 3 * time.Second
+	newVersionGap  = 40 * time.Second
 )
 
 // drawNewVersion draws the routers that are out of step, and when targets of the new version join and leave.
--- a/internal/soak/outofstep_test.go
+++ b/internal/soak/outofstep_test.go
@@ -8,6 +8,27 @@
 	"github.com/matryer/is"
 )
 
+// TestStreamsAtARouterOutOfStepKeepTheirVersion guards against streams that go on at another software version at a router which
+// has not yet noticed that it hears neither of the store nor of other routers.
+func TestStreamsAtARouterOutOfStepKeepTheirVersion(t *testing.T) {
+	program := buildRouter(t)
+	for _, kind := range []Kind{RouterCut, RouterLate} {
+		t.Run(string(kind), func(t *testing.T) {
+			c := Config{
+				Program: program, Dir: t.TempDir(), Seed: 58203, Length: 6 * time.Second, Interval: 300 * time.Millisecond,
+				Routers: 6, Targets: 7, Callers: 6, OneVersion: true, Kinds: []Kind{newVersionPrefix + kind}, CountCases: true,
+			}
+			report, err := Run(c, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if report.Violation != nil || report.Counts["streams taken up out of touch"] == 0 || report.Counts["streams taken up in touch"] == 0 {
+				t.Error(report)
+			}
+		})
+	}
+}
+
 // TestStreamsTakenUpInTouchAreCounted checks which requests count as such that should go on.
 func TestStreamsTakenUpInTouchAreCounted(t *testing.T) {
 	second := func(s *scenario) {
@@ -40,6 +61,8 @@
 		c.alter(s)
 		s.report()
 		t.Log(name)
+		again := *s.request // a second request of the same stream does not count
+		s.checker.countTakenUp(&again)
 		is.Equal(s.checker.counts["streams taken up in touch"], c.inTouch)
 		is.Equal(s.checker.counts["streams taken up in touch, gone on"], c.on)
 		is.Equal(s.checker.counts["streams taken up out of touch"], c.outside)
@@ -61,9 +84,9 @@
 		defer conn.Close()
 		conns = append(conns, conn)
 	}
-	receive := func() (string, string) {
+	receive := func(wait time.Duration) (string, string) {
 		buf := make([]byte, 100)
-		is.NoErr(conns[1].SetReadDeadline(time.Now().Add(100 * time.Millisecond)))
+		is.NoErr(conns[1].SetReadDeadline(time.Now().Add(wait)))
 		size, from, err := conns[1].ReadFromUDP(buf)
 		if err != nil {
 			return "", ""
@@ -86,11 +109,11 @@
 		_, err := conns[0].WriteToUDP([]byte("from "+loopback(1, peerPort(0))), n.sockets[0][1].LocalAddr().(*net.UDPAddr))
 		is.NoErr(err)
 		for range c.copies {
-			text, from := receive()
+			text, from := receive(5 * time.Second)
 			is.Equal(text, "from "+loopback(1, peerPort(1))) // the port that the receiver uses for all routers
 			is.Equal(from, loopback(1, peerPort(1)))
 		}
-		text, _ := receive()
+		text, _ := receive(100 * time.Millisecond)
 		is.Equal(text, "")
 		n.setFault(c.router, reportFault{})
 	}
@@ -99,7 +122,7 @@
 // TestNewVersionsComeWhileRoutersAreOutOfStep checks the faults of a schedule with new versions.
 func TestNewVersionsComeWhileRoutersAreOutOfStep(t *testing.T) {
 	is := is.New(t)
-	c := Config{Length: time.Minute, Routers: 6, Targets: 7, Kinds: []Kind{newVersionPrefix + RoutersCut}}
+	c := Config{Length: time.Minute, Interval: 100 * time.Millisecond, Routers: 6, Targets: 7, Kinds: []Kind{newVersionPrefix + RoutersCut}}
 	faults := Schedule(3, c)
 	is.Equal(len(faults), 6) // two routers and a version, twice
 	for i := 0; i < len(faults); i += 3 {
--- a/internal/soak/request.go
+++ b/internal/soak/request.go
@@ -98,6 +98,10 @@
 	drawn, spoiled bool
 	// mixed is set once the stream has gone on at another software version.
 	mixed bool
+	// serving is the number of targets of the stream's version that serve when the request is sent.
+	serving int
+	// takenUpInTouch and takenUpOutside are set once the stream counts as taken up at a router in touch, and at another one.
+	takenUpInTouch, takenUpOutside bool
 	// fullAnswerSent is set once a target has sent a complete answer.
 	fullAnswerSent bool
 	// unframedSent is set if the last complete answer of a target had neither a length nor chunks.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -208,7 +208,7 @@
 		interval = c.Interval
 	}
 	var faults []Fault
-	at, nextVersionAt := time.Duration(0), time.Duration(0)
+	at, nextVersionAt := time.Duration(0), firstVersionAt
 	for {
 		at += time.Duration(random.ExpFloat64() * float64(interval))
 		if at > c.Length-minDuration {
--- a/internal/soak/sets.go
+++ b/internal/soak/sets.go
@@ -5,10 +5,11 @@
 // Sets are named lists of kinds of fault, for runs with the faults that a deployment expects. A kind that stands for
 // several expected faults is listed as often.
 var Sets = map[string][]Kind{
-	"herd-kills": slices.Concat(commonFaults, herdKills),
-	"dark-ends":  slices.Concat(commonFaults, darkEnds),
-	"generated":  slices.Repeat([]Kind{TargetGenerated}, 6),
-	"spoiled":    {TargetEventTwice, TargetEventLower, TargetEventMissing, TargetBrokenSecond, TargetBrokenFilled, TargetBodyFilled},
+	"herd-kills":  slices.Concat(commonFaults, herdKills),
+	"dark-ends":   slices.Concat(commonFaults, darkEnds),
+	"generated":   slices.Repeat([]Kind{TargetGenerated}, 6),
+	"out-of-step": newVersionKinds(),
+	"spoiled":     {TargetEventTwice, TargetEventLower, TargetEventMissing, TargetBrokenSecond, TargetBrokenFilled, TargetBodyFilled},
 }
 
 // commonFaults stand for the faults that all deployments expect. Changes of the load alone have no kind, and callers
