edge: a withdrawal settles the questions about a moved stream that wait for it

The caller of a router that had asked in vain may reach another one before the withdrawal does; that one then refused the stream after 300 ms, though all routers were in touch.

--- a/edge/moved_unheard_test.go
+++ b/edge/moved_unheard_test.go
@@ -162,3 +162,24 @@
 	asking.mu.Unlock()
 	fleet[0].is.True(!asking.isNotTakenUp(7, maxOriginQuestions))
 }
+
+// Guards against LOST: a router has asked for a moved stream in vain, and its caller comes to another one before the withdrawal, which
+// waits in vain for the first one.
+func TestWithdrawalSettlesAQuestionThatWaitsForIt(t *testing.T) {
+	t.Parallel()
+	fleet := newMovableFleet(t, 2, "A v1")
+	e, deaf := fleet[0].edge, netip.MustParseAddrPort("127.0.0.9:9")
+	e.mu.Lock()
+	e.takeUpAskers.Ask(time.Now(), 7, deaf, 4, 5)
+	q := e.askForTakeUp(7)
+	e.mu.Unlock()
+	time.Sleep(takeUpInterval / 2)
+	e.mu.Lock()
+	fleet[0].is.True(!q.settled())
+	e.noteTakeUps(time.Now(), deaf, &v1.LoadReport{WithdrawnQuestion: 5, UnknownStreams: []uint64{7}})
+	e.mu.Unlock()
+	<-q.done
+	e.mu.Lock()
+	fleet[0].is.True(q.settled())
+	e.mu.Unlock()
+}
--- a/edge/take_up.go
+++ b/edge/take_up.go
@@ -146,7 +146,7 @@
 		return
 	}
 	if report.WithdrawnQuestion > 0 && len(report.UnknownStreams) == 1 {
-		e.takeUpAskers.Withdraw(streams.ID(report.UnknownStreams[0]), from, firstQuestion(report), report.WithdrawnQuestion)
+		e.withdrawTakeUp(streams.ID(report.UnknownStreams[0]), from, report)
 		return
 	}
 	q, ok := e.takeUps[report.Question]
@@ -171,6 +171,22 @@
 	}
 }
 
+// withdrawTakeUp records that the router from has not gone on with a stream, also for the questions of this router that wait for its
+// answer. The caller holds e.mu.
+func (e *Edge) withdrawTakeUp(id streams.ID, from netip.AddrPort, report *v1.LoadReport) {
+	first, last := firstQuestion(report), report.WithdrawnQuestion
+	e.takeUpAskers.Withdraw(id, from, first, last)
+	for number, q := range e.takeUps {
+		if asked, ok := q.askers[from]; !ok || q.stream != id || asked < first || asked > last {
+			continue
+		}
+		delete(q.askers, from)
+		if q.settled() {
+			e.endTakeUpQuestion(number)
+		}
+	}
+}
+
 // answerTakeUp tells a router that has asked for a stream that this one does not know which routers have asked for it. The caller holds
 // e.mu.
 func (e *Edge) answerTakeUp(stream uint64, answer *v1.LoadReport) {
