--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -10,6 +10,7 @@
 
 	"github.com/chiveseam/chiveseam/placement"
 	"github.com/chiveseam/chiveseam/routing"
+	"github.com/chiveseam/chiveseam/streams"
 )
 
 const (
@@ -126,25 +127,25 @@
 	}
 	ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), confirmTimeout)
 	defer cancel()
-	err := e.readVersionsUpToNow(ctx)
+	e.mu.Lock()
+	known := e.origins.Coverage()
+	e.mu.Unlock()
+	err := e.readVersionsSince(ctx, known)
 	if err == nil {
 		return nil
 	}
 	level.Info(e.logger).Log("event", "versions_unconfirmed", "error", err)
 	if errors.Is(err, ErrHistoryLost) {
 		e.mu.Lock()
-		e.origins.LoseHistory()
+		e.origins.LoseHistory(known.Until)
 		e.mu.Unlock()
 		e.wakeVersionHistory()
 	}
 	return err
 }
 
-// readVersionsUpToNow is confirmVersions with the calls to the store.
-func (e *Edge) readVersionsUpToNow(ctx context.Context) error {
-	e.mu.Lock()
-	known := e.origins.Coverage()
-	e.mu.Unlock()
+// readVersionsSince is confirmVersions with the calls to the store.
+func (e *Edge) readVersionsSince(ctx context.Context, known streams.Coverage) error {
 	if !known.IsKnown() {
 		return errNotCovered
 	}
--- a/streams/coverage.go
+++ b/streams/coverage.go
@@ -76,8 +76,12 @@
 	}
 }
 
-// LoseHistory records that the store no longer has the changes that follow those which are known.
-func (o *Origins) LoseHistory() { o.coverage = Coverage{} }
+// LoseHistory records that the store no longer has the changes that follow a revision. It has no effect if others are known by now.
+func (o *Origins) LoseHistory(after Revision) {
+	if o.coverage.Until == after {
+		o.coverage = Coverage{}
+	}
+}
 
 // HasGap reports whether versions may have come and gone between what is known and the latest read of all registrations.
 func (o *Origins) HasGap() bool { return !o.Covers(o.lastRead) }
--- a/streams/coverage_test.go
+++ b/streams/coverage_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	v1 "github.com/chiveseam/chiveseam/proto/chiveseam/v1"
@@ -128,7 +129,7 @@
 				r.watched = streams.Revision{}
 			case "confirm":
 				if c := r.origins.Coverage(); c.IsKnown() && c.Until.Epoch == w.newest().revision.Epoch && !w.readChanges(r, c.Until) {
-					r.origins.LoseHistory()
+					r.origins.LoseHistory(c.Until)
 				}
 			case "report":
 				report := &v1.LoadReport{}
@@ -188,3 +189,21 @@
 		})
 	}
 }
+
+// Guards against LOST: the answer that the store has no history, of a call that began before a restore of the store or before another
+// router told more, takes away what is known since.
+func TestLateLossOfHistoryKeepsWhatIsKnownSince(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	at := func(epoch, number uint64) streams.Revision { return streams.Revision{Epoch: epoch, Number: number} }
+	o := streams.New(now)
+	o.ReadAll(now, at(0, 5))
+	o.ReadChanges(at(0, 5), at(0, 7))
+	o.LoseHistory(at(0, 5))
+	is.True(o.Covers(at(0, 7)))
+	o.ReadAll(now, at(1, 3))
+	o.LoseHistory(at(0, 7))
+	is.True(o.Covers(at(1, 3)))
+	o.LoseHistory(at(1, 3))
+	is.True(!o.Coverage().IsKnown())
+}
