edge: the history of a restored store is read once targets have registered again

Right after a restore of the store from a copy, its history shows nothing of what it has lost, since targets have not registered again. Class: absence of news taken as proof.

The history is read 3 s after this router first saw an epoch above 0, in which targets register again, and counts as restored by its revision, also if it is empty. The confirmation of versions waits no longer than the request's deadline. TestHistoryOfARestoredStoreIsReadOnceTargetsHaveRegisteredAgain holds the time.

--- a/edge/call.go
+++ b/edge/call.go
@@ -431,7 +431,7 @@
 	case c.gapPassed:
 		return "events missing"
 	}
-	if c.originUnknown && c.demand.Version == 0 && !c.edge.hasOneVersion(c.route) {
+	if c.originUnknown && c.demand.Version == 0 && !c.edge.hasOneVersion(c.route, c.deadline) {
 		return "version of the stream unknown"
 	}
 	c.edge.mu.Lock()
--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -77,11 +77,11 @@
 
 // hasOneVersion reports whether each service of the route has had targets of at most one version for as long as a stream
 // may last that a caller takes up now. This router may be out of step without knowing it, so that it asks the store for
-// what it has not heard, after the request has come.
-func (e *Edge) hasOneVersion(route *routing.Route) bool {
+// what it has not heard, after the request has come. It waits for the answer until the deadline of the request at the longest.
+func (e *Edge) hasOneVersion(route *routing.Route, deadline time.Time) bool {
 	e.mu.Lock()
 	several := e.mayHaveSeveralVersions(route)
-	wait := originWait + e.confirmPause()
+	wait := min(originWait+e.confirmPause(), time.Until(deadline))
 	e.mu.Unlock()
 	if several {
 		return false
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -42,7 +42,7 @@
 		return true
 	}
 	c.stream = streams.IDOf(c.req.Header.Get(e.headers.Resumes))
-	origin, found := e.findOrigin(c.stream, c.route)
+	origin, found := e.findOrigin(c.stream, c.route, c.deadline)
 	if found == originKnown {
 		if !c.followOrigin(origin) {
 			c.refuseUnknownOrigin()
@@ -96,7 +96,7 @@
 			return true
 		}
 		c.stream = c.stream.After(origin.Service)
-		next, found := c.edge.findTakeUp(c.stream, c.route)
+		next, found := c.edge.findTakeUp(c.stream, c.route, c.deadline)
 		switch found {
 		case originAmbiguous:
 			level.Info(c.log).Log("event", "stream_take_up_unknown", "stream", uint64(c.stream))
@@ -144,12 +144,12 @@
 // findOrigin returns where a stream began, as far as that is known. If it is not and the services of
 // the route may have had several versions, it asks the other routers and waits for an answer, for originWait
 // at the longest.
-func (e *Edge) findOrigin(id streams.ID, route *routing.Route) (streams.Origin, foundOrigin) {
+func (e *Edge) findOrigin(id streams.ID, route *routing.Route, deadline time.Time) (streams.Origin, foundOrigin) {
 	if origin, known := e.lookupOrigin(id); known {
 		return origin, originKnown
 	}
 	missing := originAmbiguous
-	if e.hasOneVersion(route) {
+	if e.hasOneVersion(route, deadline) {
 		missing = onlyOneVersion
 	} else if id != 0 {
 		e.awaitOrigin(id, maxQuestions(route))
--- a/edge/process_start.go
+++ b/edge/process_start.go
@@ -69,7 +69,7 @@
 	if !a.processUnknown || c.resumeAfter() == "" {
 		return nil
 	}
-	if !e.hasOneVersion(c.route) {
+	if !e.hasOneVersion(c.route, c.deadline) {
 		return errProcessUnknown
 	}
 	return nil
--- a/edge/revision.go
+++ b/edge/revision.go
@@ -40,6 +40,8 @@
 	mu    sync.Mutex
 	known bool
 	epoch uint64
+	// since is when this router first saw the epoch.
+	since time.Time
 	// ended is closed when the epoch ends.
 	ended chan struct{}
 }
@@ -50,18 +52,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.known {
-		s.known, s.epoch, s.ended = true, epoch, make(chan struct{})
+		s.known, s.epoch, s.since, s.ended = true, epoch, time.Now(), make(chan struct{})
 		return false, false
 	}
 	if epoch <= s.epoch {
 		return epoch < s.epoch, false
 	}
-	s.epoch = epoch
+	s.epoch, s.since = epoch, time.Now()
 	close(s.ended)
 	s.ended = make(chan struct{})
 	return false, true
 }
 
+// restoreSettleTime is the time after a restore of the store in which the targets that run register again.
+const restoreSettleTime = 3 * time.Second
+
+// settled reports whether what the store has lost in a restore shows in its history.
+func (s *storeEpoch) settled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known && (s.epoch == 0 || time.Since(s.since) >= restoreSettleTime)
+}
+
 // during returns a context that ends with ctx or with an epoch, at once if that is not the latest one.
 func (s *storeEpoch) during(ctx context.Context, epoch uint64) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/edge/take_up.go
+++ b/edge/take_up.go
@@ -49,11 +49,11 @@
 
 // findTakeUp returns where a stream goes on whose route has left the service of its origin, as far as that is known: at any version if
 // the services of the route have had one each, or if no other router has gone on with it.
-func (e *Edge) findTakeUp(id streams.ID, route *routing.Route) (streams.Origin, foundOrigin) {
+func (e *Edge) findTakeUp(id streams.ID, route *routing.Route, deadline time.Time) (streams.Origin, foundOrigin) {
 	if origin, known := e.lookupOrigin(id); known {
 		return origin, originKnown
 	}
-	if e.hasOneVersion(route) {
+	if e.hasOneVersion(route, deadline) {
 		return streams.Origin{}, onlyOneVersion
 	}
 	settled := e.isNotTakenUp(id, maxQuestions(route))
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -76,11 +76,12 @@
 	return true
 }
 
-// readyForHistory reports whether this router reaches the store, has read it and has heard of the others.
+// readyForHistory reports whether this router reaches the store, has read it and has heard of the others, and whether the history
+// shows what the store has lost.
 func (e *Edge) readyForHistory() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.outage.ongoing() == nil && e.targetsRead.Load() && e.table.Load() != nil && e.members.Informed(time.Now())
+	return e.outage.ongoing() == nil && e.storeEpoch.settled() && e.targetsRead.Load() && e.table.Load() != nil && e.members.Informed(time.Now())
 }
 
 // historyDelay returns a random delay, so that one router reads the history and the others hear its report first.
@@ -124,9 +125,8 @@
 
 // mergeHistory applies the store's history of registrations.
 func (e *Edge) mergeHistory(past TargetHistory) {
-	history := streams.History{Registrations: make([]streams.Registration, 0, len(past.Changes)), Whole: past.Whole, Until: past.Until}
+	history := streams.History{Registrations: make([]streams.Registration, 0, len(past.Changes)), Whole: past.Whole, Until: past.Until, Restored: past.Until.Epoch > 0}
 	for _, c := range past.Changes {
-		history.Restored = history.Restored || c.Revision.Epoch > 0
 		switch {
 		case c.Removed:
 			history.Registrations = append(history.Registrations, streams.Registration{Target: c.ID, Removed: true, Revision: c.Revision})
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -88,6 +89,30 @@
 	}
 }
 
+// Guards against ORDER: right after a restore of the store its history does not show what it has lost, and was taken for whole.
+func TestHistoryOfARestoredStoreIsReadOnceTargetsHaveRegisteredAgain(t *testing.T) {
+	for _, epoch := range []uint64{0, 1} {
+		t.Run(strconv.FormatUint(epoch, 10), func(t *testing.T) {
+			t.Parallel()
+			f := &fixture{t: t, is: is.New(t), source: newFakeSource(), done: make(chan error, 1), logs: &logRecorder{}}
+			f.source.revision.Epoch = epoch
+			began := time.Now()
+			f.run(versionedTargets(t, new(atomic.Bool))[:1])
+			f.is.True(f.logs.contains("version_history_read"))
+			f.is.Equal(time.Since(began) >= restoreSettleTime, epoch > 0)
+		})
+	}
+}
+
+// Guards against callers that wait for the store longer than they have time.
+func TestConfirmationEndsWithTheRequest(t *testing.T) {
+	f := newFixture(t)
+	f.source.silence(true)
+	began := time.Now()
+	f.is.True(!f.edge.hasOneVersion(testRoutes()[3], began.Add(20*time.Millisecond)))
+	f.is.True(time.Since(began) < originWait)
+}
+
 // Guards against ORDER: a router that had been stopped, or cut off from the store, told others that it knew all versions, also
 // of the time in which it was. Each answer states up to which revision it does.
 func TestStoppedRouterDoesNotTellThatItKnowsAllVersions(t *testing.T) {
