--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -47,6 +47,9 @@
 	inRotation bool
 }
 
+// contact is contact_ms of broadsheet-bkk.
+const contact = 3 * time.Second
+
 // zones are those of broadsheet-bkk.
 var zones = []string{"th-central-a", "th-central-b", "th-central-c", "th-central-d"}
 
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -37,6 +38,9 @@
 	compacted uint64
 	changed   chan struct{}
 	address   string
+	// era is the number of times that the store has come back from a copy. While it is away it answers 503.
+	era  int
+	away bool
 }
 
 func startStore() (*store, error) {
@@ -88,8 +92,15 @@
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	w.Header().Set("Store-Era", "0")
+	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	away := s.away
+	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
+	if away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch r.URL.Path {
 	case "/api/kv-key":
 		s.mu.Lock()
@@ -136,7 +147,7 @@
 	timeout := time.After(wait)
 	for {
 		s.mu.Lock()
-		lost := after < s.compacted || after > s.revision
+		lost, away := after < s.compacted || after > s.revision, s.away
 		found := []storeItem{}
 		for _, it := range s.history {
 			if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
@@ -145,7 +156,11 @@
 		}
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
-		if lost {
+		switch {
+		case away:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case lost:
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -163,3 +178,29 @@
 		}
 	}
 }
+
+// copyOf returns a copy of the content.
+func (s *store) copyOf() *store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &store{items: maps.Clone(s.items), history: slices.Clone(s.history), revision: s.revision, compacted: s.compacted}
+}
+
+// leave makes the store answer 503 until restore.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore brings the store back with the content of a copy, in a new era.
+func (s *store) restore(c *store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.history, s.revision, s.compacted, s.away = c.items, c.history, c.revision, c.compacted, false
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
