--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -83,7 +84,7 @@
 	return f, errors.New("routers do not become ready")
 }
 
-// freePort returns a port that is free for TCP and UDP at the addresses of all routers.
+// freePort returns a port that is free for TCP and UDP at the addresses of all routers, and not chosen yet.
 func (f *fleet) freePort() (int, error) {
 next:
 	for range 100 {
@@ -93,6 +94,9 @@
 		}
 		port := l.Addr().(*net.TCPAddr).Port
 		l.Close()
+		if slices.Contains(f.ports[:], port) {
+			continue
+		}
 		for _, r := range f.routers {
 			address := net.JoinHostPort(r.ip, strconv.Itoa(port))
 			l, err := net.Listen("tcp4", address)
