--- /dev/null
+++ b/review/rig3/fleet.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// fleet is the router processes of a small deployment: six machines in four zones, as on the sheet of asb-booking.
+type fleet struct {
+	dir, program string
+	store        string
+	machines     []*machine
+	record       *recorder
+}
+
+type machine struct {
+	name, zone, ip string
+	settings       string
+	process        *exec.Cmd
+	log            *os.File
+	done           chan struct{}
+}
+
+const (
+	frontPort, readyPort, peerPort, metricsPort, controlPort, storePort = 8783, 8780, 7400, 9464, 8785, 8781
+)
+
+var zones = []string{"rabat-a", "rabat-a", "rabat-b", "rabat-b", "tanger-a", "fes-a"}
+
+// network is the start of the loopback addresses of this run: 127.A.B. Another run draws another one.
+func network() string {
+	for {
+		prefix := fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250))
+		l, err := net.Listen("tcp4", prefix+"1:8781")
+		if err == nil {
+			l.Close()
+			return prefix
+		}
+	}
+}
+
+func newFleet(dir, program, prefix, store string, rec *recorder) *fleet {
+	f := &fleet{dir: dir, program: program, store: store, record: rec}
+	count := map[string]int{}
+	for i, zone := range zones {
+		count[zone]++
+		f.machines = append(f.machines, &machine{
+			name: fmt.Sprintf("front-%s-%d", zone, count[zone]), zone: zone, ip: fmt.Sprintf("%s%d", prefix, 10+i),
+		})
+	}
+	return f
+}
+
+func (m *machine) front() string { return fmt.Sprintf("%s:%d", m.ip, frontPort) }
+
+// writeSettings writes what the platform fills into deploy/edge.ini.template.
+func (f *fleet) writeSettings(m *machine) error {
+	var seeds []string
+	for _, other := range []int{0, 2, 4} {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", f.machines[other].ip, controlPort))
+	}
+	lines := []string{
+		"name = " + m.name, "zone = " + m.zone, "listen = " + m.front(), fmt.Sprintf("ready = %s:%d", m.ip, readyPort),
+		fmt.Sprintf("peer = %s:%d", m.ip, peerPort), fmt.Sprintf("metrics = %s:%d", m.ip, metricsPort),
+		"seeds = " + strings.Join(seeds, ","), "store = " + f.store, "heartbeat = 1200ms", "grace = 8s", "retry-ratio = 0.2",
+		"retry-min = 52", "retry-window = 10s", "share-window = 4s", "cold-overage = ", "cold-slack = ", "memory-mb = 284",
+		"max-open-files = 4100", "link-mbps = 1000.0",
+		"zone-regions = rabat-a=maroc-nord,rabat-b=maroc-nord,tanger-a=maroc-nord,fes-a=maroc-nord",
+	}
+	m.settings = filepath.Join(f.dir, m.name+".ini")
+	return os.WriteFile(m.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o644)
+}
+
+func (f *fleet) start(m *machine) error {
+	if err := f.writeSettings(m); err != nil {
+		return err
+	}
+	var err error
+	if m.log, err = os.OpenFile(filepath.Join(f.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644); err != nil {
+		return err
+	}
+	m.process = exec.Command(f.program)
+	m.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "LANG=C", "CHIVESEAM_NODE_FILE=" + m.settings}
+	m.process.Stdout, m.process.Stderr = m.log, m.log
+	m.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := m.process.Start(); err != nil {
+		return err
+	}
+	m.done = make(chan struct{})
+	go func(p *exec.Cmd, done chan struct{}, log *os.File) {
+		p.Wait()
+		log.Close()
+		close(done)
+	}(m.process, m.done, m.log)
+	f.record.note("%s started, process %d", m.name, m.process.Process.Pid)
+	return nil
+}
+
+// signal sends a signal to the process of a machine, and waits for its end if wait is set.
+func (f *fleet) signal(m *machine, sig syscall.Signal, wait bool) {
+	f.record.note("%s gets %v", m.name, sig)
+	m.process.Process.Signal(sig)
+	if wait {
+		<-m.done
+	}
+}
+
+func (m *machine) ready() bool {
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get(fmt.Sprintf("http://%s:%d/api/ready", m.ip, readyPort))
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// awaitReady waits until all machines are ready. It returns false after limit.
+func (f *fleet) awaitReady(limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		n := 0
+		for _, m := range f.machines {
+			if m.ready() {
+				n++
+			}
+		}
+		if n == len(f.machines) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) stop() {
+	for _, m := range f.machines {
+		if m.process != nil {
+			m.process.Process.Kill()
+			<-m.done
+		}
+	}
+}
