--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -15,10 +15,11 @@
 
 // fleet is the router processes of a small deployment: six machines in four zones, as on the sheet of asb-booking.
 type fleet struct {
-	dir, program string
-	store        string
-	machines     []*machine
-	record       *recorder
+	// root is the root of the repository.
+	root, dir, program string
+	store              string
+	machines           []*machine
+	record             *recorder
 }
 
 type machine struct {
@@ -47,8 +48,8 @@
 	}
 }
 
-func newFleet(dir, program, prefix, store string, rec *recorder) *fleet {
-	f := &fleet{dir: dir, program: program, store: store, record: rec}
+func newFleet(root, dir, prefix, store string, rec *recorder) *fleet {
+	f := &fleet{root: root, dir: dir, program: filepath.Join(root, "target/chiveseam-edge"), store: store, record: rec}
 	count := map[string]int{}
 	for i, zone := range zones {
 		count[zone]++
@@ -88,9 +89,9 @@
 		return err
 	}
 	m.process = exec.Command(f.program)
+	m.process.Dir = f.root
 	m.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "LANG=C", "CHIVESEAM_NODE_FILE=" + m.settings}
 	m.process.Stdout, m.process.Stderr = m.log, m.log
-	m.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := m.process.Start(); err != nil {
 		return err
 	}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -23,21 +25,23 @@
 	record  *recorder
 	trouble bool
 	engines []*engine
+	// idleTime is the time after which engines close idle channels.
+	idleTime time.Duration
 }
 
 func main() { os.Exit(play()) }
 
 func play() int {
 	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE PROGRAM RECORD")
+		fmt.Fprintln(os.Stderr, "usage: rig CASE ROOT RECORD")
 		return couldNotRun
 	}
-	cases := map[string]func(*world) int{"alias": alias, "junk": junk}
+	cases := map[string]func(*world) int{"alias": alias, "junk": junk, "leave": leave, "repeats": repeats, "second": second, "idle": idle}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		return couldNotRun
 	}
-	program, err := filepath.Abs(os.Args[2])
+	root, err := filepath.Abs(os.Args[2])
 	if err != nil {
 		return couldNotRun
 	}
@@ -50,20 +54,25 @@
 	if err != nil {
 		return couldNotRun
 	}
-	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(dir)
-	} else {
-		fmt.Println(dir)
-	}
-	w := &world{prefix: network(), record: rec, trouble: os.Getenv("TROUBLE") != "0"}
+	defer os.RemoveAll(dir)
+	w := &world{prefix: network(), record: rec, trouble: os.Getenv("TROUBLE") != "0", idleTime: 15 * time.Second}
 	address := fmt.Sprintf("%s1:%d", w.prefix, storePort)
 	if w.store, err = newStore(address); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return couldNotRun
 	}
-	w.fleet = newFleet(dir, program, w.prefix, address, rec)
+	w.fleet = newFleet(root, dir, w.prefix, address, rec)
 	defer w.fleet.stop()
-	return run(w)
+	code := make(chan int, 1)
+	go func() { code <- run(w) }()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case c := <-code:
+		return c
+	case <-interrupted:
+		return couldNotRun
+	}
 }
 
 // configure writes the operator's configuration: the services and routes of asb-booking.
@@ -73,6 +82,12 @@
 		"routes": []any{
 			map[string]any{"name": "r-digest", "hostname": host, "prefix": "/lohu930/", "kind": "streaming", "timeout_ms": 6000, "target_latency_ms": 800,
 				"priority": 1, "service": "plume", "max_attempts": 1, "anonymous": false, "sticky": true, "resumable": false, "target_gap_ms": 400},
+			map[string]any{"name": "r-chat", "hostname": host, "prefix": "/chat017/", "kind": "streaming", "timeout_ms": 15000, "target_latency_ms": 600,
+				"priority": 1, "service": "plume", "max_attempts": 1, "anonymous": false, "sticky": true, "resumable": false, "target_gap_ms": 400},
+			map[string]any{"name": "r-notice", "hostname": host, "prefix": noticePath, "kind": "streaming", "timeout_ms": 15000, "target_latency_ms": 600,
+				"priority": 1, "service": "clairiere", "max_attempts": 1, "anonymous": false, "sticky": false, "resumable": false, "target_gap_ms": 400},
+			map[string]any{"name": "r-seat", "hostname": host, "prefix": "/puxa403/", "kind": "non_idempotent", "timeout_ms": 1000, "target_latency_ms": 100,
+				"priority": 2, "service": "clairiere", "max_attempts": 2, "anonymous": false, "sticky": false},
 			map[string]any{"name": "r-lookup", "hostname": host, "prefix": "/cufi504/", "kind": "idempotent", "timeout_ms": 1000, "target_latency_ms": 100,
 				"priority": 2, "service": "clairiere", "max_attempts": 2, "anonymous": false, "sticky": false},
 		},
@@ -92,13 +107,13 @@
 	for i := range 9 {
 		w.engines = append(w.engines, &engine{
 			id: fmt.Sprintf("i-a%02d", i), service: "plume", address: fmt.Sprintf("%s%d:8443", w.prefix, 100+i), zone: zone(i), version: "v1", model: true,
-			slots: 64, unframed: unframed, events: 17, pause: 30 * time.Millisecond, store: w.store, record: w.record,
+			slots: 64, unframed: unframed, events: 17, pause: 30 * time.Millisecond, idleTime: w.idleTime, store: w.store, record: w.record,
 		})
 	}
 	for i := range 4 {
 		w.engines = append(w.engines, &engine{
 			id: fmt.Sprintf("i-b%02d", i), service: "clairiere", address: fmt.Sprintf("%s%d:8443", w.prefix, 120+i), zone: zone(i), version: "v1",
-			slots: 6, store: w.store, record: w.record,
+			slots: 6, work: 30 * time.Millisecond, unframed: unframed, events: 30, pause: 100 * time.Millisecond, idleTime: w.idleTime, store: w.store, record: w.record,
 		})
 	}
 	for _, e := range w.engines {
