--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -31,9 +31,9 @@
 	if w.trouble {
 		stop = w.exportEntry(w.engines[0])
 	}
-	kept := w.streams("/lohu930/2f", 24, false, 6*time.Second, 80*time.Second)
+	lost := w.streams("/lohu930/2f", 24, false, 6*time.Second, 80*time.Second)
 	stop()
-	return verdict(kept)
+	return verdict(lost)
 }
 
 // exportEntry has another writer write an entry with the address of an engine that lacks most fields, at each heartbeat until the
@@ -57,20 +57,28 @@
 	return func() { close(stopped) }
 }
 
-// verdict is the LOST rule: more than three times, a kept channel was closed without a whole answer to a request that a sound
-// engine has answered in full.
-func verdict(kept int64) int {
-	if kept > 3 {
+// cut counts the requests that an engine has answered in full, and whose channel the router has closed before the end of its answer:
+// all of them, those on kept channels, and those that were sent up to config_apply_ms after a SIGHUP of their machine.
+type cut struct {
+	all, kept, planned int64
+}
+
+// verdict is the LOST rule: more than three kept channels were closed without a whole answer to a request that a sound engine got,
+// or one around planned work.
+func verdict(c cut) int {
+	if c.kept > 3 || c.planned > 0 {
 		return broken
 	}
 	return held
 }
 
 // streams has consumers send requests for streams on kept channels for a time, with a look-up on the channel before each one if lookUp is
-// set. It returns the number of kept channels that were closed
-// without a whole answer though an engine had answered in full.
-func (w *world) streams(path string, consumers int, lookUp bool, timeLimit, length time.Duration) int64 {
-	var sent, whole, refused, lost, kept atomic.Int64
+// set. Meanwhile all machines are reloaded again and again, which is planned work.
+func (w *world) streams(path string, consumers int, lookUp bool, timeLimit, length time.Duration) cut {
+	var sent, whole, refused, lost, kept, planned atomic.Int64
+	stop := make(chan struct{})
+	defer close(stop)
+	go w.fleet.reloadAll(stop)
 	byEngine := map[string]int{}
 	var mu sync.Mutex
 	var clients sync.WaitGroup
@@ -98,7 +106,7 @@
 				r := request{id: nextID(), method: "POST", path: path, body: "prompt " + fmt.Sprint(rand.IntN(1<<30)), timeLimit: timeLimit}
 				part := fmt.Sprintf("%08x", rand.Uint32())
 				r.headers = []string{"X-Chiveseam-Model: m", "X-Chiveseam-Token-Usage: 900,60", "X-Chiveseam-Prompt-Prefix: 5c1e07a2:630," + part + ":270"}
-				onKept := c.requests > 0
+				onKept, sentAt := c.requests > 0, time.Now()
 				got := c.send(r)
 				sent.Add(1)
 				w.record.note("request %s to %s on a %s channel: status %d, %d events, complete %v, channel closed %v, error %v", r.id, m.name,
@@ -119,6 +127,9 @@
 						if onKept {
 							kept.Add(1)
 						}
+						if m.aroundReload(sentAt) {
+							planned.Add(1)
+						}
 					}
 				}
 				if !got.reusable {
@@ -129,11 +140,12 @@
 		}()
 	}
 	clients.Wait()
-	summary := fmt.Sprintf("sent %d, whole %d, refused %d; channels closed without a whole answer though an engine had answered in full: %d, %d of them kept channels; by engine %v",
-		sent.Load(), whole.Load(), refused.Load(), lost.Load(), kept.Load(), byEngine)
+	summary := fmt.Sprintf("sent %d, whole %d, refused %d; channels closed without a whole answer though an engine had answered in full: %d, "+
+		"%d of them kept channels, %d around a SIGHUP; by engine %v",
+		sent.Load(), whole.Load(), refused.Load(), lost.Load(), kept.Load(), planned.Load(), byEngine)
 	fmt.Println(summary)
 	w.record.note("%s", summary)
-	return kept.Load()
+	return cut{all: lost.Load(), kept: kept.Load(), planned: planned.Load()}
 }
 
 // junk: another writer's entries can't be read, and all processes are killed.
@@ -231,9 +243,9 @@
 			each.Wait()
 		}()
 	}
-	kept := w.streams("/chat017/2f", 60, false, 15*time.Second, 45*time.Second)
+	lost := w.streams("/chat017/2f", 60, false, 15*time.Second, 45*time.Second)
 	leaving.Wait()
-	return verdict(kept)
+	return verdict(lost)
 }
 
 // Figures of the budget of repeats: retry_budget_ratio, budget_min_retries and budget_window_s.
--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -8,7 +8,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -28,6 +30,11 @@
 	process        *exec.Cmd
 	log            *os.File
 	done           chan struct{}
+
+	mu sync.Mutex
+	// reloads counts the changes of its settings file, and hangups holds when it got SIGHUP.
+	reloads int
+	hangups []time.Time
 }
 
 const (
@@ -68,6 +75,9 @@
 	for _, other := range []int{0, 2, 4} {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", f.machines[other].ip, controlPort))
 	}
+	if m.reloads%2 == 1 {
+		slices.Reverse(seeds)
+	}
 	lines := []string{
 		"name = " + m.name, "zone = " + m.zone, "listen = " + m.front(), fmt.Sprintf("ready = %s:%d", m.ip, readyPort),
 		fmt.Sprintf("peer = %s:%d", m.ip, peerPort), fmt.Sprintf("metrics = %s:%d", m.ip, metricsPort),
@@ -114,6 +124,43 @@
 	}
 }
 
+// reload changes the order of the seeds in the settings file of a machine and sends SIGHUP: planned work that concerns no request.
+func (f *fleet) reload(m *machine) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reloads++
+	if err := f.writeSettings(m); err != nil {
+		return err
+	}
+	m.hangups = append(m.hangups, time.Now())
+	f.signal(m, syscall.SIGHUP, false)
+	return nil
+}
+
+// reloadAll reloads one machine after the other, 0.5 s apart, until stop is closed.
+func (f *fleet) reloadAll(stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(500 * time.Millisecond):
+		}
+		if err := f.reload(f.machines[n%len(f.machines)]); err != nil {
+			f.record.note("reload: %v", err)
+		}
+	}
+}
+
+// aroundReload reports whether a request was sent to a machine up to config_apply_ms after a SIGHUP of it.
+func (m *machine) aroundReload(sent time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.hangups, func(at time.Time) bool { return !sent.Before(at) && sent.Before(at.Add(configApply)) })
+}
+
+// configApply is config_apply_ms.
+const configApply = 2 * time.Second
+
 func (m *machine) ready() bool {
 	c := http.Client{Timeout: time.Second}
 	resp, err := c.Get(fmt.Sprintf("http://%s:%d/api/ready", m.ip, readyPort))
