edge: a connection carries a request once

Cause: the answer to an attempt was recognized by the ID of the request, which all attempts have. The second attempt went to the new ID of the same process on the pooled connection of the first, and the second copy of the first refusal came while the engine ran the request.

Change: an attempt takes no connection that has carried its request (call.maySendOn). A late copy can then only come where an answer with another ID is expected.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -135,7 +135,7 @@
 		cancel(errMemory)
 		a.call.reply.interruptWrite()
 	})
-	u, err := e.targetConns.get(ctx, a.target.Address)
+	u, err := e.targetConns.get(ctx, a.target.Address, a.call.maySendOn)
 	if err != nil {
 		a.err = err
 		if ctx.Err() != nil {
@@ -185,6 +185,7 @@
 	head := h1.AppendRequestHead(make([]byte, 0, typicalHeadBytes), c.req.Method, c.req.Target, a.header(), len(c.req.Body))
 	a.sent, a.sentAt = true, time.Now()
 	u.noteSent(c.id)
+	c.sentOn = append(c.sentOn, u)
 	var sent int64
 	var err error
 	if a.upload, sent, err = send(u, head, c.req.Body); err != nil {
--- a/edge/call.go
+++ b/edge/call.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +82,8 @@
 	// tried holds the IDs of the targets that were chosen, including those that could not be
 	// connected to.
 	tried map[string]bool
+	// sentOn holds the connections on which the request was sent.
+	sentOn []*upstream
 	// sentCount is the number of targets that received the request.
 	sentCount int
 	// targetsLost is set once a target was lost with the request.
@@ -459,4 +462,10 @@
 	return c.req.Header.Get(c.edge.headers.LastEventID)
 }
 
+// maySendOn reports whether the next attempt may use a connection: one that has carried the request before may bring a late
+// second copy of that answer, which has the ID of the request like the answer to the next attempt.
+func (c *call) maySendOn(u *upstream) bool {
+	return !u.hasSent(c.id) && !slices.Contains(c.sentOn, u)
+}
+
 func (c *call) mayRepeat() bool { return c.route.RetryPolicy != routing.AtMostOnce }
--- a/edge/embedded.go
+++ b/edge/embedded.go
@@ -18,6 +18,9 @@
 	u.sentIDs = append(u.sentIDs, id)
 }
 
+// hasSent reports whether the request with an ID is one of the last that were sent on the connection.
+func (u *upstream) hasSent(id string) bool { return slices.Contains(u.sentIDs, id) }
+
 // statusLineStart is the beginning of the head of an answer.
 var statusLineStart = []byte(h1.StatusLineStart)
 
@@ -48,7 +51,7 @@
 			return false
 		}
 		id, rest, ok := headField(after, idHeader)
-		if ok && slices.Contains(u.sentIDs, id) {
+		if ok && u.hasSent(id) {
 			return true
 		}
 		body = rest
--- a/edge/end.go
+++ b/edge/end.go
@@ -253,7 +253,7 @@
 func (e *Edge) askStart(t routing.Target, ended *upstream) endEvidence {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	u, err := e.targetConns.get(ctx, t.Address)
+	u, err := e.targetConns.get(ctx, t.Address, anyConnection)
 	kept, stated := err == nil && u.reused, false
 	if err == nil {
 		stated, err = e.askStartOn(u, t)
--- a/edge/process_start.go
+++ b/edge/process_start.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -113,7 +112,7 @@
 		buf := heldBuffer{hold: h}
 		more, err = buf.readAll(resp.Body(u.br), resp.Length(), maxProcessStartBytes)
 		id := resp.Header.Get(idHeader)
-		if err != nil || more || id == "" || !slices.Contains(u.sentIDs, id) {
+		if err != nil || more || id == "" || !u.hasSent(id) {
 			return resp, buf.data, more, err
 		}
 	}
--- a/edge/spoiled.go
+++ b/edge/spoiled.go
@@ -136,7 +136,7 @@
 			return nil
 		}
 		head, ok := bytes.CutPrefix(slices.Concat(b.begun, rest), statusLineStart)
-		if id, _, named := headField(head, b.idHeader); ok && named && slices.Contains(b.u.sentIDs, id) {
+		if id, _, named := headField(head, b.idHeader); ok && named && b.u.hasSent(id) {
 			return errAnswerInBody
 		}
 		if err != nil {
--- a/edge/upstream.go
+++ b/edge/upstream.go
@@ -99,10 +99,10 @@
 	return &connPool{dialer: deadpeer.Dialer(dialTimeout), maxIdle: maxIdle, idle: make(map[string][]*upstream)}
 }
 
-// get returns an idle connection to address that is still open, or a new one.
-func (p *connPool) get(ctx context.Context, address string) (*upstream, error) {
+// get returns an idle connection to address that is still open and may be used, or a new one.
+func (p *connPool) get(ctx context.Context, address string, mayUse func(*upstream) bool) (*upstream, error) {
 	for {
-		u := p.takeIdle(address)
+		u := p.takeIdle(address, mayUse)
 		if u == nil {
 			return p.dial(ctx, address)
 		}
@@ -114,18 +114,22 @@
 	}
 }
 
-// takeIdle removes the most recently used idle connection from the pool; nil if there is none.
-func (p *connPool) takeIdle(address string) *upstream {
+// anyConnection lets connPool.get return any idle connection.
+func anyConnection(*upstream) bool { return true }
+
+// takeIdle removes the most recently used idle connection that may be used from the pool; nil if there is none.
+func (p *connPool) takeIdle(address string, mayUse func(*upstream) bool) *upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if u := list[i]; mayUse(u) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			p.idleCount--
+			return u
+		}
 	}
-	u := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	p.idleCount--
-	return u
+	return nil
 }
 
 func (p *connPool) dial(ctx context.Context, address string) (*upstream, error) {
