edge: the end of an idle witness is no end of its process

Cause: the witness, a connection without requests, is idle, and its end counted as the end of the process for all answers beside it, however long they went on. Evidence: 273 of 273 such ends have end_evidence witness_ended.

Change: what ends with a process ends at one time. An answer whose connection is open with nothing to be read 250 ms after the end of the witness goes on, and the age is the target's idle time; the witness is replaced at half of it from then on, and an end at that age says nothing. Connections of other answers are witnesses too.

On the code before, TestUnframedStreamsOfATargetThatClosesIdleConnectionsAreDelivered fails for all five idle times of plain targets, TestShortUnframedAnswersOfATargetThatClosesIdleConnectionsAreDelivered for four of four, and TestUnframedAnswersBesideOthersOfATargetThatClosesIdleConnectionsAreDelivered. TestUnframedAnswerOfAnEndedProcessThatClosedIdleConnectionsIsIncomplete and the tests of ended processes pass before and after.

--- a/edge/end.go
+++ b/edge/end.go
@@ -205,16 +205,19 @@
 		return evidenceWitness
 	}
 	defer next.Close()
+	if state == witnessDisputed {
+		return e.lateWitness(u)
+	}
 	return e.askStatus(t, next, wait)
 }
 
 // lateWitness returns what the witness shows of a process that does not answer.
 func (e *Edge) lateWitness(u *upstream) endEvidence {
-	if e.witnesses.state(u) == witnessOpen {
+	if state := e.witnesses.state(u); state == witnessOpen || state == witnessDisputed {
 		time.Sleep(time.Until(u.endedAt.Add(lateEndTime)))
 	}
 	switch e.witnesses.state(u) {
-	case witnessOpen:
+	case witnessOpen, witnessDisputed:
 		return evidenceWitness
 	case witnessEnded:
 		return evidenceWitnessEnded
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -44,6 +44,8 @@
 	handle   func(s *receivedRequest)
 	// early is set if handle gets requests before their bodies are read; it may read a part of them.
 	early bool
+	// idleTime is the time after which the target closes a connection without a request; 0 if it does not.
+	idleTime time.Duration
 
 	mu sync.Mutex
 	// received holds all requests read, open the connections and accepted their number. mu guards
@@ -131,6 +133,13 @@
 	defer conn.Close()
 	br := bufio.NewReader(conn)
 	for number := 1; ; number++ {
+		if target.idleTime > 0 {
+			conn.SetReadDeadline(time.Now().Add(target.idleTime))
+			if _, err := br.Peek(1); err != nil {
+				return
+			}
+			conn.SetReadDeadline(time.Time{})
+		}
 		req, err := h1.ReadRequest(br, 1<<16)
 		if err != nil || !target.early && req.ReadBody(br, 1<<22) != nil {
 			return
--- a/edge/witness.go
+++ b/edge/witness.go
@@ -15,21 +15,32 @@
 const (
 	// witnessLinger is how long a witness is kept after the last answer that needed it.
 	witnessLinger = defaultIdleLifetime
-	// witnessAge is the age at which the connection of a witness is replaced, before its target closes it as idle, and
-	// witnessCheck the interval at which the age is looked at.
-	witnessAge   = 2 * time.Second
+	// witnessAge is the age at which the connection of a witness is replaced, before its target closes it as idle. It is half of
+	// the time after which the target is known to do that if that is less, and minWitnessAge at least.
+	witnessAge    = 2 * time.Second
+	minWitnessAge = 100 * time.Millisecond
+	// witnessCheck is the longest time between two looks at the age.
 	witnessCheck = 250 * time.Millisecond
 	// witnessRetryPause is the time between two connections that could not be opened or lasted shorter.
 	witnessRetryPause = 500 * time.Millisecond
 	// overlap is the time for which two connections must have been open together to belong to one process: the next
 	// process at an address may accept connections before the last ones of a process that ends are closed.
 	overlap = 5 * time.Millisecond
-	// unframedMemory is how long a service is expected to answer without framing after it has done so.
+	// unframedMemory is how long a service is expected to answer without framing after it has done so, and the idle time of a
+	// target is remembered.
 	unframedMemory = 10 * time.Minute
+	// idleTimeTolerance is the part of the idle time of a target by which the ages vary at which it closes connections as idle.
+	idleTimeTolerance = 0.25
+	// reviewInterval is the time between two looks at answers beside which something has ended, and slowReviewInterval that
+	// after lateEndTime.
+	reviewInterval     = overlap
+	slowReviewInterval = 50 * time.Millisecond
 )
 
 // witnesses keeps one connection without requests to each target that answers without framing. All connections of a process
-// end with it, so one that was opened before an answer ended, and is open after that, shows that the process did not end.
+// end with it, at one time, and so does its listener. So a connection that was opened before an answer ended, and is open after
+// that, shows that the process did not end; and what ended before the answer did, which went on, has not ended with the process: a
+// target closes connections as idle.
 // It is safe for concurrent use.
 type witnesses struct {
 	pool *connPool
@@ -40,11 +51,19 @@
 	byAddress map[string]*witness
 	// unframedAt is when each service last answered without framing.
 	unframedAt map[string]time.Time
-	closed     bool
+	// idleTimes holds, by address, what is known of the times after which targets close connections as idle.
+	idleTimes map[string]idleTime
+	closed    bool
+}
+
+// idleTime is the time after which a target closes a connection as idle, and when that was last seen.
+type idleTime struct {
+	after  time.Duration
+	seenAt time.Time
 }
 
 func newWitnesses(pool *connPool) *witnesses {
-	return &witnesses{pool: pool, byAddress: make(map[string]*witness), unframedAt: make(map[string]time.Time)}
+	return &witnesses{pool: pool, byAddress: make(map[string]*witness), unframedAt: make(map[string]time.Time), idleTimes: make(map[string]idleTime)}
 }
 
 // witness is a connection to one address. It is replaced before the target closes it, and opened again when it has ended, as
@@ -60,14 +79,48 @@
 	answers map[*upstream]*witnessedAnswer
 	// idleSince is when the last answer was detached.
 	idleSince time.Time
+	// lastAge is the age at which the target last closed a connection.
+	lastAge time.Duration
+	// reviewing is set while review runs.
+	reviewing bool
 }
 
 // witnessedAnswer is the connection of one answer as its witness knows it.
 type witnessedAnswer struct {
 	// seen is when it was last seen open.
 	seen time.Time
-	// processEnded is set if the witness ended that was there when the answer was seen open.
-	processEnded bool
+	// ended is set if the witness ended that was there when the answer was seen open, at the age endedAge, and the answer
+	// has not gone on since. doubted is set if its target may not have closed it as idle.
+	ended, doubted bool
+	endedAge       time.Duration
+	// review is what the looks since then have found.
+	review answerReview
+}
+
+// answerReview is what looks at the connection of an answer have found since something has ended beside it.
+type answerReview struct {
+	// looks is their number.
+	looks int
+	// idleSince is when the connection was first found open with nothing to be read; zero if it was not.
+	idleSince time.Time
+	// caughtUp is set if the first look found that: nothing was on its way then that the router had no room for, and behind which
+	// the end of the connection could come late.
+	caughtUp bool
+}
+
+// add adds a look. It returns for how long the connection is known to have been open with nothing on its way.
+func (r *answerReview) add(now time.Time, idle bool) time.Duration {
+	r.looks++
+	switch {
+	case !idle && !r.caughtUp:
+		r.idleSince = time.Time{}
+	case idle && r.idleSince.IsZero():
+		r.idleSince, r.caughtUp = now, r.looks == 1
+	}
+	if !idle {
+		return 0
+	}
+	return now.Sub(r.idleSince)
 }
 
 // witnessConn is one connection of a witness.
@@ -129,7 +182,7 @@
 		}
 		// A process that ends may close the connections of its answers after the witness.
 		time.Sleep(closeTime)
-		if lasted := time.Since(began); lasted < witnessRetryPause {
+		if lasted := time.Since(began); lasted < minWitnessAge {
 			time.Sleep(witnessRetryPause - lasted)
 		}
 	}
@@ -163,13 +216,14 @@
 		return
 	}
 	for {
+		age := w.replaceAge()
 		select {
 		case err := <-c.ended:
-			w.end(err)
+			w.end(c, err)
 			return
-		case <-time.After(witnessCheck):
+		case <-time.After(min(age/2, witnessCheck)):
 		}
-		if time.Since(c.openedAt) < witnessAge {
+		if time.Since(c.openedAt) < age {
 			continue
 		}
 		next := w.open()
@@ -179,7 +233,7 @@
 		select {
 		case err := <-c.ended:
 			next.Close()
-			w.end(err)
+			w.end(c, err)
 			return
 		default:
 			w.replace(next)
@@ -226,19 +280,81 @@
 	w.current = c
 }
 
+// replaceAge returns the age at which the connection is replaced.
+func (w *witness) replaceAge() time.Duration {
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	if known, ok := w.all.idleTimes[w.address]; ok {
+		return max(min(known.after/2, witnessAge), minWitnessAge)
+	}
+	return witnessAge
+}
+
 // end records that the connection has ended, and why. A target that is at its limit of connections resets it.
-func (w *witness) end(err error) {
+func (w *witness) end(c *witnessConn, err error) {
 	w.all.mu.Lock()
 	defer w.all.mu.Unlock()
 	w.current = nil
+	if !errors.Is(err, io.EOF) {
+		return
+	}
+	age := time.Since(c.openedAt)
+	idle := w.all.closesAsIdle(w.address, age)
+	if !idle && isAbout(age, w.lastAge) {
+		w.all.noteIdleTime(w.address, age)
+	}
+	w.lastAge = age
 	for _, a := range w.answers {
-		if errors.Is(err, io.EOF) && w.precedes(a) {
-			a.processEnded = true
+		if w.precedes(a) {
+			a.ended, a.endedAge, a.doubted, a.review = true, age, a.doubted || !idle, answerReview{}
 		}
-		a.seen = time.Time{}
+	}
+	w.beginReview()
+}
+
+// beginReview starts review, unless it runs. w.all.mu is held.
+func (w *witness) beginReview() {
+	if !w.reviewing {
+		w.reviewing = true
+		go w.review()
 	}
 }
 
+// review looks which answers go on after the witness has ended. It returns when nothing is left to be found out.
+func (w *witness) review() {
+	for began := time.Now(); w.look(time.Now()); {
+		if time.Since(began) < 2*lateEndTime {
+			time.Sleep(reviewInterval)
+		} else {
+			time.Sleep(slowReviewInterval)
+		}
+	}
+}
+
+// look is one look of review, at a time. It reports whether another one is needed.
+func (w *witness) look(now time.Time) bool {
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	w.reviewing = false
+	for u, a := range w.answers {
+		if a.ended {
+			w.lookAt(u, a, now)
+			w.reviewing = w.reviewing || a.ended
+		}
+	}
+	return w.reviewing
+}
+
+// lookAt looks whether an answer goes on. The ends of the connections of a process may come lateEndTime apart, after a lost
+// packet. w.all.mu is held.
+func (w *witness) lookAt(u *upstream, a *witnessedAnswer, now time.Time) {
+	if a.review.add(now, isOpenWithoutInput(u)) < lateEndTime {
+		return
+	}
+	w.all.noteIdleTime(w.address, a.endedAge)
+	a.ended, a.doubted = false, false
+}
+
 // precedes reports whether the witness was there when an answer was last seen open. w.all.mu is held.
 func (w *witness) precedes(a *witnessedAnswer) bool { return !w.since.Add(overlap).After(a.seen) }
 
@@ -256,6 +372,30 @@
 			delete(ws.unframedAt, service)
 		}
 	}
+	for address, known := range ws.idleTimes {
+		if now.Sub(known.seenAt) >= unframedMemory {
+			delete(ws.idleTimes, address)
+		}
+	}
+}
+
+// noteIdleTime records the age at which a target has closed a connection as idle. ws.mu is held.
+func (ws *witnesses) noteIdleTime(address string, age time.Duration) {
+	if known, ok := ws.idleTimes[address]; ok {
+		age = min(age, known.after)
+	}
+	ws.idleTimes[address] = idleTime{age, time.Now()}
+}
+
+// closesAsIdle reports whether a target is known to close connections of an age as idle. ws.mu is held.
+func (ws *witnesses) closesAsIdle(address string, age time.Duration) bool {
+	known, ok := ws.idleTimes[address]
+	return ok && (age >= known.after || isAbout(age, known.after))
+}
+
+// isAbout reports whether two ages at which a target has closed connections are the same, but for what they vary by.
+func isAbout(age, other time.Duration) bool {
+	return (age - other).Abs() <= time.Duration(idleTimeTolerance*float64(other))
 }
 
 // remove removes a witness and closes its connection. ws.mu is held.
@@ -295,15 +435,17 @@
 type witnessState int
 
 const (
-	// witnessNone: there was no witness while the answer was seen open, or it was reset.
+	// witnessNone: there was no witness while the answer was seen open, or it says nothing.
 	witnessNone witnessState = iota
-	// witnessOpen: one that was there is still open.
+	// witnessOpen: a connection that was there is still open.
 	witnessOpen
-	// witnessEnded: one that was there has ended, too.
+	// witnessEnded: one that was there has ended with the answer.
 	witnessEnded
+	// witnessDisputed: one has ended and another one is open, or its end is late.
+	witnessDisputed
 )
 
-// state returns what the witness shows of the process that has closed u.
+// state returns what the witness, and the connections of other answers, show of the process that has closed u.
 func (ws *witnesses) state(u *upstream) witnessState {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
@@ -312,20 +454,40 @@
 		return witnessNone
 	}
 	a := w.answers[u]
-	switch {
-	case a.processEnded:
+	witnessed := w.current != nil && w.precedes(a)
+	open := witnessed && isOpen(w.current.upstream)
+	ended := a.doubted || witnessed && !open && !ws.closesAsIdle(w.address, time.Since(w.current.openedAt))
+	switch companion := w.hasCompanion(u, a); {
+	case ended && companion:
+		return witnessDisputed
+	case ended:
 		return witnessEnded
-	case w.current == nil || !w.precedes(a):
-		return witnessNone
-	case isOpen(w.current.upstream):
+	case open || companion:
 		return witnessOpen
 	}
-	return witnessEnded
+	return witnessNone
+}
+
+// hasCompanion reports whether the connection of another answer was there when an answer was last seen open, and is open. w.all.mu is
+// held.
+func (w *witness) hasCompanion(u *upstream, a *witnessedAnswer) bool {
+	for other := range w.answers {
+		if other != u && !other.openedAt.Add(overlap).After(a.seen) && isOpenWithoutInput(other) {
+			return true
+		}
+	}
+	return false
 }
 
 // isOpen reports whether the peer of a connection has neither closed nor reset it. Unlike a read that does not take what has
 // come, the question does not take the error of a reset from the next read.
-func isOpen(u *upstream) bool {
+func isOpen(u *upstream) bool { return isOpenWithout(u, 0) }
+
+// isOpenWithoutInput is isOpen for a connection of which all has been read that has come.
+func isOpenWithoutInput(u *upstream) bool { return isOpenWithout(u, unix.POLLIN) }
+
+// isOpenWithout reports whether a connection is open, and some events of poll(2) have not come.
+func isOpenWithout(u *upstream, events int16) bool {
 	revents, err := pollSocket(u.Conn, unix.POLLIN|unix.POLLRDHUP)
-	return err == nil && revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) == 0
+	return err == nil && revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL|events) == 0
 }
