edge: what had ended before an answer is no end of its process

Cause: an engine that leaves closes its listener and idle connections, and ends its answers after that. A refused connection counted as the proof that its process had ended with the answer; plain targets were asked otherwise, and not rightly either.

Change: what counts as proof is said once, for engines and plain targets (Edge.evidence). A refused connection or an ended witness is none if the answer went on after it, by looks at its connection: the process shuts down then, and ends what it has begun. At a target that is known to leave the witness is replaced every 200 ms.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -167,7 +167,7 @@
 		return abandoned
 	}
 	if !e.asksForStart(a.target) && (e.statusPath(a.target) == "" || e.witnesses.expectsUnframed(a.target.Service)) {
-		e.witnesses.attach(u, time.Now())
+		e.witnesses.attach(u, time.Now(), a.targetLeaves)
 	}
 	u.answering.Store(false)
 	a.stopCancel = context.AfterFunc(attemptCtx, u.abandon)
--- a/edge/end.go
+++ b/edge/end.go
@@ -25,6 +25,8 @@
 	evidenceCapped endEvidence = "capped"
 	// evidenceAnswered: a plain target answers a status check, and there was no other connection that could have ended.
 	evidenceAnswered endEvidence = "answered"
+	// evidenceShutdown: the process shut down, but not at the time at which it closed the connection.
+	evidenceShutdown endEvidence = "shutdown"
 
 	// evidenceRefused: nothing listens at the address of the target.
 	evidenceRefused endEvidence = "refused"
@@ -32,7 +34,7 @@
 	evidenceOtherStart endEvidence = "other_start"
 	// evidenceOtherTarget: the process at the address says that it is another target.
 	evidenceOtherTarget endEvidence = "other_target"
-	// evidenceAddressTaken: the address is registered for another target, or for a later start of it.
+	// evidenceAddressTaken: the address is registered for another target that started later, or for another start of it.
 	evidenceAddressTaken endEvidence = "address_taken"
 	// evidenceWitnessEnded: the other connection to the process has ended, too.
 	evidenceWitnessEnded endEvidence = "witness_ended"
@@ -48,7 +50,11 @@
 
 // processLives reports whether the process goes on, so that it has ended the answer and not the answer with it.
 func (v endEvidence) processLives() bool {
-	return v == evidenceWitness || v == evidenceSameStart || v == evidenceCapped || v == evidenceAnswered
+	switch v {
+	case evidenceWitness, evidenceSameStart, evidenceCapped, evidenceAnswered, evidenceShutdown:
+		return true
+	}
+	return false
 }
 
 // processEnded reports whether the process has ended.
@@ -79,19 +85,21 @@
 // may close its listener before it ends its answers.
 func (a *attempt) processCrashed() bool { return a.end.processEnded() && !a.call.edge.leaves(a.target) }
 
-// leaves reports whether a target is registered as draining, or no longer registered.
+// leaves reports whether a target is registered as draining or no longer registered, or has said that it leaves.
 func (e *Edge) leaves(t routing.Target) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t, registered := e.directory.targets[t.ID]
-	return !registered || t.Draining
+	now, registered := e.directory.targets[t.ID]
+	return !registered || now.Draining || e.balancer.Leaves(t)
 }
 
+func (a *attempt) targetLeaves() bool { return a.call.edge.leaves(a.target) }
+
 // watchEnd begins to watch the process that writes an answer with neither a length nor chunks on u.
 func (a *attempt) watchEnd(u *upstream) {
 	w := a.call.edge.witnesses
 	w.noteUnframed(a.target.Service)
-	w.attach(u, a.sentAt)
+	w.attach(u, a.sentAt, a.targetLeaves)
 	if u.witness != nil {
 		u.witness.see(u)
 	}
@@ -107,7 +115,9 @@
 	if err != nil {
 		a.end = evidenceUntaken
 	} else {
-		time.Sleep(closeTime)
+		time.Sleep(overlap)
+		u.outlivedByWitness = e.witnesses.state(u) == witnessOpen
+		time.Sleep(closeTime - overlap)
 		err = a.findEvidence(u)
 	}
 	e.metrics.unframedEnds.WithLabelValues(string(a.end)).Inc()
@@ -116,12 +126,7 @@
 
 // findEvidence sets end, and returns the error of confirmEnd.
 func (a *attempt) findEvidence(u *upstream) error {
-	e := a.call.edge
-	if e.asksForStart(a.target) {
-		a.end = e.engineEvidence(a.target, u)
-	} else {
-		a.end = e.plainEvidence(a.target, u, time.Duration(statusCheckShare*float64(time.Until(a.call.deadline))))
-	}
+	a.end = a.call.edge.evidence(a.target, u, time.Duration(statusCheckShare*float64(time.Until(a.call.deadline))))
 	switch {
 	case a.end.processLives():
 		err := u.resetError()
@@ -170,52 +175,73 @@
 	return unacked == 0, err
 }
 
-// engineEvidence finds out whether the process of a model engine goes on that has closed u. Its start decides before
-// the witness, the end of which may be late.
-func (e *Edge) engineEvidence(t routing.Target, u *upstream) endEvidence {
-	if e.isAddressTaken(t) {
-		return evidenceAddressTaken
+// evidence finds out whether the process of a target goes on that has closed u. What ends with a process ends at one time,
+// within closeTime or, if a packet is lost, lateEndTime. So a witness that has ended or a listener that is closed shows the end
+// of the process only if they were there until the answer ended; a sound target closes connections as idle at any time, and
+// connections and its listener some time before it ends its last answers.
+//
+//   - A model engine states its start, which decides.
+//   - The process closed its listener, and the answer went on; or the target leaves, closed connections, and either the answer went on
+//     or they were still open after its end. A process that shuts down ends what it has begun.
+//   - Nothing listens at the address: the process has ended, unless it leaves and another connection to it is open.
+//   - The witness has ended with the answer: the process has ended. It is open: the process goes on. The end of the witness may be late,
+//     so that this is asked after lateEndTime where no process takes a connection.
+//   - The address belongs to another process by the registrations: the process has ended, unless the witness is open after
+//     lateEndTime.
+//   - A plain target, of which nothing else is known, has the time wait to answer a status check.
+func (e *Edge) evidence(t routing.Target, u *upstream, wait time.Duration) endEvidence {
+	next, found := e.knock(t, u)
+	state, leaves := e.witnesses.state(u), e.leaves(t)
+	connections, listener := e.witnesses.outlived(u)
+	connections = leaves && (connections || u.outlivedByWitness)
+	switch {
+	case found == evidenceSameStart, found == evidenceOtherStart, found == evidenceCapped:
+		return found
+	case next == nil && (listener || connections), next != nil && connections && state == witnessEnded:
+		return evidenceShutdown
+	case found == evidenceRefused && (state != witnessOpen && state != witnessDisputed || !leaves):
+		return evidenceRefused
+	case next != nil && state == witnessOpen && !e.isAddressTaken(t):
+		e.targetConns.putNew(next)
+		return evidenceWitness
 	}
-	if evidence := e.askStart(t, u); evidence != evidenceNone {
-		return evidence
+	if next != nil {
+		defer next.Close()
 	}
-	return e.lateWitness(u)
-}
-
-// plainEvidence finds out whether the process of a target that states no start goes on, which has closed u. If nothing else
-// shows it, the target has the time wait to answer a status check.
-func (e *Edge) plainEvidence(t routing.Target, u *upstream, wait time.Duration) endEvidence {
-	state := e.witnesses.state(u)
-	if state == witnessEnded {
+	switch {
+	case state == witnessOpen, state == witnessDisputed:
+		return e.lateWitness(u)
+	case state == witnessEnded:
 		return evidenceWitnessEnded
-	}
-	if e.isAddressTaken(t) && (state != witnessOpen || e.isAddressOfOther(t)) {
+	case e.isAddressTaken(t):
 		return evidenceAddressTaken
+	case next == nil:
+		return evidenceNone
+	}
+	return e.askStatus(t, next, wait)
+}
+
+// knock asks a model engine for its start, and connects to a plain target. It returns the new connection to a plain target; nil
+// if there is none, and then what that shows.
+func (e *Edge) knock(t routing.Target, u *upstream) (*upstream, endEvidence) {
+	if e.asksForStart(t) {
+		return nil, e.askStart(t, u)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	next, err := e.targetConns.dial(ctx, t.Address)
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED) && (state != witnessOpen || !e.leaves(t)):
-		return evidenceRefused
-	case err != nil:
-		return e.lateWitness(u)
-	case state == witnessOpen:
-		e.targetConns.putNew(next)
-		return evidenceWitness
-	}
-	defer next.Close()
-	if state == witnessDisputed {
-		return e.lateWitness(u)
+	case err == nil:
+		return next, evidenceNone
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, evidenceRefused
 	}
-	return e.askStatus(t, next, wait)
+	return nil, evidenceNone
 }
 
-// lateWitness returns what the witness shows of a process that does not answer.
+// lateWitness returns what a witness that is open shows once its end would have come, even late.
 func (e *Edge) lateWitness(u *upstream) endEvidence {
-	if state := e.witnesses.state(u); state == witnessOpen || state == witnessDisputed {
-		time.Sleep(time.Until(u.endedAt.Add(lateEndTime)))
-	}
+	time.Sleep(time.Until(u.endedAt.Add(lateEndTime)))
 	switch e.witnesses.state(u) {
 	case witnessOpen, witnessDisputed:
 		return evidenceWitness
@@ -225,7 +251,7 @@
 	return evidenceNone
 }
 
-// isAddressTaken reports whether the address of a target is registered for another one that started no earlier, or for a later
+// isAddressTaken reports whether the address of a target is registered for another one that started no earlier, or for another
 // start of it.
 func (e *Edge) isAddressTaken(t routing.Target) bool {
 	return e.isAddressOfOther(t) || e.isReplaced(t)
--- a/edge/sound_end_test.go
+++ b/edge/sound_end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -124,6 +125,124 @@
 	}
 }
 
+// leaveKinds are the ways in which a target leaves before it ends its last answer, and what the router knows of that.
+type leaveKind struct {
+	engine bool
+	// known is how the router knows that the target leaves: "draining", "removed", "said", or "" if it does not.
+	known string
+	// keepsConnections is set if the target closes its listener only.
+	keepsConnections bool
+}
+
+func (k leaveKind) String() string {
+	return fmt.Sprintf("engine=%v/%s/keeps=%v", k.engine, k.known, k.keepsConnections)
+}
+
+// leaveKinds returns all kinds.
+func leaveKinds() []leaveKind {
+	var out []leaveKind
+	for _, engine := range []bool{false, true} {
+		for _, known := range []string{"draining", "removed", "said", ""} {
+			for _, keeps := range []bool{false, true} {
+				out = append(out, leaveKind{engine, known, keeps})
+			}
+		}
+	}
+	return out
+}
+
+// noteLeaving lets the router know that a target leaves.
+func (f *fixture) noteLeaving(id, how string) {
+	f.edge.mu.Lock()
+	t := f.edge.directory.targets[id]
+	switch how {
+	case "draining":
+		t.Draining = true
+		f.edge.directory.targets[id] = t
+	case "removed":
+		delete(f.edge.directory.targets, id)
+	}
+	f.edge.mu.Unlock()
+	if how == "said" {
+		f.edge.setLeaving(t)
+	}
+}
+
+// playLeaving plays a stream of a target that leaves within it. leave gets the request after the first events.
+func playLeaving(t *testing.T, k leaveKind, leave func(s *receivedRequest)) (body string, err error) {
+	var f *fixture
+	var begun sync.WaitGroup
+	begun.Add(1)
+	target := newTestTarget(t, "t1", func(s *receivedRequest) {
+		if s.statesStart(1) {
+			return
+		}
+		begun.Wait()
+		s.write(unframedBodyHead + "id: 1\ndata: a\n\n")
+		time.Sleep(300 * time.Millisecond)
+		f.noteLeaving("t1", k.known)
+		time.Sleep(50 * time.Millisecond)
+		leave(s)
+	})
+	start := startFixture["plain"]
+	if k.engine {
+		start = startFixture["engine"]
+	}
+	f = start(t, target)
+	begun.Done()
+	_, body, err = f.client().call("POST", "/stream/")
+	return body, err
+}
+
+// Guards against LOST: a target that leaves closes its listener, and perhaps its other connections, some time before it ends its
+// last answer and exits. That is taken for the end of its process within the answer, which is cut.
+func TestLastUnframedAnswerOfATargetThatLeavesIsDelivered(t *testing.T) {
+	for _, k := range leaveKinds() {
+		t.Run(k.String(), func(t *testing.T) {
+			t.Parallel()
+			body, err := playLeaving(t, k, func(s *receivedRequest) {
+				s.target.listener.Close()
+				if !k.keepsConnections {
+					s.target.closeOthers(s.conn)
+				}
+				goesOn := 400 * time.Millisecond
+				if k.known == "" && k.keepsConnections {
+					goesOn = 2400 * time.Millisecond // until the witness is replaced
+				}
+				time.Sleep(goesOn)
+				io.WriteString(s.conn, "id: 2\ndata: b\n\n")
+				s.conn.Close()
+				s.target.crash()
+			})
+			if err != nil || body != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" {
+				t.Errorf("%q, %v", body, err)
+			}
+		})
+	}
+}
+
+// Guards against MIXED and ORDER: the process of a target that is to leave ends within an answer, with its listener and all
+// connections, and the part passes as whole.
+func TestUnframedAnswerOfATargetThatLeavesAndEndsIsIncomplete(t *testing.T) {
+	for name, next := range successors {
+		for _, k := range leaveKinds() {
+			if k.keepsConnections {
+				continue
+			}
+			t.Run(name+"/"+k.String(), func(t *testing.T) {
+				t.Parallel()
+				body, err := playLeaving(t, k, func(s *receivedRequest) {
+					time.Sleep(250 * time.Millisecond)
+					s.target.endProcess(t, next)
+				})
+				if err == nil {
+					t.Errorf("%q passes as whole", body)
+				}
+			})
+		}
+	}
+}
+
 // Guards against LOST: the same while the idle time of the target is not known yet, for answers beside which others of the target
 // go on.
 func TestUnframedAnswersBesideOthersOfATargetThatClosesIdleConnectionsAreDelivered(t *testing.T) {
--- a/edge/upstream.go
+++ b/edge/upstream.go
@@ -45,6 +45,8 @@
 	address string
 	// openedAt is when the connection was established, and endedAt when the end of an answer was read that ends with it.
 	openedAt, endedAt time.Time
+	// outlivedByWitness is set if the witness was open for a short time after endedAt.
+	outlivedByWitness bool
 	// witness is the witness of the answer on the connection, if it needs one; nil otherwise. Only the attempt that uses
 	// the connection reads it.
 	witness *witness
--- a/edge/witness.go
+++ b/edge/witness.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -16,9 +17,11 @@
 	// witnessLinger is how long a witness is kept after the last answer that needed it.
 	witnessLinger = defaultIdleLifetime
 	// witnessAge is the age at which the connection of a witness is replaced, before its target closes it as idle. It is half of
-	// the time after which the target is known to do that if that is less, and minWitnessAge at least.
-	witnessAge    = 2 * time.Second
-	minWitnessAge = 100 * time.Millisecond
+	// the time after which the target is known to do that if that is less, and minWitnessAge at least. At a target that leaves it is
+	// leavingWitnessAge, to see whether that has closed its listener.
+	witnessAge        = 2 * time.Second
+	minWitnessAge     = 100 * time.Millisecond
+	leavingWitnessAge = 200 * time.Millisecond
 	// witnessCheck is the longest time between two looks at the age.
 	witnessCheck = 250 * time.Millisecond
 	// witnessRetryPause is the time between two connections that could not be opened or lasted shorter.
@@ -40,7 +43,7 @@
 // witnesses keeps one connection without requests to each target that answers without framing. All connections of a process
 // end with it, at one time, and so does its listener. So a connection that was opened before an answer ended, and is open after
 // that, shows that the process did not end; and what ended before the answer did, which went on, has not ended with the process: a
-// target closes connections as idle.
+// target closes connections as idle, and one that leaves closes them and its listener before it ends its last answers.
 // It is safe for concurrent use.
 type witnesses struct {
 	pool *connPool
@@ -87,12 +90,18 @@
 
 // witnessedAnswer is the connection of one answer as its witness knows it.
 type witnessedAnswer struct {
+	// leaves reports whether the target is known to leave.
+	leaves func() bool
 	// seen is when it was last seen open.
 	seen time.Time
 	// ended is set if the witness ended that was there when the answer was seen open, at the age endedAge, and the answer
 	// has not gone on since. doubted is set if its target may not have closed it as idle.
 	ended, doubted bool
 	endedAge       time.Duration
+	// refused is set if the address refused a connection, and the answer has not gone on since.
+	refused bool
+	// outlived is set once the answer has gone on after ended, and outlivedListener after refused.
+	outlived, outlivedListener bool
 	// review is what the looks since then have found.
 	review answerReview
 }
@@ -123,6 +132,9 @@
 	return now.Sub(r.idleSince)
 }
 
+// underReview reports whether it is not known yet whether the answer goes on after what has ended beside it.
+func (a *witnessedAnswer) underReview() bool { return a.ended || a.refused }
+
 // witnessConn is one connection of a witness.
 type witnessConn struct {
 	*upstream
@@ -130,8 +142,9 @@
 	ended chan error
 }
 
-// attach keeps a witness for the answer on u until detach. u must have been open at seen.
-func (ws *witnesses) attach(u *upstream, seen time.Time) {
+// attach keeps a witness for the answer on u until detach. u must have been open at seen. leaves reports whether the target is
+// known to leave; the caller must not hold a lock that it takes.
+func (ws *witnesses) attach(u *upstream, seen time.Time, leaves func() bool) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
 	if u.witness != nil || ws.closed {
@@ -143,7 +156,7 @@
 		ws.byAddress[u.address] = w
 		go w.keep()
 	}
-	w.answers[u] = &witnessedAnswer{seen: seen}
+	w.answers[u] = &witnessedAnswer{seen: seen, leaves: leaves}
 	u.witness = w
 }
 
@@ -191,6 +204,9 @@
 // open opens a connection. It returns nil if there is none after overlap.
 func (w *witness) open() *witnessConn {
 	u, err := w.all.pool.dial(context.Background(), w.address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		w.noteRefused()
+	}
 	if err != nil {
 		return nil
 	}
@@ -283,11 +299,19 @@
 // replaceAge returns the age at which the connection is replaced.
 func (w *witness) replaceAge() time.Duration {
 	w.all.mu.Lock()
-	defer w.all.mu.Unlock()
+	age := witnessAge
 	if known, ok := w.all.idleTimes[w.address]; ok {
-		return max(min(known.after/2, witnessAge), minWitnessAge)
+		age = max(min(known.after/2, age), minWitnessAge)
+	}
+	var leaving []func() bool
+	for _, a := range w.answers {
+		leaving = append(leaving, a.leaves)
+	}
+	w.all.mu.Unlock()
+	if slices.ContainsFunc(leaving, func(leaves func() bool) bool { return leaves() }) {
+		return min(age, leavingWitnessAge)
 	}
-	return witnessAge
+	return age
 }
 
 // end records that the connection has ended, and why. A target that is at its limit of connections resets it.
@@ -312,6 +336,18 @@
 	w.beginReview()
 }
 
+// noteRefused records that the address refuses connections.
+func (w *witness) noteRefused() {
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	for _, a := range w.answers {
+		if !a.outlivedListener && !a.refused {
+			a.refused, a.review = true, answerReview{}
+		}
+	}
+	w.beginReview()
+}
+
 // beginReview starts review, unless it runs. w.all.mu is held.
 func (w *witness) beginReview() {
 	if !w.reviewing {
@@ -320,7 +356,8 @@
 	}
 }
 
-// review looks which answers go on after the witness has ended. It returns when nothing is left to be found out.
+// review looks which answers go on after the witness has ended or the address has refused connections. It returns when nothing is left
+// to be found out.
 func (w *witness) review() {
 	for began := time.Now(); w.look(time.Now()); {
 		if time.Since(began) < 2*lateEndTime {
@@ -334,25 +371,42 @@
 // look is one look of review, at a time. It reports whether another one is needed.
 func (w *witness) look(now time.Time) bool {
 	w.all.mu.Lock()
-	defer w.all.mu.Unlock()
-	w.reviewing = false
+	leaving := make(map[*upstream]func() bool)
 	for u, a := range w.answers {
-		if a.ended {
-			w.lookAt(u, a, now)
-			w.reviewing = w.reviewing || a.ended
+		if a.underReview() {
+			leaving[u] = a.leaves
 		}
 	}
-	return w.reviewing
+	w.reviewing = len(leaving) > 0
+	w.all.mu.Unlock()
+	for u, leaves := range leaving {
+		w.lookAt(u, now, leaves())
+	}
+	return len(leaving) > 0
 }
 
 // lookAt looks whether an answer goes on. The ends of the connections of a process may come lateEndTime apart, after a lost
-// packet. w.all.mu is held.
-func (w *witness) lookAt(u *upstream, a *witnessedAnswer, now time.Time) {
-	if a.review.add(now, isOpenWithoutInput(u)) < lateEndTime {
+// packet. Of a target that leaves it is known that it closes connections before it ends its last answers, so that a short time
+// is enough.
+func (w *witness) lookAt(u *upstream, now time.Time, leaves bool) {
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	a := w.answers[u]
+	if a == nil {
 		return
 	}
-	w.all.noteIdleTime(w.address, a.endedAge)
-	a.ended, a.doubted = false, false
+	apart := lateEndTime
+	if leaves {
+		apart = overlap
+	}
+	if a.review.add(now, isOpenWithoutInput(u)) < apart {
+		return
+	}
+	if a.ended && !leaves && !a.refused {
+		w.all.noteIdleTime(w.address, a.endedAge)
+	}
+	a.outlived, a.outlivedListener = a.outlived || a.ended, a.outlivedListener || a.refused
+	a.ended, a.doubted, a.refused = false, false, false
 }
 
 // precedes reports whether the witness was there when an answer was last seen open. w.all.mu is held.
@@ -479,6 +533,18 @@
 	return false
 }
 
+// outlived reports whether the answer on u went on after the target had closed other connections, and whether after
+// it had closed its listener.
+func (ws *witnesses) outlived(u *upstream) (connections, listener bool) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	if u.witness == nil {
+		return false, false
+	}
+	a := u.witness.answers[u]
+	return a.outlived, a.outlivedListener
+}
+
 // isOpen reports whether the peer of a connection has neither closed nor reset it. Unlike a read that does not take what has
 // come, the question does not take the error of a reset from the next read.
 func isOpen(u *upstream) bool { return isOpenWithout(u, 0) }
--- a/placement/usable.go
+++ b/placement/usable.go
@@ -70,6 +70,12 @@
 	return true
 }
 
+// Leaves reports whether a target has told a router that it leaves.
+func (b *Balancer) Leaves(t routing.Target) bool {
+	_, heard := b.leaving.heard[incarnationOf(t)]
+	return heard
+}
+
 // Pause records that a target wants no requests from this router for a time, at most MaxPause. A
 // shorter one than it asked for before changes nothing.
 func (b *Balancer) Pause(now time.Time, answered routing.Target, d time.Duration) {
