--- a/edge/end.go
+++ b/edge/end.go
@@ -257,12 +257,13 @@
 	return e.isAddressOfOther(t) || e.isReplaced(t)
 }
 
-// isAddressOfOther reports whether the address of a target is registered for another one that started no earlier.
+// isAddressOfOther reports whether the address of a target is registered for another one that started no earlier. Of registrations that
+// state no start it is not known which one is out of date.
 func (e *Edge) isAddressOfOther(t routing.Target) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, other := range e.directory.targets {
-		if other.Address == t.Address && other.ID != t.ID && (other.StartedUnixMs == 0 || other.StartedUnixMs >= t.StartedUnixMs) {
+		if other.Address == t.Address && other.ID != t.ID && other.StartedUnixMs >= t.StartedUnixMs && t.StartedUnixMs > 0 {
 			return true
 		}
 	}
--- a/edge/sound_end_test.go
+++ b/edge/sound_end_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/chiveseam/chiveseam/routing"
 )
 
 // unframedStream writes the events of a stream without framing, some time before each of them, and ends it.
@@ -262,3 +264,27 @@
 	}
 	calls.Wait()
 }
+
+// Guards against LOST: another registration has the address of a target that goes on, and counts as the proof that its process has
+// ended.
+func TestUnframedAnswerBesideAnotherRegistrationOfItsAddressIsDelivered(t *testing.T) {
+	for _, other := range []int64{0, 1, 2000, 3000} {
+		for name, start := range startFixture {
+			t.Run(fmt.Sprint(name, other), func(t *testing.T) {
+				t.Parallel()
+				target := newTestTarget(t, "t2", func(s *receivedRequest) {
+					if !s.statesStart(2000) {
+						s.unframedStream(3, 20*time.Millisecond)
+					}
+				})
+				target.started = 2000
+				f := start(t, target)
+				f.edge.mu.Lock()
+				f.edge.directory.targets["t1"] = routing.Target{ID: "t1", Service: "other", Address: target.listener.Addr().String(), StartedUnixMs: other}
+				f.edge.mu.Unlock()
+				_, _, err := f.client().call("POST", "/stream/")
+				f.is.NoErr(err)
+			})
+		}
+	}
+}
