--- a/edge/source.go
+++ b/edge/source.go
@@ -28,7 +28,7 @@
 	// Evacuations are the zones that are evacuated, and of a watch the changes in their order. A Zone is
 	// "" if the key names none.
 	Evacuations []evacuation.Change
-	// Changes is the number of all keys in the answer, including those without a meaning for routers.
+	// Changes is the number of changes in the answer to a watch, including those without a meaning for routers.
 	Changes int
 }
 
@@ -43,14 +43,14 @@
 	// WatchConfiguration waits for changes after a revision, and returns the revision to watch from
 	// next. The Publication is empty if none came within the wait.
 	WatchConfiguration(ctx context.Context, after Revision, wait time.Duration) (Publication, Revision, error)
-	// Targets returns all registrations and the revision to watch from.
+	// Targets returns all registrations and the revision to watch from. It may leave out entries that are none.
 	Targets(ctx context.Context) ([]TargetChange, Revision, error)
 	// WatchTargets waits for changes of registrations after a revision, and returns the revision
 	// to watch from next.
 	WatchTargets(ctx context.Context, after Revision, wait time.Duration) ([]TargetChange, Revision, error)
-	// TargetHistory returns the changes of registrations that the store still has.
+	// TargetHistory returns the changes of registrations that the store still has, without entries that are none.
 	TargetHistory(ctx context.Context) (TargetHistory, error)
-	// MissedTargetChanges returns the changes of registrations after a revision, and the revision up to which these are
+	// MissedTargetChanges returns the changes of registrations after a revision, without entries that are none, and the revision up to which these are
 	// all: one that the store had after the call. It does not take the answer to an earlier call for its own.
 	MissedTargetChanges(ctx context.Context, after Revision) ([]TargetChange, Revision, error)
 }
