--- a/edge/witness.go
+++ b/edge/witness.go
@@ -22,7 +22,7 @@
 	witnessAge        = 2 * time.Second
 	minWitnessAge     = 100 * time.Millisecond
 	leavingWitnessAge = 200 * time.Millisecond
-	// witnessCheck is the longest time between two looks at the age.
+	// witnessCheck is the longest time between two checks of the age.
 	witnessCheck = 250 * time.Millisecond
 	// witnessRetryPause is the time between two connections that could not be opened or lasted shorter.
 	witnessRetryPause = 500 * time.Millisecond
@@ -34,10 +34,6 @@
 	unframedMemory = 10 * time.Minute
 	// idleTimeTolerance is the part of the idle time of a target by which the ages vary at which it closes connections as idle.
 	idleTimeTolerance = 0.25
-	// reviewInterval is the time between two looks at answers beside which something has ended, and slowReviewInterval that
-	// after lateEndTime.
-	reviewInterval     = overlap
-	slowReviewInterval = 50 * time.Millisecond
 )
 
 // witnesses keeps one connection without requests to each target that answers without framing. All connections of a process
@@ -102,39 +98,10 @@
 	refused bool
 	// outlived is set once the answer has gone on after ended, and outlivedListener after refused.
 	outlived, outlivedListener bool
-	// review is what the looks since then have found.
+	// review is what the checks since then have found.
 	review answerReview
 }
 
-// answerReview is what looks at the connection of an answer have found since something has ended beside it.
-type answerReview struct {
-	// looks is their number.
-	looks int
-	// idleSince is when the connection was first found open with nothing to be read; zero if it was not.
-	idleSince time.Time
-	// caughtUp is set if the first look found that: nothing was on its way then that the router had no room for, and behind which
-	// the end of the connection could come late.
-	caughtUp bool
-}
-
-// add adds a look. It returns for how long the connection is known to have been open with nothing on its way.
-func (r *answerReview) add(now time.Time, idle bool) time.Duration {
-	r.looks++
-	switch {
-	case !idle && !r.caughtUp:
-		r.idleSince = time.Time{}
-	case idle && r.idleSince.IsZero():
-		r.idleSince, r.caughtUp = now, r.looks == 1
-	}
-	if !idle {
-		return 0
-	}
-	return now.Sub(r.idleSince)
-}
-
-// underReview reports whether it is not known yet whether the answer goes on after what has ended beside it.
-func (a *witnessedAnswer) underReview() bool { return a.ended || a.refused }
-
 // witnessConn is one connection of a witness.
 type witnessConn struct {
 	*upstream
@@ -353,67 +320,6 @@
 	w.beginReview()
 }
 
-// beginReview starts review, unless it runs. w.all.mu is held.
-func (w *witness) beginReview() {
-	if !w.reviewing {
-		w.reviewing = true
-		go w.review()
-	}
-}
-
-// review looks which answers go on after the witness has ended or the address has refused connections. It returns when nothing is left
-// to be found out.
-func (w *witness) review() {
-	for began := time.Now(); w.look(time.Now()); {
-		if time.Since(began) < 2*lateEndTime {
-			time.Sleep(reviewInterval)
-		} else {
-			time.Sleep(slowReviewInterval)
-		}
-	}
-}
-
-// look is one look of review, at a time. It reports whether another one is needed.
-func (w *witness) look(now time.Time) bool {
-	w.all.mu.Lock()
-	leaving := make(map[*upstream]func() bool)
-	for u, a := range w.answers {
-		if a.underReview() {
-			leaving[u] = a.leaves
-		}
-	}
-	w.reviewing = len(leaving) > 0
-	w.all.mu.Unlock()
-	for u, leaves := range leaving {
-		w.lookAt(u, now, leaves())
-	}
-	return len(leaving) > 0
-}
-
-// lookAt looks whether an answer goes on. The ends of the connections of a process may come lateEndTime apart, after a lost
-// packet. Of a target that leaves it is known that it closes connections before it ends its last answers, so that a short time
-// is enough.
-func (w *witness) lookAt(u *upstream, now time.Time, leaves bool) {
-	w.all.mu.Lock()
-	defer w.all.mu.Unlock()
-	a := w.answers[u]
-	if a == nil {
-		return
-	}
-	apart := lateEndTime
-	if leaves {
-		apart = overlap
-	}
-	if a.review.add(now, isOpenWithoutInput(u)) < apart {
-		return
-	}
-	if a.ended && !leaves && !a.refused {
-		w.all.noteIdleTime(w.address, a.endedAge)
-	}
-	a.outlived, a.outlivedListener = a.outlived || a.ended, a.outlivedListener || a.refused
-	a.ended, a.doubted, a.refused = false, false, false
-}
-
 // precedes reports whether the witness was there when an answer was last seen open. w.all.mu is held.
 func (w *witness) precedes(a *witnessedAnswer) bool { return !w.since.Add(overlap).After(a.seen) }
 
