--- a/edge/sound_end_test.go
+++ b/edge/sound_end_test.go
@@ -73,7 +73,7 @@
 // it has closed the first connections may be cut.
 func TestShortUnframedAnswersOfATargetThatClosesIdleConnectionsAreDelivered(t *testing.T) {
 	for _, idle := range []time.Duration{30, 60, 120, 300} {
-		t.Run(fmt.Sprint(idle), func(t *testing.T) {
+		t.Run(fmt.Sprint(idle*time.Millisecond), func(t *testing.T) {
 			t.Parallel()
 			target := newIdleClosingTarget(t, idle*time.Millisecond, func(s *receivedRequest) {
 				if s.id == "" {
@@ -106,7 +106,7 @@
 func TestUnframedAnswerOfAnEndedProcessThatClosedIdleConnectionsIsIncomplete(t *testing.T) {
 	for name, next := range successors {
 		for _, idle := range []time.Duration{150, 400, 1000} {
-			t.Run(fmt.Sprint(name, idle), func(t *testing.T) {
+			t.Run(fmt.Sprint(name, idle*time.Millisecond), func(t *testing.T) {
 				t.Parallel()
 				idle := idle * time.Millisecond
 				target := newIdleClosingTarget(t, idle, func(s *receivedRequest) {
--- a/edge/witness.go
+++ b/edge/witness.go
@@ -32,7 +32,7 @@
 	// unframedMemory is how long a service is expected to answer without framing after it has done so, and the idle time of a
 	// target is remembered.
 	unframedMemory = 10 * time.Minute
-	// idleTimeTolerance is the part of the idle time of a target by which the ages vary at which it closes connections as idle.
+	// idleTimeTolerance is the fraction by which the ages may vary at which a target closes connections as idle.
 	idleTimeTolerance = 0.25
 )
 
@@ -358,7 +358,7 @@
 	return ok && (age >= known.after || isAbout(age, known.after))
 }
 
-// isAbout reports whether two ages at which a target has closed connections are the same, but for what they vary by.
+// isAbout reports whether two ages at which a target has closed connections differ by idleTimeTolerance at most.
 func isAbout(age, other time.Duration) bool {
 	return (age - other).Abs() <= time.Duration(idleTimeTolerance*float64(other))
 }
